--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= aldeias
+FAULTS ?= 0
+SEED ?= 7
+DURATION ?= 60
+
+.PHONY: demo test lint format fuzz soak slopes experiment bench wire
+
+$(VENV)/.ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m agatewing.demo --deployment $(DEPLOYMENT) \
+	    --faults $(FAULTS)
+
+test: $(VENV)/.ready
+	CI=true $(BIN)/python -m pytest
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check agatewing tests
+	$(BIN)/flake8 agatewing tests
+	$(BIN)/mypy agatewing
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format agatewing tests
+
+fuzz: $(VENV)/.ready
+	FUZZ_SEED=$(SEED) $(BIN)/python -m pytest -k fuzz
+
+soak: $(VENV)/.ready
+	$(BIN)/python -m agatewing.soak --seed $(SEED) --duration $(DURATION)
+
+slopes: $(VENV)/.ready
+	$(BIN)/python -m agatewing.bench slopes
+
+experiment: $(VENV)/.ready
+	$(BIN)/python -m agatewing.experiment
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m agatewing.bench entry
+
+wire:
+	thrift --gen py:slots -out agatewing/wire/gen thrift/peer.thrift
--- /dev/null
+++ b/agatewing/_compose.py
@@ -0,0 +1,355 @@
+"""The composition root: wires the parts of one instance."""
+
+import logging
+import random
+
+import gevent
+
+from agatewing import _backend
+from agatewing import _clock
+from agatewing import _invariants
+from agatewing import _watch
+from agatewing import admin
+from agatewing import calls
+from agatewing import config
+from agatewing import control
+from agatewing import decisions
+from agatewing import entry
+from agatewing import fleet
+from agatewing import membership
+from agatewing import net
+from agatewing import platform_services
+from agatewing import replica
+from agatewing import timeline
+from agatewing import wire
+
+_log = logging.getLogger("agatewing.instance")
+
+#: Time between two looks at a stopping instance, in seconds.
+STOP_PERIOD_S = 0.05
+#: Time for which links keep telling that the instance left, in seconds.
+FAREWELL_S = 0.5
+
+
+class Instance:
+    """One process of the system."""
+
+    def __init__(self, settings: config.Settings, clock: _clock.Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = int(clock.wall() * 1000)
+        self.author = replica.Author(settings.instance, self.incarnation)
+        self.rng = random.Random(f"{self.author}")
+        self.hlc = timeline.HybridClock(clock)
+        self.events = timeline.Timeline(self.hlc, str(self.author))
+        self.invariants = _invariants.Invariants(self.events)
+        self.gate = entry.Gate()
+        self.fleet = fleet.Fleet(clock, self.rng)
+        self._wire_membership()
+        self._wire_log()
+        self._wire_control()
+        self._wire_calls()
+        self._wire_entry()
+        self._wire_admin()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def _wire_membership(self) -> None:
+        settings = self.settings
+        myself = membership.Self(
+            settings.instance,
+            self.incarnation,
+            settings.zone,
+            f"{settings.host}:{settings.peer_port}",
+        )
+        self.detector = membership.Detector(myself, self.rng)
+        self.links = membership.Links(
+            settings.host,
+            settings.peer_port,
+            wire.Codec(settings.peer_secret),
+            self.clock,
+            self.detector,
+            self._news,
+            lambda wall, count: self.hlc.receive(timeline.Stamp(wall, count)),
+            self._state_reply,
+        )
+        self.instance_list = platform_services.InstanceListClient(
+            settings.instance_list_url
+        )
+
+    def _wire_log(self) -> None:
+        self.log = platform_services.LogClient(self.settings.log_url)
+        self.config_state = replica.ConfigState()
+        self.control_state = replica.ControlState()
+        self.calls_state = replica.CallsState()
+        budget = replica.AppendBudget(
+            self.clock,
+            self.settings.log_appends_per_s,
+            lambda: len(self.detector.live_peers()) + 1,
+        )
+        self.followers: dict[str, replica.Follower] = {}
+        self.commits: dict[str, replica.GroupCommit] = {}
+        for stream, machine in (
+            (replica.CONFIG_STREAM, self.config_state),
+            (replica.CONTROL_STREAM, self.control_state),
+            (replica.CALLS_STREAM, self.calls_state),
+        ):
+            follower = replica.Follower(
+                self.log,
+                self.clock,
+                stream,
+                replica.Replay(machine),
+                self.rng,
+            )
+            self.followers[stream] = follower
+            self.commits[stream] = replica.GroupCommit(
+                self.log,
+                self.clock,
+                follower,
+                budget,
+                self.author,
+                self.rng,
+            )
+
+    def _wire_control(self) -> None:
+        config_stream = replica.CONFIG_STREAM
+        stream = replica.CONTROL_STREAM
+        follower, commit = self.followers[stream], self.commits[stream]
+        self.config_keeper = control.ConfigKeeper(
+            self.clock,
+            self.config_state,
+            self.followers[config_stream],
+            self.commits[config_stream],
+            self.events,
+            self._apply_config,
+            self.links.fetch_state,
+        )
+        self.keepers = [
+            control.Keeper(
+                self.clock,
+                self.followers[name],
+                machine,
+                self.commits[name],
+                self.events,
+                self.rng,
+            )
+            for name, machine in (
+                (config_stream, self.config_state),
+                (stream, self.control_state),
+            )
+        ]
+        self.leases = control.LeaseKeeper(
+            self.clock,
+            self.control_state,
+            follower,
+            commit,
+            self.events,
+            self.rng,
+        )
+        self.orders = control.OrderKeeper(
+            self.clock,
+            self.control_state,
+            follower,
+            commit,
+            self.leases,
+            self.fleet,
+            self.events,
+            self._is_gone,
+            self.invariants,
+        )
+        self.roles = control.RoleLoop(
+            self.clock,
+            self.fleet,
+            self.leases,
+            self.orders,
+            self._demand_of,
+        )
+
+    def _wire_calls(self) -> None:
+        stream = replica.CALLS_STREAM
+        follower, commit = self.followers[stream], self.commits[stream]
+        self.history = calls.History(
+            self.clock, self.log, follower, self._ask_position
+        )
+        self.retries = decisions.RetryBudget(self.rng)
+        self.services = entry.Services(
+            self.clock,
+            self.fleet,
+            self.gate,
+            self.events,
+            self.retries,
+            self.settings.zone,
+        )
+        self.executor = calls.OnceExecutor(
+            self.clock,
+            self.calls_state,
+            follower,
+            commit,
+            self.events,
+            self.services.send_once,
+            self.history,
+            self.invariants,
+        )
+        self.services.executor = self.executor
+        self.reaper = calls.Reaper(
+            self.clock,
+            self.calls_state,
+            follower,
+            commit,
+            self.events,
+            self._is_gone,
+            self.rng,
+        )
+
+    def _wire_entry(self) -> None:
+        limits = self.settings.limits
+        self.dispatcher = entry.Dispatcher(
+            self.clock, self.fleet, limits.max_queue
+        )
+        parts = entry.RelayParts(
+            self.fleet,
+            self.clock,
+            self.events,
+            self.retries,
+            self.invariants,
+        )
+        generation = entry.Generation(
+            parts,
+            self.dispatcher,
+            entry.HandleCodec(self.settings.stream_secret),
+            fleet.LengthEstimate(),
+            self.rng,
+            self.settings.zone,
+        )
+        self.app = entry.EntryApp(
+            self.fleet,
+            self.gate,
+            generation,
+            self.services,
+            self.events,
+            limits,
+        )
+        self.server = net.Server(
+            self.settings.host,
+            self.settings.caller_port,
+            self.app,
+            limits.max_connections,
+            limits.max_header_bytes,
+            limits.request_read_s,
+        )
+        self.poller = fleet.Poller(
+            self.fleet, self.clock, self.rng, self.events
+        )
+
+    def _wire_admin(self) -> None:
+        self.watch = _watch.Watch(self)
+        self.backend = _backend.InstanceBackend(self)
+        authorizer = admin.Authorizer(
+            self.settings.admin_tokens,
+            self.clock,
+            self.settings.limits.admin_rate_per_s,
+        )
+        self.admin_server = net.Server(
+            self.settings.host,
+            self.settings.admin_port,
+            admin.AdminApp(self.backend, authorizer),
+            max_connections=256,
+        )
+
+    def start(self) -> None:
+        """Open the ports and start every loop."""
+        self.gate.phase = entry.Phase.SERVING
+        self.events.add(timeline.EventKind.STARTED)
+        self.links.start()
+        self.admin_server.start()
+        self.server.start()
+        loops = [
+            *(f.run for f in self.followers.values()),
+            *(c.run for c in self.commits.values()),
+            self.watch.run,
+            self.watch.run_list,
+            self.poller.run,
+            self.dispatcher.run,
+            self.leases.run,
+            self.orders.run,
+            self.roles.run,
+            self.reaper.run,
+        ]
+        self._tasks = [gevent.spawn(loop) for loop in loops]
+        _log.info(
+            "instance: %s serves callers on %s:%d",
+            self.author,
+            self.settings.host,
+            self.server.port,
+        )
+
+    def stop(self) -> bool:
+        """Leave gracefully; return whether every answer ended whole."""
+        self.gate.phase = entry.Phase.LEAVING
+        self.detector.leave()
+        self.events.add(timeline.EventKind.LEAVING)
+        _log.info("instance: %s leaves", self.author)
+        self.clock.sleep(self.settings.leave_delay_s)
+        whole = self._wait_for_requests()
+        self.invariants.check(
+            _invariants.Promise.GRACEFUL_STOP,
+            whole,
+            f"{self.app.open_requests} requests were open at the stop",
+        )
+        self.leases.release_all()
+        self.server.stop(timeout=1.0)
+        self.links.stop()
+        self.clock.sleep(FAREWELL_S)
+        self.admin_server.stop(timeout=1.0)
+        gevent.killall(self._tasks, block=False)
+        self.events.add(timeline.EventKind.STOPPED)
+        _log.info("instance: %s stopped", self.author)
+        return whole
+
+    def _wait_for_requests(self) -> bool:
+        limit = self.clock.monotonic() + self.settings.drain_limit_s
+        while self.app.open_requests or self.executor.active:
+            if self.clock.monotonic() > limit:
+                return False
+            self.clock.sleep(STOP_PERIOD_S)
+        return True
+
+    def _apply_config(self, document: config.Document, version: int) -> None:
+        self.invariants.check(
+            _invariants.Promise.NO_REVERT,
+            version > self.config_keeper.applied_version,
+            f"version {version} after {self.config_keeper.applied_version}",
+        )
+        self.fleet.apply(document)
+        self.leases.wanted = frozenset(
+            control.lease_of(pool) for pool in document.pools()
+        )
+        window = document.rules.idempotency_window_s
+        self.executor.window_s = window
+        self.reaper.window_s = window
+        _log.info("instance: configuration %d is in force", version)
+
+    def _news(self) -> membership.News:
+        follower = self.followers[replica.CONFIG_STREAM]
+        age = follower.age()
+        age_ms = int(age * 1000) if age < 1e6 else -1
+        stamp = self.hlc.now()
+        return membership.News(
+            wire.Vouch(
+                config_version=self.config_keeper.applied_version,
+                log_age_ms=age_ms,
+            ),
+            self.watch.own_demand(),
+            (stamp.wall_ms, stamp.counter),
+        )
+
+    def _state_reply(self, stream: str) -> wire.StateReply:
+        return self.watch.state_reply(stream)
+
+    def _is_gone(self, process: str, after_s: float) -> bool:
+        return self.detector.is_gone(process, self.clock.monotonic(), after_s)
+
+    def _demand_of(self, pool: str) -> decisions.TokenDemand:
+        return self.watch.demand_of(pool)
+
+    def _ask_position(self, process: str) -> int | None:
+        return self.watch.ask_position(process)
--- /dev/null
+++ b/agatewing/_exceptions.py
@@ -0,0 +1,113 @@
+"""Typed errors; each message names what to do about it."""
+
+import dataclasses
+
+from agatewing import _types
+
+
+class AgatewingError(Exception):
+    """Base of every error that this package raises."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A truthful refusal of one request."""
+
+    #: Why the request is refused.
+    kind: _types.RefusalKind
+    #: What happened, for a person.
+    detail: str
+    #: What the caller can do about it.
+    remedy: str
+    #: Whether the request may have had an effect.
+    outcome: _types.Outcome = _types.Outcome.NOT_RUN
+    #: Seconds after which a retry makes sense; ``None`` for never.
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status code of the refusal."""
+        return _types.STATUS_OF_KIND[self.kind]
+
+
+class RefusedError(AgatewingError):
+    """Carries a refusal up to the edge that answers the caller."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{refusal.kind}: {refusal.detail}")
+        self.refusal = refusal
+
+
+class LogUnavailableError(AgatewingError):
+    """The log service gave no answer; the append may have happened."""
+
+    def __init__(self, stream: str, cause: str) -> None:
+        super().__init__(
+            f"log stream {stream!r} gave no answer ({cause}); read the "
+            "stream back by the append's id before trying again"
+        )
+        self.stream = stream
+
+
+class LogRefusedError(AgatewingError):
+    """The log service refused an append; nothing was appended."""
+
+    def __init__(self, stream: str, status: int) -> None:
+        super().__init__(
+            f"log stream {stream!r} refused the append with status "
+            f"{status}; lower the append rate and try again"
+        )
+        self.stream = stream
+        self.status = status
+
+
+class ConnectRefusedError(AgatewingError):
+    """No connection came about, so nothing of the call was sent."""
+
+    def __init__(self, address: str, cause: str) -> None:
+        super().__init__(
+            f"{address} accepted no connection ({cause}); check that the "
+            "target runs or drain it"
+        )
+        self.address = address
+
+
+class TargetSilentError(AgatewingError):
+    """A connection gave no answer in time or broke after the send."""
+
+    def __init__(self, address: str, cause: str) -> None:
+        super().__init__(
+            f"{address} went silent ({cause}); the call may have run, "
+            "resume it on a new connection or report its outcome as unknown"
+        )
+        self.address = address
+
+
+class ProtocolError(AgatewingError):
+    """A peer, target or platform service sent something unreadable."""
+
+    def __init__(self, source: str, cause: str) -> None:
+        super().__init__(
+            f"{source} sent a malformed message ({cause}); compare its "
+            "version with docs/INTERFACES.md"
+        )
+        self.source = source
+
+
+class SettingsError(AgatewingError):
+    """A settings or configuration file holds faults."""
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class InvariantError(AgatewingError):
+    """A promise of the system was broken; this is always a defect."""
+
+    def __init__(self, promise: str, detail: str) -> None:
+        super().__init__(
+            f"invariant {promise} broken: {detail}; keep the time line and "
+            "file a defect"
+        )
+        self.promise = promise
--- /dev/null
+++ b/agatewing/_invariants.py
@@ -0,0 +1,51 @@
+"""The promises of the system as checks that run in production too."""
+
+import collections
+import enum
+
+from agatewing import _exceptions
+from agatewing import timeline
+
+
+class Promise(enum.StrEnum):
+    """Each line of what must always hold."""
+
+    ONE_ORDER = "an engine gets no conflicting orders"
+    WHOLE_ANSWERS = "answers are whole and in order"
+    LEASED_ORDERS = "orders are sent under a valid lease only"
+    OWN_ANSWER = "a caller gets the answer to its own request"
+    TRUE_NOT_RUN = "not-run is said of calls that were not sent"
+    AT_MOST_ONCE = "an attempt sends at most once"
+    LEAVING_TARGET = "a leaving target gets no new work"
+    GRACEFUL_STOP = "a planned stop cuts nothing off"
+    NO_REVERT = "the configuration never goes back"
+
+
+class Invariants:
+    """Counts broken promises; raises on them in tests and soaks."""
+
+    __slots__ = ("_events", "strict", "checked", "broken")
+
+    def __init__(
+        self, events: timeline.Timeline, strict: bool = False
+    ) -> None:
+        self._events = events
+        #: Whether a broken promise raises.
+        self.strict = strict
+        #: Checks made, by promise.
+        self.checked: collections.Counter[Promise] = collections.Counter()
+        #: Checks failed, by promise.
+        self.broken: collections.Counter[Promise] = collections.Counter()
+
+    def check(self, promise: Promise, holds: bool, detail: str) -> None:
+        """Check that a promise holds at this place."""
+        self.checked[promise] += 1
+        if holds:
+            return
+        self.broken[promise] += 1
+        self._events.add(
+            timeline.EventKind.INVARIANT_BROKEN,
+            detail=f"{promise}: {detail}",
+        )
+        if self.strict:
+            raise _exceptions.InvariantError(promise, detail)
--- /dev/null
+++ b/agatewing/_types.py
@@ -0,0 +1,88 @@
+"""Small types that every sub-package shares."""
+
+import enum
+
+
+class Role(enum.StrEnum):
+    """The kind of work an engine's batch is made of."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    MIXED = "mixed"
+
+
+class TargetState(enum.StrEnum):
+    """What the operators intend for an engine or service target."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    WITHDRAWN = "withdrawn"
+
+
+class Outcome(enum.StrEnum):
+    """What a refusal may truthfully say about the request's effect."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalKind(enum.StrEnum):
+    """Every reason for which a request is answered with a refusal."""
+
+    BAD_REQUEST = "bad-request"
+    BAD_TOKEN = "bad-token"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not-found"
+    UNKNOWN_MODEL = "unknown-model"
+    TOO_LARGE = "too-large"
+    SLOW_SENDER = "slow-sender"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_INVALID = "idempotency-key-invalid"
+    KEY_EXPIRED = "idempotency-key-expired"
+    KEY_REUSED = "idempotency-key-reused"
+    KEY_PENDING = "idempotency-key-pending"
+    NOT_READY = "not-ready"
+    STALE_CONFIG = "stale-configuration"
+    LEAVING = "instance-leaving"
+    LOG_DOWN = "log-unavailable"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline-unreachable"
+    RATE_LIMITED = "rate-limited"
+    NO_TARGET = "no-target"
+    TARGET_FAILED = "target-failed"
+    OUTCOME_LOST = "outcome-lost"
+    STREAM_LOST = "stream-lost"
+    BAD_RESUME = "bad-resume-id"
+    CONFLICT = "conflict"
+    INTERNAL = "internal"
+
+
+#: HTTP status code of each kind of refusal.
+STATUS_OF_KIND: dict[RefusalKind, int] = {
+    RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.BAD_TOKEN: 401,
+    RefusalKind.FORBIDDEN: 403,
+    RefusalKind.NOT_FOUND: 404,
+    RefusalKind.UNKNOWN_MODEL: 404,
+    RefusalKind.TOO_LARGE: 413,
+    RefusalKind.SLOW_SENDER: 408,
+    RefusalKind.KEY_REQUIRED: 400,
+    RefusalKind.KEY_INVALID: 400,
+    RefusalKind.KEY_EXPIRED: 422,
+    RefusalKind.KEY_REUSED: 422,
+    RefusalKind.KEY_PENDING: 409,
+    RefusalKind.NOT_READY: 503,
+    RefusalKind.STALE_CONFIG: 503,
+    RefusalKind.LEAVING: 503,
+    RefusalKind.LOG_DOWN: 503,
+    RefusalKind.OVERLOADED: 503,
+    RefusalKind.DEADLINE: 503,
+    RefusalKind.RATE_LIMITED: 429,
+    RefusalKind.NO_TARGET: 503,
+    RefusalKind.TARGET_FAILED: 502,
+    RefusalKind.OUTCOME_LOST: 502,
+    RefusalKind.STREAM_LOST: 502,
+    RefusalKind.BAD_RESUME: 400,
+    RefusalKind.CONFLICT: 409,
+    RefusalKind.INTERNAL: 500,
+}
--- /dev/null
+++ b/agatewing/calls/__init__.py
@@ -0,0 +1,15 @@
+"""Calls of plain services that run at most once."""
+
+from agatewing.calls._executor import Answered
+from agatewing.calls._executor import NoAnswer
+from agatewing.calls._executor import NotSent
+from agatewing.calls._executor import OnceCall
+from agatewing.calls._executor import OnceExecutor
+from agatewing.calls._executor import OnceResult
+from agatewing.calls._executor import SendResult
+from agatewing.calls._history import History
+from agatewing.calls._keys import check_key
+from agatewing.calls._keys import key_time_s
+from agatewing.calls._keys import MAX_AHEAD_S
+from agatewing.calls._keys import new_key
+from agatewing.calls._reaper import Reaper
--- /dev/null
+++ b/agatewing/calls/_keys.py
@@ -0,0 +1,74 @@
+"""Idempotency keys: time-ordered UUIDs (RFC 9562, version 7).
+
+The time inside a key tells whether the log can still hold its history.
+"""
+
+import uuid
+
+import result
+
+from agatewing import _exceptions
+from agatewing import _types
+
+#: Furthest that a key's time may lie ahead of ours, in seconds.
+MAX_AHEAD_S = 60.0
+
+KeyResult = result.Result[uuid.UUID, _exceptions.Refusal]
+
+
+def key_time_s(key: uuid.UUID) -> float:
+    """Return the time inside a version 7 UUID, in epoch seconds."""
+    return (key.int >> 80) / 1000
+
+
+def new_key(wall_s: float, random_bits: int) -> uuid.UUID:
+    """Return a version 7 UUID of this time and 74 random bits."""
+    value = (int(wall_s * 1000) & (2**48 - 1)) << 80
+    value |= 0x7 << 76
+    value |= ((random_bits >> 62) & 0xFFF) << 64
+    value |= 0b10 << 62
+    value |= random_bits & (2**62 - 1)
+    return uuid.UUID(int=value)
+
+
+def check_key(text: str, wall_s: float, window_s: float) -> KeyResult:
+    """Return the key, or why it cannot be used."""
+    if not text:
+        return result.Err(
+            _exceptions.Refusal(
+                _types.RefusalKind.KEY_REQUIRED,
+                "this call runs at most once and needs a key",
+                "send 'Idempotency-Key' with a new UUID of version 7; "
+                "repeat the same key on every retry",
+            )
+        )
+    try:
+        key = uuid.UUID(text)
+    except ValueError:
+        return result.Err(_invalid("it is not a UUID"))
+    if key.version != 7:
+        return result.Err(_invalid("it is not a UUID of version 7"))
+    age = wall_s - key_time_s(key)
+    if age < -MAX_AHEAD_S:
+        return result.Err(_invalid("its time lies in the future"))
+    if age > window_s:
+        return result.Err(
+            _exceptions.Refusal(
+                _types.RefusalKind.KEY_EXPIRED,
+                f"the key is older than {window_s:g} s, so nobody can "
+                "say any more whether the call ran",
+                "ask the service for the state; use a new key only for "
+                "a new call",
+                _types.Outcome.UNKNOWN,
+            )
+        )
+    return result.Ok(key)
+
+
+def _invalid(reason: str) -> _exceptions.Refusal:
+    """Return the refusal of a key."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.KEY_INVALID,
+        f"the Idempotency-Key cannot be used: {reason}",
+        "send a UUID of version 7 (RFC 9562) made when the call was made",
+    )
--- /dev/null
+++ b/agatewing/config/_settings.py
@@ -0,0 +1,130 @@
+"""Settings of one daemon process."""
+
+import enum
+import ipaddress
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from agatewing.config import _checker
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Sha256 = typing.Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class Permission(enum.StrEnum):
+    """What an operator's token allows."""
+
+    READ = "read"
+    PUBLISH = "publish"
+    DRAIN = "drain"
+
+
+class AdminToken(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One operator credential, kept as a hash."""
+
+    # Name that appears in audit events.
+    name: str
+    # Hex SHA-256 of the bearer token.
+    sha256: Sha256
+    # What the token allows.
+    permissions: tuple[Permission, ...]
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds on what callers may send and hold open."""
+
+    # Largest request body, in bytes.
+    max_body_bytes: int = 4_000_000
+    # Largest header block, in bytes.
+    max_header_bytes: int = 32_768
+    # Time a caller has to send one whole request, in seconds.
+    request_read_s: Positive = 10.0
+    # Connections open at once at the caller port.
+    max_connections: int = 8_192
+    # Requests waiting in one service's queue.
+    max_queue: int = 4_096
+    # Administration requests a second and token.
+    admin_rate_per_s: Positive = 50.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that one process is told at its start."""
+
+    # Unique name of the instance in the platform's instance list.
+    instance: str
+    # Availability zone of the instance.
+    zone: str
+    # IP number that every port of the process listens on.
+    host: str
+    # Port for callers.
+    caller_port: Port
+    # Port of the administration API.
+    admin_port: Port
+    # UDP and TCP port for links between instances.
+    peer_port: Port
+    # Base URL of the log service.
+    log_url: str
+    # Base URL of the instance list.
+    instance_list_url: str
+    # Key that signs resume ids, the same at every instance.
+    stream_secret: typing.Annotated[str, msgspec.Meta(min_length=16)]
+    # Key that signs messages between instances.
+    peer_secret: typing.Annotated[str, msgspec.Meta(min_length=16)]
+    # Operator credentials.
+    admin_tokens: tuple[AdminToken, ...] = ()
+    # Bounds on callers.
+    limits: Limits = Limits()
+    # Appends a second that all instances share.
+    log_appends_per_s: Positive = 300.0
+    # Time between turning unready and closing the port, in seconds.
+    leave_delay_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    # Longest wait for open streams at a planned stop, in seconds.
+    drain_limit_s: Positive = 120.0
+    # Log level, as the logging module names it.
+    log_level: str = "INFO"
+
+
+def parse_settings(text: str, source: str) -> _checker.Checked[Settings]:
+    """Decode settings written as JSON with comments."""
+    match _checker.parse_text(text, source):
+        case result.Err() as err:
+            return err
+        case result.Ok(data):
+            pass
+    match _checker.decode(Settings, data, source):
+        case result.Err() as err:
+            return err
+        case result.Ok(settings):
+            faults = _check_values(settings, source)
+    if faults:
+        return result.Err(tuple(faults))
+    return result.Ok(settings)
+
+
+def load_settings(path: pathlib.Path) -> _checker.Checked[Settings]:
+    """Read settings from a file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        fault = _checker.Fault(
+            str(path), "", f"cannot be read: {exc}", "check the path"
+        )
+        return result.Err((fault,))
+    return parse_settings(text, str(path))
+
+
+def _check_values(settings: Settings, source: str) -> list[_checker.Fault]:
+    """Return faults that single field types cannot express."""
+    checker = _checker.Checker(source)
+    try:
+        ipaddress.ip_address(settings.host)
+    except ValueError:
+        checker.add("host", "is not an IP number", "write an IP number")
+    for field in ("log_url", "instance_list_url"):
+        if not getattr(settings, field).startswith("http://"):
+            checker.add(field, "is not an http URL", "write http://IP:PORT")
+    return checker.faults
--- /dev/null
+++ b/agatewing/control/__init__.py
@@ -0,0 +1,9 @@
+"""Leases, orders to engines, roles and configuration of one instance."""
+
+from agatewing.control._config_keeper import ConfigKeeper
+from agatewing.control._config_keeper import Keeper
+from agatewing.control._leases import Held
+from agatewing.control._leases import LeaseKeeper
+from agatewing.control._orders import OrderKeeper
+from agatewing.control._role_loop import lease_of
+from agatewing.control._role_loop import RoleLoop
--- /dev/null
+++ b/agatewing/decisions/_engines.py
@@ -0,0 +1,76 @@
+"""What the decisions know of engines, as plain data."""
+
+import dataclasses
+
+from agatewing import _types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Speed:
+    """How fast an engine works."""
+
+    #: Prompt tokens a second when nothing else runs.
+    prefill_tokens_per_s: float = 8_000.0
+    #: Time of one step without any work, in seconds.
+    step_base_s: float = 0.018
+    #: Time that one decoding sequence adds to a step, in seconds.
+    step_per_sequence_s: float = 0.0003
+    #: Prompt tokens of one step while sequences decode.
+    chunk_tokens: int = 256
+    #: Prompt tokens of one step otherwise.
+    full_chunk_tokens: int = 2_048
+    #: Sequences of one batch.
+    slots: int = 32
+    #: Tokens of KV cache that can be imported a second.
+    import_tokens_per_s: float = 200_000.0
+
+    def step_s(self, sequences: float) -> float:
+        """Return the time of a step that decodes ``sequences``."""
+        return self.step_base_s + self.step_per_sequence_s * sequences
+
+    def token_cost_s(self) -> float:
+        """Return engine seconds of one token in a well-filled batch."""
+        filled = self.slots / 2
+        return self.step_s(filled) / filled
+
+
+@dataclasses.dataclass(slots=True)
+class EngineLoad:
+    """An engine as seen from one instance; reports lag."""
+
+    #: Name of the engine.
+    name: str
+    #: Availability zone.
+    zone: str
+    #: Role it last reported.
+    role: _types.Role = _types.Role.MIXED
+    #: Speed.
+    speed: Speed = Speed()
+    #: Whether new work may be sent to it.
+    routable: bool = True
+    #: Sequences that it reported as running or queued.
+    reported_sequences: int = 0
+    #: Prompt tokens that it reported as not processed.
+    reported_tokens: float = 0.0
+    #: Sequences sent from here and not ended.
+    own_sequences: int = 0
+    #: Sequences sent from here that no report includes yet.
+    unreported_sequences: int = 0
+    #: Prompt tokens sent from here that no report includes yet.
+    unreported_tokens: float = 0.0
+    #: Sequences that this instance may send to it now.
+    credits: int = 1
+    #: Measured slowness; 1 is as fast as its speed says.
+    slowness: float = 1.0
+    #: Share of its normal work to send, from outlier detection.
+    ease: float = 1.0
+
+    @property
+    def sequences(self) -> int:
+        """Best guess of the sequences on the engine now."""
+        return self.reported_sequences + self.unreported_sequences
+
+    @property
+    def prefill_backlog(self) -> float:
+        """Best guess of the prompt tokens not yet processed."""
+        return self.reported_tokens + self.unreported_tokens
--- /dev/null
+++ b/agatewing/decisions/_routing.py
@@ -0,0 +1,243 @@
+"""Choose the engine, or pair of engines, for one request."""
+
+import collections.abc
+import dataclasses
+import random
+
+from agatewing import _types
+from agatewing.decisions import _engines
+
+#: Engines sampled at random for one choice.
+SAMPLES = 3
+#: Engines added because they may have cached the prompt's prefix.
+AFFINITY_CANDIDATES = 2
+#: Round trip between availability zones, in seconds.
+ZONE_ROUND_TRIP_S = 0.001
+#: Weight of a second between tokens against one until the first.
+STEP_WEIGHT = 1.0
+#: Shortest prompt that is worth a separate prefill, in tokens.
+SPLIT_MIN_TOKENS = 512
+#: Seconds for which a full batch holds a new sequence back.
+FULL_BATCH_WAIT_S = 2.0
+
+EngineLoad = _engines.EngineLoad
+CacheLookup = collections.abc.Callable[[str], int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What one request asks of an engine."""
+
+    #: Length of the prompt, in tokens.
+    prompt_tokens: int
+    #: Expected length of the answer, in tokens.
+    output_tokens: int
+    #: Zone of the instance that asks.
+    zone: str
+    #: Expected leading prompt tokens in the cache, by engine.
+    cached: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Single:
+    """One engine does the whole request."""
+
+    #: The engine.
+    engine: str
+    #: Expected time of the whole answer, in seconds.
+    expected_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Split:
+    """One engine prefills, another imports the KV cache and decodes."""
+
+    #: Engine that prefills.
+    prefill: str
+    #: Engine that decodes.
+    decode: str
+    #: Expected time of the whole answer, in seconds.
+    expected_s: float
+
+
+Route = Single | Split
+
+
+class Router:
+    """Scores a few sampled engines and takes the best."""
+
+    __slots__ = ("_random", "_samples")
+
+    def __init__(self, rng: random.Random, samples: int = SAMPLES) -> None:
+        self._random = rng
+        self._samples = samples
+
+    def choose(
+        self,
+        work: Work,
+        engines: collections.abc.Sequence[EngineLoad],
+        avoid: frozenset[str] = frozenset(),
+    ) -> Route | None:
+        """Return the best route, or ``None`` if no engine can be used."""
+        sampled = self._sample(engines, work, avoid)
+        whole = [e for e in sampled if e.role is not _types.Role.PREFILL]
+        best = self._best_single(work, whole)
+        if best is None:
+            return self._fallback(work, engines, avoid)
+        if work.prompt_tokens < SPLIT_MIN_TOKENS:
+            return best
+        first = [e for e in sampled if e.role is _types.Role.PREFILL]
+        split = self._best_split(work, first, whole)
+        if split is None or split.expected_s > best.expected_s:
+            return best
+        return split
+
+    def _fallback(
+        self,
+        work: Work,
+        engines: collections.abc.Sequence[EngineLoad],
+        avoid: frozenset[str],
+    ) -> Route | None:
+        usable = [e for e in engines if _usable(e, avoid)]
+        whole = [e for e in usable if e.role is not _types.Role.PREFILL]
+        return self._best_single(work, whole or usable)
+
+    def _sample(
+        self,
+        engines: collections.abc.Sequence[EngineLoad],
+        work: Work,
+        avoid: frozenset[str],
+    ) -> list[EngineLoad]:
+        decode = self._draw(engines, avoid, prefill=False)
+        prefill: list[EngineLoad] = []
+        if work.prompt_tokens >= SPLIT_MIN_TOKENS:
+            prefill = self._draw(engines, avoid, prefill=True)
+        chosen = {e.name: e for e in (*decode, *prefill)}
+        if work.cached:
+            self._add_cached(engines, work, avoid, chosen)
+        return list(chosen.values())
+
+    def _draw(
+        self,
+        engines: collections.abc.Sequence[EngineLoad],
+        avoid: frozenset[str],
+        prefill: bool,
+    ) -> list[EngineLoad]:
+        drawn: list[EngineLoad] = []
+        count = len(engines)
+        if count <= 2 * self._samples:
+            order = self._random.sample(range(count), count)
+        else:
+            tries = 6 * self._samples
+            order = [int(self._random.random() * count) for _ in range(tries)]
+        for index in order:
+            engine = engines[index]
+            wanted = (engine.role is _types.Role.PREFILL) is prefill
+            if not wanted or not _usable(engine, avoid):
+                continue
+            if engine.ease < 1 and self._random.random() > engine.ease:
+                continue
+            drawn.append(engine)
+            if len(drawn) == self._samples:
+                break
+        return drawn
+
+    def _add_cached(
+        self,
+        engines: collections.abc.Sequence[EngineLoad],
+        work: Work,
+        avoid: frozenset[str],
+        chosen: dict[str, EngineLoad],
+    ) -> None:
+        ranked = sorted(work.cached.items(), key=lambda item: -item[1])
+        names = {name for name, _ in ranked[:AFFINITY_CANDIDATES]}
+        for engine in engines:
+            if engine.name in names and _usable(engine, avoid):
+                if engine.ease >= 1:
+                    chosen[engine.name] = engine
+
+    def _best_single(
+        self, work: Work, engines: list[EngineLoad]
+    ) -> Single | None:
+        best: Single | None = None
+        for engine in engines:
+            seconds = single_s(work, engine)
+            if best is None or seconds < best.expected_s:
+                best = Single(engine.name, seconds)
+        return best
+
+    def _best_split(
+        self,
+        work: Work,
+        first: list[EngineLoad],
+        second: list[EngineLoad],
+    ) -> Split | None:
+        if not first or not second:
+            return None
+        prefill = min(first, key=lambda e: prefill_s(work, e))
+        decode = min(second, key=lambda e: import_and_decode_s(work, e))
+        seconds = prefill_s(work, prefill) + import_and_decode_s(work, decode)
+        return Split(prefill.name, decode.name, seconds)
+
+
+def _usable(engine: EngineLoad, avoid: frozenset[str]) -> bool:
+    """Return whether new work may go to the engine."""
+    if not engine.routable or engine.credits <= 0:
+        return False
+    return engine.name not in avoid
+
+
+def single_s(work: Work, engine: EngineLoad) -> float:
+    """Return the expected time of the whole answer on one engine."""
+    return prefill_s(work, engine) + decode_s(work, engine)
+
+
+def prefill_s(work: Work, engine: EngineLoad) -> float:
+    """Return the expected time until the prompt is processed."""
+    speed = engine.speed
+    cached = min(work.cached.get(engine.name, 0), work.prompt_tokens)
+    tokens = engine.prefill_backlog + work.prompt_tokens - cached
+    rate = prefill_rate(engine)
+    seconds = (tokens / rate + speed.step_base_s) * engine.slowness
+    if engine.zone != work.zone:
+        seconds += ZONE_ROUND_TRIP_S
+    return seconds
+
+
+def prefill_rate(engine: EngineLoad) -> float:
+    """Return prompt tokens a second beside the present decode work."""
+    speed = engine.speed
+    if engine.role is _types.Role.PREFILL or not engine.sequences:
+        chunk = speed.full_chunk_tokens
+        step = speed.step_base_s + chunk / speed.prefill_tokens_per_s
+        return chunk / step
+    step = speed.step_s(min(engine.sequences, speed.slots))
+    chunk = speed.chunk_tokens
+    return chunk / (step + chunk / speed.prefill_tokens_per_s)
+
+
+def decode_s(work: Work, engine: EngineLoad) -> float:
+    """Return the expected time of generating the answer."""
+    speed = engine.speed
+    batch = min(engine.sequences + 1, speed.slots)
+    step = speed.step_s(batch) * engine.slowness
+    if engine.prefill_backlog > 0:
+        step += _interference_s(work, engine, step)
+    waiting = max(0, engine.sequences + 1 - speed.slots)
+    held = FULL_BATCH_WAIT_S * waiting / speed.slots
+    return work.output_tokens * step * STEP_WEIGHT + held
+
+
+def _interference_s(work: Work, engine: EngineLoad, step: float) -> float:
+    """Return the delay of each step by prompts still to be processed."""
+    speed = engine.speed
+    chunk_s = speed.chunk_tokens / speed.prefill_tokens_per_s
+    steps = engine.prefill_backlog / speed.chunk_tokens
+    share = min(1.0, steps / max(1, work.output_tokens))
+    return chunk_s * share * engine.slowness
+
+
+def import_and_decode_s(work: Work, engine: EngineLoad) -> float:
+    """Return the expected time after the KV cache is exported."""
+    transfer = work.prompt_tokens / engine.speed.import_tokens_per_s
+    return 2 * transfer + decode_s(work, engine)
--- /dev/null
+++ b/agatewing/enginemodel/__init__.py
@@ -0,0 +1,9 @@
+"""Token-time model of an engine that batches continuously."""
+
+from agatewing.enginemodel._cache import block_hashes
+from agatewing.enginemodel._cache import BLOCK_TOKENS
+from agatewing.enginemodel._cache import PrefixCache
+from agatewing.enginemodel._model import EngineModel
+from agatewing.enginemodel._model import EngineSpec
+from agatewing.enginemodel._model import Sequence
+from agatewing.enginemodel._model import StepResult
--- /dev/null
+++ b/agatewing/entry/_app.py
@@ -0,0 +1,235 @@
+"""The WSGI application on the caller port."""
+
+import collections
+import collections.abc
+import logging
+
+import msgspec
+
+from agatewing import _exceptions
+from agatewing import _types
+from agatewing import config
+from agatewing.entry import _context
+from agatewing.entry import _gate
+from agatewing.entry import _generation
+from agatewing.entry import _identity
+from agatewing.entry import _services
+from agatewing import fleet
+from agatewing import net
+from agatewing import timeline
+
+_log = logging.getLogger("agatewing.entry")
+
+
+class EntryApp:
+    """Answers every request at the caller port."""
+
+    __slots__ = (
+        "_fleet",
+        "_gate",
+        "_generation",
+        "_services",
+        "_events",
+        "_limits",
+        "_directory",
+        "_directory_of",
+        "open_requests",
+        "refusals",
+        "answered",
+    )
+
+    def __init__(
+        self,
+        machines: fleet.Fleet,
+        gate: _gate.Gate,
+        generation: _generation.Generation,
+        services: _services.Services,
+        events: timeline.Timeline,
+        limits: config.Limits,
+    ) -> None:
+        self._fleet = machines
+        self._gate = gate
+        self._generation = generation
+        self._services = services
+        self._events = events
+        self._limits = limits
+        self._directory: _identity.Directory | None = None
+        self._directory_of: config.Document | None = None
+        #: Requests being answered.
+        self.open_requests = 0
+        #: Refusals by kind.
+        self.refusals: collections.Counter[str] = collections.Counter()
+        #: Requests answered in full.
+        self.answered = 0
+
+    def __call__(
+        self, environ: net.Environ, start_response: net.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one request (PEP 3333)."""
+        self.open_requests += 1
+        try:
+            answer = self._route(environ, start_response)
+        except _exceptions.RefusedError as exc:
+            self.open_requests -= 1
+            return self._refuse(exc.refusal, start_response)
+        except _exceptions.AgatewingError as exc:
+            self.open_requests -= 1
+            _log.exception("entry: request failed: %s", exc)
+            return self._refuse(_internal(), start_response)
+        except BaseException:
+            self.open_requests -= 1
+            raise
+        return _Counted(answer, self)
+
+    def _route(
+        self, environ: net.Environ, start_response: net.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        match [method, *path.strip("/").split("/")]:
+            case ["GET", "healthz"]:
+                return _reply(start_response, "200 OK", {"alive": True})
+            case ["GET", "readyz"]:
+                return self._readiness(start_response)
+            case ["GET", "v1", "models"]:
+                return self._models(environ, start_response)
+            case ["POST", "v1", "completions"]:
+                req = self._read(environ)
+                self._gate.check()
+                return self._generation.handle(
+                    "completions", req, start_response
+                )
+            case ["POST", "v1", "chat", "completions"]:
+                req = self._read(environ)
+                self._gate.check()
+                return self._generation.handle("chat", req, start_response)
+            case [_, "services", name, *_]:
+                below = path.split("/", 3)[3] if path.count("/") > 2 else ""
+                req = self._read(environ)
+                return self._services.handle(
+                    name, f"/{below}", req, start_response
+                )
+        raise _exceptions.RefusedError(_no_path(method, path))
+
+    def _read(self, environ: net.Environ) -> _context.CallerRequest:
+        req = _context.read_request(
+            environ,
+            self._identify(environ),
+            self._limits.max_body_bytes,
+            self._limits.request_read_s,
+        )
+        self._events.add(
+            timeline.EventKind.REQUEST_ACCEPTED,
+            request=req.id,
+            detail=f"{req.identity.name} {req.method} {req.path[:80]}",
+        )
+        return req
+
+    def _identify(self, environ: net.Environ) -> _identity.Identity:
+        document = self._fleet.document
+        if document is None:
+            self._gate.check()
+            raise _exceptions.RefusedError(_internal())
+        if self._directory is None or self._directory_of is not document:
+            self._directory = _identity.Directory(document)
+            self._directory_of = document
+        return self._directory.identify(environ.get("HTTP_AUTHORIZATION", ""))
+
+    def _readiness(
+        self, start_response: net.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        status = "200 OK" if self._gate.ready else "503 Service Unavailable"
+        body = {
+            "ready": self._gate.ready,
+            "phase": self._gate.phase,
+            "standing": self._gate.standing,
+        }
+        return _reply(start_response, status, body)
+
+    def _models(
+        self, environ: net.Environ, start_response: net.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        self._identify(environ)
+        document = self._fleet.document
+        services = document.services.values() if document else ()
+        names = [
+            {"id": model, "object": "model"}
+            for service in services
+            if isinstance(service, config.ModelService)
+            for model in service.models
+        ]
+        body = {"object": "list", "data": names}
+        return _reply(start_response, "200 OK", body)
+
+    def _refuse(
+        self,
+        refusal: _exceptions.Refusal,
+        start_response: net.StartResponse,
+    ) -> collections.abc.Iterable[bytes]:
+        self.refusals[refusal.kind] += 1
+        self._events.add(
+            timeline.EventKind.REQUEST_REFUSED,
+            detail=f"{refusal.kind} {refusal.outcome}: {refusal.detail}",
+        )
+        body = net.encode(refusal)
+        start_response(
+            net.status_line(refusal.status), net.headers(refusal, body)
+        )
+        return [body]
+
+
+class _Counted:
+    """An answer's body; counts it once it is whole or given up."""
+
+    __slots__ = ("_parts", "_app", "_open")
+
+    def __init__(
+        self, parts: collections.abc.Iterable[bytes], app: EntryApp
+    ) -> None:
+        self._parts = parts
+        self._app = app
+        self._open = True
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        yield from self._parts
+        self._app.answered += 1
+
+    def close(self) -> None:
+        """Release the answer's resources; called once by the server."""
+        if self._open:
+            self._open = False
+            self._app.open_requests -= 1
+        close = getattr(self._parts, "close", None)
+        if close is not None:
+            close()
+
+
+def _reply(
+    start_response: net.StartResponse, status: str, body: object
+) -> collections.abc.Iterable[bytes]:
+    """Send plain data as JSON."""
+    raw = msgspec.json.encode(body)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(raw))),
+    ]
+    start_response(status, headers)
+    return [raw]
+
+
+def _no_path(method: str, path: str) -> _exceptions.Refusal:
+    """Return the refusal of a path that does not exist."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.NOT_FOUND,
+        f"there is no {method} {path[:120]!r}",
+        "see docs/INTERFACES.md for the paths",
+    )
+
+
+def _internal() -> _exceptions.Refusal:
+    """Return the refusal after a defect."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.INTERNAL,
+        "the instance failed to handle the request",
+        "tell the operators the time of the request",
+        _types.Outcome.UNKNOWN,
+    )
--- /dev/null
+++ b/agatewing/entry/_resume.py
@@ -0,0 +1,92 @@
+"""Event ids that hold what any instance needs to resume a stream."""
+
+import base64
+import hashlib
+import hmac
+
+import msgspec
+
+from agatewing import _exceptions
+from agatewing import _types
+
+#: Bytes of the keyed digest behind the handle.
+DIGEST_BYTES = 10
+#: Longest id accepted, in characters.
+MAX_ID_CHARS = 1_024
+
+
+class StreamHandle(msgspec.Struct, frozen=True, array_like=True):
+    """Everything that resuming needs and the request does not repeat."""
+
+    # Caller account.
+    caller: str
+    # Engine that generates.
+    engine: str
+    # Id of the stream at the engine.
+    stream: str
+    # Seed; with it another engine generates the same answer.
+    seed: int
+    # Creation time in the events, in seconds since the epoch.
+    created: int
+    # Digest of the request body.
+    body_digest: bytes
+
+
+def body_digest(raw: bytes) -> bytes:
+    """Return the digest that ties a resume to its request."""
+    return hashlib.blake2b(raw, digest_size=8).digest()
+
+
+class HandleCodec:
+    """Writes and checks the ids of events: ``HANDLE.POSITION``."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, secret: str) -> None:
+        self._key = hashlib.sha256(b"resume\0" + secret.encode()).digest()
+
+    def encode(self, handle: StreamHandle) -> str:
+        """Return the signed text of a handle."""
+        payload = msgspec.msgpack.encode(handle)
+        raw = self._digest(payload) + payload
+        return base64.urlsafe_b64encode(raw).decode().rstrip("=")
+
+    def decode(self, event_id: str) -> tuple[StreamHandle, int]:
+        """Return handle and position of an event id, or refuse."""
+        text, _, position = event_id.rpartition(".")
+        if len(event_id) > MAX_ID_CHARS or not position.isdecimal():
+            raise _exceptions.RefusedError(_bad_id("it is malformed"))
+        try:
+            raw = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+            digest, payload = raw[:DIGEST_BYTES], raw[DIGEST_BYTES:]
+            if not hmac.compare_digest(digest, self._digest(payload)):
+                raise _exceptions.RefusedError(_bad_id("it is not ours"))
+            handle = msgspec.msgpack.decode(payload, type=StreamHandle)
+        except (ValueError, msgspec.MsgspecError) as exc:
+            raise _exceptions.RefusedError(_bad_id("it is malformed")) from exc
+        return handle, int(position[:12])
+
+    def _digest(self, payload: bytes) -> bytes:
+        return hashlib.blake2b(
+            payload, key=self._key, digest_size=DIGEST_BYTES
+        ).digest()
+
+
+def _bad_id(reason: str) -> _exceptions.Refusal:
+    """Return the refusal of an event id."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.BAD_RESUME,
+        f"Last-Event-ID cannot be used: {reason}",
+        "repeat the request with its body and the last id received, or "
+        "without Last-Event-ID to start again",
+    )
+
+
+def check_resume(handle: StreamHandle, caller: str, digest: bytes) -> None:
+    """Refuse to resume another caller's stream, or another request."""
+    if handle.caller != caller:
+        raise _exceptions.RefusedError(_bad_id("it is another caller's"))
+    if handle.body_digest != digest:
+        raise _exceptions.RefusedError(
+            _bad_id("it belongs to another request body")
+        )
--- /dev/null
+++ b/agatewing/harness/_processes.py
@@ -0,0 +1,102 @@
+"""Child processes, ended by their own pid only."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+#: Time that a process gets to end by itself, in seconds.
+END_S = 10.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return distinct loopback ports that nobody listens on now."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Process:
+    """One child process."""
+
+    __slots__ = ("name", "_args", "_log_path", "_child")
+
+    def __init__(
+        self, name: str, module: str, args: list[str], log_dir: pathlib.Path
+    ) -> None:
+        #: Name for messages.
+        self.name = name
+        self._args = [sys.executable, "-m", module, *args]
+        self._log_path = log_dir / f"{name}.log"
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        if self._child is None:
+            raise RuntimeError(f"{self.name} was not started")
+        return self._child.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs, or is frozen."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Start, or start again after an end."""
+        with self._log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                self._args,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self.running:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End at once, as a crash does."""
+        self.send(signal.SIGKILL)
+        self.wait(END_S)
+
+    def freeze(self) -> None:
+        """Stop the process where it is."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.send(signal.SIGCONT)
+
+    def stop(self) -> None:
+        """Ask for a graceful end."""
+        self.send(signal.SIGTERM)
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Return the exit code, or ``None`` if it still runs."""
+        if self._child is None:
+            return None
+        deadline = time.monotonic() + timeout_s
+        while self._child.poll() is None:
+            if time.monotonic() > deadline:
+                return None
+            time.sleep(0.02)
+        return self._child.returncode
+
+    def log_text(self) -> str:
+        """Return what the process wrote."""
+        if not self._log_path.exists():
+            return ""
+        return self._log_path.read_text(errors="replace")
--- /dev/null
+++ b/agatewing/membership/_detector.py
@@ -0,0 +1,473 @@
+"""Failure detector: direct and indirect probes, gossip, incarnations.
+
+Pure state: messages and time go in, messages to send come out.
+Source: Das, Gupta, Motivala, "SWIM", 2002, with its suspicion mechanism.
+"""
+
+import dataclasses
+import random
+
+from agatewing import platform_services
+from agatewing import wire
+
+#: Time between rounds of probes, in seconds.
+PERIOD_S = 0.5
+#: Instances probed in one round.
+FANOUT = 5
+#: Time for an answer before others are asked to probe, in seconds.
+ACK_TIMEOUT_S = 0.4
+#: Others asked to probe an instance that gave no answer.
+INDIRECT_PROBES = 3
+#: Time without any answer before an instance is suspect, in seconds.
+SUSPECT_AFTER_S = 1.0
+#: Time that a suspect has to refute, in seconds.
+DEAD_AFTER_S = 2.0
+#: Members described in one message.
+GOSSIP_MEMBERS = 6
+#: Time that dead and left instances are remembered, in seconds.
+FORGET_AFTER_S = 120.0
+
+ALIVE = wire.Status.ALIVE
+SUSPECT = wire.Status.SUSPECT
+DEAD = wire.Status.DEAD
+LEFT = wire.Status.LEFT
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another instance, as known here."""
+
+    #: Name of the instance.
+    instance: str
+    #: Address of its links, ``IP:port``.
+    address: str
+    #: Availability zone.
+    zone: str = ""
+    #: Incarnation; 0 until it was heard of.
+    incarnation: int = 0
+    #: Status.
+    status: int = ALIVE
+    #: Number of suspicions that it refuted.
+    refutation: int = 0
+    #: Monotonic time of the last message from it.
+    heard_at: float = float("-inf")
+    #: Monotonic time of the last change of status.
+    changed_at: float = 0.0
+    #: Configuration version it last named.
+    config_version: int = 0
+    #: Monotonic time at which it knew the log's end.
+    log_ok_at: float = float("-inf")
+    #: Work it reported, by engine pool.
+    demand: dict[str, wire.Demand] = dataclasses.field(default_factory=dict)
+    #: Whether the platform lists it.
+    listed: bool = False
+
+    @property
+    def process(self) -> str:
+        """The process, as ``instance/incarnation``."""
+        return f"{self.instance}/{self.incarnation}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to send."""
+
+    #: Address, ``IP:port``.
+    address: str
+    #: The message.
+    message: wire.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A peer's new status."""
+
+    #: The process, as ``instance/incarnation``.
+    process: str
+    #: Its status.
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What every message says about its sender."""
+
+    #: What the sender knows of log and configuration.
+    vouch: wire.Vouch
+    #: Work of the last seconds.
+    demand: list[wire.Demand]
+    #: Hybrid logical clock: wall milliseconds and counter.
+    stamp: tuple[int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    instance: str
+    sent_at: float
+    indirect: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Self:
+    """What an instance says about itself."""
+
+    #: Name of the instance.
+    instance: str
+    #: Incarnation of the process.
+    incarnation: int
+    #: Availability zone.
+    zone: str
+    #: Address of its links.
+    address: str
+
+
+class Detector:
+    """Knows which instances are alive."""
+
+    __slots__ = (
+        "_self",
+        "_random",
+        "_sequence",
+        "_probes",
+        "_relays",
+        "_round",
+        "_leaving",
+        "_refutation",
+        "peers",
+        "changes",
+        "list_seen",
+    )
+
+    def __init__(self, myself: Self, rng: random.Random) -> None:
+        self._self = myself
+        self._random = rng
+        self._sequence = 0
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, tuple[str, int, float]] = {}
+        self._round: list[str] = []
+        self._leaving = False
+        self._refutation = 0
+        #: Other instances by name.
+        self.peers: dict[str, Peer] = {}
+        #: Changes of status, for the owner to take.
+        self.changes: list[Change] = []
+        #: Whether the platform's list was ever read.
+        self.list_seen = False
+
+    def leave(self) -> None:
+        """Tell the others from now on that this instance leaves."""
+        self._leaving = True
+
+    def live_peers(self) -> list[Peer]:
+        """Return peers that were heard of and are not known dead."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.status in (ALIVE, SUSPECT) and peer.incarnation
+        ]
+
+    def member_count(self) -> int:
+        """Return the number of instances that should exist, with this."""
+        expected = [
+            peer
+            for peer in self.peers.values()
+            if peer.status != LEFT
+            and (peer.listed or peer.status in (ALIVE, SUSPECT))
+        ]
+        return len(expected) + 1
+
+    def is_gone(self, process: str, now: float, after_s: float) -> bool:
+        """Return whether a process has been dead for ``after_s``."""
+        instance, _, incarnation = process.rpartition("/")
+        if instance == self._self.instance:
+            return int(incarnation) < self._self.incarnation
+        peer = self.peers.get(instance)
+        if peer is None:
+            return self.list_seen
+        if peer.incarnation > int(incarnation):
+            return True
+        if peer.status not in (DEAD, LEFT):
+            return False
+        return now - peer.changed_at >= after_s
+
+    def apply_list(
+        self, listed: platform_services.InstanceList, now: float
+    ) -> None:
+        """Take note of the platform's list."""
+        self.list_seen = True
+        names = set()
+        for row in listed.instances:
+            names.add(row.instance)
+            if row.instance == self._self.instance:
+                continue
+            peer = self.peers.get(row.instance)
+            if peer is None:
+                peer = Peer(row.instance, row.peer_address, row.zone)
+                peer.changed_at = now
+                self.peers[row.instance] = peer
+            peer.listed = True
+        for name, peer in list(self.peers.items()):
+            peer.listed = name in names
+            if not peer.listed and not peer.incarnation:
+                del self.peers[name]
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        for name, peer in list(self.peers.items()):
+            old = now - peer.changed_at > FORGET_AFTER_S
+            if peer.status in (DEAD, LEFT) and old and not peer.listed:
+                del self.peers[name]
+
+    def tick(
+        self,
+        now: float,
+        news: News,
+    ) -> list[Outgoing]:
+        """Return the messages of one round of probes."""
+        out = self._check_probes(now, news)
+        self._check_suspects(now)
+        for peer in self._next_peers():
+            self._sequence += 1
+            self._probes[self._sequence] = _Probe(peer.instance, now)
+            message = self._message(wire.Kind.PING, self._sequence, news)
+            out.append(Outgoing(peer.address, message))
+        return out
+
+    def receive(
+        self,
+        message: wire.Message,
+        source: str,
+        now: float,
+        news: News,
+    ) -> list[Outgoing]:
+        """Take a message in; return the messages that it calls for."""
+        if message.sender.instance == self._self.instance:
+            return []
+        if not self._hear(message, now):
+            return []
+        for member in message.gossip:
+            self._merge(member, now)
+        if message.kind == wire.Kind.ACK:
+            return self._acknowledge(message, now, news)
+        if message.kind == wire.Kind.PING:
+            answer = self._message(wire.Kind.ACK, message.sequence, news)
+            return [Outgoing(source, answer)]
+        if message.kind == wire.Kind.PING_REQ and message.target:
+            return self._relay(message, source, now, news)
+        return []
+
+    def _next_peers(self) -> list[Peer]:
+        chosen: list[Peer] = []
+        probed = [p for p in self.peers.values() if p.status != LEFT]
+        for _ in range(min(FANOUT, len(probed))):
+            if not self._round:
+                self._round = [p.instance for p in probed]
+                self._random.shuffle(self._round)
+            peer = self.peers.get(self._round.pop())
+            if peer is not None and peer.status != LEFT:
+                chosen.append(peer)
+        return chosen
+
+    def _message(
+        self,
+        kind: int,
+        sequence: int,
+        news: News,
+        target: wire.Member | None = None,
+    ) -> wire.Message:
+        return wire.Message(
+            kind=kind,
+            sequence=sequence,
+            sender=self._describe_self(),
+            hlc_wall_ms=news.stamp[0],
+            hlc_counter=news.stamp[1],
+            vouch=news.vouch,
+            gossip=self._gossip(),
+            demand=news.demand,
+            target=target,
+        )
+
+    def _describe_self(self) -> wire.Member:
+        return wire.Member(
+            instance=self._self.instance,
+            incarnation=self._self.incarnation,
+            zone=self._self.zone,
+            address=self._self.address,
+            status=LEFT if self._leaving else ALIVE,
+            refutation=self._refutation,
+        )
+
+    def _gossip(self) -> list[wire.Member]:
+        known = [p for p in self.peers.values() if p.incarnation]
+        known.sort(key=lambda p: -p.changed_at)
+        fresh = known[: GOSSIP_MEMBERS // 2]
+        rest = known[GOSSIP_MEMBERS // 2 :]
+        sampled = self._random.sample(
+            rest, min(len(rest), GOSSIP_MEMBERS - len(fresh))
+        )
+        return [_describe(peer) for peer in (*fresh, *sampled)]
+
+    def _hear(self, message: wire.Message, now: float) -> bool:
+        sender = message.sender
+        peer = self.peers.get(sender.instance)
+        if peer is None:
+            peer = Peer(sender.instance, sender.address, sender.zone)
+            self.peers[sender.instance] = peer
+        if sender.incarnation < peer.incarnation:
+            return False
+        if sender.incarnation > peer.incarnation:
+            self._replace(peer, sender, now)
+        if peer.status == LEFT and sender.status != LEFT:
+            return False
+        peer.heard_at = now
+        peer.address = sender.address
+        peer.config_version = message.vouch.config_version
+        if message.vouch.log_age_ms >= 0:
+            peer.log_ok_at = now - message.vouch.log_age_ms / 1000
+        peer.demand = {d.pool: d for d in message.demand}
+        peer.refutation = max(peer.refutation, sender.refutation)
+        self._set_status(peer, sender.status, now)
+        return True
+
+    def _replace(self, peer: Peer, member: wire.Member, now: float) -> None:
+        peer.incarnation = member.incarnation
+        peer.refutation = member.refutation
+        peer.address = member.address
+        peer.zone = member.zone
+        peer.heard_at = float("-inf")
+        peer.log_ok_at = float("-inf")
+        peer.status = 0
+        self._set_status(peer, member.status, now)
+
+    def _set_status(self, peer: Peer, status: int, now: float) -> None:
+        if peer.status != status:
+            peer.status = status
+            peer.changed_at = now
+            self.changes.append(Change(peer.process, status))
+
+    def _merge(self, member: wire.Member, now: float) -> None:
+        if member.instance == self._self.instance:
+            self._refute(member)
+            return
+        peer = self.peers.get(member.instance)
+        if peer is None:
+            if member.status in (DEAD, LEFT):
+                return
+            peer = Peer(member.instance, member.address, member.zone)
+            self.peers[member.instance] = peer
+        theirs = (member.incarnation, member.refutation, member.status)
+        ours = (peer.incarnation, peer.refutation, peer.status)
+        if member.incarnation > peer.incarnation:
+            self._replace(peer, member, now)
+        elif theirs > ours and peer.status != LEFT:
+            peer.refutation = member.refutation
+            self._set_status(peer, member.status, now)
+
+    def _refute(self, member: wire.Member) -> None:
+        if member.incarnation != self._self.incarnation or self._leaving:
+            return
+        if member.status != ALIVE and member.refutation >= self._refutation:
+            self._refutation = member.refutation + 1
+
+    def _acknowledge(
+        self,
+        message: wire.Message,
+        now: float,
+        news: News,
+    ) -> list[Outgoing]:
+        relay = self._relays.pop(message.sequence, None)
+        if relay is not None:
+            address, sequence, _ = relay
+            answer = self._message(
+                wire.Kind.ACK,
+                sequence,
+                news,
+                target=message.sender,
+            )
+            return [Outgoing(address, answer)]
+        probe = self._probes.pop(message.sequence, None)
+        if probe is not None and message.target is not None:
+            peer = self.peers.get(probe.instance)
+            same = peer is not None and (
+                peer.incarnation == message.target.incarnation
+            )
+            if peer is not None and same and peer.status == SUSPECT:
+                self._set_status(peer, ALIVE, now)
+        return []
+
+    def _relay(
+        self,
+        message: wire.Message,
+        source: str,
+        now: float,
+        news: News,
+    ) -> list[Outgoing]:
+        self._sequence += 1
+        self._relays[self._sequence] = (source, message.sequence, now)
+        for key, (_, _, at) in list(self._relays.items()):
+            if now - at > SUSPECT_AFTER_S:
+                del self._relays[key]
+        ping = self._message(wire.Kind.PING, self._sequence, news)
+        return [Outgoing(message.target.address, ping)]
+
+    def _check_probes(
+        self,
+        now: float,
+        news: News,
+    ) -> list[Outgoing]:
+        out: list[Outgoing] = []
+        for sequence, probe in list(self._probes.items()):
+            waited = now - probe.sent_at
+            peer = self.peers.get(probe.instance)
+            if peer is None or waited > 2 * SUSPECT_AFTER_S:
+                del self._probes[sequence]
+            elif peer.heard_at >= probe.sent_at:
+                del self._probes[sequence]
+            elif waited >= SUSPECT_AFTER_S:
+                del self._probes[sequence]
+                self._suspect(peer, now)
+            elif waited >= ACK_TIMEOUT_S and not probe.indirect:
+                probe.indirect = True
+                out += self._ask_others(peer, sequence, news)
+        return out
+
+    def _ask_others(
+        self,
+        peer: Peer,
+        sequence: int,
+        news: News,
+    ) -> list[Outgoing]:
+        others = [p for p in self.live_peers() if p is not peer]
+        count = min(INDIRECT_PROBES, len(others))
+        message = self._message(
+            wire.Kind.PING_REQ,
+            sequence,
+            news,
+            target=_describe(peer),
+        )
+        return [
+            Outgoing(helper.address, message)
+            for helper in self._random.sample(others, count)
+        ]
+
+    def _suspect(self, peer: Peer, now: float) -> None:
+        if peer.status == ALIVE:
+            self._set_status(peer, SUSPECT, now)
+
+    def _check_suspects(self, now: float) -> None:
+        for peer in self.peers.values():
+            if peer.status == SUSPECT:
+                if now - peer.changed_at >= DEAD_AFTER_S:
+                    self._set_status(peer, DEAD, now)
+
+
+def _describe(peer: Peer) -> wire.Member:
+    """Return the wire form of a peer."""
+    return wire.Member(
+        instance=peer.instance,
+        incarnation=peer.incarnation,
+        zone=peer.zone,
+        address=peer.address,
+        status=peer.status,
+        refutation=peer.refutation,
+    )
--- /dev/null
+++ b/agatewing/net/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP towards callers, targets and the platform, by library."""
+
+from agatewing.net._http_client import call_once
+from agatewing.net._http_client import Headers
+from agatewing.net._http_client import HttpAnswer
+from agatewing.net._http_client import HttpClient
+from agatewing.net._http_client import SendForbiddenError
+from agatewing.net._http_client import StreamAnswer
+from agatewing.net._http_server import Application
+from agatewing.net._http_server import Environ
+from agatewing.net._http_server import Server
+from agatewing.net._http_server import StartResponse
+from agatewing.net._problem import CONTENT_TYPE
+from agatewing.net._problem import encode
+from agatewing.net._problem import headers
+from agatewing.net._problem import status_line
--- /dev/null
+++ b/agatewing/platform_services/_instance_list.py
@@ -0,0 +1,58 @@
+"""Client of the platform's list of instances."""
+
+import msgspec
+
+from agatewing import _exceptions
+from agatewing import net
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One row of the list, which lags behind the truth."""
+
+    # Name of the instance.
+    instance: str
+    # Availability zone.
+    zone: str
+    # IP number and port of its links to other instances.
+    peer_address: str
+    # IP number and port of its administration API.
+    admin_address: str
+    # ``live`` or ``leaving``.
+    state: str
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """The list as of some time ago."""
+
+    # Rows.
+    instances: tuple[ListedInstance, ...]
+
+
+_decoder = msgspec.json.Decoder(InstanceList)
+
+
+class InstanceListClient:
+    """Reads the list and announces the own instance to it."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, url: str) -> None:
+        self._client = net.HttpClient(
+            url.removeprefix("http://").rstrip("/"), silence_timeout_s=2.0
+        )
+
+    def read(self) -> InstanceList:
+        """Return the list."""
+        answer = self._client.call("GET", "/v1/instances")
+        if answer.status != 200:
+            raise _exceptions.ProtocolError(
+                "instance list", f"status {answer.status}"
+            )
+        try:
+            return _decoder.decode(answer.body)
+        except msgspec.MsgspecError as exc:
+            raise _exceptions.ProtocolError("instance list", str(exc)) from exc
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
--- /dev/null
+++ b/agatewing/replica/_replay.py
@@ -0,0 +1,144 @@
+"""Replay of a stream into a state machine, from snapshots and records."""
+
+import collections
+import typing
+
+from agatewing.replica import _records
+
+#: Records kept to replay behind a snapshot that arrives late.
+BACKLOG_RECORDS = 8_192
+
+
+class StateMachine(typing.Protocol):
+    """State that is a function of the records before an offset."""
+
+    def reset(self) -> None:
+        """Return to the state before the first record."""
+
+    def apply(
+        self,
+        offset: int,
+        author: _records.Author,
+        record: _records.Record,
+    ) -> None:
+        """Apply one record."""
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state as plain data."""
+
+    def load(self, state: dict[str, typing.Any]) -> None:
+        """Replace the state by a dump; raise ValueError if malformed."""
+
+    def rank(self) -> int:
+        """Return a number that never falls from one state to the next."""
+
+
+class Replay:
+    """Drives a state machine from one stream.
+
+    The state is *known* if it includes every accepted record up to
+    ``through``. After a gap it is unknown until a snapshot covers the gap.
+    """
+
+    __slots__ = (
+        "_machine",
+        "_backlog",
+        "_backlog_start",
+        "through",
+        "known",
+        "snapshot_offset",
+        "adopted",
+    )
+
+    def __init__(self, machine: StateMachine) -> None:
+        self._machine = machine
+        self._backlog: collections.deque[
+            tuple[int, _records.Author, _records.Record]
+        ] = collections.deque()
+        self._backlog_start: int | None = None
+        #: Last offset that the state includes.
+        self.through = 0
+        #: Whether the state is complete up to ``through``.
+        self.known = False
+        #: Offset of the last snapshot record seen; 0 for none.
+        self.snapshot_offset = 0
+        #: Number of snapshots that replaced the state.
+        self.adopted = 0
+
+    def begin(self, first: int) -> None:
+        """Start reading at the first retained offset, or after a gap.
+
+        A log that still holds offset 1 needs no snapshot.
+        """
+        self._backlog.clear()
+        self._backlog_start = first
+        if first == 1 and not self.through:
+            self.known = True
+        elif first > self.through + 1:
+            self.known = False
+
+    def apply(self, offset: int, envelope: _records.Envelope) -> None:
+        """Apply the records of one append, once."""
+        for record in envelope.records:
+            if isinstance(record, _records.Snapshot):
+                self.snapshot_offset = offset
+                self.adopt(record.through, record.state)
+                continue
+            self._remember(offset, envelope.author, record)
+            if self.known and offset > self.through:
+                self._machine.apply(offset, envelope.author, record)
+        if offset > self.through and self.known:
+            self.through = offset
+
+    def skip(self, offset: int) -> None:
+        """Pass over an unreadable append, as every reader does."""
+        if self.known and offset > self.through:
+            self.through = offset
+
+    def adopt(self, through: int, state: dict[str, typing.Any]) -> bool:
+        """Take over a snapshot if it can be continued and is newer."""
+        start = self._backlog_start
+        if start is not None and through + 1 < start:
+            return False
+        if self.known and not self._is_newer(state):
+            return False
+        return self._install(through, state)
+
+    def _is_newer(self, state: dict[str, typing.Any]) -> bool:
+        rank = state.get("rank")
+        return isinstance(rank, int) and rank > self._machine.rank()
+
+    def _install(self, through: int, state: dict[str, typing.Any]) -> bool:
+        previous = self._machine.dump()
+        rank = self._machine.rank()
+        try:
+            self._machine.load(state)
+        except (ValueError, KeyError, TypeError):
+            self._machine.load(previous)
+            return False
+        self._replay_behind(through)
+        if self._machine.rank() < rank:
+            self._machine.load(previous)
+            return False
+        self.known = True
+        self.adopted += 1
+        return True
+
+    def _replay_behind(self, through: int) -> None:
+        last = through
+        for offset, author, record in self._backlog:
+            if offset > through:
+                self._machine.apply(offset, author, record)
+                last = offset
+        self.through = max(last, through)
+
+    def _remember(
+        self,
+        offset: int,
+        author: _records.Author,
+        record: _records.Record,
+    ) -> None:
+        self._backlog.append((offset, author, record))
+        if len(self._backlog) > BACKLOG_RECORDS:
+            dropped, _, _ = self._backlog.popleft()
+            self._backlog_start = dropped + 1
--- /dev/null
+++ b/agatewing/standins/log.py
@@ -0,0 +1,247 @@
+"""Stand-in of the platform's log service."""
+
+import argparse
+import dataclasses
+import random
+
+import gevent
+import gevent.event
+
+from agatewing import _clock
+from agatewing import _exceptions
+from agatewing import platform_services
+from agatewing.standins import _http
+
+
+@dataclasses.dataclass(slots=True)
+class LogFaults:
+    """What goes wrong at the moment."""
+
+    #: Whether nothing is answered.
+    down: bool = False
+    #: Time that every call takes longer, in seconds.
+    slow_s: float = 0.0
+    #: Share of appends whose answer is lost after the effect.
+    lose_answers: float = 0.0
+    #: Share of appends that are lost before the effect.
+    lose_appends: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    """A record with the time of its append."""
+
+    at: float
+    record: platform_services.LogRecord
+
+
+class _Stream:
+    """One stream of records."""
+
+    __slots__ = ("records", "next", "changed")
+
+    def __init__(self) -> None:
+        self.records: list[_Kept] = []
+        self.next = 1
+        self.changed = gevent.event.Event()
+
+    @property
+    def first(self) -> int:
+        """First offset that is still kept."""
+        return self.records[0].record.offset if self.records else self.next
+
+
+class LogModel:
+    """Append-only streams with retention, a rate limit and faults."""
+
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_streams",
+        "_tokens",
+        "_filled_at",
+        "faults",
+        "retention_s",
+        "appends_per_s",
+        "appends",
+    )
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        retention_s: float = 3_600.0,
+        appends_per_s: float = 300.0,
+        seed: int = 1,
+    ) -> None:
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._streams: dict[str, _Stream] = {}
+        self._tokens = appends_per_s
+        self._filled_at = clock.monotonic()
+        #: What goes wrong at the moment.
+        self.faults = LogFaults()
+        #: Time for which records are kept, in seconds.
+        self.retention_s = retention_s
+        #: Appends a second over all streams.
+        self.appends_per_s = appends_per_s
+        #: Appends that took effect.
+        self.appends = 0
+
+    def append(self, name: str, body: str) -> int | None:
+        """Append; ``None`` if the answer is lost, -1 if refused."""
+        faults = self.faults
+        if faults.down or self._random.random() < faults.lose_appends:
+            return None
+        if not self._take_token():
+            return -1
+        stream = self._stream(name)
+        offset = stream.next
+        record = platform_services.LogRecord(offset, body)
+        stream.records.append(_Kept(self._clock.monotonic(), record))
+        stream.next += 1
+        self.appends += 1
+        changed, stream.changed = stream.changed, gevent.event.Event()
+        changed.set()
+        if self._random.random() < faults.lose_answers:
+            return None
+        return offset
+
+    def read(
+        self, name: str, start: int, limit: int, wait_s: float
+    ) -> platform_services.LogPage | None:
+        """Read; ``None`` if the log is down."""
+        if self.faults.down:
+            return None
+        stream = self._stream(name)
+        if start >= stream.next and wait_s > 0:
+            stream.changed.wait(wait_s)
+        if self.faults.down:
+            return None
+        self._expire(stream)
+        begin = max(start, stream.first) - stream.first
+        chosen = stream.records[begin : begin + limit]
+        return platform_services.LogPage(
+            stream.first,
+            stream.next,
+            self.retention_s,
+            tuple(kept.record for kept in chosen),
+        )
+
+    def _stream(self, name: str) -> _Stream:
+        return self._streams.setdefault(name, _Stream())
+
+    def _expire(self, stream: _Stream) -> None:
+        limit = self._clock.monotonic() - self.retention_s
+        expired = 0
+        for kept in stream.records:
+            if kept.at > limit:
+                break
+            expired += 1
+        del stream.records[:expired]
+
+    def _take_token(self) -> bool:
+        now = self._clock.monotonic()
+        gained = (now - self._filled_at) * self.appends_per_s
+        self._tokens = min(self.appends_per_s, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class DirectLogClient:
+    """The log client's calls made on a model in the same process.
+
+    ``cut`` severs this one client, as a network partition does.
+    """
+
+    __slots__ = ("_model", "cut")
+
+    def __init__(self, model: LogModel) -> None:
+        self._model = model
+        #: Whether this client cannot reach the log.
+        self.cut = False
+
+    def append(self, stream: str, body: str) -> int:
+        """Append one record and return its offset."""
+        offset = None if self.cut else self._model.append(stream, body)
+        if offset is None:
+            raise _exceptions.LogUnavailableError(stream, "no answer")
+        if offset < 0:
+            raise _exceptions.LogRefusedError(stream, 429)
+        return offset
+
+    def read(
+        self, stream: str, start: int, wait_s: float
+    ) -> platform_services.LogPage:
+        """Return records from ``start`` without waiting."""
+        page = None
+        if not self.cut:
+            page = self._model.read(stream, start, 512, 0.0)
+        if page is None:
+            raise _exceptions.LogUnavailableError(stream, "no answer")
+        return page
+
+    def close(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class LogServer:
+    """The model over HTTP."""
+
+    __slots__ = ("_model",)
+
+    def __init__(self, model: LogModel) -> None:
+        self._model = model
+
+    def route(self, req: _http.Request) -> _http.Reply:
+        """Answer one request."""
+        match req.path.strip("/").split("/"):
+            case ["standin", "faults"]:
+                for name, value in req.json().items():
+                    setattr(self._model.faults, name, value)
+                return _http.Reply(200, {"ok": True})
+            case ["standin", "stats"]:
+                return _http.Reply(200, {"appends": self._model.appends})
+            case ["v1", "streams", name, "records"]:
+                if self._model.faults.slow_s:
+                    gevent.sleep(self._model.faults.slow_s)
+                if req.method == "POST":
+                    return self._append(name, req.body)
+                return self._read(name, req.query)
+        return _http.Reply(404, {"error": "no such path"})
+
+    def _append(self, name: str, body: bytes) -> _http.Reply:
+        offset = self._model.append(name, body.decode())
+        if offset is None:
+            raise _http.Hangup
+        if offset < 0:
+            return _http.Reply(429, {"error": "append rate"})
+        return _http.Reply(200, {"offset": offset})
+
+    def _read(self, name: str, query: dict[str, str]) -> _http.Reply:
+        page = self._model.read(
+            name,
+            int(query.get("from", "1")),
+            min(int(query.get("limit", "100")), 1_000),
+            min(float(query.get("wait", "0")), 5.0),
+        )
+        if page is None:
+            raise _http.Hangup
+        return _http.Reply(200, page)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command line of this stand-in."""
+    parser.add_argument("--retention", type=float, default=3_600.0)
+    parser.add_argument("--rate", type=float, default=300.0)
+    parser.add_argument("--seed", type=int, default=1)
+
+
+def run(args: argparse.Namespace) -> None:
+    """Serve the log."""
+    model = LogModel(
+        _clock.SystemClock(), args.retention, args.rate, args.seed
+    )
+    _http.serve(args.host, args.port, LogServer(model).route)
--- /dev/null
+++ b/agatewing/timeline/__init__.py
@@ -0,0 +1,12 @@
+"""Time line of events over all processes."""
+
+from agatewing.timeline._events import Event
+from agatewing.timeline._events import EventKind
+from agatewing.timeline._events import Timeline
+from agatewing.timeline._hlc import HybridClock
+from agatewing.timeline._hlc import Stamp
+from agatewing.timeline._merge import Filter
+from agatewing.timeline._merge import merge
+from agatewing.timeline._merge import render_html
+from agatewing.timeline._merge import render_json_lines
+from agatewing.timeline._merge import render_text
--- /dev/null
+++ b/agatewing/tool.py
@@ -0,0 +1,366 @@
+"""The operators' command ``agatewing``."""
+
+import argparse
+import collections.abc
+import os
+import pathlib
+import sys
+import time
+import typing
+import uuid
+
+import msgspec
+import result
+
+from agatewing import _admin_client
+from agatewing import config
+from agatewing import timeline
+
+#: Exit codes.
+EXIT_OK = 0
+EXIT_FAULTS = 1
+EXIT_USAGE = 2
+EXIT_REJECTED = 3
+EXIT_UNKNOWN = 4
+EXIT_NOT_REACHED = 5
+EXIT_LAGGING = 6
+
+EPILOG = """exit codes:
+  0  done
+  1  the file or the request holds faults
+  2  wrong arguments
+  3  rejected: another publish was first
+  4  unknown: ask again with the id that was printed
+  5  no instance was reached, or it refused the token
+  6  accepted, but not in force everywhere in time
+
+The address and token come from --admin and --token, or from
+AGATEWING_ADMIN and AGATEWING_TOKEN.
+"""
+
+Run = collections.abc.Callable[[argparse.Namespace], int]
+
+#: Time between two looks while waiting, in seconds.
+POLL_S = 0.2
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command."""
+    args = _parser().parse_args(argv)
+    return int(args.run(args))
+
+
+def _parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="agatewing",
+        description="Operate a deployment of agatewing.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    check = _command(commands, "check", _run_check, remote=False)
+    check.add_argument("file", type=pathlib.Path)
+    publish = _command(commands, "publish", _run_publish)
+    publish.add_argument("file", type=pathlib.Path)
+    publish.add_argument("--base", type=int, required=True)
+    publish.add_argument("--id", default="")
+    publish.add_argument("--wait", type=float, default=30.0)
+    show = _command(commands, "show", _run_show)
+    show.add_argument(
+        "what",
+        choices=("config", "instances", "targets", "leases", "status"),
+    )
+    _command(commands, "history", _run_history)
+    asked = _command(commands, "ask", _run_ask)
+    asked.add_argument("id", help="id of a publish")
+    drain = _command(commands, "drain", _run_drain)
+    drain.add_argument("target")
+    drain.add_argument(
+        "--state",
+        choices=("draining", "withdrawn", "active"),
+        default="draining",
+    )
+    drain.add_argument("--wait", type=float, default=30.0)
+    line = _command(commands, "timeline", _run_timeline)
+    line.add_argument("--request", default="")
+    line.add_argument("--target", default="")
+    line.add_argument("--lease", default="")
+    line.add_argument("--version", type=int, default=0)
+    line.add_argument(
+        "--format", choices=("text", "jsonl", "html"), default="text"
+    )
+    line.add_argument("--instances", default="", metavar="IP:PORT,...")
+    return parser
+
+
+def _command(
+    commands: typing.Any, name: str, run: Run, remote: bool = True
+) -> argparse.ArgumentParser:
+    """Add a subcommand with the options that all share."""
+    sub: argparse.ArgumentParser = commands.add_parser(
+        name, help=(run.__doc__ or "").splitlines()[0]
+    )
+    sub.set_defaults(run=run)
+    sub.add_argument("--json", action="store_true")
+    if remote:
+        sub.add_argument(
+            "--admin", default=os.environ.get("AGATEWING_ADMIN", "")
+        )
+        sub.add_argument(
+            "--token", default=os.environ.get("AGATEWING_TOKEN", "")
+        )
+    return sub
+
+
+def _run_check(args: argparse.Namespace) -> int:
+    """Check a configuration file."""
+    match config.load_document(args.file):
+        case result.Ok(document):
+            summary = {
+                "deployment": document.deployment,
+                "engines": len(document.engines),
+                "targets": len(document.targets),
+                "callers": len(document.rules.callers),
+            }
+            _print(args, summary, f"{args.file}: no faults")
+            return EXIT_OK
+        case result.Err(faults):
+            _print_faults(args, faults)
+    return EXIT_FAULTS
+
+
+def _run_publish(args: argparse.Namespace) -> int:
+    """Publish a configuration and wait until it is in force."""
+    match config.load_document(args.file):
+        case result.Err(faults):
+            _print_faults(args, faults)
+            return EXIT_FAULTS
+        case result.Ok(document):
+            pass
+    body = {
+        "base": args.base,
+        "document": config.to_plain(document),
+        "id": args.id or uuid.uuid4().hex,
+    }
+    _note(f"publish id {body['id']}")
+    answer = _client(args).post("config", body)
+    return _finish_publish(args, answer)
+
+
+def _run_drain(args: argparse.Namespace) -> int:
+    """Let a target finish its work and give it no new work."""
+    body = {"target": args.target, "state": args.state}
+    return _finish_publish(args, _client(args).post("drain", body))
+
+
+def _finish_publish(
+    args: argparse.Namespace, answer: _admin_client.ApiResult
+) -> int:
+    """Report a publish; wait until every instance confirms it."""
+    reply = _unwrap(args, answer)
+    if isinstance(reply, int):
+        return reply
+    body = reply.body
+    match body["result"]:
+        case "accepted":
+            return _wait_in_force(args, int(body["version"]), body)
+        case "rejected":
+            _print(
+                args,
+                body,
+                f"rejected: version {body['winner']} is in force; "
+                "base the change on it",
+            )
+            return EXIT_REJECTED
+    _print(args, body, f"unknown: ask again with 'agatewing ask {body['id']}'")
+    return EXIT_UNKNOWN
+
+
+def _wait_in_force(
+    args: argparse.Namespace, version: int, body: dict[str, typing.Any]
+) -> int:
+    """Wait until all live instances name the version."""
+    started = time.monotonic()
+    lagging: list[str] = []
+    shown: list[str] = []
+    while time.monotonic() - started < args.wait:
+        lagging = _lagging(args, version)
+        if not lagging:
+            took = time.monotonic() - started
+            _print(
+                args,
+                {**body, "in_force_s": round(took, 3), "lagging": []},
+                f"version {version} is in force everywhere after {took:.1f} s",
+            )
+            return EXIT_OK
+        if lagging != shown:
+            _note(f"waiting for {', '.join(lagging)}")
+            shown = lagging
+        time.sleep(POLL_S)
+    _print(
+        args,
+        {**body, "lagging": lagging},
+        f"version {version} is accepted; not confirmed by "
+        f"{', '.join(lagging)}",
+    )
+    return EXIT_LAGGING
+
+
+def _lagging(args: argparse.Namespace, version: int) -> list[str]:
+    """Return live instances that do not confirm a version yet."""
+    reply = _client(args).get("instances")
+    if isinstance(reply, result.Err):
+        return ["the instance that was asked"]
+    return [
+        row["instance"]
+        for row in reply.ok_value.body.get("instances", [])
+        if row["status"] in ("alive", "suspect")
+        and row["config_version"] < version
+    ]
+
+
+def _run_show(args: argparse.Namespace) -> int:
+    """Show what one instance knows."""
+    reply = _unwrap(args, _client(args).get(args.what))
+    if isinstance(reply, int):
+        return reply
+    body = reply.body
+    if args.what in ("instances", "targets"):
+        text = _table(body[args.what])
+    elif args.what == "leases":
+        text = _table(body["leases"]) + "\n\n" + _table(body["orders"])
+    else:
+        text = _pretty(body)
+    _print(args, body, text)
+    return EXIT_OK
+
+
+def _run_history(args: argparse.Namespace) -> int:
+    """Show recent publishes with their decisions."""
+    reply = _unwrap(args, _client(args).get("history"))
+    if isinstance(reply, int):
+        return reply
+    _print(args, reply.body, _table(reply.body["history"]))
+    return EXIT_OK
+
+
+def _run_ask(args: argparse.Namespace) -> int:
+    """Ask what became of a publish."""
+    reply = _unwrap(args, _client(args).get(f"publishes/{args.id}"))
+    if isinstance(reply, int):
+        return reply
+    _print(args, reply.body, _pretty(reply.body))
+    if reply.body["result"] == "accepted":
+        return EXIT_OK
+    if reply.body["result"] == "rejected":
+        return EXIT_REJECTED
+    return EXIT_UNKNOWN
+
+
+def _run_timeline(args: argparse.Namespace) -> int:
+    """Merge the events of all instances in causal order."""
+    addresses = [a for a in args.instances.split(",") if a] or [args.admin]
+    parts = []
+    for address in addresses:
+        client = _admin_client.AdminClient(address, args.token)
+        reply = client.get("timeline")
+        if isinstance(reply, result.Err) or reply.ok_value.status != 200:
+            _note(f"{address} gave no events")
+            continue
+        parts.append(
+            msgspec.convert(
+                reply.ok_value.body["events"], list[timeline.Event]
+            )
+        )
+    if not parts:
+        return EXIT_NOT_REACHED
+    wanted = timeline.Filter(
+        args.request, args.target, args.lease, args.version
+    )
+    events = timeline.merge(parts, wanted)
+    if args.json or args.format == "jsonl":
+        print(timeline.render_json_lines(events))
+    elif args.format == "html":
+        print(timeline.render_html(events))
+    else:
+        print(timeline.render_text(events))
+    return EXIT_OK
+
+
+def _client(args: argparse.Namespace) -> _admin_client.AdminClient:
+    """Return a client of the instance that the arguments name."""
+    if not args.admin:
+        print(
+            "no instance named; give --admin IP:PORT or set AGATEWING_ADMIN",
+            file=sys.stderr,
+        )
+        raise SystemExit(EXIT_USAGE)
+    return _admin_client.AdminClient(args.admin, args.token)
+
+
+def _unwrap(
+    args: argparse.Namespace, answer: _admin_client.ApiResult
+) -> _admin_client.ApiAnswer | int:
+    """Return the answer, or the exit code after telling why not."""
+    if isinstance(answer, result.Err):
+        print(answer.err_value, file=sys.stderr)
+        return EXIT_NOT_REACHED
+    reply = answer.ok_value
+    if "result" in reply.body or reply.status == 200:
+        return reply
+    detail = reply.body.get("detail", "refused")
+    remedy = reply.body.get("remedy", "")
+    print(f"{detail}; {remedy}", file=sys.stderr)
+    if reply.status in (401, 403, 503):
+        return EXIT_NOT_REACHED
+    return EXIT_FAULTS
+
+
+def _print(args: argparse.Namespace, body: object, text: str) -> None:
+    """Print JSON or text, as the arguments ask."""
+    print(_pretty(body) if args.json else text)
+
+
+def _print_faults(
+    args: argparse.Namespace, faults: tuple[config.Fault, ...]
+) -> None:
+    """Print every fault of a file."""
+    if args.json:
+        rows = [
+            {"path": f.path, "problem": f.problem, "remedy": f.remedy}
+            for f in faults
+        ]
+        print(_pretty({"faults": rows}))
+        return
+    for fault in faults:
+        print(fault, file=sys.stderr)
+
+
+def _pretty(body: object) -> str:
+    """Return indented JSON."""
+    raw = msgspec.json.encode(body)
+    return msgspec.json.format(raw, indent=2).decode()
+
+
+def _note(text: str) -> None:
+    """Print progress to standard error."""
+    print(text, file=sys.stderr)
+
+
+def _table(rows: list[dict[str, typing.Any]]) -> str:
+    """Return rows as aligned columns."""
+    if not rows:
+        return "(none)"
+    columns = list(rows[0])
+    cells = [columns] + [[str(row[c]) for c in columns] for row in rows]
+    widths = [max(len(r[i]) for r in cells) for i in range(len(columns))]
+    lines = [
+        "  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/agatewing/wire/__init__.py
@@ -0,0 +1,12 @@
+"""Signed thrift messages between instances."""
+
+from agatewing.wire._codec import Codec
+from agatewing.wire._codec import MAX_MESSAGE_BYTES
+from agatewing.wire.gen.peer.ttypes import Demand
+from agatewing.wire.gen.peer.ttypes import Kind
+from agatewing.wire.gen.peer.ttypes import Member
+from agatewing.wire.gen.peer.ttypes import Message
+from agatewing.wire.gen.peer.ttypes import StateReply
+from agatewing.wire.gen.peer.ttypes import StateRequest
+from agatewing.wire.gen.peer.ttypes import Status
+from agatewing.wire.gen.peer.ttypes import Vouch
--- /dev/null
+++ b/agatewing/wire/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/thrift/peer.thrift
@@ -0,0 +1,67 @@
+// Messages between instances. Regenerate with `make wire`.
+namespace py peer
+
+enum Status {
+  ALIVE = 1,
+  SUSPECT = 2,
+  DEAD = 3,
+  LEFT = 4,
+}
+
+// One instance as the sender knows it.
+struct Member {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required string zone,
+  4: required string address,
+  5: required Status status,
+  // Grows when an instance refutes a false suspicion.
+  6: required i32 refutation,
+}
+
+// What the sender can say about the log and the configuration.
+struct Vouch {
+  1: required i64 config_version,
+  // Milliseconds since the sender knew the log's end; -1 for never.
+  2: required i64 log_age_ms,
+}
+
+// Work of the last seconds that the sender saw for one engine pool.
+struct Demand {
+  1: required string pool,
+  2: required double prefill_tokens_per_s,
+  3: required double decode_tokens_per_s,
+  4: required double requests_per_s,
+}
+
+enum Kind {
+  PING = 1,
+  ACK = 2,
+  PING_REQ = 3,
+}
+
+// One datagram.
+struct Message {
+  1: required Kind kind,
+  2: required i64 sequence,
+  3: required Member sender,
+  4: required i64 hlc_wall_ms,
+  5: required i32 hlc_counter,
+  6: required Vouch vouch,
+  7: required list<Member> gossip,
+  8: required list<Demand> demand,
+  // Instance to be pinged on behalf of the sender.
+  9: optional Member target,
+}
+
+// Ask a peer for the state of a stream, over TCP.
+struct StateRequest {
+  1: required string stream,
+}
+
+struct StateReply {
+  1: required bool known,
+  2: required i64 through,
+  // JSON of the state's dump.
+  3: required binary state,
+}
