Demo: the main job on both deployments, with faults on request

Cause: the path had no run that shows it whole. Change: a harness of processes, a checking caller and a table.

--- /dev/null
+++ b/agatewing/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job on an example deployment, with embedded stand-ins."""
--- /dev/null
+++ b/agatewing/demo/_faults.py
@@ -0,0 +1,133 @@
+"""Faults that ``FAULTS=1`` injects, and what is measured at them."""
+
+import dataclasses
+import time
+
+import gevent
+
+from agatewing import harness
+
+#: Time for which an instance is frozen; longer than a lease, in seconds.
+FREEZE_S = 11.0
+#: Length of the log's outage, in seconds.
+OUTAGE_S = 6.0
+
+
+@dataclasses.dataclass(slots=True)
+class FaultFigures:
+    """What was measured while faults were injected."""
+
+    #: Time until a drained engine got its last new work, in seconds.
+    drain_s: float | None = None
+    #: Time until the drain was in force everywhere, in seconds.
+    in_force_s: float | None = None
+    #: What was done, with the time since the start.
+    notes: list[str] = dataclasses.field(default_factory=list)
+
+
+class FaultScript:
+    """Kill, freeze, log outage, lost answers, engine crash and drain."""
+
+    def __init__(self, deployment: harness.Deployment) -> None:
+        self._deployment = deployment
+        self._started = time.monotonic()
+        #: Measured figures.
+        self.figures = FaultFigures()
+
+    def run(self) -> None:
+        """Inject the faults one after another, some together."""
+        tasks = [
+            gevent.spawn_later(4, self._kill_instance),
+            gevent.spawn_later(6, self._freeze_instance),
+            gevent.spawn_later(12, self._lose_log),
+            gevent.spawn_later(20, self._crash_engine),
+            gevent.spawn_later(24, self._drain_engine),
+        ]
+        gevent.joinall(tasks)
+
+    def _note(self, text: str) -> None:
+        passed = time.monotonic() - self._started
+        self.figures.notes.append(f"{passed:5.1f} s  {text}")
+
+    def _kill_instance(self) -> None:
+        process = self._deployment.instances["entry-2"]
+        process.kill()
+        self._note("killed entry-2")
+        gevent.sleep(3)
+        process.start()
+        self._note("started entry-2 again")
+
+    def _freeze_instance(self) -> None:
+        name = self._lease_holder() or "entry-3"
+        process = self._deployment.instances[name]
+        process.freeze()
+        self._note(f"froze {name}")
+        gevent.sleep(FREEZE_S)
+        process.thaw()
+        self._note(f"thawed {name}")
+
+    def _lease_holder(self) -> str:
+        for name in ("entry-1", "entry-4"):
+            answer = self._deployment.admin(name).get("leases")
+            if answer.is_err():
+                continue
+            for row in answer.unwrap().body.get("leases", []):
+                holder: str = row["holder"].rpartition("/")[0]
+                if holder and holder != "entry-2":
+                    return holder
+        return ""
+
+    def _lose_log(self) -> None:
+        self._deployment.log_faults(down=True)
+        self._note("log down")
+        gevent.sleep(OUTAGE_S)
+        self._deployment.log_faults(down=False, lose_answers=0.1)
+        self._note("log back, one answer in ten is lost")
+        gevent.sleep(4)
+        self._deployment.log_faults(lose_answers=0.0)
+
+    def _crash_engine(self) -> None:
+        name = list(self._deployment.engines)[1]
+        process = self._deployment.engines[name]
+        process.kill()
+        self._note(f"crashed {name}")
+        gevent.sleep(2)
+        process.start()
+        self._note(f"started {name} again")
+
+    def _drain_engine(self) -> None:
+        deployment = self._deployment
+        name = list(deployment.engines)[0]
+        version, accepted_at = self._publish_drain(name)
+        if not version:
+            self._note("the drain was not accepted")
+            return
+        self._note(f"drained {name} as version {version}")
+        received = deployment.engine_stats(name)["received"]
+        last_work = accepted_at
+        until = accepted_at + 5
+        while time.monotonic() < until:
+            now = deployment.engine_stats(name)["received"]
+            if now != received:
+                received, last_work = now, time.monotonic()
+            self._note_in_force(version, accepted_at)
+            gevent.sleep(0.02)
+        self.figures.drain_s = last_work - accepted_at
+
+    def _publish_drain(self, name: str) -> tuple[int, float]:
+        for instance in self._deployment.instances:
+            admin = self._deployment.admin(instance)
+            answer = admin.post("drain", {"target": name})
+            if answer.is_err():
+                continue
+            body = answer.unwrap().body
+            if body.get("result") == "accepted":
+                return int(body["version"]), time.monotonic()
+        return 0, 0.0
+
+    def _note_in_force(self, version: int, accepted_at: float) -> None:
+        if self.figures.in_force_s is not None:
+            return
+        deployment = self._deployment
+        if all(deployment.in_force(n) >= version for n in deployment.ports):
+            self.figures.in_force_s = time.monotonic() - accepted_at
--- /dev/null
+++ b/agatewing/demo/_report.py
@@ -0,0 +1,246 @@
+"""Counts, checks and prints what a demo run showed."""
+
+import collections
+import dataclasses
+import typing
+
+from hdrh import histogram
+
+from agatewing.demo import _faults
+from agatewing.demo import _traffic
+from agatewing import harness
+
+#: Kinds of refusal that mean a started answer was not completed.
+CUT_KINDS = frozenset({"broken", "stream-lost"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One line of the table."""
+
+    #: What is shown.
+    name: str
+    #: Its value.
+    value: str
+
+
+class Latencies:
+    """Quantiles of times."""
+
+    def __init__(self) -> None:
+        self._histogram = histogram.HdrHistogram(1, 120_000_000, 3)
+
+    def add(self, seconds: float) -> None:
+        """Take one time in."""
+        self._histogram.record_value(max(1, int(seconds * 1e6)))
+
+    def text(self) -> str:
+        """Return p50, p95 and p99 in milliseconds."""
+        if not self._histogram.get_total_count():
+            return "none"
+        parts = [
+            f"p{q} {self._histogram.get_value_at_percentile(q) / 1e3:.0f} ms"
+            for q in (50, 95, 99)
+        ]
+        return ", ".join(parts)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OnceCheck:
+    """At-most-once calls against the effects that targets counted."""
+
+    #: Keys with more than one effect.
+    duplicates: int
+    #: Calls answered although no effect was counted.
+    missing: int
+    #: Calls told ``not-run`` at last although an effect was counted.
+    false_not_run: int
+    #: Calls told ``unknown`` at last.
+    unknown: int
+    #: Calls answered.
+    answered: int
+
+
+def check_once(
+    records: list[harness.OnceRecord], effects: dict[str, int]
+) -> OnceCheck:
+    """Compare what callers were told with what targets counted."""
+    told: collections.Counter[str] = collections.Counter()
+    missing = false_not_run = 0
+    for record in records:
+        told[record.told] += 1
+        count = effects.get(record.key, 0)
+        missing += record.told == "answered" and not count
+        false_not_run += record.told == "not-run" and count > 0
+    return OnceCheck(
+        sum(count > 1 for count in effects.values()),
+        missing,
+        false_not_run,
+        told["unknown"],
+        told["answered"],
+    )
+
+
+def conflicting_orders(deployment: harness.Deployment) -> int:
+    """Return orders that engines took after a newer one."""
+    conflicts = 0
+    for name in deployment.engines:
+        highest = 0
+        for order in deployment.engine_stats(name)["orders"]:
+            conflicts += order["number"] < highest
+            highest = max(highest, order["number"])
+    return conflicts
+
+
+class Report:
+    """The table of one run."""
+
+    def __init__(
+        self,
+        deployment: harness.Deployment,
+        traffic: _traffic.Traffic,
+        seconds: float,
+        idle_cpu: dict[str, float],
+        faults: _faults.FaultFigures | None,
+    ) -> None:
+        self._deployment = deployment
+        self._traffic = traffic
+        self._seconds = seconds
+        self._idle_cpu = idle_cpu
+        self._faults = faults
+        self._once = check_once(traffic.once, deployment.effects())
+        self._conflicts = conflicting_orders(deployment)
+        self._statuses = [
+            status
+            for name in deployment.instances
+            if (status := deployment.status(name))
+        ]
+
+    def broken(self) -> list[str]:
+        """Return the promises that this run saw broken."""
+        traffic, once = self._traffic, self._once
+        cut = sum(g.refused in CUT_KINDS for g in traffic.generations)
+        wrong = sum(g.wrong for g in traffic.generations)
+        inside = sum(sum(s["broken"].values()) for s in self._statuses)
+        counts = {
+            "duplicates": once.duplicates,
+            "answered calls without effect": once.missing,
+            "false not-run": once.false_not_run,
+            "conflicting orders": self._conflicts,
+            "streams cut": cut,
+            "wrong answers": wrong,
+            "requests without an answer": traffic.unfinished(),
+            "invariants broken inside": inside,
+        }
+        return [f"{name}: {count}" for name, count in counts.items() if count]
+
+    def rows(self) -> list[Row]:
+        """Return the lines of the table."""
+        return [
+            *self._generation_rows(),
+            *self._once_rows(),
+            *self._control_rows(),
+            *self._fault_rows(),
+        ]
+
+    def _generation_rows(self) -> list[Row]:
+        results = self._traffic.generations
+        whole = [g for g in results if g.whole]
+        refused = collections.Counter(g.refused for g in results if g.refused)
+        first, gaps, total = Latencies(), Latencies(), Latencies()
+        for item in whole:
+            first.add(item.first_s or 0.0)
+            gaps.add(item.longest_gap_s)
+            total.add(item.total_s)
+        by_kind = collections.Counter(g.kind for g in results)
+        good = collections.Counter(g.kind for g in whole)
+        kinds = ", ".join(
+            f"{name} {good[name]}/{count}" for name, count in by_kind.items()
+        )
+        return [
+            Row("answers in full", f"{len(whole)} of {len(results)}"),
+            Row("  by kind", kinds),
+            Row("refused by kind", _counts(refused)),
+            Row("goodput", f"{len(whole) / self._seconds:.1f} answers/s"),
+            Row("first event", first.text()),
+            Row("longest gap in a stream", gaps.text()),
+            Row("whole answer", total.text()),
+            Row(
+                "reconnects by callers",
+                str(sum(g.resumes for g in results)),
+            ),
+        ]
+
+    def _once_rows(self) -> list[Row]:
+        once, traffic = self._once, self._traffic
+        refused = collections.Counter(
+            r.refused for r in traffic.once if r.told != "answered"
+        )
+        times = Latencies()
+        for record in traffic.once:
+            if record.told == "answered":
+                times.add(record.total_s)
+        return [
+            Row(
+                "at-most-once calls",
+                f"{once.answered} answered, {once.unknown} unknown "
+                f"of {len(traffic.once)}",
+            ),
+            Row("  refused at last", _counts(refused)),
+            Row("  time of answered ones", times.text()),
+            Row("duplicates", str(once.duplicates)),
+            Row("false not-run", str(once.false_not_run)),
+            Row(
+                "look-ups",
+                f"{traffic.reads_answered} of {traffic.reads} answered",
+            ),
+        ]
+
+    def _control_rows(self) -> list[Row]:
+        changes = sum(s["role_changes"] for s in self._statuses)
+        cpu = [s["cpu_s"] for s in self._statuses]
+        memory = [s["memory_bytes"] / 1e6 for s in self._statuses]
+        idle = self._idle_cpu.values()
+        return [
+            Row("role changes", str(changes)),
+            Row("conflicting orders", str(self._conflicts)),
+            Row(
+                "control cost while idle",
+                f"{100 * max(idle, default=0):.1f}% of a core at most",
+            ),
+            Row(
+                "processor time of an instance",
+                f"{min(cpu):.1f} to {max(cpu):.1f} s",
+            ),
+            Row("memory of an instance", f"{max(memory):.0f} MB at most"),
+        ]
+
+    def _fault_rows(self) -> list[Row]:
+        figures = self._faults
+        if figures is None:
+            return []
+        rows = [Row("fault", note) for note in figures.notes]
+        return [
+            *rows,
+            Row("last work after a drain", _seconds(figures.drain_s)),
+            Row("drain in force everywhere", _seconds(figures.in_force_s)),
+        ]
+
+
+def render(rows: typing.Iterable[Row]) -> str:
+    """Return the table as text."""
+    lines = list(rows)
+    width = max(len(row.name) for row in lines)
+    return "\n".join(f"{r.name.ljust(width)}  {r.value}" for r in lines)
+
+
+def _counts(counter: collections.Counter[str]) -> str:
+    """Return counts by name."""
+    if not counter:
+        return "none"
+    return ", ".join(f"{name} {n}" for name, n in sorted(counter.items()))
+
+
+def _seconds(value: float | None) -> str:
+    """Return a time, or that there is none."""
+    return "not seen" if value is None else f"{value:.2f} s"
--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -49,6 +49,8 @@
 class Handler(pywsgi.WSGIHandler):
     """Serves one connection."""
 
+    rfile: typing.Any
+
     def __init__(
         self,
         sock: gevent.socket.socket,
@@ -70,7 +72,7 @@
         server: Server = self.server
         timeout = gevent.Timeout(server.head_timeout_s)
         timeout.start()
-        plain: typing.Any = self.rfile
+        plain = self.rfile
         bounded = _BoundedReader(plain, server.max_header_bytes)
         self.rfile = bounded
         try:
