In-memory rig: real instances, virtual time, an independent oracle

Cause: the promises need proofs under pauses, cuts and outages that processes cannot show in seconds. Change: one outside interface a composition root takes; waits go through the clock; a rig of real instances on an in-memory network.

--- a/agatewing/_clock.py
+++ b/agatewing/_clock.py
@@ -1,5 +1,6 @@
 """The runtime's clock, and a clock that tests pause and advance."""
 
+import collections.abc
 import heapq
 import itertools
 import time
@@ -8,6 +9,29 @@
 import gevent
 import gevent.event
 
+#: Turns of the loop that greenlets get at each advance of the clock.
+SETTLE_ROUNDS = 4
+
+
+class Waitable(typing.Protocol):
+    """What gevent's events and asynchronous results share."""
+
+    def ready(self) -> bool:
+        """Return whether there is nothing to wait for."""
+
+    def wait(self, timeout: float | None = None) -> typing.Any:
+        """Wait in real time."""
+
+    def rawlink(
+        self, callback: collections.abc.Callable[[typing.Any], typing.Any]
+    ) -> typing.Any:
+        """Call back from the loop once it is ready."""
+
+    def unlink(
+        self, callback: collections.abc.Callable[[typing.Any], typing.Any]
+    ) -> typing.Any:
+        """Take the callback back."""
+
 
 class Clock(typing.Protocol):
     """Source of time for every part of the system."""
@@ -21,6 +45,9 @@
     def sleep(self, seconds: float) -> None:
         """Suspend the calling greenlet for ``seconds``."""
 
+    def wait(self, waitable: Waitable, timeout_s: float) -> bool:
+        """Wait for an event; return whether it came in time."""
+
 
 class SystemClock:
     """The clock of the process: the operating system's, on the loop."""
@@ -39,6 +66,11 @@
         """Suspend the calling greenlet; others run meanwhile."""
         gevent.sleep(seconds)
 
+    def wait(self, waitable: Waitable, timeout_s: float) -> bool:
+        """Wait for an event; return whether it came in time."""
+        waitable.wait(max(0.0, timeout_s))
+        return waitable.ready()
+
 
 class ManualClock:
     """A clock that stands still until :meth:`advance` is called."""
@@ -68,6 +100,22 @@
         heapq.heappush(self._sleepers, entry)
         woken.wait()
 
+    def wait(self, waitable: Waitable, timeout_s: float) -> bool:
+        """Wait for an event until the clock has passed ``timeout_s``."""
+        if waitable.ready() or timeout_s <= 0:
+            return waitable.ready()
+        woken = gevent.event.Event()
+
+        def wake(_: typing.Any) -> None:
+            woken.set()
+
+        waitable.rawlink(wake)
+        entry = (self._now + timeout_s, next(self._sequence), woken)
+        heapq.heappush(self._sleepers, entry)
+        woken.wait()
+        waitable.unlink(wake)
+        return waitable.ready()
+
     def advance(self, seconds: float) -> None:
         """Move time forward and wake sleepers in order of their time."""
         target = self._now + seconds
@@ -75,6 +123,12 @@
             due, _, woken = heapq.heappop(self._sleepers)
             self._now = max(self._now, due)
             woken.set()
-            gevent.idle()
+            settle()
         self._now = target
-        gevent.idle()
+        settle()
+
+
+def settle() -> None:
+    """Let every greenlet run that can run without time passing."""
+    for _ in range(SETTLE_ROUNDS):
+        gevent.sleep(0)
--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -1,12 +1,17 @@
 """The composition root: wires the parts of one instance."""
 
+import collections.abc
+import dataclasses
 import logging
 import random
+import typing
 
 import gevent
+import result
 
 from agatewing import _backend
 from agatewing import _clock
+from agatewing import _exceptions
 from agatewing import _invariants
 from agatewing import _watch
 from agatewing import admin
@@ -31,12 +36,74 @@
 FAREWELL_S = 0.5
 
 
+class LinksLike(typing.Protocol):
+    """What an instance needs of its links to other instances."""
+
+    sent_bytes: int
+
+    def start(self) -> None:
+        """Start sending and receiving."""
+
+    def stop(self) -> None:
+        """Say farewell and stop."""
+
+    def fetch_state(
+        self, address: str, stream: str
+    ) -> "result.Result[wire.StateReply, _exceptions.AgatewingError]":
+        """Ask a peer for its state of a stream."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """What an instance meets outside its own process."""
+
+    #: The log service.
+    log: platform_services.LogClient
+    #: The platform's list of instances.
+    instance_list: platform_services.InstanceListClient
+    #: Makes calls that must not be sent twice.
+    call_once: net.CallOnce
+    #: Makes the links of an instance.
+    make_links: collections.abc.Callable[["Instance"], LinksLike]
+
+
+def real_outside(settings: config.Settings) -> Outside:
+    """Return the services and the network that settings name."""
+    return Outside(
+        platform_services.LogClient(settings.log_url),
+        platform_services.InstanceListClient(settings.instance_list_url),
+        net.call_once,
+        _real_links,
+    )
+
+
+def _real_links(instance: "Instance") -> LinksLike:
+    """Return links over UDP and TCP."""
+    settings = instance.settings
+    return membership.Links(
+        settings.host,
+        settings.peer_port,
+        wire.Codec(settings.peer_secret),
+        instance.clock,
+        instance.detector,
+        instance.news,
+        instance.receive_stamp,
+        instance.state_reply,
+    )
+
+
 class Instance:
     """One process of the system."""
 
-    def __init__(self, settings: config.Settings, clock: _clock.Clock) -> None:
+    def __init__(
+        self,
+        settings: config.Settings,
+        clock: _clock.Clock,
+        outside: Outside,
+    ) -> None:
         self.settings = settings
         self.clock = clock
+        self.outside = outside
         self.incarnation = int(clock.wall() * 1000)
         self.author = replica.Author(settings.instance, self.incarnation)
         self.rng = random.Random(f"{self.author}")
@@ -52,6 +119,7 @@
         self._wire_entry()
         self._wire_admin()
         self._tasks: list[gevent.Greenlet] = []
+        self._servers: list[net.Server] = []
 
     def _wire_membership(self) -> None:
         settings = self.settings
@@ -62,22 +130,11 @@
             f"{settings.host}:{settings.peer_port}",
         )
         self.detector = membership.Detector(myself, self.rng)
-        self.links = membership.Links(
-            settings.host,
-            settings.peer_port,
-            wire.Codec(settings.peer_secret),
-            self.clock,
-            self.detector,
-            self._news,
-            lambda wall, count: self.hlc.receive(timeline.Stamp(wall, count)),
-            self._state_reply,
-        )
-        self.instance_list = platform_services.InstanceListClient(
-            settings.instance_list_url
-        )
+        self.links = self.outside.make_links(self)
+        self.instance_list = self.outside.instance_list
 
     def _wire_log(self) -> None:
-        self.log = platform_services.LogClient(self.settings.log_url)
+        self.log = self.outside.log
         self.config_state = replica.ConfigState()
         self.control_state = replica.ControlState()
         self.calls_state = replica.CallsState()
@@ -155,6 +212,7 @@
             self.events,
             self._is_gone,
             self.invariants,
+            self.outside.call_once,
         )
         self.roles = control.RoleLoop(
             self.clock,
@@ -178,6 +236,7 @@
             self.events,
             self.retries,
             self.settings.zone,
+            self.outside.call_once,
         )
         self.executor = calls.OnceExecutor(
             self.clock,
@@ -228,14 +287,6 @@
             self.events,
             limits,
         )
-        self.server = net.Server(
-            self.settings.host,
-            self.settings.caller_port,
-            self.app,
-            limits.max_connections,
-            limits.max_header_bytes,
-            limits.request_read_s,
-        )
         self.poller = fleet.Poller(
             self.fleet, self.clock, self.rng, self.events
         )
@@ -248,39 +299,63 @@
             self.clock,
             self.settings.limits.admin_rate_per_s,
         )
-        self.admin_server = net.Server(
-            self.settings.host,
-            self.settings.admin_port,
-            admin.AdminApp(self.backend, authorizer),
-            max_connections=256,
-        )
+        self.admin_app = admin.AdminApp(self.backend, authorizer)
 
     def start(self) -> None:
         """Open the ports and start every loop."""
+        self._open_ports()
+        self.start_loops()
+        _log.info(
+            "instance: %s serves callers on %s:%d",
+            self.author,
+            self.settings.host,
+            self.settings.caller_port,
+        )
+
+    def _open_ports(self) -> None:
+        limits = self.settings.limits
+        self._servers = [
+            net.Server(
+                self.settings.host,
+                self.settings.caller_port,
+                self.app,
+                limits.max_connections,
+                limits.max_header_bytes,
+                limits.request_read_s,
+            ),
+            net.Server(
+                self.settings.host,
+                self.settings.admin_port,
+                self.admin_app,
+                max_connections=256,
+            ),
+        ]
+        for server in self._servers:
+            server.start()
+
+    def start_loops(self, poll_engines: bool = True) -> None:
+        """Start every loop, without the ports."""
         self.gate.phase = entry.Phase.SERVING
         self.events.add(timeline.EventKind.STARTED)
         self.links.start()
-        self.admin_server.start()
-        self.server.start()
         loops = [
             *(f.run for f in self.followers.values()),
             *(c.run for c in self.commits.values()),
             self.watch.run,
             self.watch.run_list,
-            self.poller.run,
             self.dispatcher.run,
             self.leases.run,
             self.orders.run,
             self.roles.run,
             self.reaper.run,
         ]
+        if poll_engines:
+            loops.append(self.poller.run)
         self._tasks = [gevent.spawn(loop) for loop in loops]
-        _log.info(
-            "instance: %s serves callers on %s:%d",
-            self.author,
-            self.settings.host,
-            self.server.port,
-        )
+
+    def kill(self) -> None:
+        """End every loop at once, as a crash does."""
+        gevent.killall(self._tasks, block=False)
 
     def stop(self) -> bool:
         """Leave gracefully; return whether every answer ended whole."""
@@ -296,10 +371,10 @@
             f"{self.app.open_requests} requests were open at the stop",
         )
         self.leases.release_all()
-        self.server.stop(timeout=1.0)
         self.links.stop()
         self.clock.sleep(FAREWELL_S)
-        self.admin_server.stop(timeout=1.0)
+        for server in self._servers:
+            server.stop(timeout=1.0)
         gevent.killall(self._tasks, block=False)
         self.events.add(timeline.EventKind.STOPPED)
         _log.info("instance: %s stopped", self.author)
@@ -328,7 +403,12 @@
         self.reaper.window_s = window
         _log.info("instance: configuration %d is in force", version)
 
-    def _news(self) -> membership.News:
+    def receive_stamp(self, wall_ms: int, counter: int) -> None:
+        """Take note of a peer's clock stamp."""
+        self.hlc.receive(timeline.Stamp(wall_ms, counter))
+
+    def news(self) -> membership.News:
+        """Return what messages to peers say about this instance."""
         follower = self.followers[replica.CONFIG_STREAM]
         age = follower.age()
         age_ms = int(age * 1000) if age < 1e6 else -1
@@ -342,7 +422,8 @@
             (stamp.wall_ms, stamp.counter),
         )
 
-    def _state_reply(self, stream: str) -> wire.StateReply:
+    def state_reply(self, stream: str) -> wire.StateReply:
+        """Return what a peer asks for."""
         return self.watch.state_reply(stream)
 
     def _is_gone(self, process: str, after_s: float) -> bool:
--- a/agatewing/control/_orders.py
+++ b/agatewing/control/_orders.py
@@ -53,6 +53,7 @@
         "_settling",
         "_doubt_until",
         "_invariants",
+        "_call",
         "delivered",
     )
 
@@ -67,6 +68,7 @@
         events: timeline.Timeline,
         is_gone: IsGone,
         invariants: _invariants.Invariants,
+        call_once: net.CallOnce,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -77,6 +79,7 @@
         self._events = events
         self._is_gone = is_gone
         self._invariants = invariants
+        self._call = call_once
         self._finished: dict[str, int] = {}
         self._settling: set[tuple[str, str]] = set()
         self._doubt_until: dict[str, float] = {}
@@ -219,7 +222,7 @@
             detail=f"number {order.number}",
         )
         try:
-            answer = net.call_once(
+            answer = self._call(
                 machine.spec.address,
                 "POST",
                 "/v1/orders",
--- a/agatewing/daemon.py
+++ b/agatewing/daemon.py
@@ -69,7 +69,11 @@
         return EXIT_OK
     _set_up_logs(settings.log_level, args.log_format)
     try:
-        instance = _compose.Instance(settings, _clock.SystemClock())
+        instance = _compose.Instance(
+            settings,
+            _clock.SystemClock(),
+            _compose.real_outside(settings),
+        )
         instance.start()
     except OSError as exc:
         print(
--- a/agatewing/entry/_dispatcher.py
+++ b/agatewing/entry/_dispatcher.py
@@ -137,13 +137,13 @@
         )
         self.pump(pool.name)
         self._waiting.set()
+        left = max(0.0, deadline - self._clock.monotonic())
         try:
-            left = max(0.0, deadline - self._clock.monotonic())
-            turn = waiting.turn.get(timeout=left)
-        except gevent.Timeout:
-            raise _exceptions.RefusedError(_too_late(2.0)) from None
+            if not self._clock.wait(waiting.turn, left):
+                raise _exceptions.RefusedError(_too_late(2.0))
         finally:
             queue.queue.cancel(entry)
+        turn = waiting.turn.get()
         if isinstance(turn, _exceptions.Refusal):
             raise _exceptions.RefusedError(turn)
         return turn
--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -34,6 +34,7 @@
         "_events",
         "_retries",
         "_zone",
+        "_call",
         "executor",
     )
 
@@ -45,6 +46,7 @@
         events: timeline.Timeline,
         retries: decisions.RetryBudget,
         zone: str,
+        call_once: net.CallOnce,
     ) -> None:
         self._clock = clock
         self._fleet = machines
@@ -52,6 +54,7 @@
         self._events = events
         self._retries = retries
         self._zone = zone
+        self._call = call_once
         #: Runs calls at most once; set by the composition root.
         self.executor: calls.OnceExecutor | None = None
 
@@ -92,7 +95,7 @@
                 return calls.NotSent("no target accepts connections")
             machine.in_flight += 1
             try:
-                answer = net.call_once(
+                answer = self._call(
                     machine.spec.address,
                     call.method,
                     call.path,
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -1,6 +1,7 @@
 """HTTP towards callers, targets and the platform, by library."""
 
 from agatewing.net._http_client import call_once
+from agatewing.net._http_client import CallOnce
 from agatewing.net._http_client import Headers
 from agatewing.net._http_client import HttpAnswer
 from agatewing.net._http_client import HttpClient
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -215,6 +215,22 @@
         self._client.close()
 
 
+class CallOnce(typing.Protocol):
+    """The signature of :func:`call_once`, for stand-ins of a network."""
+
+    def __call__(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Headers,
+        timeout_s: float,
+        may_send: collections.abc.Callable[[], bool] = ...,
+    ) -> HttpAnswer:
+        """Make one call on a new connection, never sent twice."""
+
+
 def call_once(
     address: str,
     method: str,
--- a/agatewing/replica/_follower.py
+++ b/agatewing/replica/_follower.py
@@ -138,12 +138,12 @@
             left = deadline - self._clock.monotonic()
             if left <= 0:
                 return False
-            self._changed.wait(min(left, LONG_POLL_S))
+            self._clock.wait(self._changed, min(left, LONG_POLL_S))
         return True
 
     def wait_change(self, timeout_s: float) -> None:
         """Wait for the next read, at most ``timeout_s``."""
-        self._changed.wait(timeout_s)
+        self._clock.wait(self._changed, timeout_s)
 
     def offset_at(self, age_s: float) -> int:
         """Return an offset that was read at least ``age_s`` ago."""
--- a/agatewing/replica/_group_commit.py
+++ b/agatewing/replica/_group_commit.py
@@ -7,7 +7,6 @@
 import random
 import uuid
 
-import gevent
 import gevent.event
 import result
 
@@ -78,13 +77,14 @@
     first_sent: float | None
     #: Result, once there is one.
     done: "gevent.event.AsyncResult[CommitResult]"
+    #: Clock by which to wait.
+    clock: _clock.Clock
 
-    def wait(self, timeout_s: float | None = None) -> CommitResult | None:
+    def wait(self, timeout_s: float) -> CommitResult | None:
         """Return the result, or ``None`` after ``timeout_s``."""
-        try:
-            return self.done.get(timeout=timeout_s)
-        except gevent.Timeout:
-            return None
+        if self.clock.wait(self.done, timeout_s):
+            return self.done.get()
+        return None
 
 
 class GroupCommit:
@@ -136,6 +136,7 @@
             self._clock.monotonic() + within_s,
             None,
             gevent.event.AsyncResult(),
+            self._clock,
         )
         if len(self._queue) >= QUEUE_LIMIT:
             error = _exceptions.LogRefusedError(self._follower.stream, 429)
--- /dev/null
+++ b/agatewing/rig/_network.py
@@ -0,0 +1,246 @@
+"""In-memory network, and clocks of processes that can be frozen."""
+
+import random
+import typing
+
+import gevent
+import gevent.event
+import gevent.queue
+import result
+
+from agatewing import _clock
+from agatewing import _compose
+from agatewing import _exceptions
+from agatewing import membership
+from agatewing import net
+from agatewing.rig import _targets
+from agatewing import wire
+
+#: Delay of a message, in seconds.
+DELAY_MIN_S = 0.001
+DELAY_MAX_S = 0.02
+
+
+class PausableClock:
+    """The clock of one process; waits end only while it runs."""
+
+    def __init__(self, inner: _clock.ManualClock) -> None:
+        self._inner = inner
+        self._running = gevent.event.Event()
+        self._running.set()
+
+    @property
+    def paused(self) -> bool:
+        """Whether the process is frozen."""
+        return not self._running.is_set()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self._running.set()
+
+    def gate(self) -> None:
+        """Wait while the process is frozen."""
+        self._running.wait()
+
+    def monotonic(self) -> float:
+        """Return the virtual monotonic time."""
+        return self._inner.monotonic()
+
+    def wall(self) -> float:
+        """Return the virtual wall time."""
+        return self._inner.wall()
+
+    def sleep(self, seconds: float) -> None:
+        """Sleep in virtual time."""
+        self._inner.sleep(seconds)
+        self._running.wait()
+
+    def wait(self, waitable: _clock.Waitable, timeout_s: float) -> bool:
+        """Wait in virtual time."""
+        ready = self._inner.wait(waitable, timeout_s)
+        if self.paused:
+            self._running.wait()
+            return waitable.ready()
+        return ready
+
+
+class Network:
+    """Who reaches whom; every message takes a while."""
+
+    def __init__(self, clock: _clock.ManualClock, rng: random.Random) -> None:
+        self._clock = clock
+        self._random = rng
+        self._cuts: set[frozenset[str]] = set()
+        self.links: dict[str, "MemoryLinks"] = {}
+        self.engines: dict[str, _targets.FakeEngine] = {}
+        self.services: dict[str, _targets.FakeService] = {}
+        #: Longest delay of an order or call on its way, in seconds.
+        self.call_delay_s = DELAY_MAX_S
+
+    def cut(self, one: str, other: str) -> None:
+        """Let nothing through between two names."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Let everything through again."""
+        self._cuts.clear()
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Return whether messages get through."""
+        return frozenset((one, other)) not in self._cuts
+
+    def delay(self) -> float:
+        """Return the delay of one message, in seconds."""
+        return self._random.uniform(DELAY_MIN_S, DELAY_MAX_S)
+
+    def send(self, sender: str, address: str, message: wire.Message) -> None:
+        """Deliver a datagram after its delay."""
+        gevent.spawn(self._deliver, sender, address, message)
+
+    def _deliver(
+        self, sender: str, address: str, message: wire.Message
+    ) -> None:
+        self._clock.sleep(self.delay())
+        target = self.links.get(address)
+        if target is not None and self.reaches(sender, target.name):
+            target.inbox.put(message)
+
+    def caller_of(
+        self, name: str, process: str, clock: PausableClock
+    ) -> net.CallOnce:
+        """Return the function that makes calls of one process."""
+
+        def call_once(
+            address: str,
+            method: str,
+            path: str,
+            body: bytes,
+            headers: net.Headers,
+            timeout_s: float,
+            may_send: typing.Any = lambda: True,
+        ) -> net.HttpAnswer:
+            clock.sleep(self.delay())
+            target = self.engines.get(address) or self.services[address]
+            if target.down or not self.reaches(name, target.name):
+                raise _exceptions.ConnectRefusedError(address, "cut")
+            if not may_send():
+                raise net.SendForbiddenError(address)
+            done: gevent.event.AsyncResult[net.HttpAnswer | None] = (
+                gevent.event.AsyncResult()
+            )
+            key = headers.get("Idempotency-Key", "")
+            gevent.spawn(self._arrive, target, body, key, process, done, name)
+            if not clock.wait(done, timeout_s):
+                raise _exceptions.TargetSilentError(address, "no answer")
+            answer = done.get()
+            if answer is None:
+                raise _exceptions.TargetSilentError(address, "lost answer")
+            return answer
+
+        return call_once
+
+    def _arrive(
+        self,
+        target: _targets.FakeEngine | _targets.FakeService,
+        body: bytes,
+        key: str,
+        process: str,
+        done: "gevent.event.AsyncResult[net.HttpAnswer | None]",
+        name: str,
+    ) -> None:
+        self._clock.sleep(self._random.uniform(0, self.call_delay_s))
+        now = self._clock.monotonic()
+        answer: net.HttpAnswer | None
+        if target.down:
+            answer = None
+        elif isinstance(target, _targets.FakeEngine):
+            answer = target.handle(body, process, now)
+        else:
+            answer = target.handle(key, now)
+        self._clock.sleep(self.delay())
+        done.set(answer if self.reaches(name, target.name) else None)
+
+
+class MemoryLinks:
+    """The links of one instance on the in-memory network."""
+
+    def __init__(
+        self,
+        network: Network,
+        clock: PausableClock,
+        instance: "_compose.Instance",
+    ) -> None:
+        self._network = network
+        self._clock = clock
+        self._instance = instance
+        self.name = instance.settings.instance
+        self.sent_bytes = 0
+        self.inbox: gevent.queue.Queue[wire.Message] = gevent.queue.Queue()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start both loops."""
+        settings = self._instance.settings
+        address = f"{settings.host}:{settings.peer_port}"
+        self._network.links[address] = self
+        self._tasks = [
+            gevent.spawn(self._run_ticks),
+            gevent.spawn(self._run_inbox),
+        ]
+
+    def stop(self) -> None:
+        """Say farewell and stop."""
+        self._tick()
+        gevent.killall(self._tasks, block=False)
+
+    def kill(self) -> None:
+        """Stop without a farewell."""
+        gevent.killall(self._tasks, block=False)
+
+    def fetch_state(
+        self, address: str, stream: str
+    ) -> "result.Result[wire.StateReply, _exceptions.AgatewingError]":
+        """Ask a peer for its state of a stream."""
+        self._clock.sleep(self._network.delay())
+        peer = self._network.links.get(address)
+        if peer is None or not self._network.reaches(self.name, peer.name):
+            return result.Err(_exceptions.TargetSilentError(address, "cut"))
+        if peer._clock.paused:
+            self._clock.sleep(1.0)
+            return result.Err(_exceptions.TargetSilentError(address, "frozen"))
+        reply = peer._instance.state_reply(stream)
+        self._clock.sleep(self._network.delay())
+        return result.Ok(reply)
+
+    def _run_ticks(self) -> None:
+        while True:
+            self._tick()
+            self._clock.sleep(0.75)
+
+    def _tick(self) -> None:
+        instance = self._instance
+        now = self._clock.monotonic()
+        self._send(instance.detector.tick(now, instance.news()))
+
+    def _run_inbox(self) -> None:
+        while True:
+            message = self.inbox.get()
+            self._clock.gate()
+            instance = self._instance
+            source = message.sender.address
+            self._send(
+                instance.detector.receive(
+                    message,
+                    source,
+                    self._clock.monotonic(),
+                    instance.news(),
+                )
+            )
+
+    def _send(self, outgoing: list[membership.Outgoing]) -> None:
+        for item in outgoing:
+            self._network.send(self.name, item.address, item.message)
--- /dev/null
+++ b/agatewing/rig/_oracle.py
@@ -0,0 +1,60 @@
+"""A simple independent reading of the log, against which all is checked."""
+
+import typing
+
+import msgspec
+
+from agatewing import config
+from agatewing.standins import log
+
+
+class Oracle:
+    """Decides publishes by their base, over the whole log ever written."""
+
+    def __init__(self, model: log.LogModel) -> None:
+        self._model = model
+        self._read: dict[str, int] = {}
+        self.version = 0
+        self.documents: dict[int, dict[str, typing.Any]] = {0: {}}
+        self.accepted_at: dict[int, float] = {}
+        self.decisions: dict[str, tuple[bool, int]] = {}
+
+    def follow(self, now: float) -> None:
+        """Read new records of the config stream."""
+        start = self._read.get("config", 1)
+        records = self._model.all_records("config", start)
+        for record in records:
+            self._read["config"] = record.offset + 1
+            envelope = msgspec.json.decode(record.body)
+            for item in envelope["records"]:
+                if item["t"] == "publish":
+                    self._publish(item, now)
+
+    def _publish(self, item: dict[str, typing.Any], now: float) -> None:
+        if item["id"] in self.decisions:
+            return
+        if item["base"] != self.version:
+            self.decisions[item["id"]] = (False, self.version)
+            return
+        document = item.get("document")
+        if document is None:
+            document = config.merge_patch(
+                self.documents[self.version], item["patch"]
+            )
+        self.version += 1
+        self.documents[self.version] = typing.cast(
+            dict[str, typing.Any], document
+        )
+        self.accepted_at[self.version] = now
+        self.decisions[item["id"]] = (True, self.version)
+
+    def inactive_since(self, target: str) -> float:
+        """Return since when the latest version withholds new work."""
+        since = float("inf")
+        for version in range(self.version, 0, -1):
+            document = self.documents[version]
+            row = document["targets"].get(target)
+            if row is not None and row.get("state", "active") == "active":
+                break
+            since = self.accepted_at[version]
+        return since
--- /dev/null
+++ b/agatewing/rig/_rig.py
@@ -0,0 +1,387 @@
+"""A deployment of real instances in one process, in virtual time."""
+
+import dataclasses
+import random
+import typing
+
+import gevent
+import msgspec
+
+from agatewing import _clock
+from agatewing import _compose
+from agatewing import _exceptions
+from agatewing import calls
+from agatewing import config
+from agatewing import control
+from agatewing import entry
+from agatewing import platform_services
+from agatewing import replica
+from agatewing.rig import _network
+from agatewing.rig import _oracle
+from agatewing.rig import _targets
+from agatewing.standins import instances
+from agatewing.standins import log
+from agatewing import timeline
+
+#: Lag of the instance list, in seconds.
+LIST_LAG_S = 2.0
+#: Time within which a leaving target must get its last new work.
+LEAVING_LIMIT_S = 5.0
+
+_INVENTORY = """
+{
+  "deployment": "rig",
+  "regions": {"r": {"zones": ["z1", "z2"]}},
+  "services": {
+    "model": {"kind": "model", "models": ["m"]},
+    "accounts": {"kind": "plain", "deadline_s": 5}
+  },
+  "engines": {
+    "checking": {"address": "127.0.0.1:1", "zone": "z1",
+      "service": "model", "checks_fencing": true,
+      "roles": ["mixed", "prefill", "decode"]},
+    "ignoring": {"address": "127.0.0.1:2", "zone": "z2",
+      "service": "model",
+      "roles": ["mixed", "prefill", "decode"]}
+  },
+  "targets": {
+    "t1": {"address": "127.0.0.1:11", "zone": "z1", "service": "accounts"},
+    "t2": {"address": "127.0.0.1:12", "zone": "z2", "service": "accounts"},
+    "t3": {"address": "127.0.0.1:13", "zone": "z2", "service": "accounts"}
+  },
+  "rules": {
+    "callers": {"shop": {"token_sha256":
+      "0000000000000000000000000000000000000000000000000000000000000000"}},
+    "at_most_once": [
+      {"service": "accounts", "method": "POST", "path": "/orders/*"}
+    ]
+  }
+}
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class RigNode:
+    """One process."""
+
+    #: The instance.
+    instance: _compose.Instance
+    #: Its clock.
+    clock: _network.PausableClock
+    #: Its connection to the log.
+    log: log.DirectLogClient
+    #: Whether it was not killed.
+    alive: bool = True
+    #: Highest version seen in force, to find a step back.
+    highest: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told."""
+
+    #: Virtual time.
+    at: float
+    #: Key of the call.
+    key: str
+    #: ``answered``, ``not-run`` or ``unknown``.
+    outcome: str
+    #: Kind of refusal.
+    kind: str
+    #: Instance that said so.
+    instance: str
+
+
+class _DirectList:
+    """The instance list's client on the model."""
+
+    def __init__(self, model: instances.InstanceListModel) -> None:
+        self._model = model
+
+    def read(self) -> platform_services.InstanceList:
+        """Return the list."""
+        return self._model.listed()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class Rig:
+    """Drives instances, faults, operators and callers."""
+
+    def __init__(
+        self,
+        seed: int,
+        nodes: int = 3,
+        retention_s: float = 3_600.0,
+        appends_per_s: float = 300.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = _clock.ManualClock()
+        self.model = log.LogModel(self.clock, retention_s, appends_per_s, seed)
+        self.listing = instances.InstanceListModel(self.clock, LIST_LAG_S)
+        self.network = _network.Network(self.clock, self.rng)
+        self.oracle = _oracle.Oracle(self.model)
+        parsed = config.parse_document(_INVENTORY, "rig")
+        self.document = parsed.unwrap()
+        for name, engine in self.document.engines.items():
+            self.network.engines[engine.address] = _targets.FakeEngine(
+                name, engine.checks_fencing
+            )
+        for name, target in self.document.targets.items():
+            self.network.services[target.address] = _targets.FakeService(
+                name, self.rng
+            )
+        self.nodes: dict[str, RigNode] = {}
+        self.told: list[Told] = []
+        self.violations: list[str] = []
+        self.retired: list[RigNode] = []
+        for number in range(1, nodes + 1):
+            self.start_node(f"n{number}")
+
+    def start_node(self, name: str) -> RigNode:
+        """Start a process, a new incarnation if there was one."""
+        number = int(name[1:])
+        settings = config.Settings(
+            instance=name,
+            zone="z1" if number % 2 else "z2",
+            host="127.0.0.1",
+            caller_port=1,
+            admin_port=1,
+            peer_port=7000 + number,
+            log_url="http://127.0.0.1:1",
+            instance_list_url="http://127.0.0.1:1",
+            stream_secret="s" * 16,
+            peer_secret="s" * 16,
+            leave_delay_s=0.5,
+            drain_limit_s=20.0,
+        )
+        clock = _network.PausableClock(self.clock)
+        client = log.DirectLogClient(self.model, clock)
+        process = f"{name}/{int(self.clock.wall() * 1000)}"
+        outside = _compose.Outside(
+            typing.cast(platform_services.LogClient, client),
+            typing.cast(
+                platform_services.InstanceListClient,
+                _DirectList(self.listing),
+            ),
+            self.network.caller_of(name, process, clock),
+            lambda inst: _network.MemoryLinks(self.network, clock, inst),
+        )
+        instance = _compose.Instance(settings, clock, outside)
+        instance.start_loops(poll_engines=False)
+        node = RigNode(instance, clock, client)
+        self.nodes[name] = node
+        self.listing.change(
+            name,
+            platform_services.ListedInstance(
+                name,
+                settings.zone,
+                f"127.0.0.1:{settings.peer_port}",
+                "127.0.0.1:1",
+                "live",
+            ),
+        )
+        return node
+
+    def kill(self, name: str, unlist: bool = True) -> None:
+        """End a process at once."""
+        node = self.nodes.pop(name)
+        node.alive = False
+        node.clock.pause()
+        node.instance.kill()
+        links = node.instance.links
+        if isinstance(links, _network.MemoryLinks):
+            links.kill()
+        address = f"127.0.0.1:{node.instance.settings.peer_port}"
+        self.network.links.pop(address, None)
+        self.retired.append(node)
+        if unlist:
+            self.listing.change(name, None)
+
+    def advance(self, seconds: float, step_s: float = 0.05) -> None:
+        """Let time pass; check the promises as it does."""
+        passed = 0.0
+        while passed < seconds:
+            self.clock.advance(step_s)
+            passed += step_s
+            self.check()
+
+    def publish_first(self) -> None:
+        """Put the inventory in force everywhere."""
+        node = next(iter(self.nodes.values()))
+        self.advance(1.0)
+        body = config.to_plain(self.document)
+        self.spawn_publish(node, 0, body, None, "first")
+        self.advance(4.0)
+
+    def spawn_publish(
+        self,
+        node: RigNode,
+        base: int,
+        document: dict[str, typing.Any] | None,
+        patch: dict[str, typing.Any] | None,
+        publish_id: str,
+    ) -> gevent.Greenlet:
+        """Let an operator publish through one instance."""
+        return gevent.spawn(
+            node.instance.config_keeper.publish,
+            base,
+            "operator",
+            document,
+            patch,
+            publish_id,
+        )
+
+    def new_key(self) -> str:
+        """Return an idempotency key of now."""
+        return str(calls.new_key(self.clock.wall(), self.rng.getrandbits(74)))
+
+    def spawn_call(
+        self, name: str, key: str, deadline_s: float = 4.0
+    ) -> gevent.Greenlet:
+        """Let a caller make an at-most-once call through an instance."""
+        return gevent.spawn(self._call, name, key, deadline_s)
+
+    def _call(self, name: str, key: str, deadline_s: float) -> None:
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        node.clock.gate()
+        req = entry.CallerRequest(
+            key[-12:],
+            "POST",
+            "/services/accounts/orders/1",
+            "",
+            "application/json",
+            b"{}",
+            entry.Identity("shop", 1.0, ()),
+            deadline_s,
+            key,
+            "",
+        )
+        statuses: list[str] = []
+        try:
+            body = node.instance.services.handle(
+                "accounts",
+                "/orders/1",
+                req,
+                lambda status, headers: statuses.append(status),
+            )
+        except _exceptions.RefusedError as exc:
+            refusal = exc.refusal
+            self._hear(node, key, str(refusal.outcome), str(refusal.kind))
+            return
+        if not node.alive:
+            return
+        answer = msgspec.json.decode(b"".join(body))
+        if answer.get("key") != key:
+            self.violations.append(f"{key} got the answer {answer}")
+        self._hear(node, key, "answered", "")
+
+    def _hear(self, node: RigNode, key: str, outcome: str, kind: str) -> None:
+        if not node.alive:
+            return
+        now = self.clock.monotonic()
+        name = node.instance.settings.instance
+        self.told.append(Told(now, key, outcome, kind, name))
+        count = self.effects()[key]
+        if outcome == "not-run" and count:
+            self.violations.append(
+                f"{name} told not-run ({kind}) at {now:.2f} of {key}, "
+                f"which ran {count} time(s)"
+            )
+        if outcome == "answered" and not count:
+            self.violations.append(f"{key} was answered and never ran")
+
+    def spawn_order(
+        self, name: str, engine: str, role: str
+    ) -> gevent.Greenlet:
+        """Let an instance order a role, if it holds the lease."""
+        node = self.nodes[name]
+        spec = self.document.engines[engine]
+        change = msgspec.convert(
+            {"kind": "role", "role": role}, replica.SetRole
+        )
+        return gevent.spawn(
+            node.instance.orders.give,
+            control.lease_of("model"),
+            engine,
+            change,
+            spec.checks_fencing,
+        )
+
+    def lease_holder(self) -> str:
+        """Return the live instance that may use the pool's lease."""
+        for name, node in self.nodes.items():
+            lease = control.lease_of("model")
+            if node.instance.leases.fence(lease) is not None:
+                return name
+        return ""
+
+    def effects(self) -> "typing.Counter[str]":
+        """Return the number of effects by key, over all targets."""
+        total: typing.Counter[str] = typing.Counter()
+        for service in self.network.services.values():
+            total.update(service.effects)
+        return total
+
+    def check(self) -> None:
+        """Compare every process with the oracle."""
+        now = self.clock.monotonic()
+        self.oracle.follow(now)
+        for name, node in self.nodes.items():
+            self._check_config(name, node)
+            broken = node.instance.invariants.broken
+            if broken:
+                self.violations.append(f"{name} broke {dict(broken)}")
+                broken.clear()
+        self._check_holders()
+
+    def _check_config(self, name: str, node: RigNode) -> None:
+        version = node.instance.config_keeper.applied_version
+        if version < node.highest:
+            self.violations.append(f"{name} went back to {version}")
+        node.highest = max(node.highest, version)
+        if version > self.oracle.version:
+            self.violations.append(f"{name} runs ahead at {version}")
+
+    def _check_holders(self) -> None:
+        lease = control.lease_of("model")
+        holders = [
+            name
+            for name, node in self.nodes.items()
+            if not node.clock.paused
+            and node.instance.leases.fence(lease) is not None
+        ]
+        if len(holders) > 1:
+            self.violations.append(f"{holders} hold {lease} together")
+
+    def check_end(self) -> None:
+        """Check what is only known at the end of a run."""
+        for key, count in self.effects().items():
+            if count > 1:
+                self.violations.append(f"{key} ran {count} times")
+        for engine in self.network.engines.values():
+            self.violations += engine.conflicts()
+        for name, target in self.document.targets.items():
+            service = self.network.services[target.address]
+            since = self.oracle.inactive_since(name)
+            late = service.last_work_at - since
+            if late > LEAVING_LIMIT_S:
+                self.violations.append(
+                    f"{name} got work {late:.1f} s after it was drained"
+                )
+
+    def events(self) -> list[timeline.Event]:
+        """Return the merged time line of all processes."""
+        parts = [
+            node.instance.events.events()
+            for node in (*self.nodes.values(), *self.retired)
+        ]
+        return timeline.merge(parts, timeline.Filter())
+
+    def close(self) -> None:
+        """End every greenlet of the rig."""
+        for name in list(self.nodes):
+            self.kill(name)
--- a/agatewing/standins/log.py
+++ b/agatewing/standins/log.py
@@ -12,6 +12,9 @@
 from agatewing import platform_services
 from agatewing.standins import _http
 
+#: One way of a call to the log in the same process, in seconds.
+CALL_S = 0.002
+
 
 @dataclasses.dataclass(slots=True)
 class LogFaults:
@@ -114,7 +117,7 @@
             return None
         stream = self._stream(name)
         if start >= stream.next and wait_s > 0:
-            stream.changed.wait(wait_s)
+            self._clock.wait(stream.changed, wait_s)
         if self.faults.down:
             return None
         self._expire(stream)
@@ -127,6 +130,13 @@
             tuple(kept.record for kept in chosen),
         )
 
+    def all_records(
+        self, name: str, start: int
+    ) -> list[platform_services.LogRecord]:
+        """Return what is kept from ``start``, without faults or waits."""
+        kept = self._stream(name).records
+        return [k.record for k in kept if k.record.offset >= start]
+
     def _stream(self, name: str) -> _Stream:
         return self._streams.setdefault(name, _Stream())
 
@@ -156,17 +166,20 @@
     ``cut`` severs this one client, as a network partition does.
     """
 
-    __slots__ = ("_model", "cut")
+    __slots__ = ("_model", "_clock", "cut")
 
-    def __init__(self, model: LogModel) -> None:
+    def __init__(self, model: LogModel, clock: _clock.Clock) -> None:
         self._model = model
+        self._clock = clock
         #: Whether this client cannot reach the log.
         self.cut = False
 
     def append(self, stream: str, body: str) -> int:
         """Append one record and return its offset."""
+        self._clock.sleep(CALL_S)
         offset = None if self.cut else self._model.append(stream, body)
-        if offset is None:
+        self._clock.sleep(CALL_S + self._model.faults.slow_s)
+        if offset is None or self.cut:
             raise _exceptions.LogUnavailableError(stream, "no answer")
         if offset < 0:
             raise _exceptions.LogRefusedError(stream, 429)
@@ -175,11 +188,13 @@
     def read(
         self, stream: str, start: int, wait_s: float
     ) -> platform_services.LogPage:
-        """Return records from ``start`` without waiting."""
+        """Return records from ``start``; wait for one if there is none."""
         page = None
+        self._clock.sleep(CALL_S)
         if not self.cut:
-            page = self._model.read(stream, start, 512, 0.0)
-        if page is None:
+            page = self._model.read(stream, start, 512, wait_s)
+        self._clock.sleep(CALL_S + self._model.faults.slow_s)
+        if page is None or self.cut:
             raise _exceptions.LogUnavailableError(stream, "no answer")
         return page
 
