Soak: false not-run found and mended

Cause: the soak told not-run of keys that had run. Traces: (1) refusals before the configuration was there skipped the proof; (2) keys were accepted for longer than the log keeps records; (3) a process that only this instance took for dead was not asked. Change: the proof covers all three; waits of the proof go through the clock; the usable window stays below the retention.

--- a/agatewing/_clock.py
+++ b/agatewing/_clock.py
@@ -19,9 +19,6 @@
     def ready(self) -> bool:
         """Return whether there is nothing to wait for."""
 
-    def wait(self, timeout: float | None = None) -> typing.Any:
-        """Wait in real time."""
-
     def rawlink(
         self, callback: collections.abc.Callable[[typing.Any], typing.Any]
     ) -> typing.Any:
@@ -68,7 +65,7 @@
 
     def wait(self, waitable: Waitable, timeout_s: float) -> bool:
         """Wait for an event; return whether it came in time."""
-        waitable.wait(max(0.0, timeout_s))
+        gevent.wait([waitable], timeout=max(0.0, timeout_s))
         return waitable.ready()
 
 
--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -63,9 +63,9 @@
             except _exceptions.AgatewingError as exc:
                 _log.info("watch: no instance list: %s", exc)
             else:
-                instance.detector.apply_list(
-                    listed, instance.clock.monotonic()
-                )
+                now = instance.clock.monotonic()
+                instance.detector.apply_list(listed, now)
+                instance.history.listed_at = now
             instance.clock.sleep(LIST_PERIOD_S)
 
     def step(self) -> None:
@@ -77,7 +77,11 @@
         instance.dispatcher.instances = len(live) + 1
         for machine in instance.fleet.engines():
             machine.instances = len(live) + 1
-        instance.history.note_alive(peer.process for peer in live)
+        instance.history.note_alive(
+            peer.process
+            for peer in instance.detector.peers.values()
+            if peer.listed or peer in live
+        )
         before = instance.gate.ready
         instance.gate.standing = membership.judge(self._evidence())
         if instance.gate.ready is not before:
--- a/agatewing/calls/_executor.py
+++ b/agatewing/calls/_executor.py
@@ -151,6 +151,13 @@
         #: Age up to which keys are accepted, in seconds.
         self.window_s = 900.0
 
+    def _check_key(self, text: str) -> _keys.KeyResult:
+        """Check a key against the rule and the log's retention."""
+        window = self.window_s
+        if self._follower.position:
+            window = _keys.usable_window_s(window, self._follower.retention_s)
+        return _keys.check_key(text, self._clock.wall(), window)
+
     def available(self) -> bool:
         """Return whether an intent would reach the log now."""
         if self._commit.failing_since is not None:
@@ -161,7 +168,7 @@
         self, refusal: _exceptions.Refusal, call: OnceCall
     ) -> _exceptions.Refusal:
         """Say ``not-run`` only if no attempt with the key can have run."""
-        checked = _keys.check_key(call.key, self._clock.wall(), self.window_s)
+        checked = self._check_key(call.key)
         if isinstance(checked, result.Err):
             return checked.err_value
         known = self._state.calls.get(call.scope())
@@ -174,7 +181,7 @@
 
     def run(self, call: OnceCall) -> OnceResult:
         """Run a call, replay its answer, or refuse it truthfully."""
-        checked = _keys.check_key(call.key, self._clock.wall(), self.window_s)
+        checked = self._check_key(call.key)
         if isinstance(checked, result.Err):
             return result.Err(checked.err_value)
         scope = call.scope()
--- a/agatewing/calls/_keys.py
+++ b/agatewing/calls/_keys.py
@@ -13,6 +13,9 @@
 #: Furthest that a key's time may lie ahead of ours, in seconds.
 MAX_AHEAD_S = 60.0
 
+#: Part of the retention that keys must stay away from, in seconds.
+RETENTION_MARGIN_S = 30.0
+
 KeyResult = result.Result[uuid.UUID, _exceptions.Refusal]
 
 
@@ -31,6 +34,11 @@
     return uuid.UUID(int=value)
 
 
+def usable_window_s(window_s: float, retention_s: float) -> float:
+    """Return the age up to which the log surely holds a key's history."""
+    return min(window_s, retention_s - MAX_AHEAD_S - RETENTION_MARGIN_S)
+
+
 def check_key(text: str, wall_s: float, window_s: float) -> KeyResult:
     """Return the key, or why it cannot be used."""
     if not text:
--- a/agatewing/entry/_app.py
+++ b/agatewing/entry/_app.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import logging
 
 import msgspec
@@ -127,13 +128,22 @@
     def _identify(self, environ: net.Environ) -> _identity.Identity:
         document = self._fleet.document
         if document is None:
-            self._gate.check()
-            raise _exceptions.RefusedError(_internal())
+            raise _exceptions.RefusedError(self._no_document(environ))
         if self._directory is None or self._directory_of is not document:
             self._directory = _identity.Directory(document)
             self._directory_of = document
         return self._directory.identify(environ.get("HTTP_AUTHORIZATION", ""))
 
+    def _no_document(self, environ: net.Environ) -> _exceptions.Refusal:
+        """Return the refusal while no caller can be told apart.
+
+        An earlier try with the same key may have run elsewhere.
+        """
+        refusal = self._gate.refusal() or _internal()
+        if environ.get("HTTP_IDEMPOTENCY_KEY"):
+            return dataclasses.replace(refusal, outcome=_types.Outcome.UNKNOWN)
+        return refusal
+
     def _readiness(
         self, start_response: net.StartResponse
     ) -> collections.abc.Iterable[bytes]:
--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -66,6 +66,7 @@
         start_response: net.StartResponse,
     ) -> collections.abc.Iterable[bytes]:
         """Answer one call."""
+        self._check_document(name, path, req)
         deadline = self._deadline(name, req)
         _identity.require_service(req.identity, name)
         if self._runs_once(name, path, req.method):
@@ -117,10 +118,20 @@
                 machine.in_flight -= 1
             return calls.Answered(machine.name, answer)
 
+    def _check_document(
+        self, name: str, path: str, req: _context.CallerRequest
+    ) -> None:
+        """Refuse while there is no configuration to tell calls apart."""
+        refusal = self._gate.refusal()
+        if self._fleet.document is not None or refusal is None:
+            return
+        if req.idempotency_key and self.executor is not None:
+            call = _once_call(name, path, req, 0.0)
+            refusal = self.executor.truthful(refusal, call)
+        raise _exceptions.RefusedError(refusal)
+
     def _deadline(self, name: str, req: _context.CallerRequest) -> float:
         document = self._fleet.document
-        if document is None:
-            self._gate.check()
         service = document.services.get(name) if document else None
         if not isinstance(service, config.PlainService):
             raise _exceptions.RefusedError(_no_service(name))
@@ -149,16 +160,7 @@
         executor = self.executor
         if executor is None:
             raise AssertionError("the composition root sets the executor")
-        call = calls.OnceCall(
-            req.identity.name,
-            name,
-            req.idempotency_key,
-            req.method,
-            _with_query(path, req.query),
-            req.content_type,
-            req.body,
-            deadline,
-        )
+        call = _once_call(name, path, req, deadline)
         closed = self._gate.refusal()
         if closed is not None:
             raise _exceptions.RefusedError(executor.truthful(closed, call))
@@ -213,6 +215,22 @@
         return True
 
 
+def _once_call(
+    name: str, path: str, req: _context.CallerRequest, deadline: float
+) -> calls.OnceCall:
+    """Return the at-most-once call that a request asks for."""
+    return calls.OnceCall(
+        req.identity.name,
+        name,
+        req.idempotency_key,
+        req.method,
+        _with_query(path, req.query),
+        req.content_type,
+        req.body,
+        deadline,
+    )
+
+
 def _path_matches(path: str, pattern: str) -> bool:
     """Return whether a path matches, ``*`` standing for one segment."""
     parts, wanted = path.split("/"), pattern.split("/")
--- a/agatewing/rig/_network.py
+++ b/agatewing/rig/_network.py
@@ -28,6 +28,8 @@
         self._inner = inner
         self._running = gevent.event.Event()
         self._running.set()
+        #: Virtual time of the last freeze.
+        self.paused_at = float("-inf")
 
     @property
     def paused(self) -> bool:
@@ -36,6 +38,7 @@
 
     def pause(self) -> None:
         """Freeze the process."""
+        self.paused_at = self._inner.monotonic()
         self._running.clear()
 
     def resume(self) -> None:
--- /dev/null
+++ b/agatewing/soak/_episode.py
@@ -0,0 +1,311 @@
+"""One randomised run: everything in it follows from its seed."""
+
+import collections
+import dataclasses
+import random
+
+from agatewing import membership
+from agatewing import replica
+from agatewing import rig
+from agatewing import timeline
+
+#: Virtual time between two draws, in seconds.
+STEP_S = 0.25
+#: Virtual time for everything to settle at the end, in seconds.
+CALM_S = 60.0
+#: Events shown of a failed run.
+SHOWN_EVENTS = 400
+
+_ROLES = ("mixed", "prefill", "decode")
+
+
+@dataclasses.dataclass(slots=True)
+class EpisodeResult:
+    """What one run showed."""
+
+    #: Seed that repeats it.
+    seed: int
+    #: Promises seen broken.
+    violations: list[str]
+    #: Faults injected, by name.
+    faults: collections.Counter[str]
+    #: Answers of at-most-once calls, by what was told.
+    told: collections.Counter[str]
+    #: Publishes accepted.
+    versions: int
+    #: Orders that engines took.
+    orders: int
+    #: Virtual length, in seconds.
+    seconds: float
+    #: Merged time line, if a promise was broken.
+    events: list[timeline.Event]
+
+
+class Episode:
+    """Draws load and faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.rng = random.Random(f"episode {seed}")
+        self.length_s = self.rng.choice((60.0, 120.0, 240.0))
+        retention = self.rng.choice((300.0, 900.0, 3_600.0))
+        self.rig = rig.Rig(seed, self.rng.choice((2, 3, 5, 6)), retention)
+        self.faults: collections.Counter[str] = collections.Counter()
+        self._undo: list[tuple[float, str]] = []
+        self._keys: list[str] = []
+        self._fault_rate = self.rng.choice((0.02, 0.1, 0.25))
+        self._actions = {
+            "kill": self._kill,
+            "pause": self._pause,
+            "log down": self._log_down,
+            "log answers lost": self._lose_answers,
+            "log slow": self._slow_log,
+            "cut peers": self._cut_peers,
+            "isolate": self._isolate,
+            "cut log": self._cut_log,
+            "target down": self._target_down,
+            "target answers lost": self._target_loses,
+            "calls delayed": self._delay_calls,
+        }
+
+    def run(self) -> EpisodeResult:
+        """Run to the end; heal; check that all settles."""
+        self.rig.publish_first()
+        started = self.rig.clock.monotonic()
+        while self.rig.clock.monotonic() - started < self.length_s:
+            self._undo_due()
+            self._load()
+            if self.rng.random() < self._fault_rate * STEP_S * 4:
+                self._inject()
+            self.rig.advance(STEP_S)
+        self._calm()
+        return self._result()
+
+    def _load(self) -> None:
+        if self.rng.random() < 0.6:
+            self._call_new()
+        if self._keys and self.rng.random() < 0.3:
+            self._call_again()
+        if self.rng.random() < 0.08:
+            self._publish()
+        if self.rng.random() < 0.15:
+            self._order()
+
+    def _call_new(self) -> None:
+        key = self.rig.new_key()
+        self._keys.append(key)
+        del self._keys[:-40]
+        names = list(self.rig.nodes)
+        if not names:
+            return
+        for _ in range(self.rng.choice((1, 1, 1, 2))):
+            self.rig.spawn_call(
+                self.rng.choice(names), key, self.rng.choice((0.5, 4.0))
+            )
+
+    def _call_again(self) -> None:
+        names = list(self.rig.nodes)
+        if names:
+            self.rig.spawn_call(
+                self.rng.choice(names), self.rng.choice(self._keys)
+            )
+
+    def _publish(self) -> None:
+        names = list(self.rig.nodes)
+        if not names:
+            return
+        target = self.rng.choice(("t1", "t2", "t3"))
+        state = self.rng.choice(("active", "draining"))
+        for _ in range(self.rng.choice((1, 2))):
+            node = self.rig.nodes[self.rng.choice(names)]
+            base = node.instance.config_state.version
+            patch = {"targets": {target: {"state": state}}}
+            publish_id = f"p{self.rng.getrandbits(60)}"
+            self.rig.spawn_publish(node, base, None, patch, publish_id)
+
+    def _order(self) -> None:
+        names = list(self.rig.nodes)
+        if not names:
+            return
+        name = self.rig.lease_holder() or self.rng.choice(names)
+        engine = self.rng.choice(("checking", "ignoring"))
+        self.rig.spawn_order(name, engine, self.rng.choice(_ROLES))
+
+    def _inject(self) -> None:
+        name = self.rng.choice(list(self._actions))
+        self.faults[name] += 1
+        self._actions[name]()
+
+    def _later(self, least: float, most: float, what: str) -> None:
+        due = self.rig.clock.monotonic() + self.rng.uniform(least, most)
+        self._undo.append((due, what))
+
+    def _undo_due(self) -> None:
+        now = self.rig.clock.monotonic()
+        due = [what for at, what in self._undo if at <= now]
+        self._undo = [(at, what) for at, what in self._undo if at > now]
+        for what in due:
+            self._undo_one(what)
+
+    def _undo_one(self, what: str) -> None:
+        kind, _, name = what.partition(" ")
+        match kind:
+            case "start" if name not in self.rig.nodes:
+                self.rig.start_node(name)
+            case "resume" if name in self.rig.nodes:
+                self.rig.nodes[name].clock.resume()
+            case "uncut" if name in self.rig.nodes:
+                self.rig.nodes[name].log.cut = False
+            case "heal":
+                self.rig.network.heal()
+            case "log":
+                self._heal_log()
+            case "up":
+                self.rig.network.services[name].down = False
+            case "keep":
+                self.rig.network.services[name].lose_answers = 0.0
+            case "fast":
+                self.rig.network.call_delay_s = 0.02
+
+    def _heal_log(self) -> None:
+        faults = self.rig.model.faults
+        faults.down = False
+        faults.lose_answers = 0.0
+        faults.lose_appends = 0.0
+        faults.slow_s = 0.0
+
+    def _pick_node(self) -> str:
+        names = list(self.rig.nodes)
+        return self.rng.choice(names) if names else ""
+
+    def _kill(self) -> None:
+        name = self._pick_node()
+        if name and len(self.rig.nodes) > 1:
+            self.rig.kill(name, unlist=self.rng.random() < 0.5)
+            self._later(0.5, 20.0, f"start {name}")
+
+    def _pause(self) -> None:
+        name = self._pick_node()
+        if name:
+            self.rig.nodes[name].clock.pause()
+            self._later(0.3, 25.0, f"resume {name}")
+
+    def _log_down(self) -> None:
+        self.rig.model.faults.down = True
+        self._later(0.5, 40.0, "log")
+
+    def _lose_answers(self) -> None:
+        self.rig.model.faults.lose_answers = 0.4
+        self.rig.model.faults.lose_appends = 0.2
+        self._later(1.0, 15.0, "log")
+
+    def _slow_log(self) -> None:
+        self.rig.model.faults.slow_s = self.rng.choice((0.3, 1.5))
+        self._later(1.0, 15.0, "log")
+
+    def _cut_peers(self) -> None:
+        names = list(self.rig.nodes)
+        for one in names:
+            for other in names:
+                if one < other and self.rng.random() < 0.4:
+                    self.rig.network.cut(one, other)
+        self._later(0.5, 20.0, "heal")
+
+    def _isolate(self) -> None:
+        name = self._pick_node()
+        if not name:
+            return
+        for other in self.rig.nodes:
+            if other != name:
+                self.rig.network.cut(name, other)
+        self.rig.nodes[name].log.cut = True
+        if self.rng.random() < 0.5:
+            for target in ("t1", "t2", "t3", "checking", "ignoring"):
+                self.rig.network.cut(name, target)
+        self._later(0.5, 25.0, "heal")
+        self._later(0.5, 25.0, f"uncut {name}")
+
+    def _cut_log(self) -> None:
+        name = self._pick_node()
+        if name:
+            self.rig.nodes[name].log.cut = True
+            self._later(0.5, 25.0, f"uncut {name}")
+
+    def _pick_service(self) -> str:
+        return self.rng.choice(list(self.rig.network.services))
+
+    def _target_down(self) -> None:
+        address = self._pick_service()
+        self.rig.network.services[address].down = True
+        self._later(0.5, 10.0, f"up {address}")
+
+    def _target_loses(self) -> None:
+        address = self._pick_service()
+        self.rig.network.services[address].lose_answers = 0.5
+        self._later(0.5, 10.0, f"keep {address}")
+
+    def _delay_calls(self) -> None:
+        self.rig.network.call_delay_s = self.rng.choice((0.5, 4.0))
+        self._later(1.0, 10.0, "fast")
+
+    def _calm(self) -> None:
+        """End all faults and wait until everything has settled."""
+        for _, what in self._undo:
+            self._undo_one(what)
+        for node in self.rig.nodes.values():
+            node.clock.resume()
+            node.log.cut = False
+        self.rig.network.heal()
+        self._heal_log()
+        self.rig.advance(CALM_S)
+        self._check_settled()
+        self.rig.check_end()
+
+    def _check_settled(self) -> None:
+        violations = self.rig.violations
+        for name, node in self.rig.nodes.items():
+            instance = node.instance
+            if instance.config_keeper.applied_version != (
+                self.rig.oracle.version
+            ):
+                violations.append(
+                    f"{name} stays at version "
+                    f"{instance.config_keeper.applied_version} of "
+                    f"{self.rig.oracle.version}"
+                )
+            if instance.gate.standing is not membership.Standing.CURRENT:
+                violations.append(f"{name} stays {instance.gate.standing}")
+            claimed = [
+                call
+                for call in instance.calls_state.calls.values()
+                if call.phase is replica.CallPhase.CLAIMED
+            ]
+            if claimed:
+                violations.append(f"{name} keeps open calls {claimed[:2]}")
+        if not self.rig.lease_holder():
+            violations.append("nobody holds the lease")
+
+    def _result(self) -> EpisodeResult:
+        told = collections.Counter(t.outcome for t in self.rig.told)
+        events = []
+        if self.rig.violations:
+            events = self.rig.events()[-SHOWN_EVENTS:]
+        return EpisodeResult(
+            self.seed,
+            self.rig.violations,
+            self.faults,
+            told,
+            self.rig.oracle.version,
+            sum(len(e.received) for e in self.rig.network.engines.values()),
+            self.length_s + CALM_S,
+            events,
+        )
+
+
+def run_episode(seed: int) -> EpisodeResult:
+    """Run the episode of a seed."""
+    episode = Episode(seed)
+    try:
+        return episode.run()
+    finally:
+        episode.rig.close()
