Soak: another attempt of the same process is not one's own

One refusal took a second attempt with the same key at the same instance for its own, and said not-run while that one ran.

--- a/agatewing/calls/_executor.py
+++ b/agatewing/calls/_executor.py
@@ -165,20 +165,29 @@
         return self._follower.age() <= LOG_FRESH_S
 
     def truthful(
-        self, refusal: _exceptions.Refusal, call: OnceCall
+        self,
+        refusal: _exceptions.Refusal,
+        call: OnceCall,
+        own_attempt: str = "",
     ) -> _exceptions.Refusal:
-        """Say ``not-run`` only if no attempt with the key can have run."""
+        """Say ``not-run`` only if no attempt with the key can have run.
+
+        ``own_attempt`` is the id of the attempt that has given up; another
+        attempt of this process may be running the same call.
+        """
         checked = self._check_key(call.key)
         if isinstance(checked, result.Err):
             return checked.err_value
-        known = self._state.calls.get(call.scope())
-        mine = known is not None and known.attempt in self.active
-        if (known is None or mine) and self._history.is_complete():
-            known = self._state.calls.get(call.scope())
-            if known is None or known.attempt in self.active:
+        if self._is_free(call, own_attempt) and self._history.is_complete():
+            if self._is_free(call, own_attempt):
                 return refusal
         return dataclasses.replace(refusal, outcome=_types.Outcome.UNKNOWN)
 
+    def _is_free(self, call: OnceCall, own_attempt: str) -> bool:
+        """Return whether no other attempt is known to have the key."""
+        known = self._state.calls.get(call.scope())
+        return known is None or known.attempt == own_attempt
+
     def run(self, call: OnceCall) -> OnceResult:
         """Run a call, replay its answer, or refuse it truthfully."""
         checked = self._check_key(call.key)
@@ -249,7 +258,7 @@
             ):
                 return None
         self._abandon(scope, attempt)
-        return result.Err(self.truthful(_log_down(), call))
+        return result.Err(self.truthful(_log_down(), call, attempt.id))
 
     def _abandon(self, scope: str, attempt: Attempt) -> None:
         """Never send, and let the log know as soon as it can."""
