Promises by failures, and sabotages that the checks must find

Cause: proofs have to fail first. Tables of promise by failure, pairs, and ten sabotages were written; they found: (1) an order settled while an earlier send of it was still on its way, so it could come after a newer one; (2) a frozen deliverer taken for gone by heartbeats alone; (3) a listed but never heard peer asked for ever. Change: no second send while one is in doubt to an engine that checks nothing; only the platform's list, or a later incarnation at the address, proves a deliverer gone; the placeholder goes once the peer is heard.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -63,6 +63,8 @@
     instance_list: platform_services.InstanceListClient
     #: Makes calls that must not be sent twice.
     call_once: net.CallOnce
+    #: Makes pooled clients of targets.
+    make_client: fleet.MakeClient
     #: Makes the links of an instance.
     make_links: collections.abc.Callable[["Instance"], LinksLike]
 
@@ -73,6 +75,7 @@
         platform_services.LogClient(settings.log_url),
         platform_services.InstanceListClient(settings.instance_list_url),
         net.call_once,
+        net.HttpClient,
         _real_links,
     )
 
@@ -111,7 +114,7 @@
         self.events = timeline.Timeline(self.hlc, str(self.author))
         self.invariants = _invariants.Invariants(self.events)
         self.gate = entry.Gate()
-        self.fleet = fleet.Fleet(clock, self.rng)
+        self.fleet = fleet.Fleet(clock, self.rng, outside.make_client)
         self._wire_membership()
         self._wire_log()
         self._wire_control()
@@ -210,7 +213,7 @@
             self.leases,
             self.fleet,
             self.events,
-            self._is_gone,
+            self._is_removed,
             self.invariants,
             self.outside.call_once,
         )
@@ -429,6 +432,11 @@
     def _is_gone(self, process: str, after_s: float) -> bool:
         return self.detector.is_gone(process, self.clock.monotonic(), after_s)
 
+    def _is_removed(self, process: str, after_s: float) -> bool:
+        return self.detector.is_removed(
+            process, self.clock.monotonic(), after_s
+        )
+
     def _demand_of(self, pool: str) -> decisions.TokenDemand:
         return self.watch.demand_of(pool)
 
--- a/agatewing/calls/_history.py
+++ b/agatewing/calls/_history.py
@@ -22,6 +22,9 @@
 #: Margin for an instance heard of just before the last complete view.
 WITNESS_MARGIN_S = 2.0
 
+#: Incarnation of a listed instance that was never heard.
+UNHEARD = "0"
+
 AskPosition = collections.abc.Callable[[str], int | None]
 
 
@@ -60,6 +63,9 @@
         now = self._clock.monotonic()
         for process in processes:
             self._alive_at[process] = now
+            name, _, incarnation = process.rpartition("/")
+            if incarnation != UNHEARD:
+                self._alive_at.pop(f"{name}/{UNHEARD}", None)
         limit = self._follower.last_ok - WITNESS_MARGIN_S
         for process, at in list(self._alive_at.items()):
             if at < limit:
--- a/agatewing/control/_orders.py
+++ b/agatewing/control/_orders.py
@@ -142,10 +142,7 @@
         if mine is None:
             if self._done_with(order):
                 return
-            if fence is not None:
-                self._deliver(order, fence)
-            elif not self._may_be_on_its_way(order):
-                self._settle(order, me, replica.Settlement.ABANDONED)
+            self._go_on(order, me, fence)
             return
         if fence is None:
             return
@@ -153,6 +150,22 @@
         if not order.settled and me not in order.deliverers:
             self._take(order, fence)
 
+    def _go_on(
+        self, order: replica.OrderState, me: str, fence: int | None
+    ) -> None:
+        """Send an order of ours, or give it up with the lease.
+
+        While a send without an answer may still arrive, an engine that
+        checks nothing gets no second one: it could come after a newer
+        order.
+        """
+        in_doubt = self._may_be_on_its_way(order)
+        if fence is None:
+            if not in_doubt:
+                self._settle(order, me, replica.Settlement.ABANDONED)
+        elif order.checked or not in_doubt:
+            self._deliver(order, fence)
+
     def _may_be_on_its_way(self, order: replica.OrderState) -> bool:
         """Return whether a send without an answer may still arrive."""
         until = self._doubt_until.get(order.engine, float("-inf"))
--- a/agatewing/fleet/_fleet.py
+++ b/agatewing/fleet/_fleet.py
@@ -54,11 +54,24 @@
 class Fleet:
     """Follows the configuration; keeps machines that stay the same."""
 
-    __slots__ = ("_clock", "_random", "document", "pools", "targets")
-
-    def __init__(self, clock: _clock.Clock, rng: random.Random) -> None:
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_make_client",
+        "document",
+        "pools",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        rng: random.Random,
+        make_client: _machines.MakeClient,
+    ) -> None:
         self._clock = clock
         self._random = rng
+        self._make_client = make_client
         #: Configuration in force; ``None`` before the first.
         self.document: config.Document | None = None
         #: Engine pools by name.
@@ -119,7 +132,9 @@
             for engine, spec in document.engines_of_pool(name).items():
                 machine = old.get(engine)
                 if machine is None or _moved(machine.spec, spec):
-                    machine = _machines.EngineMachine(engine, spec, slots)
+                    machine = _machines.EngineMachine(
+                        engine, spec, slots, self._make_client
+                    )
                 machine.update_spec(spec, self._clock.monotonic())
                 pool.engines[engine] = machine
             pools[name] = pool
@@ -130,7 +145,9 @@
         for name, spec in document.targets.items():
             machine = self.targets.get(name)
             if machine is None or machine.spec.address != spec.address:
-                machine = _machines.ServiceMachine(name, spec)
+                machine = _machines.ServiceMachine(
+                    name, spec, self._make_client
+                )
             machine.spec = spec
             targets[name] = machine
         self.targets = targets
--- a/agatewing/fleet/_machines.py
+++ b/agatewing/fleet/_machines.py
@@ -1,6 +1,7 @@
 """Engines and service targets as this instance sees them."""
 
 import collections
+import typing
 
 import msgspec
 
@@ -19,6 +20,17 @@
 AVOID_S = 2.0
 #: Silence after which a stream is resumed elsewhere, in seconds.
 STREAM_SILENCE_S = 3.0
+#: Silence after which a call of a plain service is given up, in seconds.
+SERVICE_SILENCE_S = 5.0
+
+
+class MakeClient(typing.Protocol):
+    """Makes the pooled client of one target."""
+
+    def __call__(
+        self, address: str, *, silence_timeout_s: float
+    ) -> net.HttpClient:
+        """Return a client."""
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -64,13 +76,19 @@
         "_unreported",
     )
 
-    def __init__(self, name: str, spec: config.Engine, slots: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        spec: config.Engine,
+        slots: int,
+        make_client: "MakeClient",
+    ) -> None:
         #: Name in the inventory.
         self.name = name
         #: Row of the inventory.
         self.spec = spec
         #: Connections to it.
-        self.client = net.HttpClient(
+        self.client = make_client(
             spec.address, silence_timeout_s=STREAM_SILENCE_S
         )
         #: State for the decisions.
@@ -179,13 +197,17 @@
 
     __slots__ = ("name", "spec", "client", "in_flight", "avoid_until", "pace")
 
-    def __init__(self, name: str, spec: config.Target) -> None:
+    def __init__(
+        self, name: str, spec: config.Target, make_client: "MakeClient"
+    ) -> None:
         #: Name in the inventory.
         self.name = name
         #: Row of the inventory.
         self.spec = spec
         #: Connections to it.
-        self.client = net.HttpClient(spec.address)
+        self.client = make_client(
+            spec.address, silence_timeout_s=SERVICE_SILENCE_S
+        )
         #: Calls sent from here and not ended.
         self.in_flight = 0
         #: Monotonic time until which it gets no new call.
--- a/agatewing/membership/_detector.py
+++ b/agatewing/membership/_detector.py
@@ -61,6 +61,8 @@
     demand: dict[str, wire.Demand] = dataclasses.field(default_factory=dict)
     #: Whether the platform lists it.
     listed: bool = False
+    #: Monotonic time since which the platform does not list it.
+    unlisted_at: float = float("inf")
 
     @property
     def process(self) -> str:
@@ -190,6 +192,23 @@
             return False
         return now - peer.changed_at >= after_s
 
+    def is_removed(self, process: str, now: float, after_s: float) -> bool:
+        """Return whether the platform took a process away long ago.
+
+        Silence is no proof: a frozen process is silent too. A later
+        incarnation at the same address is one, since two processes
+        cannot hold the same ports.
+        """
+        instance, _, incarnation = process.rpartition("/")
+        if instance == self._self.instance:
+            return int(incarnation) < self._self.incarnation
+        peer = self.peers.get(instance)
+        if peer is None:
+            return self.list_seen
+        if peer.incarnation > int(incarnation):
+            return True
+        return now - peer.unlisted_at >= after_s
+
     def apply_list(
         self, listed: platform_services.InstanceList, now: float
     ) -> None:
@@ -208,6 +227,10 @@
             peer.listed = True
         for name, peer in list(self.peers.items()):
             peer.listed = name in names
+            if peer.listed:
+                peer.unlisted_at = float("inf")
+            else:
+                peer.unlisted_at = min(peer.unlisted_at, now)
             if not peer.listed and not peer.incarnation:
                 del self.peers[name]
         self._forget(now)
--- a/agatewing/rig/_network.py
+++ b/agatewing/rig/_network.py
@@ -1,5 +1,6 @@
 """In-memory network, and clocks of processes that can be frozen."""
 
+import collections.abc
 import random
 import typing
 
@@ -146,6 +147,16 @@
 
         return call_once
 
+    def client_maker(
+        self, call_once: net.CallOnce
+    ) -> "collections.abc.Callable[..., typing.Any]":
+        """Return the function that makes clients of one process."""
+
+        def make(address: str, *, silence_timeout_s: float) -> _Client:
+            return _Client(call_once, address, silence_timeout_s)
+
+        return make
+
     def _arrive(
         self,
         target: _targets.FakeEngine | _targets.FakeService,
@@ -155,6 +166,7 @@
         done: "gevent.event.AsyncResult[net.HttpAnswer | None]",
         name: str,
     ) -> None:
+        sent_at = self._clock.monotonic()
         self._clock.sleep(self._random.uniform(0, self.call_delay_s))
         now = self._clock.monotonic()
         answer: net.HttpAnswer | None
@@ -163,11 +175,34 @@
         elif isinstance(target, _targets.FakeEngine):
             answer = target.handle(body, process, now)
         else:
-            answer = target.handle(key, now)
+            answer = target.handle(key, sent_at, now)
         self._clock.sleep(self.delay())
         done.set(answer if self.reaches(name, target.name) else None)
 
 
+class _Client:
+    """A client of one target on the in-memory network."""
+
+    def __init__(
+        self, call_once: net.CallOnce, address: str, silence_s: float
+    ) -> None:
+        self._call_once = call_once
+        self._address = address
+        self._silence_s = silence_s
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: net.Headers | None = None,
+    ) -> net.HttpAnswer:
+        """Make one call."""
+        return self._call_once(
+            self._address, method, path, body, headers or {}, self._silence_s
+        )
+
+
 class MemoryLinks:
     """The links of one instance on the in-memory network."""
 
--- a/agatewing/rig/_targets.py
+++ b/agatewing/rig/_targets.py
@@ -75,11 +75,14 @@
         self.last_work_at = float("-inf")
         self._random = rng
 
-    def handle(self, key: str, now: float) -> net.HttpAnswer | None:
+    def handle(
+        self, key: str, sent_at: float, now: float
+    ) -> net.HttpAnswer | None:
         """Run one call; ``None`` if its answer is lost."""
-        self.effects[key] += 1
-        self.ran_at.setdefault(key, now)
-        self.last_work_at = now
+        if key:
+            self.effects[key] += 1
+            self.ran_at.setdefault(key, now)
+        self.last_work_at = max(self.last_work_at, sent_at)
         if self._random.random() < self.lose_answers:
             return None
         return net.HttpAnswer(
--- /dev/null
+++ b/agatewing/rig/tests/test_sabotage.py
@@ -0,0 +1,127 @@
+"""Every check of the rig can fail: with a part broken, it does."""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import pytest
+
+from agatewing import calls
+from agatewing.calls import _executor
+from agatewing import control
+from agatewing import membership
+from agatewing import replica
+from agatewing import soak
+
+#: Episodes within which a sabotage has to be found.
+EPISODES = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sabotage:
+    """A part that is broken on purpose."""
+
+    #: Owner, attribute and what stands in its place.
+    patches: tuple[tuple[typing.Any, str, typing.Any], ...]
+    #: Part of the message by which it must be found.
+    found_as: str
+
+
+def _always(value: object) -> collections.abc.Callable[..., object]:
+    return lambda *args, **kwargs: value
+
+
+def _stale_fence(self: control.LeaseKeeper, lease: str) -> int | None:
+    held = self._held.get(lease)
+    return held.fence if held else None
+
+
+def _forgetful_intend(
+    self: replica.CallsState, offset: int, who: str, record: replica.Intent
+) -> None:
+    self.calls[record.key] = replica.Call(
+        record.attempt, who, record.digest, replica.CallPhase.CLAIMED, offset
+    )
+
+
+def _blind_owns(self: replica.CallsState, key: str, attempt: str) -> bool:
+    return True
+
+
+def _hasty_lapse(self: control.LeaseKeeper, name: str) -> bool:
+    return True
+
+
+def _accept_all(
+    self: replica.ConfigState, record: replica.Publish
+) -> replica.Decision:
+    self.version += 1
+    if record.document is not None:
+        self.document = record.document
+    return replica.Accepted(self.version)
+
+
+def _lose_as_not_run(*args: object) -> typing.Any:
+    refusal = _executor._log_down()
+    return refusal
+
+
+SABOTAGES = {
+    "a lease is used after its time": Sabotage(
+        ((control.LeaseKeeper, "fence", _stale_fence),), "together"
+    ),
+    "a lease is claimed before it lapsed": Sabotage(
+        ((control.LeaseKeeper, "_has_lapsed", _hasty_lapse),), "together"
+    ),
+    "orders overtake each other": Sabotage(
+        (
+            (replica.ControlState, "_order_fault", _always(None)),
+            (control.OrderKeeper, "may_order", _always(True)),
+        ),
+        "took",
+    ),
+    "the last intent wins": Sabotage(
+        ((replica.CallsState, "_intend", _forgetful_intend),), "ran"
+    ),
+    "every attempt owns its key": Sabotage(
+        ((replica.CallsState, "owns", _blind_owns),), "ran"
+    ),
+    "not-run is said without proof": Sabotage(
+        ((calls.History, "is_complete", _always(True)),), "told not-run"
+    ),
+    "a lost answer is called not-run": Sabotage(
+        ((_executor, "_lost", _lose_as_not_run),), "told not-run"
+    ),
+    "a cut-off instance goes on": Sabotage(
+        (
+            (
+                membership,
+                "judge",
+                _always(membership.Standing.CURRENT),
+            ),
+        ),
+        "after it was drained",
+    ),
+    "every publish is accepted": Sabotage(
+        ((replica.ConfigState, "_decide", _accept_all),), "runs ahead"
+    ),
+    "lost calls are never settled": Sabotage(
+        ((calls.Reaper, "settle", _always(0)),), "keeps open calls"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SABOTAGES)
+def test_the_soak_finds_a_broken_part(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sabotage = SABOTAGES[name]
+    for owner, attribute, value in sabotage.patches:
+        monkeypatch.setattr(owner, attribute, value)
+    seeds = random.Random(name).sample(range(10_000), EPISODES)
+    for seed in seeds:
+        result = soak.run_episode(seed)
+        if any(sabotage.found_as in line for line in result.violations):
+            return
+    pytest.fail(f"not found in {EPISODES} episodes")
--- a/agatewing/soak/_episode.py
+++ b/agatewing/soak/_episode.py
@@ -84,6 +84,8 @@
     def _load(self) -> None:
         if self.rng.random() < 0.6:
             self._call_new()
+        if self.rng.random() < 0.5 and self.rig.nodes:
+            self.rig.spawn_read(self.rng.choice(list(self.rig.nodes)))
         if self._keys and self.rng.random() < 0.3:
             self._call_again()
         if self.rng.random() < 0.08:
@@ -154,6 +156,7 @@
                 self.rig.start_node(name)
             case "resume" if name in self.rig.nodes:
                 self.rig.nodes[name].clock.resume()
+                self.rig.check()
             case "uncut" if name in self.rig.nodes:
                 self.rig.nodes[name].log.cut = False
             case "heal":
