Proof of not-run: who may have joined is asked of the platform's list

A frozen, cut-off instance thawed and proved its view against the peers of before; a peer that had been replaced meanwhile was not among them. Change: an instance runs at-most-once calls only after it has seen itself in the list; the proof reads the list afresh. Conclusion: the proof no longer rests on a picture from before a freeze.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -229,7 +229,12 @@
         stream = replica.CALLS_STREAM
         follower, commit = self.followers[stream], self.commits[stream]
         self.history = calls.History(
-            self.clock, self.log, follower, self._ask_position
+            self.clock,
+            self.log,
+            follower,
+            self._ask_position,
+            lambda: self.watch.read_list(),
+            lambda: self.watch.possible_processes(),
         )
         self.retries = decisions.RetryBudget(self.rng)
         self.services = entry.Services(
--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -56,17 +56,33 @@
 
     def run_list(self) -> None:
         """Read the platform's list for ever."""
-        instance = self._instance
         while True:
-            try:
-                listed = instance.instance_list.read()
-            except _exceptions.AgatewingError as exc:
-                _log.info("watch: no instance list: %s", exc)
-            else:
-                now = instance.clock.monotonic()
-                instance.detector.apply_list(listed, now)
-                instance.history.listed_at = now
-            instance.clock.sleep(LIST_PERIOD_S)
+            self.read_list()
+            self._instance.clock.sleep(LIST_PERIOD_S)
+
+    def read_list(self) -> bool:
+        """Read the platform's list once; return whether that worked."""
+        instance = self._instance
+        try:
+            listed = instance.instance_list.read()
+        except _exceptions.AgatewingError as exc:
+            _log.info("watch: no instance list: %s", exc)
+            return False
+        instance.detector.apply_list(listed, instance.clock.monotonic())
+        name = instance.settings.instance
+        if any(row.instance == name for row in listed.instances):
+            instance.executor.joined = True
+        return True
+
+    def possible_processes(self) -> list[str]:
+        """Return every other process that may be running."""
+        detector = self._instance.detector
+        live = detector.live_peers()
+        return [
+            peer.process
+            for peer in detector.peers.values()
+            if peer.listed or peer in live
+        ]
 
     def step(self) -> None:
         """Take note of what changed; judge the own standing."""
@@ -77,11 +93,7 @@
         instance.dispatcher.instances = len(live) + 1
         for machine in instance.fleet.engines():
             machine.instances = len(live) + 1
-        instance.history.note_alive(
-            peer.process
-            for peer in instance.detector.peers.values()
-            if peer.listed or peer in live
-        )
+        instance.history.note_alive()
         before = instance.gate.ready
         instance.gate.standing = membership.judge(self._evidence())
         if instance.gate.ready is not before:
--- a/agatewing/calls/_executor.py
+++ b/agatewing/calls/_executor.py
@@ -124,6 +124,7 @@
         "_history",
         "_invariants",
         "active",
+        "joined",
         "window_s",
     )
 
@@ -148,6 +149,8 @@
         self._invariants = invariants
         #: Attempts under way here, by id.
         self.active: dict[str, Attempt] = {}
+        #: Whether the platform's list has shown this instance.
+        self.joined = False
         #: Age up to which keys are accepted, in seconds.
         self.window_s = 900.0
 
@@ -159,8 +162,12 @@
         return _keys.check_key(text, self._clock.wall(), window)
 
     def available(self) -> bool:
-        """Return whether an intent would reach the log now."""
-        if self._commit.failing_since is not None:
+        """Return whether an intent would reach the log now.
+
+        Before it is listed, an instance runs nothing: others could not
+        know of it when they say ``not-run``.
+        """
+        if not self.joined or self._commit.failing_since is not None:
             return False
         return self._follower.age() <= LOG_FRESH_S
 
--- a/agatewing/calls/_history.py
+++ b/agatewing/calls/_history.py
@@ -3,7 +3,9 @@
 A refusal may say ``not-run`` only if no attempt with the same key ran
 anywhere. An attempt runs only after its instance has read its intent back
 from the log, so it is enough to have read as far as every instance that
-was alive since the own view was last known to be complete.
+was alive since the own view was last known to be complete. An instance runs
+such calls only after it has seen itself in the platform's list, so a fresh
+read of the list shows all that may have joined meanwhile.
 """
 
 import collections.abc
@@ -17,14 +19,14 @@
 
 #: Time for an answer of the log or of a peer, in seconds.
 ASK_S = 0.4
-#: Age up to which the platform's list shows who else may run, in seconds.
-LIST_FRESH_S = 5.0
 #: Margin for an instance heard of just before the last complete view.
 WITNESS_MARGIN_S = 2.0
 
 #: Incarnation of a listed instance that was never heard.
 UNHEARD = "0"
 
+ReadList = collections.abc.Callable[[], bool]
+Processes = collections.abc.Callable[[], collections.abc.Iterable[str]]
 AskPosition = collections.abc.Callable[[str], int | None]
 
 
@@ -36,8 +38,9 @@
         "_log",
         "_follower",
         "_ask",
+        "_read_list",
+        "_processes",
         "_alive_at",
-        "listed_at",
     )
 
     def __init__(
@@ -46,22 +49,24 @@
         log: platform_services.LogClient,
         follower: replica.Follower,
         ask: AskPosition,
+        read_list: ReadList,
+        processes: Processes,
     ) -> None:
         self._clock = clock
         self._log = log
         self._follower = follower
         self._ask = ask
+        self._read_list = read_list
+        self._processes = processes
         self._alive_at: dict[str, float] = {}
-        #: Monotonic time of the last read of the platform's list.
-        self.listed_at = float("-inf")
 
-    def note_alive(self, processes: collections.abc.Iterable[str]) -> None:
+    def note_alive(self) -> None:
         """Remember which processes might be running calls now.
 
         A process that only this one takes for dead may well run.
         """
         now = self._clock.monotonic()
-        for process in processes:
+        for process in self._processes():
             self._alive_at[process] = now
             name, _, incarnation = process.rpartition("/")
             if incarnation != UNHEARD:
@@ -105,8 +110,11 @@
 
     def _ask_peers(self) -> bool:
         """Compare with every process that was alive since then."""
-        if self._clock.monotonic() - self.listed_at > LIST_FRESH_S:
+        reading = gevent.spawn(self._read_list)
+        if not self._clock.wait(reading, ASK_S) or not reading.value:
+            reading.kill(block=False)
             return False
+        self.note_alive()
         limit = self._follower.last_ok - WITNESS_MARGIN_S
         witnesses = [p for p, at in self._alive_at.items() if at >= limit]
         asked = [gevent.spawn(self._ask, process) for process in witnesses]
--- a/agatewing/rig/tests/test_sabotage.py
+++ b/agatewing/rig/tests/test_sabotage.py
@@ -78,6 +78,7 @@
         (
             (replica.ControlState, "_order_fault", _always(None)),
             (control.OrderKeeper, "may_order", _always(True)),
+            (control.OrderKeeper, "_may_be_on_its_way", _always(False)),
         ),
         "took",
     ),
--- a/agatewing/soak/_episode.py
+++ b/agatewing/soak/_episode.py
@@ -248,7 +248,7 @@
         self._later(0.5, 10.0, f"keep {address}")
 
     def _delay_calls(self) -> None:
-        self.rig.network.call_delay_s = self.rng.choice((0.5, 4.0))
+        self.rig.network.call_delay_s = self.rng.choice((0.5, 8.0))
         self._later(1.0, 10.0, "fast")
 
     def _calm(self) -> None:
