Whole-process tests with a stock client; readiness waits for engines

Cause: an instance called itself ready before it had asked any engine for its load and then refused with no-target; a SIGTERM test found it. Change: ready only after every engine answered, or failed to, once. Tests for streams, kills, silence, SIGTERM and seventeen bad requests.

--- a/agatewing/_backend.py
+++ b/agatewing/_backend.py
@@ -52,6 +52,7 @@
             instance.incarnation,
             instance.gate.phase,
             instance.gate.standing,
+            instance.gate.ready,
             instance.config_keeper.applied_version,
             instance.config_keeper.fault,
             round(age, 3) if age < 1e9 else None,
--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -357,6 +357,7 @@
             self.roles.run,
             self.reaper.run,
         ]
+        self.gate.warm = not poll_engines
         if poll_engines:
             loops.append(self.poller.run)
         self._tasks = [gevent.spawn(loop) for loop in loops]
--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -95,6 +95,8 @@
             machine.instances = len(live) + 1
         instance.history.note_alive()
         before = instance.gate.ready
+        if not instance.gate.warm:
+            instance.gate.warm = self._knows_engines()
         instance.gate.standing = membership.judge(self._evidence())
         if instance.gate.ready is not before:
             kind = timeline.EventKind.NOT_READY
@@ -106,6 +108,13 @@
         for keeper in instance.keepers:
             keeper.step()
 
+    def _knows_engines(self) -> bool:
+        """Return whether every engine answered, or failed to, once."""
+        fleet = self._instance.fleet
+        if fleet.document is None:
+            return False
+        return all(m.report or m.failures for m in fleet.engines())
+
     def own_demand(self) -> list[wire.Demand]:
         """Return the work that callers asked for here."""
         now = self._instance.clock.monotonic()
--- a/agatewing/admin/_views.py
+++ b/agatewing/admin/_views.py
@@ -88,6 +88,8 @@
     phase: str
     # What it knows about its configuration.
     standing: str
+    # Whether new requests are welcome.
+    ready: bool
     # Version in force here.
     config_version: int
     # Why the accepted version cannot be used; empty if it can.
--- a/agatewing/entry/_gate.py
+++ b/agatewing/entry/_gate.py
@@ -24,6 +24,8 @@
     phase: Phase = Phase.STARTING
     #: What it knows about its configuration.
     standing: membership.Standing = membership.Standing.EMPTY
+    #: Whether every engine was asked for its load once.
+    warm: bool = False
 
     @property
     def ready(self) -> bool:
@@ -46,6 +48,13 @@
                 "send the request again; another instance takes it",
                 retry_after_s=1.0,
             )
+        if not self.warm:
+            return _exceptions.Refusal(
+                _types.RefusalKind.NOT_READY,
+                "this instance does not know its engines yet",
+                "send the request again; another instance takes it",
+                retry_after_s=1.0,
+            )
         if self.standing is membership.Standing.STALE:
             return _exceptions.Refusal(
                 _types.RefusalKind.STALE_CONFIG,
--- a/agatewing/harness/_deployment.py
+++ b/agatewing/harness/_deployment.py
@@ -167,7 +167,7 @@
     def in_force(self, name: str) -> int:
         """Return the version in force at a ready instance, or 0."""
         status = self.status(name)
-        if status.get("standing") not in ("current", "outage"):
+        if not status.get("ready"):
             return 0
         return int(status["config_version"])
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,405 @@
+"""Whole processes on loopback, met by a stock HTTP client."""
+
+import collections.abc
+import http.client
+import json
+import pathlib
+import re
+import signal
+import socket
+import threading
+import time
+import typing
+
+import gevent
+import pytest
+
+from agatewing import harness
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+TOKEN = "shops-guarda-token"
+HEADERS = {
+    "Authorization": f"Bearer {TOKEN}",
+    "Content-Type": "application/json",
+}
+BODY = {
+    "model": "restock-draft",
+    "prompt": "weekly restock " * 20,
+    "max_tokens": 120,
+    "stream": True,
+    "seed": 5,
+}
+
+
+@pytest.fixture(scope="module")
+def deployment() -> collections.abc.Iterator[harness.Deployment]:
+    with harness.Deployment(EXAMPLES / "aldeias.jsonc", instances=3) as d:
+        d.start()
+        d.wait_ready(d.version)
+        gevent.sleep(2.5)
+        yield d
+
+
+def _open(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | str = b"",
+    headers: dict[str, str] | None = None,
+) -> http.client.HTTPResponse:
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=20)
+    conn.request(method, path, body, HEADERS if headers is None else headers)
+    return conn.getresponse()
+
+
+def _problem(resp: http.client.HTTPResponse) -> dict[str, typing.Any]:
+    assert resp.headers["Content-Type"] == "application/problem+json"
+    body: dict[str, typing.Any] = json.loads(resp.read())
+    assert body["status"] == resp.status
+    assert body["remedy"] and body["detail"]
+    return body
+
+
+def _events(raw: bytes) -> list[tuple[str, str]]:
+    """Return position and data of each event."""
+    found = []
+    for event in raw.split(b"\n\n"):
+        match = re.match(rb"id: \S+\.(\d+)\ndata: (.*)$", event, re.DOTALL)
+        if match:
+            found.append((match[1].decode(), match[2].decode()))
+    return found
+
+
+def _last_id(raw: bytes) -> str:
+    whole = raw[: raw.rfind(b"\n\n")]
+    return re.findall(rb"^id: (\S+)$", whole, re.MULTILINE)[-1].decode()
+
+
+def test_a_stock_client_streams_a_completion(
+    deployment: harness.Deployment,
+) -> None:
+    resp = _open(
+        deployment.caller_address("entry-1"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+    )
+    assert resp.status == 200
+    assert resp.headers["Content-Type"] == "text/event-stream"
+    events = _events(resp.read())
+    assert [int(p) for p, _ in events] == list(range(1, len(events) + 1))
+    assert events[-1][1] == "[DONE]"
+    last = json.loads(events[-2][1])
+    assert last["choices"][0]["finish_reason"] == "stop"
+
+
+@pytest.mark.parametrize("shape", ["completions", "chat/completions"])
+def test_an_answer_in_one_piece(
+    deployment: harness.Deployment, shape: str
+) -> None:
+    body = {**BODY, "stream": False, "max_tokens": 10}
+    if shape != "completions":
+        del body["prompt"]
+        body["messages"] = [{"role": "user", "content": "how much rice?"}]
+    resp = _open(
+        deployment.caller_address("entry-2"),
+        "POST",
+        f"/v1/{shape}",
+        json.dumps(body),
+    )
+    answer = json.loads(resp.read())
+    assert resp.status == 200
+    choice = answer["choices"][0]
+    text = choice.get("text") or choice["message"]["content"]
+    assert len(text.split()) == answer["usage"]["completion_tokens"] > 0
+
+
+def test_a_killed_instance_loses_no_byte_of_a_stream(
+    deployment: harness.Deployment,
+) -> None:
+    whole = _open(
+        deployment.caller_address("entry-1"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+    ).read()
+    resp = _open(
+        deployment.caller_address("entry-2"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+    )
+    part = b""
+    while part.count(b"\n\n") < 20:
+        part += resp.read1(4096)
+    deployment.instances["entry-2"].kill()
+    received = part[: part.rfind(b"\n\n") + 2]
+    resp = _open(
+        deployment.caller_address("entry-3"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+        {**HEADERS, "Last-Event-ID": _last_id(received)},
+    )
+    rest = resp.read()
+    deployment.instances["entry-2"].start()
+    harness.wait_open(deployment.caller_address("entry-2"))
+    joined = _events(received + rest)
+    expected = _events(whole)
+    assert [p for p, _ in joined] == [p for p, _ in expected]
+    ours = [_text(data) for _, data in joined]
+    assert ours == [_text(data) for _, data in expected]
+
+
+def _text(data: str) -> str:
+    if data == "[DONE]":
+        return data
+    return str(json.loads(data)["choices"])
+
+
+def test_a_lost_engine_is_replaced_in_mid_stream(
+    deployment: harness.Deployment,
+) -> None:
+    before = {
+        name: deployment.engine_stats(name)["received"]
+        for name in deployment.engines
+    }
+    resp = _open(
+        deployment.caller_address("entry-1"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+    )
+    part = b""
+    while part.count(b"\n\n") < 10:
+        part += resp.read1(4096)
+    (engine,) = [
+        name
+        for name in deployment.engines
+        if deployment.engine_stats(name)["received"] > before[name]
+    ]
+    deployment.engines[engine].kill()
+    events = _events(part + resp.read())
+    deployment.engines[engine].start()
+    harness.wait_open(deployment.document.engines[engine].address)
+    assert [int(p) for p, _ in events] == list(range(1, len(events) + 1))
+    assert events[-1][1] == "[DONE]"
+
+
+def test_a_silent_stream_is_resumed_without_loss(
+    deployment: harness.Deployment,
+) -> None:
+    resp = _open(
+        deployment.caller_address("entry-1"),
+        "POST",
+        "/v1/completions",
+        json.dumps(BODY),
+    )
+    part = b""
+    while part.count(b"\n\n") < 10:
+        part += resp.read1(4096)
+    for engine in deployment.document.engines.values():
+        deployment.standin_call(
+            engine.address, "POST", "/standin/faults", {"mute": True}
+        )
+    gevent.sleep(4.0)
+    for engine in deployment.document.engines.values():
+        deployment.standin_call(
+            engine.address, "POST", "/standin/faults", {"mute": False}
+        )
+    events = _events(part + resp.read())
+    assert [int(p) for p, _ in events] == list(range(1, len(events) + 1))
+    assert events[-1][1] == "[DONE]"
+
+
+Case = tuple[str, str, bytes, dict[str, str], int, str]
+
+EDGE_CASES: dict[str, Case] = {
+    "malformed JSON": (
+        "POST", "/v1/completions", b"{", HEADERS, 400, "bad-request",
+    ),
+    "missing prompt": (
+        "POST", "/v1/completions", b'{"model": "restock-draft"}', HEADERS,
+        400, "bad-request",
+    ),
+    "wrong type": (
+        "POST", "/v1/completions",
+        b'{"model": "restock-draft", "prompt": 7}', HEADERS,
+        400, "bad-request",
+    ),
+    "too many tokens": (
+        "POST", "/v1/completions",
+        b'{"model": "restock-draft", "prompt": "x", "max_tokens": 9999999}',
+        HEADERS, 400, "bad-request",
+    ),
+    "oversize body": (
+        "POST", "/v1/completions", b" " * 4_000_001, HEADERS,
+        413, "too-large",
+    ),
+    "oversize head": (
+        "GET", "/v1/models", b"", {**HEADERS, "X-Big": "x" * 40_000},
+        413, "too-large",
+    ),
+    "unknown model": (
+        "POST", "/v1/completions", b'{"model": "nope", "prompt": "x"}',
+        HEADERS, 404, "unknown-model",
+    ),
+    "bad token": (
+        "POST", "/v1/completions", b"{}", {"Authorization": "Bearer no"},
+        401, "bad-token",
+    ),
+    "no token": ("POST", "/v1/completions", b"{}", {}, 401, "bad-token"),
+    "unknown path": ("GET", "/v2/nothing", b"", HEADERS, 404, "not-found"),
+    "unknown service": (
+        "GET", "/services/none/x", b"", HEADERS, 404, "not-found",
+    ),
+    "bad deadline": (
+        "POST", "/v1/completions", b"{}",
+        {**HEADERS, "Agatewing-Deadline": "soon"}, 400, "bad-request",
+    ),
+    "no key": (
+        "POST", "/services/accounts/orders/1/confirm", b"{}", HEADERS,
+        400, "idempotency-key-required",
+    ),
+    "key of the wrong kind": (
+        "POST", "/services/accounts/orders/1/confirm", b"{}",
+        {**HEADERS, "Idempotency-Key": "order-1"},
+        400, "idempotency-key-invalid",
+    ),
+    "key too old": (
+        "POST", "/services/accounts/orders/1/confirm", b"{}",
+        {
+            **HEADERS,
+            "Idempotency-Key": "01000000-0000-7000-8000-000000000000",
+        },
+        422, "idempotency-key-expired",
+    ),
+    "forged resume id": (
+        "POST", "/v1/completions", json.dumps(BODY).encode(),
+        {**HEADERS, "Last-Event-ID": "AAAAAAAAAAAAAAAAAAAAAAAA.3"},
+        400, "bad-resume-id",
+    ),
+    "hopeless deadline": (
+        "POST", "/v1/completions", json.dumps(BODY).encode(),
+        {**HEADERS, "Agatewing-Deadline": "0.2"},
+        503, "deadline-unreachable",
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", EDGE_CASES)
+def test_a_bad_request_gets_a_typed_answer(
+    deployment: harness.Deployment, name: str
+) -> None:
+    method, path, body, headers, status, kind = EDGE_CASES[name]
+    address = deployment.caller_address("entry-1")
+    resp = _open(address, method, path, body, headers)
+    problem = _problem(resp)
+    assert problem["type"] == f"urn:agatewing:problem:{kind}"
+    assert resp.status == status
+    if status == 503:
+        assert int(resp.headers["Retry-After"]) >= 1
+    outcome = "unknown" if name == "key too old" else "not-run"
+    assert problem["outcome"] == outcome
+
+
+def test_a_slow_sender_is_cut_off(tmp_path: pathlib.Path) -> None:
+    limits = {"limits": {"request_read_s": 0.5}}
+    with harness.Deployment(
+        EXAMPLES / "aldeias.jsonc", instances=1, settings=limits
+    ) as d:
+        d.start()
+        d.wait_ready(d.version)
+        host, _, port = d.caller_address("entry-1").rpartition(":")
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {TOKEN}\r\n"
+        )
+        for sent in (head, head + "Content-Length: 10\r\n\r\n{"):
+            with socket.create_connection((host, int(port)), 10) as sock:
+                sock.sendall(sent.encode())
+                answer = sock.recv(65_536)
+                assert answer.startswith(b"HTTP/1.1 408")
+                assert b"slow-sender" in answer
+
+
+def test_a_reused_key_with_another_body_is_refused(
+    deployment: harness.Deployment,
+) -> None:
+    path = "/services/accounts/orders/1/confirm"
+    key = _new_key(1)
+    headers = {**HEADERS, "Idempotency-Key": key}
+    one = deployment.caller_address("entry-1")
+    other = deployment.caller_address("entry-3")
+    assert _open(one, "POST", path, b"{}", headers).status == 200
+    again = _open(other, "POST", path, b"{}", headers)
+    assert again.status == 200
+    assert json.loads(again.read())["key"] == key
+    problem = _problem(_open(other, "POST", path, b'{"a": 1}', headers))
+    assert problem["type"].endswith("idempotency-key-reused")
+    assert deployment.effects()[key] == 1
+
+
+def _new_key(number: int) -> str:
+    from agatewing import calls
+
+    return str(calls.new_key(time.time(), number))
+
+
+def test_sigterm_ends_streams_before_the_process() -> None:
+    with harness.Deployment(EXAMPLES / "aldeias.jsonc", instances=2) as d:
+        d.start()
+        d.wait_ready(d.version)
+        address = d.caller_address("entry-1")
+        resp = _open(address, "POST", "/v1/completions", json.dumps(BODY))
+        part = resp.read1(4096)
+        process = d.instances["entry-1"]
+        process.send(signal.SIGTERM)
+        time.sleep(0.15)
+        ready = _open(address, "GET", "/readyz")
+        assert ready.status == 503
+        ready.read()
+        refused = _open(address, "POST", "/v1/completions", json.dumps(BODY))
+        assert _problem(refused)["type"].endswith("instance-leaving")
+        events = _events(part + resp.read())
+        assert events[-1][1] == "[DONE]"
+        assert process.wait(15.0) == 0
+
+
+def test_the_daemon_checks_its_settings(tmp_path: pathlib.Path) -> None:
+    from agatewing import daemon
+
+    path = tmp_path / "bad.jsonc"
+    path.write_text('{"instance": "a", "hots": "x"} // no')
+    args = ["--settings", str(path), "--check"]
+    assert daemon.main(args) == daemon.EXIT_SETTINGS
+    good = EXAMPLES / "settings.jsonc"
+    assert daemon.main(["--settings", str(good), "--check"]) == 0
+
+
+def test_many_streams_at_once_stay_apart(
+    deployment: harness.Deployment,
+) -> None:
+    texts: dict[int, str] = {}
+
+    def ask(seed: int) -> None:
+        body = {**BODY, "seed": seed, "max_tokens": 30}
+        address = deployment.caller_address(f"entry-{seed % 2 * 2 + 1}")
+        raw = _open(
+            address, "POST", "/v1/completions", json.dumps(body)
+        ).read()
+        events = _events(raw)
+        assert events[-1][1] == "[DONE]"
+        texts[seed] = "".join(_text(data) for _, data in events)
+
+    first = [threading.Thread(target=ask, args=(n,)) for n in range(12)]
+    for thread in first:
+        thread.start()
+    for thread in first:
+        thread.join()
+    assert len(texts) == 12
+    kept = dict(texts)
+    for seed in (0, 5, 11):
+        ask(seed)
+    assert texts == kept
