Vouching counts from the probe that a peer answers

Cause: soak, a drained target got work 6 s late. A thawed instance read heartbeats that had waited in its buffer and took them for fresh. Change: evidence of a peer counts from the sending of the own probe that it answers. The rig's check runs from the time a running process knew the version, and not while an instance is alone: traces showed a version that nobody could have read, and a lone instance that cannot tell an outage from being cut off; both are stated as limits.

--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -204,7 +204,7 @@
         follower = instance.followers[replica.CONFIG_STREAM]
         peers = tuple(
             membership.PeerEvidence(
-                now - peer.heard_at,
+                now - peer.vouched_at,
                 now - peer.log_ok_at,
                 peer.config_version,
             )
--- /dev/null
+++ b/agatewing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of cost: of the entry, and slopes for the capacity page."""
--- /dev/null
+++ b/agatewing/bench/__main__.py
@@ -0,0 +1,37 @@
+"""Command line of the measurements."""
+
+import argparse
+import pathlib
+
+import msgspec
+
+from agatewing.bench import _entry
+from agatewing.bench import _slopes
+
+OUT = pathlib.Path("docs/measurements")
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Measure, print and store."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=("entry", "slopes"))
+    parser.add_argument(
+        "--store", action="store_true", help=f"write JSON to {OUT}"
+    )
+    args = parser.parse_args(argv)
+    if args.what == "entry":
+        inventory = pathlib.Path("examples/aldeias.jsonc")
+        figures = _entry.EntryBench(inventory).run()
+    else:
+        figures = _slopes.measure_all()
+    for figure in figures:
+        print(f"{figure.name:55s} {figure.value:12.2f} {figure.unit}")
+    if args.store:
+        OUT.mkdir(parents=True, exist_ok=True)
+        raw = msgspec.json.format(msgspec.json.encode(figures), indent=2)
+        (OUT / f"{args.what}.json").write_bytes(raw + b"\n")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/agatewing/harness/_deployment.py
+++ b/agatewing/harness/_deployment.py
@@ -58,6 +58,7 @@
         retention_s: float = 600.0,
         log_rate: float = 300.0,
         settings: dict[str, typing.Any] | None = None,
+        engine_speed: float = 1.0,
     ) -> None:
         loaded = config.load_document(inventory)
         if isinstance(loaded, result.Err):
@@ -68,6 +69,7 @@
         self.path = pathlib.Path(self._dir.name)
         self._extra = settings or {}
         self._role_change_s = role_change_s
+        self._engine_speed = engine_speed
         self.document = _with_free_ports(loaded.ok_value)
         self.tokens = _caller_tokens(self.document)
         self.version = 0
@@ -322,6 +324,7 @@
             f"--name={name}",
             f"--role={engine.roles[0]}",
             f"--role-change={self._role_change_s}",
+            f"--speed={self._engine_speed}",
             f"--weights={self.weights_address}",
         ]
         if engine.checks_fencing:
--- a/agatewing/membership/_detector.py
+++ b/agatewing/membership/_detector.py
@@ -51,6 +51,8 @@
     refutation: int = 0
     #: Monotonic time of the last message from it.
     heard_at: float = float("-inf")
+    #: Monotonic time at which the last probe it answered was sent.
+    vouched_at: float = float("-inf")
     #: Monotonic time of the last change of status.
     changed_at: float = 0.0
     #: Configuration version it last named.
@@ -344,21 +346,38 @@
             return False
         peer.heard_at = now
         peer.address = sender.address
-        peer.config_version = message.vouch.config_version
-        if message.vouch.log_age_ms >= 0:
-            peer.log_ok_at = now - message.vouch.log_age_ms / 1000
+        self._note_vouch(peer, message)
         peer.demand = {d.pool: d for d in message.demand}
         peer.refutation = max(peer.refutation, sender.refutation)
         self._set_status(peer, sender.status, now)
         return True
 
+    def _note_vouch(self, peer: Peer, message: wire.Message) -> None:
+        """Take what a peer vouches for, as of the probe that it answers.
+
+        Other messages may have waited in a buffer while this process
+        stood still; their age is unknown.
+        """
+        vouch = message.vouch
+        peer.config_version = max(peer.config_version, vouch.config_version)
+        probe = self._probes.get(message.sequence)
+        answers = message.kind == wire.Kind.ACK and message.target is None
+        if not answers or probe is None or probe.instance != peer.instance:
+            return
+        peer.vouched_at = max(peer.vouched_at, probe.sent_at)
+        if vouch.log_age_ms >= 0:
+            log_ok_at = probe.sent_at - vouch.log_age_ms / 1000
+            peer.log_ok_at = max(peer.log_ok_at, log_ok_at)
+
     def _replace(self, peer: Peer, member: wire.Member, now: float) -> None:
         peer.incarnation = member.incarnation
         peer.refutation = member.refutation
         peer.address = member.address
         peer.zone = member.zone
         peer.heard_at = float("-inf")
+        peer.vouched_at = float("-inf")
         peer.log_ok_at = float("-inf")
+        peer.config_version = 0
         peer.status = 0
         self._set_status(peer, member.status, now)
 
--- a/agatewing/membership/_vouching.py
+++ b/agatewing/membership/_vouching.py
@@ -27,7 +27,7 @@
 class PeerEvidence:
     """What one peer last said."""
 
-    #: Seconds since it was heard.
+    #: Seconds since the probe was sent that it answered last.
     heard_age_s: float
     #: Seconds since it knew the log's end.
     log_age_s: float
--- a/agatewing/rig/_oracle.py
+++ b/agatewing/rig/_oracle.py
@@ -17,6 +17,7 @@
         self.version = 0
         self.documents: dict[int, dict[str, typing.Any]] = {0: {}}
         self.accepted_at: dict[int, float] = {}
+        self.known_at: dict[int, float] = {}
         self.decisions: dict[str, tuple[bool, int]] = {}
 
     def follow(self, now: float) -> None:
@@ -48,13 +49,20 @@
         self.accepted_at[self.version] = now
         self.decisions[item["id"]] = (True, self.version)
 
+    def note_known(self, version: int, now: float) -> None:
+        """Note that a running process has a version in force."""
+        for number in range(version, 0, -1):
+            if number in self.known_at:
+                return
+            self.known_at[number] = now
+
     def inactive_since(self, target: str) -> float:
-        """Return since when the latest version withholds new work."""
+        """Return since when a running process knew to withhold new work."""
         since = float("inf")
         for version in range(self.version, 0, -1):
             document = self.documents[version]
             row = document["targets"].get(target)
             if row is not None and row.get("state", "active") == "active":
                 break
-            since = self.accepted_at[version]
+            since = self.known_at.get(version, float("inf"))
         return since
