Work leaves only under a fresh judgement of the own standing

A call passed the gate, the process froze while it connected, and the call left after the thaw although its target had been drained. Change: a guard runs once the connection stands: the judgement is at most 1 s old, the target is active in the document in force. The gate refuses on an old judgement. The engine's guard reads the document, so a machine object of an older configuration is found out.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	    --faults $(FAULTS)
 
 test: $(VENV)/.ready
-	CI=true $(BIN)/python -m pytest
+	CI=true $(BIN)/python -m pytest -n 5
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check agatewing tests
--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -113,7 +113,7 @@
         self.hlc = timeline.HybridClock(clock)
         self.events = timeline.Timeline(self.hlc, str(self.author))
         self.invariants = _invariants.Invariants(self.events)
-        self.gate = entry.Gate()
+        self.gate = entry.Gate(clock)
         self.fleet = fleet.Fleet(clock, self.rng, outside.make_client)
         self._wire_membership()
         self._wire_log()
@@ -278,6 +278,7 @@
             self.events,
             self.retries,
             self.invariants,
+            self.gate,
         )
         generation = entry.Generation(
             parts,
--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -97,7 +97,7 @@
         before = instance.gate.ready
         if not instance.gate.warm:
             instance.gate.warm = self._knows_engines()
-        instance.gate.standing = membership.judge(self._evidence())
+        instance.gate.judge(membership.judge(self._evidence()))
         if instance.gate.ready is not before:
             kind = timeline.EventKind.NOT_READY
             if instance.gate.ready:
--- a/agatewing/decisions/_roles.py
+++ b/agatewing/decisions/_roles.py
@@ -64,6 +64,8 @@
     floor: int = 1
     #: Time ahead for which a change has to pay, in seconds.
     horizon_s: float = HORIZON_S
+    #: Whether any gain is enough, without regard to the cost.
+    eager: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,7 +192,8 @@
         counts = count_roles(engines)
         served = served_share(demand, counts, speed)
         busy = any(not e.changeable for e in engines)
-        if busy or now - self._changed_at < MIN_INTERVAL_S:
+        waited = now - self._changed_at
+        if busy or (waited < MIN_INTERVAL_S and not self._policy.eager):
             return Keep(served)
         best = self._best_move(demand, engines, speed, counts, served)
         if best is None:
@@ -222,6 +225,8 @@
     def _gain(self, served: float, after: float, engines: int) -> float:
         """Return the weighted gain of a change over the horizon."""
         policy = self._policy
+        if policy.eager:
+            return after - served
         gained = min(1.0, after) - min(1.0, served)
         away = CHANGE_AWAY_S / policy.horizon_s / engines
         price = CHANGE_PRICE * (1 - policy.goodput_weight) / engines
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 
 import msgspec
@@ -12,6 +13,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing.entry import _assembler
+from agatewing.entry import _gate
 from agatewing import fleet
 from agatewing import net
 from agatewing import timeline
@@ -66,6 +68,8 @@
     retries: decisions.RetryBudget
     #: Promises checked while running.
     invariants: _invariants.Invariants
+    #: Whether work may leave the process.
+    gate: _gate.Gate
 
 
 class Relay:
@@ -237,13 +241,18 @@
         if self._started:
             answer = machine.client.open("GET", self._resume_path())
         else:
-            self._check_not_leaving(machine)
             call = msgspec.structs.replace(
                 self._call, start=self.assembler.position
             )
             headers = {"Content-Type": "application/json"}
             body = msgspec.json.encode(call)
-            answer = machine.client.open("POST", "/v1/generate", body, headers)
+            answer = machine.client.open(
+                "POST",
+                "/v1/generate",
+                body,
+                headers,
+                functools.partial(self._may_start_on, machine),
+            )
         if answer.status != 200:
             status = answer.status
             answer.close()
@@ -253,6 +262,19 @@
         self.accepted = True
         return answer
 
+    def _may_start_on(self, machine: fleet.EngineMachine) -> bool:
+        """Return whether the engine still gets new work from here."""
+        document = self._parts.fleet.document
+        spec = document.engines.get(machine.name) if document else None
+        if spec is None or spec.address != machine.spec.address:
+            return False
+        if spec.state is not _types.TargetState.ACTIVE:
+            return False
+        if not self._parts.gate.may_send():
+            return False
+        self._check_not_leaving(machine)
+        return True
+
     def _check_not_leaving(self, machine: fleet.EngineMachine) -> None:
         left_for = self._parts.clock.monotonic() - machine.inactive_since
         self._parts.invariants.check(
--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import fnmatch
+import functools
 
 import result
 
@@ -192,7 +193,10 @@
                     _with_query(path, req.query),
                     req.body,
                     _headers(req.content_type, req.idempotency_key),
+                    functools.partial(self._may_send_to, machine),
                 )
+            except net.SendForbiddenError:
+                self._gate.check()
             except _exceptions.ConnectRefusedError:
                 machine.note_failure(self._clock.monotonic())
             except _exceptions.AgatewingError:
@@ -205,6 +209,12 @@
                 break
         raise _exceptions.RefusedError(_no_answer(name, sent))
 
+    def _may_send_to(self, machine: fleet.ServiceMachine) -> bool:
+        """Return whether the target still gets new work from here."""
+        if not self._gate.may_send():
+            return False
+        return machine.usable(self._clock.monotonic())
+
     def _may_retry(self, attempt: int, deadline: float) -> bool:
         pause = self._retries.pause_s(attempt)
         if self._clock.monotonic() + pause >= deadline:
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -5,6 +5,7 @@
 from agatewing.net._http_client import Headers
 from agatewing.net._http_client import HttpAnswer
 from agatewing.net._http_client import HttpClient
+from agatewing.net._http_client import MaySend
 from agatewing.net._http_client import SendForbiddenError
 from agatewing.net._http_client import StreamAnswer
 from agatewing.net._http_server import Application
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -22,6 +22,7 @@
 #: Largest whole answer read from a target or platform service, in bytes.
 MAX_ANSWER_BYTES = 64_000_000
 
+MaySend: typing.TypeAlias = collections.abc.Callable[[], bool]
 Headers: typing.TypeAlias = collections.abc.Mapping[str, str]
 
 
@@ -181,8 +182,17 @@
         path: str,
         body: bytes = b"",
         headers: Headers | None = None,
+        may_send: MaySend | None = None,
     ) -> StreamAnswer:
-        """Send a request and return once the answer's head is here."""
+        """Send a request and return once the answer's head is here.
+
+        ``may_send`` is asked once a connection stands; nothing yields
+        between its answer and the send.
+        """
+        if may_send is not None:
+            self._connect()
+            if not may_send():
+                raise SendForbiddenError(self.address)
         try:
             response = self._client.request(
                 method, path, body, dict(headers or {})
@@ -203,13 +213,24 @@
         path: str,
         body: bytes = b"",
         headers: Headers | None = None,
+        may_send: MaySend | None = None,
     ) -> HttpAnswer:
         """Send a request and return the whole answer."""
-        answer = self.open(method, path, body, headers)
+        answer = self.open(method, path, body, headers, may_send)
         return HttpAnswer(
             answer.status, answer.content_type, answer.read_all()
         )
 
+    def _connect(self) -> None:
+        """Have a connection ready for the next request."""
+        pool = self._client._connection_pool
+        try:
+            pool.return_socket(pool.get_socket())
+        except OSError as exc:
+            raise _exceptions.ConnectRefusedError(
+                self.address, str(exc)
+            ) from exc
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
@@ -226,7 +247,7 @@
         body: bytes,
         headers: Headers,
         timeout_s: float,
-        may_send: collections.abc.Callable[[], bool] = ...,
+        may_send: MaySend = ...,
     ) -> HttpAnswer:
         """Make one call on a new connection, never sent twice."""
 
@@ -238,7 +259,7 @@
     body: bytes,
     headers: Headers,
     timeout_s: float,
-    may_send: collections.abc.Callable[[], bool] = lambda: True,
+    may_send: MaySend = lambda: True,
 ) -> HttpAnswer:
     """Make one call on a new connection, never sent twice.
 
@@ -252,18 +273,18 @@
         silence_timeout_s=timeout_s,
         connections=1,
     )
-    pool = client._client._connection_pool
-    try:
-        sock = pool.get_socket()
-    except OSError as exc:
-        raise _exceptions.ConnectRefusedError(address, str(exc)) from exc
-    pool.return_socket(sock)
-    if not may_send():
-        client.close()
-        raise SendForbiddenError(address)
+    sent = False
+
+    def may_send_now() -> bool:
+        nonlocal sent
+        sent = may_send()
+        return sent
+
     try:
-        return client.call(method, path, body, headers)
+        return client.call(method, path, body, headers, may_send_now)
     except _exceptions.ConnectRefusedError as exc:
+        if not sent:
+            raise
         raise _exceptions.TargetSilentError(address, str(exc)) from exc
     finally:
         client.close()
--- a/agatewing/rig/_network.py
+++ b/agatewing/rig/_network.py
@@ -200,10 +200,17 @@
         path: str,
         body: bytes = b"",
         headers: net.Headers | None = None,
+        may_send: net.MaySend = lambda: True,
     ) -> net.HttpAnswer:
         """Make one call."""
         return self._call_once(
-            self._address, method, path, body, headers or {}, self._silence_s
+            self._address,
+            method,
+            path,
+            body,
+            headers or {},
+            self._silence_s,
+            may_send,
         )
 
 
--- a/agatewing/rig/_rig.py
+++ b/agatewing/rig/_rig.py
@@ -409,6 +409,7 @@
         node = self.nodes.get(sender)
         if target not in self.document.targets or node is None:
             return
+        self.oracle.follow(self.clock.monotonic())
         since = max(self.oracle.inactive_since(target), node.alone_at)
         late = self.clock.monotonic() - since
         if late > LEAVING_LIMIT_S:
