--- a/agatewing/bench/__main__.py
+++ b/agatewing/bench/__main__.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from agatewing.bench import _capacity
 from agatewing.bench import _entry
 from agatewing.bench import _slopes
 
@@ -14,7 +15,7 @@
 def main(argv: list[str] | None = None) -> int:
     """Measure, print and store."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=("entry", "slopes"))
+    parser.add_argument("what", choices=("entry", "slopes", "capacity"))
     parser.add_argument(
         "--store", action="store_true", help=f"write JSON to {OUT}"
     )
@@ -22,8 +23,10 @@
     if args.what == "entry":
         inventory = pathlib.Path("examples/aldeias.jsonc")
         figures = _entry.EntryBench(inventory).run()
-    else:
+    elif args.what == "slopes":
         figures = _slopes.measure_all()
+    else:
+        figures = _capacity.compute(OUT)
     for figure in figures:
         print(f"{figure.name:55s} {figure.value:12.2f} {figure.unit}")
     if args.store:
--- a/agatewing/bench/_entry.py
+++ b/agatewing/bench/_entry.py
@@ -72,16 +72,29 @@
         entry = net.HttpClient(deployment.caller_address("entry-1"))
         headers = _headers(deployment)
         ours, theirs = _Times(), _Times()
-        cpu = _cpu(deployment)
         for _ in range(REQUESTS):
             theirs.time(lambda: direct.call("GET", "/accounts/1"))
             ours.time(lambda: entry.call("GET", SERVICE_PATH, b"", headers))
-        used = _cpu(deployment) - cpu
+        used = self._used_by_calls(deployment, entry, headers)
         self._add("look-up, processor time", used / REQUESTS * 1e6, "us")
         for quantile in (50, 99):
             added = ours.at(quantile) - theirs.at(quantile)
             self._add(f"look-up, added latency p{quantile}", added, "us")
 
+    def _used_by_calls(
+        self,
+        deployment: harness.Deployment,
+        entry: net.HttpClient,
+        headers: dict[str, str],
+    ) -> float:
+        """Return the processor time of all calls, less the idle use."""
+        idle = _idle_share(deployment)
+        cpu, started = _cpu(deployment), time.monotonic()
+        for _ in range(REQUESTS):
+            entry.call("GET", SERVICE_PATH, b"", headers)
+        took = time.monotonic() - started
+        return _cpu(deployment) - cpu - idle * took
+
     def _measure_first_event(self, deployment: harness.Deployment) -> None:
         """Compare the first event through the entry with a direct one."""
         engine = next(iter(deployment.document.engines.values()))
@@ -113,9 +126,7 @@
             deployment.caller_address("entry-1"), silence_timeout_s=30.0
         )
         headers = _headers(deployment)
-        idle_from, idle_at = _cpu(deployment), time.monotonic()
-        gevent.sleep(2.0)
-        idle = (_cpu(deployment) - idle_from) / (time.monotonic() - idle_at)
+        idle = _idle_share(deployment)
         cpu, started = _cpu(deployment), time.monotonic()
         streams = [
             gevent.spawn(
@@ -219,6 +230,13 @@
     return float(deployment.status("entry-1")["cpu_s"])
 
 
+def _idle_share(deployment: harness.Deployment) -> float:
+    """Return the share of a core that the idle instance uses."""
+    cpu, started = _cpu(deployment), time.monotonic()
+    gevent.sleep(2.0)
+    return (_cpu(deployment) - cpu) / (time.monotonic() - started)
+
+
 def _memory(deployment: harness.Deployment) -> float:
     """Return the largest resident memory of the instance, in bytes."""
     return float(deployment.status("entry-1")["memory_bytes"])
--- /dev/null
+++ b/agatewing/experiment/_run.py
@@ -0,0 +1,196 @@
+"""Runs policies over deployments, scenarios and seeds; scores them."""
+
+import concurrent.futures
+import dataclasses
+import statistics
+import typing
+
+from agatewing import decisions
+from agatewing.experiment import _policies
+from agatewing.experiment import _scenarios
+from agatewing.experiment import _sim
+
+#: Seeds that policies were tuned on, and seeds held back.
+TUNING_SEEDS = (1, 2)
+HELD_BACK_SEEDS = (11, 12, 13, 14, 15)
+#: Processes of the experiment tool.
+WORKERS = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """One run to be made."""
+
+    deployment: str
+    scenario: str
+    seed: int
+    policy: str
+    load: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scored:
+    """One run with its score."""
+
+    #: What was run.
+    case: Case
+    #: What it showed.
+    outcome: _sim.Outcome
+    #: Goodput over that of the bound.
+    goodput_share: float
+    #: Role changes over those of the eager policy.
+    changes_share: float
+    #: Score by the deployment's weights.
+    score: float
+
+
+def run_case(case: Case) -> _sim.Outcome:
+    """Run one case; the bound looks for its splits first."""
+    scenario = _scenarios.SCENARIOS[case.scenario]
+    deployment = _scenarios.DEPLOYMENTS[case.deployment]
+    policy = _policies.POLICIES[case.policy]
+    splits: tuple[decisions.Counts, ...] = ()
+    if policy.roles is _policies.Roles.CLAIRVOYANT:
+        splits = best_splits(case)
+    return _sim.Simulation(
+        scenario, deployment, policy, case.seed, case.load, splits
+    ).run()
+
+
+def candidate_splits(engines: int) -> list[decisions.Counts]:
+    """Return the splits that the bound chooses among."""
+    splits = [decisions.Counts(0, 0, engines)]
+    for prefill in range(1, engines * 2 // 3 + 1):
+        rest = engines - prefill
+        splits.append(decisions.Counts(prefill, rest, 0))
+        if prefill <= engines // 2:
+            splits.append(decisions.Counts(prefill, 0, rest))
+    return splits
+
+
+def best_splits(case: Case) -> tuple[decisions.Counts, ...]:
+    """Return the best split for each phase, known in advance."""
+    scenario = _scenarios.SCENARIOS[case.scenario]
+    deployment = _scenarios.DEPLOYMENTS[case.deployment]
+    policy = _policies.POLICIES["clairvoyant"]
+    phases = len(scenario.phases)
+    best: list[tuple[int, decisions.Counts]] = []
+    for split in candidate_splits(deployment.engines):
+        outcome = _sim.Simulation(
+            scenario,
+            deployment,
+            policy,
+            case.seed,
+            case.load,
+            (split,) * phases,
+        ).run()
+        for phase, good in enumerate(outcome.good_by_phase):
+            if len(best) <= phase:
+                best.append((good, split))
+            elif good > best[phase][0]:
+                best[phase] = (good, split)
+    return tuple(split for _, split in best)
+
+
+def run_all(cases: list[Case]) -> dict[Case, _sim.Outcome]:
+    """Run cases on several processes."""
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        return dict(zip(cases, pool.map(run_case, cases), strict=True))
+
+
+def score_all(outcomes: dict[Case, _sim.Outcome]) -> list[Scored]:
+    """Score every run against the bound and the eager policy."""
+    scored = []
+    for case, outcome in outcomes.items():
+        bound = outcomes.get(dataclasses.replace(case, policy="clairvoyant"))
+        eager = outcomes.get(dataclasses.replace(case, policy="eager"))
+        if bound is None or eager is None:
+            continue
+        share = outcome.goodput / max(bound.goodput, 1e-9)
+        changes = outcome.role_changes / max(eager.role_changes, 1)
+        weight = _scenarios.DEPLOYMENTS[case.deployment].goodput_weight
+        score = weight * share - (1 - weight) * changes
+        scored.append(Scored(case, outcome, share, changes, score))
+    return scored
+
+
+def table(scored: list[Scored]) -> list[str]:
+    """Return one line for each deployment, scenario and policy."""
+    groups: dict[tuple[str, str, str], list[Scored]] = {}
+    for item in scored:
+        case = item.case
+        key = (case.deployment, case.scenario, case.policy)
+        groups.setdefault(key, []).append(item)
+    lines = [
+        f"{'deployment':10s} {'scenario':13s} {'policy':15s} "
+        f"{'goodput/s':>14s} {'of bound':>14s} {'changes':>9s} "
+        f"{'score':>7s} {'first p95':>9s} {'token p95':>9s} "
+        f"{'refused':>7s} {'late':>6s} {'jain':>6s}"
+    ]
+    for (deployment, scenario, policy), items in groups.items():
+        lines.append(
+            f"{deployment:10s} {scenario:13s} {policy:15s} "
+            f"{_spread([i.outcome.goodput for i in items]):>14s} "
+            f"{_spread([i.goodput_share for i in items], 3):>14s} "
+            f"{_mean([i.outcome.role_changes for i in items]):9.1f} "
+            f"{_mean([i.score for i in items]):7.3f} "
+            f"{_mean([i.outcome.first_p95_s for i in items]):8.2f}s "
+            f"{_mean([i.outcome.between_p95_s for i in items]) * 1e3:7.0f}ms "
+            f"{_mean([i.outcome.refused for i in items]):7.0f} "
+            f"{_mean([i.outcome.late for i in items]):6.0f} "
+            f"{_mean([i.outcome.jain for i in items]):6.3f}"
+        )
+    return lines
+
+
+def verdicts(scored: list[Scored]) -> list[str]:
+    """Return how each target is met, deployment by deployment."""
+    lines = []
+    limits = {"aldeias": (0.95, 1 / 3), "tala": (0.90, 0.1)}
+    for deployment, (least, most) in limits.items():
+        ours = [
+            s
+            for s in scored
+            if s.case.deployment == deployment and s.case.policy == "agatewing"
+        ]
+        if not ours:
+            continue
+        good = sum(s.goodput_share >= least for s in ours)
+        few = sum(s.changes_share <= most for s in ours)
+        won, lost = _compare(scored, ours)
+        lines.append(
+            f"{deployment}: goodput at least {least:.0%} of the bound in "
+            f"{good}/{len(ours)} runs (mean "
+            f"{_mean([s.goodput_share for s in ours]):.1%}, least "
+            f"{min(s.goodput_share for s in ours):.1%}); role changes at "
+            f"most {most:.0%} of eager's in {few}/{len(ours)}; score not "
+            f"below any baseline in {won}/{won + lost}"
+        )
+    return lines
+
+
+def _compare(scored: list[Scored], ours: list[Scored]) -> tuple[int, int]:
+    """Count runs in which no baseline has a better score, and others."""
+    by_case = {s.case: s for s in scored}
+    won = lost = 0
+    for item in ours:
+        others = [
+            by_case[dataclasses.replace(item.case, policy=name)].score
+            for name in _policies.BASELINES
+        ]
+        if item.score >= max(others) - 1e-9:
+            won += 1
+        else:
+            lost += 1
+    return won, lost
+
+
+def _mean(values: typing.Sequence[float]) -> float:
+    return statistics.fmean(values)
+
+
+def _spread(values: list[float], digits: int = 2) -> str:
+    """Return mean and range."""
+    low, high = min(values), max(values)
+    mean = statistics.fmean(values)
+    return f"{mean:.{digits}f} ({high - low:.{digits}f})"
--- a/agatewing/experiment/_scenarios.py
+++ b/agatewing/experiment/_scenarios.py
@@ -86,9 +86,9 @@
         return sum(phase.seconds for phase in self.phases)
 
 
-_TERSE = {"history": 0.10, "question": 3.0, "tag": 1.0}
-_HISTORIES = {"history": 0.85, "question": 0.5, "tag": 0.3}
-_DRAFTS = {"history": 0.05, "draft": 2.0, "question": 0.5}
+_TERSE = {"history": 0.12, "question": 4.5, "tag": 1.5}
+_HISTORIES = {"history": 1.2, "question": 0.6, "tag": 0.3}
+_DRAFTS = {"history": 0.05, "draft": 2.8, "question": 0.5}
 _EVEN = {"history": 0.35, "question": 1.5, "draft": 0.4, "tag": 0.5}
 _HEAVY = {"history": 1.1, "question": 1.5, "draft": 0.5, "tag": 0.5}
 
--- a/agatewing/experiment/_sim.py
+++ b/agatewing/experiment/_sim.py
@@ -60,6 +60,8 @@
     jain: float
     #: Time to the first token at p95 by caller, in seconds.
     first_p95_by_caller: dict[str, float]
+    #: Answers whole within their deadline, by phase of arrival.
+    good_by_phase: list[int]
 
 
 class _NullClient:
@@ -164,6 +166,7 @@
         )
         self._good: collections.Counter[str] = collections.Counter()
         self._asked: collections.Counter[str] = collections.Counter()
+        self._good_by_phase = [0] * len(scenario.phases)
         self._refused = 0
         self._late = 0
         self.role_changes = 0
@@ -434,6 +437,7 @@
         request, instance = job.request, job.instance
         if self._now <= request.deadline:
             self._good[request.caller] += 1
+            self._good_by_phase[self._phase_at(request.at)] += 1
         else:
             self._late += 1
         instance.lengths.observe(
@@ -540,6 +544,15 @@
             self._at(self._now + 0.1, self._resubmit, job)
         engine.jobs.clear()
 
+    def _phase_at(self, when: float) -> int:
+        """Return the number of the phase at a time."""
+        end = 0.0
+        for number, phase in enumerate(self._scenario.phases):
+            end += phase.seconds
+            if when < end:
+                return number
+        return len(self._scenario.phases) - 1
+
     def _outcome(self) -> Outcome:
         good = sum(self._good.values())
         shares = [self._good[c] / self._asked[c] for c in self._asked if c]
@@ -557,6 +570,7 @@
             _p95_s(self._between),
             jain,
             {c: _p95_s(h) for c, h in sorted(self._first_by.items())},
+            self._good_by_phase,
         )
 
 
