--- a/agatewing/_watch.py
+++ b/agatewing/_watch.py
@@ -217,6 +217,7 @@
             age,
             peers,
             instance.detector.member_count(),
+            instance.detector.named_version,
         )
 
     def _fetch_newer(self, live: list[membership.Peer]) -> None:
--- a/agatewing/membership/_detector.py
+++ b/agatewing/membership/_detector.py
@@ -144,6 +144,7 @@
         "peers",
         "changes",
         "list_seen",
+        "named_version",
     )
 
     def __init__(self, myself: Self, rng: random.Random) -> None:
@@ -166,6 +167,8 @@
         self.changes: list[Change] = []
         #: Whether the platform's list was ever read.
         self.list_seen = False
+        #: Highest configuration version that any peer ever named.
+        self.named_version = 0
 
     def leave(self) -> None:
         """Tell the others from now on that this instance leaves."""
@@ -368,6 +371,7 @@
         stood still; their age is unknown.
         """
         vouch = message.vouch
+        self.named_version = max(self.named_version, vouch.config_version)
         peer.config_version = max(peer.config_version, vouch.config_version)
         probe = self._probes.get(message.sequence)
         answers = message.kind == wire.Kind.ACK and message.target is None
--- a/agatewing/membership/_vouching.py
+++ b/agatewing/membership/_vouching.py
@@ -47,6 +47,8 @@
     peers: tuple[PeerEvidence, ...]
     #: Instances that should exist, this one included.
     members: int
+    #: Highest version that any peer ever named.
+    named_version: int = 0
 
 
 def judge(evidence: Evidence) -> Standing:
@@ -54,10 +56,9 @@
     if not evidence.version:
         return Standing.EMPTY
     heard = [p for p in evidence.peers if p.heard_age_s <= FRESH_S]
-    newest = max((p.version for p in heard), default=0)
     if evidence.log_age_s <= FRESH_S:
         return Standing.CURRENT
-    if newest > evidence.version:
+    if evidence.named_version > evidence.version:
         return Standing.STALE
     if any(p.log_age_s <= FRESH_S for p in heard):
         return Standing.CURRENT
--- a/agatewing/rig/_rig.py
+++ b/agatewing/rig/_rig.py
@@ -402,15 +402,20 @@
     def _check_leaving(self, sender: str, target: str) -> None:
         """Compare work that leaves an instance with the operators' will.
 
-        Nobody can follow a version that no running process has read, and
-        an instance that is alone cannot tell a log that is down from
-        being cut off itself.
+        Nobody can follow a version that no running process has, and an
+        instance that is alone cannot tell a log that is down from being
+        cut off itself.
         """
         node = self.nodes.get(sender)
         if target not in self.document.targets or node is None:
             return
         self.oracle.follow(self.clock.monotonic())
-        since = max(self.oracle.inactive_since(target), node.alone_at)
+        latest = max(
+            other.instance.config_keeper.applied_version
+            for other in self.nodes.values()
+            if not other.clock.paused
+        )
+        since = max(self.oracle.inactive_since(target, latest), node.alone_at)
         late = self.clock.monotonic() - since
         if late > LEAVING_LIMIT_S:
             self.violations.append(
