--- a/agatewing/rig/_oracle.py
+++ b/agatewing/rig/_oracle.py
@@ -56,6 +56,11 @@
                 return
             self.known_at[number] = now
 
+    def note_running(self, latest: int) -> None:
+        """Forget versions that no running process has any more."""
+        for number in [n for n in self.known_at if n > latest]:
+            del self.known_at[number]
+
     def inactive_since(self, target: str, latest: int) -> float:
         """Return since when a process knew to withhold new work.
 
