--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -1,8 +1,8 @@
 """Pure decisions: fairness, admission, routing, outliers and roles."""
 
 from agatewing.decisions._admission import AdmissionDecision
-from agatewing.decisions._admission import admit
 from agatewing.decisions._admission import Admit
+from agatewing.decisions._admission import admit
 from agatewing.decisions._admission import expected_wait_s
 from agatewing.decisions._admission import QueueFull
 from agatewing.decisions._admission import Queueing
@@ -28,6 +28,7 @@
 from agatewing.decisions._roles import RolePlanner
 from agatewing.decisions._roles import served_share
 from agatewing.decisions._roles import TokenDemand
+from agatewing.decisions._routing import priority_class
 from agatewing.decisions._routing import Route
 from agatewing.decisions._routing import Router
 from agatewing.decisions._routing import Single
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -9,6 +9,8 @@
 
 #: Engines sampled at random for one choice.
 SAMPLES = 3
+#: Prompt tokens of the first priority class; classes double.
+PRIORITY_STEP_TOKENS = 512
 #: Engines looked at for each one that is sampled.
 TRIES = 4
 #: Pool up to which engines are sampled in turn from a random start.
@@ -198,6 +200,11 @@
     return engine.name not in avoid
 
 
+def priority_class(tokens: int) -> int:
+    """Return a class by prompt length; a shorter prompt runs earlier."""
+    return max(0, tokens // PRIORITY_STEP_TOKENS).bit_length()
+
+
 def single_s(work: Work, engine: EngineLoad) -> float:
     """Return the expected time of the whole answer on one engine."""
     return prefill_s(work, engine) + decode_s(work, engine)
--- a/agatewing/enginemodel/_model.py
+++ b/agatewing/enginemodel/_model.py
@@ -185,6 +185,7 @@
         pending = [s for s in self.running.values() if s.prefill_left > 0]
         if not pending:
             return []
+        pending.sort(key=lambda s: s.priority)
         alone = len(pending) == len(self.running)
         spec = self.spec
         budget = float(
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -140,6 +140,9 @@
         if seed is None:
             seed = self._random.getrandbits(31)
         call = _engine_call(req.id, body, seed, int(clock.wall()))
+        call = msgspec.structs.replace(
+            call, priority=_engine_priority(body, work)
+        )
         relay = _relay.Relay(self._parts, pool, call, work, deadline)
         self._parts.events.add(
             timeline.EventKind.REQUEST_ROUTED,
@@ -353,6 +356,15 @@
     )
 
 
+def _engine_priority(
+    body: _bodies.GenerationRequest, work: decisions.Work
+) -> int:
+    """Return the engine's priority: short prompts first, then callers'."""
+    saved = max(work.cached.values(), default=0)
+    tokens = max(0, work.prompt_tokens - saved)
+    return decisions.priority_class(tokens) * 10 + body.priority
+
+
 def _engine_of(route: decisions.Route) -> str:
     """Return the engine that decodes."""
     match route:
--- a/agatewing/experiment/_sim.py
+++ b/agatewing/experiment/_sim.py
@@ -353,13 +353,18 @@
             job.request.prompt_tokens,
             output,
             job.request.blocks,
-            0,
+            self._priority(tokens),
             imported,
         )
         engine.jobs[sequence.id] = job
         engine.model.submit(sequence)
         self._start_step(engine)
 
+    def _priority(self, tokens: int) -> int:
+        if self._policy.routing is not _policies.Routing.OURS:
+            return 0
+        return decisions.priority_class(tokens)
+
     def _resubmit(self, job: _Job) -> None:
         """Route a job again whose engine took it no more."""
         if job.machine is not None:
