--- a/agatewing/experiment/_policies.py
+++ b/agatewing/experiment/_policies.py
@@ -40,7 +40,7 @@
 POLICIES = {
     p.name: p
     for p in (
-        Policy("agatewing"),
+        Policy("agatewing", static_prefill=0.4),
         Policy(
             "round robin", Routing.ROUND_ROBIN, Roles.STATIC, admission=False
         ),
