--- a/agatewing/decisions/_roles.py
+++ b/agatewing/decisions/_roles.py
@@ -12,8 +12,9 @@
 from agatewing import _types
 from agatewing.decisions import _engines
 
-#: Longest step that meets the time between tokens, in seconds.
-STEP_LIMIT_S = 0.061
+#: Longest step planned for a mixed engine, in seconds. The limit on the
+#: time between tokens is 61 ms; the answers' deadlines need shorter steps.
+STEP_LIMIT_S = 0.035
 #: Share of its capacity that an engine is planned to use.
 PLANNED_USE = 0.9
 #: Time ahead for which a change has to pay, in seconds.
@@ -21,9 +22,11 @@
 #: Time for which an engine is away at a change, in seconds.
 CHANGE_AWAY_S = 8.0
 #: Goodput share that a change must gain where role changes weigh all.
-CHANGE_PRICE = 0.5
+CHANGE_PRICE = 2.0
 #: Least time between two changes in one pool, in seconds.
 MIN_INTERVAL_S = 10.0
+#: Time for which a move has to pay before it is made, in seconds.
+PERSIST_S = 10.0
 #: Precision of the served share.
 SHARE_STEPS = 12
 
@@ -172,14 +175,23 @@
     return y <= _decode_capacity(engines, speed)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wanted:
+    """A move that pays, and since when."""
+
+    move: tuple[_types.Role, _types.Role]
+    since: float
+
+
 class RolePlanner:
     """Decides on one role change at a time, or on none."""
 
-    __slots__ = ("_policy", "_changed_at")
+    __slots__ = ("_policy", "_changed_at", "_wanted")
 
     def __init__(self, policy: Policy) -> None:
         self._policy = policy
         self._changed_at = float("-inf")
+        self._wanted: _Wanted | None = None
 
     def plan(
         self,
@@ -196,11 +208,30 @@
         if busy or (waited < MIN_INTERVAL_S and not self._policy.eager):
             return Keep(served)
         best = self._best_move(demand, engines, speed, counts, served)
-        if best is None:
+        if not self._has_lasted(best, engines, now) or best is None:
             return Keep(served)
         self._changed_at = now
+        self._wanted = None
         return best
 
+    def _has_lasted(
+        self,
+        best: ChangeRole | None,
+        engines: list[PlannedEngine],
+        now: float,
+    ) -> bool:
+        """Return whether the same move has paid for long enough."""
+        if best is None:
+            self._wanted = None
+            return False
+        old = next(e.role for e in engines if e.name == best.engine)
+        move = (old, best.role)
+        if self._wanted is None or self._wanted.move != move:
+            self._wanted = _Wanted(move, now)
+        if self._policy.eager:
+            return True
+        return now - self._wanted.since >= PERSIST_S
+
     def _best_move(
         self,
         demand: TokenDemand,
