--- a/agatewing/decisions/_roles.py
+++ b/agatewing/decisions/_roles.py
@@ -1,5 +1,8 @@
 """Plan the split of engines into roles from the demand for tokens.
 
+Engines of role decode take prompts as well, in the same small chunks as
+mixed ones; the router sends them what prefill engines cannot take.
+
 A mixed engine that prefills ``x`` and decodes ``y`` tokens a second has
 steps of ``base / (1 - per_sequence * y - x / rate)`` seconds; its batch is
 ``y`` times that, its chunk ``x`` times that.
@@ -154,25 +157,8 @@
     x = demand.prefill_tokens_per_s * share
     y = demand.decode_tokens_per_s * share
     rest = max(0.0, x - counts.prefill * prefill_capacity(speed))
-    if not counts.mixed:
-        return rest <= 0 and _decodes(counts.decode, speed, y)
-    for part in (0.0, 0.25, 0.5, 0.75, 1.0):
-        moved = min(part * y, _decode_capacity(counts.decode, speed))
-        each = (y - moved) / counts.mixed
-        if mixed_fits(speed, rest / counts.mixed, each):
-            return True
-    return False
-
-
-def _decode_capacity(engines: int, speed: _engines.Speed) -> float:
-    """Return output tokens a second of engines that only decode."""
-    step = speed.step_s(speed.slots)
-    return PLANNED_USE * engines * speed.slots / step
-
-
-def _decodes(engines: int, speed: _engines.Speed, y: float) -> bool:
-    """Return whether engines that only decode generate ``y``."""
-    return y <= _decode_capacity(engines, speed)
+    both = counts.mixed + counts.decode
+    return both > 0 and mixed_fits(speed, rest / both, y / both)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
