--- a/agatewing/experiment/_scenarios.py
+++ b/agatewing/experiment/_scenarios.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+import xxhash
+
 #: Callers of each deployment.
 CALLERS = ("a", "b", "c", "d")
 
@@ -205,6 +207,11 @@
     ]
 
 
+def _block(text: str) -> int:
+    """Return the hash of a block, the same in every process."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def _request(
     number: int, at: float, name: str, phase: Phase, rng: random.Random
 ) -> Request:
@@ -214,8 +221,8 @@
     shared = int(prompt * kind.shared) // 64
     group = rng.randrange(16)
     own = prompt // 64 - shared
-    prefix = [hash((name, group, n)) for n in range(shared)]
-    tail = [hash((number, n)) for n in range(own)]
+    prefix = [_block(f"{name} {group} {n}") for n in range(shared)]
+    tail = [_block(f"{number} {n}") for n in range(own)]
     caller = CALLERS[0]
     if rng.random() >= phase.surge_share:
         caller = rng.choice(CALLERS[1:])
