--- a/agatewing/config/_checker.py
+++ b/agatewing/config/_checker.py
@@ -12,6 +12,8 @@
 
 T = typing.TypeVar("T")
 
+#: Problem of a field that the schema does not have.
+UNKNOWN_FIELD = "unknown field"
 #: Longest document accepted, in characters.
 MAX_DOCUMENT_CHARS = 8_000_000
 
@@ -76,7 +78,7 @@
             if name not in fields and name != tag_field:
                 self.add(
                     _join(path, str(name)),
-                    "unknown field",
+                    UNKNOWN_FIELD,
                     _suggestion(str(name), fields),
                 )
         for name, field in fields.items():
--- a/agatewing/config/_loader.py
+++ b/agatewing/config/_loader.py
@@ -28,7 +28,8 @@
     shape = _checker.Checker(source)
     shape.check(Document, data, "")
     if shape.faults:
-        return result.Err(tuple(shape.faults))
+        others = _reference_faults(data, shape.faults, source)
+        return result.Err((*shape.faults, *others))
     try:
         document = msgspec.convert(data, Document)
     except msgspec.ValidationError as exc:
@@ -41,6 +42,50 @@
     return result.Ok(document)
 
 
+def _reference_faults(
+    data: object, faults: list[_checker.Fault], source: str
+) -> tuple[_checker.Fault, ...]:
+    """Return wrong names in what is left without the faulty parts."""
+    left = _without(data, faults)
+    if left is None:
+        return ()
+    try:
+        document = msgspec.convert(left, Document)
+    except msgspec.ValidationError:
+        return ()
+    return _ReferenceChecker(document, source).run()
+
+
+def _without(
+    data: object, faults: list[_checker.Fault]
+) -> dict[str, typing.Any] | None:
+    """Return a document without faulty fields, rows and rules."""
+    if not isinstance(data, dict):
+        return None
+    left = copy.deepcopy(data)
+    for fault in faults:
+        section, _, rest = fault.path.partition(".")
+        if fault.problem == _checker.UNKNOWN_FIELD:
+            _delete(left, fault.path.split("."))
+        elif section in ("engines", "targets") and rest:
+            left[section].pop(rest.split(".")[0].split("[")[0], None)
+        elif section == "rules":
+            left["rules"] = {"callers": {}}
+        else:
+            return None
+    return left
+
+
+def _delete(part: typing.Any, path: list[str]) -> None:
+    """Delete the field at a path, where there is one."""
+    for name in path[:-1]:
+        if not isinstance(part, dict):
+            return
+        part = part.get(name)
+    if isinstance(part, dict):
+        part.pop(path[-1], None)
+
+
 def decode_changed(
     old_plain: dict[str, typing.Any],
     old: Document,
--- /dev/null
+++ b/agatewing/entry/tests/test_streams.py
@@ -0,0 +1,116 @@
+"""Events are put together by position; ids hold what resuming needs."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from agatewing import _exceptions
+from agatewing import entry
+
+
+def _event(number: int, last: int) -> bytes:
+    data = b"[DONE]" if number == last else b'{"n": %d}' % number
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
+@hypothesis.given(
+    strategies.integers(1, 40),
+    strategies.integers(0, 2**32),
+    strategies.integers(1, 60),
+)
+def test_fuzz_any_splitting_gives_the_same_events(
+    last: int, seed: int, size: int
+) -> None:
+    rng = random.Random(seed)
+    whole = b": open\n\n" + b"".join(
+        _event(n, last) + (b": ping\n\n" if rng.random() < 0.2 else b"")
+        for n in range(1, last + 1)
+    )
+    assembler = entry.EventAssembler("engine")
+    out = b"".join(
+        assembler.feed(whole[at : at + size])
+        for at in range(0, len(whole), size)
+    )
+    assert out == b"".join(_event(n, last) for n in range(1, last + 1))
+    assert assembler.done and assembler.position == last
+
+
+@hypothesis.given(strategies.integers(1, 30), strategies.integers(0, 2**32))
+def test_fuzz_late_doubled_and_reordered_events(last: int, seed: int) -> None:
+    rng = random.Random(seed)
+    numbers = list(range(1, last + 1))
+    sent = numbers + rng.choices(numbers, k=last)
+    rng.shuffle(sent)
+    assembler = entry.EventAssembler("engine")
+    out = b"".join(assembler.feed(_event(n, last)) for n in sent)
+    assert out == b"".join(_event(n, last) for n in numbers)
+    assert assembler.done
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_fuzz_any_bytes_never_pass_out_of_order(data: bytes) -> None:
+    assembler = entry.EventAssembler("engine")
+    assembler.feed(data + b"\n\n" + _event(1, 9) + _event(2, 9))
+    assert assembler.position in (0, 1, 2) or assembler.position <= 12
+
+
+def test_a_broken_connection_forgets_the_unfinished_event() -> None:
+    assembler = entry.EventAssembler("engine")
+    assembler.feed(_event(1, 3) + b"id: 2\nda")
+    assembler.reconnect()
+    assert assembler.feed(_event(2, 3) + _event(3, 3)).count(b"id") == 2
+    assert assembler.done
+
+
+def test_labels_replace_positions_of_events_only() -> None:
+    block = _event(1, 3) + b'id: 2\ndata: {"t": "id: 9"}\n\n'
+    labelled = entry.label(block, b"H")
+    assert labelled == (
+        b'id: H.1\ndata: {"n": 1}\n\nid: H.2\ndata: {"t": "id: 9"}\n\n'
+    )
+
+
+HANDLE = entry.StreamHandle("shop", "e1", "s1", 5, 7, b"12345678")
+
+
+def test_a_handle_goes_round() -> None:
+    codec = entry.HandleCodec("s" * 16)
+    handle, position = codec.decode(codec.encode(HANDLE) + ".41")
+    assert handle == HANDLE and position == 41
+
+
+@pytest.mark.parametrize(
+    "event_id",
+    ["", ".", "x.1", "AAAA.1", "A" * 2_000 + ".1", "\u00e9.1", "a.-1", "a.x"],
+)
+def test_a_bad_id_is_refused(event_id: str) -> None:
+    codec = entry.HandleCodec("s" * 16)
+    with pytest.raises(_exceptions.RefusedError) as caught:
+        codec.decode(event_id)
+    assert caught.value.refusal.kind == "bad-resume-id"
+
+
+@hypothesis.given(strategies.integers(0, 200), strategies.integers(1, 255))
+def test_fuzz_a_changed_handle_is_refused(place: int, change: int) -> None:
+    codec = entry.HandleCodec("s" * 16)
+    text = codec.encode(HANDLE)
+    place %= len(text)
+    other = chr((ord(text[place]) ^ change) & 0x7F)
+    forged = text[:place] + other + text[place + 1 :]
+    hypothesis.assume(forged != text)
+    try:
+        handle, _ = codec.decode(forged + ".1")
+    except _exceptions.RefusedError:
+        return
+    assert handle == HANDLE
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_fuzz_any_body_is_refused_or_read(raw: bytes) -> None:
+    for shape in ("completions", "chat"):
+        try:
+            entry.parse_body(shape, raw)
+        except _exceptions.RefusedError as exc:
+            assert exc.refusal.kind == "bad-request"
