--- /dev/null
+++ b/agatewing/membership/tests/test_membership.py
@@ -0,0 +1,204 @@
+"""Failure detector, links and vouching."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from agatewing import membership
+from agatewing import platform_services
+from agatewing import wire
+
+NEWS = membership.News(
+    wire.Vouch(config_version=3, log_age_ms=100), [], (1, 1)
+)
+
+
+class _Net:
+    """Detectors that exchange messages; some pairs are cut."""
+
+    def __init__(self, names: str, seed: int = 1) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.nodes: dict[str, membership.Detector] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.loss = 0.0
+        for name in names:
+            self.start(name, 1)
+
+    def start(self, name: str, incarnation: int) -> None:
+        myself = membership.Self(name, incarnation, "z", name)
+        self.nodes[name] = membership.Detector(myself, self.rng)
+        rows = tuple(
+            platform_services.ListedInstance(n, "z", n, n, "live")
+            for n in self.nodes
+        )
+        for node in self.nodes.values():
+            node.apply_list(platform_services.InstanceList(rows), self.now)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            for name, node in list(self.nodes.items()):
+                for out in node.tick(self.now, NEWS):
+                    self._send(name, out)
+            self.now += 0.75
+
+    def _send(self, sender: str, out: membership.Outgoing) -> None:
+        target = out.address
+        if target not in self.nodes or self.rng.random() < self.loss:
+            return
+        if frozenset((sender, target)) in self.cuts:
+            return
+        replies = self.nodes[target].receive(
+            out.message, sender, self.now, NEWS
+        )
+        for reply in replies:
+            self._send(target, reply)
+
+    def status(self, at: str, of: str) -> int:
+        return self.nodes[at].peers[of].status
+
+
+def test_all_instances_find_each_other() -> None:
+    net = _Net("abcdef")
+    net.run(6.0)
+    for name, node in net.nodes.items():
+        assert {p.instance for p in node.live_peers()} == (
+            set("abcdef") - {name}
+        )
+
+
+def test_a_dead_instance_is_found_dead_within_seconds() -> None:
+    net = _Net("abcdef")
+    net.run(6.0)
+    del net.nodes["f"]
+    net.run(9.0)
+    assert {net.status(n, "f") for n in "abcde"} == {membership.DEAD}
+
+
+def test_an_indirect_probe_saves_a_peer_behind_one_cut_link() -> None:
+    net = _Net("abcd")
+    net.run(6.0)
+    net.cuts.add(frozenset("ab"))
+    net.run(15.0)
+    assert net.status("a", "b") != membership.DEAD
+    assert net.status("c", "b") == membership.ALIVE
+
+
+def test_lost_messages_do_not_kill() -> None:
+    net = _Net("abcdef", seed=3)
+    net.loss = 0.15
+    net.run(60.0)
+    dead = [
+        (a, b)
+        for a in net.nodes
+        for b in net.nodes
+        if a != b and net.status(a, b) == membership.DEAD
+    ]
+    assert dead == []
+
+
+def test_a_replaced_instance_is_not_its_predecessor() -> None:
+    net = _Net("abc")
+    net.run(6.0)
+    old = net.nodes["c"]
+    net.start("c", 2)
+    net.run(6.0)
+    assert net.nodes["a"].peers["c"].incarnation == 2
+    late = old.tick(net.now, NEWS)
+    for out in late:
+        assert net.nodes["a"].receive(out.message, "c", net.now, NEWS) == []
+    assert net.nodes["a"].peers["c"].incarnation == 2
+    assert net.nodes["a"].is_gone("c/1", net.now, 0.0)
+    assert net.nodes["a"].is_removed("c/1", net.now, 0.0)
+    assert not net.nodes["a"].is_gone("c/2", net.now, 0.0)
+
+
+def test_silence_alone_does_not_remove_a_process() -> None:
+    net = _Net("abc")
+    net.run(6.0)
+    del net.nodes["c"]
+    net.run(60.0)
+    node = net.nodes["a"]
+    assert node.is_gone("c/1", net.now, 20.0)
+    assert not node.is_removed("c/1", net.now, 20.0)
+    rows = tuple(
+        platform_services.ListedInstance(n, "z", n, n, "live") for n in "ab"
+    )
+    node.apply_list(platform_services.InstanceList(rows), net.now)
+    assert not node.is_removed("c/1", net.now + 19.0, 20.0)
+    assert node.is_removed("c/1", net.now + 21.0, 20.0)
+
+
+def test_an_instance_that_leaves_says_so() -> None:
+    net = _Net("abc")
+    net.run(6.0)
+    net.nodes["c"].leave()
+    net.run(3.0)
+    del net.nodes["c"]
+    assert net.status("a", "c") == membership.LEFT
+    assert net.nodes["a"].member_count() == 2
+
+
+def test_buffered_heartbeats_do_not_vouch() -> None:
+    """Found by the soak, episode 4100017."""
+    net = _Net("ab")
+    net.run(3.0)
+    late = net.nodes["b"].tick(net.now, NEWS)
+    net.now += 20.0
+    before = net.nodes["a"].peers["b"].vouched_at
+    for out in late:
+        net.nodes["a"].receive(out.message, "b", net.now, NEWS)
+    assert net.nodes["a"].peers["b"].heard_at == net.now
+    assert net.nodes["a"].peers["b"].vouched_at == before
+
+
+FRESH = membership.PeerEvidence(0.5, 0.5, 3)
+BLIND = membership.PeerEvidence(0.5, 60.0, 3)
+SILENT = membership.PeerEvidence(60.0, 60.0, 3)
+
+
+@pytest.mark.parametrize(
+    ("version", "age", "peers", "members", "named", "standing"),
+    [
+        (0, 0.1, (FRESH,), 2, 0, "empty"),
+        (3, 0.1, (), 1, 0, "current"),
+        (3, 60.0, (FRESH, SILENT), 3, 3, "current"),
+        (3, 60.0, (BLIND, BLIND), 3, 3, "outage"),
+        (3, 60.0, (BLIND, SILENT, SILENT), 4, 3, "stale"),
+        (3, 60.0, (SILENT, SILENT), 3, 3, "stale"),
+        (3, 60.0, (BLIND, BLIND), 3, 4, "stale"),
+        (3, 0.1, (BLIND,), 2, 4, "current"),
+        (3, 60.0, (), 1, 0, "outage"),
+        (3, 60.0, (BLIND, BLIND, SILENT, SILENT, SILENT), 6, 3, "stale"),
+        (3, 60.0, (BLIND, BLIND, BLIND, SILENT, SILENT), 6, 3, "outage"),
+    ],
+)
+def test_standing(
+    version: int,
+    age: float,
+    peers: tuple[membership.PeerEvidence, ...],
+    members: int,
+    named: int,
+    standing: str,
+) -> None:
+    evidence = membership.Evidence(version, age, peers, members, named)
+    assert membership.judge(evidence) == standing
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_fuzz_any_datagram_is_refused_or_read(data: bytes) -> None:
+    codec = wire.Codec("s" * 16)
+    assert codec.decode(wire.Message, data).is_err()
+    signed = codec._digest(data) + data
+    codec.decode(wire.Message, signed)
+    codec.decode(wire.StateReply, signed)
+
+
+def test_another_secret_is_refused() -> None:
+    one, other = wire.Codec("a" * 16), wire.Codec("b" * 16)
+    data = one.encode(wire.StateRequest(stream="config"))
+    assert one.decode(wire.StateRequest, data).is_ok()
+    assert other.decode(wire.StateRequest, data).is_err()
