--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,12 @@
 	CI=true $(BIN)/python -m pytest -n 5
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check agatewing tests
-	$(BIN)/flake8 agatewing tests
+	$(BIN)/ruff format --check agatewing tests conftest.py
+	$(BIN)/flake8 agatewing tests conftest.py
 	$(BIN)/mypy agatewing
 
 format: $(VENV)/.ready
-	$(BIN)/ruff format agatewing tests
+	$(BIN)/ruff format agatewing tests conftest.py
 
 fuzz: $(VENV)/.ready
 	FUZZ_SEED=$(SEED) $(BIN)/python -m pytest -k fuzz
--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -35,3 +35,4 @@
 from agatewing.decisions._routing import single_s
 from agatewing.decisions._routing import Split
 from agatewing.decisions._routing import Work
+from agatewing.decisions._service_rate import ServiceRate
--- a/agatewing/decisions/_fair_queue.py
+++ b/agatewing/decisions/_fair_queue.py
@@ -3,7 +3,7 @@
 Source: Goyal, Vin, Cheng, "Start-time Fair Queuing", 1996.
 """
 
-import collections
+import bisect
 import dataclasses
 import heapq
 import itertools
@@ -25,10 +25,17 @@
     cost: float
     #: The item itself.
     item: T
+    #: Order among the caller's own entries; lower is served first.
+    rank: float = 0.0
     #: Whether it was taken back.
     cancelled: bool = False
 
 
+def _rank(entry: Entry[typing.Any]) -> float:
+    """Return the order of an entry among its caller's."""
+    return entry.rank
+
+
 class _Flow(typing.Generic[T]):
     """Queue and virtual start time of one caller."""
 
@@ -37,7 +44,7 @@
     def __init__(self) -> None:
         self.weight = 1.0
         self.start = 0.0
-        self.entries: collections.deque[Entry[T]] = collections.deque()
+        self.entries: list[Entry[T]] = []
         self.backlog = 0.0
         self.active = False
 
@@ -78,16 +85,21 @@
         return weight / (weight + others)
 
     def push(
-        self, caller: str, weight: float, cost: float, item: T
+        self,
+        caller: str,
+        weight: float,
+        cost: float,
+        item: T,
+        rank: float = 0.0,
     ) -> Entry[T]:
-        """Queue an item of a caller."""
+        """Queue an item behind those of the caller with the same rank."""
         flow = self._flows.get(caller)
         if flow is None:
             self._drop_settled()
             flow = self._flows[caller] = _Flow()
         flow.weight = weight
-        entry = Entry(caller, cost, item)
-        flow.entries.append(entry)
+        entry = Entry(caller, cost, item, rank)
+        bisect.insort_right(flow.entries, entry, key=_rank)
         flow.backlog += cost
         self._length += 1
         self._cost += cost
@@ -117,13 +129,27 @@
         caller = self._next_caller()
         if caller is None:
             return None
-        start, _, _ = heapq.heappop(self._heap)
-        flow = self._flows[caller]
-        entry = flow.entries.popleft()
+        heapq.heappop(self._heap)
+        entry = self._take(self._flows[caller])
+        self._schedule(caller, self._flows[caller])
+        return entry
+
+    def heads(self) -> list[Entry[T]]:
+        """Return the next entry of each caller, the furthest behind first."""
+        waiting = [f for f in self._flows.values() if f.entries]
+        waiting.sort(key=lambda flow: flow.start)
+        return [flow.entries[0] for flow in waiting]
+
+    def take(self, entry: Entry[T]) -> None:
+        """Serve a caller's next entry before those of other callers."""
+        self._take(self._flows[entry.caller])
+
+    def _take(self, flow: _Flow[T]) -> Entry[T]:
+        entry = flow.entries.pop(0)
         self._account_removal(flow, entry)
-        self._virtual = max(self._virtual, start)
+        start = max(flow.start, self._virtual)
+        self._virtual = max(self._virtual, flow.start)
         flow.start = start + entry.cost / flow.weight
-        self._schedule(caller, flow)
         return entry
 
     def _next_caller(self) -> str | None:
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -21,6 +21,9 @@
 ZONE_ROUND_TRIP_S = 0.001
 #: Shortest prompt that is worth a separate prefill, in tokens.
 SPLIT_MIN_TOKENS = 512
+#: Prompts waiting in an engine beyond which it gets no more, in seconds of
+#: its work; what waits longer waits in the fair queue.
+BACKLOG_LIMIT_S = 1.0
 #: Seconds for which a full batch holds a new sequence back.
 FULL_BATCH_WAIT_S = 2.0
 
@@ -85,13 +88,19 @@
         """Return the best route, or ``None`` if no engine can be used."""
         sampled = self._sample(engines, work, avoid)
         whole = [e for e in sampled if e.role is not _types.Role.PREFILL]
-        best = self._best_single(work, whole)
+        best = self._best_single(
+            work, [e for e in whole if _has_room(work, e)]
+        )
+        split = None
+        if work.prompt_tokens >= SPLIT_MIN_TOKENS:
+            first = [
+                e
+                for e in sampled
+                if e.role is _types.Role.PREFILL and _has_room(work, e)
+            ]
+            split = self._best_split(work, first, whole)
         if best is None:
-            return self._fallback(work, engines, avoid)
-        if work.prompt_tokens < SPLIT_MIN_TOKENS:
-            return best
-        first = [e for e in sampled if e.role is _types.Role.PREFILL]
-        split = self._best_split(work, first, whole)
+            return split or self._fallback(work, engines, avoid)
         if split is None or split.expected_s > best.expected_s:
             return best
         return split
@@ -102,9 +111,14 @@
         engines: collections.abc.Sequence[EngineLoad],
         avoid: frozenset[str],
     ) -> Route | None:
-        usable = [e for e in engines if _usable(e, avoid)]
-        whole = [e for e in usable if e.role is not _types.Role.PREFILL]
-        return self._best_single(work, whole or usable)
+        """Look at every engine; prefill engines decode only alone."""
+        whole = [e for e in engines if e.role is not _types.Role.PREFILL]
+        usable = [
+            e
+            for e in whole or engines
+            if _usable(e, avoid) and _has_room(work, e)
+        ]
+        return self._best_single(work, usable)
 
     def _sample(
         self,
@@ -138,9 +152,7 @@
             engine = engines[index % count]
             if (engine.role is _types.Role.PREFILL) is not prefill:
                 continue
-            if not engine.routable or engine.credits <= 0:
-                continue
-            if engine.name in avoid:
+            if not _usable(engine, avoid):
                 continue
             if engine.ease < 1 and self._random.random() > engine.ease:
                 continue
@@ -200,6 +212,17 @@
     return engine.name not in avoid
 
 
+def _has_room(work: Work, engine: EngineLoad) -> bool:
+    """Return whether the prompt would not wait for long in the engine.
+
+    Engines process short prompts first, so only long ones wait.
+    """
+    if work.prompt_tokens < SPLIT_MIN_TOKENS:
+        return True
+    limit = BACKLOG_LIMIT_S * engine.speed.prefill_tokens_per_s
+    return engine.prefill_backlog <= limit
+
+
 def priority_class(tokens: int) -> int:
     """Return a class by prompt length; a shorter prompt runs earlier."""
     return max(0, tokens // PRIORITY_STEP_TOKENS).bit_length()
--- a/agatewing/entry/_dispatcher.py
+++ b/agatewing/entry/_dispatcher.py
@@ -1,6 +1,5 @@
 """Queues requests for engines fairly and sends them as credits allow."""
 
-import collections
 import dataclasses
 import typing
 
@@ -15,8 +14,6 @@
 
 #: Time between two looks at a queue that waits for credits, in seconds.
 PUMP_PERIOD_S = 0.02
-#: Time over which the measured rate of a queue is taken, in seconds.
-RATE_WINDOW_S = 5.0
 #: Smoothing of the calibration.
 CALIBRATION_ALPHA = 0.05
 
@@ -43,7 +40,7 @@
 class PoolQueue:
     """Requests that wait for one pool."""
 
-    __slots__ = ("queue", "calibration", "_served", "refused_late")
+    __slots__ = ("queue", "calibration", "rate", "refused_late")
 
     def __init__(self) -> None:
         #: Requests by caller.
@@ -52,20 +49,8 @@
         self.calibration = 1.0
         #: Requests that could not be answered in time any more.
         self.refused_late = 0
-        self._served: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
-
-    def note_served(self, cost: float, now: float) -> None:
-        """Count the cost of a request that was sent."""
-        self._served.append((now, cost))
-
-    def rate(self, now: float) -> float:
-        """Return engine seconds sent a second."""
-        served = self._served
-        while served and now - served[0][0] > RATE_WINDOW_S:
-            served.popleft()
-        return sum(cost for _, cost in served) / RATE_WINDOW_S
+        #: Measured rate, in engine seconds a second.
+        self.rate = decisions.ServiceRate()
 
     def observe(self, expected_s: float, actual_s: float) -> None:
         """Learn how far the estimates are off."""
@@ -133,7 +118,11 @@
         waiting = self._admit(pool, identity, work, deadline)
         queue = self.queue_of(pool)
         entry = queue.queue.push(
-            identity.name, identity.weight, self.cost(pool, work), waiting
+            identity.name,
+            identity.weight,
+            self.cost(pool, work),
+            waiting,
+            deadline - waiting.service_s,
         )
         self.pump(pool.name)
         self._waiting.set()
@@ -178,27 +167,34 @@
         if pool is None:
             self._refuse_all(queue)
             return
-        while (entry := queue.queue.peek()) is not None:
-            now = self._clock.monotonic()
+        while self._send_one(pool, queue):
+            pass
+        waiting = len(queue.queue) > 0
+        queue.rate.note_backlog(waiting, self._clock.monotonic())
+
+    def _send_one(self, pool: fleet.Pool, queue: PoolQueue) -> bool:
+        """Send, or refuse, the first request for which there is room.
+
+        A long prompt that has to wait does not hold other callers up.
+        """
+        now = self._clock.monotonic()
+        loads = pool.loads()
+        for entry in queue.queue.heads():
             waiting = entry.item
             if self._refuse_late(queue, waiting, now):
-                queue.queue.pop()
-                continue
-            route = pool.router.choose(waiting.work, pool.loads())
+                queue.queue.take(entry)
+                return True
+            route = pool.router.choose(waiting.work, loads)
             if route is None:
-                return
-            queue.queue.pop()
-            queue.note_served(entry.cost, now)
-            self._reserve(pool, route, waiting.work, now)
+                continue
+            queue.queue.take(entry)
+            queue.rate.note_sent(entry.cost, now)
+            self._reserve(pool, route)
             waiting.turn.set(route)
+            return True
+        return False
 
-    def _reserve(
-        self,
-        pool: fleet.Pool,
-        route: decisions.Route,
-        work: decisions.Work,
-        now: float,
-    ) -> None:
+    def _reserve(self, pool: fleet.Pool, route: decisions.Route) -> None:
         """Use up the credit at once; the relay counts the rest."""
         match route:
             case decisions.Single(engine=name):
@@ -263,7 +259,8 @@
         now: float,
     ) -> decisions.Queueing:
         waiting = queue.queue
-        capacity = max(engines / max(1, self.instances), queue.rate(now))
+        planned = engines / max(1, self.instances)
+        capacity = queue.rate.per_s(planned, now)
         return decisions.Queueing(
             waiting.backlog_of(identity.name),
             waiting.backlog,
--- a/agatewing/experiment/_sim.py
+++ b/agatewing/experiment/_sim.py
@@ -112,6 +112,7 @@
         self.queue: decisions.FairQueue[_Job] = decisions.FairQueue()
         self.pool = fleet.Pool("pool", rng, slots)
         self.lengths = fleet.LengthEstimate()
+        self.rate = decisions.ServiceRate()
         self.calibration = 1.0
         self.next_engine = index
         for name in engines:
@@ -257,7 +258,8 @@
         if not self._policy.admission:
             self._route_blind(job)
         elif self._admit(job):
-            instance.queue.push(request.caller, 1.0, cost, job)
+            rank = request.deadline - job.service_s
+            instance.queue.push(request.caller, 1.0, cost, job, rank)
             self._pump(instance)
 
     def _admit(self, job: _Job) -> bool:
@@ -275,7 +277,7 @@
             queue.backlog_of(request.caller),
             queue.backlog,
             queue.share_of(request.caller, 1.0),
-            len(usable) / INSTANCES,
+            instance.rate.per_s(len(usable) / INSTANCES, self._now),
             len(queue),
             4_096,
             instance.calibration,
@@ -294,20 +296,28 @@
         self._at(self._now + PUMP_S, self._pump_all)
 
     def _pump(self, instance: _Instance) -> None:
-        while (entry := instance.queue.peek()) is not None:
+        while self._send_one(instance):
+            pass
+        instance.rate.note_backlog(len(instance.queue) > 0, self._now)
+
+    def _send_one(self, instance: _Instance) -> bool:
+        """Send, or refuse, the first request for which there is room."""
+        loads = instance.pool.loads()
+        for entry in instance.queue.heads():
             job = entry.item
             left = job.request.deadline - self._now
             if not decisions.still_worthwhile(job.service_s, left):
-                instance.queue.pop()
+                instance.queue.take(entry)
                 self._refused += 1
-                continue
-            route = instance.pool.router.choose(
-                job.work, instance.pool.loads()
-            )
+                return True
+            route = instance.pool.router.choose(job.work, loads)
             if route is None:
-                return
-            instance.queue.pop()
+                continue
+            instance.queue.take(entry)
+            instance.rate.note_sent(entry.cost, self._now)
             self._send(job, route)
+            return True
+        return False
 
     def _route_blind(self, job: _Job) -> None:
         """Route as a baseline does, without credits or queues."""
@@ -378,7 +388,8 @@
         if not self._policy.admission:
             self._route_blind(job)
             return
-        job.instance.queue.push(job.request.caller, 1.0, job.cost, job)
+        rank = job.request.deadline - job.service_s
+        job.instance.queue.push(job.request.caller, 1.0, job.cost, job, rank)
         self._pump(job.instance)
 
     def _start_step(self, engine: _Engine) -> None:
