Operators' command: tests over processes; two faults mended

Cause: tests found that 'history' failed on accepted and rejected rows together, and that the time line of a target did not show who drained it. Change: tables take all columns; a drain's audit event names its target; a detail never breaks a line.

--- a/agatewing/_backend.py
+++ b/agatewing/_backend.py
@@ -36,10 +36,12 @@
         """Return whether new requests are welcome."""
         return self._instance.gate.ready
 
-    def audit(self, operator: str, action: str) -> None:
+    def audit(self, operator: str, action: str, target: str = "") -> None:
         """Record what an operator did."""
         self._instance.events.add(
-            timeline.EventKind.AUDIT, detail=f"{operator}: {action}"
+            timeline.EventKind.AUDIT,
+            target=target,
+            detail=f"{operator}: {action}",
         )
 
     def status(self) -> admin.StatusView:
--- a/agatewing/admin/_app.py
+++ b/agatewing/admin/_app.py
@@ -91,7 +91,7 @@
     def ready(self) -> bool:
         """Return whether new requests are welcome."""
 
-    def audit(self, operator: str, action: str) -> None:
+    def audit(self, operator: str, action: str, target: str = "") -> None:
         """Record what an operator did."""
 
 
@@ -227,6 +227,7 @@
     ) -> collections.abc.Iterable[bytes]:
         """Publish a state; a lost race starts again from the winner."""
         body = _decode(environ, DrainBody)
+        self._backend.audit(author, f"set {body.state}", body.target)
         for _ in range(DRAIN_TRIES):
             version, document = self._backend.config()
             section = _section_of(document, body.target)
--- a/agatewing/timeline/_merge.py
+++ b/agatewing/timeline/_merge.py
@@ -126,5 +126,5 @@
         event.target,
         event.lease,
         f"v{event.version}" if event.version else "",
-        event.detail,
+        " ".join(event.detail.split()),
     ]
--- a/agatewing/tool.py
+++ b/agatewing/tool.py
@@ -352,8 +352,9 @@
     """Return rows as aligned columns."""
     if not rows:
         return "(none)"
-    columns = list(rows[0])
-    cells = [columns] + [[str(row[c]) for c in columns] for row in rows]
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [columns]
+    cells += [[str(row.get(c, "")) for c in columns] for row in rows]
     widths = [max(len(r[i]) for r in cells) for i in range(len(columns))]
     lines = [
         "  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True))
