--- a/agatewing/admin/_app.py
+++ b/agatewing/admin/_app.py
@@ -122,11 +122,11 @@
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         match [method, *path.strip("/").split("/")]:
             case ["GET", "healthz"]:
-                return _reply(start_response, 200, {"alive": True})
+                return net.reply_json(start_response, 200, {"alive": True})
             case ["GET", "readyz"]:
                 ready = self._backend.ready()
                 code = 200 if ready else 503
-                return _reply(start_response, code, {"ready": ready})
+                return net.reply_json(start_response, code, {"ready": ready})
             case ["GET", "metrics"]:
                 raw, kind = self._backend.metrics()
                 fields = [
@@ -192,7 +192,7 @@
             case _:
                 path = "/admin/v1/" + "/".join(rest)
                 raise _exceptions.RefusedError(_no_path("GET", path))
-        return _reply(start_response, 200, body)
+        return net.reply_json(start_response, 200, body)
 
     def _publish(
         self,
@@ -248,23 +248,10 @@
         body = _decision_body(publish_id, decision)
         match decision:
             case replica.Accepted():
-                return _reply(start_response, 200, body)
+                return net.reply_json(start_response, 200, body)
             case replica.Rejected():
-                return _reply(start_response, 409, body)
-        return _reply(start_response, 202, body)
-
-
-def _reply(
-    start_response: net.StartResponse, code: int, body: object
-) -> collections.abc.Iterable[bytes]:
-    """Send plain data or structs as JSON."""
-    raw = msgspec.json.encode(body)
-    fields = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(raw))),
-    ]
-    start_response(net.status_line(code), fields)
-    return [raw]
+                return net.reply_json(start_response, 409, body)
+        return net.reply_json(start_response, 202, body)
 
 
 T = typing.TypeVar("T")
--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -1,8 +1,8 @@
 """Pure decisions: fairness, admission, routing, outliers and roles."""
 
 from agatewing.decisions._admission import AdmissionDecision
-from agatewing.decisions._admission import Admit
 from agatewing.decisions._admission import admit
+from agatewing.decisions._admission import Admit
 from agatewing.decisions._admission import expected_wait_s
 from agatewing.decisions._admission import QueueFull
 from agatewing.decisions._admission import Queueing
--- a/agatewing/entry/_app.py
+++ b/agatewing/entry/_app.py
@@ -5,7 +5,6 @@
 import dataclasses
 import logging
 
-import msgspec
 
 from agatewing import _exceptions
 from agatewing import _types
@@ -88,7 +87,7 @@
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         match [method, *path.strip("/").split("/")]:
             case ["GET", "healthz"]:
-                return _reply(start_response, "200 OK", {"alive": True})
+                return net.reply_json(start_response, 200, {"alive": True})
             case ["GET", "readyz"]:
                 return self._readiness(start_response)
             case ["GET", "v1", "models"]:
@@ -147,13 +146,13 @@
     def _readiness(
         self, start_response: net.StartResponse
     ) -> collections.abc.Iterable[bytes]:
-        status = "200 OK" if self._gate.ready else "503 Service Unavailable"
+        status = 200 if self._gate.ready else 503
         body = {
             "ready": self._gate.ready,
             "phase": self._gate.phase,
             "standing": self._gate.standing,
         }
-        return _reply(start_response, status, body)
+        return net.reply_json(start_response, status, body)
 
     def _models(
         self, environ: net.Environ, start_response: net.StartResponse
@@ -168,7 +167,7 @@
             for model in service.models
         ]
         body = {"object": "list", "data": names}
-        return _reply(start_response, "200 OK", body)
+        return net.reply_json(start_response, 200, body)
 
     def _refuse(
         self,
@@ -213,19 +212,6 @@
             close()
 
 
-def _reply(
-    start_response: net.StartResponse, status: str, body: object
-) -> collections.abc.Iterable[bytes]:
-    """Send plain data as JSON."""
-    raw = msgspec.json.encode(body)
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(raw))),
-    ]
-    start_response(status, headers)
-    return [raw]
-
-
 def _no_path(method: str, path: str) -> _exceptions.Refusal:
     """Return the refusal of a path that does not exist."""
     return _exceptions.Refusal(
--- a/agatewing/experiment/__init__.py
+++ b/agatewing/experiment/__init__.py
@@ -6,5 +6,5 @@
 from agatewing.experiment._scenarios import DEPLOYMENTS
 from agatewing.experiment._scenarios import Scenario
 from agatewing.experiment._scenarios import SCENARIOS
-from agatewing.experiment._sim import Outcome
 from agatewing.experiment._sim import Simulation
+from agatewing.experiment._state import Outcome
--- a/agatewing/experiment/_run.py
+++ b/agatewing/experiment/_run.py
@@ -9,6 +9,7 @@
 from agatewing.experiment import _policies
 from agatewing.experiment import _scenarios
 from agatewing.experiment import _sim
+from agatewing.experiment import _state
 
 #: Seeds that policies were tuned on, and seeds held back.
 TUNING_SEEDS = (1, 2)
@@ -35,7 +36,7 @@
     #: What was run.
     case: Case
     #: What it showed.
-    outcome: _sim.Outcome
+    outcome: _state.Outcome
     #: Goodput over that of the bound.
     goodput_share: float
     #: Role changes over those of the eager policy.
@@ -44,7 +45,7 @@
     score: float
 
 
-def run_case(case: Case) -> _sim.Outcome:
+def run_case(case: Case) -> _state.Outcome:
     """Run one case; the bound looks for its splits first."""
     scenario = _scenarios.SCENARIOS[case.scenario]
     deployment = _scenarios.DEPLOYMENTS[case.deployment]
@@ -92,13 +93,13 @@
     return tuple(split for _, split in best)
 
 
-def run_all(cases: list[Case]) -> dict[Case, _sim.Outcome]:
+def run_all(cases: list[Case]) -> dict[Case, _state.Outcome]:
     """Run cases on several processes."""
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
         return dict(zip(cases, pool.map(run_case, cases), strict=True))
 
 
-def score_all(outcomes: dict[Case, _sim.Outcome]) -> list[Scored]:
+def score_all(outcomes: dict[Case, _state.Outcome]) -> list[Scored]:
     """Score every run against the bound and the eager policy."""
     scored = []
     for case, outcome in outcomes.items():
--- a/agatewing/membership/_detector.py
+++ b/agatewing/membership/_detector.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 
+from agatewing.membership import _peers
 from agatewing import platform_services
 from agatewing import wire
 
@@ -28,82 +29,6 @@
 #: Time that dead and left instances are remembered, in seconds.
 FORGET_AFTER_S = 120.0
 
-ALIVE = wire.Status.ALIVE
-SUSPECT = wire.Status.SUSPECT
-DEAD = wire.Status.DEAD
-LEFT = wire.Status.LEFT
-
-
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """Another instance, as known here."""
-
-    #: Name of the instance.
-    instance: str
-    #: Address of its links, ``IP:port``.
-    address: str
-    #: Availability zone.
-    zone: str = ""
-    #: Incarnation; 0 until it was heard of.
-    incarnation: int = 0
-    #: Status.
-    status: int = ALIVE
-    #: Number of suspicions that it refuted.
-    refutation: int = 0
-    #: Monotonic time of the last message from it.
-    heard_at: float = float("-inf")
-    #: Monotonic time at which the last probe it answered was sent.
-    vouched_at: float = float("-inf")
-    #: Monotonic time of the last change of status.
-    changed_at: float = 0.0
-    #: Configuration version it last named.
-    config_version: int = 0
-    #: Monotonic time at which it knew the log's end.
-    log_ok_at: float = float("-inf")
-    #: Work it reported, by engine pool.
-    demand: dict[str, wire.Demand] = dataclasses.field(default_factory=dict)
-    #: Whether the platform lists it.
-    listed: bool = False
-    #: Monotonic time since which the platform does not list it.
-    unlisted_at: float = float("inf")
-
-    @property
-    def process(self) -> str:
-        """The process, as ``instance/incarnation``."""
-        return f"{self.instance}/{self.incarnation}"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A message to send."""
-
-    #: Address, ``IP:port``.
-    address: str
-    #: The message.
-    message: wire.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A peer's new status."""
-
-    #: The process, as ``instance/incarnation``.
-    process: str
-    #: Its status.
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class News:
-    """What every message says about its sender."""
-
-    #: What the sender knows of log and configuration.
-    vouch: wire.Vouch
-    #: Work of the last seconds.
-    demand: list[wire.Demand]
-    #: Hybrid logical clock: wall milliseconds and counter.
-    stamp: tuple[int, int]
-
 
 @dataclasses.dataclass(slots=True)
 class _Probe:
@@ -112,20 +37,6 @@
     indirect: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Self:
-    """What an instance says about itself."""
-
-    #: Name of the instance.
-    instance: str
-    #: Incarnation of the process.
-    incarnation: int
-    #: Availability zone.
-    zone: str
-    #: Address of its links.
-    address: str
-
-
 class Detector:
     """Knows which instances are alive."""
 
@@ -147,7 +58,7 @@
         "named_version",
     )
 
-    def __init__(self, myself: Self, rng: random.Random) -> None:
+    def __init__(self, myself: _peers.Self, rng: random.Random) -> None:
         self._self = myself
         self._random = rng
         self._sequence = 0
@@ -162,9 +73,9 @@
         )
         self._names: list[str] = []
         #: Other instances by name.
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, _peers.Peer] = {}
         #: Changes of status, for the owner to take.
-        self.changes: list[Change] = []
+        self.changes: list[_peers.Change] = []
         #: Whether the platform's list was ever read.
         self.list_seen = False
         #: Highest configuration version that any peer ever named.
@@ -174,12 +85,13 @@
         """Tell the others from now on that this instance leaves."""
         self._leaving = True
 
-    def live_peers(self) -> list[Peer]:
+    def live_peers(self) -> list[_peers.Peer]:
         """Return peers that were heard of and are not known dead."""
         return [
             peer
             for peer in self.peers.values()
-            if peer.status in (ALIVE, SUSPECT) and peer.incarnation
+            if peer.status in (_peers.ALIVE, _peers.SUSPECT)
+            and peer.incarnation
         ]
 
     def member_count(self) -> int:
@@ -187,22 +99,17 @@
         expected = [
             peer
             for peer in self.peers.values()
-            if peer.status != LEFT
-            and (peer.listed or peer.status in (ALIVE, SUSPECT))
+            if peer.status != _peers.LEFT
+            and (peer.listed or peer.status in (_peers.ALIVE, _peers.SUSPECT))
         ]
         return len(expected) + 1
 
     def is_gone(self, process: str, now: float, after_s: float) -> bool:
         """Return whether a process has been dead for ``after_s``."""
-        instance, _, incarnation = process.rpartition("/")
-        if instance == self._self.instance:
-            return int(incarnation) < self._self.incarnation
-        peer = self.peers.get(instance)
-        if peer is None:
-            return self.list_seen
-        if peer.incarnation > int(incarnation):
-            return True
-        if peer.status not in (DEAD, LEFT):
+        peer = self._peer_of(process)
+        if isinstance(peer, bool):
+            return peer
+        if peer.status not in (_peers.DEAD, _peers.LEFT):
             return False
         return now - peer.changed_at >= after_s
 
@@ -213,15 +120,20 @@
         incarnation at the same address is one, since two processes
         cannot hold the same ports.
         """
+        peer = self._peer_of(process)
+        if isinstance(peer, bool):
+            return peer
+        return now - peer.unlisted_at >= after_s
+
+    def _peer_of(self, process: str) -> _peers.Peer | bool:
+        """Return the peer that runs a process, or whether it surely ended."""
         instance, _, incarnation = process.rpartition("/")
         if instance == self._self.instance:
             return int(incarnation) < self._self.incarnation
         peer = self.peers.get(instance)
         if peer is None:
             return self.list_seen
-        if peer.incarnation > int(incarnation):
-            return True
-        return now - peer.unlisted_at >= after_s
+        return True if peer.incarnation > int(incarnation) else peer
 
     def apply_list(
         self, listed: platform_services.InstanceList, now: float
@@ -235,7 +147,7 @@
                 continue
             peer = self.peers.get(row.instance)
             if peer is None:
-                peer = Peer(row.instance, row.peer_address, row.zone)
+                peer = _peers.Peer(row.instance, row.peer_address, row.zone)
                 peer.changed_at = now
                 self.peers[row.instance] = peer
             peer.listed = True
@@ -252,14 +164,18 @@
     def _forget(self, now: float) -> None:
         for name, peer in list(self.peers.items()):
             old = now - peer.changed_at > FORGET_AFTER_S
-            if peer.status in (DEAD, LEFT) and old and not peer.listed:
+            if (
+                peer.status in (_peers.DEAD, _peers.LEFT)
+                and old
+                and not peer.listed
+            ):
                 del self.peers[name]
 
     def tick(
         self,
         now: float,
-        news: News,
-    ) -> list[Outgoing]:
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
         """Return the messages of one round of probes."""
         out = self._check_probes(now, news)
         self._check_suspects(now)
@@ -267,7 +183,7 @@
             self._sequence += 1
             self._probes[self._sequence] = _Probe(peer.instance, now)
             message = self._message(wire.Kind.PING, self._sequence, news)
-            out.append(Outgoing(peer.address, message))
+            out.append(_peers.Outgoing(peer.address, message))
         return out
 
     def receive(
@@ -275,8 +191,8 @@
         message: wire.Message,
         source: str,
         now: float,
-        news: News,
-    ) -> list[Outgoing]:
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
         """Take a message in; return the messages that it calls for."""
         if message.sender.instance == self._self.instance:
             return []
@@ -288,19 +204,19 @@
             return self._acknowledge(message, now, news)
         if message.kind == wire.Kind.PING:
             answer = self._message(wire.Kind.ACK, message.sequence, news)
-            return [Outgoing(source, answer)]
+            return [_peers.Outgoing(source, answer)]
         if message.kind == wire.Kind.PING_REQ and message.target:
             return self._relay(message, source, now, news)
         return []
 
-    def _next_peers(self) -> list[Peer]:
-        chosen: list[Peer] = []
+    def _next_peers(self) -> list[_peers.Peer]:
+        chosen: list[_peers.Peer] = []
         for _ in range(min(FANOUT, len(self.peers))):
             if not self._round:
                 self._round = list(self.peers)
                 self._random.shuffle(self._round)
             peer = self.peers.get(self._round.pop())
-            if peer is not None and peer.status != LEFT:
+            if peer is not None and peer.status != _peers.LEFT:
                 chosen.append(peer)
         return chosen
 
@@ -308,7 +224,7 @@
         self,
         kind: int,
         sequence: int,
-        news: News,
+        news: _peers.News,
         target: wire.Member | None = None,
     ) -> wire.Message:
         return wire.Message(
@@ -329,7 +245,7 @@
             incarnation=self._self.incarnation,
             zone=self._self.zone,
             address=self._self.address,
-            status=LEFT if self._leaving else ALIVE,
+            status=_peers.LEFT if self._leaving else _peers.ALIVE,
             refutation=self._refutation,
         )
 
@@ -348,13 +264,13 @@
         sender = message.sender
         peer = self.peers.get(sender.instance)
         if peer is None:
-            peer = Peer(sender.instance, sender.address, sender.zone)
+            peer = _peers.Peer(sender.instance, sender.address, sender.zone)
             self.peers[sender.instance] = peer
         if sender.incarnation < peer.incarnation:
             return False
         if sender.incarnation > peer.incarnation:
             self._replace(peer, sender, now)
-        if peer.status == LEFT and sender.status != LEFT:
+        if peer.status == _peers.LEFT and sender.status != _peers.LEFT:
             return False
         peer.heard_at = now
         peer.address = sender.address
@@ -364,7 +280,7 @@
         self._set_status(peer, sender.status, now)
         return True
 
-    def _note_vouch(self, peer: Peer, message: wire.Message) -> None:
+    def _note_vouch(self, peer: _peers.Peer, message: wire.Message) -> None:
         """Take what a peer vouches for, as of the probe that it answers.
 
         Other messages may have waited in a buffer while this process
@@ -382,7 +298,9 @@
             log_ok_at = probe.sent_at - vouch.log_age_ms / 1000
             peer.log_ok_at = max(peer.log_ok_at, log_ok_at)
 
-    def _replace(self, peer: Peer, member: wire.Member, now: float) -> None:
+    def _replace(
+        self, peer: _peers.Peer, member: wire.Member, now: float
+    ) -> None:
         peer.incarnation = member.incarnation
         peer.refutation = member.refutation
         peer.address = member.address
@@ -394,16 +312,16 @@
         peer.status = 0
         self._set_status(peer, member.status, now)
 
-    def _set_status(self, peer: Peer, status: int, now: float) -> None:
+    def _set_status(self, peer: _peers.Peer, status: int, now: float) -> None:
         if peer.status != status:
             peer.status = status
             peer.changed_at = now
             if peer.instance not in self._recent:
                 self._recent.append(peer.instance)
             self._suspects.discard(peer.instance)
-            if status == SUSPECT:
+            if status == _peers.SUSPECT:
                 self._suspects.add(peer.instance)
-            self.changes.append(Change(peer.process, status))
+            self.changes.append(_peers.Change(peer.process, status))
 
     def _merge(self, member: wire.Member, now: float) -> None:
         if member.instance == self._self.instance:
@@ -411,30 +329,33 @@
             return
         peer = self.peers.get(member.instance)
         if peer is None:
-            if member.status in (DEAD, LEFT):
+            if member.status in (_peers.DEAD, _peers.LEFT):
                 return
-            peer = Peer(member.instance, member.address, member.zone)
+            peer = _peers.Peer(member.instance, member.address, member.zone)
             self.peers[member.instance] = peer
         theirs = (member.incarnation, member.refutation, member.status)
         ours = (peer.incarnation, peer.refutation, peer.status)
         if member.incarnation > peer.incarnation:
             self._replace(peer, member, now)
-        elif theirs > ours and peer.status != LEFT:
+        elif theirs > ours and peer.status != _peers.LEFT:
             peer.refutation = member.refutation
             self._set_status(peer, member.status, now)
 
     def _refute(self, member: wire.Member) -> None:
         if member.incarnation != self._self.incarnation or self._leaving:
             return
-        if member.status != ALIVE and member.refutation >= self._refutation:
+        if (
+            member.status != _peers.ALIVE
+            and member.refutation >= self._refutation
+        ):
             self._refutation = member.refutation + 1
 
     def _acknowledge(
         self,
         message: wire.Message,
         now: float,
-        news: News,
-    ) -> list[Outgoing]:
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
         relay = self._relays.pop(message.sequence, None)
         if relay is not None:
             address, sequence, _ = relay
@@ -444,15 +365,15 @@
                 news,
                 target=message.sender,
             )
-            return [Outgoing(address, answer)]
+            return [_peers.Outgoing(address, answer)]
         probe = self._probes.pop(message.sequence, None)
         if probe is not None and message.target is not None:
             peer = self.peers.get(probe.instance)
             same = peer is not None and (
                 peer.incarnation == message.target.incarnation
             )
-            if peer is not None and same and peer.status == SUSPECT:
-                self._set_status(peer, ALIVE, now)
+            if peer is not None and same and peer.status == _peers.SUSPECT:
+                self._set_status(peer, _peers.ALIVE, now)
         return []
 
     def _relay(
@@ -460,22 +381,22 @@
         message: wire.Message,
         source: str,
         now: float,
-        news: News,
-    ) -> list[Outgoing]:
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
         self._sequence += 1
         self._relays[self._sequence] = (source, message.sequence, now)
         for key, (_, _, at) in list(self._relays.items()):
             if now - at > SUSPECT_AFTER_S:
                 del self._relays[key]
         ping = self._message(wire.Kind.PING, self._sequence, news)
-        return [Outgoing(message.target.address, ping)]
+        return [_peers.Outgoing(message.target.address, ping)]
 
     def _check_probes(
         self,
         now: float,
-        news: News,
-    ) -> list[Outgoing]:
-        out: list[Outgoing] = []
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
+        out: list[_peers.Outgoing] = []
         for sequence, probe in list(self._probes.items()):
             waited = now - probe.sent_at
             peer = self.peers.get(probe.instance)
@@ -493,10 +414,10 @@
 
     def _ask_others(
         self,
-        peer: Peer,
+        peer: _peers.Peer,
         sequence: int,
-        news: News,
-    ) -> list[Outgoing]:
+        news: _peers.News,
+    ) -> list[_peers.Outgoing]:
         others = [p for p in self.live_peers() if p is not peer]
         count = min(INDIRECT_PROBES, len(others))
         message = self._message(
@@ -506,24 +427,24 @@
             target=_describe(peer),
         )
         return [
-            Outgoing(helper.address, message)
+            _peers.Outgoing(helper.address, message)
             for helper in self._random.sample(others, count)
         ]
 
-    def _suspect(self, peer: Peer, now: float) -> None:
-        if peer.status == ALIVE:
-            self._set_status(peer, SUSPECT, now)
+    def _suspect(self, peer: _peers.Peer, now: float) -> None:
+        if peer.status == _peers.ALIVE:
+            self._set_status(peer, _peers.SUSPECT, now)
 
     def _check_suspects(self, now: float) -> None:
         for name in list(self._suspects):
             peer = self.peers.get(name)
-            if peer is None or peer.status != SUSPECT:
+            if peer is None or peer.status != _peers.SUSPECT:
                 self._suspects.discard(name)
             elif now - peer.changed_at >= DEAD_AFTER_S:
-                self._set_status(peer, DEAD, now)
+                self._set_status(peer, _peers.DEAD, now)
 
 
-def _describe(peer: Peer) -> wire.Member:
+def _describe(peer: _peers.Peer) -> wire.Member:
     """Return the wire form of a peer."""
     return wire.Member(
         instance=peer.instance,
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -13,6 +13,7 @@
 from agatewing import _clock
 from agatewing import _exceptions
 from agatewing.membership import _detector
+from agatewing.membership import _peers
 from agatewing import wire
 
 _log = logging.getLogger("agatewing.links")
@@ -25,7 +26,7 @@
 LENGTH_BYTES = 4
 
 StateSource = collections.abc.Callable[[str], wire.StateReply]
-NewsSource = collections.abc.Callable[[], _detector.News]
+NewsSource = collections.abc.Callable[[], _peers.News]
 StampSink = collections.abc.Callable[[int, int], None]
 T = typing.TypeVar("T")
 
@@ -148,7 +149,7 @@
             self._send(self._detector.tick(now, self._news()))
             self._clock.sleep(_detector.PERIOD_S)
 
-    def _send(self, outgoing: list[_detector.Outgoing]) -> None:
+    def _send(self, outgoing: list[_peers.Outgoing]) -> None:
         for item in outgoing:
             data = self._codec.encode(item.message)
             host, _, port = item.address.rpartition(":")
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -10,6 +10,7 @@
 from agatewing.net._http_client import StreamAnswer
 from agatewing.net._http_server import Application
 from agatewing.net._http_server import Environ
+from agatewing.net._http_server import reply_json
 from agatewing.net._http_server import Server
 from agatewing.net._http_server import StartResponse
 from agatewing.net._problem import CONTENT_TYPE
--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -9,6 +9,7 @@
 import gevent.pool
 from gevent import pywsgi
 import gevent.socket
+import msgspec
 
 from agatewing.net import _problem
 
@@ -26,6 +27,19 @@
 KEEP_ALIVE_S = 75.0
 
 
+def reply_json(
+    start_response: StartResponse, code: int, body: object
+) -> collections.abc.Iterable[bytes]:
+    """Send plain data or structs as JSON."""
+    raw = msgspec.json.encode(body)
+    fields = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(raw))),
+    ]
+    start_response(_problem.status_line(code), fields)
+    return [raw]
+
+
 class _BoundedReader:
     """Counts the bytes of one head and cuts it off at a limit."""
 
--- a/agatewing/net/_problem.py
+++ b/agatewing/net/_problem.py
@@ -13,6 +13,8 @@
 TYPE_PREFIX = "urn:agatewing:problem:"
 
 _REASONS = {
+    200: "OK",
+    202: "Accepted",
     400: "Bad Request",
     401: "Unauthorized",
     403: "Forbidden",
