--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(BIN)/python -m agatewing.bench slopes
 
 experiment: $(VENV)/.ready
-	$(BIN)/python -m agatewing.experiment
+	$(BIN)/python -m agatewing.experiment --store experiment
 
 bench: $(VENV)/.ready
 	$(BIN)/python -m agatewing.bench entry
