Four promises are checked inside as well; ports of tests do not collide

Cause: a last reading found that orders under a lease, one order, own answer and whole answers were named in _invariants.py and never checked, and three names that nobody used. A run of the tests on six workers then had six set-up errors: a port found free was taken before its process opened it, most likely by an outgoing connection. Change: the checks stand at the send of an order, the replay of an answer and the end of a stream; the dead names are gone; the harness takes ports below the kernel's range for outgoing connections. The whole suite was not run again.

--- a/agatewing/calls/_executor.py
+++ b/agatewing/calls/_executor.py
@@ -223,6 +223,11 @@
         match known.phase:
             case replica.CallPhase.ANSWERED:
                 assert known.answer is not None
+                self._invariants.check(
+                    _invariants.Promise.OWN_ANSWER,
+                    known.answer.key == call.scope(),
+                    f"{call.scope()} would get that of {known.answer.key}",
+                )
                 self._events.add(
                     timeline.EventKind.CALL_REPLAYED, request=call.key
                 )
--- a/agatewing/control/_orders.py
+++ b/agatewing/control/_orders.py
@@ -54,6 +54,7 @@
         "_doubt_until",
         "_invariants",
         "_call",
+        "_highest_sent",
         "delivered",
     )
 
@@ -80,6 +81,7 @@
         self._is_gone = is_gone
         self._invariants = invariants
         self._call = call_once
+        self._highest_sent: dict[str, int] = {}
         self._finished: dict[str, int] = {}
         self._settling: set[tuple[str, str]] = set()
         self._doubt_until: dict[str, float] = {}
@@ -222,11 +224,12 @@
 
         def may_send() -> bool:
             current = self._state.orders.get(order.engine)
-            return (
-                current is not None
-                and current.id == order.id
-                and self._leases.fence(order.lease) == fence
-            )
+            if current is None or current.id != order.id:
+                return False
+            if self._leases.fence(order.lease) != fence:
+                return False
+            self._check_send(order, fence)
+            return True
 
         self._events.add(
             timeline.EventKind.ORDER_DELIVERED,
@@ -254,6 +257,22 @@
             return
         self._note_answer(order, answer)
 
+    def _check_send(self, order: replica.OrderState, fence: int) -> None:
+        """Check what must hold when an order leaves the process."""
+        me = str(self._commit.author)
+        self._invariants.check(
+            _invariants.Promise.LEASED_ORDERS,
+            self._state.holds(order.lease, fence, me),
+            f"{order.lease} is not held in the log",
+        )
+        highest = self._highest_sent.get(order.engine, 0)
+        self._invariants.check(
+            _invariants.Promise.ONE_ORDER,
+            order.number >= highest,
+            f"{order.engine} gets {order.number} after {highest}",
+        )
+        self._highest_sent[order.engine] = max(highest, order.number)
+
     def _note_answer(
         self, order: replica.OrderState, answer: net.HttpAnswer
     ) -> None:
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -28,7 +28,6 @@
 FULL_BATCH_WAIT_S = 2.0
 
 EngineLoad = _engines.EngineLoad
-CacheLookup = collections.abc.Callable[[str], int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from agatewing import _exceptions
+from agatewing import _invariants
 from agatewing import _types
 from agatewing import config
 from agatewing import decisions
@@ -204,6 +205,15 @@
         start_response("200 OK", headers)
         return [raw]
 
+    def check_whole(self, stream: "_Stream", start: int, passed: int) -> None:
+        """Check that every event of an answer was passed on once."""
+        self._parts.invariants.check(
+            _invariants.Promise.WHOLE_ANSWERS,
+            start + passed == stream.last_position,
+            f"{stream.call.id}: {passed} events from {start} to "
+            f"{stream.last_position}",
+        )
+
     def finish(self, stream: "_Stream") -> None:
         """Learn from an answer that is whole."""
         req, work = stream.req, stream.work
@@ -293,12 +303,21 @@
         position = self._relay.assembler.position
         return position - 1 if self._relay.assembler.done else position
 
+    @property
+    def last_position(self) -> int:
+        """Position of the last event passed on."""
+        return self._relay.assembler.position
+
     def plain(self) -> collections.abc.Iterator[bytes]:
         """Yield blocks as engines send them."""
         try:
+            start = self._relay.assembler.position
+            passed = 0
             for block in self._relay.blocks():
                 self.engine = self._relay.engine
+                passed += block.count(b"\n\nid: ") + 1
                 yield block
+            self._owner.check_whole(self, start, passed)
             self._owner.finish(self)
         finally:
             self._owner.pump(self.pool)
--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -21,8 +21,6 @@
 
 #: Tries of a call that may be repeated.
 MAX_TRIES = 3
-#: Methods that may always be repeated.
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
 class Services:
--- a/agatewing/harness/_processes.py
+++ b/agatewing/harness/_processes.py
@@ -1,5 +1,6 @@
 """Child processes, ended by their own pid only."""
 
+import itertools
 import os
 import pathlib
 import signal
@@ -8,21 +9,34 @@
 import sys
 import time
 
+#: Ports that deployments take, below those of outgoing connections.
+FIRST_PORT = 10_000
+PORTS = 20_000
+#: Distance of the first ports of two processes.
+PORT_STRIDE = 211
+
+_next_port = itertools.count(os.getpid() * PORT_STRIDE)
+
 #: Time that a process gets to end by itself, in seconds.
 END_S = 10.0
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct loopback ports that nobody listens on now."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return distinct loopback ports that nobody listens on now.
+
+    They lie below the range from which the kernel takes ports of outgoing
+    connections, and each process starts at another place.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_next_port) % PORTS
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 class Process:
--- a/agatewing/timeline/_hlc.py
+++ b/agatewing/timeline/_hlc.py
@@ -3,8 +3,6 @@
 Source: Kulkarni et al., "Logical Physical Clocks", 2014.
 """
 
-import typing
-
 import msgspec
 
 from agatewing import _clock
@@ -46,6 +44,3 @@
         if stamp.wall_ms > wall + MAX_DRIFT_MS:
             return
         self._last = max(self._last, stamp)
-
-
-SENTINEL: typing.Final = Stamp(0, 0)
