--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -19,6 +19,7 @@
 from agatewing import config
 from agatewing import control
 from agatewing import decisions
+from agatewing import dispatch
 from agatewing import entry
 from agatewing import fleet
 from agatewing import membership
@@ -269,7 +270,7 @@
 
     def _wire_entry(self) -> None:
         limits = self.settings.limits
-        self.dispatcher = entry.Dispatcher(
+        self.dispatcher = dispatch.Dispatcher(
             self.clock, self.fleet, limits.max_queue
         )
         parts = entry.RelayParts(
--- a/agatewing/config/__init__.py
+++ b/agatewing/config/__init__.py
@@ -2,6 +2,7 @@
 
 from agatewing.config._checker import Checked
 from agatewing.config._checker import Fault
+from agatewing.config._checker import load_checked
 from agatewing.config._inventory import AtMostOnce
 from agatewing.config._inventory import Caller
 from agatewing.config._inventory import Document
--- a/agatewing/config/_checker.py
+++ b/agatewing/config/_checker.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import difflib
+import pathlib
 import types
 import typing
 
@@ -161,3 +162,29 @@
     except msgspec.ValidationError as exc:
         fault = Fault(source, "", str(exc), "correct the value")
         return result.Err((fault,))
+
+
+def read_text(path: pathlib.Path) -> Checked[str]:
+    """Read a file, or return the fault that names it."""
+    try:
+        return result.Ok(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as exc:
+        fault = Fault(
+            str(path), "", f"cannot be read: {exc}", "check the path"
+        )
+        return result.Err((fault,))
+
+
+def load_checked(kind: type[T], path: pathlib.Path) -> Checked[T]:
+    """Read a file of JSON with comments into ``kind``."""
+    match read_text(path):
+        case result.Err() as err:
+            return err
+        case result.Ok(text):
+            pass
+    match parse_text(text, str(path)):
+        case result.Err() as err:
+            return err
+        case result.Ok(data):
+            return decode(kind, data, str(path))
+    raise AssertionError("unreachable")
--- a/agatewing/config/_settings.py
+++ b/agatewing/config/_settings.py
@@ -107,14 +107,12 @@
 
 def load_settings(path: pathlib.Path) -> _checker.Checked[Settings]:
     """Read settings from a file."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        fault = _checker.Fault(
-            str(path), "", f"cannot be read: {exc}", "check the path"
-        )
-        return result.Err((fault,))
-    return parse_settings(text, str(path))
+    match _checker.read_text(path):
+        case result.Err() as err:
+            return err
+        case result.Ok(text):
+            return parse_settings(text, str(path))
+    raise AssertionError("unreachable")
 
 
 def _check_values(settings: Settings, source: str) -> list[_checker.Fault]:
--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -8,6 +8,9 @@
 from agatewing.decisions._admission import Queueing
 from agatewing.decisions._admission import still_worthwhile
 from agatewing.decisions._admission import TooLate
+from agatewing.decisions._attempts import Attempts
+from agatewing.decisions._attempts import Failure
+from agatewing.decisions._attempts import Next
 from agatewing.decisions._credits import credits
 from agatewing.decisions._credits import own_share
 from agatewing.decisions._engines import EngineLoad
@@ -16,6 +19,9 @@
 from agatewing.decisions._fair_queue import FairQueue
 from agatewing.decisions._outliers import ease
 from agatewing.decisions._outliers import Pace
+from agatewing.decisions._part_index import home
+from agatewing.decisions._part_index import PartIndex
+from agatewing.decisions._part_index import Parts
 from agatewing.decisions._prefix_index import PrefixIndex
 from agatewing.decisions._retry_budget import RetryBudget
 from agatewing.decisions._roles import ChangeRole
@@ -36,3 +42,7 @@
 from agatewing.decisions._routing import Split
 from agatewing.decisions._routing import Work
 from agatewing.decisions._service_rate import ServiceRate
+from agatewing.decisions._shared_budget import BudgetBound
+from agatewing.decisions._shared_budget import SharedRetryBudget
+from agatewing.decisions._targets import choose_target
+from agatewing.decisions._targets import TargetLoad
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -23,6 +23,9 @@
     slots: int = 32
     #: Tokens of KV cache that can be imported a second.
     import_tokens_per_s: float = 200_000.0
+    #: Share of its prefill rate at which an engine of role decode processes
+    #: prompts; 1 where roles make no difference.
+    beside_share: float = 1.0
 
     def step_s(self, sequences: float) -> float:
         """Return the time of a step that decodes ``sequences``."""
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -72,11 +72,17 @@
 class Router:
     """Scores a few sampled engines and takes the best."""
 
-    __slots__ = ("_random", "_samples")
+    __slots__ = ("_random", "_samples", "_beside_tokens")
 
-    def __init__(self, rng: random.Random, samples: int = SAMPLES) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        samples: int = SAMPLES,
+        beside_tokens: int | None = None,
+    ) -> None:
         self._random = rng
         self._samples = samples
+        self._beside_tokens = beside_tokens
 
     def choose(
         self,
@@ -88,7 +94,7 @@
         sampled = self._sample(engines, work, avoid)
         whole = [e for e in sampled if e.role is not _types.Role.PREFILL]
         best = self._best_single(
-            work, [e for e in whole if _has_room(work, e)]
+            work, [e for e in whole if self._fits_whole(work, e)]
         )
         split = None
         if work.prompt_tokens >= SPLIT_MIN_TOKENS:
@@ -104,6 +110,19 @@
             return best
         return split
 
+    def _fits_whole(self, work: Work, engine: EngineLoad) -> bool:
+        """Return whether an engine may process the prompt and decode.
+
+        Beside streams, a long prompt would hold their events up.
+        """
+        if not _has_room(work, engine):
+            return False
+        if self._beside_tokens is None:
+            return True
+        cached = work.cached.get(engine.name, 0)
+        tokens = engine.prefill_backlog + work.prompt_tokens - cached
+        return tokens <= self._beside_tokens
+
     def _fallback(
         self,
         work: Work,
@@ -247,6 +266,8 @@
 def prefill_rate(engine: EngineLoad) -> float:
     """Return prompt tokens a second beside the present decode work."""
     speed = engine.speed
+    if engine.role is _types.Role.DECODE and speed.beside_share < 1:
+        return _rate_beside(engine)
     if engine.role is _types.Role.PREFILL or not engine.sequences:
         chunk = speed.full_chunk_tokens
         step = speed.step_base_s + chunk / speed.prefill_tokens_per_s
@@ -256,6 +277,15 @@
     return chunk / (step + chunk / speed.prefill_tokens_per_s)
 
 
+def _rate_beside(engine: EngineLoad) -> float:
+    """Return the rate of an engine that prefills as a side job."""
+    speed = engine.speed
+    chunk = speed.chunk_tokens
+    rate = speed.prefill_tokens_per_s * speed.beside_share
+    step = speed.step_s(min(engine.sequences, speed.slots))
+    return chunk / (step + chunk / rate)
+
+
 def decode_s(work: Work, engine: EngineLoad) -> float:
     """Return the expected time of generating the answer."""
     speed = engine.speed
--- a/agatewing/entry/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -1,5 +1,6 @@
 """Queues requests for engines fairly and sends them as credits allow."""
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -9,8 +10,6 @@
 from agatewing import _exceptions
 from agatewing import _types
 from agatewing import decisions
-from agatewing.entry import _identity
-from agatewing import fleet
 
 #: Time between two looks at a queue that waits for credits, in seconds.
 PUMP_PERIOD_S = 0.02
@@ -18,12 +17,65 @@
 CALIBRATION_ALPHA = 0.05
 
 
+class Caller(typing.Protocol):
+    """Who a request is counted for in the fair queue."""
+
+    @property
+    def name(self) -> str:
+        """Name of the account."""
+
+    @property
+    def weight(self) -> float:
+        """Weight in the fair queue."""
+
+
+class Machine(typing.Protocol):
+    """An engine as far as the dispatcher needs it."""
+
+    @property
+    def load(self) -> decisions.EngineLoad:
+        """State for the decisions."""
+
+
+class Meter(typing.Protocol):
+    """Counts the work that callers ask for."""
+
+    def add(self, prefill: float, decode: float, now: float) -> None:
+        """Count the tokens of one request."""
+
+
+class Pool(typing.Protocol):
+    """Engines that serve the same requests."""
+
+    name: str
+    meter: Meter
+    router: decisions.Router
+
+    @property
+    def engines(self) -> collections.abc.Mapping[str, Machine]:
+        """Engines by name."""
+
+    def loads(self) -> list[decisions.EngineLoad]:
+        """Return the state of all engines for the decisions."""
+
+    def routable(self) -> collections.abc.Sequence[Machine]:
+        """Return engines that may get new work."""
+
+
+class PoolSource(typing.Protocol):
+    """Holds the pools of the configuration in force."""
+
+    @property
+    def pools(self) -> collections.abc.Mapping[str, Pool]:
+        """Pools by name."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiting:
     """A request on its way to an engine."""
 
     #: Who asks.
-    identity: _identity.Identity
+    identity: Caller
     #: What it asks of an engine.
     work: decisions.Work
     #: Monotonic time at which the answer has to be whole.
@@ -71,7 +123,7 @@
     )
 
     def __init__(
-        self, clock: _clock.Clock, machines: fleet.Fleet, limit: int
+        self, clock: _clock.Clock, machines: PoolSource, limit: int
     ) -> None:
         self._clock = clock
         self._fleet = machines
@@ -99,14 +151,14 @@
                 left = left or bool(len(queue.queue))
         return left
 
-    def queue_of(self, pool: fleet.Pool) -> PoolQueue:
+    def queue_of(self, pool: Pool) -> PoolQueue:
         """Return the queue of a pool."""
         return self.queues.setdefault(pool.name, PoolQueue())
 
     def enter(
         self,
-        pool: fleet.Pool,
-        identity: _identity.Identity,
+        pool: Pool,
+        identity: Caller,
         work: decisions.Work,
         deadline: float,
     ) -> decisions.Route:
@@ -139,8 +191,8 @@
 
     def correct(
         self,
-        pool: fleet.Pool,
-        identity: _identity.Identity,
+        pool: Pool,
+        identity: Caller,
         work: decisions.Work,
         output_tokens: int,
     ) -> None:
@@ -149,7 +201,7 @@
         cost = extra * _speed(pool).token_cost_s()
         self.queue_of(pool).queue.correct(identity.name, cost)
 
-    def cost(self, pool: fleet.Pool, work: decisions.Work) -> float:
+    def cost(self, pool: Pool, work: decisions.Work) -> float:
         """Return the engine seconds that a request takes."""
         speed = _speed(pool)
         prefill = work.prompt_tokens - _saved(work)
@@ -172,7 +224,7 @@
         waiting = len(queue.queue) > 0
         queue.rate.note_backlog(waiting, self._clock.monotonic())
 
-    def _send_one(self, pool: fleet.Pool, queue: PoolQueue) -> bool:
+    def _send_one(self, pool: Pool, queue: PoolQueue) -> bool:
         """Send, or refuse, the first request for which there is room.
 
         A long prompt that has to wait does not hold other callers up.
@@ -194,7 +246,7 @@
             return True
         return False
 
-    def _reserve(self, pool: fleet.Pool, route: decisions.Route) -> None:
+    def _reserve(self, pool: Pool, route: decisions.Route) -> None:
         """Use up the credit at once; the relay counts the rest."""
         match route:
             case decisions.Single(engine=name):
@@ -224,8 +276,8 @@
 
     def _admit(
         self,
-        pool: fleet.Pool,
-        identity: _identity.Identity,
+        pool: Pool,
+        identity: Caller,
         work: decisions.Work,
         deadline: float,
     ) -> Waiting:
@@ -254,7 +306,7 @@
     def _queueing(
         self,
         queue: PoolQueue,
-        identity: _identity.Identity,
+        identity: Caller,
         engines: int,
         now: float,
     ) -> decisions.Queueing:
@@ -272,7 +324,7 @@
         )
 
 
-def _speed(pool: fleet.Pool) -> decisions.Speed:
+def _speed(pool: Pool) -> decisions.Speed:
     """Return the speed of a typical engine of the pool."""
     for machine in pool.engines.values():
         return machine.load.speed
--- a/agatewing/entry/__init__.py
+++ b/agatewing/entry/__init__.py
@@ -5,7 +5,6 @@
 from agatewing.entry._assembler import label
 from agatewing.entry._bodies import parse_body
 from agatewing.entry._context import CallerRequest
-from agatewing.entry._dispatcher import Dispatcher
 from agatewing.entry._gate import Gate
 from agatewing.entry._gate import Phase
 from agatewing.entry._generation import Generation
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -10,11 +10,11 @@
 from agatewing import _types
 from agatewing import config
 from agatewing import decisions
+from agatewing import dispatch
 from agatewing import enginemodel
 from agatewing.entry import _assembler
 from agatewing.entry import _bodies
 from agatewing.entry import _context
-from agatewing.entry import _dispatcher
 from agatewing.entry import _identity
 from agatewing.entry import _relay
 from agatewing.entry import _resume
@@ -57,7 +57,7 @@
     def __init__(
         self,
         parts: _relay.RelayParts,
-        dispatcher: _dispatcher.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         codec: _resume.HandleCodec,
         lengths: fleet.LengthEstimate,
         rng: random.Random,
--- /dev/null
+++ b/agatewing/gateway/_machines.py
@@ -0,0 +1,279 @@
+"""Targets as one instance sees them, and the groups they form."""
+
+import collections.abc
+import random
+
+from agatewing import _clock
+from agatewing import _types
+from agatewing import decisions
+from agatewing import fleet
+from agatewing.gateway import _channel
+from agatewing.gateway import _contracts
+
+#: First and longest time for which a target that accepts no connections is
+#: left alone, in seconds; the platform removes the entry of one that is
+#: gone after three heartbeats, about four seconds.
+AVOID_FIRST_S = 0.5
+AVOID_LIMIT_S = 4.0
+#: Share of a target's connections that one instance may keep idle, on top
+#: of an equal split among instances.
+IDLE_SHARE = 0.5
+#: Time for which a target whose KV caches could not be fetched gets no
+#: prompts to prefill for others, in seconds.
+NO_CACHE_S = 3.0
+
+#: Prompt tokens that an engine processes beside streams at most. An event
+#: of 9 tokens takes 9 steps; with a chunk of 512 tokens at half the rate in
+#: each, 20 ms a step, seven chunks break a pause of 150 ms. Half of that
+#: leaves room for a second prompt from another instance.
+BESIDE_TOKENS = 1_700
+
+
+class Machine:
+    """One target with its connections and what was seen of it."""
+
+    __slots__ = (
+        "target",
+        "load",
+        "pace",
+        "channels",
+        "in_flight",
+        "failures",
+        "avoid_until",
+        "no_cache_until",
+        "waiting_since",
+        "_clock",
+    )
+
+    def __init__(
+        self,
+        target: _contracts.Target,
+        speed: decisions.Speed,
+        clock: _clock.Clock,
+    ) -> None:
+        #: Its own announcement.
+        self.target = target
+        #: State for the decisions.
+        self.load = decisions.EngineLoad(
+            target.id,
+            target.zone,
+            target.role or _types.Role.MIXED,
+            speed,
+        )
+        #: Measured pace.
+        self.pace = decisions.Pace()
+        #: Connections to it.
+        self.channels = _channel.ChannelPool(target.address, clock)
+        #: Requests sent from here and not ended.
+        self.in_flight = 0
+        #: Failures in a row.
+        self.failures = 0
+        #: Monotonic time until which it gets no new work.
+        self.avoid_until = float("-inf")
+        #: Monotonic time until which it prefills for no other engine.
+        self.no_cache_until = float("-inf")
+        #: Send times of requests that have no answer yet, by request id.
+        self.waiting_since: dict[str, float] = {}
+        self._clock = clock
+
+    def update(self, target: _contracts.Target) -> None:
+        """Take a new announcement of the same start in."""
+        self.target = target
+        if target.role is not None:
+            self.load.role = target.role
+
+    def note_failure(self) -> None:
+        """Leave the target alone for a while; longer each time."""
+        self.failures += 1
+        pause = AVOID_FIRST_S * 2 ** min(self.failures - 1, 10)
+        now = self._clock.monotonic()
+        self.avoid_until = now + min(AVOID_LIMIT_S, pause)
+
+    def note_answer(self) -> None:
+        """Trust the target again."""
+        self.failures = 0
+        self.avoid_until = float("-inf")
+
+    def note_cache_lost(self) -> None:
+        """Let the engine prefill for no other one for a while."""
+        self.no_cache_until = self._clock.monotonic() + NO_CACHE_S
+
+    @property
+    def active(self) -> bool:
+        """Whether the target announced that it takes new work."""
+        return self.target.state is _types.TargetState.ACTIVE
+
+    def usable(self, now: float) -> bool:
+        """Return whether new work may go to the target."""
+        return self.active and now >= self.avoid_until
+
+    def note_sent(self, tokens: int) -> None:
+        """Count a request sent, with its prompt tokens to process."""
+        self.in_flight += 1
+        self.load.own_sequences += 1
+        self.load.unreported_sequences += 1
+        self.load.unreported_tokens += tokens
+
+    def note_processed(self, tokens: int) -> None:
+        """Count prompt tokens as processed."""
+        self.load.unreported_tokens -= tokens
+
+    def note_ended(self, instances: int) -> None:
+        """Count the end of a request."""
+        self.in_flight -= 1
+        self.load.own_sequences -= 1
+        self.load.unreported_sequences -= 1
+        self.load.credits = decisions.credits(self.load, instances)
+
+
+class Pool:
+    """The targets of one service."""
+
+    __slots__ = ("name", "engines", "meter", "router", "instances", "facts")
+
+    def __init__(
+        self, service: _contracts.Service, router: decisions.Router
+    ) -> None:
+        #: Name of the service.
+        self.name = service.name
+        #: Targets by id.
+        self.engines: dict[str, Machine] = {}
+        #: Work asked for here.
+        self.meter = fleet.DemandMeter()
+        #: Chooses engines.
+        self.router = router
+        #: Instances that share the targets.
+        self.instances = 1
+        #: What the operators state of the service.
+        self.facts = service
+
+    def refresh(self, now: float) -> None:
+        """Bring what the decisions read up to date."""
+        paces = {name: m.pace for name, m in self.engines.items()}
+        shares = decisions.ease(paces, now)
+        for name, machine in self.engines.items():
+            load = machine.load
+            load.routable = machine.usable(now)
+            if load.role is _types.Role.PREFILL:
+                load.routable = load.routable and now >= machine.no_cache_until
+            load.ease = shares[name]
+            load.slowness = max(1.0, machine.pace.current(now))
+            load.credits = decisions.credits(load, self.instances)
+            machine.channels.keep = self._idle_limit()
+
+    def loads(self) -> list[decisions.EngineLoad]:
+        """Return the state of all engines for the decisions."""
+        return [machine.load for machine in self.engines.values()]
+
+    def routable(self) -> list[Machine]:
+        """Return engines that may get new work."""
+        return [m for m in self.engines.values() if m.load.routable]
+
+    def usable(
+        self, avoid: collections.abc.Set[str], now: float
+    ) -> list[Machine]:
+        """Return targets that may get a request, in any order."""
+        return [
+            machine
+            for name, machine in self.engines.items()
+            if name not in avoid and machine.usable(now)
+        ]
+
+    def _idle_limit(self) -> int:
+        """Return the idle connections that one instance may keep."""
+        share = self.facts.max_connections / max(1, self.instances)
+        return max(1, int(share * IDLE_SHARE))
+
+
+class Machines:
+    """Every target, grouped by service; follows the catalogue."""
+
+    __slots__ = ("_clock", "_random", "_speed", "pools", "by_id", "instances")
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        rng: random.Random,
+        speed: decisions.Speed,
+    ) -> None:
+        self._clock = clock
+        self._random = rng
+        self._speed = speed
+        #: Pools by name of the service.
+        self.pools: dict[str, Pool] = {}
+        #: Machines by id.
+        self.by_id: dict[str, Machine] = {}
+        #: Instances that share the targets.
+        self.instances = 1
+
+    def apply(
+        self,
+        services: collections.abc.Mapping[str, _contracts.Service],
+        targets: collections.abc.Mapping[str, _contracts.Target],
+    ) -> None:
+        """Follow a change of services or targets; nothing here yields."""
+        for name in list(self.by_id):
+            if name not in targets:
+                self.by_id.pop(name).channels.close()
+        for name, target in targets.items():
+            self._apply_target(name, target, services.get(target.service))
+        for name, service in services.items():
+            pool = self.pools.get(name)
+            if pool is None:
+                router = decisions.Router(
+                    self._random, beside_tokens=BESIDE_TOKENS
+                )
+                pool = self.pools[name] = Pool(service, router)
+            pool.facts = service
+            pool.instances = self.instances
+            pool.engines = {
+                key: machine
+                for key, machine in self.by_id.items()
+                if machine.target.service == name
+            }
+
+    def _apply_target(
+        self,
+        name: str,
+        target: _contracts.Target,
+        service: _contracts.Service | None,
+    ) -> None:
+        machine = self.by_id.get(name)
+        if machine is not None and _same_start(machine.target, target):
+            machine.update(target)
+            return
+        if machine is not None:
+            machine.channels.close()
+        speed = speed_of(self._speed, target, service)
+        self.by_id[name] = Machine(target, speed, self._clock)
+
+
+def speed_of(
+    typical: decisions.Speed,
+    target: _contracts.Target,
+    service: _contracts.Service | None,
+) -> decisions.Speed:
+    """Return the speed of an engine, with what the operators state."""
+    facts = service.engines if service else None
+    if facts is None:
+        return decisions.Speed(slots=max(1, target.slots))
+    imports = facts.link_bytes_per_s / max(1, facts.kv_token_bytes)
+    return decisions.Speed(
+        typical.prefill_tokens_per_s,
+        typical.step_base_s,
+        typical.step_per_sequence_s,
+        typical.chunk_tokens,
+        typical.full_chunk_tokens,
+        facts.slots,
+        max(1.0, imports),
+        typical.beside_share,
+    )
+
+
+def _same_start(old: _contracts.Target, new: _contracts.Target) -> bool:
+    """Return whether two announcements are of one start of a target."""
+    return (
+        old.address == new.address
+        and old.service == new.service
+        and old.born_ms == new.born_ms
+    )
--- /dev/null
+++ b/agatewing/gateway/_peers.py
@@ -0,0 +1,187 @@
+"""Other instances: who they are, and what they know of the log.
+
+An instance that reads the log itself asks nobody. One that cannot asks a
+few others for their snapshot, by thrift over TCP, until it can again.
+"""
+
+import logging
+import random
+import socket
+
+import gevent
+import gevent.server
+import gevent.socket
+import msgspec
+import result
+
+from agatewing import _clock
+from agatewing.gateway import _catalog
+from agatewing.gateway import _contracts
+from agatewing.gateway import _ports
+from agatewing import wire
+
+_log = logging.getLogger("agatewing.peers")
+
+#: Stream name of a snapshot in a state request.
+SNAPSHOT = "gateway-snapshot"
+#: Time for a whole exchange, in seconds.
+EXCHANGE_S = 0.6
+#: Time between two rounds of questions while the log is away, in seconds;
+#: several fit into the two seconds of a configuration or a drain.
+ASK_PERIOD_S = 0.4
+#: Peers asked in one round, so that one that is cut off too costs nothing.
+ASKED = 2
+
+
+class PeerEntry(msgspec.Struct, frozen=True):
+    """What an instance writes about itself into the log."""
+
+    # IP number and port for other instances.
+    address: str
+    # Availability zone.
+    zone: str
+
+
+class Peers:
+    """Serves snapshots and asks for them."""
+
+    __slots__ = (
+        "_name",
+        "_clock",
+        "_catalog",
+        "_codec",
+        "_random",
+        "_server",
+        "known",
+        "asked",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        clock: _clock.Clock,
+        catalog: _catalog.Catalog,
+        codec: wire.Codec,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._catalog = catalog
+        self._codec = codec
+        self._random = rng
+        self._server = gevent.server.StreamServer(address, self._serve)
+        #: Entries of other instances by name.
+        self.known: dict[str, PeerEntry] = {}
+        #: Questions asked so far.
+        self.asked = 0
+
+    def start(self) -> None:
+        """Serve questions and ask while the log is away."""
+        self._server.start()
+        gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.stop()
+
+    def take(self, record: _ports.KeyedRecord) -> None:
+        """Take the entry of an instance, or its removal."""
+        if record.key == self._name:
+            return
+        if not record.value:
+            self.known.pop(record.key, None)
+            return
+        try:
+            entry = msgspec.json.decode(record.value, type=PeerEntry)
+        except msgspec.MsgspecError as exc:
+            _log.warning(
+                "peers: entry cannot be read",
+                extra={"instance": record.key, "reason": str(exc)},
+            )
+            return
+        self.known[record.key] = entry
+
+    def take_all(
+        self, records: tuple[_ports.KeyedRecord, ...], offset: int
+    ) -> None:
+        """Take every present entry."""
+        self.known.clear()
+        for record in records:
+            self.take(record)
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(ASK_PERIOD_S)
+            self._catalog.expire()
+            if self._catalog.away and self.known:
+                self.ask_round()
+
+    def ask_round(self) -> None:
+        """Ask a few peers for their snapshots."""
+        names = sorted(self.known)
+        chosen = self._random.sample(names, min(ASKED, len(names)))
+        for name in chosen:
+            gevent.spawn(self._ask, name, self.known[name].address)
+
+    def _ask(self, name: str, address: str) -> None:
+        self.asked += 1
+        match self._fetch(address):
+            case result.Ok(snapshot):
+                self._catalog.take_snapshot(snapshot, f"peer {name}")
+            case result.Err(reason):
+                _log.info(
+                    "peers: no snapshot",
+                    extra={"instance": name, "reason": reason},
+                )
+
+    def _fetch(
+        self, address: str
+    ) -> result.Result[_contracts.Snapshot, str]:
+        host, _, port = address.rpartition(":")
+        request = wire.StateRequest(stream=SNAPSHOT)
+        try:
+            with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
+                sock = gevent.socket.create_connection((host, int(port)))
+                with sock:
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    wire.send_frame(sock, self._codec.encode(request))
+                    data = wire.read_frame(sock)
+        except (OSError, ValueError) as exc:
+            return result.Err(str(exc))
+        match self._codec.decode(wire.StateReply, data):
+            case result.Err(exc):
+                return result.Err(str(exc))
+            case result.Ok(reply):
+                pass
+        try:
+            return result.Ok(
+                msgspec.json.decode(reply.state, type=_contracts.Snapshot)
+            )
+        except msgspec.MsgspecError as exc:
+            return result.Err(str(exc))
+
+    def _serve(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        try:
+            with gevent.Timeout(EXCHANGE_S, TimeoutError("slow peer")):
+                data = wire.read_frame(sock, limit=4_096)
+                match self._codec.decode(wire.StateRequest, data):
+                    case result.Ok():
+                        wire.send_frame(sock, self._codec.encode(self.reply()))
+                    case result.Err(exc):
+                        _log.warning("peers: refused a question: %s", exc)
+        except (OSError, ValueError) as exc:
+            _log.info("peers: question ended early: %s", exc)
+        finally:
+            sock.close()
+
+    def reply(self) -> wire.StateReply:
+        """Return the snapshot as a message."""
+        snapshot = self._catalog.snapshot()
+        return wire.StateReply(
+            known=snapshot.configuration is not None,
+            through=snapshot.through,
+            state=msgspec.json.encode(snapshot),
+        )
--- /dev/null
+++ b/agatewing/gateway/_plain.py
@@ -0,0 +1,193 @@
+"""Forwards a request whose answer is passed on in one piece."""
+
+from agatewing import decisions
+from agatewing.gateway import _context
+from agatewing.gateway import _machines
+from agatewing.gateway import _messages
+from agatewing.gateway import _refusals
+from agatewing.gateway import _sender
+
+#: Share of the time left that a send gets while another may follow.
+FIRST_TRY_SHARE = 0.5
+
+
+class PlainForwarder:
+    """Handles requests to plain services."""
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: _context.Parts) -> None:
+        self._parts = parts
+
+    def handle(self, job: _context.Job) -> None:
+        """Answer one request; raises its refusal."""
+        while True:
+            machine = self._pick(job)
+            outcome = self._send(job, machine)
+            if isinstance(outcome, _messages.Answered):
+                if self._worth_another(job, outcome):
+                    continue
+                self._pass_on(job, outcome, machine)
+                return
+            self._after(job, machine, outcome)
+
+    def _pick(self, job: _context.Job) -> _machines.Machine:
+        pool = self._parts.machines.pools.get(job.service)
+        now = self._parts.clock.monotonic()
+        usable = pool.usable(job.avoid, now) if pool else []
+        if not usable:
+            if job.attempts.maybe_ran:
+                raise _context.give_up(job, "no other target is left")
+            raise _refusals.GatewayRefusedError(
+                _refusals.no_target(job.service)
+            )
+        loads = [
+            decisions.TargetLoad(
+                machine.target.id,
+                machine.target.slots,
+                machine.in_flight,
+                machine.pace.current(now),
+                machine.target.zone == self._parts.zone,
+            )
+            for machine in usable
+        ]
+        chosen = decisions.choose_target(loads, self._parts.rng)
+        return next(m for m in usable if m.target.id == chosen)
+
+    def _send(
+        self, job: _context.Job, machine: _machines.Machine
+    ) -> _messages.Outcome:
+        clock = self._parts.clock
+        now = clock.monotonic()
+        until = job.deadline
+        if job.attempts.idempotent and self._another_left(job):
+            until = now + (job.deadline - now) * FIRST_TRY_SHARE
+        facts = _messages.SendFacts(machine.target.id, job.deadline - now)
+        machine.in_flight += 1
+        try:
+            begun = self._parts.sender.begin(
+                machine, job.req, facts, until, job.attempts.idempotent
+            )
+            if not isinstance(begun, _sender.Begun):
+                self._note_pace(job, machine, begun, now)
+                return begun
+            outcome = self._parts.sender.read_body(begun, machine, until)
+        finally:
+            machine.in_flight -= 1
+        self._note_pace(job, machine, outcome, now)
+        return outcome
+
+    def _another_left(self, job: _context.Job) -> bool:
+        return job.attempts.targets + 1 < job.attempts.max_targets
+
+    def _note_pace(
+        self,
+        job: _context.Job,
+        machine: _machines.Machine,
+        outcome: _messages.Outcome,
+        started_at: float,
+    ) -> None:
+        """Learn how fast the target is, against the route's objective."""
+        if isinstance(outcome, _messages.NotSent | _messages.NotRun):
+            return
+        now = self._parts.clock.monotonic()
+        taken = now - started_at
+        objective = job.route.objective_s
+        machine.pace.observe(taken / max(objective, 1e-3), now)
+        if isinstance(outcome, _messages.TimedOut):
+            machine.note_failure()
+        elif isinstance(outcome, _messages.Answered):
+            machine.note_answer()
+
+    def _worth_another(
+        self, job: _context.Job, answer: _messages.Answered
+    ) -> bool:
+        """Return whether a failure that may be repeated is sent again."""
+        if answer.head.status < 500 or not job.attempts.idempotent:
+            return False
+        job.arrivals += 1
+        if not self._another_left(job):
+            return False
+        left = job.deadline - self._parts.clock.monotonic()
+        if left < job.route.objective_s / 2:
+            return False
+        if not _context.may_repeat(self._parts, job):
+            return False
+        job.attempts.targets += 1
+        job.attempts.maybe_ran = True
+        return True
+
+    def _after(
+        self,
+        job: _context.Job,
+        machine: _machines.Machine,
+        outcome: _messages.Outcome,
+    ) -> None:
+        """Make ready for another send, or raise the end."""
+        failure, reason = failure_of(outcome)
+        job.avoid.add(machine.target.id)
+        step = job.attempts.after(failure)
+        _context.note(
+            job,
+            "send failed",
+            target=machine.target.id,
+            failure=str(failure),
+            reason=reason,
+            next=str(step),
+        )
+        if step is not decisions.Next.ANOTHER_FREE:
+            job.arrivals += 1
+        if self._parts.clock.monotonic() >= job.deadline:
+            raise out_of_time(job, reason)
+        if step in (decisions.Next.FAIL, decisions.Next.REFUSE):
+            raise _context.give_up(job, reason)
+        if not _context.may_repeat(self._parts, job):
+            raise _context.give_up(job, f"{reason}; no retry is left")
+
+    def _pass_on(
+        self,
+        job: _context.Job,
+        answer: _messages.Answered,
+        machine: _machines.Machine,
+    ) -> None:
+        fields = without_length(answer.head.headers)
+        job.conn.answer(answer.head.status, fields, answer.body)
+        self._parts.answers[str(answer.head.status)] += 1
+        _context.note(
+            job,
+            "answered",
+            target=machine.target.id,
+            status=answer.head.status,
+        )
+
+
+def failure_of(
+    outcome: _messages.Outcome,
+) -> tuple[decisions.Failure, str]:
+    """Return the kind of a failure and its reason."""
+    match outcome:
+        case _messages.NotSent(reason=reason):
+            return decisions.Failure.NOT_SENT, reason
+        case _messages.NotRun(reason=reason):
+            return decisions.Failure.NOT_RUN, reason
+        case _messages.TimedOut(reason=reason):
+            return decisions.Failure.OVERDUE, reason
+        case _messages.Unknown(reason=reason):
+            return decisions.Failure.UNKNOWN, reason
+    raise AssertionError("an answer is no failure")
+
+
+def out_of_time(
+    job: _context.Job, reason: str
+) -> _refusals.GatewayRefusedError:
+    """Return the end of a request whose time is over."""
+    if job.attempts.maybe_ran:
+        return _refusals.GatewayRefusedError(_refusals.timed_out(reason))
+    return _refusals.GatewayRefusedError(_refusals.busy(reason))
+
+
+def without_length(
+    headers: _messages.Headers,
+) -> list[tuple[bytes, bytes]]:
+    """Return headers without the length, which is set anew."""
+    return [(k, v) for k, v in headers if k.lower() != b"content-length"]
--- /dev/null
+++ b/agatewing/gateway/_server.py
@@ -0,0 +1,219 @@
+"""Accepts callers' connections and serves their requests in order."""
+
+import collections
+import logging
+
+import gevent
+import gevent.server
+import gevent.socket
+
+from agatewing import _clock
+from agatewing import decisions
+from agatewing.gateway import _caller_conn
+from agatewing.gateway import _context
+from agatewing.gateway import _contracts
+from agatewing.gateway import _lifecycle
+from agatewing.gateway import _messages
+from agatewing.gateway import _plain
+from agatewing.gateway import _refusals
+from agatewing.gateway import _routes
+from agatewing.gateway import _streams
+
+_log = logging.getLogger("agatewing.server")
+
+#: Connections that wait for their acceptance.
+BACKLOG = 1_024
+#: Time between two looks at a stopping process, in seconds.
+END_PERIOD_S = 0.05
+
+
+class CallerServer:
+    """The port for callers."""
+
+    __slots__ = (
+        "_parts",
+        "_life",
+        "_plain",
+        "_streams",
+        "_server",
+        "_conns",
+        "refusals",
+    )
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        parts: _context.Parts,
+        life: _lifecycle.Lifecycle,
+    ) -> None:
+        self._parts = parts
+        self._life = life
+        self._plain = _plain.PlainForwarder(parts)
+        self._streams = _streams.StreamForwarder(parts)
+        self._server = gevent.server.StreamServer(
+            address, self._serve, backlog=BACKLOG
+        )
+        self._conns: set[_caller_conn.CallerConn] = set()
+        #: Refusals by kind.
+        self.refusals: collections.Counter[str] = collections.Counter()
+
+    @property
+    def port(self) -> int:
+        """Port the server listens on."""
+        return int(self._server.server_port)
+
+    def start(self) -> None:
+        """Open the port."""
+        self._server.start()
+
+    def close_port(self) -> None:
+        """Take no more connections."""
+        self._server.stop_accepting()
+        self._server.close()
+
+    def mark_closing(self) -> None:
+        """Let every connection end after its present answer."""
+        for conn in self._conns:
+            conn.closing = True
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is under way."""
+        for conn in list(self._conns):
+            if not conn.busy:
+                conn.end_idle()
+
+    def _limits(self) -> _contracts.CallerLimits:
+        configuration = self._parts.catalog.configuration
+        if configuration is None:
+            return _contracts.CallerLimits()
+        return configuration.limits
+
+    def _serve(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        conn = _caller_conn.CallerConn(
+            sock, self._parts.clock, self._parts.dialect, self._limits
+        )
+        self._conns.add(conn)
+        try:
+            conn.closing = self._life.closing
+            while self._serve_one(conn):
+                conn.closing = self._life.closing
+        except _caller_conn.CallerGoneError as exc:
+            _log.debug("server: caller left: %s", exc)
+        finally:
+            self._conns.discard(conn)
+            conn.close()
+
+    def _serve_one(self, conn: _caller_conn.CallerConn) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            req = conn.next_request()
+        except _refusals.GatewayRefusedError as exc:
+            conn.closing = True
+            self._refuse(conn, exc.refusal, "")
+            return False
+        if req is None:
+            return False
+        self._life.in_flight += 1
+        try:
+            return self._answer(conn, req)
+        finally:
+            self._life.in_flight -= 1
+            conn.busy = False
+
+    def _answer(
+        self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
+    ) -> bool:
+        try:
+            self._handle(conn, req)
+        except _refusals.GatewayRefusedError as exc:
+            if conn.started:
+                # What was sent must not look complete.
+                _log.info(
+                    "server: answer cut off",
+                    extra={"request": req.id, "reason": str(exc)},
+                )
+                return False
+            self._refuse(conn, exc.refusal, req.id)
+        except (_caller_conn.CallerGoneError, gevent.GreenletExit):
+            raise
+        except Exception:
+            # A defect must not leave the caller without an answer.
+            _log.exception("server: defect", extra={"request": req.id})
+            if conn.started:
+                return False
+            self._refuse(conn, _refusals.unknown("internal error"), req.id)
+        conn.closing = conn.closing or self._life.closing
+        return conn.finish()
+
+    def _handle(
+        self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
+    ) -> None:
+        catalog = self._parts.catalog
+        if catalog.configuration is None:
+            raise _refusals.GatewayRefusedError(_refusals.not_ready())
+        route = catalog.routes.find(req.host, req.path)
+        if route is None:
+            raise _refusals.GatewayRefusedError(
+                _refusals.not_found(req.host, req.path)
+            )
+        job = self._job(conn, req, route)
+        self._parts.budget.note_request(job.service, req.arrived_at)
+        if route.kind.streams:
+            self._streams.handle(job)
+        else:
+            self._plain.handle(job)
+
+    def _job(
+        self,
+        conn: _caller_conn.CallerConn,
+        req: _messages.CallerRequest,
+        route: _contracts.Route,
+    ) -> _context.Job:
+        allowed = route.timeout_s
+        if req.allowed_s is not None:
+            allowed = min(allowed, req.allowed_s)
+        deadline = req.arrived_at + allowed - _context.ANSWER_MARGIN_S
+        return _context.Job(
+            req,
+            conn,
+            route,
+            _routes.choose_service(route, self._parts.rng),
+            deadline,
+            decisions.Attempts(route.kind.idempotent, route.max_targets),
+        )
+
+    def _refuse(
+        self,
+        conn: _caller_conn.CallerConn,
+        refusal: _refusals.GatewayRefusal,
+        request: str,
+    ) -> None:
+        self.refusals[str(refusal.kind)] += 1
+        _log.info(
+            "server: refused",
+            extra={
+                "request": request,
+                "status": refusal.status,
+                "kind": str(refusal.kind),
+                "detail": refusal.detail,
+                "retry_after_s": refusal.retry_after_s,
+            },
+        )
+        conn.refuse(refusal)
+
+
+def wait_until_ended(
+    clock: _clock.Clock, server: CallerServer, life: _lifecycle.Lifecycle
+) -> bool:
+    """Stop in order; return whether every answer was finished."""
+    life.leave()
+    server.mark_closing()
+    while life.takes_connections:
+        clock.sleep(END_PERIOD_S)
+    server.close_port()
+    while not life.may_end():
+        server.close_idle()
+        clock.sleep(END_PERIOD_S)
+    return life.in_flight == 0
--- /dev/null
+++ b/agatewing/gateway/_settings.py
@@ -0,0 +1,105 @@
+"""Settings of a process that serves as an instance on a platform."""
+
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from agatewing import config
+
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Millis = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class RetryBound(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound on repeats over all instances."""
+
+    # Repeats for each request.
+    ratio: float = 0.2
+    # Repeats that are always allowed in a window.
+    slack: float = 50
+    # Length of the sliding window, in seconds.
+    window_s: Positive = 10
+
+
+class EngineSpeed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How fast the engines of the deployment work, from their sheet."""
+
+    # Prompt tokens a second of an engine that does nothing else.
+    prefill_tokens_per_s: Positive = 64_200
+    # Time of a step without any work, in milliseconds.
+    step_ms: Positive = 4.23
+    # Time that one sequence adds to a step, in milliseconds.
+    step_ms_per_sequence: Millis = 0.000767
+    # Prompt tokens of one step of a prefill engine.
+    chunk_tokens: int = 2_048
+    # Share of the prefill rate, and of the chunk, at a decode engine.
+    beside_rate_share: Positive = 0.5
+    beside_chunk_share: Positive = 0.25
+
+
+class GatewaySettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Everything that one process is told at its start."""
+
+    # Unique name of the instance.
+    instance: str
+    # Availability zone.
+    zone: str
+    # IP number and port for callers.
+    caller_address: str
+    # IP number and port that the balancer asks for readiness.
+    ready_address: str
+    # IP number and port for other instances.
+    peer_address: str
+    # IP number and port of the platform's log.
+    log_address: str
+    # Key that signs messages between instances.
+    peer_secret: typing.Annotated[str, msgspec.Meta(min_length=16)]
+    # Time between the order to stop and the end, in seconds.
+    stop_limit_s: Positive = 8
+    # Time for which engines keep a shared part of a prompt, in seconds.
+    cache_keep_s: Positive = 10
+    # Bound on repeats.
+    retries: RetryBound = RetryBound()
+    # Speed of engines.
+    engines: EngineSpeed = EngineSpeed()
+    # Log level, as the logging module names it.
+    log_level: str = "INFO"
+
+
+def load_gateway_settings(
+    path: pathlib.Path,
+) -> config.Checked[GatewaySettings]:
+    """Read settings from a file of JSON with comments."""
+    match config.load_checked(GatewaySettings, path):
+        case result.Err() as err:
+            return err
+        case result.Ok(settings):
+            pass
+    faults = [
+        config.Fault(
+            str(path), field, "is no address", "write it as IP:PORT"
+        )
+        for field in (
+            "caller_address",
+            "ready_address",
+            "peer_address",
+            "log_address",
+        )
+        if not _is_address(getattr(settings, field))
+    ]
+    return result.Err(tuple(faults)) if faults else result.Ok(settings)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _is_address(address: str) -> bool:
+    host, colon, port = address.rpartition(":")
+    return bool(host and colon and port.isdecimal())
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -22,8 +22,6 @@
 DATAGRAM_BYTES = 8_192
 #: Time for a whole exchange over TCP, in seconds.
 EXCHANGE_S = 3.0
-#: Bytes of the length in front of each TCP message.
-LENGTH_BYTES = 4
 
 StateSource = collections.abc.Callable[[str], wire.StateReply]
 NewsSource = collections.abc.Callable[[], _peers.News]
@@ -100,8 +98,8 @@
                 )
                 with sock:
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    _send_frame(sock, self._codec.encode(request))
-                    data = _read_frame(sock)
+                    wire.send_frame(sock, self._codec.encode(request))
+                    data = wire.read_frame(sock)
         except (OSError, ValueError) as exc:
             return result.Err(_exceptions.TargetSilentError(address, str(exc)))
         decoded = self._codec.decode(wire.StateReply, data)
@@ -115,11 +113,11 @@
     ) -> None:
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("slow peer")):
-                data = _read_frame(sock, limit=DATAGRAM_BYTES)
+                data = wire.read_frame(sock, limit=DATAGRAM_BYTES)
                 match self._codec.decode(wire.StateRequest, data):
                     case result.Ok(request):
                         reply = self._state_source(request.stream)
-                        _send_frame(sock, self._codec.encode(reply))
+                        wire.send_frame(sock, self._codec.encode(reply))
                     case result.Err(exc):
                         self.malformed += 1
                         _log.warning("links: refused a request: %s", exc)
@@ -159,29 +157,3 @@
                 _log.info("links: %s not reached: %s", item.address, exc)
                 continue
             self.sent_bytes += len(data)
-
-
-def _send_frame(sock: gevent.socket.socket, data: bytes) -> None:
-    """Send a message behind its length."""
-    sock.sendall(len(data).to_bytes(LENGTH_BYTES, "big") + data)
-
-
-def _read_frame(
-    sock: gevent.socket.socket, limit: int = wire.MAX_MESSAGE_BYTES
-) -> bytes:
-    """Read a message behind its length."""
-    length = int.from_bytes(_read_exact(sock, LENGTH_BYTES), "big")
-    if length > limit:
-        raise ValueError(f"message of {length} bytes is over {limit}")
-    return _read_exact(sock, length)
-
-
-def _read_exact(sock: gevent.socket.socket, count: int) -> bytes:
-    """Read exactly ``count`` bytes."""
-    parts = bytearray()
-    while len(parts) < count:
-        data = sock.recv(min(65_536, count - len(parts)))
-        if not data:
-            raise ConnectionResetError("connection closed early")
-        parts += data
-    return bytes(parts)
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -2,6 +2,8 @@
 
 from agatewing.wire._codec import Codec
 from agatewing.wire._codec import MAX_MESSAGE_BYTES
+from agatewing.wire._frames import read_frame
+from agatewing.wire._frames import send_frame
 from agatewing.wire.gen.peer.ttypes import Demand
 from agatewing.wire.gen.peer.ttypes import Kind
 from agatewing.wire.gen.peer.ttypes import Member
