--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -114,7 +114,7 @@
         self._inbox = _Inbox()
         self._resume = gevent.event.Event()
         self._raw = b""
-        self._owner = gevent.getcurrent()
+        self._owner: gevent.Greenlet = gevent.getcurrent()
         #: Whether a request is under way.
         self.busy = False
         #: Whether the connection ends after the present answer.
@@ -146,7 +146,7 @@
     def _interrupt(self) -> None:
         """Stop work for a caller that is not there any more."""
         if self.busy:
-            gevent.kill(self._owner, CallerGoneError, block=False)
+            self._owner.kill(CallerGoneError, block=False)
 
     def _take(self, timeout_s: float) -> bytes | None:
         data = self._inbox.take(timeout_s)
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -92,6 +92,8 @@
             )
         except (OSError, ValueError) as exc:
             raise ConnectError(f"{self.address}: {exc}") from exc
+        # The limit on connecting would hold for every later read too.
+        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -5,6 +5,12 @@
 
 from agatewing import _types
 
+#: Callers abandon a stream after the longest of these: a time in seconds, a
+#: number of objectives, a number of pauses.
+SILENCE_S = 2.0
+SILENCE_OBJECTIVES = 4
+SILENCE_GAPS = 8
+
 
 class Kind(enum.StrEnum):
     """What may be repeated of a request."""
@@ -63,6 +69,21 @@
     max_targets: int
     #: Whether requests describe a prompt for a model.
     generates: bool = False
+    #: Longest pause between events that is on time, in seconds; 0 if the
+    #: route states none.
+    gap_s: float = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """Return the silence after which callers abandon a stream.
+
+        Source: the platform's page on requests; see docs/INTERFACES.md.
+        """
+        return max(
+            SILENCE_S,
+            SILENCE_OBJECTIVES * self.objective_s,
+            SILENCE_GAPS * self.gap_s,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -102,6 +102,10 @@
         "_splitter",
         "_held",
         "_started_at",
+        "_first_at",
+        "_event_at",
+        "_longest_pause_s",
+        "_prefill_on_id",
     )
 
     def __init__(
@@ -118,6 +122,10 @@
         self._splitter = _events.EventSplitter()
         self._held: _messages.CacheHandle | None = None
         self._started_at = parts.clock.monotonic()
+        self._first_at = 0.0
+        self._event_at = 0.0
+        self._longest_pause_s = 0.0
+        self._prefill_on_id = ""
 
     def run(self, route: decisions.Route) -> None:
         """Send along the route, and along others while that is allowed."""
@@ -189,6 +197,7 @@
             machine.note_processed(tokens)
             machine.note_ended(self._pool.instances)
         if self._held is not None:
+            self._prefill_on_id = machine.target.id
             self._note_parts(machine)
             return
         self._after_prefill(machine, outcome)
@@ -285,8 +294,7 @@
             whole = self._splitter.feed(piece)
             if not whole:
                 continue
-            if meter.first_event():
-                self._note_first(machine, clock.monotonic())
+            self._note_event(machine, meter, clock.monotonic())
             if not conn.started:
                 fields = _plain.without_length(begun.head.headers)
                 conn.start(begun.head.status, fields)
@@ -334,6 +342,19 @@
         self._note_parts(machine)
         self._note_end(machine, begun.head.status)
 
+    def _note_event(
+        self, machine: _machines.Machine, meter: "_Meter", now: float
+    ) -> None:
+        """Learn from the time at which events arrive."""
+        if meter.first_event():
+            self._note_first(machine, now)
+        if self._first_at:
+            pause = now - self._event_at
+            self._longest_pause_s = max(self._longest_pause_s, pause)
+        else:
+            self._first_at = now
+        self._event_at = now
+
     def _note_first(self, machine: _machines.Machine, now: float) -> None:
         """Learn how fast the engine is, from its first event."""
         taken = now - self._started_at
@@ -355,7 +376,14 @@
             "answered",
             target=machine.target.id,
             status=status,
+            prefill=self._prefill_on_id,
+            tokens=self._work.prompt_tokens,
+            cached=self._work.cached.get(
+                self._prefill_on_id or machine.target.id, 0
+            ),
             events=self._splitter.events,
+            first_s=round(self._first_at - self._job.req.arrived_at, 4),
+            pause_s=round(self._longest_pause_s, 4),
             taken_s=round(now - self._job.req.arrived_at, 4),
         )
 
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -37,6 +37,8 @@
     # Set where requests describe a prompt; nothing has to stick.
     sticky: bool = False
     resumable: bool = False
+    # Longest pause between events, not between streams.
+    target_gap_ms: float = 0
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -187,6 +189,7 @@
         shares,
         max(1, raw.max_attempts),
         raw.sticky,
+        raw.target_gap_ms / 1_000,
     )
 
 
