--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -93,6 +93,7 @@
             self.life,
         )
         self.metrics = _metrics.Metrics()
+        self._loops: list[gevent.Greenlet] = []
         self._ready_server = net.Server(
             *_settings.split_address(settings.ready_address),
             self._serve_ready,
@@ -145,9 +146,9 @@
             follower = _follow.Follower(
                 self.platform.log, self.clock, topic, sink
             )
-            gevent.spawn(follower.run)
-        gevent.spawn(self.dispatcher.run)
-        gevent.spawn(self._announce)
+            self._loops.append(gevent.spawn(follower.run))
+        self._loops.append(gevent.spawn(self.dispatcher.run))
+        self._loops.append(gevent.spawn(self._announce))
         _log.info(
             "instance: started",
             extra={"address": self.settings.caller_address},
@@ -201,6 +202,13 @@
         _log.info("instance: stopped", extra={"cut_off": self._under_way})
         return ended
 
+    def halt(self) -> None:
+        """End at once, as a kill would; for tests in one process."""
+        gevent.killall(self._loops)
+        self.peers.stop()
+        self._ready_server.stop(timeout=0)
+        self.server.close_port()
+
     @property
     def _under_way(self) -> int:
         return self.life.in_flight
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -52,6 +52,7 @@
         "_codec",
         "_random",
         "_server",
+        "_loop",
         "known",
         "asked",
     )
@@ -71,6 +72,7 @@
         self._codec = codec
         self._random = rng
         self._server = gevent.server.StreamServer(address, self._serve)
+        self._loop: gevent.Greenlet | None = None
         #: Entries of other instances by name.
         self.known: dict[str, PeerEntry] = {}
         #: Questions asked so far.
@@ -79,11 +81,13 @@
     def start(self) -> None:
         """Serve questions and ask while the log is away."""
         self._server.start()
-        gevent.spawn(self._run)
+        self._loop = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Close the port."""
-        self._server.stop()
+        """Close the port and ask no more."""
+        if self._loop is not None:
+            self._loop.kill()
+        self._server.stop(timeout=0)
 
     def take(self, record: _ports.KeyedRecord) -> None:
         """Take the entry of an instance, or its removal."""
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -429,7 +429,7 @@
         for machine in self._pool.engines.values():
             if machine.target.address == self._held.address:
                 machine.note_cache_lost()
-        self._held = None
+        self._release()
 
     def _next_machine(self, last: _machines.Machine) -> _machines.Machine:
         if last.target.id in self._job.avoid:
--- /dev/null
+++ b/agatewing/platform/standins/__init__.py
@@ -0,0 +1,10 @@
+"""Stand-ins of the users' platform, written from its pages, for tests."""
+
+from agatewing.platform.standins._engine import Behaviour
+from agatewing.platform.standins._engine import EngineStandin
+from agatewing.platform.standins._engine import Run
+from agatewing.platform.standins._site import HOST
+from agatewing.platform.standins._site import read_reply
+from agatewing.platform.standins._site import Site
+from agatewing.platform.standins._store import StoreMode
+from agatewing.platform.standins._store import StoreStandin
--- /dev/null
+++ b/agatewing/platform/standins/_site.py
@@ -0,0 +1,230 @@
+"""A whole small site on loopback: log, targets, instances, callers."""
+
+import collections.abc
+import dataclasses
+import random
+import socket
+import typing
+
+import gevent
+import gevent.socket
+import h11
+
+from agatewing import _clock
+from agatewing import gateway
+from agatewing import platform
+from agatewing.platform.standins import _engine
+from agatewing.platform.standins import _store
+
+#: Longest time that a test waits for something to happen, in seconds.
+PATIENCE_S = 10.0
+
+HOST = "site.example"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer as a caller saw it."""
+
+    #: Status; 0 if the connection closed without an answer.
+    status: int
+    #: Headers, names in lower case.
+    headers: dict[str, str]
+    #: Body as far as it came.
+    body: bytes
+    #: Whether the body was whole.
+    whole: bool
+
+
+class Site:
+    """Log, targets and instances, taken down at its end."""
+
+    def __init__(self, settings: dict[str, typing.Any] | None = None) -> None:
+        self.store = _store.StoreStandin()
+        self.engines: dict[str, _engine.EngineStandin] = {}
+        self.instances: list[gateway.GatewayInstance] = []
+        self._settings = settings or {}
+        self._version = 0
+        self.routes: list[dict[str, typing.Any]] = []
+        self.services: list[dict[str, typing.Any]] = []
+
+    def __enter__(self) -> "Site":
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        for instance in self.instances:
+            instance.halt()
+        for engine in self.engines.values():
+            engine.stop()
+        self.store.stop()
+
+    def add_engine(
+        self,
+        name: str,
+        service: str = "chat",
+        role: str | None = "decode",
+        events: int = 3,
+    ) -> _engine.EngineStandin:
+        """Start a target and announce it."""
+        engine = _engine.EngineStandin(name, events)
+        self.engines[name] = engine
+        self.announce(name, service, role)
+        return engine
+
+    def announce(
+        self,
+        name: str,
+        service: str = "chat",
+        role: str | None = "decode",
+        **changes: object,
+    ) -> None:
+        """Write the entry of a target."""
+        entry: dict[str, object] = {
+            "service": service,
+            "address": self.engines[name].address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+        if role is not None:
+            entry["stage"] = role
+        entry.update(changes)
+        self.store.put("keyed.servers", name, entry)
+
+    def withdraw(self, name: str) -> None:
+        """Remove the entry of a target."""
+        self.store.put("keyed.servers", name, None)
+
+    def route(
+        self,
+        prefix: str,
+        kind: str,
+        service: str = "chat",
+        **changes: object,
+    ) -> None:
+        """Add a route; :meth:`publish` puts it in force."""
+        rule: dict[str, object] = {
+            "name": f"r{len(self.routes)}",
+            "host": HOST,
+            "path_prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 3_000,
+            "target_latency_ms": 500,
+            "priority": 0,
+            "service": service,
+            "max_attempts": 2,
+        }
+        rule.update(changes)
+        self.routes.append(rule)
+
+    def publish(self, **limits: object) -> int:
+        """Write the configuration; return its version."""
+        self._version += 3
+        services = [
+            {"name": name, "health_path": "/health", "max_conns": 64}
+            for name in sorted({str(r["service"]) for r in self.routes})
+        ]
+        document = {
+            "version": self._version,
+            "routes": self.routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.put("keyed.op", "config", document)
+        return self._version
+
+    def start(self, name: str = "i1") -> gateway.GatewayInstance:
+        """Start an instance and wait until it is ready."""
+        raw: dict[str, typing.Any] = {
+            "instance": name,
+            "zone": "z1",
+            "caller_address": _free_address(),
+            "ready_address": _free_address(),
+            "peer_address": _free_address(),
+            "log_address": self.store.address,
+            "peer_secret": "secret of the stand-ins",
+            **self._settings,
+        }
+        instance = gateway.GatewayInstance(
+            gateway.GatewaySettings(**raw),
+            _clock.SystemClock(),
+            platform.connect(self.store.address),
+            random.Random(name),
+        )
+        instance.start()
+        self.instances.append(instance)
+        return instance
+
+    def wait(self, condition: collections.abc.Callable[[], object]) -> None:
+        """Wait until a condition holds."""
+        with gevent.Timeout(PATIENCE_S, AssertionError("waited in vain")):
+            while not condition():
+                gevent.sleep(0.005)
+
+    def ask(
+        self,
+        instance: gateway.GatewayInstance,
+        path: str,
+        request_id: str = "a1",
+        method: str = "POST",
+        body: bytes = b"",
+        **headers: str,
+    ) -> Reply:
+        """Send one request on a new connection; return the answer."""
+        fields = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            **{name.replace("_", "-"): v for name, v in headers.items()},
+        }
+        if body:
+            fields["Content-Length"] = str(len(body))
+        lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
+        head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
+        with self.connect(instance) as sock:
+            sock.sendall(head + body)
+            return read_reply(sock)
+
+    def connect(
+        self, instance: gateway.GatewayInstance
+    ) -> gevent.socket.socket:
+        """Return a new connection to the port for callers."""
+        address = ("127.0.0.1", instance.server.port)
+        return gevent.socket.create_connection(address)
+
+
+def read_reply(sock: gevent.socket.socket) -> Reply:
+    """Read one answer from a connection."""
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    conn.send(h11.EndOfMessage())
+    status, headers, body = 0, {}, b""
+    with gevent.Timeout(PATIENCE_S, AssertionError("no answer")):
+        while True:
+            try:
+                event = conn.next_event()
+                if event is h11.NEED_DATA:
+                    conn.receive_data(sock.recv(65_536))
+                    continue
+            except (OSError, h11.RemoteProtocolError):
+                return Reply(status, headers, body, False)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {
+                    k.decode(): v.decode() for k, v in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Reply(status, headers, body, True)
+            elif isinstance(event, h11.ConnectionClosed):
+                return Reply(status, headers, body, False)
+
+
+def _free_address() -> str:
+    """Return an address on loopback whose port is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
--- /dev/null
+++ b/agatewing/platform/standins/_store.py
@@ -0,0 +1,176 @@
+"""Stand-in of the platform's log, with the ways in which it fails."""
+
+import base64
+import enum
+import struct
+import urllib.parse
+
+import gevent
+import gevent.event
+import gevent.pywsgi
+import msgspec
+
+from agatewing import net
+
+#: Longest wait of a read here, in seconds; keeps tests short.
+LONGEST_WAIT_S = 0.3
+
+
+class StoreMode(enum.StrEnum):
+    """How the stand-in answers."""
+
+    FINE = "fine"
+    #: Every call gets 503.
+    BUSY = "busy"
+    #: Every call gets 429.
+    MANY = "many"
+    #: Connections are reset.
+    RESET = "reset"
+    #: Calls get no answer.
+    SILENT = "silent"
+    #: Writes are done but get no answer.
+    LOSES_ANSWERS = "loses-answers"
+
+
+class _Topic:
+    """Records of one partition."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[bytes] = []
+        self.newest: dict[str, tuple[int, bytes]] = {}
+        self.grown = gevent.event.Event()
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, content: bytes) -> int:
+        """Add a record; return its offset."""
+        offset = self.end
+        self.records.append(content)
+        key = content[1 : 1 + content[0]].decode()
+        value = content[1 + content[0] :]
+        if value:
+            self.newest[key] = (offset, value)
+        else:
+            self.newest.pop(key, None)
+        self.grown.set()
+        self.grown = gevent.event.Event()
+        return offset
+
+
+class StoreStandin:
+    """A log on loopback that tests write to as operator and targets."""
+
+    def __init__(self) -> None:
+        self.mode = StoreMode.FINE
+        self.calls = 0
+        self._topics: dict[str, _Topic] = {}
+        self._server = gevent.pywsgi.WSGIServer(
+            ("127.0.0.1", 0), self._serve, log=None
+        )
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.stop(timeout=0)
+
+    def topic(self, name: str) -> _Topic:
+        """Return a topic, made on first use."""
+        return self._topics.setdefault(name, _Topic())
+
+    def put(self, topic: str, key: str, value: object) -> int:
+        """Write a value as JSON, bytes as they are, ``None`` removes."""
+        raw = value if isinstance(value, bytes) else b""
+        if value is not None and not isinstance(value, bytes):
+            raw = msgspec.json.encode(value)
+        name = key.encode()
+        return self.topic(topic).append(bytes([len(name)]) + name + raw)
+
+    def forget_history(self) -> None:
+        """Drop all records; the newest of each key stay."""
+        for topic in self._topics.values():
+            topic.first = topic.end
+            topic.records.clear()
+
+    def _serve(
+        self, environ: net.Environ, start_response: net.StartResponse
+    ) -> list[bytes]:
+        self.calls += 1
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
+        path = environ["PATH_INFO"]
+        write = environ["REQUEST_METHOD"] == "POST"
+        match self.mode:
+            case StoreMode.BUSY:
+                return _reply(start_response, 503, b"{}")
+            case StoreMode.MANY:
+                return _reply(start_response, 429, b"{}")
+            case StoreMode.RESET:
+                raise ConnectionResetError
+            case StoreMode.SILENT:
+                gevent.sleep(3_600)
+        topic = self.topic(query.get("topic", ""))
+        if write:
+            answer = self._append(topic, environ["wsgi.input"].read())
+            if self.mode is StoreMode.LOSES_ANSWERS:
+                raise ConnectionResetError
+            return _reply(start_response, 200, answer)
+        if path == "/-/log-newest":
+            return _reply(start_response, 200, self._newest(topic))
+        return self._read(topic, query, start_response)
+
+    def _append(self, topic: _Topic, body: bytes) -> bytes:
+        offset = topic.end
+        while body:
+            (length,) = struct.unpack_from(">I", body)
+            topic.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        return msgspec.json.encode({"offset": offset, "end": topic.end})
+
+    def _newest(self, topic: _Topic) -> bytes:
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in topic.newest.items()
+        ]
+        return msgspec.json.encode(
+            {"items": items, "has_more": False, "end": topic.end}
+        )
+
+    def _read(
+        self,
+        topic: _Topic,
+        query: dict[str, str],
+        start_response: net.StartResponse,
+    ) -> list[bytes]:
+        offset = int(query["from"])
+        if topic.end <= offset:
+            wait_s = int(query.get("wait_ms", "0")) / 1_000
+            topic.grown.wait(min(LONGEST_WAIT_S, wait_s))
+        if offset < topic.first:
+            body = msgspec.json.encode({"first": topic.first})
+            return _reply(start_response, 410, body)
+        records = topic.records[offset - topic.first :]
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for record in records:
+            body += struct.pack(">I", len(record)) + record
+        return _reply(start_response, 200, body)
+
+
+def _reply(
+    start_response: net.StartResponse, code: int, body: bytes
+) -> list[bytes]:
+    start_response(
+        net.status_line(code), [("Content-Length", str(len(body)))]
+    )
+    return [body]
--- /dev/null
+++ b/agatewing/platform/tests/test_path.py
@@ -0,0 +1,373 @@
+"""The whole path over loopback: callers, instances, log and targets."""
+
+import collections.abc
+import dataclasses
+
+import gevent
+import pytest
+
+from agatewing import gateway
+from agatewing.platform import standins
+
+Behaviour = standins.Behaviour
+PROMPT = {"X_Token_Count": "1200,20", "X_Prefix_Hash": "aa:800,bb:400"}
+
+
+@pytest.fixture
+def site() -> collections.abc.Iterator[standins.Site]:
+    with standins.Site() as made:
+        made.route("/pay/", "unsafe", "ledger", max_attempts=2)
+        made.route("/look/", "safe", "ledger", max_attempts=2)
+        made.route("/draft/", "streaming", sticky=True)
+        made.route("/chat/", "streaming", sticky=True, resumable=True)
+        made.add_engine("t1", "ledger", None)
+        made.add_engine("t2", "ledger", None)
+        made.add_engine("e1")
+        made.add_engine("e2")
+        made.publish()
+        yield made
+
+
+@pytest.fixture
+def instance(site: standins.Site) -> gateway.GatewayInstance:
+    return started(site, 4)
+
+
+def started(
+    site: standins.Site, targets: int, name: str = "i1"
+) -> gateway.GatewayInstance:
+    made = site.start(name)
+    site.wait(lambda: len(made.catalog.targets) == targets)
+    site.wait(lambda: made.life.ready)
+    return made
+
+
+def runs(site: standins.Site, request_id: str) -> int:
+    return sum(
+        run.id == request_id
+        for engine in site.engines.values()
+        for run in engine.runs
+    )
+
+
+def script(site: standins.Site, *behaviours: Behaviour) -> None:
+    """Let the next requests, wherever they arrive, go like this."""
+    for engine in site.engines.values():
+        engine.script.extend(behaviours)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    path: str
+    behaviour: Behaviour
+    status: int
+    runs: int
+    whole: bool = True
+
+
+ALL_FAIL = {
+    "once: proof leads to another target, then to a true refusal": Case(
+        "/pay/x", Behaviour.NOT_RUN, 503, 0
+    ),
+    "once: another target has the address": Case(
+        "/pay/x", Behaviour.MOVED, 503, 0
+    ),
+    "once: a reset may have run, so nothing is sent again": Case(
+        "/pay/x", Behaviour.RESET, 502, 1
+    ),
+    "once: a cut answer is no success": Case(
+        "/pay/x", Behaviour.CUT, 502, 1
+    ),
+    "once: an answer without signature is no success": Case(
+        "/pay/x", Behaviour.UNSIGNED, 502, 1
+    ),
+    "once: bytes that are no answer": Case(
+        "/pay/x", Behaviour.GARBAGE, 502, 1
+    ),
+    "once: a failure of the target is passed on": Case(
+        "/pay/x", Behaviour.ERROR, 500, 1
+    ),
+    "once: an unframed answer that was reset": Case(
+        "/pay/x", Behaviour.UNFRAMED_RESET, 502, 1
+    ),
+    "repeatable: a reset is repeated once": Case(
+        "/look/x", Behaviour.RESET, 502, 2
+    ),
+    "stream: a reset before the first event is not repeated": Case(
+        "/draft/x", Behaviour.RESET, 502, 1
+    ),
+    "stream: a cut stream does not look complete": Case(
+        "/draft/x", Behaviour.CUT, 200, 1, whole=False
+    ),
+    "stream: proof leads to another engine, then to a refusal": Case(
+        "/draft/x", Behaviour.NOT_RUN, 503, 0
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ALL_FAIL)
+def test_every_target_fails(
+    site: standins.Site, instance: gateway.GatewayInstance, name: str
+) -> None:
+    case = ALL_FAIL[name]
+    script(site, case.behaviour)
+    extra = PROMPT if case.path.startswith("/draft") else {}
+    reply = site.ask(instance, case.path, "once", **extra)
+    assert reply.status == case.status
+    assert reply.whole is case.whole
+    assert runs(site, "once") == case.runs
+    if reply.status == 503:
+        assert 0 < float(reply.headers["retry-after"]) < 5
+
+
+FIRST_FAILS = {
+    "once, proof of not run": ("/pay/x", Behaviour.NOT_RUN),
+    "once, another target has the address": ("/pay/x", Behaviour.MOVED),
+    "once, an answer to another request comes first": (
+        "/pay/x",
+        Behaviour.STRAY_FIRST,
+    ),
+    "once, unasked bytes follow": ("/pay/x", Behaviour.EXTRA),
+    "once, an unframed answer that ends in order": (
+        "/pay/x",
+        Behaviour.UNFRAMED,
+    ),
+    "repeatable, reset": ("/look/x", Behaviour.RESET),
+    "repeatable, cut": ("/look/x", Behaviour.CUT),
+    "repeatable, unsigned": ("/look/x", Behaviour.UNSIGNED),
+    "repeatable, hang": ("/look/x", Behaviour.HANG),
+    "repeatable, failure": ("/look/x", Behaviour.ERROR),
+}
+
+
+@pytest.mark.parametrize("name", FIRST_FAILS)
+def test_one_target_fails_and_the_caller_is_served(
+    site: standins.Site, instance: gateway.GatewayInstance, name: str
+) -> None:
+    path, behaviour = FIRST_FAILS[name]
+    for request in ("first", "second"):
+        for engine in site.engines.values():
+            engine.script.clear()
+        first = next(iter(_order(site, instance)))
+        site.engines[first].script.append(behaviour)
+        reply = site.ask(instance, path, request)
+        assert reply.status == 200
+        assert reply.whole
+        assert reply.body == b"body of " + request.encode()
+
+
+def _order(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> list[str]:
+    """Make one target of the plain service the first choice."""
+    pool = instance.machines.pools["ledger"]
+    for name, machine in pool.engines.items():
+        machine.pace.ratio = 1.0 if name == "t1" else 3.0
+        machine.pace.at = instance.clock.monotonic()
+        machine.note_answer()
+    return ["t1"]
+
+
+def test_a_stream_arrives_whole_and_in_order(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    reply = site.ask(instance, "/draft/a?b=%2f", "s1", **PROMPT)
+    assert reply.status == 200
+    assert reply.whole
+    assert reply.body.count(b"id: ") == 3
+    (run,) = [r for e in site.engines.values() for r in e.runs]
+    assert run.line == "POST /draft/a?b=%2f HTTP/1.1"
+    assert run.headers["x-expect-instance"] in ("e1", "e2")
+    assert 0 < int(run.headers["x-deadline-ms"]) <= 3_000
+
+
+def test_a_resumable_stream_goes_on_at_another_engine(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    for engine in site.engines.values():
+        engine.events = 4
+    site.engines["e1"].script.append(Behaviour.CUT)
+    # Work for 1,000 tokens makes the other engine the second choice.
+    instance.machines.by_id["e2"].note_sent(1_000)
+    reply = site.ask(instance, "/chat/x", "s1", **PROMPT)
+    assert reply.whole
+    ids = [x for x in reply.body.split(b"\n") if x.startswith(b"id: ")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+    (run,) = site.engines["e2"].runs
+    assert run.headers["last-event-id"] == "3"
+
+
+def test_a_caller_that_leaves_ends_the_work_at_the_engine(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    for engine in site.engines.values():
+        engine.pause_s = 30.0
+    head = (
+        f"POST /draft/x HTTP/1.1\r\nHost: {standins.HOST}\r\n"
+        "X-Request-Id: left\r\nX-Token-Count: 10,2\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
+    sock = site.connect(instance)
+    sock.sendall(head.encode())
+    site.wait(lambda: runs(site, "left"))
+    sock.close()
+    site.wait(
+        lambda: any("left" in e.dropped for e in site.engines.values())
+    )
+    site.wait(lambda: instance.life.in_flight == 0)
+
+
+def test_long_prompts_are_prefilled_apart_and_handles_are_freed(
+    site: standins.Site,
+) -> None:
+    site.add_engine("p1", role="prefill")
+    instance = started(site, 5)
+    prompt = {"X_Token_Count": "9000,20", "X_Prefix_Hash": "aa:5000,bb:4000"}
+    reply = site.ask(instance, "/draft/x", "long", **prompt)
+    assert reply.status == 200
+    assert [run.id for run in site.engines["p1"].prefills] == ["long"]
+    (run,) = [r for e in site.engines.values() for r in e.runs]
+    source = run.headers["x-kv-source"]
+    assert source.startswith(site.engines["p1"].address + "/h")
+    # An engine that cannot fetch it is asked again without it.
+    for name in ("e1", "e2"):
+        site.engines[name].script.append(Behaviour.NOT_RUN)
+    prompt["X_Prefix_Hash"] = "cc:5000,dd:4000"
+    reply = site.ask(instance, "/draft/x", "lapsed", **prompt)
+    assert reply.status == 200
+    assert runs(site, "lapsed") == 1
+    site.wait(lambda: site.engines["p1"].freed)
+
+
+def test_a_config_is_followed_and_never_reverts(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    assert site.ask(instance, "/new/x", "n0").status == 404
+    site.route("/new/", "safe", "ledger")
+    version = site.publish()
+    site.wait(lambda: instance.catalog.configuration.version == version)
+    assert site.ask(instance, "/new/x", "n1").status == 200
+    old = {"version": version - 1, "routes": [], "services": []}
+    site.store.put("keyed.op", "config", old)
+    site.store.put("keyed.op", "config", b"not json")
+    site.route("/last/", "safe", "ledger")
+    version = site.publish()
+    site.wait(lambda: instance.catalog.configuration.version == version)
+    assert site.ask(instance, "/new/x", "n2").status == 200
+
+
+def test_a_draining_target_gets_nothing_new(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.announce("t1", "ledger", None, state="draining", seq=2)
+    site.wait(
+        lambda: instance.catalog.targets["t1"].state == "draining"
+    )
+    # A late write of an older announcement changes nothing.
+    site.announce("t1", "ledger", None, seq=1)
+    site.announce("t2", "ledger", None, seq=2, zone="z9")
+    site.wait(lambda: instance.catalog.targets["t2"].zone == "z9")
+    for number in range(6):
+        assert site.ask(instance, "/pay/x", f"d{number}").status == 200
+    assert not site.engines["t1"].runs
+
+
+@pytest.mark.parametrize("odd", [b"\xff\x00", b"{}", b'{"state": 3}'])
+def test_an_odd_entry_names_no_target(
+    site: standins.Site, instance: gateway.GatewayInstance, odd: bytes
+) -> None:
+    site.store.put("keyed.servers", "ghost", odd)
+    site.add_engine("t3", "ledger", None)
+    site.wait(lambda: "t3" in instance.catalog.targets)
+    assert "ghost" not in instance.catalog.targets
+    assert site.ask(instance, "/look/x", "o1").status == 200
+
+
+@pytest.mark.parametrize("mode", list(standins.StoreMode)[1:5])
+def test_the_store_is_away_and_work_goes_on(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    mode: standins.StoreMode,
+) -> None:
+    site.store.mode = mode
+    gevent.sleep(0.7)
+    assert site.ask(instance, "/pay/x", "w1").status == 200
+    assert instance.life.ready
+    site.store.mode = standins.StoreMode.FINE
+    site.route("/new/", "safe", "ledger")
+    site.publish()
+    site.wait(lambda: site.ask(instance, "/new/x", "w2").status == 200)
+
+
+def test_lost_history_is_read_again(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.store.mode = standins.StoreMode.BUSY
+    site.withdraw("t1")
+    site.route("/new/", "safe", "ledger")
+    site.publish()
+    site.store.forget_history()
+    site.store.mode = standins.StoreMode.FINE
+    site.wait(lambda: site.ask(instance, "/new/x", "h1").status == 200)
+    site.wait(lambda: "t1" not in instance.catalog.targets)
+
+
+def test_a_peer_tells_what_the_log_does_not(site: standins.Site) -> None:
+    first = started(site, 4, "i1")
+    second = started(site, 4, "i2")
+    site.wait(lambda: "i1" in second.peers.known)
+    # Only the log of the second instance is cut off.
+    for client in second.platform.log._clients.values():
+        client.close()
+    cut = standins.StoreStandin()
+    cut.mode = standins.StoreMode.BUSY
+    second.platform.log.__init__(cut.address)
+    site.route("/new/", "safe", "ledger")
+    version = site.publish()
+    site.withdraw("t1")
+    site.wait(lambda: first.catalog.configuration.version == version)
+    site.wait(lambda: second.catalog.configuration.version == version)
+    site.wait(lambda: "t1" not in second.catalog.targets)
+    cut.stop()
+
+
+def test_no_target_is_refused_at_once_with_a_time_to_return(
+    site: standins.Site,
+) -> None:
+    site.route("/none/", "unsafe", "nobody")
+    site.publish()
+    instance = started(site, 4)
+    reply = site.ask(instance, "/none/x", "x1")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+
+
+def test_an_overdue_request_is_answered_in_time(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    script(site, Behaviour.HANG, Behaviour.HANG)
+    reply = site.ask(instance, "/pay/x", "slow", X_Deadline_Ms="120")
+    assert reply.status == 504
+    assert runs(site, "slow") == 1
+
+
+def test_a_stop_finishes_what_was_begun(site: standins.Site) -> None:
+    instance = started(site, 4)
+    for engine in site.engines.values():
+        engine.pause_s = 0.2
+    replies: list[standins.Reply] = []
+
+    def ask() -> None:
+        replies.append(site.ask(instance, "/draft/x", "last", **PROMPT))
+
+    asking = gevent.spawn(ask)
+    site.wait(lambda: runs(site, "last"))
+    stopping = gevent.spawn(instance.stop)
+    site.wait(lambda: not instance.life.ready)
+    late = site.ask(instance, "/pay/x", "late")
+    assert late.status == 200
+    assert late.headers["connection"] == "close"
+    asking.join()
+    assert replies[0].whole
+    stopping.join(timeout=10)
+    assert stopping.value is True
