Instances tell each other their work at engines; long prompts apart

Cause: with six instances, five sixths of an engine's queue were invisible; a prompt of 20,000 tokens or more holds an engine up for 0.3 s and more, and more urgent ones wait for it (times of prefill calls, trial on a copy).

--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -4,6 +4,10 @@
 
 from agatewing import _types
 
+#: Time for which a prompt holds up all others on an engine that makes it
+#: count as long, in seconds: a third of the shortest objective of today.
+LONG_PROMPT_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Speed:
@@ -26,6 +30,15 @@
     #: Share of its prefill rate at which an engine of role decode processes
     #: prompts; 1 where roles make no difference.
     beside_share: float = 1.0
+    #: Prompt tokens that could be processed instead of a million pairs of a
+    #: new token with one before it; attention grows with these pairs.
+    tokens_per_m_pairs: float = 0.0
+
+    def prefill_work(self, prompt_tokens: int, cached: int) -> int:
+        """Return the work of a prompt, in tokens without attention."""
+        new = max(0, prompt_tokens - cached)
+        pairs = new * (cached + new / 2)
+        return round(new + pairs / 1e6 * self.tokens_per_m_pairs)
 
     def step_s(self, sequences: float) -> float:
         """Return the time of a step that decodes ``sequences``."""
@@ -61,6 +74,9 @@
     unreported_sequences: int = 0
     #: Prompt tokens sent from here that no report includes yet.
     unreported_tokens: float = 0.0
+    #: The part of reported and unreported tokens that is in long prompts.
+    reported_long_tokens: float = 0.0
+    unreported_long_tokens: float = 0.0
     #: Sequences that this instance may send to it now.
     credits: int = 1
     #: Measured slowness; 1 is as fast as its speed says.
@@ -77,3 +93,12 @@
     def prefill_backlog(self) -> float:
         """Best guess of the prompt tokens not yet processed."""
         return self.reported_tokens + self.unreported_tokens
+
+    @property
+    def long_backlog(self) -> float:
+        """Best guess of the backlog that is in long prompts."""
+        return self.reported_long_tokens + self.unreported_long_tokens
+
+    def is_long(self, tokens: float) -> bool:
+        """Return whether a prompt of so much work is a long one here."""
+        return tokens > LONG_PROMPT_S * self.speed.prefill_tokens_per_s
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -24,6 +24,12 @@
 #: Prompts waiting in an engine beyond which it gets no more, in seconds of
 #: its work; what waits longer waits in the fair queue.
 BACKLOG_LIMIT_S = 1.0
+#: Rest of a long prompt that is under way, in seconds: an engine finishes
+#: it before a more urgent one; half of a typical long prompt's time.
+LONG_REST_S = 0.15
+#: Times as much that an engine without streams may process beside those
+#: that come meanwhile: a stream's first event is due after 250 ms or more.
+ALONE_TIMES = 2
 #: Seconds for which a full batch holds a new sequence back.
 FULL_BATCH_WAIT_S = 2.0
 
@@ -72,17 +78,24 @@
 class Router:
     """Scores a few sampled engines and takes the best."""
 
-    __slots__ = ("_random", "_samples", "_beside_tokens")
+    __slots__ = (
+        "_random",
+        "_samples",
+        "_beside_tokens",
+        "_backlog_limit_s",
+    )
 
     def __init__(
         self,
         rng: random.Random,
         samples: int = SAMPLES,
         beside_tokens: int | None = None,
+        backlog_limit_s: float = BACKLOG_LIMIT_S,
     ) -> None:
         self._random = rng
         self._samples = samples
         self._beside_tokens = beside_tokens
+        self._backlog_limit_s = backlog_limit_s
 
     def choose(
         self,
@@ -101,7 +114,7 @@
             first = [
                 e
                 for e in sampled
-                if e.role is _types.Role.PREFILL and _has_room(work, e)
+                if e.role is _types.Role.PREFILL and self._has_room(work, e)
             ]
             split = self._best_split(work, first, whole)
         if best is None:
@@ -115,13 +128,15 @@
 
         Beside streams, a long prompt would hold their events up.
         """
-        if not _has_room(work, engine):
+        if not self._has_room(work, engine):
             return False
         if self._beside_tokens is None:
             return True
-        cached = work.cached.get(engine.name, 0)
-        tokens = engine.prefill_backlog + work.prompt_tokens - cached
-        return tokens <= self._beside_tokens
+        tokens = engine.prefill_backlog + work_on(work, engine)
+        limit = self._beside_tokens
+        if not engine.sequences:
+            limit *= ALONE_TIMES
+        return tokens <= limit
 
     def _fallback(
         self,
@@ -134,10 +149,34 @@
         usable = [
             e
             for e in whole or engines
-            if _usable(e, avoid) and _has_room(work, e)
+            if _usable(e, avoid) and self._may_fall_back(work, e, engines)
         ]
         return self._best_single(work, usable)
 
+    def _may_fall_back(
+        self,
+        work: Work,
+        engine: EngineLoad,
+        engines: collections.abc.Sequence[EngineLoad],
+    ) -> bool:
+        """Keep prompts from streams while an engine prefills apart."""
+        if self._beside_tokens is None:
+            return self._has_room(work, engine)
+        apart = any(
+            e.role is _types.Role.PREFILL and e.routable for e in engines
+        )
+        return not apart or self._fits_whole(work, engine)
+
+    def _has_room(self, work: Work, engine: EngineLoad) -> bool:
+        """Return whether the prompt would not wait for long in the engine.
+
+        Engines process short prompts first, so only long ones wait.
+        """
+        if work.prompt_tokens < SPLIT_MIN_TOKENS:
+            return True
+        limit = self._backlog_limit_s * engine.speed.prefill_tokens_per_s
+        return engine.prefill_backlog <= limit
+
     def _sample(
         self,
         engines: collections.abc.Sequence[EngineLoad],
@@ -230,22 +269,17 @@
     return engine.name not in avoid
 
 
-def _has_room(work: Work, engine: EngineLoad) -> bool:
-    """Return whether the prompt would not wait for long in the engine.
-
-    Engines process short prompts first, so only long ones wait.
-    """
-    if work.prompt_tokens < SPLIT_MIN_TOKENS:
-        return True
-    limit = BACKLOG_LIMIT_S * engine.speed.prefill_tokens_per_s
-    return engine.prefill_backlog <= limit
-
-
 def priority_class(tokens: int) -> int:
     """Return a class by prompt length; a shorter prompt runs earlier."""
     return max(0, tokens // PRIORITY_STEP_TOKENS).bit_length()
 
 
+def work_on(work: Work, engine: EngineLoad) -> int:
+    """Return the prefill work that a request is for an engine, in tokens."""
+    cached = min(work.cached.get(engine.name, 0), work.prompt_tokens)
+    return engine.speed.prefill_work(work.prompt_tokens, cached)
+
+
 def single_s(work: Work, engine: EngineLoad) -> float:
     """Return the expected time of the whole answer on one engine."""
     return prefill_s(work, engine) + decode_s(work, engine)
@@ -254,8 +288,8 @@
 def prefill_s(work: Work, engine: EngineLoad) -> float:
     """Return the expected time until the prompt is processed."""
     speed = engine.speed
-    cached = min(work.cached.get(engine.name, 0), work.prompt_tokens)
-    tokens = engine.prefill_backlog + work.prompt_tokens - cached
+    own = work_on(work, engine)
+    tokens = _ahead(own, engine) + own
     rate = prefill_rate(engine)
     seconds = (tokens / rate + speed.step_base_s) * engine.slowness
     if engine.zone != work.zone:
@@ -263,6 +297,18 @@
     return seconds
 
 
+def _ahead(own: float, engine: EngineLoad) -> float:
+    """Return the work that an engine does before a prompt, in tokens.
+
+    Short prompts pass waiting long ones, but not one that is under way.
+    """
+    if engine.is_long(own):
+        return engine.prefill_backlog
+    rest = LONG_REST_S * engine.speed.prefill_tokens_per_s
+    waiting = max(0.0, engine.long_backlog - rest)
+    return engine.prefill_backlog - waiting
+
+
 def prefill_rate(engine: EngineLoad) -> float:
     """Return prompt tokens a second beside the present decode work."""
     speed = engine.speed
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -17,6 +17,7 @@
 from agatewing.gateway import _ports
 from agatewing.gateway import _refusals
 from agatewing.gateway import _sender
+from agatewing.gateway import _work_notes
 
 _log = logging.getLogger("agatewing.request")
 
@@ -47,6 +48,8 @@
     dispatcher: dispatch.Dispatcher
     #: Shared parts of prompts and where they are.
     index: decisions.PartIndex
+    #: Work that other instances have at engines.
+    notes: _work_notes.WorkNotes
     #: Availability zone of the instance.
     zone: str
     #: Answers by status or kind of refusal.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -22,6 +22,7 @@
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
 from agatewing.gateway import _settings
+from agatewing.gateway import _work_notes
 from agatewing import net
 from agatewing import wire
 
@@ -86,6 +87,15 @@
             wire.Codec(settings.peer_secret),
             rng,
         )
+        self.work = _work_notes.WorkNotes(
+            settings.instance,
+            _settings.split_address(settings.peer_address),
+            clock,
+            self.peers,
+            self.machines,
+            wire.Codec(settings.peer_secret),
+            rng,
+        )
         self.parts = self._parts(rng)
         self.server = _server.CallerServer(
             _settings.split_address(settings.caller_address),
@@ -112,6 +122,7 @@
             self.budget,
             self.dispatcher,
             decisions.PartIndex(self.settings.cache_keep_s),
+            self.work,
             self.settings.zone,
             collections.Counter(),
         )
@@ -132,6 +143,7 @@
         self.server.start()
         self._ready_server.start()
         self.peers.start()
+        self.work.start()
         decoder = self.platform.decoder
         sinks = {
             _ports.Topic.CONFIGURATION: _follow.configuration_sink(
@@ -206,6 +218,7 @@
         """End at once, as a kill would; for tests in one process."""
         gevent.killall(self._loops)
         self.peers.stop()
+        self.work.stop()
         self._ready_server.stop(timeout=0)
         self.server.close_port()
 
@@ -291,4 +304,7 @@
         chunk_tokens=int(sheet.chunk_tokens * sheet.beside_chunk_share),
         full_chunk_tokens=sheet.chunk_tokens,
         beside_share=sheet.beside_rate_share,
+        tokens_per_m_pairs=sheet.attention_ms_per_m_pairs
+        / 1_000
+        * sheet.prefill_tokens_per_s,
     )
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -3,6 +3,8 @@
 import collections.abc
 import random
 
+import gevent.event
+
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
@@ -22,6 +24,11 @@
 #: prompts to prefill for others, in seconds.
 NO_CACHE_S = 3.0
 
+#: Engines compared for one request; the work of other instances is known.
+SAMPLES = 8
+#: Prompts waiting in an engine beyond which it gets no more, in seconds of
+#: its work: callers give a long prompt up after 3.2 s.
+BACKLOG_LIMIT_S = 2.0
 #: Prompt tokens that an engine processes beside streams at most. An event
 #: of 9 tokens takes 9 steps; with a chunk of 512 tokens at half the rate in
 #: each, 20 ms a step, seven chunks break a pause of 150 ms. Half of that
@@ -41,8 +48,8 @@
         "failures",
         "avoid_until",
         "no_cache_until",
-        "waiting_since",
         "_clock",
+        "_changed",
     )
 
     def __init__(
@@ -50,6 +57,7 @@
         target: _contracts.Target,
         speed: decisions.Speed,
         clock: _clock.Clock,
+        changed: gevent.event.Event,
     ) -> None:
         #: Its own announcement.
         self.target = target
@@ -72,9 +80,8 @@
         self.avoid_until = float("-inf")
         #: Monotonic time until which it prefills for no other engine.
         self.no_cache_until = float("-inf")
-        #: Send times of requests that have no answer yet, by request id.
-        self.waiting_since: dict[str, float] = {}
         self._clock = clock
+        self._changed = changed
 
     def update(self, target: _contracts.Target) -> None:
         """Take a new announcement of the same start in."""
@@ -112,17 +119,25 @@
         self.in_flight += 1
         self.load.own_sequences += 1
         self.load.unreported_sequences += 1
-        self.load.unreported_tokens += tokens
+        self._add_tokens(tokens)
 
     def note_processed(self, tokens: int) -> None:
         """Count prompt tokens as processed."""
-        self.load.unreported_tokens -= tokens
+        self._add_tokens(-tokens)
+
+    def _add_tokens(self, tokens: int) -> None:
+        load = self.load
+        load.unreported_tokens += tokens
+        if load.is_long(abs(tokens)):
+            load.unreported_long_tokens += tokens
+        self._changed.set()
 
     def note_ended(self, instances: int) -> None:
         """Count the end of a request."""
         self.in_flight -= 1
         self.load.own_sequences -= 1
         self.load.unreported_sequences -= 1
+        self._changed.set()
         self.load.credits = decisions.credits(self.load, instances)
 
 
@@ -188,7 +203,15 @@
 class Machines:
     """Every target, grouped by service; follows the catalogue."""
 
-    __slots__ = ("_clock", "_random", "_speed", "pools", "by_id", "instances")
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_speed",
+        "pools",
+        "by_id",
+        "instances",
+        "changed",
+    )
 
     def __init__(
         self,
@@ -205,6 +228,8 @@
         self.by_id: dict[str, Machine] = {}
         #: Instances that share the targets.
         self.instances = 1
+        #: Set whenever the own work at targets changes.
+        self.changed = gevent.event.Event()
 
     def apply(
         self,
@@ -221,7 +246,7 @@
             pool = self.pools.get(name)
             if pool is None:
                 router = decisions.Router(
-                    self._random, beside_tokens=BESIDE_TOKENS
+                    self._random, SAMPLES, BESIDE_TOKENS, BACKLOG_LIMIT_S
                 )
                 pool = self.pools[name] = Pool(service, router)
             pool.facts = service
@@ -245,7 +270,9 @@
         if machine is not None:
             machine.channels.close()
         speed = speed_of(self._speed, target, service)
-        self.by_id[name] = Machine(target, speed, self._clock)
+        self.by_id[name] = Machine(
+            target, speed, self._clock, self.changed
+        )
 
 
 def speed_of(
@@ -267,6 +294,7 @@
         facts.slots,
         max(1.0, imports),
         typical.beside_share,
+        typical.tokens_per_m_pairs,
     )
 
 
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -37,6 +37,8 @@
     # Share of the prefill rate, and of the chunk, at a decode engine.
     beside_rate_share: Positive = 0.5
     beside_chunk_share: Positive = 0.25
+    # Time of a million pairs of a prompt's tokens, in milliseconds.
+    attention_ms_per_m_pairs: Millis = 0.647
 
 
 class GatewaySettings(
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -51,6 +51,7 @@
                 _refusals.no_target(job.service)
             )
         now = self._parts.clock.monotonic()
+        self._parts.notes.add_up()
         pool.refresh(now)
         work = self._work(job, pool)
         try:
@@ -167,8 +168,7 @@
         return self._pool.engines[route.engine]
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
-        cached = self._work.cached.get(machine.target.id, 0)
-        return max(0, self._work.prompt_tokens - cached)
+        return decisions.work_on(self._work, machine.load)
 
     def _facts(
         self, machine: _machines.Machine, prefill_only: bool
--- /dev/null
+++ b/agatewing/gateway/_work_notes.py
@@ -0,0 +1,212 @@
+"""Instances tell each other what work they have at engines.
+
+Every instance sees only its own requests; with six of them, five sixths of
+an engine's queue are invisible, and an engine's own report lags and is paid
+for. A short datagram after a change, at most twenty a second and to a few
+peers, makes the queues visible within one period.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+import random
+import socket
+
+import gevent
+import gevent.socket
+import result
+
+from agatewing import _clock
+from agatewing.gateway import _machines
+from agatewing.gateway import _peers
+from agatewing import wire
+
+_log = logging.getLogger("agatewing.work")
+
+#: Least time between two notes of one instance, in seconds: half of the
+#: time in which an engine reads a prompt of 6,600 tokens.
+PERIOD_S = 0.05
+#: Peers that get one note; beyond that they are drawn at random, so that
+#: the traffic of one instance does not grow with their number.
+FANOUT = 8
+#: Age at which a note counts no more, in seconds; the sender may be gone.
+KEEP_S = 1.0
+#: Time after which an unchanged note is sent again, in seconds.
+REPEAT_S = 0.4
+#: Largest datagram, in bytes; engines beyond it are left out.
+DATAGRAM_BYTES = 1_400
+#: Engines in one note at most, so that it fits into a datagram.
+MAX_ENGINES = 40
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noted:
+    """The last note of another instance."""
+
+    #: Monotonic time at which it came.
+    at: float
+    #: Number of the note.
+    sequence: int
+    #: Work by engine.
+    work: dict[str, wire.EngineWork]
+
+
+class WorkNotes:
+    """Sends own notes and adds up those of others."""
+
+    __slots__ = (
+        "_name",
+        "_address",
+        "_clock",
+        "_peers",
+        "_machines",
+        "_codec",
+        "_random",
+        "_socket",
+        "_loops",
+        "_sequence",
+        "_notes",
+        "sent_bytes",
+        "malformed",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        clock: _clock.Clock,
+        peers: _peers.Peers,
+        machines: _machines.Machines,
+        codec: wire.Codec,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._clock = clock
+        self._peers = peers
+        self._machines = machines
+        self._codec = codec
+        self._random = rng
+        self._socket: gevent.socket.socket | None = None
+        self._loops: list[gevent.Greenlet] = []
+        # Later starts of an instance begin above earlier ones.
+        self._sequence = int(clock.wall() * 1_000)
+        self._notes: dict[str, Noted] = {}
+        #: Bytes sent.
+        self.sent_bytes = 0
+        #: Datagrams that could not be read.
+        self.malformed = 0
+
+    def start(self) -> None:
+        """Open the port; send and receive."""
+        sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(self._address)
+        self._socket = sock
+        self._loops = [
+            gevent.spawn(self._send_always, sock),
+            gevent.spawn(self._receive_always, sock),
+        ]
+
+    def stop(self) -> None:
+        """Close the port."""
+        gevent.killall(self._loops)
+        if self._socket is not None:
+            self._socket.close()
+
+    def _send_always(self, sock: gevent.socket.socket) -> None:
+        idle = True
+        while True:
+            # An idle instance has nothing to tell once it said so.
+            limit = None if idle else REPEAT_S
+            self._machines.changed.wait(limit)
+            self._machines.changed.clear()
+            work = self._own_work()
+            idle = not work
+            self._send(sock, work)
+            self._clock.sleep(PERIOD_S)
+
+    def _own_work(self) -> list[wire.EngineWork]:
+        found = []
+        for name, machine in self._machines.by_id.items():
+            load = machine.load
+            if load.own_sequences and machine.target.role is not None:
+                found.append(
+                    wire.EngineWork(
+                        engine=name,
+                        tokens=max(0, int(load.unreported_tokens)),
+                        sequences=load.own_sequences,
+                        long_tokens=max(0, int(load.unreported_long_tokens)),
+                    )
+                )
+        return found[:MAX_ENGINES]
+
+    def _send(
+        self, sock: gevent.socket.socket, work: list[wire.EngineWork]
+    ) -> None:
+        self._sequence += 1
+        note = wire.WorkNote(
+            instance=self._name, sequence=self._sequence, work=work
+        )
+        data = self._codec.encode(note)
+        for address in self._receivers():
+            host, _, port = address.rpartition(":")
+            try:
+                sock.sendto(data, (host, int(port)))
+            except OSError as exc:
+                _log.debug("work: %s not reached: %s", address, exc)
+                continue
+            self.sent_bytes += len(data)
+
+    def _receivers(self) -> collections.abc.Iterable[str]:
+        addresses = [entry.address for entry in self._peers.known.values()]
+        if len(addresses) <= FANOUT:
+            return addresses
+        return self._random.sample(addresses, FANOUT)
+
+    def _receive_always(self, sock: gevent.socket.socket) -> None:
+        while True:
+            try:
+                data, _ = sock.recvfrom(DATAGRAM_BYTES)
+            except OSError as exc:
+                _log.debug("work: receive failed: %s", exc)
+                continue
+            match self._codec.decode(wire.WorkNote, data):
+                case result.Ok(note):
+                    self.take(note)
+                case result.Err():
+                    self.malformed += 1
+
+    def take(self, note: wire.WorkNote) -> None:
+        """Take the note of another instance in."""
+        last = self._notes.get(note.instance)
+        if last is not None and note.sequence <= last.sequence:
+            return
+        self._notes[note.instance] = Noted(
+            self._clock.monotonic(),
+            note.sequence,
+            {work.engine: work for work in note.work},
+        )
+        self.add_up()
+
+    def add_up(self) -> None:
+        """Write the work of all others into the loads of engines."""
+        now = self._clock.monotonic()
+        fresh = [n for n in self._notes.values() if now - n.at < KEEP_S]
+        if len(fresh) < len(self._notes):
+            self._notes = {
+                name: noted
+                for name, noted in self._notes.items()
+                if now - noted.at < KEEP_S * 10
+            }
+        for machine in self._machines.by_id.values():
+            machine.load.reported_tokens = 0.0
+            machine.load.reported_long_tokens = 0.0
+            machine.load.reported_sequences = 0
+        for noted in fresh:
+            for name, work in noted.work.items():
+                known = self._machines.by_id.get(name)
+                if known is None:
+                    continue
+                known.load.reported_tokens += work.tokens
+                known.load.reported_long_tokens += work.long_tokens
+                known.load.reported_sequences += work.sequences
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -758,6 +758,225 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class EngineWork(object):
+    """
+    Attributes:
+     - engine
+     - tokens
+     - sequences
+     - long_tokens
+
+    """
+
+    __slots__ = (
+        'engine',
+        'tokens',
+        'sequences',
+        'long_tokens',
+    )
+
+
+    def __init__(self, engine=None, tokens=None, sequences=None, long_tokens=None,):
+        self.engine = engine
+        self.tokens = tokens
+        self.sequences = sequences
+        self.long_tokens = long_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sequences = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.long_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineWork')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 2)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.sequences is not None:
+            oprot.writeFieldBegin('sequences', TType.I32, 3)
+            oprot.writeI32(self.sequences)
+            oprot.writeFieldEnd()
+        if self.long_tokens is not None:
+            oprot.writeFieldBegin('long_tokens', TType.I64, 4)
+            oprot.writeI64(self.long_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.engine is None:
+            raise TProtocolException(message='Required field engine is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.sequences is None:
+            raise TProtocolException(message='Required field sequences is unset!')
+        if self.long_tokens is None:
+            raise TProtocolException(message='Required field long_tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkNote(object):
+    """
+    Attributes:
+     - instance
+     - sequence
+     - work
+
+    """
+
+    __slots__ = (
+        'instance',
+        'sequence',
+        'work',
+    )
+
+
+    def __init__(self, instance=None, sequence=None, work=None,):
+        self.instance = instance
+        self.sequence = sequence
+        self.work = work
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EngineWork()
+                        _elem19.read(iprot)
+                        self.work.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkNote')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter20 in self.work:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.work is None:
+            raise TProtocolException(message='Required field work is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -807,5 +1026,20 @@
     (2, TType.I64, 'through', None, None, ),  # 2
     (3, TType.STRING, 'state', 'BINARY', None, ),  # 3
 )
+all_structs.append(EngineWork)
+EngineWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'sequences', None, None, ),  # 3
+    (4, TType.I64, 'long_tokens', None, None, ),  # 4
+)
+all_structs.append(WorkNote)
+WorkNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.LIST, 'work', (TType.STRUCT, [EngineWork, None], False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -65,3 +65,21 @@
   // JSON of the state's dump.
   3: required binary state,
 }
+
+// Work that one instance has sent to an engine and that is not ended.
+struct EngineWork {
+  1: required string engine,
+  // Prompt tokens not yet processed.
+  2: required i64 tokens,
+  3: required i32 sequences,
+  // The part of the tokens that is in long prompts.
+  4: required i64 long_tokens,
+}
+
+// All of an instance's work at engines, in a datagram of its own.
+struct WorkNote {
+  1: required string instance,
+  // Grows with each note of one start of the instance.
+  2: required i64 sequence,
+  3: required list<EngineWork> work,
+}
