The engine that decodes is chosen after the prefill; news by peers

It is now chosen after it, and a target that leaves while a connection comes about gets nothing. Test: test_an_engine_that_leaves_during_the_prefill_gets_no_request failed first.

Notes between instances name version and offset, so that a hanging read is made up for by a peer.

--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -1,9 +1,9 @@
 """What the instance knows of configuration and targets, and how surely.
 
 The newest configuration is kept for good: an older one never replaces it.
-Targets follow their entries. While the log was away its entries may have
-lapsed though the targets live, so a removal seen at its return waits for
-:data:`RETURN_GRACE_S`; what is missing then is gone.
+Targets follow their entries. An entry that is removed without a notice of
+leaving may have lapsed while the log was away though its target lives, so
+the target is held for a while; what is missing then is gone.
 """
 
 import collections.abc
@@ -16,12 +16,12 @@
 
 _log = logging.getLogger("agatewing.catalogue")
 
-#: Time after the log's return within which lapsed entries of living targets
-#: are back, in seconds (platform's promise: about two).
-RETURN_GRACE_S = 2.0
-#: Time without a successful read after which the log counts as away, in
-#: seconds: two reads that each wait up to half a second.
-AWAY_AFTER_S = 1.2
+#: Time for which a target is held whose entry was removed without a notice
+#: of leaving, in seconds; a leaving target may get work for two seconds.
+HOLD_S = 1.5
+#: The same after the log was away, counted from its return: living targets
+#: are back within about two seconds (platform's promise).
+RETURN_HOLD_S = 2.0
 
 
 class Catalog:
@@ -37,6 +37,7 @@
         "_missing",
         "_read_at",
         "_back_at",
+        "away",
     )
 
     def __init__(
@@ -57,23 +58,30 @@
         self._missing: dict[str, float] = {}
         self._read_at = float("-inf")
         self._back_at = float("-inf")
+        #: Whether the log gives no answers.
+        self.away = True
 
     def age_s(self) -> float:
         """Return the seconds since the end of the log was known."""
         return self._clock.monotonic() - self._read_at
 
     @property
-    def away(self) -> bool:
-        """Whether the log has not been read for a while."""
-        return self.age_s() > AWAY_AFTER_S
+    def config_version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self.configuration.version if self.configuration else 0
 
     def note_read(self) -> None:
         """Note that the entries of targets were read to their end."""
         now = self._clock.monotonic()
         if self.away:
             self._back_at = now
+        self.away = False
         self._read_at = now
 
+    def note_away(self) -> None:
+        """Note that the log gave no answer."""
+        self.away = True
+
     def take_configuration(
         self, configuration: _contracts.Configuration, source: str
     ) -> bool:
@@ -135,12 +143,11 @@
         if target is None:
             return
         now = self._clock.monotonic()
-        grace = self._back_at + RETURN_GRACE_S
-        leaving = target.state is not _types.TargetState.ACTIVE
-        if leaving or now >= grace:
+        if target.state is not _types.TargetState.ACTIVE:
             self._drop(name)
             return
-        self._missing.setdefault(name, grace)
+        until = max(now + HOLD_S, self._back_at + RETURN_HOLD_S)
+        self._missing.setdefault(name, until)
 
     def _drop(self, name: str) -> None:
         self._missing.pop(name, None)
@@ -170,19 +177,16 @@
     def take_snapshot(self, snapshot: _contracts.Snapshot, peer: str) -> None:
         """Learn from a peer what could not be read from the log.
 
-        Only a peer that reads the log tells of targets, and only what is
-        newer than what is known here.
+        Offsets tell which of the two read further in the log.
         """
         if snapshot.configuration is not None:
             self.take_configuration(snapshot.configuration, peer)
-        if snapshot.age_s > AWAY_AFTER_S:
-            return
         if snapshot.through <= self.through:
             return
         told = {target.id: target for target in snapshot.targets}
         for name in list(self.targets):
             if name not in told:
-                self._drop(name)
+                self._lose(name)
         for name, target in told.items():
             self._keep(name, target)
         self.through = snapshot.through
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -39,6 +39,8 @@
     take: Take
     #: Ends a batch of changes, with the offset reached.
     changed: collections.abc.Callable[[int], None]
+    #: Told when the log gave no answer.
+    away: collections.abc.Callable[[], None] = lambda: None
 
 
 class Follower:
@@ -117,6 +119,7 @@
 
     def _failed(self, reason: str) -> None:
         self.failing += 1
+        self._sink.away()
         if self.failing == 1:
             _log.warning(
                 "follow: log gives no answer",
@@ -169,4 +172,4 @@
         catalog.note_read()
         catalog.changed(offset)
 
-    return Sink(take_all, take, changed)
+    return Sink(take_all, take, changed, catalog.note_away)
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -92,6 +92,7 @@
             _settings.split_address(settings.peer_address),
             clock,
             self.peers,
+            self.catalog,
             self.machines,
             wire.Codec(settings.peer_secret),
             rng,
@@ -137,6 +138,7 @@
         self.dispatcher.instances = instances
         self.machines.instances = instances
         self.machines.apply(configuration.services, self.catalog.targets)
+        self.machines.changed.set()
 
     def start(self) -> None:
         """Open the ports and start every loop."""
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -1,6 +1,7 @@
 """Targets as one instance sees them, and the groups they form."""
 
 import collections.abc
+import dataclasses
 import random
 
 import gevent.event
@@ -89,6 +90,12 @@
         if target.role is not None:
             self.load.role = target.role
 
+    def withdraw(self) -> None:
+        """Take no new work for a target that is gone."""
+        gone = _types.TargetState.WITHDRAWN
+        self.target = dataclasses.replace(self.target, state=gone)
+        self.channels.close()
+
     def note_failure(self) -> None:
         """Leave the target alone for a while; longer each time."""
         self.failures += 1
@@ -239,7 +246,7 @@
         """Follow a change of services or targets; nothing here yields."""
         for name in list(self.by_id):
             if name not in targets:
-                self.by_id.pop(name).channels.close()
+                self.by_id.pop(name).withdraw()
         for name, target in targets.items():
             self._apply_target(name, target, services.get(target.service))
         for name, service in services.items():
@@ -268,7 +275,7 @@
             machine.update(target)
             return
         if machine is not None:
-            machine.channels.close()
+            machine.withdraw()
         speed = speed_of(self._speed, target, service)
         self.by_id[name] = Machine(
             target, speed, self._clock, self.changed
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -29,6 +29,9 @@
 #: Time between two rounds of questions while the log is away, in seconds;
 #: several fit into the two seconds of a configuration or a drain.
 ASK_PERIOD_S = 0.4
+#: Pause before a peer is asked whose note shows that it knows more, in
+#: seconds: ten times what the log takes for an answer on a calm day.
+ASK_DELAY_S = 0.04
 #: Peers asked in one round, so that one that is cut off too costs nothing.
 ASKED = 2
 
@@ -55,6 +58,7 @@
         "_loop",
         "known",
         "asked",
+        "_asking",
     )
 
     def __init__(
@@ -77,6 +81,7 @@
         self.known: dict[str, PeerEntry] = {}
         #: Questions asked so far.
         self.asked = 0
+        self._asking = False
 
     def start(self) -> None:
         """Serve questions and ask while the log is away."""
@@ -128,6 +133,22 @@
         for name in chosen:
             gevent.spawn(self._ask, name, self.known[name].address)
 
+    def ask_soon(self, name: str) -> None:
+        """Ask one peer that knows more, unless a question is open."""
+        entry = self.known.get(name)
+        if entry is None or self._asking:
+            return
+        self._asking = True
+        gevent.spawn(self._ask_one, name, entry.address)
+
+    def _ask_one(self, name: str, address: str) -> None:
+        try:
+            # The own read usually brings the same news within this time.
+            self._clock.sleep(ASK_DELAY_S)
+            self._ask(name, address)
+        finally:
+            self._asking = False
+
     def _ask(self, name: str, address: str) -> None:
         self.asked += 1
         match self._fetch(address):
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -68,6 +68,10 @@
         except _channel.ConnectError as exc:
             machine.note_failure()
             return _messages.NotSent(str(exc))
+        if not machine.active:
+            # It began to leave while the connection came about.
+            channel.close()
+            return _messages.NotSent("the target is leaving")
         try:
             return self._exchange(machine, channel, req, facts, deadline)
         except BaseException:
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -138,19 +138,19 @@
             self._release()
 
     def _follow(self, route: decisions.Route) -> _machines.Machine:
-        """Return the engine that decodes, after a split its prefill."""
+        """Return the engine that decodes, after a split its prefill.
+
+        A prefill can take seconds, so the engine that decodes is chosen
+        anew after it.
+        """
         match route:
             case decisions.Single(engine=name):
-                return self._machine(name)
-            case decisions.Split(prefill=first, decode=second):
-                self._prefill(self._machine(first))
-                return self._machine(second)
-
-    def _machine(self, name: str) -> _machines.Machine:
-        machine = self._pool.engines.get(name)
-        if machine is None or machine.target.id in self._job.avoid:
-            return self._choose()
-        return machine
+                return self._pool.engines.get(name) or self._choose()
+            case decisions.Split(prefill=name):
+                apart = self._pool.engines.get(name)
+                if apart is not None:
+                    self._prefill(apart)
+        return self._choose()
 
     def _choose(self) -> _machines.Machine:
         """Return another engine that decodes."""
@@ -161,12 +161,20 @@
             if load.role is not _types.Role.PREFILL
         ]
         route = self._pool.router.choose(
-            self._work, loads, frozenset(self._job.avoid)
+            self._work_left(), loads, frozenset(self._job.avoid)
         )
         if not isinstance(route, decisions.Single):
             raise _context.give_up(self._job, "no engine takes the request")
         return self._pool.engines[route.engine]
 
+    def _work_left(self) -> decisions.Work:
+        """Return the work for an engine that decodes."""
+        if self._held is None:
+            return self._work
+        return decisions.Work(
+            0, self._work.output_tokens, self._work.zone, {}
+        )
+
     def _tokens_on(self, machine: _machines.Machine) -> int:
         return decisions.work_on(self._work, machine.load)
 
@@ -432,7 +440,8 @@
         self._release()
 
     def _next_machine(self, last: _machines.Machine) -> _machines.Machine:
-        if last.target.id in self._job.avoid:
+        now = self._parts.clock.monotonic()
+        if last.target.id in self._job.avoid or not last.usable(now):
             return self._choose()
         return last
 
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -1,4 +1,4 @@
-"""Instances tell each other what work they have at engines.
+"""Instances tell each other their work at engines and what they know.
 
 Every instance sees only its own requests; with six of them, five sixths of
 an engine's queue are invisible, and an engine's own report lags and is paid
@@ -17,6 +17,7 @@
 import result
 
 from agatewing import _clock
+from agatewing.gateway import _catalog
 from agatewing.gateway import _machines
 from agatewing.gateway import _peers
 from agatewing import wire
@@ -59,6 +60,7 @@
         "_address",
         "_clock",
         "_peers",
+        "_catalog",
         "_machines",
         "_codec",
         "_random",
@@ -76,6 +78,7 @@
         address: tuple[str, int],
         clock: _clock.Clock,
         peers: _peers.Peers,
+        catalog: _catalog.Catalog,
         machines: _machines.Machines,
         codec: wire.Codec,
         rng: random.Random,
@@ -84,6 +87,7 @@
         self._address = address
         self._clock = clock
         self._peers = peers
+        self._catalog = catalog
         self._machines = machines
         self._codec = codec
         self._random = rng
@@ -114,15 +118,10 @@
             self._socket.close()
 
     def _send_always(self, sock: gevent.socket.socket) -> None:
-        idle = True
         while True:
-            # An idle instance has nothing to tell once it said so.
-            limit = None if idle else REPEAT_S
-            self._machines.changed.wait(limit)
+            self._machines.changed.wait(REPEAT_S)
             self._machines.changed.clear()
-            work = self._own_work()
-            idle = not work
-            self._send(sock, work)
+            self._send(sock, self._own_work())
             self._clock.sleep(PERIOD_S)
 
     def _own_work(self) -> list[wire.EngineWork]:
@@ -145,7 +144,11 @@
     ) -> None:
         self._sequence += 1
         note = wire.WorkNote(
-            instance=self._name, sequence=self._sequence, work=work
+            instance=self._name,
+            sequence=self._sequence,
+            work=work,
+            config_version=self._catalog.config_version,
+            through=self._catalog.through,
         )
         data = self._codec.encode(note)
         for address in self._receivers():
@@ -181,6 +184,11 @@
         last = self._notes.get(note.instance)
         if last is not None and note.sequence <= last.sequence:
             return
+        if (
+            note.config_version > self._catalog.config_version
+            or note.through > self._catalog.through
+        ):
+            self._peers.ask_soon(note.instance)
         self._notes[note.instance] = Noted(
             self._clock.monotonic(),
             note.sequence,
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -21,6 +21,13 @@
 IDLE_LIMIT_S = 4.0
 #: Largest whole answer read from a target or platform service, in bytes.
 MAX_ANSWER_BYTES = 64_000_000
+#: Probes of an idle connection: after one second, each second, and broken
+#: after two without an answer; something between may have lost track.
+KEEP_ALIVE = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+}
 
 MaySend: typing.TypeAlias = collections.abc.Callable[[], bool]
 Headers: typing.TypeAlias = collections.abc.Mapping[str, str]
@@ -52,8 +59,11 @@
     """A connection pool with TCP_NODELAY and a limit on idle time."""
 
     def after_connect(self, sock: gevent.socket.socket) -> None:
-        """Switch off the delay of small writes."""
+        """Switch off the delay of small writes; probe idle connections."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in KEEP_ALIVE.items():
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def return_socket(self, sock: gevent.socket.socket) -> None:
         """Stamp the connection and keep it for the next call."""
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -12,13 +12,14 @@
 from agatewing import net
 from agatewing.platform import _names
 
-#: Time for which a read waits for records, by topic, in milliseconds. A
-#: connection that went silent is noticed after this and ANSWER_S; a
-#: configuration has to be in force after two seconds.
+#: Time for which a read waits for records, by topic, in milliseconds. Calls
+#: are paid for, so reads wait long; but a read that the log forgot in an
+#: outage must end in time: an instance counts as in touch three seconds
+#: after the outage and has two more for a new configuration.
 WAIT_MS = {
-    gateway.Topic.CONFIGURATION: 900,
-    gateway.Topic.TARGETS: 500,
-    gateway.Topic.INSTANCES: 5_000,
+    gateway.Topic.CONFIGURATION: 4_000,
+    gateway.Topic.TARGETS: 4_000,
+    gateway.Topic.INSTANCES: 20_000,
 }
 #: Time for an answer of the log, in seconds; it takes 4 ms on a calm day.
 ANSWER_S = 0.6
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -66,6 +66,8 @@
         self.events = events
         #: Pause before each event, in seconds.
         self.pause_s = 0.0
+        #: Time for processing a prompt apart, in seconds.
+        self.prefill_s = 0.0
         #: What happens to the next requests; ANSWER when it is empty.
         self.script: collections.deque[Behaviour] = collections.deque()
         #: Requests that it worked on.
@@ -136,6 +138,7 @@
                 return _send(sock, 421, run, b"")
         if run.headers.get("x-stage") == "prefill":
             self.prefills.append(run)
+            gevent.sleep(self.prefill_s)
             handle = f"h{next(_HANDLES)}"
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
             return _send(sock, 200, run, body % handle.encode())
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -239,6 +239,29 @@
     site.wait(lambda: site.engines["p1"].freed)
 
 
+def test_an_engine_that_leaves_during_the_prefill_gets_no_request(
+    site: standins.Site,
+) -> None:
+    """Found by a hunt on tala-ops: scale-1, seed 478725955497."""
+    site.add_engine("p1", role="prefill").prefill_s = 0.5
+    instance = started(site, 5)
+    prompt = {"X_Token_Count": "9000,20", "X_Prefix_Hash": "aa:5000,bb:4000"}
+    instance.machines.by_id["e2"].note_sent(1_000)
+    replies: list[standins.Reply] = []
+
+    def ask() -> None:
+        replies.append(site.ask(instance, "/draft/x", "long", **prompt))
+
+    asking = gevent.spawn(ask)
+    site.wait(lambda: site.engines["p1"].prefills)
+    site.announce("e1", state="draining", seq=2)
+    site.wait(lambda: not instance.machines.by_id["e1"].active)
+    asking.join()
+    assert replies[0].status == 200
+    assert not site.engines["e1"].runs
+    assert len(site.engines["e2"].runs) == 1
+
+
 def test_a_config_is_followed_and_never_reverts(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -878,6 +878,8 @@
      - instance
      - sequence
      - work
+     - config_version
+     - through
 
     """
 
@@ -885,13 +887,17 @@
         'instance',
         'sequence',
         'work',
+        'config_version',
+        'through',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
+        self.config_version = config_version
+        self.through = through
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -923,6 +929,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.through = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -948,6 +964,14 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 4)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.through is not None:
+            oprot.writeFieldBegin('through', TType.I64, 5)
+            oprot.writeI64(self.through)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -958,6 +982,10 @@
             raise TProtocolException(message='Required field sequence is unset!')
         if self.work is None:
             raise TProtocolException(message='Required field work is unset!')
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        if self.through is None:
+            raise TProtocolException(message='Required field through is unset!')
         return
 
     def __repr__(self):
@@ -1040,6 +1068,8 @@
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
     (3, TType.LIST, 'work', (TType.STRUCT, [EngineWork, None], False), None, ),  # 3
+    (4, TType.I64, 'config_version', None, None, ),  # 4
+    (5, TType.I64, 'through', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -82,4 +82,8 @@
   // Grows with each note of one start of the instance.
   2: required i64 sequence,
   3: required list<EngineWork> work,
+  // Version of the configuration in force at the sender; 0 for none.
+  4: required i64 config_version,
+  // Offset up to which the sender knows the entries of targets.
+  5: required i64 through,
 }
