A failed call that may be repeated goes to another target

Cause: the first target stayed among the choices (seen on both sites: 500 from the same target twice). Test failed first.

--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -26,6 +26,7 @@
             outcome = self._send(job, machine)
             if isinstance(outcome, _messages.Answered):
                 if self._worth_another(job, outcome):
+                    job.avoid.add(machine.target.id)
                     continue
                 self._pass_on(job, outcome, machine)
                 return
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -168,6 +168,17 @@
     return ["t1"]
 
 
+def test_a_failure_that_may_be_repeated_goes_to_another_target(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    """Found on both sites: the repeat met the same target's failure."""
+    _order(site, instance)
+    site.engines["t1"].script.extend([Behaviour.ERROR, Behaviour.ERROR])
+    assert site.ask(instance, "/look/x", "f1").status == 200
+    assert len(site.engines["t1"].runs) == 1
+    assert len(site.engines["t2"].runs) == 1
+
+
 def test_a_stream_arrives_whole_and_in_order(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
