--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -25,6 +25,9 @@
 #: prompts to prefill for others, in seconds.
 NO_CACHE_S = 3.0
 
+#: Instances among which the slots of an engine are split: none, as the work
+#: of the others is known and engines queue by urgency.
+SHARING = 1
 #: Engines compared for one request; the work of other instances is known.
 SAMPLES = 8
 #: Prompts waiting in an engine beyond which it gets no more, in seconds of
@@ -139,13 +142,13 @@
             load.unreported_long_tokens += tokens
         self._changed.set()
 
-    def note_ended(self, instances: int) -> None:
+    def note_ended(self) -> None:
         """Count the end of a request."""
         self.in_flight -= 1
         self.load.own_sequences -= 1
         self.load.unreported_sequences -= 1
         self._changed.set()
-        self.load.credits = decisions.credits(self.load, instances)
+        self.load.credits = decisions.credits(self.load, SHARING)
 
 
 class Pool:
@@ -180,7 +183,7 @@
                 load.routable = load.routable and now >= machine.no_cache_until
             load.ease = shares[name]
             load.slowness = max(1.0, machine.pace.current(now))
-            load.credits = decisions.credits(load, self.instances)
+            load.credits = decisions.credits(load, SHARING)
             machine.channels.keep = self._idle_limit()
 
     def loads(self) -> list[decisions.EngineLoad]:
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -163,9 +163,9 @@
         route = self._pool.router.choose(
             self._work_left(), loads, frozenset(self._job.avoid)
         )
-        if not isinstance(route, decisions.Single):
-            raise _context.give_up(self._job, "no engine takes the request")
-        return self._pool.engines[route.engine]
+        if isinstance(route, decisions.Single):
+            return self._pool.engines[route.engine]
+        raise _context.give_up(self._job, "no engine that decodes is left")
 
     def _work_left(self) -> decisions.Work:
         """Return the work for an engine that decodes."""
@@ -203,7 +203,7 @@
             outcome = self._prefill_on(machine)
         finally:
             machine.note_processed(tokens)
-            machine.note_ended(self._pool.instances)
+            machine.note_ended()
         if self._held is not None:
             self._prefill_on_id = machine.target.id
             self._note_parts(machine)
@@ -248,7 +248,7 @@
         """Send to one engine; return whether the stream is finished."""
         tokens = 0 if self._held else self._tokens_on(machine)
         used_cache = self._held is not None
-        meter = _Meter(machine, tokens, self._pool.instances)
+        meter = _Meter(machine, tokens)
         try:
             outcome = self._exchange(machine, meter)
         finally:
@@ -472,14 +472,11 @@
 class _Meter:
     """Counts one request at an engine, its prompt until the first event."""
 
-    __slots__ = ("_machine", "_tokens", "_instances", "_first")
+    __slots__ = ("_machine", "_tokens", "_first")
 
-    def __init__(
-        self, machine: _machines.Machine, tokens: int, instances: int
-    ) -> None:
+    def __init__(self, machine: _machines.Machine, tokens: int) -> None:
         self._machine = machine
         self._tokens = tokens
-        self._instances = instances
         self._first = True
         machine.note_sent(tokens)
 
@@ -495,4 +492,4 @@
         """Note the end of the request."""
         if self._first:
             self._machine.note_processed(self._tokens)
-        self._machine.note_ended(self._instances)
+        self._machine.note_ended()
