--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -83,6 +83,7 @@
         "_samples",
         "_beside_tokens",
         "_backlog_limit_s",
+        "_reread_weight",
     )
 
     def __init__(
@@ -91,11 +92,13 @@
         samples: int = SAMPLES,
         beside_tokens: int | None = None,
         backlog_limit_s: float = BACKLOG_LIMIT_S,
+        reread_weight: float = 0.0,
     ) -> None:
         self._random = rng
         self._samples = samples
         self._beside_tokens = beside_tokens
         self._backlog_limit_s = backlog_limit_s
+        self._reread_weight = reread_weight
 
     def choose(
         self,
@@ -243,11 +246,20 @@
         chosen: EngineLoad | None = None
         least = float("inf")
         for engine in engines:
-            seconds = single_s(work, engine)
+            seconds = single_s(work, engine) + self._reread_s(work, engine)
             if seconds < least:
                 chosen, least = engine, seconds
         return Single(chosen.name, least) if chosen else None
 
+    def _reread_s(self, work: Work, engine: EngineLoad) -> float:
+        """Return what it costs others to read shared parts once more."""
+        if not self._reread_weight or not work.cached:
+            return 0.0
+        held = max(work.cached.values())
+        missing = held - work.cached.get(engine.name, 0)
+        rate = engine.speed.prefill_tokens_per_s
+        return self._reread_weight * missing / rate
+
     def _best_split(
         self,
         work: Work,
@@ -256,9 +268,13 @@
     ) -> Split | None:
         if not first or not second:
             return None
-        prefill = min(first, key=lambda e: prefill_s(work, e))
+
+        def apart_s(engine: EngineLoad) -> float:
+            return prefill_s(work, engine) + self._reread_s(work, engine)
+
+        prefill = min(first, key=apart_s)
         decode = min(second, key=lambda e: import_and_decode_s(work, e))
-        seconds = prefill_s(work, prefill) + import_and_decode_s(work, decode)
+        seconds = apart_s(prefill) + import_and_decode_s(work, decode)
         return Split(prefill.name, decode.name, seconds)
 
 
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -33,6 +33,9 @@
 #: Prompts waiting in an engine beyond which it gets no more, in seconds of
 #: its work: callers give a long prompt up after 3.2 s.
 BACKLOG_LIMIT_S = 2.0
+#: Times by which reading a shared part again counts beyond its own time: it
+#: delays what waits behind it, and the users price it by itself.
+REREAD_WEIGHT = 2.0
 #: Prompt tokens that an engine processes beside streams at most. An event
 #: of 9 tokens takes 9 steps; with a chunk of 512 tokens at half the rate in
 #: each, 20 ms a step, seven chunks break a pause of 150 ms. Half of that
@@ -256,7 +259,11 @@
             pool = self.pools.get(name)
             if pool is None:
                 router = decisions.Router(
-                    self._random, SAMPLES, BESIDE_TOKENS, BACKLOG_LIMIT_S
+                    self._random,
+                    SAMPLES,
+                    BESIDE_TOKENS,
+                    BACKLOG_LIMIT_S,
+                    REREAD_WEIGHT,
                 )
                 pool = self.pools[name] = Pool(service, router)
             pool.facts = service
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -40,7 +40,11 @@
             if job.attempts.maybe_ran:
                 raise _context.give_up(job, "no other target is left")
             raise _refusals.GatewayRefusedError(
-                _refusals.no_target(job.service)
+                _refusals.no_target(
+                    job.service,
+                    bool(pool and pool.engines),
+                    self._parts.rng,
+                )
             )
         loads = [
             decisions.TargetLoad(
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -1,13 +1,20 @@
 """Refusals of the gateway: status, reason and when to come back."""
 
 import dataclasses
+import random
 
 from agatewing import _types
 from agatewing import net
 
-#: Time after which a request that found no target may return, in seconds:
-#: a leaving target is replaced or back within the platform's two seconds.
+#: Time after which a request may return that found all targets failing, in
+#: seconds: the first pause for a target that accepts no connections.
 NO_TARGET_RETRY_S = 0.5
+#: Time after which a request may return that found no target known, in
+#: seconds: entries that lapsed are back within two seconds.
+UNKNOWN_TARGETS_RETRY_S = 2.1
+#: Part by which that time is spread, so that callers do not all return at
+#: once.
+SPREAD = 0.3
 #: Time after which a request may return that a busy target turned away,
 #: in seconds: a few requests of a plain service later.
 BUSY_RETRY_S = 0.1
@@ -86,13 +93,19 @@
     )
 
 
-def no_target(service: str) -> GatewayRefusal:
-    """Return the answer where no target takes new work."""
+def no_target(
+    service: str, known: bool, rng: random.Random
+) -> GatewayRefusal:
+    """Return the answer where no target takes new work.
+
+    ``known`` says whether any target of the service is known.
+    """
+    least = NO_TARGET_RETRY_S if known else UNKNOWN_TARGETS_RETRY_S
     return GatewayRefusal(
         503,
         _types.RefusalKind.NO_TARGET,
         f"no target of {service} takes new work; come back later",
-        NO_TARGET_RETRY_S,
+        least * (1 + SPREAD * rng.random()),
     )
 
 
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -48,7 +48,7 @@
         pool = self._parts.machines.pools.get(job.service)
         if pool is None or not pool.engines:
             raise _refusals.GatewayRefusedError(
-                _refusals.no_target(job.service)
+                _refusals.no_target(job.service, False, self._parts.rng)
             )
         now = self._parts.clock.monotonic()
         self._parts.notes.add_up()
