--- /dev/null
+++ b/agatewing/decisions/tests/test_attempts.py
@@ -0,0 +1,137 @@
+"""What follows a failed send, and the budget of repeats."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from agatewing import decisions
+
+Failure = decisions.Failure
+Next = decisions.Next
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    idempotent: bool
+    max_targets: int
+    failures: tuple[Failure, ...]
+    steps: tuple[Next, ...]
+
+
+CASES = {
+    "nothing was sent": Case(
+        False,
+        1,
+        (Failure.NOT_SENT, Failure.NOT_SENT),
+        (Next.ANOTHER_FREE, Next.ANOTHER_FREE),
+    ),
+    "a proof allows another target": Case(
+        False, 2, (Failure.NOT_RUN,), (Next.ANOTHER,)
+    ),
+    "the route's targets are used up": Case(
+        False,
+        2,
+        (Failure.NOT_RUN, Failure.NOT_RUN),
+        (Next.ANOTHER, Next.REFUSE),
+    ),
+    "once: it may have run": Case(False, 3, (Failure.UNKNOWN,), (Next.FAIL,)),
+    "once: it is overdue": Case(False, 3, (Failure.OVERDUE,), (Next.FAIL,)),
+    "repeatable: it may have run": Case(
+        True, 2, (Failure.UNKNOWN,), (Next.ANOTHER,)
+    ),
+    "repeatable: a proof after it may have run is no refusal": Case(
+        True,
+        2,
+        (Failure.UNKNOWN, Failure.NOT_RUN),
+        (Next.ANOTHER, Next.FAIL),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_the_step_after_a_failure(name: str) -> None:
+    case = CASES[name]
+    attempts = decisions.Attempts(case.idempotent, case.max_targets)
+    assert tuple(map(attempts.after, case.failures)) == case.steps
+
+
+def test_a_kv_cache_that_cannot_be_fetched_costs_no_target() -> None:
+    attempts = decisions.Attempts(False, 1)
+    step = attempts.after(Failure.NOT_RUN, used_cache=True)
+    assert step is Next.SAME_WITHOUT_CACHE
+    assert attempts.after(Failure.NOT_RUN) is Next.REFUSE
+
+
+@hypothesis.given(
+    strategies.booleans(),
+    strategies.integers(1, 4),
+    strategies.lists(strategies.sampled_from(list(Failure)), max_size=8),
+)
+def test_fuzz_a_refusal_is_true(
+    idempotent: bool, most: int, failures: list[Failure]
+) -> None:
+    """Nothing is refused, or sent again, that may not be."""
+    attempts = decisions.Attempts(idempotent, most)
+    maybe_ran = False
+    for failure in failures:
+        step = attempts.after(failure)
+        maybe_ran |= failure in (Failure.UNKNOWN, Failure.OVERDUE)
+        if step is Next.REFUSE:
+            assert not maybe_ran
+        if step is Next.ANOTHER and maybe_ran:
+            assert idempotent
+        if step in (Next.REFUSE, Next.FAIL):
+            return
+
+
+class SharedBudgetMachine(stateful.RuleBasedStateMachine):
+    """All instances together keep the bound in every sliding window."""
+
+    RATIO, SLACK, WINDOW, INSTANCES = 0.2, 20.0, 10.0, 4
+
+    def __init__(self) -> None:
+        super().__init__()
+        bound = decisions.BudgetBound(self.RATIO, self.SLACK, self.WINDOW)
+        self.budgets = []
+        for _ in range(self.INSTANCES):
+            budget = decisions.SharedRetryBudget(bound)
+            budget.instances = self.INSTANCES
+            self.budgets.append(budget)
+        self.now = 100.0
+        self.requests: list[float] = []
+        self.repeats: list[float] = []
+
+    @stateful.rule(
+        index=strategies.integers(0, INSTANCES - 1),
+        count=strategies.integers(1, 20),
+    )
+    def request(self, index: int, count: int) -> None:
+        for _ in range(count):
+            self.budgets[index].note_request("s", self.now)
+            self.requests.append(self.now)
+
+    @stateful.rule(
+        index=strategies.integers(0, INSTANCES - 1),
+        count=strategies.integers(1, 20),
+    )
+    def repeat(self, index: int, count: int) -> None:
+        for _ in range(count):
+            if self.budgets[index].take("s", self.now):
+                self.repeats.append(self.now)
+
+    @stateful.rule(seconds=strategies.floats(0.01, 6.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @stateful.invariant()
+    def bound_holds(self) -> None:
+        start = self.now - self.WINDOW
+        repeats = sum(at > start for at in self.repeats)
+        requests = sum(at >= start for at in self.requests)
+        assert repeats <= self.RATIO * requests + self.SLACK
+
+
+TestSharedBudget = SharedBudgetMachine.TestCase
--- /dev/null
+++ b/agatewing/decisions/tests/test_placement.py
@@ -0,0 +1,196 @@
+"""Where prompts go: shared parts, long prompts, streams beside prompts."""
+
+import dataclasses
+import random
+
+import pytest
+
+from agatewing import _types
+from agatewing import decisions
+
+#: The engines of the platform's sheet.
+SPEED = decisions.Speed(
+    prefill_tokens_per_s=64_200,
+    step_base_s=0.00423,
+    step_per_sequence_s=7.67e-7,
+    chunk_tokens=512,
+    full_chunk_tokens=2_048,
+    slots=64,
+    import_tokens_per_s=915_000,
+    beside_share=0.5,
+    tokens_per_m_pairs=41.5,
+)
+
+
+def engine(
+    name: str,
+    role: _types.Role,
+    tokens: float = 0,
+    long_tokens: float = 0,
+    sequences: int = 0,
+) -> decisions.EngineLoad:
+    return decisions.EngineLoad(
+        name,
+        "z1",
+        role,
+        SPEED,
+        credits=64,
+        reported_tokens=tokens,
+        reported_long_tokens=long_tokens,
+        reported_sequences=sequences,
+    )
+
+
+def prefill(name: str, *work: float) -> decisions.EngineLoad:
+    return engine(name, _types.Role.PREFILL, *work)
+
+
+def decode(
+    name: str, tokens: float = 0, sequences: int = 0
+) -> decisions.EngineLoad:
+    return engine(name, _types.Role.DECODE, tokens, 0, sequences)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    prompt: int
+    engines: tuple[decisions.EngineLoad, ...]
+    prefill: str | None
+    engine: str
+    cached: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+CASES = {
+    "a long prompt is kept from streams": Case(
+        12_000, (prefill("p"), decode("d", sequences=3)), "p", "d"
+    ),
+    "also when the prefill engine has work for a second": Case(
+        12_000, (prefill("p", 60_000), decode("d", sequences=3)), "p", "d"
+    ),
+    "a short prompt avoids an engine that a long one holds up": Case(
+        2_400,
+        (
+            prefill("p1", 30_000, 30_000),
+            prefill("p2", 9_000),
+            decode("d", sequences=3),
+        ),
+        "p2",
+        "d",
+    ),
+    "a short prompt is read beside few streams": Case(
+        800, (prefill("p", 20_000), decode("d", sequences=2)), None, "d"
+    ),
+    "two prompts beside streams would break their pauses": Case(
+        1_200,
+        (prefill("p", 2_000), decode("d", tokens=1_200, sequences=3)),
+        "p",
+        "d",
+    ),
+    "a shared part goes where it is held, past a short queue": Case(
+        9_000,
+        (prefill("p1", 4_000), prefill("p2"), decode("d", sequences=3)),
+        "p1",
+        "d",
+        {"p1": 5_400},
+    ),
+    "but not past a long one": Case(
+        9_000,
+        (prefill("p1", 60_000), prefill("p2"), decode("d", sequences=3)),
+        "p2",
+        "d",
+        {"p1": 5_400},
+    ),
+    "without a prefill engine a long prompt is read where it decodes": Case(
+        12_000, (decode("d1", 9_000, 3), decode("d2")), None, "d2"
+    ),
+}
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("name", CASES)
+def test_the_way_of_a_prompt(name: str, seed: int) -> None:
+    case = CASES[name]
+    router = decisions.Router(
+        random.Random(seed), 8, 1_700, 2.0, reread_weight=2.0
+    )
+    work = decisions.Work(case.prompt, 20, "z1", case.cached)
+    match router.choose(work, case.engines):
+        case decisions.Single(engine=chosen):
+            assert (None, chosen) == (case.prefill, case.engine)
+        case decisions.Split(prefill=first, decode=second):
+            assert (first, second) == (case.prefill, case.engine)
+        case None:
+            pytest.fail("no engine was chosen")
+
+
+def test_all_instances_give_shared_parts_the_same_home() -> None:
+    engines = [f"e{n}" for n in range(5)]
+    parts = [("system", 500), ("history", 4_900)]
+    homes = {
+        decisions.home(parts, random.Random(seed).sample(engines, 5))
+        for seed in range(20)
+    }
+    assert len(homes) == 1
+    left = [name for name in engines if name not in homes]
+    moved = sum(
+        decisions.home([("s", 1), (f"h{n}", 1)], engines)
+        != decisions.home([("s", 1), (f"h{n}", 1)], [*engines, "new"])
+        for n in range(600)
+    )
+    assert decisions.home(parts, left) in left
+    assert 60 < moved < 150  # A sixth of 600 moves to a sixth engine.
+
+
+def test_the_index_forgets_and_needs_every_part_before() -> None:
+    index = decisions.PartIndex(keep_s=10)
+    parts = [("a", 100), ("b", 200), ("c", 300)]
+    index.add("e1", parts[:2], now=0)
+    assert index.match(parts, now=5) == {"e1": 300}
+    assert index.match([("x", 1), *parts], now=5) == {}
+    assert index.match(parts, now=11) == {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetCase:
+    targets: tuple[decisions.TargetLoad, ...]
+    chosen: str
+
+
+TARGETS = {
+    "the one with the least work": TargetCase(
+        (
+            decisions.TargetLoad("a", 6, 3, 1.0, True),
+            decisions.TargetLoad("b", 6, 1, 1.0, True),
+        ),
+        "b",
+    ),
+    "a slow one counts as busier": TargetCase(
+        (
+            decisions.TargetLoad("a", 6, 0, 4.0, True),
+            decisions.TargetLoad("b", 6, 1, 1.0, True),
+        ),
+        "b",
+    ),
+    "the own zone at equal load": TargetCase(
+        (
+            decisions.TargetLoad("a", 6, 1, 1.0, False),
+            decisions.TargetLoad("b", 6, 1, 1.0, True),
+        ),
+        "b",
+    ),
+    "another zone when the own one is busy": TargetCase(
+        (
+            decisions.TargetLoad("a", 6, 0, 1.0, False),
+            decisions.TargetLoad("b", 6, 1, 1.0, True),
+        ),
+        "a",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", TARGETS)
+def test_the_target_of_a_call(name: str) -> None:
+    case = TARGETS[name]
+    for seed in range(5):
+        rng = random.Random(seed)
+        assert decisions.choose_target(case.targets, rng) == case.chosen
