--- a/agatewing/decisions/tests/test_placement.py
+++ b/agatewing/decisions/tests/test_placement.py
@@ -41,8 +41,10 @@
     )
 
 
-def prefill(name: str, *work: float) -> decisions.EngineLoad:
-    return engine(name, _types.Role.PREFILL, *work)
+def prefill(
+    name: str, tokens: float = 0, long_tokens: float = 0
+) -> decisions.EngineLoad:
+    return engine(name, _types.Role.PREFILL, tokens, long_tokens)
 
 
 def decode(
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -47,9 +47,17 @@
 class Pool(typing.Protocol):
     """Engines that serve the same requests."""
 
-    name: str
-    meter: Meter
-    router: decisions.Router
+    @property
+    def name(self) -> str:
+        """Name of the pool."""
+
+    @property
+    def meter(self) -> Meter:
+        """Counts the work asked for."""
+
+    @property
+    def router(self) -> decisions.Router:
+        """Chooses engines."""
 
     @property
     def engines(self) -> collections.abc.Mapping[str, Machine]:
--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -353,13 +353,9 @@
             _log.debug("caller: connection was gone at its end: %s", exc)
 
 
-def _refused(
-    detail: str, status: int = 400
-) -> _refusals.GatewayRefusedError:
+def _refused(detail: str, status: int = 400) -> _refusals.GatewayRefusedError:
     """Return the error for a malformed request."""
-    return _refusals.GatewayRefusedError(
-        _refusals.bad_request(detail, status)
-    )
+    return _refusals.GatewayRefusedError(_refusals.bad_request(detail, status))
 
 
 def _too_large(limit: int) -> _refusals.GatewayRefusedError:
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -299,9 +299,7 @@
 
 
 def _new_parser() -> h11.Connection:
-    return h11.Connection(
-        h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-    )
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
 def _encode(
@@ -320,5 +318,3 @@
         body = conn.send(h11.Data(data=outgoing.body)) or b""
     conn.send(h11.EndOfMessage())
     return head, body
-
-
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -24,9 +24,7 @@
 }
 
 Take = collections.abc.Callable[[_ports.KeyedRecord], None]
-TakeAll = collections.abc.Callable[
-    [tuple[_ports.KeyedRecord, ...], int], None
-]
+TakeAll = collections.abc.Callable[[tuple[_ports.KeyedRecord, ...], int], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,9 +135,7 @@
         if configuration is not None:
             catalog.take_configuration(configuration, "log")
 
-    def take_all(
-        records: tuple[_ports.KeyedRecord, ...], offset: int
-    ) -> None:
+    def take_all(records: tuple[_ports.KeyedRecord, ...], offset: int) -> None:
         for record in records:
             take(record)
 
@@ -157,9 +153,7 @@
         if target is not None:
             catalog.take_change(record.key, target)
 
-    def take_all(
-        records: tuple[_ports.KeyedRecord, ...], offset: int
-    ) -> None:
+    def take_all(records: tuple[_ports.KeyedRecord, ...], offset: int) -> None:
         catalog.note_read()
         targets: dict[str, _contracts.Target] = {}
         for record in records:
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -287,9 +287,7 @@
         if machine is not None:
             machine.withdraw()
         speed = speed_of(self._speed, target, service)
-        self.by_id[name] = Machine(
-            target, speed, self._clock, self.changed
-        )
+        self.by_id[name] = Machine(target, speed, self._clock, self.changed)
 
 
 def speed_of(
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -160,9 +160,7 @@
                     extra={"instance": name, "reason": reason},
                 )
 
-    def _fetch(
-        self, address: str
-    ) -> result.Result[_contracts.Snapshot, str]:
+    def _fetch(self, address: str) -> result.Result[_contracts.Snapshot, str]:
         host, _, port = address.rpartition(":")
         request = wire.StateRequest(stream=SNAPSHOT)
         try:
@@ -175,8 +173,8 @@
         except (OSError, ValueError) as exc:
             return result.Err(str(exc))
         match self._codec.decode(wire.StateReply, data):
-            case result.Err(exc):
-                return result.Err(str(exc))
+            case result.Err(fault):
+                return result.Err(str(fault))
             case result.Ok(reply):
                 pass
         try:
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -109,7 +109,9 @@
     def vouched(self, head: _messages.AnswerHead) -> bool:
         """Return whether an answer bears the target's signature."""
 
-    def handle(self, address: str, body: bytes) -> _messages.CacheHandle | None:
+    def handle(
+        self, address: str, body: bytes
+    ) -> _messages.CacheHandle | None:
         """Return the KV cache that an answer names."""
 
     def release(self, handle: _messages.CacheHandle) -> _messages.Outgoing:
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -93,9 +93,7 @@
     )
 
 
-def no_target(
-    service: str, known: bool, rng: random.Random
-) -> GatewayRefusal:
+def no_target(service: str, known: bool, rng: random.Random) -> GatewayRefusal:
     """Return the answer where no target takes new work.
 
     ``known`` says whether any target of the service is known.
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -41,9 +41,7 @@
     attention_ms_per_m_pairs: Millis = 0.647
 
 
-class GatewaySettings(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True
-):
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that one process is told at its start."""
 
     # Unique name of the instance.
@@ -82,9 +80,7 @@
         case result.Ok(settings):
             pass
     faults = [
-        config.Fault(
-            str(path), field, "is no address", "write it as IP:PORT"
-        )
+        config.Fault(str(path), field, "is no address", "write it as IP:PORT")
         for field in (
             "caller_address",
             "ready_address",
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -62,9 +62,7 @@
             raise _context.from_core(exc) from exc
         _Stream(self._parts, job, pool, work).run(route)
 
-    def _work(
-        self, job: _context.Job, pool: _machines.Pool
-    ) -> decisions.Work:
+    def _work(self, job: _context.Job, pool: _machines.Pool) -> decisions.Work:
         """Return what the request asks of an engine."""
         prompt = job.req.prompt
         if prompt is None:
@@ -171,9 +169,7 @@
         """Return the work for an engine that decodes."""
         if self._held is None:
             return self._work
-        return decisions.Work(
-            0, self._work.output_tokens, self._work.zone, {}
-        )
+        return decisions.Work(0, self._work.output_tokens, self._work.zone, {})
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
         return decisions.work_on(self._work, machine.load)
@@ -220,9 +216,7 @@
         if isinstance(outcome, _messages.Answered):
             address = machine.target.address
             if outcome.head.status == 200:
-                self._held = self._parts.dialect.handle(
-                    address, outcome.body
-                )
+                self._held = self._parts.dialect.handle(address, outcome.body)
             machine.note_answer()
         return outcome
 
--- a/agatewing/gateway/tests/test_catalog.py
+++ b/agatewing/gateway/tests/test_catalog.py
@@ -163,13 +163,9 @@
     ),
     strategies.sampled_from(["/", "/a/b/c/d", "/a/x", "/x", "/x/y", "/ab/"]),
 )
-def test_fuzz_the_longest_prefix_wins(
-    prefixes: list[str], path: str
-) -> None:
+def test_fuzz_the_longest_prefix_wins(prefixes: list[str], path: str) -> None:
     routes = tuple(
-        gateway.Route(
-            prefix, "h", prefix, gateway.Kind.ONCE, 1, 1, 0, (), 1
-        )
+        gateway.Route(prefix, "h", prefix, gateway.Kind.ONCE, 1, 1, 0, (), 1)
         for prefix in prefixes
     )
     found = _routes.RouteTable(routes).find("H:80", path)
--- a/agatewing/gateway/tests/test_edge.py
+++ b/agatewing/gateway/tests/test_edge.py
@@ -187,18 +187,18 @@
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
     forged = {
-        "X_Kv_Source": "10.0.0.1:1/h",
-        "X_Kv_Hold": "h",
-        "X_Pin_Ms": "9",
-        "X_Kv_Backup": "10.0.0.1:1",
-        "X_Expect_Instance": "other",
-        "X_Stage": "prefill",
-        "X_Request_Priority": "0",
-        "X_Other": "kept",
-        "Connection": "x-hop",
-        "X_Hop": "dropped",
+        "X-Kv-Source": "10.0.0.1:1/h",
+        "X-Kv-Hold": "h",
+        "X-Pin-Ms": "9",
+        "X-Kv-Backup": "10.0.0.1:1",
+        "X-Expect-Instance": "other",
+        "X-Stage": "prefill",
+        "X-Request-Priority": "0",
+        "X-Other": "kept",
+        "Connection": "X-Hop",
+        "X-Hop": "dropped",
     }
-    reply = site.ask(instance, "/look/x", "forged", **forged)
+    reply = site.ask(instance, "/look/x", "forged", forged)
     assert reply.status == 200
     headers = site.engines["t1"].runs[-1].headers
     assert headers["x-expect-instance"] == "t1"
--- a/agatewing/platform/standins/__init__.py
+++ b/agatewing/platform/standins/__init__.py
@@ -5,6 +5,7 @@
 from agatewing.platform.standins._engine import Run
 from agatewing.platform.standins._site import HOST
 from agatewing.platform.standins._site import read_reply
+from agatewing.platform.standins._site import Reply
 from agatewing.platform.standins._site import Site
 from agatewing.platform.standins._store import StoreMode
 from agatewing.platform.standins._store import StoreStandin
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -36,12 +36,44 @@
     whole: bool
 
 
+class CutLog:
+    """The log of one instance, which can be cut off from it."""
+
+    def __init__(self, address: str) -> None:
+        self._log = platform.PlatformLog(address)
+        #: Whether calls fail at once.
+        self.cut = False
+
+    def newest(self, topic: gateway.Topic) -> gateway.Page | gateway.LogAway:
+        """Return the newest values unless it is cut off."""
+        if self.cut:
+            return gateway.LogAway("cut off")
+        return self._log.newest(topic)
+
+    def read(
+        self, topic: gateway.Topic, offset: int
+    ) -> gateway.Page | gateway.HistoryLost | gateway.LogAway:
+        """Return records unless it is cut off, also while it waits."""
+        page = self._log.read(topic, offset)
+        return gateway.LogAway("cut off") if self.cut else page
+
+    def put(
+        self, topic: gateway.Topic, key: str, value: bytes
+    ) -> None | gateway.LogAway:
+        """Write a value unless it is cut off."""
+        if self.cut:
+            return gateway.LogAway("cut off")
+        return self._log.put(topic, key, value)
+
+
 class Site:
     """Log, targets and instances, taken down at its end."""
 
     def __init__(self, settings: dict[str, typing.Any] | None = None) -> None:
         self.store = _store.StoreStandin()
         self.engines: dict[str, _engine.EngineStandin] = {}
+        #: Logs of instances by name.
+        self.logs: dict[str, CutLog] = {}
         self.instances: list[gateway.GatewayInstance] = []
         self._settings = settings or {}
         self._version = 0
@@ -148,10 +180,12 @@
             "peer_secret": "secret of the stand-ins",
             **self._settings,
         }
+        self.logs[name] = CutLog(self.store.address)
+        place = platform.connect(self.store.address)
         instance = gateway.GatewayInstance(
             gateway.GatewaySettings(**raw),
             _clock.SystemClock(),
-            platform.connect(self.store.address),
+            dataclasses.replace(place, log=self.logs[name]),
             random.Random(name),
         )
         instance.start()
@@ -169,22 +203,19 @@
         instance: gateway.GatewayInstance,
         path: str,
         request_id: str = "a1",
+        headers: collections.abc.Mapping[str, str] | None = None,
         method: str = "POST",
-        body: bytes = b"",
-        **headers: str,
     ) -> Reply:
         """Send one request on a new connection; return the answer."""
         fields = {
             "Host": HOST,
             "X-Request-Id": request_id,
-            **{name.replace("_", "-"): v for name, v in headers.items()},
+            **(headers or {}),
         }
-        if body:
-            fields["Content-Length"] = str(len(body))
         lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
         head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
         with self.connect(instance) as sock:
-            sock.sendall(head + body)
+            sock.sendall(head)
             return read_reply(sock)
 
     def connect(
@@ -200,7 +231,8 @@
     conn = h11.Connection(h11.CLIENT)
     conn.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
     conn.send(h11.EndOfMessage())
-    status, headers, body = 0, {}, b""
+    status, body = 0, b""
+    headers: dict[str, str] = {}
     with gevent.Timeout(PATIENCE_S, AssertionError("no answer")):
         while True:
             try:
@@ -212,9 +244,7 @@
                 return Reply(status, headers, body, False)
             if isinstance(event, h11.Response):
                 status = event.status_code
-                headers = {
-                    k.decode(): v.decode() for k, v in event.headers
-                }
+                headers = {k.decode(): v.decode() for k, v in event.headers}
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/agatewing/platform/standins/_store.py
+++ b/agatewing/platform/standins/_store.py
@@ -170,7 +170,5 @@
 def _reply(
     start_response: net.StartResponse, code: int, body: bytes
 ) -> list[bytes]:
-    start_response(
-        net.status_line(code), [("Content-Length", str(len(body)))]
-    )
+    start_response(net.status_line(code), [("Content-Length", str(len(body)))])
     return [body]
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -10,7 +10,7 @@
 from agatewing.platform import standins
 
 Behaviour = standins.Behaviour
-PROMPT = {"X_Token_Count": "1200,20", "X_Prefix_Hash": "aa:800,bb:400"}
+PROMPT = {"X-Token-Count": "1200,20", "X-Prefix-Hash": "aa:800,bb:400"}
 
 
 @pytest.fixture
@@ -75,9 +75,7 @@
     "once: a reset may have run, so nothing is sent again": Case(
         "/pay/x", Behaviour.RESET, 502, 1
     ),
-    "once: a cut answer is no success": Case(
-        "/pay/x", Behaviour.CUT, 502, 1
-    ),
+    "once: a cut answer is no success": Case("/pay/x", Behaviour.CUT, 502, 1),
     "once: an answer without signature is no success": Case(
         "/pay/x", Behaviour.UNSIGNED, 502, 1
     ),
@@ -112,7 +110,7 @@
     case = ALL_FAIL[name]
     script(site, case.behaviour)
     extra = PROMPT if case.path.startswith("/draft") else {}
-    reply = site.ask(instance, case.path, "once", **extra)
+    reply = site.ask(instance, case.path, "once", extra)
     assert reply.status == case.status
     assert reply.whole is case.whole
     assert runs(site, "once") == case.runs
@@ -182,7 +180,7 @@
 def test_a_stream_arrives_whole_and_in_order(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
-    reply = site.ask(instance, "/draft/a?b=%2f", "s1", **PROMPT)
+    reply = site.ask(instance, "/draft/a?b=%2f", "s1", PROMPT)
     assert reply.status == 200
     assert reply.whole
     assert reply.body.count(b"id: ") == 3
@@ -200,7 +198,7 @@
     site.engines["e1"].script.append(Behaviour.CUT)
     # Work for 1,000 tokens makes the other engine the second choice.
     instance.machines.by_id["e2"].note_sent(1_000)
-    reply = site.ask(instance, "/chat/x", "s1", **PROMPT)
+    reply = site.ask(instance, "/chat/x", "s1", PROMPT)
     assert reply.whole
     ids = [x for x in reply.body.split(b"\n") if x.startswith(b"id: ")]
     assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
@@ -222,9 +220,7 @@
     sock.sendall(head.encode())
     site.wait(lambda: runs(site, "left"))
     sock.close()
-    site.wait(
-        lambda: any("left" in e.dropped for e in site.engines.values())
-    )
+    site.wait(lambda: any("left" in e.dropped for e in site.engines.values()))
     site.wait(lambda: instance.life.in_flight == 0)
 
 
@@ -233,8 +229,8 @@
 ) -> None:
     site.add_engine("p1", role="prefill")
     instance = started(site, 5)
-    prompt = {"X_Token_Count": "9000,20", "X_Prefix_Hash": "aa:5000,bb:4000"}
-    reply = site.ask(instance, "/draft/x", "long", **prompt)
+    prompt = {"X-Token-Count": "9000,20", "X-Prefix-Hash": "aa:5000,bb:4000"}
+    reply = site.ask(instance, "/draft/x", "long", prompt)
     assert reply.status == 200
     assert [run.id for run in site.engines["p1"].prefills] == ["long"]
     (run,) = [r for e in site.engines.values() for r in e.runs]
@@ -243,8 +239,8 @@
     # An engine that cannot fetch it is asked again without it.
     for name in ("e1", "e2"):
         site.engines[name].script.append(Behaviour.NOT_RUN)
-    prompt["X_Prefix_Hash"] = "cc:5000,dd:4000"
-    reply = site.ask(instance, "/draft/x", "lapsed", **prompt)
+    prompt["X-Prefix-Hash"] = "cc:5000,dd:4000"
+    reply = site.ask(instance, "/draft/x", "lapsed", prompt)
     assert reply.status == 200
     assert runs(site, "lapsed") == 1
     site.wait(lambda: site.engines["p1"].freed)
@@ -256,12 +252,12 @@
     """Found by a hunt on tala-ops: scale-1, seed 478725955497."""
     site.add_engine("p1", role="prefill").prefill_s = 0.5
     instance = started(site, 5)
-    prompt = {"X_Token_Count": "9000,20", "X_Prefix_Hash": "aa:5000,bb:4000"}
+    prompt = {"X-Token-Count": "9000,20", "X-Prefix-Hash": "aa:5000,bb:4000"}
     instance.machines.by_id["e2"].note_sent(1_000)
     replies: list[standins.Reply] = []
 
     def ask() -> None:
-        replies.append(site.ask(instance, "/draft/x", "long", **prompt))
+        replies.append(site.ask(instance, "/draft/x", "long", prompt))
 
     asking = gevent.spawn(ask)
     site.wait(lambda: site.engines["p1"].prefills)
@@ -279,14 +275,14 @@
     assert site.ask(instance, "/new/x", "n0").status == 404
     site.route("/new/", "safe", "ledger")
     version = site.publish()
-    site.wait(lambda: instance.catalog.configuration.version == version)
+    site.wait(lambda: instance.catalog.config_version == version)
     assert site.ask(instance, "/new/x", "n1").status == 200
     old = {"version": version - 1, "routes": [], "services": []}
     site.store.put("keyed.op", "config", old)
     site.store.put("keyed.op", "config", b"not json")
     site.route("/last/", "safe", "ledger")
     version = site.publish()
-    site.wait(lambda: instance.catalog.configuration.version == version)
+    site.wait(lambda: instance.catalog.config_version == version)
     assert site.ask(instance, "/new/x", "n2").status == 200
 
 
@@ -294,9 +290,7 @@
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
     site.announce("t1", "ledger", None, state="draining", seq=2)
-    site.wait(
-        lambda: instance.catalog.targets["t1"].state == "draining"
-    )
+    site.wait(lambda: instance.catalog.targets["t1"].state == "draining")
     # A late write of an older announcement changes nothing.
     site.announce("t1", "ledger", None, seq=1)
     site.announce("t2", "ledger", None, seq=2, zone="z9")
@@ -351,18 +345,13 @@
     second = started(site, 4, "i2")
     site.wait(lambda: "i1" in second.peers.known)
     # Only the log of the second instance is cut off.
-    for client in second.platform.log._clients.values():
-        client.close()
-    cut = standins.StoreStandin()
-    cut.mode = standins.StoreMode.BUSY
-    second.platform.log.__init__(cut.address)
+    site.logs["i2"].cut = True
     site.route("/new/", "safe", "ledger")
     version = site.publish()
     site.withdraw("t1")
-    site.wait(lambda: first.catalog.configuration.version == version)
-    site.wait(lambda: second.catalog.configuration.version == version)
+    site.wait(lambda: first.catalog.config_version == version)
+    site.wait(lambda: second.catalog.config_version == version)
     site.wait(lambda: "t1" not in second.catalog.targets)
-    cut.stop()
 
 
 def test_no_target_is_refused_at_once_with_a_time_to_return(
@@ -380,7 +369,7 @@
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
     script(site, Behaviour.HANG, Behaviour.HANG)
-    reply = site.ask(instance, "/pay/x", "slow", X_Deadline_Ms="120")
+    reply = site.ask(instance, "/pay/x", "slow", {"X-Deadline-Ms": "120"})
     assert reply.status == 504
     assert runs(site, "slow") == 1
 
@@ -392,7 +381,7 @@
     replies: list[standins.Reply] = []
 
     def ask() -> None:
-        replies.append(site.ask(instance, "/draft/x", "last", **PROMPT))
+        replies.append(site.ask(instance, "/draft/x", "last", PROMPT))
 
     asking = gevent.spawn(ask)
     site.wait(lambda: runs(site, "last"))
--- a/agatewing/timeline/__init__.py
+++ b/agatewing/timeline/__init__.py
@@ -5,6 +5,11 @@
 from agatewing.timeline._events import Timeline
 from agatewing.timeline._hlc import HybridClock
 from agatewing.timeline._hlc import Stamp
+from agatewing.timeline._log_lines import LogFilter
+from agatewing.timeline._log_lines import LogLine
+from agatewing.timeline._log_lines import parse_line
+from agatewing.timeline._log_lines import read_lines
+from agatewing.timeline._log_lines import render_line
 from agatewing.timeline._merge import Filter
 from agatewing.timeline._merge import merge
 from agatewing.timeline._merge import render_html
--- a/agatewing/tool.py
+++ b/agatewing/tool.py
@@ -2,6 +2,7 @@
 
 import argparse
 import collections.abc
+import dataclasses
 import os
 import pathlib
 import sys
@@ -91,6 +92,12 @@
         "--format", choices=("text", "jsonl", "html"), default="text"
     )
     line.add_argument("--instances", default="", metavar="IP:PORT,...")
+    logs = _command(commands, "logs", _run_logs, remote=False)
+    logs.add_argument("files", type=pathlib.Path, nargs="+")
+    logs.add_argument("--request", default="")
+    logs.add_argument("--target", default="")
+    logs.add_argument("--config-version", type=int, default=0)
+    logs.add_argument("--instance", default="")
     return parser
 
 
@@ -258,6 +265,24 @@
     return EXIT_UNKNOWN
 
 
+def _run_logs(args: argparse.Namespace) -> int:
+    """Merge the log files of instances on a platform by time."""
+    wanted = timeline.LogFilter(
+        args.request, args.target, args.config_version, args.instance
+    )
+    try:
+        lines = timeline.read_lines(args.files, wanted)
+    except OSError as exc:
+        _note(f"{exc.filename}: cannot be read: {exc.strerror}; check it")
+        return EXIT_FAULTS
+    for line in lines:
+        if args.json:
+            print(msgspec.json.encode(dataclasses.asdict(line)).decode())
+        else:
+            print(timeline.render_line(line))
+    return EXIT_OK
+
+
 def _run_timeline(args: argparse.Namespace) -> int:
     """Merge the events of all instances in causal order."""
     addresses = [a for a in args.instances.split(",") if a] or [args.admin]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -304,6 +304,17 @@
     assert problem["outcome"] == outcome
 
 
+def _read_until(sock: socket.socket, word: bytes) -> bytes:
+    """Read up to a word or the end; head and body come in two pieces."""
+    answer = b""
+    while word not in answer:
+        piece = sock.recv(65_536)
+        if not piece:
+            break
+        answer += piece
+    return answer
+
+
 def test_a_slow_sender_is_cut_off(tmp_path: pathlib.Path) -> None:
     limits = {"limits": {"request_read_s": 0.5}}
     with harness.Deployment(
@@ -319,7 +330,7 @@
         for sent in (head, head + "Content-Length: 10\r\n\r\n{"):
             with socket.create_connection((host, int(port)), 10) as sock:
                 sock.sendall(sent.encode())
-                answer = sock.recv(65_536)
+                answer = _read_until(sock, b"slow-sender")
                 assert answer.startswith(b"HTTP/1.1 408")
                 assert b"slow-sender" in answer
 
