--- /dev/null
+++ b/agatewing/gateway/_stream.py
@@ -0,0 +1,293 @@
+"""One stream: its engines, from the choice to the last event."""
+
+import logging
+
+import gevent
+
+from agatewing import _types
+from agatewing import decisions
+from agatewing.gateway import _channel
+from agatewing.gateway import _context
+from agatewing.gateway import _machines
+from agatewing.gateway import _messages
+from agatewing.gateway import _meter
+from agatewing.gateway import _plain
+from agatewing.gateway import _relay
+from agatewing.gateway import _sender
+
+_log = logging.getLogger("agatewing.stream")
+
+#: Time for freeing a KV cache that nobody fetched, in seconds.
+RELEASE_S = 1.0
+
+
+class Stream:
+    """One stream, from the choice of an engine to its last event."""
+
+    __slots__ = (
+        "_parts",
+        "_job",
+        "_pool",
+        "_work",
+        "_relay",
+        "_held",
+        "_prefilled_on",
+    )
+
+    def __init__(
+        self,
+        parts: _context.Parts,
+        job: _context.Job,
+        pool: _machines.Pool,
+        work: decisions.Work,
+    ) -> None:
+        self._parts = parts
+        self._job = job
+        self._pool = pool
+        self._work = work
+        self._relay = _relay.EventRelay(job, parts.clock, parts.sender)
+        self._held: _messages.CacheHandle | None = None
+        self._prefilled_on = ""
+
+    def run(self, route: decisions.Route) -> None:
+        """Send along the route, and along others while that is allowed."""
+        try:
+            machine = self._follow(route)
+            while not self._serve(machine):
+                machine = self._next_machine(machine)
+        finally:
+            self._release()
+
+    def _follow(self, route: decisions.Route) -> _machines.Machine:
+        """Return the engine that decodes, after a split its prefill.
+
+        A prefill can take seconds, so the engine that decodes is chosen
+        anew after it.
+        """
+        match route:
+            case decisions.Single(engine=name):
+                return self._pool.engines.get(name) or self._choose()
+            case decisions.Split(prefill=name):
+                apart = self._pool.engines.get(name)
+                if apart is not None:
+                    self._prefill(apart)
+        return self._choose()
+
+    def _choose(self) -> _machines.Machine:
+        """Return another engine that decodes."""
+        self._pool.refresh(self._parts.clock.monotonic())
+        loads = [
+            load
+            for load in self._pool.loads()
+            if load.role is not _types.Role.PREFILL
+        ]
+        route = self._pool.router.choose(
+            self._work_left(), loads, frozenset(self._job.avoid)
+        )
+        if isinstance(route, decisions.Single):
+            return self._pool.engines[route.engine]
+        raise _context.give_up(self._job, "no engine that decodes is left")
+
+    def _work_left(self) -> decisions.Work:
+        """Return the work for an engine that decodes."""
+        if self._held is None:
+            return self._work
+        return decisions.Work(0, self._work.output_tokens, self._work.zone, {})
+
+    def _tokens_on(self, machine: _machines.Machine) -> int:
+        return decisions.work_on(self._work, machine.load)
+
+    def _facts(
+        self, machine: _machines.Machine, prefill_only: bool
+    ) -> _messages.SendFacts:
+        left = self._job.deadline - self._parts.clock.monotonic()
+        urgency = decisions.priority_class(self._tokens_on(machine))
+        last = None
+        if self._relay.events:
+            last = self._parts.dialect.last_event_id(self._relay.last_event)
+        return _messages.SendFacts(
+            machine.target.id,
+            left,
+            min(9, urgency),
+            prefill_only,
+            None if prefill_only else self._held,
+            last,
+        )
+
+    def _prefill(self, machine: _machines.Machine) -> None:
+        """Have the prompt processed apart; keep the KV cache's handle."""
+        clock = self._parts.clock
+        meter = _meter.WorkMeter(machine, self._work, False, clock.monotonic())
+        try:
+            outcome = self._prefill_on(machine)
+            if self._held is not None:
+                meter.processed(clock.monotonic())
+        finally:
+            meter.end()
+        if self._held is not None:
+            self._prefilled_on = machine.target.id
+            self._note_parts(machine)
+            return
+        self._after_prefill(machine, outcome)
+
+    def _prefill_on(self, machine: _machines.Machine) -> _messages.Outcome:
+        facts = self._facts(machine, prefill_only=True)
+        sender, deadline = self._parts.sender, self._job.deadline
+        begun = sender.begin(machine, self._job.req, facts, deadline, True)
+        if not isinstance(begun, _sender.Begun):
+            return begun
+        outcome = sender.read_body(begun, machine, deadline)
+        if isinstance(outcome, _messages.Answered):
+            address = machine.target.address
+            if outcome.head.status == 200:
+                self._held = self._parts.dialect.handle(address, outcome.body)
+            machine.note_answer()
+        return outcome
+
+    def _after_prefill(
+        self, machine: _machines.Machine, outcome: _messages.Outcome
+    ) -> None:
+        """Go on without the KV cache if another engine may be asked."""
+        job = self._job
+        if isinstance(outcome, _messages.NotSent):
+            return
+        reason = "the prefill failed"
+        _context.note(
+            job, reason, target=machine.target.id, outcome=str(outcome)
+        )
+        job.arrivals += 1
+        job.attempts.targets += 1
+        if job.attempts.targets >= job.attempts.max_targets:
+            raise _context.give_up(job, reason)
+        if not _context.may_repeat(self._parts, job):
+            raise _context.give_up(job, f"{reason}; no retry is left")
+
+    def _serve(self, machine: _machines.Machine) -> bool:
+        """Send to one engine; return whether the stream is finished."""
+        used_cache = self._held is not None
+        now = self._parts.clock.monotonic()
+        meter = _meter.WorkMeter(machine, self._work, used_cache, now)
+        try:
+            outcome = self._exchange(machine, meter)
+        finally:
+            meter.end()
+        if isinstance(outcome, _messages.Answered):
+            self._note_parts(machine)
+            self._note_end(machine, outcome.head.status)
+            return True
+        self._after(machine, outcome, used_cache)
+        return False
+
+    def _exchange(
+        self, machine: _machines.Machine, meter: _meter.WorkMeter
+    ) -> _messages.Outcome:
+        """Send and pass the answer on; return how it ended."""
+        job = self._job
+        facts = self._facts(machine, prefill_only=False)
+        begun = self._parts.sender.begin(
+            machine, job.req, facts, job.deadline, job.attempts.idempotent
+        )
+        if not isinstance(begun, _sender.Begun):
+            return begun
+        # The engine has taken the KV cache over.
+        self._held = None
+        return self._relay.pass_on(machine, begun, meter)
+
+    def _note_parts(self, machine: _machines.Machine) -> None:
+        prompt = self._job.req.prompt
+        if prompt is not None:
+            parts = [(part.id, part.tokens) for part in prompt.parts]
+            now = self._parts.clock.monotonic()
+            self._parts.index.add(machine.target.id, parts, now)
+
+    def _note_end(self, machine: _machines.Machine, status: int) -> None:
+        self._parts.answers[str(status)] += 1
+        now = self._parts.clock.monotonic()
+        _context.note(
+            self._job,
+            "answered",
+            target=machine.target.id,
+            status=status,
+            prefill=self._prefilled_on,
+            tokens=self._work.prompt_tokens,
+            cached=self._work.cached.get(
+                self._prefilled_on or machine.target.id, 0
+            ),
+            events=self._relay.events,
+            first_s=round(self._relay.first_at - self._job.req.arrived_at, 4),
+            pause_s=round(self._relay.longest_pause_s, 4),
+            taken_s=round(now - self._job.req.arrived_at, 4),
+        )
+
+    def _after(
+        self,
+        machine: _machines.Machine,
+        outcome: _messages.Outcome,
+        used_cache: bool,
+    ) -> None:
+        """Make ready for another send, or raise the end."""
+        job = self._job
+        failure, reason = _plain.failure_of(outcome)
+        if isinstance(outcome, _messages.TimedOut | _messages.Unknown):
+            machine.note_failure()
+        if used_cache and isinstance(outcome, _messages.NotRun):
+            self._note_cache_lost()
+        step = job.attempts.after(failure, used_cache)
+        _context.note(
+            job,
+            "send failed",
+            target=machine.target.id,
+            failure=str(failure),
+            reason=reason,
+            next=str(step),
+            events=self._relay.events,
+        )
+        if step is not decisions.Next.ANOTHER_FREE:
+            job.arrivals += 1
+        if step is not decisions.Next.SAME_WITHOUT_CACHE:
+            job.avoid.add(machine.target.id)
+        if self._parts.clock.monotonic() >= job.deadline:
+            raise _plain.out_of_time(job, reason)
+        if step in (decisions.Next.FAIL, decisions.Next.REFUSE):
+            raise _context.give_up(job, reason)
+        if not _context.may_repeat(self._parts, job):
+            raise _context.give_up(job, f"{reason}; no retry is left")
+        self._relay.restart()
+
+    def _note_cache_lost(self) -> None:
+        """Remember that a KV cache could not be fetched."""
+        if self._held is None:
+            return
+        for machine in self._pool.engines.values():
+            if machine.target.address == self._held.address:
+                machine.note_cache_lost()
+        self._release()
+
+    def _next_machine(self, last: _machines.Machine) -> _machines.Machine:
+        now = self._parts.clock.monotonic()
+        if last.target.id in self._job.avoid or not last.usable(now):
+            return self._choose()
+        return last
+
+    def _release(self) -> None:
+        """Free a KV cache that no engine fetched."""
+        held, self._held = self._held, None
+        if held is None:
+            return
+        for machine in self._pool.engines.values():
+            if machine.target.address == held.address:
+                gevent.spawn(self._release_on, machine, held)
+
+    def _release_on(
+        self, machine: _machines.Machine, held: _messages.CacheHandle
+    ) -> None:
+        outgoing = self._parts.dialect.release(held)
+        try:
+            self._parts.sender.call(machine, outgoing, RELEASE_S)
+        except (
+            _channel.ConnectError,
+            _channel.BrokenError,
+            _channel.OverdueError,
+        ) as exc:
+            # The engine frees it by itself once its time is over.
+            _log.info("stream: KV cache not freed: %s", exc)
