What a prompt costs the streams beside it counts in its route

Pattern: short prompts read at decode engines hold up the events of streams. Also: a prefill survives a dropped connection, settings that change without a signal are read, metrics on a port of their own.

--- a/agatewing/_metrics.py
+++ b/agatewing/_metrics.py
@@ -29,6 +29,7 @@
         "_gauges",
         "_counters",
         "first_event_seconds",
+        "answer_seconds",
     )
 
     def __init__(self) -> None:
@@ -43,6 +44,14 @@
             registry=self._registry,
         )
 
+        #: Time from a request to the end of its answer.
+        self.answer_seconds = aioprometheus.Histogram(
+            "agatewing_answer_seconds",
+            "Time from a request to the end of its answer",
+            buckets=TIME_BUCKETS_S,
+            registry=self._registry,
+        )
+
     def gauge(self, name: str, doc: str, value: float, **labels: str) -> None:
         """Set a value that goes up and down."""
         metric = self._gauges.get(name)
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -27,9 +27,12 @@
 #: Rest of a long prompt that is under way, in seconds: an engine finishes
 #: it before a more urgent one; half of a typical long prompt's time.
 LONG_REST_S = 0.15
+#: Share of the time for which a prompt is read beside a stream that counts
+#: as lost to the stream.
+HARM_SHARE = 0.3
 #: Times as much that an engine without streams may process beside those
 #: that come meanwhile: a stream's first event is due after 250 ms or more.
-ALONE_TIMES = 2
+ALONE_TIMES = 3
 #: Seconds for which a full batch holds a new sequence back.
 FULL_BATCH_WAIT_S = 2.0
 
@@ -247,6 +250,8 @@
         least = float("inf")
         for engine in engines:
             seconds = single_s(work, engine) + self._reread_s(work, engine)
+            if self._beside_tokens is not None:
+                seconds += beside_harm_s(work, engine)
             if seconds < least:
                 chosen, least = engine, seconds
         return Single(chosen.name, least) if chosen else None
@@ -374,6 +379,12 @@
     return chunk_s * share * engine.slowness
 
 
+def beside_harm_s(work: Work, engine: EngineLoad) -> float:
+    """Return what a prompt costs the streams beside which it is read."""
+    read_s = work_on(work, engine) / prefill_rate(engine)
+    return HARM_SHARE * engine.sequences * read_s
+
+
 def import_and_decode_s(work: Work, engine: EngineLoad) -> float:
     """Return the expected time after the KV cache is exported."""
     transfer = work.prompt_tokens / engine.speed.import_tokens_per_s
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -7,6 +7,7 @@
 
 from agatewing import _clock
 from agatewing import _exceptions
+from agatewing import _metrics
 from agatewing import decisions
 from agatewing import dispatch
 from agatewing.gateway import _caller_conn
@@ -52,8 +53,10 @@
     notes: _work_notes.WorkNotes
     #: Availability zone of the instance.
     zone: str
-    #: Answers by status or kind of refusal.
+    #: Answers of targets by status.
     answers: collections.Counter[str]
+    #: Histograms of times.
+    metrics: _metrics.Metrics
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +95,25 @@
     )
 
 
+def note_answered(
+    parts: Parts, job: Job, target: str, status: int, **fields: object
+) -> None:
+    """Count, time and log an answer of a target that was passed on."""
+    parts.answers[str(status)] += 1
+    taken_s = parts.clock.monotonic() - job.req.arrived_at
+    parts.metrics.answer_seconds.observe(
+        {"kind": str(job.route.kind)}, taken_s
+    )
+    note(
+        job,
+        "answered",
+        target=target,
+        status=status,
+        taken_s=round(taken_s, 4),
+        **fields,
+    )
+
+
 def may_repeat(parts: Parts, job: Job) -> bool:
     """Spend one repeat of the budget, if something arrived before."""
     if job.arrivals == 0:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -97,19 +97,24 @@
             wire.Codec(settings.peer_secret),
             rng,
         )
+        self.metrics = _metrics.Metrics()
         self.parts = self._parts(rng)
         self.server = _server.CallerServer(
             _settings.split_address(settings.caller_address),
             self.parts,
             self.life,
         )
-        self.metrics = _metrics.Metrics()
         self._loops: list[gevent.Greenlet] = []
-        self._ready_server = net.Server(
-            *_settings.split_address(settings.ready_address),
-            self._serve_ready,
-            max_connections=64,
-        )
+        addresses = (settings.ready_address, settings.metrics_address)
+        self._watch_servers = [
+            net.Server(
+                *_settings.split_address(address),
+                self._serve_ready,
+                max_connections=64,
+            )
+            for address in addresses
+            if address
+        ]
 
     def _parts(self, rng: random.Random) -> _context.Parts:
         dialect = self.platform.dialect
@@ -126,6 +131,7 @@
             self.work,
             self.settings.zone,
             collections.Counter(),
+            self.metrics,
         )
 
     def _apply(self) -> None:
@@ -143,7 +149,8 @@
     def start(self) -> None:
         """Open the ports and start every loop."""
         self.server.start()
-        self._ready_server.start()
+        for server in self._watch_servers:
+            server.start()
         self.peers.start()
         self.work.start()
         decoder = self.platform.decoder
@@ -221,7 +228,8 @@
         gevent.killall(self._loops)
         self.peers.stop()
         self.work.stop()
-        self._ready_server.stop(timeout=0)
+        for server in self._watch_servers:
+            server.stop(timeout=0)
         self.server.close_port()
 
     @property
@@ -246,9 +254,13 @@
         start_response(net.status_line(code), fields)
         return [body]
 
-    def _serve_metrics(self, start_response: net.StartResponse) -> list[bytes]:
+    def render_metrics(self) -> tuple[bytes, str]:
+        """Return all metrics as text, and its content type."""
         self._collect()
-        raw, kind = self.metrics.render()
+        return self.metrics.render()
+
+    def _serve_metrics(self, start_response: net.StartResponse) -> list[bytes]:
+        raw, kind = self.render_metrics()
         start_response(
             net.status_line(200),
             [("Content-Type", kind), ("Content-Length", str(len(raw)))],
@@ -289,11 +301,20 @@
             "Seconds since the end of the log was known",
             min(self.catalog.age_s(), 1e9),
         )
-        configuration = self.catalog.configuration
         metrics.gauge(
             "agatewing_config_version",
             "Configuration version in force",
-            configuration.version if configuration else 0,
+            self.catalog.config_version,
+        )
+        metrics.counter(
+            "agatewing_note_bytes_total",
+            "Bytes of notes sent to other instances",
+            self.work.sent_bytes,
+        )
+        metrics.counter(
+            "agatewing_connections_opened_total",
+            "Connections opened to targets that are known now",
+            sum(m.channels.opened for m in self.machines.by_id.values()),
         )
 
 
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -154,6 +154,9 @@
 
     #: What happened.
     reason: str
+    #: Whether a kept connection broke before any byte of an answer came;
+    #: the target had probably closed it.
+    stale: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -70,8 +70,13 @@
         facts = _messages.SendFacts(machine.target.id, job.deadline - now)
         machine.in_flight += 1
         try:
-            begun = self._parts.sender.begin(
-                machine, job.req, facts, until, job.attempts.idempotent
+            sender = self._parts.sender
+            begun = sender.begin(
+                machine,
+                job.req,
+                facts,
+                until,
+                sender.most_idle_s(job.attempts.idempotent),
             )
             if not isinstance(begun, _sender.Begun):
                 self._note_pace(job, machine, begun, now)
@@ -157,12 +162,8 @@
     ) -> None:
         fields = without_length(answer.head.headers)
         job.conn.answer(answer.head.status, fields, answer.body)
-        self._parts.answers[str(answer.head.status)] += 1
-        _context.note(
-            job,
-            "answered",
-            target=machine.target.id,
-            status=answer.head.status,
+        _context.note_answered(
+            self._parts, job, machine.target.id, answer.head.status
         )
 
 
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -50,16 +50,23 @@
         #: Requests sent to targets.
         self.sent = 0
 
+    @staticmethod
+    def most_idle_s(repeatable: bool) -> float:
+        """Return how long a connection may have idled for a request."""
+        return REPEAT_IDLE_S if repeatable else ONCE_IDLE_S
+
     def begin(
         self,
         machine: _machines.Machine,
         req: _messages.CallerRequest,
         facts: _messages.SendFacts,
         deadline: float,
-        repeatable: bool,
+        most_idle_s: float,
     ) -> Beginning:
-        """Send and return once the head of the answer is here."""
-        most_idle_s = REPEAT_IDLE_S if repeatable else ONCE_IDLE_S
+        """Send and return once the head of the answer is here.
+
+        A connection that idled for longer than ``most_idle_s`` is not used.
+        """
         left = deadline - self._clock.monotonic()
         if left <= 0:
             return _messages.NotSent("no time is left")
@@ -94,10 +101,9 @@
             head = self._own_head(channel, req, deadline)
         except _channel.BrokenError as exc:
             channel.close()
-            if not channel.fresh:
-                return _messages.Unknown(str(exc))
-            machine.note_failure()
-            return _messages.Unknown(str(exc))
+            if channel.fresh:
+                machine.note_failure()
+            return _messages.Unknown(str(exc), stale=not channel.fresh)
         except _channel.OverdueError as exc:
             channel.close()
             return _messages.TimedOut(str(exc))
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -58,6 +58,8 @@
     log_address: str
     # Key that signs messages between instances.
     peer_secret: typing.Annotated[str, msgspec.Meta(min_length=16)]
+    # IP number and port of /metrics; empty for none beside readiness.
+    metrics_address: str = ""
     # Time between the order to stop and the end, in seconds.
     stop_limit_s: Positive = 8
     # Time for which engines keep a shared part of a prompt, in seconds.
@@ -79,15 +81,18 @@
             return err
         case result.Ok(settings):
             pass
+    addresses = {
+        "caller_address": settings.caller_address,
+        "ready_address": settings.ready_address,
+        "peer_address": settings.peer_address,
+        "log_address": settings.log_address,
+    }
+    if settings.metrics_address:
+        addresses["metrics_address"] = settings.metrics_address
     faults = [
         config.Fault(str(path), field, "is no address", "write it as IP:PORT")
-        for field in (
-            "caller_address",
-            "ready_address",
-            "peer_address",
-            "log_address",
-        )
-        if not _is_address(getattr(settings, field))
+        for field, address in addresses.items()
+        if not _is_address(address)
     ]
     return result.Err(tuple(faults)) if faults else result.Ok(settings)
 
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -131,9 +131,14 @@
         self._after_prefill(machine, outcome)
 
     def _prefill_on(self, machine: _machines.Machine) -> _messages.Outcome:
-        facts = self._facts(machine, prefill_only=True)
         sender, deadline = self._parts.sender, self._job.deadline
-        begun = sender.begin(machine, self._job.req, facts, deadline, True)
+        begun = self._begin_prefill(machine, sender.most_idle_s(True))
+        if isinstance(begun, _messages.Unknown) and begun.stale:
+            # A prompt may be processed twice; the target closed the
+            # connection while it idled.
+            self._job.arrivals += 1
+            if _context.may_repeat(self._parts, self._job):
+                begun = self._begin_prefill(machine, 0.0)
         if not isinstance(begun, _sender.Begun):
             return begun
         outcome = sender.read_body(begun, machine, deadline)
@@ -144,6 +149,17 @@
             machine.note_answer()
         return outcome
 
+    def _begin_prefill(
+        self, machine: _machines.Machine, most_idle_s: float
+    ) -> _sender.Beginning:
+        return self._parts.sender.begin(
+            machine,
+            self._job.req,
+            self._facts(machine, prefill_only=True),
+            self._job.deadline,
+            most_idle_s,
+        )
+
     def _after_prefill(
         self, machine: _machines.Machine, outcome: _messages.Outcome
     ) -> None:
@@ -184,8 +200,13 @@
         """Send and pass the answer on; return how it ended."""
         job = self._job
         facts = self._facts(machine, prefill_only=False)
-        begun = self._parts.sender.begin(
-            machine, job.req, facts, job.deadline, job.attempts.idempotent
+        sender = self._parts.sender
+        begun = sender.begin(
+            machine,
+            job.req,
+            facts,
+            job.deadline,
+            sender.most_idle_s(job.attempts.idempotent),
         )
         if not isinstance(begun, _sender.Begun):
             return begun
@@ -201,22 +222,23 @@
             self._parts.index.add(machine.target.id, parts, now)
 
     def _note_end(self, machine: _machines.Machine, status: int) -> None:
-        self._parts.answers[str(status)] += 1
-        now = self._parts.clock.monotonic()
-        _context.note(
+        first_s = self._relay.first_at - self._job.req.arrived_at
+        self._parts.metrics.first_event_seconds.observe(
+            {"kind": str(self._job.route.kind)}, max(0.0, first_s)
+        )
+        _context.note_answered(
+            self._parts,
             self._job,
-            "answered",
-            target=machine.target.id,
-            status=status,
+            machine.target.id,
+            status,
             prefill=self._prefilled_on,
             tokens=self._work.prompt_tokens,
             cached=self._work.cached.get(
                 self._prefilled_on or machine.target.id, 0
             ),
             events=self._relay.events,
-            first_s=round(self._relay.first_at - self._job.req.arrived_at, 4),
+            first_s=round(first_s, 4),
             pause_s=round(self._relay.longest_pause_s, 4),
-            taken_s=round(now - self._job.req.arrived_at, 4),
         )
 
     def _after(
--- /dev/null
+++ b/agatewing/gateway/tests/test_settings.py
@@ -0,0 +1,64 @@
+"""Settings of an instance on a platform, and its metrics."""
+
+import pathlib
+
+import pytest
+import result
+
+from agatewing import gateway
+from agatewing import gatewayd
+from agatewing.platform import standins
+
+GOOD = """{
+  // A comment.
+  "instance": "i1", "zone": "z1",
+  "caller_address": "10.0.0.1:80", "ready_address": "10.0.0.1:81",
+  "peer_address": "10.0.0.1:82", "log_address": "10.0.0.9:83",
+  "peer_secret": "sixteen letters or more",
+}"""
+
+FAULTS = {
+    "no address": ('"10.0.0.1:80"', '"10.0.0.1"', "caller_address"),
+    "unknown field": ('"zone"', '"zoen"', "zoen"),
+    "wrong type": ('"z1"', "7", "zone"),
+    "short secret": ('"sixteen letters or more"', '"short"', "peer_secret"),
+    "no JSON": ("{", "[", "JSON"),
+}
+
+
+def test_good_settings_are_taken(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.jsonc"
+    path.write_text(GOOD)
+    loaded = gateway.load_gateway_settings(path)
+    assert isinstance(loaded, result.Ok)
+    assert loaded.ok_value.retries.ratio == 0.2
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_a_fault_names_file_field_and_remedy(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str], name: str
+) -> None:
+    old, new, named = FAULTS[name]
+    path = tmp_path / "settings.jsonc"
+    path.write_text(GOOD.replace(old, new, 1))
+    arguments = ["--settings", str(path), "--check"]
+    assert gatewayd.main(arguments) == gatewayd.EXIT_SETTINGS
+    shown = capsys.readouterr().err
+    assert str(path) in shown
+    assert named in shown
+
+
+def test_metrics_tell_of_answers_and_refusals() -> None:
+    with standins.Site() as site:
+        site.route("/look/", "safe", "ledger")
+        site.add_engine("t1", "ledger", None)
+        version = site.publish()
+        instance = site.start()
+        site.wait(lambda: instance.life.ready)
+        assert site.ask(instance, "/look/x").status == 200
+        assert site.ask(instance, "/other/").status == 404
+        text = instance.render_metrics()[0].decode()
+    assert 'agatewing_answers_total{status="200"} 1' in text
+    assert 'agatewing_refused_total{kind="not-found"} 1' in text
+    assert f"agatewing_config_version {version}" in text
+    assert "agatewing_answer_seconds_bucket" in text
--- a/agatewing/gatewayd.py
+++ b/agatewing/gatewayd.py
@@ -23,6 +23,9 @@
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
 EXIT_PORT = 3
+#: Time between two looks at the settings file, in seconds: a change has to
+#: be followed within two.
+LOOK_PERIOD_S = 1.0
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -87,10 +90,35 @@
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
     gevent.signal_handler(signal.SIGHUP, _reload, instance, path)
+    gevent.spawn(_watch_file, instance, path, clock)
     stop.wait()
     return EXIT_OK if instance.stop() else EXIT_CUT
 
 
+def _watch_file(
+    instance: gateway.GatewayInstance,
+    path: pathlib.Path,
+    clock: _clock.Clock,
+) -> None:
+    """Notice settings that change without a signal."""
+    known = _text_of(path)
+    while True:
+        clock.sleep(LOOK_PERIOD_S)
+        text = _text_of(path)
+        if text != known:
+            known = text
+            _reload(instance, path)
+
+
+def _text_of(path: pathlib.Path) -> str | None:
+    """Return the text of a file; ``None`` while it cannot be read."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        _log.warning("daemon: settings cannot be read: %s", exc)
+        return None
+
+
 def _reload(instance: gateway.GatewayInstance, path: pathlib.Path) -> None:
     """Take changed settings in; faulty ones leave the old in force."""
     match gateway.load_gateway_settings(path):
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -80,6 +80,7 @@
         self.dropped: list[str] = []
         #: Connections accepted.
         self.accepted = 0
+        self._open: set[gevent.socket.socket] = set()
         self._server = gevent.server.StreamServer(
             ("127.0.0.1", 0), self._serve
         )
@@ -96,6 +97,7 @@
 
     def _serve(self, sock: gevent.socket.socket, _: typing.Any) -> None:
         self.accepted += 1
+        self._open.add(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         data = b""
         try:
@@ -120,8 +122,15 @@
         except OSError:
             return
         finally:
+            self._open.discard(sock)
             sock.close()
 
+    def drop_connections(self) -> None:
+        """Reset whatever is sent next on the open connections."""
+        for sock in list(self._open):
+            _reset(sock)
+        self._open.clear()
+
     def _answer(self, sock: gevent.socket.socket, run: Run) -> bool:
         """Answer one request; return whether the connection stays."""
         if run.line.startswith("DELETE /-/kv-handle/"):
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -7,6 +7,7 @@
 import pytest
 
 from agatewing import gateway
+from agatewing.gateway import _channel
 from agatewing.platform import standins
 
 Behaviour = standins.Behaviour
@@ -246,6 +247,25 @@
     site.wait(lambda: site.engines["p1"].freed)
 
 
+def test_a_prefill_survives_a_connection_that_was_dropped(
+    site: standins.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The reset has not reached the instance when it sends again.
+    monkeypatch.setattr(_channel.Channel, "_silent", lambda channel: True)
+    engine = site.add_engine("p1", role="prefill")
+    instance = started(site, 5)
+    for number in range(3):
+        prompt = {
+            "X-Token-Count": "9000,20",
+            "X-Prefix-Hash": f"a{number}:5000,b{number}:4000",
+        }
+        reply = site.ask(instance, "/draft/x", f"d{number}", prompt)
+        assert reply.status == 200
+        engine.drop_connections()
+        gevent.sleep(0.01)
+    assert len(engine.prefills) == 3
+
+
 def test_an_engine_that_leaves_during_the_prefill_gets_no_request(
     site: standins.Site,
 ) -> None:
