--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 7
 DURATION ?= 60
 
-.PHONY: demo test lint format fuzz soak slopes experiment bench capacity wire
+.PHONY: demo test lint format fuzz soak soak-processes slopes experiment bench capacity wire
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,10 @@
 soak: $(VENV)/.ready
 	$(BIN)/python -m agatewing.soak --seed $(SEED) --duration $(DURATION)
 
+soak-processes: $(VENV)/.ready
+	$(BIN)/python -m agatewing.platform.soak --seed $(SEED) \
+	    --duration $(DURATION)
+
 slopes: $(VENV)/.ready
 	$(BIN)/python -m agatewing.bench slopes
 
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -158,7 +158,7 @@
         self, sock: gevent.socket.socket, run: Run, behaviour: Behaviour
     ) -> bool:
         stamp = f"X-Server-Stamp: {self.name}\r\n"
-        body = b"body of " + run.id.encode()
+        body = self._body(run)
         match behaviour:
             case Behaviour.ERROR:
                 return _send(sock, 500, run, b"failed", stamp)
@@ -193,6 +193,13 @@
             _send(sock, 200, run, b"unasked", stamp)
         return True
 
+    def _body(self, run: Run) -> bytes:
+        """Return the whole body of an answer."""
+        if "x-token-count" not in run.headers:
+            return b"body of " + run.id.encode()
+        last = int(run.headers.get("last-event-id", "0"))
+        return b"".join(_event(n) for n in range(last + 1, self.events + 1))
+
     def _stream(
         self,
         sock: gevent.socket.socket,
@@ -212,7 +219,7 @@
             if self._closed_within(sock, self.pause_s):
                 self.dropped.append(run.id)
                 return False
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            event = _event(number)
             if behaviour is Behaviour.CUT and number == self.events:
                 sock.sendall(b"%x\r\n" % len(event) + event[:7])
                 return False
@@ -236,6 +243,11 @@
         self.dropped.append(run.id)
 
 
+def _event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
 def _parse(head: bytes) -> Run:
     """Return a request from its head."""
     line, *fields = head.decode("latin-1").split("\r\n")
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -168,18 +168,22 @@
         self.store.put("keyed.op", "config", document)
         return self._version
 
-    def start(self, name: str = "i1") -> gateway.GatewayInstance:
-        """Start an instance and wait until it is ready."""
-        raw: dict[str, typing.Any] = {
+    def settings(self, name: str, log_address: str) -> dict[str, typing.Any]:
+        """Return settings of an instance on free ports."""
+        return {
             "instance": name,
             "zone": "z1",
             "caller_address": _free_address(),
             "ready_address": _free_address(),
             "peer_address": _free_address(),
-            "log_address": self.store.address,
+            "log_address": log_address,
             "peer_secret": "secret of the stand-ins",
             **self._settings,
         }
+
+    def start(self, name: str = "i1") -> gateway.GatewayInstance:
+        """Start an instance and wait until it is ready."""
+        raw = self.settings(name, self.store.address)
         self.logs[name] = CutLog(self.store.address)
         place = platform.connect(self.store.address)
         instance = gateway.GatewayInstance(
--- a/agatewing/platform/standins/_store.py
+++ b/agatewing/platform/standins/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import enum
+import errno
 import struct
 import urllib.parse
 
@@ -113,14 +114,14 @@
             case StoreMode.MANY:
                 return _reply(start_response, 429, b"{}")
             case StoreMode.RESET:
-                raise ConnectionResetError
+                raise ConnectionResetError(errno.ECONNRESET, "reset")
             case StoreMode.SILENT:
                 gevent.sleep(3_600)
         topic = self.topic(query.get("topic", ""))
         if write:
             answer = self._append(topic, environ["wsgi.input"].read())
             if self.mode is StoreMode.LOSES_ANSWERS:
-                raise ConnectionResetError
+                raise ConnectionResetError(errno.ECONNRESET, "reset")
             return _reply(start_response, 200, answer)
         if path == "/-/log-newest":
             return _reply(start_response, 200, self._newest(topic))
--- /dev/null
+++ b/agatewing/platform/tests/test_soak.py
@@ -0,0 +1,72 @@
+"""The soak's checks can fail, and a short seeded run holds."""
+
+import dataclasses
+
+import pytest
+
+from agatewing.platform import soak
+from agatewing.platform.soak import _checks
+from agatewing.platform import standins
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    asked: _checks.Asked
+    reply: standins.Reply
+    runs: int
+    broken: str
+
+
+def reply(
+    status: int, body: bytes = b"", whole: bool = True
+) -> standins.Reply:
+    return standins.Reply(status, {}, body, whole)
+
+
+ONCE = _checks.Asked("a1", False, 0)
+REPEATABLE = _checks.Asked("a1", True, 0)
+STREAM = _checks.Asked("a1", False, 3)
+EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+
+CASES = {
+    "served once": Case(ONCE, reply(200, b"body of a1"), 1, ""),
+    "ran twice": Case(ONCE, reply(200, b"body of a1"), 2, "TWICE"),
+    "may run twice": Case(REPEATABLE, reply(200, b"body of a1"), 2, ""),
+    "refused though it ran": Case(ONCE, reply(503), 1, "REFUSED"),
+    "refused and did not run": Case(ONCE, reply(503), 0, ""),
+    "unknown outcome": Case(ONCE, reply(502), 1, ""),
+    "another's body": Case(ONCE, reply(200, b"body of b2"), 1, "MIXED"),
+    "a piece missing": Case(STREAM, reply(200, EVENTS[15:]), 1, "ORDER"),
+    "a piece twice": Case(STREAM, reply(200, EVENTS + EVENTS), 1, "ORDER"),
+    "cut and seen to be": Case(STREAM, reply(200, EVENTS[:9], False), 1, ""),
+    "whole": Case(STREAM, reply(200, EVENTS), 1, ""),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_a_broken_promise_is_found(name: str) -> None:
+    case = CASES[name]
+    ledger = soak.Ledger()
+    ledger.ask(case.asked)
+    ledger.reply(case.asked.id, case.reply)
+    engine = standins.EngineStandin("e1")
+    run = standins.Run(case.asked.id, "", {}, b"")
+    engine.runs = [run] * case.runs
+    broken = ledger.broken([engine])
+    engine.stop()
+    assert [line.split(":")[0] for line in broken] == (
+        [case.broken] if case.broken else []
+    )
+
+
+def test_what_nobody_asked_for_is_found() -> None:
+    engine = standins.EngineStandin("e1")
+    engine.runs = [standins.Run("smuggled", "", {}, b"")]
+    engine.stop()
+    assert soak.Ledger().broken([engine]) == ["UNASKED: smuggled ran"]
+
+
+def test_a_short_seeded_soak_of_processes_holds() -> None:
+    verdict = soak.Episode(seed=3, duration_s=3.0).run()
+    assert verdict.broken == ()
+    assert verdict.statuses.get(200, 0) > 0
