--- a/agatewing/decisions/_outliers.py
+++ b/agatewing/decisions/_outliers.py
@@ -13,6 +13,8 @@
 MIN_SAMPLES = 5
 #: Time after which a measurement loses half its weight, in seconds.
 HALF_LIFE_S = 30.0
+#: Largest ratio that one measurement counts with.
+LIMIT = 20.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,18 +27,24 @@
     samples: int = 0
     #: Monotonic time of the last one.
     at: float = 0.0
+    #: Smoothing of one measurement.
+    alpha: float = ALPHA
+    #: Time after which a measurement loses half its weight, in seconds.
+    half_life_s: float = HALF_LIFE_S
+    #: Largest ratio that one measurement counts with.
+    limit: float = LIMIT
 
     def observe(self, ratio: float, now: float) -> None:
         """Take one measurement in."""
-        bounded = min(20.0, max(0.05, ratio))
-        self.ratio += ALPHA * (bounded - self.ratio)
+        bounded = min(self.limit, max(0.05, ratio))
+        self.ratio += self.alpha * (bounded - self.ratio)
         self.samples += 1
         self.at = now
 
     def current(self, now: float) -> float:
         """Return the ratio, which fades to 1 while unmeasured."""
         age = max(0.0, now - self.at)
-        fade = 0.5 ** (age / HALF_LIFE_S)
+        fade = 0.5 ** (age / self.half_life_s)
         return 1.0 + (self.ratio - 1.0) * fade
 
 
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -232,6 +232,8 @@
                 data = sock.recv(READ_BYTES)
         except OSError as exc:
             raise BrokenError(f"{self.address}: {exc}") from exc
+        if not data and self._conn.their_state is h11.SEND_RESPONSE:
+            raise BrokenError(f"{self.address}: closed without an answer")
         self._conn.receive_data(data)
 
     def reusable(self) -> bool:
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -25,6 +25,15 @@
 #: prompts to prefill for others, in seconds.
 NO_CACHE_S = 3.0
 
+#: Smoothing of measured paces: five slow answers, a second or two of an
+#: engine's work, ease it off.
+PACE_ALPHA = 0.25
+#: Time after which a measured pace loses half its weight, in seconds: a
+#: target that is eased off entirely is tried again within a few.
+PACE_HALF_LIFE_S = 3.0
+#: Largest pace that one measurement counts with; one request that hung says
+#: little of the next, and admission reckons with the pace.
+PACE_LIMIT = 5.0
 #: Instances among which the slots of an engine are split: none, as the work
 #: of the others is known and engines queue by urgency.
 SHARING = 1
@@ -76,7 +85,9 @@
             speed,
         )
         #: Measured pace.
-        self.pace = decisions.Pace()
+        self.pace = decisions.Pace(
+            alpha=PACE_ALPHA, half_life_s=PACE_HALF_LIFE_S, limit=PACE_LIMIT
+        )
         #: Connections to it.
         self.channels = _channel.ChannelPool(target.address, clock)
         #: Requests sent from here and not ended.
--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -39,6 +39,14 @@
         self._replies[request_id] = reply
         self.statuses[reply.status] += 1
 
+    def failed(self) -> list[str]:
+        """Return attempts that got no whole success, with their status."""
+        return [
+            f"{name} got {reply.status}"
+            for name, reply in self._replies.items()
+            if reply.status != 200 or not reply.whole
+        ]
+
     def broken(self, engines: list[standins.EngineStandin]) -> list[str]:
         """Return every broken promise, as text."""
         runs = collections.Counter(
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -63,12 +63,20 @@
     faults: tuple[str, ...]
     #: Broken promises; empty if all held.
     broken: tuple[str, ...]
+    #: Attempts that got no success, each with its status.
+    failed: tuple[str, ...]
 
 
 class Episode:
     """Runs one seed; ends only the processes that it started."""
 
-    def __init__(self, seed: int, duration_s: float) -> None:
+    def __init__(
+        self,
+        seed: int,
+        duration_s: float,
+        logs: pathlib.Path | None = None,
+    ) -> None:
+        self._logs = logs
         self._seed = seed
         self._duration_s = duration_s
         self._random = random.Random(seed)
@@ -95,6 +103,7 @@
                 dict(sorted(self._ledger.statuses.items())),
                 tuple(self._faults),
                 tuple(self._ledger.broken(engines)),
+                tuple(self._ledger.failed()),
             )
 
     def _build(self) -> None:
@@ -129,7 +138,8 @@
     def _start(self, name: str) -> None:
         path = self._folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(self._settings[name]))
-        log = (self._folder / f"{name}.log").open("ab")
+        folder = self._logs or self._folder
+        log = (folder / f"{name}.log").open("ab")
         with log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "agatewing.gatewayd"]
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -394,6 +394,18 @@
     assert runs(site, "slow") == 1
 
 
+def test_engines_that_were_slow_once_are_tried_again(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    """Found by the soak, seed 4: 379 refusals after a delayed link."""
+    now = instance.clock.monotonic()
+    for name in ("e1", "e2"):
+        for _ in range(20):
+            instance.machines.by_id[name].pace.observe(100.0, now)
+    short = {"X-Token-Count": "400,20", "X-Prefix-Hash": "aa:200,bb:200"}
+    assert site.ask(instance, "/draft/x", "after", short).status == 200
+
+
 def test_a_stop_finishes_what_was_begun(site: standins.Site) -> None:
     instance = started(site, 4)
     for engine in site.engines.values():
