--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -86,6 +86,7 @@
             self.catalog,
             wire.Codec(settings.peer_secret),
             rng,
+            _settings.peer_seeds(settings),
         )
         self.work = _work_notes.WorkNotes(
             settings.instance,
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -4,6 +4,7 @@
 few others for their snapshot, by thrift over TCP, until it can again.
 """
 
+import collections.abc
 import logging
 import random
 import socket
@@ -50,6 +51,7 @@
 
     __slots__ = (
         "_name",
+        "_seeds",
         "_clock",
         "_catalog",
         "_codec",
@@ -69,8 +71,12 @@
         catalog: _catalog.Catalog,
         codec: wire.Codec,
         rng: random.Random,
+        seeds: collections.abc.Sequence[str] = (),
     ) -> None:
         self._name = name
+        self._seeds = tuple(
+            seed for seed in seeds if seed != f"{address[0]}:{address[1]}"
+        )
         self._clock = clock
         self._catalog = catalog
         self._codec = codec
@@ -123,11 +129,15 @@
         while True:
             self._clock.sleep(ASK_PERIOD_S)
             self._catalog.expire()
-            if self._catalog.away and self.known:
+            if self._catalog.away:
                 self.ask_round()
 
     def ask_round(self) -> None:
-        """Ask a few peers for their snapshots."""
+        """Ask a few peers for their snapshots; seeds if none is known."""
+        if not self.known:
+            for seed in self._seeds:
+                gevent.spawn(self._ask, seed, seed)
+            return
         names = sorted(self.known)
         chosen = self._random.sample(names, min(ASKED, len(names)))
         for name in chosen:
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -58,6 +58,9 @@
     log_address: str
     # Key that signs messages between instances.
     peer_secret: typing.Annotated[str, msgspec.Meta(min_length=16)]
+    # Addresses of a few instances, which may be gone; asked on the peer
+    # port while neither the log nor an entry in it is known.
+    seeds: tuple[str, ...] = ()
     # IP number and port of /metrics; empty for none beside readiness.
     metrics_address: str = ""
     # Time between the order to stop and the end, in seconds.
@@ -87,6 +90,8 @@
         "peer_address": settings.peer_address,
         "log_address": settings.log_address,
     }
+    for index, seed in enumerate(settings.seeds):
+        addresses[f"seeds[{index}]"] = seed
     if settings.metrics_address:
         addresses["metrics_address"] = settings.metrics_address
     faults = [
@@ -103,6 +108,16 @@
     return host.strip("[]"), int(port)
 
 
+def peer_seeds(settings: GatewaySettings) -> list[str]:
+    """Return the seeds on the port of other instances.
+
+    All instances use the same port, so only the IP numbers of the seeds
+    matter.
+    """
+    _, port = split_address(settings.peer_address)
+    return [f"{split_address(seed)[0]}:{port}" for seed in settings.seeds]
+
+
 def _is_address(address: str) -> bool:
     host, colon, port = address.rpartition(":")
     return bool(host and colon and port.isdecimal())
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -374,6 +374,19 @@
     site.wait(lambda: "t1" not in second.catalog.targets)
 
 
+def test_an_instance_that_starts_without_the_log_asks_a_seed(
+    site: standins.Site,
+) -> None:
+    """Found by the soak, seed 4: 145 refusals after a kill in an outage."""
+    first = started(site, 4, "i1")
+    site.store.mode = standins.StoreMode.BUSY
+    # On loopback each instance has its own port, so the seeds are set here.
+    second = site.start("i2")
+    second.peers._seeds = (first.settings.peer_address,)
+    site.wait(lambda: second.life.ready)
+    assert site.ask(second, "/pay/x", "s1").status == 200
+
+
 def test_no_target_is_refused_at_once_with_a_time_to_return(
     site: standins.Site,
 ) -> None:
