--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 7
 DURATION ?= 60
 
-.PHONY: demo test lint format fuzz soak soak-processes slopes experiment bench capacity wire
+.PHONY: demo test lint format fuzz soak soak-processes bench-platform slopes experiment bench capacity wire
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -44,6 +44,9 @@
 experiment: $(VENV)/.ready
 	$(BIN)/python -m agatewing.experiment --store experiment
 
+bench-platform: $(VENV)/.ready
+	$(BIN)/python -m agatewing.platform.bench
+
 bench: $(VENV)/.ready
 	$(BIN)/python -m agatewing.bench entry
 
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -1,5 +1,6 @@
 """One stream: its engines, from the choice to the last event."""
 
+import dataclasses
 import logging
 
 import gevent
@@ -92,7 +93,7 @@
         """Return the work for an engine that decodes."""
         if self._held is None:
             return self._work
-        return decisions.Work(0, self._work.output_tokens, self._work.zone, {})
+        return dataclasses.replace(self._work, prompt_tokens=0, cached={})
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
         return decisions.work_on(self._work, machine.load)
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -209,6 +209,18 @@
         request_id: str = "a1",
         headers: collections.abc.Mapping[str, str] | None = None,
         method: str = "POST",
+    ) -> Reply:
+        """Send one request to an instance; return the answer."""
+        address = f"127.0.0.1:{instance.server.port}"
+        return self.ask_at(address, path, request_id, headers, method)
+
+    def ask_at(
+        self,
+        address: str,
+        path: str,
+        request_id: str = "a1",
+        headers: collections.abc.Mapping[str, str] | None = None,
+        method: str = "POST",
     ) -> Reply:
         """Send one request on a new connection; return the answer."""
         fields = {
@@ -218,7 +230,9 @@
         }
         lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
         head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
-        with self.connect(instance) as sock:
+        host, _, port = address.rpartition(":")
+        place = (host, int(port))
+        with gevent.socket.create_connection(place) as sock:
             sock.sendall(head)
             return read_reply(sock)
 
