--- a/agatewing/entry/__init__.py
+++ b/agatewing/entry/__init__.py
@@ -10,9 +10,9 @@
 from agatewing.entry._generation import Generation
 from agatewing.entry._identity import Directory
 from agatewing.entry._identity import Identity
-from agatewing.entry._relay import GenerateCall
 from agatewing.entry._relay import Relay
-from agatewing.entry._relay import RelayParts
+from agatewing.entry._relay_types import GenerateCall
+from agatewing.entry._relay_types import RelayParts
 from agatewing.entry._resume import HandleCodec
 from agatewing.entry._resume import StreamHandle
 from agatewing.entry._services import Services
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -17,7 +17,9 @@
 from agatewing.entry import _context
 from agatewing.entry import _identity
 from agatewing.entry import _relay
+from agatewing.entry import _relay_types
 from agatewing.entry import _resume
+from agatewing.entry import _whole_answer
 from agatewing import fleet
 from agatewing import net
 from agatewing import timeline
@@ -25,23 +27,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-class _Choice(msgspec.Struct, frozen=True):
-    """One choice of an event, in either shape."""
-
-    text: str = ""
-    delta: dict[str, str] = {}
-    finish_reason: str | None = None
-
-
-class _Event(msgspec.Struct, frozen=True):
-    """One event of an engine."""
-
-    choices: tuple[_Choice, ...]
-
-
-_event_decoder = msgspec.json.Decoder(_Event)
-
-
 class Generation:
     """Handles one request for an answer of a model."""
 
@@ -56,7 +41,7 @@
 
     def __init__(
         self,
-        parts: _relay.RelayParts,
+        parts: _relay_types.RelayParts,
         dispatcher: dispatch.Dispatcher,
         codec: _resume.HandleCodec,
         lengths: fleet.LengthEstimate,
@@ -194,8 +179,10 @@
         body: _bodies.GenerationRequest,
         start_response: net.StartResponse,
     ) -> collections.abc.Iterable[bytes]:
-        text, finish = _collect(stream.plain())
-        answer = _whole_answer(stream.call, body, text, finish, stream.tokens)
+        text, finish = _whole_answer.collect(stream.plain())
+        answer = _whole_answer.whole_answer(
+            stream.call, body, text, finish, stream.tokens
+        )
         raw = msgspec.json.encode(answer)
         headers = [
             ("Content-Type", "application/json"),
@@ -282,7 +269,7 @@
         pool: fleet.Pool,
         work: decisions.Work,
         relay: _relay.Relay,
-        call: _relay.GenerateCall,
+        call: _relay_types.GenerateCall,
         body: _bodies.GenerationRequest,
         route: decisions.Route | None,
     ) -> None:
@@ -361,9 +348,9 @@
     body: _bodies.GenerationRequest,
     seed: int,
     created: int,
-) -> _relay.GenerateCall:
+) -> _relay_types.GenerateCall:
     """Return the call that generates, or generates again, an answer."""
-    return _relay.GenerateCall(
+    return _relay_types.GenerateCall(
         stream_id,
         body.model,
         body.prompt,
@@ -393,51 +380,6 @@
             return name
 
 
-def _collect(
-    blocks: collections.abc.Iterator[bytes],
-) -> tuple[str, str | None]:
-    """Return text and finish reason of a whole stream."""
-    parts: list[str] = []
-    finish: str | None = None
-    for block in blocks:
-        for line in block.split(b"\n"):
-            if not line.startswith(b"data: {"):
-                continue
-            choice = _event_decoder.decode(line[6:]).choices[0]
-            parts.append(choice.text or choice.delta.get("content", ""))
-            finish = choice.finish_reason or finish
-    return "".join(parts), finish
-
-
-def _whole_answer(
-    call: _relay.GenerateCall,
-    body: _bodies.GenerationRequest,
-    text: str,
-    finish: str | None,
-    tokens: int,
-) -> dict[str, object]:
-    """Return the body of an answer in one piece."""
-    choice: dict[str, object] = {"index": 0, "finish_reason": finish}
-    if body.shape == "chat":
-        kind = "chat.completion"
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        kind = "text_completion"
-        choice["text"] = text
-    return {
-        "id": call.id,
-        "object": kind,
-        "created": call.created,
-        "model": call.model,
-        "choices": [choice],
-        "usage": {
-            "prompt_tokens": body.prompt_tokens,
-            "completion_tokens": tokens,
-            "total_tokens": body.prompt_tokens + tokens,
-        },
-    }
-
-
 def _unknown_model(model: str) -> _exceptions.Refusal:
     """Return the refusal of a model that no service offers."""
     return _exceptions.Refusal(
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -1,19 +1,17 @@
 """Relays one stream from engines; survives silence and lost engines."""
 
 import collections.abc
-import dataclasses
 import functools
 import logging
 
 import msgspec
 
-from agatewing import _clock
 from agatewing import _exceptions
 from agatewing import _invariants
 from agatewing import _types
 from agatewing import decisions
 from agatewing.entry import _assembler
-from agatewing.entry import _gate
+from agatewing.entry import _relay_types
 from agatewing import fleet
 from agatewing import net
 from agatewing import timeline
@@ -30,48 +28,6 @@
 STUCK_S = 15.0
 
 
-class KvSource(msgspec.Struct, frozen=True):
-    """Where an engine can fetch the KV cache of the prompt."""
-
-    # IP number and port of the engine.
-    address: str
-    # Id of the exported cache.
-    id: str
-
-
-class GenerateCall(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Body of the call to an engine; see docs/INTERFACES.md."""
-
-    id: str
-    model: str
-    prompt: str
-    max_tokens: int
-    shape: str
-    priority: int
-    seed: int
-    created: int
-    start: int = msgspec.field(default=0, name="from")
-    kv: KvSource | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayParts:
-    """What every relay uses."""
-
-    #: The fleet.
-    fleet: fleet.Fleet
-    #: The clock.
-    clock: _clock.Clock
-    #: The time line.
-    events: timeline.Timeline
-    #: Budget of retries.
-    retries: decisions.RetryBudget
-    #: Promises checked while running.
-    invariants: _invariants.Invariants
-    #: Whether work may leave the process.
-    gate: _gate.Gate
-
-
 class Relay:
     """One stream of events from one or, after a loss, more engines."""
 
@@ -94,9 +50,9 @@
 
     def __init__(
         self,
-        parts: RelayParts,
+        parts: _relay_types.RelayParts,
         pool: fleet.Pool,
-        call: GenerateCall,
+        call: _relay_types.GenerateCall,
         work: decisions.Work,
         deadline: float,
         position: int = 0,
@@ -415,7 +371,7 @@
             machine.note_ended()
             client.close()
         if answer.status == 200:
-            source = KvSource(machine.spec.address, self._call.id)
+            source = _relay_types.KvSource(machine.spec.address, self._call.id)
             self._call = msgspec.structs.replace(self._call, kv=source)
 
 
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -18,7 +18,6 @@
 from agatewing.gateway import _ports
 from agatewing.gateway import _refusals
 from agatewing.gateway import _sender
-from agatewing.gateway import _work_notes
 
 _log = logging.getLogger("agatewing.request")
 
@@ -49,8 +48,6 @@
     dispatcher: dispatch.Dispatcher
     #: Shared parts of prompts and where they are.
     index: decisions.PartIndex
-    #: Work that other instances have at engines.
-    notes: _work_notes.WorkNotes
     #: Availability zone of the instance.
     zone: str
     #: Answers of targets by status.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -129,7 +129,6 @@
             self.budget,
             self.dispatcher,
             decisions.PartIndex(self.settings.cache_keep_s),
-            self.work,
             self.settings.zone,
             collections.Counter(),
             self.metrics,
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -173,11 +173,23 @@
 class Pool:
     """The targets of one service."""
 
-    __slots__ = ("name", "engines", "meter", "router", "instances", "facts")
+    __slots__ = (
+        "name",
+        "engines",
+        "meter",
+        "router",
+        "instances",
+        "facts",
+        "_catch_up",
+    )
 
     def __init__(
-        self, service: _contracts.Service, router: decisions.Router
+        self,
+        service: _contracts.Service,
+        router: decisions.Router,
+        catch_up: collections.abc.Callable[[], None],
     ) -> None:
+        self._catch_up = catch_up
         #: Name of the service.
         self.name = service.name
         #: Targets by id.
@@ -207,6 +219,7 @@
 
     def loads(self) -> list[decisions.EngineLoad]:
         """Return the state of all engines for the decisions."""
+        self._catch_up()
         return [machine.load for machine in self.engines.values()]
 
     def routable(self) -> list[Machine]:
@@ -240,6 +253,7 @@
         "by_id",
         "instances",
         "changed",
+        "catch_up",
     )
 
     def __init__(
@@ -257,9 +271,14 @@
         self.by_id: dict[str, Machine] = {}
         #: Instances that share the targets.
         self.instances = 1
+        #: Brings the known work of other instances up to date.
+        self.catch_up: collections.abc.Callable[[], None] = _nothing
         #: Set whenever the own work at targets changes.
         self.changed = gevent.event.Event()
 
+    def _look(self) -> None:
+        self.catch_up()
+
     def apply(
         self,
         services: collections.abc.Mapping[str, _contracts.Service],
@@ -281,7 +300,7 @@
                     BACKLOG_LIMIT_S,
                     REREAD_WEIGHT,
                 )
-                pool = self.pools[name] = Pool(service, router)
+                pool = self.pools[name] = Pool(service, router, self._look)
             pool.facts = service
             pool.instances = self.instances
             pool.engines = {
@@ -306,6 +325,10 @@
         self.by_id[name] = Machine(target, speed, self._clock, self.changed)
 
 
+def _nothing() -> None:
+    """Stand for the work of others where there are none."""
+
+
 def speed_of(
     typical: decisions.Speed,
     target: _contracts.Target,
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -36,7 +36,6 @@
                 _refusals.no_target(job.service, False, self._parts.rng)
             )
         now = self._parts.clock.monotonic()
-        self._parts.notes.add_up()
         pool.refresh(now)
         work = self._work(job, pool)
         try:
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -32,6 +32,8 @@
 FANOUT = 8
 #: Age at which a note counts no more, in seconds; the sender may be gone.
 KEEP_S = 1.0
+#: Time between two looks for notes that count no more, in seconds.
+EXPIRY_PERIOD_S = 0.2
 #: Time after which an unchanged note is sent again, in seconds.
 REPEAT_S = 0.4
 #: Largest datagram, in bytes; engines beyond it are left out.
@@ -68,6 +70,8 @@
         "_loops",
         "_sequence",
         "_notes",
+        "_stale",
+        "_added_at",
         "sent_bytes",
         "malformed",
     )
@@ -96,6 +100,9 @@
         # Later starts of an instance begin above earlier ones.
         self._sequence = int(clock.wall() * 1_000)
         self._notes: dict[str, Noted] = {}
+        self._stale = False
+        self._added_at = float("-inf")
+        machines.catch_up = self.add_up
         #: Bytes sent.
         self.sent_bytes = 0
         #: Datagrams that could not be read.
@@ -195,11 +202,18 @@
             note.sequence,
             {work.engine: work for work in note.work},
         )
-        self.add_up()
+        self._stale = True
 
     def add_up(self) -> None:
-        """Write the work of all others into the loads of engines."""
+        """Write the work of all others into the loads of engines.
+
+        Does nothing while no note came and none had time to expire.
+        """
         now = self._clock.monotonic()
+        if not self._stale and now - self._added_at < EXPIRY_PERIOD_S:
+            return
+        self._stale = False
+        self._added_at = now
         fresh = [n for n in self._notes.values() if now - n.at < KEEP_S]
         if len(fresh) < len(self._notes):
             self._notes = {
--- /dev/null
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -0,0 +1,114 @@
+"""Instances tell each other their work at engines."""
+
+import random
+
+import pytest
+
+from agatewing import _clock
+from agatewing import _types
+from agatewing import decisions
+from agatewing import gateway
+from agatewing.gateway import _catalog
+from agatewing.gateway import _contracts
+from agatewing.gateway import _machines
+from agatewing.gateway import _peers
+from agatewing.gateway import _work_notes
+from agatewing import wire
+
+
+@pytest.fixture
+def clock() -> _clock.ManualClock:
+    return _clock.ManualClock()
+
+
+@pytest.fixture
+def machines(clock: _clock.ManualClock) -> _machines.Machines:
+    made = _machines.Machines(clock, random.Random(1), decisions.Speed())
+    facts = gateway.EngineFacts(64, 1_000, 1, 1e9, 9)
+    target = gateway.Target(
+        "e1",
+        "chat",
+        "10.0.0.1:80",
+        "z",
+        _types.TargetState.ACTIVE,
+        64,
+        _types.Role.DECODE,
+    )
+    services = {"chat": _contracts.Service("chat", 100, facts)}
+    made.apply(services, {"e1": target})
+    return made
+
+
+@pytest.fixture
+def notes(
+    clock: _clock.ManualClock, machines: _machines.Machines
+) -> _work_notes.WorkNotes:
+    catalog = _catalog.Catalog(clock, lambda: None)
+    codec = wire.Codec("a secret of the tests")
+    rng = random.Random(1)
+    place = ("127.0.0.1", 0)
+    peers = _peers.Peers("me", place, clock, catalog, codec, rng)
+    return _work_notes.WorkNotes(
+        "me", place, clock, peers, catalog, machines, codec, rng
+    )
+
+
+def note(sender: str, sequence: int, tokens: int) -> wire.WorkNote:
+    work = wire.EngineWork(
+        engine="e1",
+        tokens=tokens,
+        sequences=2,
+        long_tokens=tokens // 2,
+        streams=1,
+    )
+    return wire.WorkNote(
+        instance=sender,
+        sequence=sequence,
+        work=[work] if tokens else [],
+        config_version=0,
+        through=0,
+    )
+
+
+def test_the_work_of_others_adds_up_and_expires(
+    clock: _clock.ManualClock,
+    machines: _machines.Machines,
+    notes: _work_notes.WorkNotes,
+) -> None:
+    notes.take(note("i1", 1, 1_000))
+    notes.take(note("i2", 1, 3_000))
+    (load,) = machines.pools["chat"].loads()
+    assert load.prefill_backlog == 4_000
+    assert load.long_backlog == 2_000
+    assert load.sequences == 4
+    assert load.streams == 2
+    clock.advance(0.6)
+    notes.take(note("i2", 2, 0))
+    (load,) = machines.pools["chat"].loads()
+    assert load.prefill_backlog == 1_000
+    clock.advance(0.6)
+    (load,) = machines.pools["chat"].loads()
+    assert load.prefill_backlog == 0
+
+
+def test_a_note_that_was_overtaken_changes_nothing(
+    machines: _machines.Machines, notes: _work_notes.WorkNotes
+) -> None:
+    notes.take(note("i1", 8, 1_000))
+    notes.take(note("i1", 7, 9_000))
+    (load,) = machines.pools["chat"].loads()
+    assert load.prefill_backlog == 1_000
+
+
+def test_own_work_is_counted_from_its_send_to_its_end(
+    machines: _machines.Machines,
+) -> None:
+    machine = machines.by_id["e1"]
+    machine.note_sent(20_000, streams=True)
+    load = machine.load
+    assert (load.prefill_backlog, load.streams) == (20_000, 1)
+    assert load.long_backlog == 20_000
+    machine.note_processed(20_000)
+    machine.note_ended(streams=True)
+    assert (load.prefill_backlog, load.long_backlog) == (0, 0)
+    assert (load.sequences, load.streams) == (0, 0)
