--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -77,10 +77,6 @@
     #: The part of reported and unreported tokens that is in long prompts.
     reported_long_tokens: float = 0.0
     unreported_long_tokens: float = 0.0
-    #: Sequences whose callers notice a pause between events, reported by
-    #: others and sent from here.
-    reported_streams: int = 0
-    unreported_streams: int = 0
     #: Sequences that this instance may send to it now.
     credits: int = 1
     #: Measured slowness; 1 is as fast as its speed says.
@@ -98,11 +94,6 @@
         """Best guess of the prompt tokens not yet processed."""
         return self.reported_tokens + self.unreported_tokens
 
-    @property
-    def streams(self) -> int:
-        """Sequences on the engine whose callers notice a pause."""
-        return self.reported_streams + self.unreported_streams
-
     @property
     def long_backlog(self) -> float:
         """Best guess of the backlog that is in long prompts."""
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -30,8 +30,8 @@
 #: Share of the time for which a prompt is read beside a stream that counts
 #: as lost to the stream.
 HARM_SHARE = 0.3
-#: Times as much that an engine may have to process where nobody notices a
-#: pause: what waits there is due after 250 ms or more.
+#: Times as much that an engine without streams may process beside those
+#: that come meanwhile: a stream's first event is due after 250 ms or more.
 ALONE_TIMES = 3
 #: Seconds for which a full batch holds a new sequence back.
 FULL_BATCH_WAIT_S = 2.0
@@ -51,9 +51,6 @@
     zone: str
     #: Expected leading prompt tokens in the cache, by engine.
     cached: dict[str, int] = dataclasses.field(default_factory=dict)
-    #: Whether the caller notices a pause between events; an answer of one
-    #: event has none.
-    streams: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,7 +140,7 @@
             return True
         tokens = engine.prefill_backlog + work_on(work, engine)
         limit = self._beside_tokens
-        if not engine.streams and not work.streams:
+        if not engine.sequences:
             limit *= ALONE_TIMES
         return tokens <= limit
 
@@ -385,7 +382,7 @@
 def beside_harm_s(work: Work, engine: EngineLoad) -> float:
     """Return what a prompt costs the streams beside which it is read."""
     read_s = work_on(work, engine) / prefill_rate(engine)
-    return HARM_SHARE * engine.streams * read_s
+    return HARM_SHARE * engine.sequences * read_s
 
 
 def import_and_decode_s(work: Work, engine: EngineLoad) -> float:
--- a/agatewing/decisions/tests/test_placement.py
+++ b/agatewing/decisions/tests/test_placement.py
@@ -38,7 +38,6 @@
         reported_tokens=tokens,
         reported_long_tokens=long_tokens,
         reported_sequences=sequences,
-        reported_streams=sequences,
     )
 
 
@@ -61,7 +60,6 @@
     prefill: str | None
     engine: str
     cached: dict[str, int] = dataclasses.field(default_factory=dict)
-    streams: bool = True
 
 
 CASES = {
@@ -90,27 +88,6 @@
         "p",
         "d",
     ),
-    "an answer of one event is read where no stream runs": Case(
-        2_200,
-        (
-            prefill("p", 12_000, 12_000),
-            decode("d1", sequences=4),
-            decode("d2", tokens=2_200),
-        ),
-        None,
-        "d2",
-        streams=False,
-    ),
-    "a stream keeps away from where prompts are read": Case(
-        800,
-        (
-            prefill("p", 12_000, 12_000),
-            decode("d1", sequences=2),
-            decode("d2", tokens=1_000),
-        ),
-        None,
-        "d1",
-    ),
     "a shared part goes where it is held, past a short queue": Case(
         9_000,
         (prefill("p1", 4_000), prefill("p2"), decode("d", sequences=3)),
@@ -138,8 +115,7 @@
     router = decisions.Router(
         random.Random(seed), 8, 1_700, 2.0, reread_weight=2.0
     )
-    output = 20 if case.streams else 3
-    work = decisions.Work(case.prompt, output, "z1", case.cached, case.streams)
+    work = decisions.Work(case.prompt, 20, "z1", case.cached)
     match router.choose(work, case.engines):
         case decisions.Single(engine=chosen):
             assert (None, chosen) == (case.prefill, case.engine)
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -98,8 +98,6 @@
     kv_token_bytes: int
     #: Bytes a second between two engines.
     link_bytes_per_s: float
-    #: Tokens that come in one event.
-    event_tokens: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -138,12 +138,8 @@
         """Return whether new work may go to the target."""
         return self.active and now >= self.avoid_until
 
-    def note_sent(self, tokens: int, streams: bool = False) -> None:
-        """Count a request sent, with its prompt tokens to process.
-
-        ``streams`` says whether its caller notices a pause.
-        """
-        self.load.unreported_streams += streams
+    def note_sent(self, tokens: int) -> None:
+        """Count a request sent, with its prompt tokens to process."""
         self.in_flight += 1
         self.load.own_sequences += 1
         self.load.unreported_sequences += 1
@@ -160,9 +156,8 @@
             load.unreported_long_tokens += tokens
         self._changed.set()
 
-    def note_ended(self, streams: bool = False) -> None:
+    def note_ended(self) -> None:
         """Count the end of a request."""
-        self.load.unreported_streams -= streams
         self.in_flight -= 1
         self.load.own_sequences -= 1
         self.load.unreported_sequences -= 1
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -11,14 +11,7 @@
 class WorkMeter:
     """The prompt until it is processed, the sequence until it ends."""
 
-    __slots__ = (
-        "_machine",
-        "_streams",
-        "_tokens",
-        "_expected_s",
-        "_sent_at",
-        "_first",
-    )
+    __slots__ = ("_machine", "_tokens", "_expected_s", "_sent_at", "_first")
 
     def __init__(
         self,
@@ -29,7 +22,6 @@
     ) -> None:
         load = machine.load
         self._machine = machine
-        self._streams = work.streams
         self._tokens = 0 if prompt_held else decisions.work_on(work, load)
         expected_s = load.speed.step_base_s
         if not prompt_held:
@@ -37,7 +29,7 @@
         self._expected_s = max(LEAST_EXPECTED_S, expected_s)
         self._sent_at = now
         self._first = True
-        machine.note_sent(self._tokens, work.streams)
+        machine.note_sent(self._tokens)
 
     def processed(self, now: float) -> None:
         """Note that the prompt is processed; learn the engine's pace."""
@@ -52,4 +44,4 @@
         """Note the end of the request."""
         if self._first:
             self._machine.note_processed(self._tokens)
-        self._machine.note_ended(self._streams)
+        self._machine.note_ended()
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -1,6 +1,5 @@
 """One stream: its engines, from the choice to the last event."""
 
-import dataclasses
 import logging
 
 import gevent
@@ -18,6 +17,10 @@
 
 _log = logging.getLogger("agatewing.stream")
 
+#: Class of all prompts of 2,048 tokens and more at engines. Short prompts
+#: pass long ones, but among long ones the first goes first: with a class of
+#: its own the longest tenth waited until its callers gave up (tala-ops).
+LEAST_URGENT = 3
 #: Time for freeing a KV cache that nobody fetched, in seconds.
 RELEASE_S = 1.0
 
@@ -93,7 +96,7 @@
         """Return the work for an engine that decodes."""
         if self._held is None:
             return self._work
-        return dataclasses.replace(self._work, prompt_tokens=0, cached={})
+        return decisions.Work(0, self._work.output_tokens, self._work.zone, {})
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
         return decisions.work_on(self._work, machine.load)
@@ -109,7 +112,7 @@
         return _messages.SendFacts(
             machine.target.id,
             left,
-            min(9, urgency),
+            min(LEAST_URGENT, urgency),
             prefill_only,
             None if prefill_only else self._held,
             last,
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -5,7 +5,6 @@
 from agatewing import decisions
 from agatewing.gateway import _context
 from agatewing.gateway import _machines
-from agatewing.gateway import _messages
 from agatewing.gateway import _refusals
 from agatewing.gateway import _stream
 
@@ -71,12 +70,4 @@
             max(1, prompt.max_output_tokens),
             self._parts.zone,
             cached,
-            _has_pauses(prompt, pool),
         )
-
-
-def _has_pauses(prompt: _messages.Prompt, pool: _machines.Pool) -> bool:
-    """Return whether an answer probably comes in more than one event."""
-    facts = pool.facts.engines
-    event_tokens = facts.event_tokens if facts else 1
-    return prompt.max_output_tokens > event_tokens
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -142,7 +142,6 @@
                         tokens=max(0, int(load.unreported_tokens)),
                         sequences=load.own_sequences,
                         long_tokens=max(0, int(load.unreported_long_tokens)),
-                        streams=max(0, load.unreported_streams),
                     )
                 )
         return found[:MAX_ENGINES]
@@ -225,7 +224,6 @@
             machine.load.reported_tokens = 0.0
             machine.load.reported_long_tokens = 0.0
             machine.load.reported_sequences = 0
-            machine.load.reported_streams = 0
         for noted in fresh:
             for name, work in noted.work.items():
                 known = self._machines.by_id.get(name)
@@ -234,4 +232,3 @@
                 known.load.reported_tokens += work.tokens
                 known.load.reported_long_tokens += work.long_tokens
                 known.load.reported_sequences += work.sequences
-                known.load.reported_streams += work.streams
--- a/agatewing/gateway/tests/test_work_notes.py
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -24,7 +24,7 @@
 @pytest.fixture
 def machines(clock: _clock.ManualClock) -> _machines.Machines:
     made = _machines.Machines(clock, random.Random(1), decisions.Speed())
-    facts = gateway.EngineFacts(64, 1_000, 1, 1e9, 9)
+    facts = gateway.EngineFacts(64, 1_000, 1, 1e9)
     target = gateway.Target(
         "e1",
         "chat",
@@ -59,7 +59,6 @@
         tokens=tokens,
         sequences=2,
         long_tokens=tokens // 2,
-        streams=1,
     )
     return wire.WorkNote(
         instance=sender,
@@ -81,7 +80,6 @@
     assert load.prefill_backlog == 4_000
     assert load.long_backlog == 2_000
     assert load.sequences == 4
-    assert load.streams == 2
     clock.advance(0.6)
     notes.take(note("i2", 2, 0))
     (load,) = machines.pools["chat"].loads()
@@ -104,11 +102,11 @@
     machines: _machines.Machines,
 ) -> None:
     machine = machines.by_id["e1"]
-    machine.note_sent(20_000, streams=True)
+    machine.note_sent(20_000)
     load = machine.load
-    assert (load.prefill_backlog, load.streams) == (20_000, 1)
+    assert (load.prefill_backlog, load.sequences) == (20_000, 1)
     assert load.long_backlog == 20_000
     machine.note_processed(20_000)
-    machine.note_ended(streams=True)
+    machine.note_ended()
     assert (load.prefill_backlog, load.long_backlog) == (0, 0)
-    assert (load.sequences, load.streams) == (0, 0)
+    assert load.sequences == 0
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -47,8 +47,6 @@
     token_kv_bytes: int
     # Megabits a second, not bytes.
     link_mbps: float
-    # Tokens in one event of a stream.
-    stride: int = 1
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -216,7 +214,6 @@
             engine.kv_tokens,
             engine.token_kv_bytes,
             engine.link_mbps * 1e6 / BITS_PER_BYTE,
-            engine.stride,
         )
     return gateway.Service(raw.name, raw.max_conns, facts)
 
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -767,7 +767,6 @@
      - tokens
      - sequences
      - long_tokens
-     - streams
 
     """
 
@@ -776,16 +775,14 @@
         'tokens',
         'sequences',
         'long_tokens',
-        'streams',
     )
 
 
-    def __init__(self, engine=None, tokens=None, sequences=None, long_tokens=None, streams=None,):
+    def __init__(self, engine=None, tokens=None, sequences=None, long_tokens=None,):
         self.engine = engine
         self.tokens = tokens
         self.sequences = sequences
         self.long_tokens = long_tokens
-        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -816,11 +813,6 @@
                     self.long_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.streams = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -847,10 +839,6 @@
             oprot.writeFieldBegin('long_tokens', TType.I64, 4)
             oprot.writeI64(self.long_tokens)
             oprot.writeFieldEnd()
-        if self.streams is not None:
-            oprot.writeFieldBegin('streams', TType.I32, 5)
-            oprot.writeI32(self.streams)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -863,8 +851,6 @@
             raise TProtocolException(message='Required field sequences is unset!')
         if self.long_tokens is None:
             raise TProtocolException(message='Required field long_tokens is unset!')
-        if self.streams is None:
-            raise TProtocolException(message='Required field streams is unset!')
         return
 
     def __repr__(self):
@@ -1075,7 +1061,6 @@
     (2, TType.I64, 'tokens', None, None, ),  # 2
     (3, TType.I32, 'sequences', None, None, ),  # 3
     (4, TType.I64, 'long_tokens', None, None, ),  # 4
-    (5, TType.I32, 'streams', None, None, ),  # 5
 )
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -74,8 +74,6 @@
   3: required i32 sequences,
   // The part of the tokens that is in long prompts.
   4: required i64 long_tokens,
-  // Sequences whose callers notice a pause.
-  5: required i32 streams,
 }
 
 // All of an instance's work at engines, in a datagram of its own.
