--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -3,6 +3,7 @@
 from agatewing.decisions._admission import AdmissionDecision
 from agatewing.decisions._admission import admit
 from agatewing.decisions._admission import Admit
+from agatewing.decisions._admission import comes_too_late
 from agatewing.decisions._admission import expected_wait_s
 from agatewing.decisions._admission import QueueFull
 from agatewing.decisions._admission import Queueing
--- a/agatewing/decisions/_admission.py
+++ b/agatewing/decisions/_admission.py
@@ -5,6 +5,9 @@
 
 #: Share of the deadline left free for what the estimate misses.
 MARGIN = 0.1
+#: Times its caller's patience that a first event may be expected after; the
+#: estimate is on the high side while paces are.
+PATIENCE_USED = 1.2
 #: Bounds of the time after which a refused caller may come back.
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 60.0
@@ -84,6 +87,18 @@
     return Admit(wait)
 
 
+def comes_too_late(expected_s: float, patience_s: float) -> float | None:
+    """Return after how long to come back; ``None`` to go on now.
+
+    Pattern answered: long prompts arrive faster than they are processed.
+    All of them would wait until their callers give up; some are sent back
+    at once instead, so that the others come in time.
+    """
+    if expected_s <= patience_s * PATIENCE_USED:
+        return None
+    return _retry_after(expected_s - patience_s)
+
+
 def still_worthwhile(service_s: float, left_s: float) -> bool:
     """Return whether a request that has waited can still be answered."""
     return service_s <= left_s
--- a/agatewing/decisions/tests/test_placement.py
+++ b/agatewing/decisions/tests/test_placement.py
@@ -196,3 +196,18 @@
     for seed in range(5):
         rng = random.Random(seed)
         assert decisions.choose_target(case.targets, rng) == case.chosen
+
+
+PATIENCE = {
+    "in time": (0.5, 2.0, None),
+    "a little late by an estimate that is high": (2.3, 2.0, None),
+    "after the caller gave up": (5.0, 3.2, 1.8),
+    "no patience is left": (0.5, 0.0, 1.0),
+}
+
+
+@pytest.mark.parametrize("name", PATIENCE)
+def test_what_comes_after_its_caller_gave_up_is_sent_back(name: str) -> None:
+    expected_s, patience_s, after_s = PATIENCE[name]
+    found = decisions.comes_too_late(expected_s, patience_s)
+    assert found == (pytest.approx(after_s) if after_s else None)
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -17,10 +17,10 @@
 
 _log = logging.getLogger("agatewing.stream")
 
-#: Class of all prompts of 2,048 tokens and more at engines. Short prompts
+#: Class of all prompts of 4,096 tokens and more at engines. Short prompts
 #: pass long ones, but among long ones the first goes first: with a class of
 #: its own the longest tenth waited until its callers gave up (tala-ops).
-LEAST_URGENT = 3
+LEAST_URGENT = 4
 #: Time for freeing a KV cache that nobody fetched, in seconds.
 RELEASE_S = 1.0
 
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -43,8 +43,33 @@
             )
         except _exceptions.RefusedError as exc:
             raise _context.from_core(exc) from exc
+        self._check_patience(job, pool, work, route)
         _stream.Stream(self._parts, job, pool, work).run(route)
 
+    def _check_patience(
+        self,
+        job: _context.Job,
+        pool: _machines.Pool,
+        work: decisions.Work,
+        route: decisions.Route,
+    ) -> None:
+        """Refuse at once what would come after its caller gave up."""
+        match route:
+            case decisions.Single(engine=name):
+                machine = pool.engines.get(name)
+            case decisions.Split(prefill=name):
+                machine = pool.engines.get(name)
+        if machine is None:
+            return
+        waited_s = self._parts.clock.monotonic() - job.req.arrived_at
+        patience_s = job.route.patience_s - waited_s
+        expected_s = decisions.prefill_s(work, machine.load)
+        after_s = decisions.comes_too_late(expected_s, patience_s)
+        if after_s is not None:
+            raise _refusals.GatewayRefusedError(
+                _refusals.busy("the engines have too much to read", after_s)
+            )
+
     def _work(self, job: _context.Job, pool: _machines.Pool) -> decisions.Work:
         """Return what the request asks of an engine."""
         prompt = job.req.prompt
