--- a/agatewing/platform/bench.py
+++ b/agatewing/platform/bench.py
@@ -7,12 +7,12 @@
 import argparse
 import os
 import pathlib
-import subprocess
 import sys
 import tempfile
 
 import msgspec
 
+from agatewing import harness
 from agatewing.platform import standins
 
 #: Requests of one batch.
@@ -39,13 +39,10 @@
         self._address = str(settings["caller_address"])
         path = folder / "settings.jsonc"
         path.write_bytes(msgspec.json.encode(settings))
-        with (folder / "log").open("wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "agatewing.gatewayd"]
-                + ["--settings", str(path)],
-                stdout=log,
-                stderr=log,
-            )
+        self.process = harness.Process(
+            "i1", "agatewing.gatewayd", ["--settings", str(path)], folder
+        )
+        self.process.start()
         site.wait(self._serves)
 
     def _serves(self) -> bool:
@@ -88,8 +85,7 @@
                 bench.events(count)
                 streams.append(bench.cost_ms("/draft/x", short))
         finally:
-            bench.process.terminate()
-            bench.process.wait()
+            bench.process.kill()
     event = (streams[1] - streams[0]) / (EVENTS[1] - EVENTS[0])
     print(f"plain request on a new connection: {plain:.2f} ms")
     print(f"stream of {EVENTS[0]} events: {streams[0]:.2f} ms")
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -7,8 +7,6 @@
 import pathlib
 import random
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 
@@ -16,6 +14,7 @@
 import gevent.socket
 import msgspec
 
+from agatewing import harness
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _proxy
 from agatewing.platform import standins
@@ -82,7 +81,7 @@
         self._random = random.Random(seed)
         self._ledger = _checks.Ledger()
         self._faults: list[str] = []
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._processes: dict[str, harness.Process] = {}
         self._folder = pathlib.Path()
         self._asking = True
         self._generation = 0
@@ -138,15 +137,14 @@
     def _start(self, name: str) -> None:
         path = self._folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(self._settings[name]))
-        folder = self._logs or self._folder
-        log = (folder / f"{name}.log").open("ab")
-        with log:
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "agatewing.gatewayd"]
-                + ["--settings", str(path)],
-                stdout=log,
-                stderr=log,
-            )
+        process = harness.Process(
+            name,
+            "agatewing.gatewayd",
+            ["--settings", str(path)],
+            self._logs or self._folder,
+        )
+        process.start()
+        self._processes[name] = process
 
     def _is_ready(self, name: str) -> bool:
         host, _, port = str(self._settings[name]["ready_address"]).rpartition(
@@ -198,14 +196,13 @@
 
     def _pause(self, name: str, lasts_s: float) -> None:
         process = self._processes[name]
-        process.send_signal(signal.SIGSTOP)
+        process.freeze()
         gevent.sleep(lasts_s)
-        process.send_signal(signal.SIGCONT)
+        process.thaw()
 
     def _kill(self, name: str, lasts_s: float) -> None:
         process = self._processes[name]
         process.kill()
-        process.wait()
         gevent.sleep(lasts_s)
         if self._processes[name] is process:
             self._start(name)
@@ -213,9 +210,9 @@
     def _stop(self, name: str, lasts_s: float) -> None:
         """Stop in order, and start again."""
         process = self._processes[name]
-        process.terminate()
+        process.stop()
         end = time.monotonic() + END_S
-        while process.poll() is None and time.monotonic() < end:
+        while process.running and time.monotonic() < end:
             gevent.sleep(0.05)
         if self._processes[name] is process:
             self._start(name)
@@ -224,7 +221,7 @@
         settings = {**self._settings[name], "log_level": "DEBUG"}
         path = self._folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(settings))
-        self._processes[name].send_signal(signal.SIGHUP)
+        self._processes[name].send(signal.SIGHUP)
 
     def _spoil_log(self, mode: standins.StoreMode, lasts_s: float) -> None:
         self._site.store.mode = mode
@@ -282,10 +279,8 @@
     def _end_processes(self) -> None:
         """End the processes of this episode, whatever their state."""
         for process in self._processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-                process.wait()
+            process.thaw()
+            process.kill()
         for proxy in (*self._proxies.values(), self._log_proxy):
             proxy.stop()
 
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import random
-import socket
 import typing
 
 import gevent
@@ -12,6 +11,7 @@
 
 from agatewing import _clock
 from agatewing import gateway
+from agatewing import harness
 from agatewing import platform
 from agatewing.platform.standins import _engine
 from agatewing.platform.standins import _store
@@ -273,6 +273,4 @@
 
 def _free_address() -> str:
     """Return an address on loopback whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return f"127.0.0.1:{harness.free_ports(1)[0]}"
