--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -17,14 +17,21 @@
 
 _log = logging.getLogger("agatewing.stream")
 
-#: Class of all prompts of 4,096 tokens and more at engines. Short prompts
+#: Class of all prompts of 8,192 tokens and more at engines. Short prompts
 #: pass long ones, but among long ones the first goes first: with a class of
-#: its own the longest tenth waited until its callers gave up (tala-ops).
-LEAST_URGENT = 4
+#: its own the longest tenth waited until its callers gave up. From 4,096
+#: tokens on, the longest prompts of routes with little patience would wait
+#: behind those of routes with much (both seen on tala-ops).
+LEAST_URGENT = 5
 #: Time for freeing a KV cache that nobody fetched, in seconds.
 RELEASE_S = 1.0
 
 
+def urgency_of(tokens: int) -> int:
+    """Return the class at an engine of a prompt of so much work."""
+    return min(LEAST_URGENT, decisions.priority_class(tokens))
+
+
 class Stream:
     """One stream, from the choice of an engine to its last event."""
 
@@ -105,14 +112,14 @@
         self, machine: _machines.Machine, prefill_only: bool
     ) -> _messages.SendFacts:
         left = self._job.deadline - self._parts.clock.monotonic()
-        urgency = decisions.priority_class(self._tokens_on(machine))
+        urgency = urgency_of(self._tokens_on(machine))
         last = None
         if self._relay.events:
             last = self._parts.dialect.last_event_id(self._relay.last_event)
         return _messages.SendFacts(
             machine.target.id,
             left,
-            min(LEAST_URGENT, urgency),
+            urgency,
             prefill_only,
             None if prefill_only else self._held,
             last,
