One end for a failed send, whether plain or stream

The two forwarders ran the same sequence after a failure (note, target to avoid, end of time, end of tries, budget); it stands once now, in _context. Job.arrivals was only ever compared with nought and is a flag. The list of a prompt's parts was built in two places and is a property of Prompt. Behaviour is as it was; no test was touched.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -74,8 +74,8 @@
     attempts: decisions.Attempts
     #: Targets that are not asked again.
     avoid: set[str] = dataclasses.field(default_factory=set)
-    #: Requests that reached a target, for the budget.
-    arrivals: int = 0
+    #: Whether it reached a target, so that another send is a repeat.
+    arrived: bool = False
 
 
 def note(job: Job, event: str, **fields: object) -> None:
@@ -113,7 +113,7 @@
 
 def may_repeat(parts: Parts, job: Job) -> bool:
     """Spend one repeat of the budget, if something arrived before."""
-    if job.arrivals == 0:
+    if not job.arrived:
         return True
     now = parts.clock.monotonic()
     return parts.budget.take(job.service, now)
@@ -126,6 +126,64 @@
     return _refusals.GatewayRefusedError(_refusals.busy(reason))
 
 
+def after_failure(
+    parts: Parts,
+    job: Job,
+    target: str,
+    outcome: _messages.Outcome,
+    used_cache: bool = False,
+    **fields: object,
+) -> None:
+    """Make ready for another send, or raise the end of the request.
+
+    ``used_cache`` says whether the send named a KV cache to fetch.
+    """
+    failure, reason = _failure_of(outcome)
+    step = job.attempts.after(failure, used_cache)
+    note(
+        job,
+        "send failed",
+        target=target,
+        failure=str(failure),
+        reason=reason,
+        next=str(step),
+        **fields,
+    )
+    if step is not decisions.Next.ANOTHER_FREE:
+        job.arrived = True
+    if step is not decisions.Next.SAME_WITHOUT_CACHE:
+        job.avoid.add(target)
+    if parts.clock.monotonic() >= job.deadline:
+        raise _out_of_time(job, reason)
+    if step in (decisions.Next.FAIL, decisions.Next.REFUSE):
+        raise give_up(job, reason)
+    if not may_repeat(parts, job):
+        raise give_up(job, f"{reason}; no retry is left")
+
+
+def _failure_of(
+    outcome: _messages.Outcome,
+) -> tuple[decisions.Failure, str]:
+    """Return the kind of a failure and its reason."""
+    match outcome:
+        case _messages.NotSent(reason=reason):
+            return decisions.Failure.NOT_SENT, reason
+        case _messages.NotRun(reason=reason):
+            return decisions.Failure.NOT_RUN, reason
+        case _messages.TimedOut(reason=reason):
+            return decisions.Failure.OVERDUE, reason
+        case _messages.Unknown(reason=reason):
+            return decisions.Failure.UNKNOWN, reason
+    raise AssertionError("an answer is no failure")
+
+
+def _out_of_time(job: Job, reason: str) -> _refusals.GatewayRefusedError:
+    """Return the end of a request whose time is over."""
+    if job.attempts.maybe_ran:
+        return _refusals.GatewayRefusedError(_refusals.timed_out(reason))
+    return _refusals.GatewayRefusedError(_refusals.busy(reason))
+
+
 def from_core(
     exc: _exceptions.RefusedError,
 ) -> _refusals.GatewayRefusedError:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -37,6 +37,11 @@
     #: Parts in order.
     parts: tuple[PromptPart, ...]
 
+    @property
+    def sized_parts(self) -> list[tuple[str, int]]:
+        """Identity and tokens of each part, as the decisions take them."""
+        return [(part.id, part.tokens) for part in self.parts]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -30,7 +30,9 @@
                     continue
                 self._pass_on(job, outcome, machine)
                 return
-            self._after(job, machine, outcome)
+            _context.after_failure(
+                self._parts, job, machine.target.id, outcome
+            )
 
     def _pick(self, job: _context.Job) -> _machines.Machine:
         pool = self._parts.machines.pools.get(job.service)
@@ -115,7 +117,7 @@
         """Return whether a failure that may be repeated is sent again."""
         if answer.head.status < 500 or not job.attempts.idempotent:
             return False
-        job.arrivals += 1
+        job.arrived = True
         if not self._another_left(job):
             return False
         left = job.deadline - self._parts.clock.monotonic()
@@ -127,33 +129,6 @@
         job.attempts.maybe_ran = True
         return True
 
-    def _after(
-        self,
-        job: _context.Job,
-        machine: _machines.Machine,
-        outcome: _messages.Outcome,
-    ) -> None:
-        """Make ready for another send, or raise the end."""
-        failure, reason = failure_of(outcome)
-        job.avoid.add(machine.target.id)
-        step = job.attempts.after(failure)
-        _context.note(
-            job,
-            "send failed",
-            target=machine.target.id,
-            failure=str(failure),
-            reason=reason,
-            next=str(step),
-        )
-        if step is not decisions.Next.ANOTHER_FREE:
-            job.arrivals += 1
-        if self._parts.clock.monotonic() >= job.deadline:
-            raise out_of_time(job, reason)
-        if step in (decisions.Next.FAIL, decisions.Next.REFUSE):
-            raise _context.give_up(job, reason)
-        if not _context.may_repeat(self._parts, job):
-            raise _context.give_up(job, f"{reason}; no retry is left")
-
     def _pass_on(
         self,
         job: _context.Job,
@@ -167,31 +142,6 @@
         )
 
 
-def failure_of(
-    outcome: _messages.Outcome,
-) -> tuple[decisions.Failure, str]:
-    """Return the kind of a failure and its reason."""
-    match outcome:
-        case _messages.NotSent(reason=reason):
-            return decisions.Failure.NOT_SENT, reason
-        case _messages.NotRun(reason=reason):
-            return decisions.Failure.NOT_RUN, reason
-        case _messages.TimedOut(reason=reason):
-            return decisions.Failure.OVERDUE, reason
-        case _messages.Unknown(reason=reason):
-            return decisions.Failure.UNKNOWN, reason
-    raise AssertionError("an answer is no failure")
-
-
-def out_of_time(
-    job: _context.Job, reason: str
-) -> _refusals.GatewayRefusedError:
-    """Return the end of a request whose time is over."""
-    if job.attempts.maybe_ran:
-        return _refusals.GatewayRefusedError(_refusals.timed_out(reason))
-    return _refusals.GatewayRefusedError(_refusals.busy(reason))
-
-
 def without_length(
     headers: _messages.Headers,
 ) -> list[tuple[bytes, bytes]]:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -11,7 +11,6 @@
 from agatewing.gateway import _machines
 from agatewing.gateway import _messages
 from agatewing.gateway import _meter
-from agatewing.gateway import _plain
 from agatewing.gateway import _relay
 from agatewing.gateway import _sender
 
@@ -147,7 +146,7 @@
         if isinstance(begun, _messages.Unknown) and begun.stale:
             # A prompt may be processed twice; the target closed the
             # connection while it idled.
-            self._job.arrivals += 1
+            self._job.arrived = True
             if _context.may_repeat(self._parts, self._job):
                 begun = self._begin_prefill(machine, 0.0)
         if not isinstance(begun, _sender.Begun):
@@ -182,7 +181,7 @@
         _context.note(
             job, reason, target=machine.target.id, outcome=str(outcome)
         )
-        job.arrivals += 1
+        job.arrived = True
         job.attempts.targets += 1
         if job.attempts.targets >= job.attempts.max_targets:
             raise _context.give_up(job, reason)
@@ -228,9 +227,8 @@
     def _note_parts(self, machine: _machines.Machine) -> None:
         prompt = self._job.req.prompt
         if prompt is not None:
-            parts = [(part.id, part.tokens) for part in prompt.parts]
             now = self._parts.clock.monotonic()
-            self._parts.index.add(machine.target.id, parts, now)
+            self._parts.index.add(machine.target.id, prompt.sized_parts, now)
 
     def _note_end(self, machine: _machines.Machine, status: int) -> None:
         first_s = self._relay.first_at - self._job.req.arrived_at
@@ -259,32 +257,18 @@
         used_cache: bool,
     ) -> None:
         """Make ready for another send, or raise the end."""
-        job = self._job
-        failure, reason = _plain.failure_of(outcome)
         if isinstance(outcome, _messages.TimedOut | _messages.Unknown):
             machine.note_failure()
         if used_cache and isinstance(outcome, _messages.NotRun):
             self._note_cache_lost()
-        step = job.attempts.after(failure, used_cache)
-        _context.note(
-            job,
-            "send failed",
-            target=machine.target.id,
-            failure=str(failure),
-            reason=reason,
-            next=str(step),
+        _context.after_failure(
+            self._parts,
+            self._job,
+            machine.target.id,
+            outcome,
+            used_cache,
             events=self._relay.events,
         )
-        if step is not decisions.Next.ANOTHER_FREE:
-            job.arrivals += 1
-        if step is not decisions.Next.SAME_WITHOUT_CACHE:
-            job.avoid.add(machine.target.id)
-        if self._parts.clock.monotonic() >= job.deadline:
-            raise _plain.out_of_time(job, reason)
-        if step in (decisions.Next.FAIL, decisions.Next.REFUSE):
-            raise _context.give_up(job, reason)
-        if not _context.may_repeat(self._parts, job):
-            raise _context.give_up(job, f"{reason}; no retry is left")
         self._relay.restart()
 
     def _note_cache_lost(self) -> None:
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -75,7 +75,7 @@
         prompt = job.req.prompt
         if prompt is None:
             return decisions.Work(0, 1, self._parts.zone)
-        parts = [(part.id, part.tokens) for part in prompt.parts]
+        parts = prompt.sized_parts
         now = self._parts.clock.monotonic()
         cached = self._parts.index.match(parts, now)
         cached = {n: t for n, t in cached.items() if n in pool.engines}
