Engines are ordered into a split of roles; memory for KV caches is counted

One instance at a time gives orders: a claim is a conditional append, holds one second, and another instance waits for the last order and the bound between holders. Nothing is renewed.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -47,5 +47,8 @@
 from agatewing.decisions._service_rate import ServiceRate
 from agatewing.decisions._shared_budget import BudgetBound
 from agatewing.decisions._shared_budget import SharedRetryBudget
+from agatewing.decisions._split import plan_split
+from agatewing.decisions._split import RoleMove
+from agatewing.decisions._split import SplitEngine
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -8,6 +8,10 @@
 #: count as long, in seconds: a third of the shortest objective of today.
 LONG_PROMPT_S = 0.1
 
+#: Share of an engine's memory for KV caches that is filled as far as known;
+#: the rest covers answers longer than expected and notes on their way.
+KV_USE = 0.9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Speed:
@@ -77,6 +81,12 @@
     #: The part of reported and unreported tokens that is in long prompts.
     reported_long_tokens: float = 0.0
     unreported_long_tokens: float = 0.0
+    #: Tokens of KV cache that sequences from here hold, and those of other
+    #: instances.
+    own_kv_tokens: int = 0
+    reported_kv_tokens: int = 0
+    #: Tokens of KV cache that fit into its memory; 0 if unknown.
+    kv_limit: int = 0
     #: Sequences that this instance may send to it now.
     credits: int = 1
     #: Measured slowness; 1 is as fast as its speed says.
@@ -99,6 +109,17 @@
         """Best guess of the backlog that is in long prompts."""
         return self.reported_long_tokens + self.unreported_long_tokens
 
+    def has_memory(self, kv_tokens: int) -> bool:
+        """Return whether a sequence of so many tokens fits beside the rest.
+
+        Without room an engine throws a running sequence out and reads it
+        again later, beside the streams of all others.
+        """
+        if not self.kv_limit:
+            return True
+        used = self.own_kv_tokens + self.reported_kv_tokens
+        return used + kv_tokens <= KV_USE * self.kv_limit
+
     def is_long(self, tokens: float) -> bool:
         """Return whether a prompt of so much work is a long one here."""
         return tokens > LONG_PROMPT_S * self.speed.prefill_tokens_per_s
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -51,6 +51,13 @@
     zone: str
     #: Expected leading prompt tokens in the cache, by engine.
     cached: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: Prompt tokens that were processed elsewhere and are fetched.
+    fetched_tokens: int = 0
+
+    @property
+    def kv_tokens(self) -> int:
+        """Tokens of KV cache that the sequence holds at its end."""
+        return self.prompt_tokens + self.fetched_tokens + self.output_tokens
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,7 +162,8 @@
         usable = [
             e
             for e in whole or engines
-            if _usable(e, avoid) and self._may_fall_back(work, e, engines)
+            if _usable(e, avoid, work)
+            and self._may_fall_back(work, e, engines)
         ]
         return self._best_single(work, usable)
 
@@ -189,10 +197,10 @@
         work: Work,
         avoid: frozenset[str],
     ) -> list[EngineLoad]:
-        decode = self._draw(engines, avoid, prefill=False)
+        decode = self._draw(engines, work, avoid, prefill=False)
         prefill: list[EngineLoad] = []
         if work.prompt_tokens >= SPLIT_MIN_TOKENS:
-            prefill = self._draw(engines, avoid, prefill=True)
+            prefill = self._draw(engines, work, avoid, prefill=True)
         chosen = {e.name: e for e in (*decode, *prefill)}
         if work.cached:
             self._add_cached(engines, work, avoid, chosen)
@@ -201,6 +209,7 @@
     def _draw(
         self,
         engines: collections.abc.Sequence[EngineLoad],
+        work: Work,
         avoid: frozenset[str],
         prefill: bool,
     ) -> list[EngineLoad]:
@@ -215,7 +224,7 @@
             engine = engines[index % count]
             if (engine.role is _types.Role.PREFILL) is not prefill:
                 continue
-            if not _usable(engine, avoid):
+            if not _usable(engine, avoid, work):
                 continue
             if engine.ease < 1 and self._random.random() > engine.ease:
                 continue
@@ -237,7 +246,7 @@
         for engine in engines:
             if engine.name not in names:
                 continue
-            if _usable(engine, avoid) and engine.ease >= 1:
+            if _usable(engine, avoid, work) and engine.ease >= 1:
                 chosen[engine.name] = engine
             found += 1
             if found == len(names):
@@ -283,11 +292,15 @@
         return Split(prefill.name, decode.name, seconds)
 
 
-def _usable(engine: EngineLoad, avoid: frozenset[str]) -> bool:
+def _usable(engine: EngineLoad, avoid: frozenset[str], work: Work) -> bool:
     """Return whether new work may go to the engine."""
     if not engine.routable or engine.credits <= 0:
         return False
-    return engine.name not in avoid
+    if engine.name in avoid:
+        return False
+    if engine.role is _types.Role.PREFILL:
+        return True
+    return engine.has_memory(work.kv_tokens)
 
 
 def priority_class(tokens: int) -> int:
--- /dev/null
+++ b/agatewing/decisions/tests/test_split.py
@@ -0,0 +1,86 @@
+"""How many engines decode, and which ones change."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from agatewing import _types
+from agatewing import decisions
+
+P = _types.Role.PREFILL
+D = _types.Role.DECODE
+SHARE = 0.42
+
+
+def engines(*roles: _types.Role) -> list[decisions.SplitEngine]:
+    """Return engines in two zones by turns."""
+    return [
+        decisions.SplitEngine(f"e{number}", f"z{number % 2}", role)
+        for number, role in enumerate(roles)
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    roles: tuple[_types.Role, ...]
+    moves: dict[str, _types.Role]
+
+
+CASES = {
+    "nothing is known": Case((), {}),
+    "a single engine keeps its role": Case((D,), {}),
+    "two engines: one of each": Case((D, D), {"e0": P}),
+    "three engines: the loss of one that decodes is borne": Case(
+        (D, P, P), {"e1": D}
+    ),
+    # abastecer-rede starts like this; prompts bind.
+    "five engines as they start: one more prefills": Case(
+        (P, P, D, D, D), {"e2": P}
+    ),
+    # tala-ops starts like this.
+    "nine engines as they start: two more prefill": Case(
+        (P, P, P, D, D, D, D, D, D), {"e4": P, "e3": P}
+    ),
+    "an engine that decodes was lost": Case((P, P, P, D), {"e0": D}),
+    "as planned": Case((P, P, P, D, D), {}),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_moves(name: str) -> None:
+    case = CASES[name]
+    moves = decisions.plan_split(engines(*case.roles), SHARE)
+    assert {m.engine: m.role for m in moves} == case.moves
+
+
+def test_an_engine_that_was_told_before_is_told_again() -> None:
+    known = engines(P, P, D, D, D)
+    known[4] = dataclasses.replace(known[4], ordered=True)
+    (move,) = decisions.plan_split(known, SHARE)
+    assert move.engine == "e4"
+
+
+def test_an_idle_engine_changes_before_a_busy_one() -> None:
+    known = engines(P, P, D, D, D)
+    known[2] = dataclasses.replace(known[2], sequences=9)
+    (move,) = decisions.plan_split(known, SHARE)
+    assert move.engine == "e4"
+
+
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from((P, D)), max_size=30),
+    strategies.floats(0.01, 0.99),
+)
+def test_after_the_moves_nothing_is_left_to_move(
+    roles: list[_types.Role], share: float
+) -> None:
+    known = {e.name: e for e in engines(*roles)}
+    for move in decisions.plan_split(list(known.values()), share):
+        old = known[move.engine]
+        assert old.role is not move.role
+        known[move.engine] = dataclasses.replace(old, role=move.role)
+    assert decisions.plan_split(list(known.values()), share) == ()
+    if len(known) > 1:
+        assert {e.role for e in known.values()} == {P, D}
--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -23,7 +23,9 @@
 from agatewing.gateway._ports import HistoryLost
 from agatewing.gateway._ports import KeyedRecord
 from agatewing.gateway._ports import LogAway
+from agatewing.gateway._ports import Overtaken
 from agatewing.gateway._ports import Page
 from agatewing.gateway._ports import Topic
+from agatewing.gateway._ports import Written
 from agatewing.gateway._settings import GatewaySettings
 from agatewing.gateway._settings import load_gateway_settings
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -1,6 +1,7 @@
 """One connection to a target: sends a request, reads its answer."""
 
 import socket
+import struct
 import typing
 
 import gevent
@@ -22,6 +23,8 @@
 USER_TIMEOUT_MS = 1_500
 #: Bodies up to this size fit into the socket's buffer, in bytes.
 SMALL_BODY_BYTES = 8_192
+#: Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Answers of earlier requests that are skipped on one connection.
 MAX_STRAY_ANSWERS = 2
 #: Headers that concern one connection only, in lower case.
@@ -258,6 +261,14 @@
             self._sock.close()
             self._sock = None
 
+    def reset(self) -> None:
+        """Close so that bytes not yet delivered never arrive."""
+        if self._sock is not None:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.close()
+
 
 class ChannelPool:
     """Idle connections to one target."""
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -13,6 +13,7 @@
 from agatewing import decisions
 from agatewing import dispatch
 from agatewing.gateway import _catalog
+from agatewing.gateway import _claims
 from agatewing.gateway import _context
 from agatewing.gateway import _follow
 from agatewing.gateway import _lifecycle
@@ -22,6 +23,7 @@
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
 from agatewing.gateway import _settings
+from agatewing.gateway import _split_loop
 from agatewing.gateway import _work_notes
 from agatewing import net
 from agatewing import wire
@@ -100,6 +102,7 @@
         )
         self.metrics = _metrics.Metrics()
         self.parts = self._parts(rng)
+        self.split = self._split()
         self.server = _server.CallerServer(
             _settings.split_address(settings.caller_address),
             self.parts,
@@ -134,6 +137,29 @@
             self.metrics,
         )
 
+    def _split(self) -> _split_loop.SplitLoop:
+        settings = self.settings
+        me = _claims.ClaimRecord(settings.instance, f"{self.clock.wall():.3f}")
+        claims = _claims.Claims(
+            self.platform.log,
+            self.clock,
+            me,
+            settings.roles.holder_gap_ms / 1_000,
+        )
+        return _split_loop.SplitLoop(
+            _split_loop.SplitParts(
+                self.clock,
+                self.machines,
+                self.parts.sender,
+                self.platform.dialect,
+                claims,
+                settings.instance,
+                self.work.alive,
+                lambda: not self.catalog.away and self.life.ready,
+                settings.roles.decode_share,
+            )
+        )
+
     def _apply(self) -> None:
         """Follow a change of configuration, targets or instances."""
         configuration = self.catalog.configuration
@@ -170,6 +196,8 @@
             self._loops.append(gevent.spawn(follower.run))
         self._loops.append(gevent.spawn(self.dispatcher.run))
         self._loops.append(gevent.spawn(self._announce))
+        if self.settings.roles.decode_share:
+            self._loops.append(gevent.spawn(self.split.run))
         _log.info(
             "instance: started",
             extra={"address": self.settings.caller_address},
@@ -311,6 +339,11 @@
             "Bytes of notes sent to other instances",
             self.work.sent_bytes,
         )
+        metrics.counter(
+            "agatewing_orders_total",
+            "Orders to engines to take a role",
+            self.split.orders,
+        )
         metrics.counter(
             "agatewing_connections_opened_total",
             "Connections opened to targets that are known now",
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -25,6 +25,9 @@
 #: prompts to prefill for others, in seconds.
 NO_CACHE_S = 3.0
 
+#: Time for which a note that an engine changes its role counts, in seconds;
+#: it is repeated each 0.4 s.
+CHANGE_TOLD_S = 0.6
 #: Smoothing of measured paces: five slow answers, a second or two of an
 #: engine's work, ease it off.
 PACE_ALPHA = 0.25
@@ -64,6 +67,8 @@
         "failures",
         "avoid_until",
         "no_cache_until",
+        "changing_until",
+        "ordered_until",
         "_clock",
         "_changed",
     )
@@ -74,6 +79,7 @@
         speed: decisions.Speed,
         clock: _clock.Clock,
         changed: gevent.event.Event,
+        kv_limit: int = 0,
     ) -> None:
         #: Its own announcement.
         self.target = target
@@ -84,6 +90,7 @@
             target.role or _types.Role.MIXED,
             speed,
         )
+        self.load.kv_limit = kv_limit
         #: Measured pace.
         self.pace = decisions.Pace(
             alpha=PACE_ALPHA, half_life_s=PACE_HALF_LIFE_S, limit=PACE_LIMIT
@@ -98,11 +105,23 @@
         self.avoid_until = float("-inf")
         #: Monotonic time until which it prefills for no other engine.
         self.no_cache_until = float("-inf")
+        #: Monotonic time until which it probably changes its role.
+        self.changing_until = float("-inf")
+        #: The same by an order of this instance, which the others are told.
+        self.ordered_until = float("-inf")
         self._clock = clock
         self._changed = changed
 
+    def note_ordered(self, for_s: float) -> None:
+        """Send nothing for a while to an engine that is told to change."""
+        until = self._clock.monotonic() + for_s
+        self.ordered_until = self.changing_until = until
+        self._changed.set()
+
     def update(self, target: _contracts.Target) -> None:
         """Take a new announcement of the same start in."""
+        if target.role is not self.target.role:
+            self.changing_until = self.ordered_until = float("-inf")
         self.target = target
         if target.role is not None:
             self.load.role = target.role
@@ -136,11 +155,13 @@
 
     def usable(self, now: float) -> bool:
         """Return whether new work may go to the target."""
-        return self.active and now >= self.avoid_until
+        until = max(self.avoid_until, self.changing_until)
+        return self.active and now >= until
 
-    def note_sent(self, tokens: int) -> None:
-        """Count a request sent, with its prompt tokens to process."""
+    def note_sent(self, tokens: int, kv_tokens: int = 0) -> None:
+        """Count a request sent: prompt tokens to process, memory to hold."""
         self.in_flight += 1
+        self.load.own_kv_tokens += kv_tokens
         self.load.own_sequences += 1
         self.load.unreported_sequences += 1
         self._add_tokens(tokens)
@@ -156,9 +177,10 @@
             load.unreported_long_tokens += tokens
         self._changed.set()
 
-    def note_ended(self) -> None:
-        """Count the end of a request."""
+    def note_ended(self, kv_tokens: int = 0) -> None:
+        """Count the end of a request, which frees its memory."""
         self.in_flight -= 1
+        self.load.own_kv_tokens -= kv_tokens
         self.load.own_sequences -= 1
         self.load.unreported_sequences -= 1
         self._changed.set()
@@ -271,6 +293,19 @@
         #: Set whenever the own work at targets changes.
         self.changed = gevent.event.Event()
 
+    def ordered(self) -> list[str]:
+        """Return engines that change their role by an order from here."""
+        now = self._clock.monotonic()
+        return [n for n, m in self.by_id.items() if now < m.ordered_until]
+
+    def note_changing(self, names: collections.abc.Iterable[str]) -> None:
+        """Send nothing to engines that change by another's order."""
+        until = self._clock.monotonic() + CHANGE_TOLD_S
+        for name in names:
+            machine = self.by_id.get(name)
+            if machine is not None:
+                machine.changing_until = until
+
     def _look(self) -> None:
         self.catch_up()
 
@@ -317,7 +352,14 @@
         if machine is not None:
             machine.withdraw()
         speed = speed_of(self._speed, target, service)
-        self.by_id[name] = Machine(target, speed, self._clock, self.changed)
+        facts = service.engines if service else None
+        self.by_id[name] = Machine(
+            target,
+            speed,
+            self._clock,
+            self.changed,
+            facts.kv_tokens if facts else 0,
+        )
 
 
 def _nothing() -> None:
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -11,7 +11,14 @@
 class WorkMeter:
     """The prompt until it is processed, the sequence until it ends."""
 
-    __slots__ = ("_machine", "_tokens", "_expected_s", "_sent_at", "_first")
+    __slots__ = (
+        "_machine",
+        "_tokens",
+        "_kv_tokens",
+        "_expected_s",
+        "_sent_at",
+        "_first",
+    )
 
     def __init__(
         self,
@@ -29,7 +36,8 @@
         self._expected_s = max(LEAST_EXPECTED_S, expected_s)
         self._sent_at = now
         self._first = True
-        machine.note_sent(self._tokens)
+        self._kv_tokens = work.kv_tokens
+        machine.note_sent(self._tokens, self._kv_tokens)
 
     def processed(self, now: float) -> None:
         """Note that the prompt is processed; learn the engine's pace."""
@@ -44,4 +52,4 @@
         """Note the end of the request."""
         if self._first:
             self._machine.note_processed(self._tokens)
-        self._machine.note_ended()
+        self._machine.note_ended(self._kv_tokens)
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -4,6 +4,7 @@
 import enum
 import typing
 
+from agatewing import _types
 from agatewing.gateway import _contracts
 from agatewing.gateway import _messages
 
@@ -17,6 +18,8 @@
     TARGETS = "targets"
     #: Entries of the system's own instances.
     INSTANCES = "instances"
+    #: Who may give orders to engines.
+    ORDERS = "orders"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +55,19 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """A record was written."""
+
+    #: Its offset.
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Nothing was written: the topic does not end where it was said to."""
+
+
 class FleetLog(typing.Protocol):
     """The platform's log, as far as the system reads and writes it."""
 
@@ -64,6 +80,14 @@
     def put(self, topic: Topic, key: str, value: bytes) -> None | LogAway:
         """Write the value of a key; an empty value removes it."""
 
+    def put_at(
+        self, topic: Topic, key: str, value: bytes, end: int
+    ) -> Written | Overtaken | LogAway:
+        """Write the value of a key only if the topic ends at ``end``.
+
+        Without an answer it may be written later if that still holds.
+        """
+
 
 class Decoder(typing.Protocol):
     """Turns records into the product's types."""
@@ -117,5 +141,14 @@
     def release(self, handle: _messages.CacheHandle) -> _messages.Outgoing:
         """Return the call that frees a KV cache."""
 
+    def order(
+        self,
+        target: _contracts.Target,
+        role: _types.Role,
+        holder: str,
+        token: int,
+    ) -> _messages.Outgoing:
+        """Return the order to an engine to take a role."""
+
     def last_event_id(self, event: bytes) -> bytes | None:
         """Return the id of an event of a stream."""
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -1,5 +1,6 @@
 """Sends a request to one target and says truthfully what came of it."""
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -204,3 +205,30 @@
             channel.close()
             raise
         self.give_back(machine, channel)
+
+    def command(
+        self,
+        machine: _machines.Machine,
+        outgoing: _messages.Outgoing,
+        timeout_s: float,
+        may_send: collections.abc.Callable[[], bool],
+    ) -> int:
+        """Send a command over a connection of its own; return the status.
+
+        ``may_send`` is asked once the connection stands. Nothing of the
+        command arrives after the time is over.
+        """
+        deadline = self._clock.monotonic() + timeout_s
+        channel = machine.channels.take(0.0, timeout_s)
+        try:
+            if not may_send():
+                raise _channel.BrokenError("the right to send it is over")
+            channel.send(outgoing, deadline)
+            head = channel.read_head(deadline)
+            while channel.read_piece(deadline):
+                pass
+        except BaseException:
+            channel.reset()
+            raise
+        self.give_back(machine, channel)
+        return head.status
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -41,6 +41,17 @@
     attention_ms_per_m_pairs: Millis = 0.647
 
 
+class Roles(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the engines of a service are split into roles."""
+
+    # Share of the engines that decode; the others prefill. 0 gives no
+    # orders, engines keep the roles they start with.
+    decode_share: typing.Annotated[float, msgspec.Meta(ge=0, lt=1)] = 0
+    # Least time between orders of two instances to one engine, in
+    # milliseconds; the platform's bound.
+    holder_gap_ms: Positive = 3_000
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that one process is told at its start."""
 
@@ -71,6 +82,8 @@
     retries: RetryBound = RetryBound()
     # Speed of engines.
     engines: EngineSpeed = EngineSpeed()
+    # Roles of engines.
+    roles: Roles = Roles()
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -1,5 +1,6 @@
 """One stream: its engines, from the choice to the last event."""
 
+import dataclasses
 import logging
 
 import gevent
@@ -91,18 +92,25 @@
             for load in self._pool.loads()
             if load.role is not _types.Role.PREFILL
         ]
-        route = self._pool.router.choose(
-            self._work_left(), loads, frozenset(self._job.avoid)
-        )
-        if isinstance(route, decisions.Single):
-            return self._pool.engines[route.engine]
+        left = self._work_left()
+        # Where no memory is left, waiting with a KV cache in hand would only
+        # hold memory at two engines.
+        for work in (left, dataclasses.replace(left, fetched_tokens=0)):
+            route = self._pool.router.choose(
+                work, loads, frozenset(self._job.avoid)
+            )
+            if isinstance(route, decisions.Single):
+                return self._pool.engines[route.engine]
         raise _context.give_up(self._job, "no engine that decodes is left")
 
     def _work_left(self) -> decisions.Work:
         """Return the work for an engine that decodes."""
         if self._held is None:
             return self._work
-        return decisions.Work(0, self._work.output_tokens, self._work.zone, {})
+        work = self._work
+        return decisions.Work(
+            0, work.output_tokens, work.zone, {}, work.prompt_tokens
+        )
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
         return decisions.work_on(self._work, machine.load)
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -32,6 +32,9 @@
 FANOUT = 8
 #: Age at which a note counts no more, in seconds; the sender may be gone.
 KEEP_S = 1.0
+#: Age of its last note at which an instance counts as alive, in seconds:
+#: five notes of an idle instance.
+ALIVE_S = 2.0
 #: Time between two looks for notes that count no more, in seconds.
 EXPIRY_PERIOD_S = 0.2
 #: Time after which an unchanged note is sent again, in seconds.
@@ -142,6 +145,7 @@
                         tokens=max(0, int(load.unreported_tokens)),
                         sequences=load.own_sequences,
                         long_tokens=max(0, int(load.unreported_long_tokens)),
+                        kv_tokens=load.own_kv_tokens,
                     )
                 )
         return found[:MAX_ENGINES]
@@ -156,6 +160,7 @@
             work=work,
             config_version=self._catalog.config_version,
             through=self._catalog.through,
+            changing=self._machines.ordered(),
         )
         data = self._codec.encode(note)
         for address in self._receivers():
@@ -202,6 +207,16 @@
             {work.engine: work for work in note.work},
         )
         self._stale = True
+        self._machines.note_changing(note.changing)
+
+    def alive(self) -> list[str]:
+        """Return the names of instances that were heard of lately."""
+        now = self._clock.monotonic()
+        return [
+            name
+            for name, noted in self._notes.items()
+            if now - noted.at < ALIVE_S
+        ]
 
     def add_up(self) -> None:
         """Write the work of all others into the loads of engines.
@@ -224,6 +239,7 @@
             machine.load.reported_tokens = 0.0
             machine.load.reported_long_tokens = 0.0
             machine.load.reported_sequences = 0
+            machine.load.reported_kv_tokens = 0
         for noted in fresh:
             for name, work in noted.work.items():
                 known = self._machines.by_id.get(name)
@@ -232,3 +248,4 @@
                 known.load.reported_tokens += work.tokens
                 known.load.reported_long_tokens += work.long_tokens
                 known.load.reported_sequences += work.sequences
+                known.load.reported_kv_tokens += work.kv_tokens
--- a/agatewing/gateway/tests/test_work_notes.py
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -59,6 +59,7 @@
         tokens=tokens,
         sequences=2,
         long_tokens=tokens // 2,
+        kv_tokens=tokens * 2,
     )
     return wire.WorkNote(
         instance=sender,
@@ -66,6 +67,7 @@
         work=[work] if tokens else [],
         config_version=0,
         through=0,
+        changing=[],
     )
 
 
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from agatewing import _types
 from agatewing import gateway
 from agatewing.platform import _names
 
@@ -28,6 +29,16 @@
     transfer_handle: str
 
 
+class _Order(msgspec.Struct, frozen=True):
+    op: str
+    # The role to take.
+    stage: str
+    # Instance that gives the order.
+    holder: str
+    # Fencing token.
+    fence: int
+
+
 class PlatformDialect:
     """Reads callers' requests and writes those to targets."""
 
@@ -119,6 +130,24 @@
         host = (b"Host", handle.address.encode())
         return gateway.Outgoing(b"DELETE", path, (host,), b"")
 
+    def order(
+        self,
+        target: gateway.Target,
+        role: _types.Role,
+        holder: str,
+        token: int,
+    ) -> gateway.Outgoing:
+        """Return the order to an engine to take a role."""
+        body = msgspec.json.encode(
+            _Order(_names.ORDER_ROLE, role.value, holder, token)
+        )
+        fields = (
+            (b"Host", target.address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"X-Expect-Instance", target.id.encode()),
+        )
+        return gateway.Outgoing(b"POST", _names.ORDER, fields, body)
+
     def last_event_id(self, event: bytes) -> bytes | None:
         """Return the id of an event of a stream."""
         for line in event.splitlines():
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -20,6 +20,8 @@
     gateway.Topic.CONFIGURATION: 4_000,
     gateway.Topic.TARGETS: 4_000,
     gateway.Topic.INSTANCES: 20_000,
+    # Read when something is to be ordered, never waited for.
+    gateway.Topic.ORDERS: 0,
 }
 #: Time for an answer of the log, in seconds; it takes 4 ms on a calm day.
 ANSWER_S = 0.6
@@ -33,6 +35,7 @@
     gateway.Topic.CONFIGURATION: _names.TOPIC_CONFIGURATION,
     gateway.Topic.TARGETS: _names.TOPIC_TARGETS,
     gateway.Topic.INSTANCES: _names.TOPIC_INSTANCES,
+    gateway.Topic.ORDERS: _names.TOPIC_ORDERS,
 }
 
 
@@ -48,6 +51,11 @@
     has_more: bool = False
 
 
+class _Place(msgspec.Struct, frozen=True):
+    # Offset of the first record written.
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Refused:
     status: int
@@ -139,10 +147,43 @@
         self, topic: gateway.Topic, key: str, value: bytes
     ) -> None | gateway.LogAway:
         """Write the value of a key; an empty value removes it."""
+        answer = self._append(topic, key, value, {})
+        if isinstance(answer, _Refused):
+            return gateway.LogAway(f"status {answer.status}")
+        return answer if isinstance(answer, gateway.LogAway) else None
+
+    def put_at(
+        self, topic: gateway.Topic, key: str, value: bytes, end: int
+    ) -> gateway.Written | gateway.Overtaken | gateway.LogAway:
+        """Write the value of a key only if the topic ends at ``end``."""
+        match self._append(topic, key, value, {"at": end}):
+            case _Refused(status=412):
+                return gateway.Overtaken()
+            case _Refused(status=status):
+                return gateway.LogAway(f"status {status}")
+            case gateway.LogAway() as away:
+                return away
+            case bytes() as body:
+                pass
+        try:
+            place = msgspec.json.decode(body, type=_Place)
+        except msgspec.MsgspecError as exc:
+            return gateway.LogAway(f"unreadable: {exc}")
+        return gateway.Written(place.offset)
+
+    def _append(
+        self,
+        topic: gateway.Topic,
+        key: str,
+        value: bytes,
+        condition: dict[str, int],
+    ) -> bytes | _Refused | gateway.LogAway:
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = struct.pack(">I", len(content)) + content
-        query = urllib.parse.urlencode({"topic": _TOPICS[topic], "part": 0})
+        query = urllib.parse.urlencode(
+            {"topic": _TOPICS[topic], "part": 0, **condition}
+        )
         headers = {"Content-Type": "application/octet-stream"}
         try:
             answer = self._writer.call(
@@ -151,8 +192,8 @@
         except _exceptions.AgatewingError as exc:
             return gateway.LogAway(str(exc))
         if answer.status != 200:
-            return gateway.LogAway(f"status {answer.status}")
-        return None
+            return _Refused(answer.status)
+        return answer.body
 
     def _get(
         self, topic: gateway.Topic, path: str
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -59,9 +59,14 @@
 #: Path under which a KV cache is freed.
 FREE_HANDLE = "/-/kv-handle/"
 
+#: Path of orders to an engine, and the one order that is given.
+ORDER = b"/-/order"
+ORDER_ROLE = "stage"
+
 #: Topics of the log; each has one partition.
 TOPIC_CONFIGURATION = "keyed.op"
 TOPIC_TARGETS = "keyed.servers"
 TOPIC_INSTANCES = "keyed.instances"
+TOPIC_ORDERS = "keyed.orders"
 #: Key of the configuration in its topic.
 CONFIGURATION_KEY = "config"
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -1,9 +1,11 @@
 """Stand-in of an engine or plain target, on raw sockets."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import itertools
+import json
 import socket
 import typing
 
@@ -74,6 +76,10 @@
         self.runs: list[Run] = []
         #: Requests of which only the prompt was processed.
         self.prefills: list[Run] = []
+        #: Orders that it accepted.
+        self.orders: list[Run] = []
+        #: Called with the role of an order that it accepted.
+        self.changed: collections.abc.Callable[[str], None] | None = None
         #: Handles that were freed.
         self.freed: list[str] = []
         #: Requests that were dropped because the connection closed.
@@ -125,6 +131,12 @@
             self._open.discard(sock)
             sock.close()
 
+    def _take_order(self, sock: gevent.socket.socket, run: Run) -> bool:
+        self.orders.append(run)
+        if self.changed is not None:
+            self.changed(json.loads(run.body)["stage"])
+        return _send(sock, 202, run, b"")
+
     def drop_connections(self) -> None:
         """Reset whatever is sent next on the open connections."""
         for sock in list(self._open):
@@ -136,6 +148,8 @@
         if run.line.startswith("DELETE /-/kv-handle/"):
             self.freed.append(run.line.split()[1].rpartition("/")[2])
             return _send(sock, 200, run, b"")
+        if run.line.startswith("POST /-/order"):
+            return self._take_order(sock, run)
         behaviour = self.script.popleft() if self.script else None
         behaviour = behaviour or Behaviour.ANSWER
         if run.headers.get("x-expect-instance", self.name) != self.name:
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -65,6 +65,14 @@
             return gateway.LogAway("cut off")
         return self._log.put(topic, key, value)
 
+    def put_at(
+        self, topic: gateway.Topic, key: str, value: bytes, end: int
+    ) -> gateway.Written | gateway.Overtaken | gateway.LogAway:
+        """Write a value at the end of a topic unless it is cut off."""
+        if self.cut:
+            return gateway.LogAway("cut off")
+        return self._log.put_at(topic, key, value, end)
+
 
 class Site:
     """Log, targets and instances, taken down at its end."""
--- a/agatewing/platform/standins/_store.py
+++ b/agatewing/platform/standins/_store.py
@@ -119,7 +119,11 @@
                 gevent.sleep(3_600)
         topic = self.topic(query.get("topic", ""))
         if write:
-            answer = self._append(topic, environ["wsgi.input"].read())
+            body = environ["wsgi.input"].read()
+            if int(query.get("at", topic.end)) != topic.end:
+                end = msgspec.json.encode({"end": topic.end})
+                return _reply(start_response, 412, end)
+            answer = self._append(topic, body)
             if self.mode is StoreMode.LOSES_ANSWERS:
                 raise ConnectionResetError(errno.ECONNRESET, "reset")
             return _reply(start_response, 200, answer)
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -767,6 +767,7 @@
      - tokens
      - sequences
      - long_tokens
+     - kv_tokens
 
     """
 
@@ -775,14 +776,16 @@
         'tokens',
         'sequences',
         'long_tokens',
+        'kv_tokens',
     )
 
 
-    def __init__(self, engine=None, tokens=None, sequences=None, long_tokens=None,):
+    def __init__(self, engine=None, tokens=None, sequences=None, long_tokens=None, kv_tokens=None,):
         self.engine = engine
         self.tokens = tokens
         self.sequences = sequences
         self.long_tokens = long_tokens
+        self.kv_tokens = kv_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -813,6 +816,11 @@
                     self.long_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.kv_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -839,6 +847,10 @@
             oprot.writeFieldBegin('long_tokens', TType.I64, 4)
             oprot.writeI64(self.long_tokens)
             oprot.writeFieldEnd()
+        if self.kv_tokens is not None:
+            oprot.writeFieldBegin('kv_tokens', TType.I64, 5)
+            oprot.writeI64(self.kv_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -851,6 +863,8 @@
             raise TProtocolException(message='Required field sequences is unset!')
         if self.long_tokens is None:
             raise TProtocolException(message='Required field long_tokens is unset!')
+        if self.kv_tokens is None:
+            raise TProtocolException(message='Required field kv_tokens is unset!')
         return
 
     def __repr__(self):
@@ -880,6 +894,7 @@
      - work
      - config_version
      - through
+     - changing
 
     """
 
@@ -889,15 +904,17 @@
         'work',
         'config_version',
         'through',
+        'changing',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
         self.config_version = config_version
         self.through = through
+        self.changing = changing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -939,6 +956,16 @@
                     self.through = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.changing = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.changing.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -960,8 +987,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter20 in self.work:
-                iter20.write(oprot)
+            for iter26 in self.work:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -972,6 +999,13 @@
             oprot.writeFieldBegin('through', TType.I64, 5)
             oprot.writeI64(self.through)
             oprot.writeFieldEnd()
+        if self.changing is not None:
+            oprot.writeFieldBegin('changing', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.changing))
+            for iter27 in self.changing:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -986,6 +1020,8 @@
             raise TProtocolException(message='Required field config_version is unset!')
         if self.through is None:
             raise TProtocolException(message='Required field through is unset!')
+        if self.changing is None:
+            raise TProtocolException(message='Required field changing is unset!')
         return
 
     def __repr__(self):
@@ -1061,6 +1097,7 @@
     (2, TType.I64, 'tokens', None, None, ),  # 2
     (3, TType.I32, 'sequences', None, None, ),  # 3
     (4, TType.I64, 'long_tokens', None, None, ),  # 4
+    (5, TType.I64, 'kv_tokens', None, None, ),  # 5
 )
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
@@ -1070,6 +1107,7 @@
     (3, TType.LIST, 'work', (TType.STRUCT, [EngineWork, None], False), None, ),  # 3
     (4, TType.I64, 'config_version', None, None, ),  # 4
     (5, TType.I64, 'through', None, None, ),  # 5
+    (6, TType.LIST, 'changing', (TType.STRING, 'UTF8', False), None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -25,6 +25,7 @@
     "{{bounds.retry_budget_ratio|json}}": "0.2",
     "{{bounds.budget_slack|json}}": "52",
     "{{bounds.budget_window_s|json}}": "10",
+    "{{bounds.lease_ms|json}}": "3000",
 }
 
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -74,6 +74,8 @@
   3: required i32 sequences,
   // The part of the tokens that is in long prompts.
   4: required i64 long_tokens,
+  // Tokens of KV cache that the sequences hold or will hold.
+  5: required i64 kv_tokens,
 }
 
 // All of an instance's work at engines, in a datagram of its own.
@@ -86,4 +88,6 @@
   4: required i64 config_version,
   // Offset up to which the sender knows the entries of targets.
   5: required i64 through,
+  // Engines that change their role by the sender's order.
+  6: required list<string> changing,
 }
