Lost and failed prefills go to another engine; lost answers are no work

Prefills hung until their callers left (156 tries ended so), streams whose answer was lost kept counting as sequences (109 on an engine with 64 slots), and one lost answer took its engine out for half a second, so that four of five engines were out at once. A KV cache that had lapsed made the engine that decodes read the whole prompt beside its streams.

A prefill runs nothing: one without an answer in three times its expected time and half a second, or turned away, is asked of another engine within the budget. The same holds for the first event of what may be repeated. The context that an engine holds adds to its steps.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -50,5 +50,6 @@
 from agatewing.decisions._split import plan_split
 from agatewing.decisions._split import RoleMove
 from agatewing.decisions._split import SplitEngine
+from agatewing.decisions._stall import stall_s
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -37,6 +37,8 @@
     #: Prompt tokens that could be processed instead of a million pairs of a
     #: new token with one before it; attention grows with these pairs.
     tokens_per_m_pairs: float = 0.0
+    #: Time that a thousand tokens of KV cache add to a step, in seconds.
+    step_per_k_context_s: float = 0.0
 
     def prefill_work(self, prompt_tokens: int, cached: int) -> int:
         """Return the work of a prompt, in tokens without attention."""
@@ -117,8 +119,12 @@
         """
         if not self.kv_limit:
             return True
-        used = self.own_kv_tokens + self.reported_kv_tokens
-        return used + kv_tokens <= KV_USE * self.kv_limit
+        return self.kv_tokens + kv_tokens <= KV_USE * self.kv_limit
+
+    @property
+    def kv_tokens(self) -> int:
+        """Best guess of the tokens of KV cache that sequences hold."""
+        return self.own_kv_tokens + self.reported_kv_tokens
 
     def is_long(self, tokens: float) -> bool:
         """Return whether a prompt of so much work is a long one here."""
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -372,6 +372,7 @@
     sequences = engine.sequences + 1
     batch = min(sequences, speed.slots)
     step = speed.step_base_s + speed.step_per_sequence_s * batch
+    step += speed.step_per_k_context_s * engine.kv_tokens / 1_000
     step *= engine.slowness
     backlog = engine.prefill_backlog
     if backlog > 0:
--- a/agatewing/decisions/_shared_budget.py
+++ b/agatewing/decisions/_shared_budget.py
@@ -62,15 +62,19 @@
 
     def take(self, service: str, now: float) -> bool:
         """Spend one repeat; return whether it is allowed."""
-        account = self._account(service, now)
-        own = self.bound.ratio * len(account.requests)
-        slack = self.bound.slack / max(1, self.instances)
-        if len(account.repeats) + 1 > SPENT_SHARE * (own + slack):
+        if not self.left(service, now):
             self.refused += 1
             return False
-        account.repeats.append(now)
+        self._account(service, now).repeats.append(now)
         return True
 
+    def left(self, service: str, now: float) -> bool:
+        """Return whether one repeat could be spent now."""
+        account = self._account(service, now)
+        own = self.bound.ratio * len(account.requests)
+        slack = self.bound.slack / max(1, self.instances)
+        return len(account.repeats) + 1 <= SPENT_SHARE * (own + slack)
+
     def _account(self, service: str, now: float) -> _Account:
         account = self._accounts.setdefault(service, _Account())
         account.expire(now - self.bound.window_s)
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -363,4 +363,5 @@
         tokens_per_m_pairs=sheet.attention_ms_per_m_pairs
         / 1_000
         * sheet.prefill_tokens_per_s,
+        step_per_k_context_s=sheet.step_ms_per_k_context / 1_000,
     )
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import random
+import typing
 
 import gevent.event
 
@@ -18,6 +19,12 @@
 #: gone after three heartbeats, about four seconds.
 AVOID_FIRST_S = 0.5
 AVOID_LIMIT_S = 4.0
+#: Requests without an answer in a row after which a target that accepts
+#: connections is left alone; targets lose one answer in thirty at times.
+LOST_IN_A_ROW = 3
+#: Time for which an engine that turned work away gets no more, in seconds:
+#: a tenth of a change of its role.
+BUSY_S = 0.3
 #: Share of a target's connections that one instance may keep idle, on top
 #: of an equal split among instances.
 IDLE_SHARE = 0.5
@@ -55,6 +62,13 @@
 BESIDE_TOKENS = 1_700
 
 
+class Meter(typing.Protocol):
+    """Counts one request as work of its engine."""
+
+    def check(self, now: float) -> None:
+        """Count the request no more if it is probably lost."""
+
+
 class Machine:
     """One target with its connections and what was seen of it."""
 
@@ -69,6 +83,7 @@
         "no_cache_until",
         "changing_until",
         "ordered_until",
+        "meters",
         "_clock",
         "_changed",
     )
@@ -109,6 +124,8 @@
         self.changing_until = float("-inf")
         #: The same by an order of this instance, which the others are told.
         self.ordered_until = float("-inf")
+        #: Requests from here that are under way, oldest first.
+        self.meters: dict[Meter, None] = {}
         self._clock = clock
         self._changed = changed
 
@@ -133,12 +150,26 @@
         self.channels.close()
 
     def note_failure(self) -> None:
-        """Leave the target alone for a while; longer each time."""
+        """Leave a target that cannot be reached alone; longer each time."""
         self.failures += 1
+        self._avoid()
+
+    def _avoid(self) -> None:
         pause = AVOID_FIRST_S * 2 ** min(self.failures - 1, 10)
         now = self._clock.monotonic()
         self.avoid_until = now + min(AVOID_LIMIT_S, pause)
 
+    def note_lost(self) -> None:
+        """Count a request that brought no answer; one says little."""
+        self.failures += 1
+        if self.failures >= LOST_IN_A_ROW:
+            self._avoid()
+
+    def note_busy(self) -> None:
+        """Send nothing for a moment to a target that turned work away."""
+        until = self._clock.monotonic() + BUSY_S
+        self.avoid_until = max(self.avoid_until, until)
+
     def note_answer(self) -> None:
         """Trust the target again."""
         self.failures = 0
@@ -225,6 +256,8 @@
         paces = {name: m.pace for name, m in self.engines.items()}
         shares = decisions.ease(paces, now)
         for name, machine in self.engines.items():
+            for meter in tuple(machine.meters):
+                meter.check(now)
             load = machine.load
             load.routable = machine.usable(now)
             if load.role is _types.Role.PREFILL:
@@ -386,6 +419,7 @@
         max(1.0, imports),
         typical.beside_share,
         typical.tokens_per_m_pairs,
+        typical.step_per_k_context_s,
     )
 
 
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -1,5 +1,7 @@
 """Counts one request at an engine, from its send to its end."""
 
+import enum
+
 from agatewing import decisions
 from agatewing.gateway import _machines
 
@@ -8,6 +10,17 @@
 LEAST_EXPECTED_S = 0.03
 
 
+class _Phase(enum.Enum):
+    """How far the request is, as far as its answer shows."""
+
+    #: Its prompt is not processed.
+    WAITING = enum.auto()
+    #: Nothing came for so long that it does not count any more.
+    LOST = enum.auto()
+    #: Its prompt is processed.
+    PROCESSED = enum.auto()
+
+
 class WorkMeter:
     """The prompt until it is processed, the sequence until it ends."""
 
@@ -17,7 +30,8 @@
         "_kv_tokens",
         "_expected_s",
         "_sent_at",
-        "_first",
+        "_phase",
+        "stall_s",
     )
 
     def __init__(
@@ -32,24 +46,42 @@
         self._tokens = 0 if prompt_held else decisions.work_on(work, load)
         expected_s = load.speed.step_base_s
         if not prompt_held:
-            expected_s = decisions.prefill_s(work, load) / load.slowness
+            expected_s = decisions.prefill_s(work, load)
+        #: Time after which nothing is expected any more, in seconds.
+        self.stall_s = decisions.stall_s(expected_s)
+        expected_s /= load.slowness
         self._expected_s = max(LEAST_EXPECTED_S, expected_s)
         self._sent_at = now
-        self._first = True
+        self._phase = _Phase.WAITING
         self._kv_tokens = work.kv_tokens
+        machine.meters[self] = None
         machine.note_sent(self._tokens, self._kv_tokens)
 
+    def check(self, now: float) -> None:
+        """Count the request no more if it is probably lost."""
+        waiting = self._phase is _Phase.WAITING
+        if waiting and now - self._sent_at > self.stall_s:
+            self._phase = _Phase.LOST
+            self._machine.note_processed(self._tokens)
+            self._machine.note_ended(self._kv_tokens)
+
     def processed(self, now: float) -> None:
         """Note that the prompt is processed; learn the engine's pace."""
-        if not self._first:
-            return
-        self._first = False
-        self._machine.note_processed(self._tokens)
+        match self._phase:
+            case _Phase.PROCESSED:
+                return
+            case _Phase.LOST:
+                self._machine.note_sent(0, self._kv_tokens)
+            case _Phase.WAITING:
+                self._machine.note_processed(self._tokens)
+        self._phase = _Phase.PROCESSED
         ratio = (now - self._sent_at) / self._expected_s
         self._machine.pace.observe(ratio, now)
 
     def end(self) -> None:
         """Note the end of the request."""
-        if self._first:
+        self._machine.meters.pop(self, None)
+        if self._phase is _Phase.WAITING:
             self._machine.note_processed(self._tokens)
-        self._machine.note_ended(self._kv_tokens)
+        if self._phase is not _Phase.LOST:
+            self._machine.note_ended(self._kv_tokens)
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -32,6 +32,8 @@
     step_ms: Positive = 4.23
     # Time that one sequence adds to a step, in milliseconds.
     step_ms_per_sequence: Millis = 0.000767
+    # Time that a thousand tokens of KV cache add to a step, in milliseconds.
+    step_ms_per_k_context: Millis = 0.00857
     # Prompt tokens of one step of a prefill engine.
     chunk_tokens: int = 2_048
     # Share of the prefill rate, and of the chunk, at a decode engine.
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -63,26 +63,37 @@
     def run(self, route: decisions.Route) -> None:
         """Send along the route, and along others while that is allowed."""
         try:
-            machine = self._follow(route)
+            machine = self._decoder(route)
             while not self._serve(machine):
-                machine = self._next_machine(machine)
+                machine = self._next_machine()
         finally:
             self._release()
 
-    def _follow(self, route: decisions.Route) -> _machines.Machine:
+    def _decoder(self, route: decisions.Route) -> _machines.Machine:
         """Return the engine that decodes, after a split its prefill.
 
         A prefill can take seconds, so the engine that decodes is chosen
-        anew after it.
+        anew after it. One that fails is asked of another engine.
         """
-        match route:
-            case decisions.Single(engine=name):
-                return self._pool.engines.get(name) or self._choose()
-            case decisions.Split(prefill=name):
-                apart = self._pool.engines.get(name)
-                if apart is not None:
-                    self._prefill(apart)
-        return self._choose()
+        while True:
+            match route:
+                case decisions.Single(engine=name):
+                    return self._pool.engines.get(name) or self._choose()
+                case decisions.Split(prefill=name):
+                    apart = self._pool.engines.get(name)
+                    if apart is not None and self._prefill(apart):
+                        return self._choose()
+            route = self._reroute()
+
+    def _reroute(self) -> decisions.Route:
+        """Return another route for the whole request."""
+        self._pool.refresh(self._parts.clock.monotonic())
+        route = self._pool.router.choose(
+            self._work, self._pool.loads(), frozenset(self._job.avoid)
+        )
+        if route is None:
+            raise _context.give_up(self._job, "no other engine has room")
+        return route
 
     def _choose(self) -> _machines.Machine:
         """Return another engine that decodes."""
@@ -132,12 +143,15 @@
             last,
         )
 
-    def _prefill(self, machine: _machines.Machine) -> None:
-        """Have the prompt processed apart; keep the KV cache's handle."""
+    def _prefill(self, machine: _machines.Machine) -> bool:
+        """Have the prompt processed apart; return whether it was.
+
+        The KV cache's handle is kept.
+        """
         clock = self._parts.clock
         meter = _meter.WorkMeter(machine, self._work, False, clock.monotonic())
         try:
-            outcome = self._prefill_on(machine)
+            outcome = self._prefill_on(machine, self._until(meter))
             if self._held is not None:
                 meter.processed(clock.monotonic())
         finally:
@@ -145,21 +159,34 @@
         if self._held is not None:
             self._prefilled_on = machine.target.id
             self._note_parts(machine)
-            return
+            return True
         self._after_prefill(machine, outcome)
+        return False
+
+    def _until(self, meter: _meter.WorkMeter) -> float:
+        """Return the time until which an engine's first sign is awaited.
+
+        What cannot be sent again is awaited to its end.
+        """
+        now = self._parts.clock.monotonic()
+        if not self._parts.budget.left(self._job.service, now):
+            return self._job.deadline
+        return min(self._job.deadline, now + meter.stall_s)
 
-    def _prefill_on(self, machine: _machines.Machine) -> _messages.Outcome:
-        sender, deadline = self._parts.sender, self._job.deadline
-        begun = self._begin_prefill(machine, sender.most_idle_s(True))
+    def _prefill_on(
+        self, machine: _machines.Machine, until: float
+    ) -> _messages.Outcome:
+        sender = self._parts.sender
+        begun = self._begin_prefill(machine, sender.most_idle_s(True), until)
         if isinstance(begun, _messages.Unknown) and begun.stale:
             # A prompt may be processed twice; the target closed the
             # connection while it idled.
             self._job.arrived = True
             if _context.may_repeat(self._parts, self._job):
-                begun = self._begin_prefill(machine, 0.0)
+                begun = self._begin_prefill(machine, 0.0, until)
         if not isinstance(begun, _sender.Begun):
             return begun
-        outcome = sender.read_body(begun, machine, deadline)
+        outcome = sender.read_body(begun, machine, until)
         if isinstance(outcome, _messages.Answered):
             address = machine.target.address
             if outcome.head.status == 200:
@@ -168,31 +195,41 @@
         return outcome
 
     def _begin_prefill(
-        self, machine: _machines.Machine, most_idle_s: float
+        self, machine: _machines.Machine, most_idle_s: float, until: float
     ) -> _sender.Beginning:
         return self._parts.sender.begin(
             machine,
             self._job.req,
             self._facts(machine, prefill_only=True),
-            self._job.deadline,
+            until,
             most_idle_s,
         )
 
     def _after_prefill(
         self, machine: _machines.Machine, outcome: _messages.Outcome
     ) -> None:
-        """Go on without the KV cache if another engine may be asked."""
+        """Make ready for another engine, or raise the end.
+
+        A prefill runs nothing, so it may be repeated within the budget; it
+        does not count as a target to which the request was sent.
+        """
         job = self._job
-        if isinstance(outcome, _messages.NotSent):
-            return
+        job.avoid.add(machine.target.id)
         reason = "the prefill failed"
         _context.note(
             job, reason, target=machine.target.id, outcome=str(outcome)
         )
-        job.arrived = True
-        job.attempts.targets += 1
-        if job.attempts.targets >= job.attempts.max_targets:
-            raise _context.give_up(job, reason)
+        match outcome:
+            case _messages.NotSent():
+                pass
+            case _messages.NotRun():
+                job.arrived = True
+                machine.note_busy()
+            case _:
+                job.arrived = True
+                machine.note_lost()
+        if self._parts.clock.monotonic() >= job.deadline:
+            raise _context.give_up(job, f"{reason}; no time is left")
         if not _context.may_repeat(self._parts, job):
             raise _context.give_up(job, f"{reason}; no retry is left")
 
@@ -219,11 +256,14 @@
         job = self._job
         facts = self._facts(machine, prefill_only=False)
         sender = self._parts.sender
+        until = job.deadline
+        if job.attempts.idempotent and self._another_left():
+            until = self._until(meter)
         begun = sender.begin(
             machine,
             job.req,
             facts,
-            job.deadline,
+            until,
             sender.most_idle_s(job.attempts.idempotent),
         )
         if not isinstance(begun, _sender.Begun):
@@ -232,6 +272,10 @@
         self._held = None
         return self._relay.pass_on(machine, begun, meter)
 
+    def _another_left(self) -> bool:
+        attempts = self._job.attempts
+        return attempts.targets + 1 < attempts.max_targets
+
     def _note_parts(self, machine: _machines.Machine) -> None:
         prompt = self._job.req.prompt
         if prompt is not None:
@@ -265,10 +309,13 @@
         used_cache: bool,
     ) -> None:
         """Make ready for another send, or raise the end."""
-        if isinstance(outcome, _messages.TimedOut | _messages.Unknown):
-            machine.note_failure()
-        if used_cache and isinstance(outcome, _messages.NotRun):
-            self._note_cache_lost()
+        match outcome:
+            case _messages.TimedOut() | _messages.Unknown():
+                machine.note_lost()
+            case _messages.NotRun() if used_cache:
+                self._note_cache_lost()
+            case _messages.NotRun():
+                machine.note_busy()
         _context.after_failure(
             self._parts,
             self._job,
@@ -288,11 +335,20 @@
                 machine.note_cache_lost()
         self._release()
 
-    def _next_machine(self, last: _machines.Machine) -> _machines.Machine:
-        now = self._parts.clock.monotonic()
-        if last.target.id in self._job.avoid or not last.usable(now):
+    def _next_machine(self) -> _machines.Machine:
+        """Return the engine for another send, with a new KV cache or none.
+
+        A prompt whose KV cache could not be fetched is processed apart once
+        more where it does not fit beside streams.
+        """
+        if self._relay.events:
             return self._choose()
-        return last
+        route = self._reroute()
+        again = isinstance(route, decisions.Split)
+        if again and not _context.may_repeat(self._parts, self._job):
+            # The send itself was paid for, the prefill before it was not.
+            raise _context.give_up(self._job, "no retry is left")
+        return self._decoder(route)
 
     def _release(self) -> None:
         """Free a KV cache that no engine fetched."""
--- /dev/null
+++ b/agatewing/gateway/tests/test_meter.py
@@ -0,0 +1,105 @@
+"""What counts as work of an engine while answers are lost."""
+
+import gevent.event
+import pytest
+
+from agatewing import _clock
+from agatewing import _types
+from agatewing import decisions
+from agatewing import gateway
+from agatewing.gateway import _machines
+from agatewing.gateway import _meter
+
+WORK = decisions.Work(6_400, 100, "z")
+
+
+@pytest.fixture
+def clock() -> _clock.ManualClock:
+    return _clock.ManualClock()
+
+
+@pytest.fixture
+def machine(clock: _clock.ManualClock) -> _machines.Machine:
+    target = gateway.Target(
+        "e1",
+        "chat",
+        "10.0.0.1:80",
+        "z",
+        _types.TargetState.ACTIVE,
+        64,
+        _types.Role.DECODE,
+    )
+    changed = gevent.event.Event()
+    return _machines.Machine(target, decisions.Speed(), clock, changed)
+
+
+def counted(machine: _machines.Machine) -> tuple[int, float, int, int]:
+    load = machine.load
+    return (
+        load.own_sequences,
+        load.unreported_tokens,
+        load.own_kv_tokens,
+        machine.in_flight,
+    )
+
+
+def test_a_request_counts_until_it_ends(
+    clock: _clock.ManualClock, machine: _machines.Machine
+) -> None:
+    meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
+    assert counted(machine) == (1, 6_400, 6_500, 1)
+    meter.processed(clock.monotonic())
+    assert counted(machine) == (1, 0, 6_500, 1)
+    meter.end()
+    assert counted(machine) == (0, 0, 0, 0)
+
+
+def test_a_lost_answer_is_no_work(
+    clock: _clock.ManualClock, machine: _machines.Machine
+) -> None:
+    """Found on abastecer-rede, trouble-2: 109 such on one engine."""
+    meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
+    clock.advance(meter.stall_s)
+    meter.check(clock.monotonic())
+    assert counted(machine) == (1, 6_400, 6_500, 1)
+    clock.advance(0.01)
+    meter.check(clock.monotonic())
+    meter.check(clock.monotonic())
+    assert counted(machine) == (0, 0, 0, 0)
+    meter.end()
+    assert counted(machine) == (0, 0, 0, 0)
+    assert not machine.meters
+
+
+def test_a_late_answer_counts_again(
+    clock: _clock.ManualClock, machine: _machines.Machine
+) -> None:
+    meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
+    clock.advance(meter.stall_s + 1.0)
+    meter.check(clock.monotonic())
+    meter.processed(clock.monotonic())
+    meter.check(clock.monotonic())
+    assert counted(machine) == (1, 0, 6_500, 1)
+    meter.end()
+    assert counted(machine) == (0, 0, 0, 0)
+
+
+def test_one_lost_answer_does_not_take_an_engine_out(
+    clock: _clock.ManualClock, machine: _machines.Machine
+) -> None:
+    now = clock.monotonic()
+    for _ in range(_machines.LOST_IN_A_ROW - 1):
+        machine.note_lost()
+        assert machine.usable(now)
+    machine.note_lost()
+    assert not machine.usable(now)
+    machine.note_answer()
+    assert machine.usable(now)
+
+
+def test_an_engine_that_turns_work_away_is_left_alone_for_a_moment(
+    clock: _clock.ManualClock, machine: _machines.Machine
+) -> None:
+    machine.note_busy()
+    assert not machine.usable(clock.monotonic())
+    assert machine.usable(clock.monotonic() + _machines.BUSY_S)
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -13,6 +13,9 @@
 import gevent.server
 import gevent.socket
 
+#: Time after which a request that hangs is answered, in seconds: never.
+HANG_S = 3_600.0
+
 _HANDLES = itertools.count(1)
 
 
@@ -161,7 +164,8 @@
                 return _send(sock, 421, run, b"")
         if run.headers.get("x-stage") == "prefill":
             self.prefills.append(run)
-            gevent.sleep(self.prefill_s)
+            hangs = behaviour is Behaviour.HANG
+            gevent.sleep(HANG_S if hangs else self.prefill_s)
             handle = f"h{next(_HANDLES)}"
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
             return _send(sock, 200, run, body % handle.encode())
--- /dev/null
+++ b/agatewing/platform/tests/test_failed_prefills.py
@@ -0,0 +1,83 @@
+"""Prefills that fail, hang or are lost are asked of another engine."""
+
+import collections.abc
+
+import pytest
+
+from agatewing import decisions
+from agatewing import gateway
+from agatewing.platform import standins
+
+Behaviour = standins.Behaviour
+PROMPT = {"X-Token-Count": "9000,20", "X-Prefix-Hash": "aa:5000,bb:4000"}
+
+
+@pytest.fixture
+def site() -> collections.abc.Iterator[standins.Site]:
+    with standins.Site() as made:
+        # One target for an attempt: a prefill is no run.
+        made.route("/draft/", "streaming", sticky=True, max_attempts=1)
+        made.add_engine("e1")
+        made.add_engine("p1", role="prefill")
+        made.add_engine("p2", role="prefill")
+        made.publish()
+        yield made
+
+
+@pytest.fixture
+def instance(site: standins.Site) -> gateway.GatewayInstance:
+    made = site.start("i1")
+    site.wait(lambda: len(made.catalog.targets) == 3)
+    site.wait(lambda: made.life.ready)
+    return made
+
+
+def prefills(site: standins.Site) -> int:
+    return sum(len(e.prefills) for e in site.engines.values())
+
+
+# Found on abastecer-rede, trouble-2: answers of engines that were lost.
+FAILURES = {
+    "the engine turns it away": (Behaviour.NOT_RUN, 1),
+    "the engine never answers": (Behaviour.HANG, 2),
+}
+
+
+@pytest.mark.parametrize("name", FAILURES)
+def test_another_engine_prefills(
+    site: standins.Site, instance: gateway.GatewayInstance, name: str
+) -> None:
+    behaviour, seen = FAILURES[name]
+    site.engines["p1"].script.append(behaviour)
+    # Work for 50,000 tokens makes the other engine the second choice.
+    instance.machines.by_id["p2"].note_sent(50_000)
+    reply = site.ask(instance, "/draft/x", "s1", PROMPT)
+    assert reply.whole
+    assert reply.status == 200
+    assert prefills(site) == seen
+    (run,) = site.engines["e1"].runs
+    assert "x-kv-source" in run.headers
+
+
+def test_a_prefill_that_hangs_is_awaited_while_no_retry_is_left(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    instance.budget.bound = decisions.BudgetBound(0.0, 0.0, 10.0)
+    for name in ("p1", "p2"):
+        site.engines[name].script.append(Behaviour.HANG)
+    headers = {**PROMPT, "X-Deadline-Ms": "1500"}
+    reply = site.ask(instance, "/draft/x", "s1", headers)
+    assert reply.status == 503
+    assert prefills(site) == 1
+    assert not site.engines["e1"].runs
+
+
+def test_a_lapsed_cache_is_made_again_before_the_prompt_meets_streams(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.engines["e1"].script.append(Behaviour.NOT_RUN)
+    reply = site.ask(instance, "/draft/x", "s1", PROMPT)
+    assert reply.whole
+    assert prefills(site) == 2
+    (run,) = site.engines["e1"].runs
+    assert "x-kv-source" in run.headers
