Instances tell each other which engine has which shared parts

An instance knew its own sends and guessed the rest by a hash.

The hash names a home only for what is known nowhere.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -23,6 +23,7 @@
 from agatewing.decisions._part_index import home
 from agatewing.decisions._part_index import PartIndex
 from agatewing.decisions._part_index import Parts
+from agatewing.decisions._part_index import Placement
 from agatewing.decisions._prefix_index import PrefixIndex
 from agatewing.decisions._retry_budget import RetryBudget
 from agatewing.decisions._roles import ChangeRole
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -90,6 +90,7 @@
             rng,
             _settings.peer_seeds(settings),
         )
+        index = decisions.PartIndex(settings.cache_keep_s)
         self.work = _work_notes.WorkNotes(
             settings.instance,
             _settings.split_address(settings.peer_address),
@@ -99,9 +100,10 @@
             self.machines,
             wire.Codec(settings.peer_secret),
             rng,
+            index,
         )
         self.metrics = _metrics.Metrics()
-        self.parts = self._parts(rng)
+        self.parts = self._parts(rng, index)
         self.split = self._split()
         self.server = _server.CallerServer(
             _settings.split_address(settings.caller_address),
@@ -120,7 +122,9 @@
             if address
         ]
 
-    def _parts(self, rng: random.Random) -> _context.Parts:
+    def _parts(
+        self, rng: random.Random, index: decisions.PartIndex
+    ) -> _context.Parts:
         dialect = self.platform.dialect
         return _context.Parts(
             self.clock,
@@ -131,7 +135,7 @@
             _sender.Sender(self.clock, dialect),
             self.budget,
             self.dispatcher,
-            decisions.PartIndex(self.settings.cache_keep_s),
+            index,
             self.settings.zone,
             collections.Counter(),
             self.metrics,
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -28,9 +28,10 @@
         "_machine",
         "_tokens",
         "_kv_tokens",
-        "_expected_s",
+        "_slowness",
         "_sent_at",
         "_phase",
+        "expected_s",
         "stall_s",
     )
 
@@ -47,10 +48,11 @@
         expected_s = load.speed.step_base_s
         if not prompt_held:
             expected_s = decisions.prefill_s(work, load)
+        #: Time that the prompt is expected to take, in seconds.
+        self.expected_s = expected_s
         #: Time after which nothing is expected any more, in seconds.
         self.stall_s = decisions.stall_s(expected_s)
-        expected_s /= load.slowness
-        self._expected_s = max(LEAST_EXPECTED_S, expected_s)
+        self._slowness = load.slowness
         self._sent_at = now
         self._phase = _Phase.WAITING
         self._kv_tokens = work.kv_tokens
@@ -75,7 +77,8 @@
             case _Phase.WAITING:
                 self._machine.note_processed(self._tokens)
         self._phase = _Phase.PROCESSED
-        ratio = (now - self._sent_at) / self._expected_s
+        expected_s = self.expected_s / self._slowness
+        ratio = (now - self._sent_at) / max(LEAST_EXPECTED_S, expected_s)
         self._machine.pace.observe(ratio, now)
 
     def end(self) -> None:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -168,6 +168,8 @@
         """
         clock = self._parts.clock
         meter = _meter.WorkMeter(machine, self._work, False, clock.monotonic())
+        # Told before it is done: what shares its parts follows it there.
+        self._note_parts(machine, meter.expected_s)
         try:
             outcome = self._prefill_on(machine, self._until(meter))
             if self._held is not None:
@@ -233,6 +235,10 @@
         """
         job = self._job
         job.avoid.add(machine.target.id)
+        if job.req.prompt is not None:
+            self._parts.index.drop(
+                machine.target.id, job.req.prompt.sized_parts
+            )
         reason = "the prefill failed"
         _context.note(
             job, reason, target=machine.target.id, outcome=str(outcome)
@@ -294,11 +300,18 @@
         attempts = self._job.attempts
         return attempts.targets + 1 < attempts.max_targets
 
-    def _note_parts(self, machine: _machines.Machine) -> None:
+    def _note_parts(
+        self, machine: _machines.Machine, ready_s: float = 0.0
+    ) -> None:
+        """Remember that the engine has the prompt, or will have it."""
         prompt = self._job.req.prompt
         if prompt is not None:
-            now = self._parts.clock.monotonic()
-            self._parts.index.add(machine.target.id, prompt.sized_parts, now)
+            self._parts.index.add(
+                machine.target.id,
+                prompt.sized_parts,
+                self._parts.clock.monotonic(),
+                ready_s,
+            )
 
     def _note_end(self, machine: _machines.Machine, status: int) -> None:
         first_s = self._relay.first_at - self._job.req.arrived_at
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -79,18 +79,9 @@
         now = self._parts.clock.monotonic()
         cached = self._parts.index.match(parts, now)
         cached = {n: t for n, t in cached.items() if n in pool.engines}
-        shared = parts[:-1]
-        homes = [
-            name
-            for name, machine in pool.engines.items()
-            if machine.load.routable
-            and machine.load.role is _types.Role.PREFILL
-        ]
-        home = decisions.home(shared, homes)
-        if home is not None:
-            tokens = sum(size for _, size in shared)
-            cached[home] = max(tokens, cached.get(home, 0))
-        source = self._source(pool, cached)
+        ready = self._parts.index.match(parts, now, ready=True)
+        self._add_home(pool, parts[:-1], cached)
+        source = self._source(pool, ready)
         return decisions.Work(
             prompt.tokens,
             max(1, prompt.max_output_tokens),
@@ -100,6 +91,26 @@
             source_zone=source.target.zone if source is not None else "",
         )
 
+    def _add_home(
+        self,
+        pool: _machines.Pool,
+        shared: decisions.Parts,
+        cached: dict[str, int],
+    ) -> None:
+        """Expect shared parts at their home if they are known nowhere."""
+        tokens = sum(size for _, size in shared)
+        if max(cached.values(), default=0) >= tokens:
+            return
+        homes = [
+            name
+            for name, machine in pool.engines.items()
+            if machine.load.routable
+            and machine.load.role is _types.Role.PREFILL
+        ]
+        home = decisions.home(shared, homes)
+        if home is not None:
+            cached[home] = tokens
+
     def _source(
         self, pool: _machines.Pool, cached: dict[str, int]
     ) -> _machines.Machine | None:
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -17,6 +17,7 @@
 import result
 
 from agatewing import _clock
+from agatewing import decisions
 from agatewing.gateway import _catalog
 from agatewing.gateway import _machines
 from agatewing.gateway import _peers
@@ -42,7 +43,9 @@
 #: Largest datagram, in bytes; engines beyond it are left out.
 DATAGRAM_BYTES = 1_400
 #: Engines in one note at most, so that it fits into a datagram.
-MAX_ENGINES = 40
+MAX_ENGINES = 30
+#: Placements in one note at most, for the same reason.
+MAX_PLACEMENTS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +71,7 @@
         "_catalog",
         "_machines",
         "_codec",
+        "_index",
         "_random",
         "_socket",
         "_loops",
@@ -89,7 +93,9 @@
         machines: _machines.Machines,
         codec: wire.Codec,
         rng: random.Random,
+        index: decisions.PartIndex,
     ) -> None:
+        self._index = index
         self._name = name
         self._address = address
         self._clock = clock
@@ -161,6 +167,7 @@
             config_version=self._catalog.config_version,
             through=self._catalog.through,
             changing=self._machines.ordered(),
+            held=self._placements(),
         )
         data = self._codec.encode(note)
         for address in self._receivers():
@@ -172,6 +179,17 @@
                 continue
             self.sent_bytes += len(data)
 
+    def _placements(self) -> list[wire.PartsHeld]:
+        now = self._clock.monotonic()
+        return [
+            wire.PartsHeld(
+                engine=told.engine,
+                chain=told.key,
+                ready_ms=int(told.ready_s * 1_000),
+            )
+            for told in self._index.news(now, MAX_PLACEMENTS)
+        ]
+
     def _receivers(self) -> collections.abc.Iterable[str]:
         addresses = [entry.address for entry in self._peers.known.values()]
         if len(addresses) <= FANOUT:
@@ -208,6 +226,12 @@
         )
         self._stale = True
         self._machines.note_changing(note.changing)
+        now = self._clock.monotonic()
+        for held in note.held:
+            told = decisions.Placement(
+                held.engine, held.chain, held.ready_ms / 1_000
+            )
+            self._index.take(told, now)
 
     def alive(self) -> list[str]:
         """Return the names of instances that were heard of lately."""
--- a/agatewing/gateway/tests/test_work_notes.py
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -49,7 +49,15 @@
     place = ("127.0.0.1", 0)
     peers = _peers.Peers("me", place, clock, catalog, codec, rng)
     return _work_notes.WorkNotes(
-        "me", place, clock, peers, catalog, machines, codec, rng
+        "me",
+        place,
+        clock,
+        peers,
+        catalog,
+        machines,
+        codec,
+        rng,
+        decisions.PartIndex(10.0),
     )
 
 
@@ -68,6 +76,7 @@
         config_version=0,
         through=0,
         changing=[],
+        held=[],
     )
 
 
--- a/agatewing/platform/tests/test_failed_prefills.py
+++ b/agatewing/platform/tests/test_failed_prefills.py
@@ -83,3 +83,22 @@
     assert prefills(site) == 2
     (run,) = site.engines["e1"].runs
     assert "x-kv-source" in run.headers
+
+
+def test_a_shared_part_is_fetched_from_the_engine_that_has_it(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    first = {"X-Token-Count": "4000,20", "X-Prefix-Hash": "aa:3000,b1:1000"}
+    assert site.ask(instance, "/draft/x", "s1", first).whole
+    (has,) = [e for e in site.engines.values() if e.prefills]
+    instance.machines.by_id[has.name].note_sent(14_000)
+    second = {"X-Token-Count": "4000,20", "X-Prefix-Hash": "aa:3000,b2:1000"}
+    assert site.ask(instance, "/draft/x", "s2", second).whole
+    (run,) = [
+        run
+        for e in site.engines.values()
+        for run in e.prefills
+        if run.id == "s2"
+    ]
+    assert run.headers["kv-fetch"] == has.address
+    assert "kv-fetch" not in has.prefills[0].headers
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -9,6 +9,7 @@
 from agatewing.wire.gen.peer.ttypes import Kind
 from agatewing.wire.gen.peer.ttypes import Member
 from agatewing.wire.gen.peer.ttypes import Message
+from agatewing.wire.gen.peer.ttypes import PartsHeld
 from agatewing.wire.gen.peer.ttypes import StateReply
 from agatewing.wire.gen.peer.ttypes import StateRequest
 from agatewing.wire.gen.peer.ttypes import Status
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -886,6 +886,104 @@
         return not (self == other)
 
 
+class PartsHeld(object):
+    """
+    Attributes:
+     - engine
+     - chain
+     - ready_ms
+
+    """
+
+    __slots__ = (
+        'engine',
+        'chain',
+        'ready_ms',
+    )
+
+
+    def __init__(self, engine=None, chain=None, ready_ms=None,):
+        self.engine = engine
+        self.chain = chain
+        self.ready_ms = ready_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.chain = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.ready_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsHeld')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.chain is not None:
+            oprot.writeFieldBegin('chain', TType.I64, 2)
+            oprot.writeI64(self.chain)
+            oprot.writeFieldEnd()
+        if self.ready_ms is not None:
+            oprot.writeFieldBegin('ready_ms', TType.I32, 3)
+            oprot.writeI32(self.ready_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.engine is None:
+            raise TProtocolException(message='Required field engine is unset!')
+        if self.chain is None:
+            raise TProtocolException(message='Required field chain is unset!')
+        if self.ready_ms is None:
+            raise TProtocolException(message='Required field ready_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkNote(object):
     """
     Attributes:
@@ -895,6 +993,7 @@
      - config_version
      - through
      - changing
+     - held
 
     """
 
@@ -905,16 +1004,18 @@
         'config_version',
         'through',
         'changing',
+        'held',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
         self.config_version = config_version
         self.through = through
         self.changing = changing
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -966,6 +1067,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = PartsHeld()
+                        _elem31.read(iprot)
+                        self.held.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -987,8 +1099,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter26 in self.work:
-                iter26.write(oprot)
+            for iter32 in self.work:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1002,8 +1114,15 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter27 in self.changing:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.changing:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter34 in self.held:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1022,6 +1141,8 @@
             raise TProtocolException(message='Required field through is unset!')
         if self.changing is None:
             raise TProtocolException(message='Required field changing is unset!')
+        if self.held is None:
+            raise TProtocolException(message='Required field held is unset!')
         return
 
     def __repr__(self):
@@ -1099,6 +1220,13 @@
     (4, TType.I64, 'long_tokens', None, None, ),  # 4
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
 )
+all_structs.append(PartsHeld)
+PartsHeld.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'chain', None, None, ),  # 2
+    (3, TType.I32, 'ready_ms', None, None, ),  # 3
+)
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
     None,  # 0
@@ -1108,6 +1236,7 @@
     (4, TType.I64, 'config_version', None, None, ),  # 4
     (5, TType.I64, 'through', None, None, ),  # 5
     (6, TType.LIST, 'changing', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.LIST, 'held', (TType.STRUCT, [PartsHeld, None], False), None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -78,6 +78,15 @@
   5: required i64 kv_tokens,
 }
 
+// Shared parts of prompts that an engine has, or has in a moment.
+struct PartsHeld {
+  1: required string engine,
+  // Hash of the chain of parts.
+  2: required i64 chain,
+  // Milliseconds until the engine has them.
+  3: required i32 ready_ms,
+}
+
 // All of an instance's work at engines, in a datagram of its own.
 struct WorkNote {
   1: required string instance,
@@ -90,4 +99,6 @@
   5: required i64 through,
   // Engines that change their role by the sender's order.
   6: required list<string> changing,
+  // Placements since the note before.
+  7: required list<PartsHeld> held,
 }
