Answers are awaited on when no repeat is left; lost ones slow an engine

Streams that were late were given up for a repeat that the budget then refused (78 answered 502 in four seconds). An engine that resets connections at once looked fast. Bodies of 12,000 bytes went to any zone.

A stall ends a send only if a repeat is left at that moment. A lost answer counts as a very slow one. Sending to another zone counts by the bytes.

--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -67,6 +67,8 @@
     source: str = ""
     #: Availability zone of the engine from which tokens are fetched.
     source_zone: str = ""
+    #: What sending it to another zone counts, in seconds.
+    cross_s: float = ZONE_ROUND_TRIP_S
 
     @property
     def kv_tokens(self) -> int:
@@ -369,7 +371,7 @@
     moved = fetch_gain(work, engine) + work.fetched_tokens
     seconds += fetch_s(moved, work, engine)
     if engine.zone != work.zone:
-        seconds += ZONE_ROUND_TRIP_S
+        seconds += work.cross_s
     return seconds
 
 
--- a/agatewing/decisions/tests/test_fetch.py
+++ b/agatewing/decisions/tests/test_fetch.py
@@ -112,3 +112,17 @@
     index.drop("e1", PARTS)
     index.drop("unknown", PARTS)
     assert index.match(PARTS, now=0.0) == {}
+
+
+def test_a_long_body_stays_in_its_zone_unless_the_wait_is_long() -> None:
+    work = decisions.Work(12_000, 40, "a", cross_s=0.04)
+    decode = decisions.EngineLoad("d", "a", _types.Role.DECODE, SPEED)
+    router = decisions.Router(random.Random(1), 8, 1_700, 2.0, 2.0)
+    loads = [engine("near", "a", 2_000), engine("far", "b"), decode]
+    route = router.choose(work, loads)
+    assert isinstance(route, decisions.Split)
+    assert route.prefill == "near"
+    loads = [engine("near", "a", 20_000), engine("far", "b"), decode]
+    route = router.choose(work, loads)
+    assert isinstance(route, decisions.Split)
+    assert route.prefill == "far"
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -160,8 +160,14 @@
         self.avoid_until = now + min(AVOID_LIMIT_S, pause)
 
     def note_lost(self) -> None:
-        """Count a request that brought no answer; one says little."""
+        """Count a request that brought no answer.
+
+        One is a measurement like a very slow answer: an engine that loses
+        many gets less work, one that loses a few recovers with its next
+        answers.
+        """
         self.failures += 1
+        self.pace.observe(PACE_LIMIT, self._clock.monotonic())
         if self.failures >= LOST_IN_A_ROW:
             self._avoid()
 
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -102,14 +102,14 @@
         """Learn how fast the target is, against the route's objective."""
         if isinstance(outcome, _messages.NotSent | _messages.NotRun):
             return
+        if not isinstance(outcome, _messages.Answered):
+            machine.note_lost()
+            return
         now = self._parts.clock.monotonic()
         taken = now - started_at
         objective = job.route.objective_s
         machine.pace.observe(taken / max(objective, 1e-3), now)
-        if isinstance(outcome, _messages.TimedOut):
-            machine.note_failure()
-        elif isinstance(outcome, _messages.Answered):
-            machine.note_answer()
+        machine.note_answer()
 
     def _worth_another(
         self, job: _context.Job, answer: _messages.Answered
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -31,6 +31,16 @@
     channel: _channel.Channel
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stall:
+    """When an answer counts as lost before its deadline."""
+
+    #: Monotonic time.
+    at: float
+    #: Asked then; without a repeat left, the answer is awaited on.
+    may_leave: collections.abc.Callable[[], bool]
+
+
 Beginning: typing.TypeAlias = (
     Begun
     | _messages.NotSent
@@ -63,10 +73,12 @@
         facts: _messages.SendFacts,
         deadline: float,
         most_idle_s: float,
+        stall: Stall | None = None,
     ) -> Beginning:
         """Send and return once the head of the answer is here.
 
         A connection that idled for longer than ``most_idle_s`` is not used.
+        With ``stall`` the answer is given up before the deadline if it may.
         """
         left = deadline - self._clock.monotonic()
         if left <= 0:
@@ -81,7 +93,9 @@
             channel.close()
             return _messages.NotSent("the target is leaving")
         try:
-            return self._exchange(machine, channel, req, facts, deadline)
+            return self._exchange(
+                machine, channel, req, facts, deadline, stall
+            )
         except BaseException:
             # A caller that leaves, or a kill, ends the work at the target.
             channel.close()
@@ -94,12 +108,13 @@
         req: _messages.CallerRequest,
         facts: _messages.SendFacts,
         deadline: float,
+        stall: Stall | None,
     ) -> Beginning:
         outgoing = self._dialect.outgoing(req, facts)
         self.sent += 1
         try:
             channel.send(outgoing, deadline)
-            head = self._own_head(channel, req, deadline)
+            head = self._awaited_head(channel, req, deadline, stall)
         except _channel.BrokenError as exc:
             channel.close()
             if channel.fresh:
@@ -110,6 +125,22 @@
             return _messages.TimedOut(str(exc))
         return self._judge(machine, channel, head, facts.prefill_only)
 
+    def _awaited_head(
+        self,
+        channel: _channel.Channel,
+        req: _messages.CallerRequest,
+        deadline: float,
+        stall: Stall | None,
+    ) -> _messages.AnswerHead:
+        if stall is None or stall.at >= deadline:
+            return self._own_head(channel, req, deadline)
+        try:
+            return self._own_head(channel, req, stall.at)
+        except _channel.OverdueError:
+            if stall.may_leave():
+                raise
+        return self._own_head(channel, req, deadline)
+
     def _own_head(
         self,
         channel: _channel.Channel,
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -23,6 +23,10 @@
 #: tokens on, the longest prompts of routes with little patience would wait
 #: behind those of routes with much (both seen on tala-ops).
 LEAST_URGENT = 5
+#: Time for which another engine with room is waited for, and between two
+#: looks, in seconds: an eighth of a caller's patience, and ten steps.
+REROUTE_S = 0.4
+REROUTE_PERIOD_S = 0.04
 #: Time for freeing a KV cache that nobody fetched, in seconds.
 RELEASE_S = 1.0
 
@@ -86,14 +90,22 @@
             route = self._reroute()
 
     def _reroute(self) -> decisions.Route:
-        """Return another route for the whole request."""
-        self._pool.refresh(self._parts.clock.monotonic())
-        route = self._pool.router.choose(
-            self._work, self._pool.loads(), frozenset(self._job.avoid)
-        )
-        if route is None:
-            raise _context.give_up(self._job, "no other engine has room")
-        return route
+        """Return another route for the whole request.
+
+        Engines that are full now are waited for, but only for a moment.
+        """
+        clock = self._parts.clock
+        until = min(clock.monotonic() + REROUTE_S, self._job.deadline)
+        while True:
+            self._pool.refresh(clock.monotonic())
+            route = self._pool.router.choose(
+                self._work, self._pool.loads(), frozenset(self._job.avoid)
+            )
+            if route is not None:
+                return route
+            if clock.monotonic() >= until:
+                raise _context.give_up(self._job, "no other engine has room")
+            clock.sleep(REROUTE_PERIOD_S)
 
     def _choose(self) -> _machines.Machine:
         """Return another engine that decodes."""
@@ -127,6 +139,7 @@
             {},
             work.prompt_tokens,
             source_zone=source.target.zone if source is not None else "",
+            cross_s=work.cross_s,
         )
 
     def _tokens_on(self, machine: _machines.Machine) -> int:
@@ -171,7 +184,7 @@
         # Told before it is done: what shares its parts follows it there.
         self._note_parts(machine, meter.expected_s)
         try:
-            outcome = self._prefill_on(machine, self._until(meter))
+            outcome = self._prefill_on(machine, self._stall(meter))
             if self._held is not None:
                 meter.processed(clock.monotonic())
         finally:
@@ -183,30 +196,29 @@
         self._after_prefill(machine, outcome)
         return False
 
-    def _until(self, meter: _meter.WorkMeter) -> float:
-        """Return the time until which an engine's first sign is awaited.
+    def _stall(self, meter: _meter.WorkMeter) -> _sender.Stall:
+        """Return when an engine that gives no sign is left for another."""
+        now = self._parts.clock.monotonic()
+        return _sender.Stall(now + meter.stall_s, self._repeat_left)
 
-        What cannot be sent again is awaited to its end.
-        """
+    def _repeat_left(self) -> bool:
         now = self._parts.clock.monotonic()
-        if not self._parts.budget.left(self._job.service, now):
-            return self._job.deadline
-        return min(self._job.deadline, now + meter.stall_s)
+        return self._parts.budget.left(self._job.service, now)
 
     def _prefill_on(
-        self, machine: _machines.Machine, until: float
+        self, machine: _machines.Machine, stall: _sender.Stall
     ) -> _messages.Outcome:
         sender = self._parts.sender
-        begun = self._begin_prefill(machine, sender.most_idle_s(True), until)
+        begun = self._begin_prefill(machine, sender.most_idle_s(True), stall)
         if isinstance(begun, _messages.Unknown) and begun.stale:
             # A prompt may be processed twice; the target closed the
             # connection while it idled.
             self._job.arrived = True
             if _context.may_repeat(self._parts, self._job):
-                begun = self._begin_prefill(machine, 0.0, until)
+                begun = self._begin_prefill(machine, 0.0, stall)
         if not isinstance(begun, _sender.Begun):
             return begun
-        outcome = sender.read_body(begun, machine, until)
+        outcome = sender.read_body(begun, machine, self._job.deadline)
         if isinstance(outcome, _messages.Answered):
             address = machine.target.address
             if outcome.head.status == 200:
@@ -215,14 +227,18 @@
         return outcome
 
     def _begin_prefill(
-        self, machine: _machines.Machine, most_idle_s: float, until: float
+        self,
+        machine: _machines.Machine,
+        most_idle_s: float,
+        stall: _sender.Stall,
     ) -> _sender.Beginning:
         return self._parts.sender.begin(
             machine,
             self._job.req,
             self._facts(machine, prefill_only=True),
-            until,
+            self._job.deadline,
             most_idle_s,
+            stall,
         )
 
     def _after_prefill(
@@ -280,15 +296,16 @@
         job = self._job
         facts = self._facts(machine, prefill_only=False)
         sender = self._parts.sender
-        until = job.deadline
+        stall = None
         if job.attempts.idempotent and self._another_left():
-            until = self._until(meter)
+            stall = self._stall(meter)
         begun = sender.begin(
             machine,
             job.req,
             facts,
-            until,
+            job.deadline,
             sender.most_idle_s(job.attempts.idempotent),
+            stall,
         )
         if not isinstance(begun, _sender.Begun):
             return begun
@@ -377,8 +394,8 @@
         route = self._reroute()
         again = isinstance(route, decisions.Split)
         if again and not _context.may_repeat(self._parts, self._job):
-            # The send itself was paid for, the prefill before it was not.
-            raise _context.give_up(self._job, "no retry is left")
+            # The send itself was paid for, a prefill before it was not.
+            return self._choose()
         return self._decoder(route)
 
     def _release(self) -> None:
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -8,6 +8,12 @@
 from agatewing.gateway import _refusals
 from agatewing.gateway import _stream
 
+#: Round trip to another zone, and what each byte sent there counts, in
+#: seconds: on the dearest sheet a body of 12,000 bytes costs a seventh of
+#: what its answer is worth, as much as 40 ms of its 800 ms.
+CROSS_S = 0.001
+CROSS_S_PER_BYTE = 3.3e-6
+
 
 class Account:
     """A route in the fair queue: no kind of request starves another."""
@@ -89,6 +95,7 @@
             cached,
             source=source.target.id if source is not None else "",
             source_zone=source.target.zone if source is not None else "",
+            cross_s=CROSS_S + len(job.req.body) * CROSS_S_PER_BYTE,
         )
 
     def _add_home(
