--- a/agatewing/gateway/tests/test_urgency.py
+++ b/agatewing/gateway/tests/test_urgency.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from agatewing.gateway import _stream
+from agatewing.gateway import _prefill
 
 ORDER = {
     "a short question before a label": (800, 2_400),
@@ -20,10 +20,10 @@
 @pytest.mark.parametrize("name", ORDER)
 def test_what_goes_first(name: str) -> None:
     first, second = ORDER[name]
-    assert _stream.urgency_of(first) < _stream.urgency_of(second)
+    assert _prefill.urgency_of(first) < _prefill.urgency_of(second)
 
 
 @pytest.mark.parametrize("name", SAME)
 def test_what_waits_alike(name: str) -> None:
     first, second = SAME[name]
-    assert _stream.urgency_of(first) == _stream.urgency_of(second)
+    assert _prefill.urgency_of(first) == _prefill.urgency_of(second)
