A full engine's refusal is not blamed on the engine that made the cache

Decode engines that were full turned requests with a KV cache away, and each time the engine that had made the cache was kept from prefilling for 3 s; lost answers in a row kept idle engines away for up to 4 s. All prompts were then read beside streams.

A cache that cannot be fetched counts against its engine from the third in a row on, for 1 s; an engine that turns it away while half full is left alone for a moment. Lost answers ease a target off, but say nothing of its pace, and keep it away for half a second at a time.

The order of engines passes on at once: instances in line know the last claim from the start.

--- a/agatewing/gateway/_claims.py
+++ b/agatewing/gateway/_claims.py
@@ -28,6 +28,9 @@
 ORDER_S = 0.8
 #: Time added to what a claimant waits, in seconds, for clocks that drift.
 MARGIN_S = 1.0
+#: Least time between two reads of the last claim, in seconds; calls of the
+#: log are paid for.
+READ_PERIOD_S = 0.5
 #: Difference of wall and monotonic clock that ends a claim, in seconds: the
 #: machine stood still for a while and only the wall clock went on.
 CLOCKS_APART_S = 0.3
@@ -68,7 +71,15 @@
 class Claims:
     """Claims the right to give orders for one instance."""
 
-    __slots__ = ("_log", "_clock", "_me", "_wait_s", "_known", "_mine")
+    __slots__ = (
+        "_log",
+        "_clock",
+        "_me",
+        "_wait_s",
+        "_known",
+        "_mine",
+        "_read_after",
+    )
 
     def __init__(
         self,
@@ -84,6 +95,7 @@
         self._wait_s = gap_s + CLAIM_S + ORDER_S + MARGIN_S
         self._known: _Known | None = None
         self._mine: Claim | None = None
+        self._read_after = float("-inf")
 
     def valid(self, claim: Claim) -> bool:
         """Return whether orders may be sent under a claim now."""
@@ -91,12 +103,22 @@
         apart = self._clock.wall() - claim.wall - passed
         return passed < CLAIM_S and abs(apart) < CLOCKS_APART_S
 
+    def prepare(self) -> None:
+        """Learn of the last claim, so that its time runs from now on.
+
+        Whoever has known a claim for long enough may claim at once when its
+        holder is gone; a newer claim makes the append fail.
+        """
+        now = self._clock.monotonic()
+        if self._known is None and now >= self._read_after:
+            self._read_after = now + READ_PERIOD_S
+            self._known = self._read()
+
     def acquire(self) -> Claim | None:
         """Return a claim that holds now, or ``None``; never waits long."""
         if self._mine is not None and self.valid(self._mine):
             return self._mine
-        if self._known is None:
-            self._known = self._read()
+        self.prepare()
         known = self._known
         if known is None or not self._free(known):
             return None
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -101,6 +101,7 @@
             wire.Codec(settings.peer_secret),
             rng,
             index,
+            settings.zone,
         )
         self.metrics = _metrics.Metrics()
         self.parts = self._parts(rng, index)
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -1,9 +1,7 @@
-"""Targets as one instance sees them, and the groups they form."""
+"""Targets as one instance sees them, grouped by their services."""
 
 import collections.abc
-import dataclasses
 import random
-import typing
 
 import gevent.event
 
@@ -11,42 +9,16 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing import fleet
-from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
+from agatewing.gateway import _machine
 
-#: First and longest time for which a target that accepts no connections is
-#: left alone, in seconds; the platform removes the entry of one that is
-#: gone after three heartbeats, about four seconds.
-AVOID_FIRST_S = 0.5
-AVOID_LIMIT_S = 4.0
-#: Requests without an answer in a row after which a target that accepts
-#: connections is left alone; targets lose one answer in thirty at times.
-LOST_IN_A_ROW = 3
-#: Time for which an engine that turned work away gets no more, in seconds:
-#: a tenth of a change of its role.
-BUSY_S = 0.3
 #: Share of a target's connections that one instance may keep idle, on top
 #: of an equal split among instances.
 IDLE_SHARE = 0.5
-#: Time for which a target whose KV caches could not be fetched gets no
-#: prompts to prefill for others, in seconds.
-NO_CACHE_S = 3.0
 
 #: Time for which a note that an engine changes its role counts, in seconds;
 #: it is repeated each 0.4 s.
 CHANGE_TOLD_S = 0.6
-#: Smoothing of measured paces: five slow answers, a second or two of an
-#: engine's work, ease it off.
-PACE_ALPHA = 0.25
-#: Time after which a measured pace loses half its weight, in seconds: a
-#: target that is eased off entirely is tried again within a few.
-PACE_HALF_LIFE_S = 3.0
-#: Largest pace that one measurement counts with; one request that hung says
-#: little of the next, and admission reckons with the pace.
-PACE_LIMIT = 5.0
-#: Instances among which the slots of an engine are split: none, as the work
-#: of the others is known and engines queue by urgency.
-SHARING = 1
 #: Engines compared for one request; the work of other instances is known.
 SAMPLES = 8
 #: Prompts waiting in an engine beyond which it gets no more, in seconds of
@@ -62,168 +34,6 @@
 BESIDE_TOKENS = 1_700
 
 
-class Meter(typing.Protocol):
-    """Counts one request as work of its engine."""
-
-    def check(self, now: float) -> None:
-        """Count the request no more if it is probably lost."""
-
-
-class Machine:
-    """One target with its connections and what was seen of it."""
-
-    __slots__ = (
-        "target",
-        "load",
-        "pace",
-        "channels",
-        "in_flight",
-        "failures",
-        "avoid_until",
-        "no_cache_until",
-        "changing_until",
-        "ordered_until",
-        "meters",
-        "_clock",
-        "_changed",
-    )
-
-    def __init__(
-        self,
-        target: _contracts.Target,
-        speed: decisions.Speed,
-        clock: _clock.Clock,
-        changed: gevent.event.Event,
-        kv_limit: int = 0,
-    ) -> None:
-        #: Its own announcement.
-        self.target = target
-        #: State for the decisions.
-        self.load = decisions.EngineLoad(
-            target.id,
-            target.zone,
-            target.role or _types.Role.MIXED,
-            speed,
-        )
-        self.load.kv_limit = kv_limit
-        #: Measured pace.
-        self.pace = decisions.Pace(
-            alpha=PACE_ALPHA, half_life_s=PACE_HALF_LIFE_S, limit=PACE_LIMIT
-        )
-        #: Connections to it.
-        self.channels = _channel.ChannelPool(target.address, clock)
-        #: Requests sent from here and not ended.
-        self.in_flight = 0
-        #: Failures in a row.
-        self.failures = 0
-        #: Monotonic time until which it gets no new work.
-        self.avoid_until = float("-inf")
-        #: Monotonic time until which it prefills for no other engine.
-        self.no_cache_until = float("-inf")
-        #: Monotonic time until which it probably changes its role.
-        self.changing_until = float("-inf")
-        #: The same by an order of this instance, which the others are told.
-        self.ordered_until = float("-inf")
-        #: Requests from here that are under way, oldest first.
-        self.meters: dict[Meter, None] = {}
-        self._clock = clock
-        self._changed = changed
-
-    def note_ordered(self, for_s: float) -> None:
-        """Send nothing for a while to an engine that is told to change."""
-        until = self._clock.monotonic() + for_s
-        self.ordered_until = self.changing_until = until
-        self._changed.set()
-
-    def update(self, target: _contracts.Target) -> None:
-        """Take a new announcement of the same start in."""
-        if target.role is not self.target.role:
-            self.changing_until = self.ordered_until = float("-inf")
-        self.target = target
-        if target.role is not None:
-            self.load.role = target.role
-
-    def withdraw(self) -> None:
-        """Take no new work for a target that is gone."""
-        gone = _types.TargetState.WITHDRAWN
-        self.target = dataclasses.replace(self.target, state=gone)
-        self.channels.close()
-
-    def note_failure(self) -> None:
-        """Leave a target that cannot be reached alone; longer each time."""
-        self.failures += 1
-        self._avoid()
-
-    def _avoid(self) -> None:
-        pause = AVOID_FIRST_S * 2 ** min(self.failures - 1, 10)
-        now = self._clock.monotonic()
-        self.avoid_until = now + min(AVOID_LIMIT_S, pause)
-
-    def note_lost(self) -> None:
-        """Count a request that brought no answer.
-
-        One is a measurement like a very slow answer: an engine that loses
-        many gets less work, one that loses a few recovers with its next
-        answers.
-        """
-        self.failures += 1
-        self.pace.observe(PACE_LIMIT, self._clock.monotonic())
-        if self.failures >= LOST_IN_A_ROW:
-            self._avoid()
-
-    def note_busy(self) -> None:
-        """Send nothing for a moment to a target that turned work away."""
-        until = self._clock.monotonic() + BUSY_S
-        self.avoid_until = max(self.avoid_until, until)
-
-    def note_answer(self) -> None:
-        """Trust the target again."""
-        self.failures = 0
-        self.avoid_until = float("-inf")
-
-    def note_cache_lost(self) -> None:
-        """Let the engine prefill for no other one for a while."""
-        self.no_cache_until = self._clock.monotonic() + NO_CACHE_S
-
-    @property
-    def active(self) -> bool:
-        """Whether the target announced that it takes new work."""
-        return self.target.state is _types.TargetState.ACTIVE
-
-    def usable(self, now: float) -> bool:
-        """Return whether new work may go to the target."""
-        until = max(self.avoid_until, self.changing_until)
-        return self.active and now >= until
-
-    def note_sent(self, tokens: int, kv_tokens: int = 0) -> None:
-        """Count a request sent: prompt tokens to process, memory to hold."""
-        self.in_flight += 1
-        self.load.own_kv_tokens += kv_tokens
-        self.load.own_sequences += 1
-        self.load.unreported_sequences += 1
-        self._add_tokens(tokens)
-
-    def note_processed(self, tokens: int) -> None:
-        """Count prompt tokens as processed."""
-        self._add_tokens(-tokens)
-
-    def _add_tokens(self, tokens: int) -> None:
-        load = self.load
-        load.unreported_tokens += tokens
-        if load.is_long(abs(tokens)):
-            load.unreported_long_tokens += tokens
-        self._changed.set()
-
-    def note_ended(self, kv_tokens: int = 0) -> None:
-        """Count the end of a request, which frees its memory."""
-        self.in_flight -= 1
-        self.load.own_kv_tokens -= kv_tokens
-        self.load.own_sequences -= 1
-        self.load.unreported_sequences -= 1
-        self._changed.set()
-        self.load.credits = decisions.credits(self.load, SHARING)
-
-
 class Pool:
     """The targets of one service."""
 
@@ -247,7 +57,7 @@
         #: Name of the service.
         self.name = service.name
         #: Targets by id.
-        self.engines: dict[str, Machine] = {}
+        self.engines: dict[str, _machine.Machine] = {}
         #: Work asked for here.
         self.meter = fleet.DemandMeter()
         #: Chooses engines.
@@ -261,6 +71,8 @@
         """Bring what the decisions read up to date."""
         paces = {name: m.pace for name, m in self.engines.items()}
         shares = decisions.ease(paces, now)
+        losses = {name: m.losses for name, m in self.engines.items()}
+        kept = decisions.ease(losses, now)
         for name, machine in self.engines.items():
             for meter in tuple(machine.meters):
                 meter.check(now)
@@ -268,9 +80,9 @@
             load.routable = machine.usable(now)
             if load.role is _types.Role.PREFILL:
                 load.routable = load.routable and now >= machine.no_cache_until
-            load.ease = shares[name]
+            load.ease = shares[name] * kept[name]
             load.slowness = max(1.0, machine.pace.current(now))
-            load.credits = decisions.credits(load, SHARING)
+            load.credits = decisions.credits(load, _machine.SHARING)
             machine.channels.keep = self._idle_limit()
 
     def loads(self) -> list[decisions.EngineLoad]:
@@ -278,13 +90,13 @@
         self._catch_up()
         return [machine.load for machine in self.engines.values()]
 
-    def routable(self) -> list[Machine]:
+    def routable(self) -> list[_machine.Machine]:
         """Return engines that may get new work."""
         return [m for m in self.engines.values() if m.load.routable]
 
     def usable(
         self, avoid: collections.abc.Set[str], now: float
-    ) -> list[Machine]:
+    ) -> list[_machine.Machine]:
         """Return targets that may get a request, in any order."""
         return [
             machine
@@ -324,7 +136,7 @@
         #: Pools by name of the service.
         self.pools: dict[str, Pool] = {}
         #: Machines by id.
-        self.by_id: dict[str, Machine] = {}
+        self.by_id: dict[str, _machine.Machine] = {}
         #: Instances that share the targets.
         self.instances = 1
         #: Brings the known work of other instances up to date.
@@ -392,7 +204,7 @@
             machine.withdraw()
         speed = speed_of(self._speed, target, service)
         facts = service.engines if service else None
-        self.by_id[name] = Machine(
+        self.by_id[name] = _machine.Machine(
             target,
             speed,
             self._clock,
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -3,7 +3,7 @@
 import enum
 
 from agatewing import decisions
-from agatewing.gateway import _machines
+from agatewing.gateway import _machine
 
 #: Least time expected of an engine, in seconds: a few steps; below it the
 #: ratio of measured to expected time says nothing.
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         work: decisions.Work,
         prompt_held: bool,
         now: float,
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -2,7 +2,7 @@
 
 from agatewing import decisions
 from agatewing.gateway import _context
-from agatewing.gateway import _machines
+from agatewing.gateway import _machine
 from agatewing.gateway import _messages
 from agatewing.gateway import _refusals
 from agatewing.gateway import _sender
@@ -34,7 +34,7 @@
                 self._parts, job, machine.target.id, outcome
             )
 
-    def _pick(self, job: _context.Job) -> _machines.Machine:
+    def _pick(self, job: _context.Job) -> _machine.Machine:
         pool = self._parts.machines.pools.get(job.service)
         now = self._parts.clock.monotonic()
         usable = pool.usable(job.avoid, now) if pool else []
@@ -53,7 +53,7 @@
                 machine.target.id,
                 machine.target.slots,
                 machine.in_flight,
-                machine.pace.current(now),
+                machine.pace.current(now) * machine.losses.current(now),
                 machine.target.zone == self._parts.zone,
             )
             for machine in usable
@@ -62,7 +62,7 @@
         return next(m for m in usable if m.target.id == chosen)
 
     def _send(
-        self, job: _context.Job, machine: _machines.Machine
+        self, job: _context.Job, machine: _machine.Machine
     ) -> _messages.Outcome:
         clock = self._parts.clock
         now = clock.monotonic()
@@ -95,7 +95,7 @@
     def _note_pace(
         self,
         job: _context.Job,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         outcome: _messages.Outcome,
         started_at: float,
     ) -> None:
@@ -133,7 +133,7 @@
         self,
         job: _context.Job,
         answer: _messages.Answered,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
     ) -> None:
         fields = without_length(answer.head.headers)
         job.conn.answer(answer.head.status, fields, answer.body)
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -7,6 +7,7 @@
 from agatewing import decisions
 from agatewing.gateway import _channel
 from agatewing.gateway import _context
+from agatewing.gateway import _machine
 from agatewing.gateway import _machines
 from agatewing.gateway import _messages
 from agatewing.gateway import _meter
@@ -50,7 +51,7 @@
         #: Engine that processed the prompt; empty if none did.
         self.engine = ""
 
-    def ask(self, machine: _machines.Machine) -> bool:
+    def ask(self, machine: _machine.Machine) -> bool:
         """Have the prompt processed apart; return whether it was.
 
         The KV cache's handle is kept.
@@ -73,7 +74,7 @@
         return False
 
     def _send(
-        self, machine: _machines.Machine, stall: _sender.Stall
+        self, machine: _machine.Machine, stall: _sender.Stall
     ) -> _messages.Outcome:
         sender = self._parts.sender
         begun = self._begin(machine, sender.most_idle_s(True), stall)
@@ -95,7 +96,7 @@
 
     def _begin(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         most_idle_s: float,
         stall: _sender.Stall,
     ) -> _sender.Beginning:
@@ -109,7 +110,7 @@
         )
 
     def _after(
-        self, machine: _machines.Machine, outcome: _messages.Outcome
+        self, machine: _machine.Machine, outcome: _messages.Outcome
     ) -> None:
         """Make ready for another engine, or raise the end.
 
@@ -142,7 +143,7 @@
 
     def facts(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         prefill_only: bool,
         last_event_id: bytes | None = None,
     ) -> _messages.SendFacts:
@@ -160,7 +161,7 @@
         )
 
     def _fetch_from(
-        self, machine: _machines.Machine, prefill_only: bool
+        self, machine: _machine.Machine, prefill_only: bool
     ) -> str | None:
         """Return the address of an engine that has more of the prompt."""
         if self.held is not None and not prefill_only:
@@ -180,7 +181,7 @@
         return self._parts.budget.left(self._job.service, now)
 
     def note_parts(
-        self, machine: _machines.Machine, ready_s: float = 0.0
+        self, machine: _machine.Machine, ready_s: float = 0.0
     ) -> None:
         """Remember that the engine has the prompt, or will have it."""
         prompt = self._job.req.prompt
@@ -193,14 +194,19 @@
             )
 
     def note_lost(self) -> None:
-        """Remember that a KV cache could not be fetched."""
-        if self.held is None:
-            return
-        for machine in self._pool.engines.values():
-            if machine.target.address == self.held.address:
-                machine.note_cache_lost()
+        """Remember that the KV cache could not be fetched, and drop it."""
+        source = self._pool.engines.get(self.engine)
+        if source is not None:
+            source.note_cache_lost()
         self.release()
 
+    def note_fetched(self) -> None:
+        """Remember that another engine has taken the KV cache over."""
+        source = self._pool.engines.get(self.engine)
+        if self.held is not None and source is not None:
+            source.note_cache_fetched()
+        self.held = None
+
     def release(self) -> None:
         """Free a KV cache that no engine fetched."""
         held, self.held = self.held, None
@@ -211,7 +217,7 @@
                 gevent.spawn(self._release_on, machine, held)
 
     def _release_on(
-        self, machine: _machines.Machine, held: _messages.CacheHandle
+        self, machine: _machine.Machine, held: _messages.CacheHandle
     ) -> None:
         outgoing = self._parts.dialect.release(held)
         try:
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -4,7 +4,7 @@
 from agatewing.gateway import _channel
 from agatewing.gateway import _context
 from agatewing.gateway import _events
-from agatewing.gateway import _machines
+from agatewing.gateway import _machine
 from agatewing.gateway import _messages
 from agatewing.gateway import _meter
 from agatewing.gateway import _plain
@@ -60,7 +60,7 @@
 
     def pass_on(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         begun: _sender.Begun,
         meter: _meter.WorkMeter,
     ) -> _messages.Outcome:
@@ -118,7 +118,7 @@
         return min(job.deadline, self._clock.monotonic() + SILENCE_S)
 
     def _pass_failure_on(
-        self, machine: _machines.Machine, begun: _sender.Begun
+        self, machine: _machine.Machine, begun: _sender.Begun
     ) -> _messages.Outcome:
         """Pass a failure of the engine on, unless events went before."""
         outcome = self._sender.read_body(begun, machine, self._job.deadline)
@@ -130,9 +130,7 @@
         self._job.conn.answer(outcome.head.status, fields, outcome.body)
         return outcome
 
-    def _finish(
-        self, machine: _machines.Machine, begun: _sender.Begun
-    ) -> None:
+    def _finish(self, machine: _machine.Machine, begun: _sender.Begun) -> None:
         conn = self._job.conn
         self._start(begun)
         rest = self._splitter.rest()
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -6,7 +6,7 @@
 
 from agatewing import _clock
 from agatewing.gateway import _channel
-from agatewing.gateway import _machines
+from agatewing.gateway import _machine
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
 
@@ -68,7 +68,7 @@
 
     def begin(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         req: _messages.CallerRequest,
         facts: _messages.SendFacts,
         deadline: float,
@@ -103,7 +103,7 @@
 
     def _exchange(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         channel: _channel.Channel,
         req: _messages.CallerRequest,
         facts: _messages.SendFacts,
@@ -157,7 +157,7 @@
 
     def _judge(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         channel: _channel.Channel,
         head: _messages.AnswerHead,
         prefill_only: bool,
@@ -175,7 +175,7 @@
         return Begun(head, channel)
 
     def _read_rejection(
-        self, machine: _machines.Machine, channel: _channel.Channel
+        self, machine: _machine.Machine, channel: _channel.Channel
     ) -> None:
         """Read the rest, so that the connection can be used again."""
         deadline = self._clock.monotonic() + REJECTION_S
@@ -188,7 +188,7 @@
         self.give_back(machine, channel)
 
     def read_body(
-        self, begun: Begun, machine: _machines.Machine, deadline: float
+        self, begun: Begun, machine: _machine.Machine, deadline: float
     ) -> _messages.Answered | _messages.Unknown | _messages.TimedOut:
         """Read a whole body."""
         parts: list[bytes] = []
@@ -213,14 +213,14 @@
         return _messages.Answered(begun.head, b"".join(parts))
 
     def give_back(
-        self, machine: _machines.Machine, channel: _channel.Channel
+        self, machine: _machine.Machine, channel: _channel.Channel
     ) -> None:
         """Keep a connection whose answer was read whole."""
         machine.channels.put(channel)
 
     def call(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         outgoing: _messages.Outgoing,
         timeout_s: float,
     ) -> None:
@@ -239,7 +239,7 @@
 
     def command(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         outgoing: _messages.Outgoing,
         timeout_s: float,
         may_send: collections.abc.Callable[[], bool],
--- a/agatewing/gateway/_split_loop.py
+++ b/agatewing/gateway/_split_loop.py
@@ -11,6 +11,7 @@
 from agatewing import decisions
 from agatewing.gateway import _channel
 from agatewing.gateway import _claims
+from agatewing.gateway import _machine
 from agatewing.gateway import _machines
 from agatewing.gateway import _ports
 from agatewing.gateway import _sender
@@ -115,6 +116,8 @@
             # No order under doubt: engines may only seem to be gone.
             self._wishes.clear()
             return
+        if self._place() < LINE:
+            self._parts.claims.prepare()
         for pool in list(self._parts.machines.pools.values()):
             self._look_at(pool, now)
 
@@ -180,7 +183,7 @@
 
     def _send(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         role: _types.Role,
         claim: _claims.Claim,
     ) -> None:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -6,6 +6,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing.gateway import _context
+from agatewing.gateway import _machine
 from agatewing.gateway import _machines
 from agatewing.gateway import _messages
 from agatewing.gateway import _meter
@@ -54,7 +55,7 @@
         finally:
             self._prefill.release()
 
-    def _decoder(self, route: decisions.Route) -> _machines.Machine:
+    def _decoder(self, route: decisions.Route) -> _machine.Machine:
         """Return the engine that decodes, after a split its prefill.
 
         A prefill can take seconds, so the engine that decodes is chosen
@@ -80,7 +81,7 @@
                 return route
         raise _context.give_up(self._job, "no other engine has room")
 
-    def _choose(self) -> _machines.Machine:
+    def _choose(self) -> _machine.Machine:
         """Return another engine that decodes."""
         for _ in self._moments():
             machine = self._find_decoder()
@@ -102,7 +103,7 @@
                 return
             clock.sleep(REROUTE_PERIOD_S)
 
-    def _find_decoder(self) -> _machines.Machine | None:
+    def _find_decoder(self) -> _machine.Machine | None:
         loads = [
             load
             for load in self._pool.loads()
@@ -135,7 +136,7 @@
             cross_s=work.cross_s,
         )
 
-    def _serve(self, machine: _machines.Machine) -> bool:
+    def _serve(self, machine: _machine.Machine) -> bool:
         """Send to one engine; return whether the stream is finished."""
         used_cache = self._prefill.held is not None
         now = self._parts.clock.monotonic()
@@ -152,7 +153,7 @@
         return False
 
     def _exchange(
-        self, machine: _machines.Machine, meter: _meter.WorkMeter
+        self, machine: _machine.Machine, meter: _meter.WorkMeter
     ) -> _messages.Outcome:
         """Send and pass the answer on; return how it ended."""
         job = self._job
@@ -174,15 +175,14 @@
         )
         if not isinstance(begun, _sender.Begun):
             return begun
-        # The engine has taken the KV cache over.
-        self._prefill.held = None
+        self._prefill.note_fetched()
         return self._relay.pass_on(machine, begun, meter)
 
     def _another_left(self) -> bool:
         attempts = self._job.attempts
         return attempts.targets + 1 < attempts.max_targets
 
-    def _note_end(self, machine: _machines.Machine, status: int) -> None:
+    def _note_end(self, machine: _machine.Machine, status: int) -> None:
         first_s = self._relay.first_at - self._job.req.arrived_at
         self._parts.metrics.first_event_seconds.observe(
             {"kind": str(self._job.route.kind)}, max(0.0, first_s)
@@ -204,7 +204,7 @@
 
     def _after(
         self,
-        machine: _machines.Machine,
+        machine: _machine.Machine,
         outcome: _messages.Outcome,
         used_cache: bool,
     ) -> None:
@@ -213,6 +213,9 @@
             case _messages.TimedOut() | _messages.Unknown():
                 machine.note_lost()
             case _messages.NotRun() if used_cache:
+                if machine.crowded:
+                    # More likely the engine is full than the cache gone.
+                    machine.note_busy()
                 self._prefill.note_lost()
             case _messages.NotRun():
                 machine.note_busy()
@@ -226,7 +229,7 @@
         )
         self._relay.restart()
 
-    def _next_machine(self) -> _machines.Machine:
+    def _next_machine(self) -> _machine.Machine:
         """Return the engine for another send, with a new KV cache or none.
 
         A prompt whose KV cache could not be fetched is processed apart once
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -4,6 +4,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing.gateway import _context
+from agatewing.gateway import _machine
 from agatewing.gateway import _machines
 from agatewing.gateway import _refusals
 from agatewing.gateway import _stream
@@ -120,7 +121,7 @@
 
     def _source(
         self, pool: _machines.Pool, cached: dict[str, int]
-    ) -> _machines.Machine | None:
+    ) -> _machine.Machine | None:
         """Return the engine from which others fetch the shared parts."""
         held = [
             machine
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -6,7 +6,6 @@
 peers, makes the queues visible within one period.
 """
 
-import collections.abc
 import dataclasses
 import logging
 import random
@@ -31,6 +30,8 @@
 #: Peers that get one note; beyond that they are drawn at random, so that
 #: the traffic of one instance does not grow with their number.
 FANOUT = 8
+#: Those of them in other zones, where bytes are paid for.
+FAR_FANOUT = 2
 #: Age at which a note counts no more, in seconds; the sender may be gone.
 KEEP_S = 1.0
 #: Age of its last note at which an instance counts as alive, in seconds:
@@ -72,6 +73,7 @@
         "_machines",
         "_codec",
         "_index",
+        "_zone",
         "_random",
         "_socket",
         "_loops",
@@ -94,7 +96,9 @@
         codec: wire.Codec,
         rng: random.Random,
         index: decisions.PartIndex,
+        zone: str,
     ) -> None:
+        self._zone = zone
         self._index = index
         self._name = name
         self._address = address
@@ -170,7 +174,7 @@
             held=self._placements(),
         )
         data = self._codec.encode(note)
-        for address in self._receivers():
+        for address in self.receivers():
             host, _, port = address.rpartition(":")
             try:
                 sock.sendto(data, (host, int(port)))
@@ -190,11 +194,20 @@
             for told in self._index.news(now, MAX_PLACEMENTS)
         ]
 
-    def _receivers(self) -> collections.abc.Iterable[str]:
-        addresses = [entry.address for entry in self._peers.known.values()]
-        if len(addresses) <= FANOUT:
-            return addresses
-        return self._random.sample(addresses, FANOUT)
+    def receivers(self) -> list[str]:
+        """Return the addresses that get the next note.
+
+        Engines are chosen near first, so those of one zone share most of
+        their engines; a few others carry news between zones.
+        """
+        known = self._peers.known.values()
+        if len(known) <= FANOUT:
+            return [entry.address for entry in known]
+        near = [e.address for e in known if e.zone == self._zone]
+        far = [e.address for e in known if e.zone != self._zone]
+        others = self._random.sample(far, min(FAR_FANOUT, len(far)))
+        count = min(FANOUT - len(others), len(near))
+        return others + self._random.sample(near, count)
 
     def _receive_always(self, sock: gevent.socket.socket) -> None:
         while True:
--- a/agatewing/gateway/tests/test_fuzz_claims.py
+++ b/agatewing/gateway/tests/test_fuzz_claims.py
@@ -109,6 +109,10 @@
         self.held[index] = self.claims[index].acquire()
         self.order(index)
 
+    @stateful.rule(index=strategies.integers(0, HOLDERS - 1))
+    def prepare(self, index: int) -> None:
+        self.claims[index].prepare()
+
     @stateful.rule(index=strategies.integers(0, HOLDERS - 1))
     def order(self, index: int) -> None:
         claim = self.held[index]
@@ -210,3 +214,23 @@
         clock.advance(0.1)
     assert clock.monotonic() - last_arrival >= GAP_S
     assert not first.valid(claim)
+
+
+def test_whoever_has_known_a_claim_for_long_takes_over_at_once() -> None:
+    """Found on abastecer-rede, trouble-2: the holder froze for 7 s."""
+    log = FakeLog()
+    clock = _clock.ManualClock()
+    first, second = (
+        _claims.Claims(log, clock, _claims.ClaimRecord(name, "1"), GAP_S)
+        for name in ("i1", "i2")
+    )
+    assert first.acquire() is not None
+    second.prepare()
+    clock.advance(20.0)
+    claim = second.acquire()
+    assert claim is not None
+    assert claim.token == 2
+    # The first one learns that it was overtaken, and waits.
+    assert first.acquire() is None
+    clock.advance(1.0)
+    assert first.acquire() is None
--- a/agatewing/gateway/tests/test_meter.py
+++ b/agatewing/gateway/tests/test_meter.py
@@ -7,7 +7,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing import gateway
-from agatewing.gateway import _machines
+from agatewing.gateway import _machine
 from agatewing.gateway import _meter
 
 WORK = decisions.Work(6_400, 100, "z")
@@ -19,7 +19,7 @@
 
 
 @pytest.fixture
-def machine(clock: _clock.ManualClock) -> _machines.Machine:
+def machine(clock: _clock.ManualClock) -> _machine.Machine:
     target = gateway.Target(
         "e1",
         "chat",
@@ -30,10 +30,10 @@
         _types.Role.DECODE,
     )
     changed = gevent.event.Event()
-    return _machines.Machine(target, decisions.Speed(), clock, changed)
+    return _machine.Machine(target, decisions.Speed(), clock, changed)
 
 
-def counted(machine: _machines.Machine) -> tuple[int, float, int, int]:
+def counted(machine: _machine.Machine) -> tuple[int, float, int, int]:
     load = machine.load
     return (
         load.own_sequences,
@@ -44,7 +44,7 @@
 
 
 def test_a_request_counts_until_it_ends(
-    clock: _clock.ManualClock, machine: _machines.Machine
+    clock: _clock.ManualClock, machine: _machine.Machine
 ) -> None:
     meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
     assert counted(machine) == (1, 6_400, 6_500, 1)
@@ -55,7 +55,7 @@
 
 
 def test_a_lost_answer_is_no_work(
-    clock: _clock.ManualClock, machine: _machines.Machine
+    clock: _clock.ManualClock, machine: _machine.Machine
 ) -> None:
     """Found on abastecer-rede, trouble-2: 109 such on one engine."""
     meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
@@ -72,7 +72,7 @@
 
 
 def test_a_late_answer_counts_again(
-    clock: _clock.ManualClock, machine: _machines.Machine
+    clock: _clock.ManualClock, machine: _machine.Machine
 ) -> None:
     meter = _meter.WorkMeter(machine, WORK, False, clock.monotonic())
     clock.advance(meter.stall_s + 1.0)
@@ -85,10 +85,10 @@
 
 
 def test_one_lost_answer_does_not_take_an_engine_out(
-    clock: _clock.ManualClock, machine: _machines.Machine
+    clock: _clock.ManualClock, machine: _machine.Machine
 ) -> None:
     now = clock.monotonic()
-    for _ in range(_machines.LOST_IN_A_ROW - 1):
+    for _ in range(_machine.LOST_IN_A_ROW - 1):
         machine.note_lost()
         assert machine.usable(now)
     machine.note_lost()
@@ -98,8 +98,48 @@
 
 
 def test_an_engine_that_turns_work_away_is_left_alone_for_a_moment(
-    clock: _clock.ManualClock, machine: _machines.Machine
+    clock: _clock.ManualClock, machine: _machine.Machine
 ) -> None:
     machine.note_busy()
     assert not machine.usable(clock.monotonic())
-    assert machine.usable(clock.monotonic() + _machines.BUSY_S)
+    assert machine.usable(clock.monotonic() + _machine.BUSY_S)
+
+
+def test_lost_answers_ease_a_target_off_without_making_it_slow(
+    clock: _clock.ManualClock, machine: _machine.Machine
+) -> None:
+    machine.note_lost()
+    now = clock.monotonic()
+    assert machine.losses.current(now) > 1.8
+    assert machine.pace.current(now) == 1.0
+    for _ in range(8):
+        machine.note_answer()
+    assert machine.losses.current(now) < 1.2
+
+
+def test_many_lost_answers_do_not_keep_a_target_away_for_long(
+    clock: _clock.ManualClock, machine: _machine.Machine
+) -> None:
+    """Found on abastecer-rede, trouble-2: idle engines out for 4 s."""
+    for _ in range(10):
+        machine.note_lost()
+    assert machine.usable(clock.monotonic() + _machine.AVOID_FIRST_S)
+
+
+def test_one_cache_that_could_not_be_fetched_blames_nobody(
+    clock: _clock.ManualClock, machine: _machine.Machine
+) -> None:
+    """Found on abastecer-rede, trouble-2: a full engine turned caches away.
+
+    Both engines that had made them were taken out for three seconds.
+    """
+    now = clock.monotonic()
+    for _ in range(_machine.CACHES_IN_A_ROW - 1):
+        machine.note_cache_lost()
+    assert machine.no_cache_until <= now
+    machine.note_cache_fetched()
+    machine.note_cache_lost()
+    assert machine.no_cache_until <= now
+    for _ in range(_machine.CACHES_IN_A_ROW):
+        machine.note_cache_lost()
+    assert machine.no_cache_until > now
--- a/agatewing/gateway/tests/test_work_notes.py
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -58,6 +58,7 @@
         codec,
         rng,
         decisions.PartIndex(10.0),
+        "z",
     )
 
 
@@ -121,3 +122,25 @@
     machine.note_ended()
     assert (load.prefill_backlog, load.long_backlog) == (0, 0)
     assert load.sequences == 0
+
+
+def test_a_large_fleet_tells_its_own_zone_first(
+    notes: _work_notes.WorkNotes,
+) -> None:
+    for number in range(60):
+        entry = _peers.PeerEntry(f"10.0.0.{number}:1", f"z{number % 4}")
+        notes._peers.known[f"i{number}"] = entry
+    zones = {e.address: e.zone for e in notes._peers.known.values()}
+    notes._zone = "z1"
+    for _ in range(20):
+        told = notes.receivers()
+        assert len(set(told)) == _work_notes.FANOUT
+        far = [address for address in told if zones[address] != "z1"]
+        assert len(far) == _work_notes.FAR_FANOUT
+
+
+def test_a_small_fleet_tells_everyone(notes: _work_notes.WorkNotes) -> None:
+    for number in range(5):
+        entry = _peers.PeerEntry(f"10.0.0.{number}:1", f"z{number}")
+        notes._peers.known[f"i{number}"] = entry
+    assert len(notes.receivers()) == 5
