--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 7
 DURATION ?= 60
 
-.PHONY: demo test lint format fuzz soak soak-processes bench-platform slopes experiment bench capacity wire
+.PHONY: demo test lint format fuzz soak soak-processes bench-platform slopes experiment bench capacity rounds wire
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -53,5 +53,8 @@
 wire:
 	thrift --gen py:slots -out agatewing/wire/gen thrift/peer.thrift
 
+rounds: $(VENV)/.ready
+	$(BIN)/python -m agatewing.bench rounds
+
 capacity: $(VENV)/.ready
 	$(BIN)/python -m agatewing.bench capacity
--- a/agatewing/bench/__main__.py
+++ b/agatewing/bench/__main__.py
@@ -7,6 +7,7 @@
 
 from agatewing.bench import _capacity
 from agatewing.bench import _entry
+from agatewing.bench import _rounds
 from agatewing.bench import _slopes
 
 OUT = pathlib.Path("docs/measurements")
@@ -15,11 +16,16 @@
 def main(argv: list[str] | None = None) -> int:
     """Measure, print and store."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=("entry", "slopes", "capacity"))
+    parser.add_argument(
+        "what", choices=("entry", "slopes", "capacity", "rounds")
+    )
     parser.add_argument(
         "--store", action="store_true", help=f"write JSON to {OUT}"
     )
     args = parser.parse_args(argv)
+    if args.what == "rounds":
+        print(_rounds.draw(OUT))
+        return 0
     if args.what == "entry":
         inventory = pathlib.Path("examples/aldeias.jsonc")
         figures = _entry.EntryBench(inventory).run()
