--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -46,6 +46,7 @@
 from agatewing.decisions._routing import Split
 from agatewing.decisions._routing import Work
 from agatewing.decisions._routing import work_on
+from agatewing.decisions._routing import ZONE_ROUND_TRIP_S
 from agatewing.decisions._service_rate import ServiceRate
 from agatewing.decisions._shared_budget import BudgetBound
 from agatewing.decisions._shared_budget import SharedRetryBudget
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -228,10 +228,7 @@
         deadline = self._clock.monotonic() + timeout_s
         channel = machine.channels.take(REPEAT_IDLE_S, timeout_s)
         try:
-            channel.send(outgoing, deadline)
-            channel.read_head(deadline)
-            while channel.read_piece(deadline):
-                pass
+            _converse(channel, outgoing, deadline)
         except BaseException:
             channel.close()
             raise
@@ -254,12 +251,20 @@
         try:
             if not may_send():
                 raise _channel.BrokenError("the right to send it is over")
-            channel.send(outgoing, deadline)
-            head = channel.read_head(deadline)
-            while channel.read_piece(deadline):
-                pass
+            status = _converse(channel, outgoing, deadline)
         except BaseException:
             channel.reset()
             raise
         self.give_back(machine, channel)
-        return head.status
+        return status
+
+
+def _converse(
+    channel: _channel.Channel, outgoing: _messages.Outgoing, deadline: float
+) -> int:
+    """Send a call and read its answer; return the status."""
+    channel.send(outgoing, deadline)
+    head = channel.read_head(deadline)
+    while channel.read_piece(deadline):
+        pass
+    return head.status
--- a/agatewing/gateway/_streams.py
+++ b/agatewing/gateway/_streams.py
@@ -9,10 +9,9 @@
 from agatewing.gateway import _refusals
 from agatewing.gateway import _stream
 
-#: Round trip to another zone, and what each byte sent there counts, in
-#: seconds: on the dearest sheet a body of 12,000 bytes costs a seventh of
-#: what its answer is worth, as much as 40 ms of its 800 ms.
-CROSS_S = 0.001
+#: What each byte sent to another zone counts, in seconds: on the dearest
+#: sheet a body of 12,000 bytes costs a seventh of what its answer is worth,
+#: as much as 40 ms of its 800 ms.
 CROSS_S_PER_BYTE = 3.3e-6
 
 
@@ -96,7 +95,8 @@
             cached,
             source=source.target.id if source is not None else "",
             source_zone=source.target.zone if source is not None else "",
-            cross_s=CROSS_S + len(job.req.body) * CROSS_S_PER_BYTE,
+            cross_s=decisions.ZONE_ROUND_TRIP_S
+            + len(job.req.body) * CROSS_S_PER_BYTE,
         )
 
     def _add_home(
