What was noted of engines that are gone is dropped

Found by reading: the index of shared parts kept up to 4,096 keys for each id of an engine that ever was; each start of an engine has a new id.

--- a/agatewing/decisions/_part_index.py
+++ b/agatewing/decisions/_part_index.py
@@ -109,9 +109,11 @@
         for key in chain_keys(parts):
             held.pop(key, None)
 
-    def forget(self, engine: str) -> None:
-        """Drop what was noted of an engine that is gone."""
-        self._engines.pop(engine, None)
+    def keep(self, engines: collections.abc.Container[str]) -> None:
+        """Drop what was noted of engines other than these."""
+        gone = [name for name in self._engines if name not in engines]
+        for name in gone:
+            del self._engines[name]
 
     def match(
         self, parts: Parts, now: float, ready: bool = False
--- a/agatewing/decisions/tests/test_fetch.py
+++ b/agatewing/decisions/tests/test_fetch.py
@@ -126,3 +126,12 @@
     route = router.choose(work, loads)
     assert isinstance(route, decisions.Split)
     assert route.prefill == "far"
+
+
+def test_engines_that_are_gone_leave_nothing_behind() -> None:
+    index = decisions.PartIndex(10.0)
+    for number in range(100):
+        index.add(f"e{number}", PARTS, now=0.0)
+    index.keep({"e7"})
+    assert index.match(PARTS, now=0.0) == {"e7": 12_000}
+    assert list(index._engines) == ["e7"]
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -175,6 +175,7 @@
         self.dispatcher.instances = instances
         self.machines.instances = instances
         self.machines.apply(configuration.services, self.catalog.targets)
+        self.parts.index.keep(self.machines.by_id)
         self.machines.changed.set()
 
     def start(self) -> None:
