A note never grows beyond its datagram

Found by reading: 30 engines, 12 placements and 20 engines that change make 1,500 bytes, and receivers read 1,400; the note would have been dropped as malformed.

--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -45,8 +45,10 @@
 DATAGRAM_BYTES = 1_400
 #: Engines in one note at most, so that it fits into a datagram.
 MAX_ENGINES = 30
-#: Placements in one note at most, for the same reason.
+#: Placements, and engines that change, in one note at most, for the same
+#: reason.
 MAX_PLACEMENTS = 12
+MAX_CHANGING = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +165,18 @@
     def _send(
         self, sock: gevent.socket.socket, work: list[wire.EngineWork]
     ) -> None:
+        data = self._encode(work)
+        for address in self.receivers():
+            host, _, port = address.rpartition(":")
+            try:
+                sock.sendto(data, (host, int(port)))
+            except OSError as exc:
+                _log.debug("work: %s not reached: %s", address, exc)
+                continue
+            self.sent_bytes += len(data)
+
+    def _encode(self, work: list[wire.EngineWork]) -> bytes:
+        """Return the next note, shortened where names are long."""
         self._sequence += 1
         note = wire.WorkNote(
             instance=self._name,
@@ -170,18 +184,15 @@
             work=work,
             config_version=self._catalog.config_version,
             through=self._catalog.through,
-            changing=self._machines.ordered(),
+            changing=self._machines.ordered()[:MAX_CHANGING],
             held=self._placements(),
         )
         data = self._codec.encode(note)
-        for address in self.receivers():
-            host, _, port = address.rpartition(":")
-            try:
-                sock.sendto(data, (host, int(port)))
-            except OSError as exc:
-                _log.debug("work: %s not reached: %s", address, exc)
-                continue
-            self.sent_bytes += len(data)
+        while len(data) > DATAGRAM_BYTES and (note.work or note.held):
+            note.work = note.work[: len(note.work) // 2]
+            note.held = note.held[: len(note.held) // 2]
+            data = self._codec.encode(note)
+        return data
 
     def _placements(self) -> list[wire.PartsHeld]:
         now = self._clock.monotonic()
--- a/agatewing/gateway/tests/test_work_notes.py
+++ b/agatewing/gateway/tests/test_work_notes.py
@@ -1,5 +1,6 @@
 """Instances tell each other their work at engines."""
 
+import dataclasses
 import random
 
 import pytest
@@ -144,3 +145,30 @@
         entry = _peers.PeerEntry(f"10.0.0.{number}:1", f"z{number}")
         notes._peers.known[f"i{number}"] = entry
     assert len(notes.receivers()) == 5
+
+
+@pytest.mark.parametrize("name_length", (12, 60))
+def test_a_note_fits_into_a_datagram(
+    clock: _clock.ManualClock,
+    machines: _machines.Machines,
+    notes: _work_notes.WorkNotes,
+    name_length: int,
+) -> None:
+    names = [f"e{number}".ljust(name_length, "x") for number in range(60)]
+    first = machines.by_id["e1"].target
+    targets = {n: dataclasses.replace(first, id=n) for n in names}
+    facts = gateway.EngineFacts(64, 1_000, 1, 1e9)
+    services = {"chat": _contracts.Service("chat", 100, facts)}
+    machines.apply(services, targets)
+    for number, name in enumerate(names):
+        machines.by_id[name].note_sent(200_000, 490_000)
+        machines.by_id[name].note_ordered(3.0)
+        parts = [(f"p{number}", 5_000), ("own", 100)]
+        notes._index.add(name, parts, clock.monotonic(), 2.0)
+    data = notes._encode(notes._own_work())
+    assert len(data) <= _work_notes.DATAGRAM_BYTES
+    decoded = wire.Codec("a secret of the tests").decode(wire.WorkNote, data)
+    read = decoded.unwrap()
+    assert read.work
+    assert read.held
+    assert len(read.changing) == _work_notes.MAX_CHANGING
