One piece of code where logic stood twice; costs of requests in a module

Found by reading the whole change once more; behaviour stays as it is.

- IP:PORT was taken apart in seven places: net.split_address.
- Reading an answer to its end, and closing what breaks, stood in the sender and in the relay of events: read_through.
- Whether another target may follow stood in both forwarders: an attribute of Attempts, whose step is also written straight.
- The two daemons had the same arguments, exit codes, printing of faults and signals: _program.py.
- Headers of one connection were listed twice, the adapter adds its two.
- Stand-ins and the proxy of the soak share the start of a loopback server.
- The engine that made a KV cache was looked up by its address in a loop.
- Copies with ten positional fields are dataclasses.replace now; the limit of idle connections is computed once a look, not once a target.

Two tests name the exit code by its new place; what they assert is the same.

--- a/agatewing/decisions/_attempts.py
+++ b/agatewing/decisions/_attempts.py
@@ -29,7 +29,8 @@
     ANOTHER_FREE = "another-free"
     #: Send to another target, within the retry budget.
     ANOTHER = "another"
-    #: Send to the same target without the KV cache that it could not fetch.
+    #: Send again without the KV cache that could not be fetched; it counts
+    #: as the same target.
     SAME_WITHOUT_CACHE = "same-without-cache"
     #: Answer that the request has not run.
     REFUSE = "refuse"
@@ -57,23 +58,18 @@
         """
         if failure is Failure.NOT_SENT:
             return Next.ANOTHER_FREE
+        if failure is Failure.NOT_RUN and used_cache:
+            return Next.SAME_WITHOUT_CACHE
         self.targets += 1
-        if failure is Failure.NOT_RUN:
-            if used_cache:
-                # It is the same target, so it counts once.
-                self.targets -= 1
-                return Next.SAME_WITHOUT_CACHE
-            return self._another_or(Next.REFUSE)
-        self.maybe_ran = True
-        if not self.idempotent:
-            return Next.FAIL
-        return self._another_or(Next.FAIL)
-
-    def _another_or(self, last: Next) -> Next:
+        if failure is not Failure.NOT_RUN:
+            self.maybe_ran = True
+            if not self.idempotent:
+                return Next.FAIL
         if self.targets < self.max_targets:
             return Next.ANOTHER
-        return self.last() if last is Next.REFUSE else last
-
-    def last(self) -> Next:
-        """Return the truthful end if nothing else can be tried."""
         return Next.FAIL if self.maybe_ran else Next.REFUSE
+
+    @property
+    def another_left(self) -> bool:
+        """Whether another target may follow the next one."""
+        return self.targets + 1 < self.max_targets
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -5,77 +5,29 @@
 import random
 
 from agatewing import _types
+from agatewing.decisions import _costs
 from agatewing.decisions import _engines
 
 #: Engines sampled at random for one choice.
 SAMPLES = 3
-#: Prompt tokens of the first priority class; classes double.
-PRIORITY_STEP_TOKENS = 512
 #: Engines looked at for each one that is sampled.
 TRIES = 4
 #: Pool up to which engines are sampled in turn from a random start.
 SMALL_POOL = 12
 #: Engines added because they may have cached the prompt's prefix.
 AFFINITY_CANDIDATES = 2
-#: Round trip between availability zones, in seconds.
-ZONE_ROUND_TRIP_S = 0.001
 #: Shortest prompt that is worth a separate prefill, in tokens.
 SPLIT_MIN_TOKENS = 512
 #: Prompts waiting in an engine beyond which it gets no more, in seconds of
 #: its work; what waits longer waits in the fair queue.
 BACKLOG_LIMIT_S = 1.0
-#: Rest of a long prompt that is under way, in seconds: an engine finishes
-#: it before a more urgent one; half of a typical long prompt's time.
-LONG_REST_S = 0.15
-#: Share of the time for which a prompt is read beside a stream that counts
-#: as lost to the stream.
-HARM_SHARE = 0.3
 #: Times as much that an engine without streams may process beside those
 #: that come meanwhile: a stream's first event is due after 250 ms or more.
 ALONE_TIMES = 3
-#: Fewest cached tokens that are worth a fetch: reading them takes as long
-#: as preparing the fetch.
-LEAST_FETCH_TOKENS = 128
-#: Time for preparing a fetch, in seconds; the engines' sheet says 1.7 ms.
-FETCH_SETUP_S = 0.002
-#: Times as long that a fetch takes between zones (the platform's page), and
-#: what its higher price counts, in seconds: the time of a few steps.
-ZONES_FETCH_TIMES = 2.0
-ZONES_FETCH_S = 0.02
-#: Seconds for which a full batch holds a new sequence back.
-FULL_BATCH_WAIT_S = 2.0
 
 EngineLoad = _engines.EngineLoad
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Work:
-    """What one request asks of an engine."""
-
-    #: Length of the prompt, in tokens.
-    prompt_tokens: int
-    #: Expected length of the answer, in tokens.
-    output_tokens: int
-    #: Zone of the instance that asks.
-    zone: str
-    #: Expected leading prompt tokens in the cache, by engine.
-    cached: dict[str, int] = dataclasses.field(default_factory=dict)
-    #: Prompt tokens that were processed elsewhere and are fetched.
-    fetched_tokens: int = 0
-    #: Engine from which others can fetch what it has cached of the prompt;
-    #: empty if they cannot.
-    source: str = ""
-    #: Availability zone of the engine from which tokens are fetched.
-    source_zone: str = ""
-    #: What sending it to another zone counts, in seconds.
-    cross_s: float = ZONE_ROUND_TRIP_S
-
-    @property
-    def kv_tokens(self) -> int:
-        """Tokens of KV cache that the sequence holds at its end."""
-        return self.prompt_tokens + self.fetched_tokens + self.output_tokens
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Single:
     """One engine does the whole request."""
@@ -128,7 +80,7 @@
 
     def choose(
         self,
-        work: Work,
+        work: _costs.Work,
         engines: collections.abc.Sequence[EngineLoad],
         avoid: frozenset[str] = frozenset(),
     ) -> Route | None:
@@ -152,7 +104,7 @@
             return best
         return split
 
-    def _fits_whole(self, work: Work, engine: EngineLoad) -> bool:
+    def _fits_whole(self, work: _costs.Work, engine: EngineLoad) -> bool:
         """Return whether an engine may process the prompt and decode.
 
         Beside streams, a long prompt would hold their events up.
@@ -161,7 +113,7 @@
             return False
         if self._beside_tokens is None:
             return True
-        tokens = engine.prefill_backlog + work_on(work, engine)
+        tokens = engine.prefill_backlog + _costs.work_on(work, engine)
         limit = self._beside_tokens
         if not engine.sequences:
             limit *= ALONE_TIMES
@@ -169,7 +121,7 @@
 
     def _fallback(
         self,
-        work: Work,
+        work: _costs.Work,
         engines: collections.abc.Sequence[EngineLoad],
         avoid: frozenset[str],
     ) -> Route | None:
@@ -185,7 +137,7 @@
 
     def _may_fall_back(
         self,
-        work: Work,
+        work: _costs.Work,
         engine: EngineLoad,
         engines: collections.abc.Sequence[EngineLoad],
     ) -> bool:
@@ -197,7 +149,7 @@
         )
         return not apart or self._fits_whole(work, engine)
 
-    def _has_room(self, work: Work, engine: EngineLoad) -> bool:
+    def _has_room(self, work: _costs.Work, engine: EngineLoad) -> bool:
         """Return whether the prompt would not wait for long in the engine.
 
         Engines process short prompts first, so only long ones wait.
@@ -210,7 +162,7 @@
     def _sample(
         self,
         engines: collections.abc.Sequence[EngineLoad],
-        work: Work,
+        work: _costs.Work,
         avoid: frozenset[str],
     ) -> list[EngineLoad]:
         decode = self._draw(engines, work, avoid, prefill=False)
@@ -225,7 +177,7 @@
     def _draw(
         self,
         engines: collections.abc.Sequence[EngineLoad],
-        work: Work,
+        work: _costs.Work,
         avoid: frozenset[str],
         prefill: bool,
     ) -> list[EngineLoad]:
@@ -252,7 +204,7 @@
     def _add_cached(
         self,
         engines: collections.abc.Sequence[EngineLoad],
-        work: Work,
+        work: _costs.Work,
         avoid: frozenset[str],
         chosen: dict[str, EngineLoad],
     ) -> None:
@@ -269,31 +221,33 @@
                 return
 
     def _best_single(
-        self, work: Work, engines: list[EngineLoad]
+        self, work: _costs.Work, engines: list[EngineLoad]
     ) -> Single | None:
         chosen: EngineLoad | None = None
         least = float("inf")
         for engine in engines:
-            seconds = single_s(work, engine) + self._reread_s(work, engine)
+            seconds = _costs.single_s(work, engine) + self._reread_s(
+                work, engine
+            )
             if self._beside_tokens is not None:
-                seconds += beside_harm_s(work, engine)
+                seconds += _costs.beside_harm_s(work, engine)
             if seconds < least:
                 chosen, least = engine, seconds
         return Single(chosen.name, least) if chosen else None
 
-    def _reread_s(self, work: Work, engine: EngineLoad) -> float:
+    def _reread_s(self, work: _costs.Work, engine: EngineLoad) -> float:
         """Return what it costs others to read shared parts once more."""
         if not self._reread_weight or not work.cached:
             return 0.0
         held = max(work.cached.values())
         missing = held - work.cached.get(engine.name, 0)
-        missing -= fetch_gain(work, engine)
+        missing -= _costs.fetch_gain(work, engine)
         rate = engine.speed.prefill_tokens_per_s
         return self._reread_weight * missing / rate
 
     def _best_split(
         self,
-        work: Work,
+        work: _costs.Work,
         first: list[EngineLoad],
         second: list[EngineLoad],
     ) -> Split | None:
@@ -301,15 +255,19 @@
             return None
 
         def apart_s(engine: EngineLoad) -> float:
-            return prefill_s(work, engine) + self._reread_s(work, engine)
+            return _costs.prefill_s(work, engine) + self._reread_s(
+                work, engine
+            )
 
         prefill = min(first, key=apart_s)
-        decode = min(second, key=lambda e: import_and_decode_s(work, e))
-        seconds = apart_s(prefill) + import_and_decode_s(work, decode)
+        decode = min(second, key=lambda e: _costs.import_and_decode_s(work, e))
+        seconds = apart_s(prefill) + _costs.import_and_decode_s(work, decode)
         return Split(prefill.name, decode.name, seconds)
 
 
-def _usable(engine: EngineLoad, avoid: frozenset[str], work: Work) -> bool:
+def _usable(
+    engine: EngineLoad, avoid: frozenset[str], work: _costs.Work
+) -> bool:
     """Return whether new work may go to the engine."""
     if not engine.routable or engine.credits <= 0:
         return False
@@ -318,132 +276,3 @@
     if engine.role is _types.Role.PREFILL:
         return True
     return engine.has_memory(work.kv_tokens)
-
-
-def priority_class(tokens: int) -> int:
-    """Return a class by prompt length; a shorter prompt runs earlier."""
-    return max(0, tokens // PRIORITY_STEP_TOKENS).bit_length()
-
-
-def work_on(work: Work, engine: EngineLoad) -> int:
-    """Return the prefill work that a request is for an engine, in tokens."""
-    cached = work.cached.get(engine.name, 0) + fetch_gain(work, engine)
-    cached = min(cached, work.prompt_tokens)
-    return engine.speed.prefill_work(work.prompt_tokens, cached)
-
-
-def fetch_gain(work: Work, engine: EngineLoad) -> int:
-    """Return the prompt tokens that an engine would fetch from the source.
-
-    Pattern answered: long prompts of which half is shared, more of them
-    than the one engine that has the shared part can read in time. Fetching
-    takes a twentieth of the time of reading once more.
-    """
-    if not work.source or work.source == engine.name:
-        return 0
-    held = work.cached.get(work.source, 0)
-    gain = held - work.cached.get(engine.name, 0)
-    return gain if gain >= LEAST_FETCH_TOKENS else 0
-
-
-def fetch_s(tokens: int, work: Work, engine: EngineLoad) -> float:
-    """Return the time for fetching tokens from the work's source zone."""
-    if not tokens:
-        return 0.0
-    seconds = tokens / engine.speed.import_tokens_per_s
-    if engine.zone != work.source_zone:
-        seconds = seconds * ZONES_FETCH_TIMES + ZONES_FETCH_S
-    return FETCH_SETUP_S + seconds
-
-
-def single_s(work: Work, engine: EngineLoad) -> float:
-    """Return the expected time of the whole answer on one engine."""
-    return prefill_s(work, engine) + decode_s(work, engine)
-
-
-def prefill_s(work: Work, engine: EngineLoad) -> float:
-    """Return the expected time until the prompt is processed."""
-    speed = engine.speed
-    own = work_on(work, engine)
-    tokens = _ahead(own, engine) + own
-    rate = prefill_rate(engine)
-    seconds = (tokens / rate + speed.step_base_s) * engine.slowness
-    moved = fetch_gain(work, engine) + work.fetched_tokens
-    seconds += fetch_s(moved, work, engine)
-    if engine.zone != work.zone:
-        seconds += work.cross_s
-    return seconds
-
-
-def _ahead(own: float, engine: EngineLoad) -> float:
-    """Return the work that an engine does before a prompt, in tokens.
-
-    Short prompts pass waiting long ones, but not one that is under way.
-    """
-    if engine.is_long(own):
-        return engine.prefill_backlog
-    rest = LONG_REST_S * engine.speed.prefill_tokens_per_s
-    waiting = max(0.0, engine.long_backlog - rest)
-    return engine.prefill_backlog - waiting
-
-
-def prefill_rate(engine: EngineLoad) -> float:
-    """Return prompt tokens a second beside the present decode work."""
-    speed = engine.speed
-    if engine.role is _types.Role.DECODE and speed.beside_share < 1:
-        return _rate_beside(engine)
-    if engine.role is _types.Role.PREFILL or not engine.sequences:
-        chunk = speed.full_chunk_tokens
-        step = speed.step_base_s + chunk / speed.prefill_tokens_per_s
-        return chunk / step
-    step = speed.step_s(min(engine.sequences, speed.slots))
-    chunk = speed.chunk_tokens
-    return chunk / (step + chunk / speed.prefill_tokens_per_s)
-
-
-def _rate_beside(engine: EngineLoad) -> float:
-    """Return the rate of an engine that prefills as a side job."""
-    speed = engine.speed
-    chunk = speed.chunk_tokens
-    rate = speed.prefill_tokens_per_s * speed.beside_share
-    step = speed.step_s(min(engine.sequences, speed.slots))
-    return chunk / (step + chunk / rate)
-
-
-def decode_s(work: Work, engine: EngineLoad) -> float:
-    """Return the expected time of generating the answer."""
-    speed = engine.speed
-    sequences = engine.sequences + 1
-    batch = min(sequences, speed.slots)
-    step = speed.step_base_s + speed.step_per_sequence_s * batch
-    step += speed.step_per_k_context_s * engine.kv_tokens / 1_000
-    step *= engine.slowness
-    backlog = engine.prefill_backlog
-    if backlog > 0:
-        step += _interference_s(work, engine, backlog)
-    seconds = work.output_tokens * step
-    if sequences > speed.slots:
-        waiting = sequences - speed.slots
-        seconds += FULL_BATCH_WAIT_S * waiting / speed.slots
-    return seconds
-
-
-def _interference_s(work: Work, engine: EngineLoad, backlog: float) -> float:
-    """Return the delay of each step by prompts still to be processed."""
-    speed = engine.speed
-    chunk_s = speed.chunk_tokens / speed.prefill_tokens_per_s
-    steps = backlog / speed.chunk_tokens
-    share = min(1.0, steps / max(1, work.output_tokens))
-    return chunk_s * share * engine.slowness
-
-
-def beside_harm_s(work: Work, engine: EngineLoad) -> float:
-    """Return what a prompt costs the streams beside which it is read."""
-    read_s = work_on(work, engine) / prefill_rate(engine)
-    return HARM_SHARE * engine.sequences * read_s
-
-
-def import_and_decode_s(work: Work, engine: EngineLoad) -> float:
-    """Return the expected time after the KV cache is exported."""
-    transfer = work.prompt_tokens / engine.speed.import_tokens_per_s
-    return 2 * transfer + decode_s(work, engine)
--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -1,5 +1,6 @@
 """The core that forwards requests byte for byte; knows no platform."""
 
+from agatewing.gateway._channel import CONNECTION_HEADERS
 from agatewing.gateway._contracts import CallerLimits
 from agatewing.gateway._contracts import Configuration
 from agatewing.gateway._contracts import EngineFacts
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -10,6 +10,7 @@
 
 from agatewing import _clock
 from agatewing.gateway import _messages
+from agatewing import net
 
 #: Bytes read from a connection at once.
 READ_BYTES = 65_536
@@ -87,10 +88,9 @@
 
     def connect(self, timeout_s: float) -> None:
         """Open the connection or raise :class:`ConnectError`."""
-        host, _, port = self.address.rpartition(":")
         try:
             sock = gevent.socket.create_connection(
-                (host.strip("[]"), int(port)),
+                net.split_address(self.address),
                 timeout=max(0.001, min(CONNECT_S, timeout_s)),
             )
         except (OSError, ValueError) as exc:
--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -2,13 +2,15 @@
 
 import re
 
+from agatewing.gateway import _channel
+
 #: Largest event, in bytes.
 MAX_EVENT_BYTES = 1_000_000
 #: Empty line that ends an event, with either kind of line end.
 _END = re.compile(rb"\r?\n\r?\n")
 
 
-class EventTooLargeError(Exception):
+class EventTooLargeError(_channel.BrokenError):
     """An event does not end within the limit."""
 
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -83,7 +83,7 @@
         )
         self.peers = _peers.Peers(
             settings.instance,
-            _settings.split_address(settings.peer_address),
+            net.split_address(settings.peer_address),
             clock,
             self.catalog,
             wire.Codec(settings.peer_secret),
@@ -93,7 +93,7 @@
         index = decisions.PartIndex(settings.cache_keep_s)
         self.work = _work_notes.WorkNotes(
             settings.instance,
-            _settings.split_address(settings.peer_address),
+            net.split_address(settings.peer_address),
             clock,
             self.peers,
             self.catalog,
@@ -107,7 +107,7 @@
         self.parts = self._parts(rng, index)
         self.split = self._split()
         self.server = _server.CallerServer(
-            _settings.split_address(settings.caller_address),
+            net.split_address(settings.caller_address),
             self.parts,
             self.life,
         )
@@ -115,7 +115,7 @@
         addresses = (settings.ready_address, settings.metrics_address)
         self._watch_servers = [
             net.Server(
-                *_settings.split_address(address),
+                *net.split_address(address),
                 self._serve_ready,
                 max_connections=64,
             )
--- a/agatewing/gateway/_machines.py
+++ b/agatewing/gateway/_machines.py
@@ -1,6 +1,7 @@
 """Targets as one instance sees them, grouped by their services."""
 
 import collections.abc
+import dataclasses
 import random
 
 import gevent.event
@@ -73,6 +74,7 @@
         shares = decisions.ease(paces, now)
         losses = {name: m.losses for name, m in self.engines.items()}
         kept = decisions.ease(losses, now)
+        keep = self._idle_limit()
         for name, machine in self.engines.items():
             for meter in tuple(machine.meters):
                 meter.check(now)
@@ -83,7 +85,7 @@
             load.ease = shares[name] * kept[name]
             load.slowness = max(1.0, machine.pace.current(now))
             load.credits = decisions.credits(load, _machine.SHARING)
-            machine.channels.keep = self._idle_limit()
+            machine.channels.keep = keep
 
     def loads(self) -> list[decisions.EngineLoad]:
         """Return the state of all engines for the decisions."""
@@ -227,17 +229,8 @@
     if facts is None:
         return decisions.Speed(slots=max(1, target.slots))
     imports = facts.link_bytes_per_s / max(1, facts.kv_token_bytes)
-    return decisions.Speed(
-        typical.prefill_tokens_per_s,
-        typical.step_base_s,
-        typical.step_per_sequence_s,
-        typical.chunk_tokens,
-        typical.full_chunk_tokens,
-        facts.slots,
-        max(1.0, imports),
-        typical.beside_share,
-        typical.tokens_per_m_pairs,
-        typical.step_per_k_context_s,
+    return dataclasses.replace(
+        typical, slots=facts.slots, import_tokens_per_s=max(1.0, imports)
     )
 
 
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -19,6 +19,7 @@
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
 from agatewing.gateway import _ports
+from agatewing import net
 from agatewing import wire
 
 _log = logging.getLogger("agatewing.peers")
@@ -171,11 +172,11 @@
                 )
 
     def _fetch(self, address: str) -> result.Result[_contracts.Snapshot, str]:
-        host, _, port = address.rpartition(":")
         request = wire.StateRequest(stream=SNAPSHOT)
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
-                sock = gevent.socket.create_connection((host, int(port)))
+                place = net.split_address(address)
+                sock = gevent.socket.create_connection(place)
                 with sock:
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     wire.send_frame(sock, self._codec.encode(request))
--- a/agatewing/gateway/_plain.py
+++ b/agatewing/gateway/_plain.py
@@ -67,7 +67,7 @@
         clock = self._parts.clock
         now = clock.monotonic()
         until = job.deadline
-        if job.attempts.idempotent and self._another_left(job):
+        if job.attempts.idempotent and job.attempts.another_left:
             until = now + (job.deadline - now) * FIRST_TRY_SHARE
         facts = _messages.SendFacts(machine.target.id, job.deadline - now)
         machine.in_flight += 1
@@ -89,9 +89,6 @@
         self._note_pace(job, machine, outcome, now)
         return outcome
 
-    def _another_left(self, job: _context.Job) -> bool:
-        return job.attempts.targets + 1 < job.attempts.max_targets
-
     def _note_pace(
         self,
         job: _context.Job,
@@ -118,7 +115,7 @@
         if answer.head.status < 500 or not job.attempts.idempotent:
             return False
         job.arrived = True
-        if not self._another_left(job):
+        if not job.attempts.another_left:
             return False
         left = job.deadline - self._parts.clock.monotonic()
         if left < job.route.objective_s / 2:
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -51,6 +51,11 @@
         #: Engine that processed the prompt; empty if none did.
         self.engine = ""
 
+    @property
+    def maker(self) -> _machine.Machine | None:
+        """Engine that made the KV cache; ``None`` if it is gone."""
+        return self._pool.engines.get(self.engine)
+
     def ask(self, machine: _machine.Machine) -> bool:
         """Have the prompt processed apart; return whether it was.
 
@@ -195,26 +200,21 @@
 
     def note_lost(self) -> None:
         """Remember that the KV cache could not be fetched, and drop it."""
-        source = self._pool.engines.get(self.engine)
-        if source is not None:
-            source.note_cache_lost()
+        if self.maker is not None:
+            self.maker.note_cache_lost()
         self.release()
 
     def note_fetched(self) -> None:
         """Remember that another engine has taken the KV cache over."""
-        source = self._pool.engines.get(self.engine)
-        if self.held is not None and source is not None:
-            source.note_cache_fetched()
+        if self.held is not None and self.maker is not None:
+            self.maker.note_cache_fetched()
         self.held = None
 
     def release(self) -> None:
         """Free a KV cache that no engine fetched."""
         held, self.held = self.held, None
-        if held is None:
-            return
-        for machine in self._pool.engines.values():
-            if machine.target.address == held.address:
-                gevent.spawn(self._release_on, machine, held)
+        if held is not None and self.maker is not None:
+            gevent.spawn(self._release_on, self.maker, held)
 
     def _release_on(
         self, machine: _machine.Machine, held: _messages.CacheHandle
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -1,7 +1,6 @@
 """Passes the events of a stream on, from one engine or several."""
 
 from agatewing import _clock
-from agatewing.gateway import _channel
 from agatewing.gateway import _context
 from agatewing.gateway import _events
 from agatewing.gateway import _machine
@@ -67,19 +66,14 @@
         """Pass an answer on until it ends or breaks."""
         if begun.head.status >= 300:
             return self._pass_failure_on(machine, begun)
-        channel = begun.channel
-        try:
-            while piece := channel.read_piece(self._read_until()):
+
+        def read() -> None:
+            while piece := begun.channel.read_piece(self._read_until()):
                 self._pass_piece_on(begun, meter, piece)
-        except (_channel.BrokenError, _events.EventTooLargeError) as exc:
-            channel.close()
-            return _messages.Unknown(str(exc))
-        except _channel.OverdueError as exc:
-            channel.close()
-            return _messages.TimedOut(str(exc))
-        except BaseException:
-            channel.close()
-            raise
+
+        failed = _sender.read_through(begun.channel, read)
+        if failed is not None:
+            return failed
         self._finish(machine, begun)
         return _messages.Answered(begun.head)
 
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -192,23 +192,19 @@
     ) -> _messages.Answered | _messages.Unknown | _messages.TimedOut:
         """Read a whole body."""
         parts: list[bytes] = []
-        size = 0
         channel = begun.channel
-        try:
+
+        def read() -> None:
+            size = 0
             while piece := channel.read_piece(deadline):
                 parts.append(piece)
                 size += len(piece)
                 if size > MAX_ANSWER_BYTES:
                     raise _channel.BrokenError("the answer is too large")
-        except _channel.BrokenError as exc:
-            channel.close()
-            return _messages.Unknown(str(exc))
-        except _channel.OverdueError as exc:
-            channel.close()
-            return _messages.TimedOut(str(exc))
-        except BaseException:
-            channel.close()
-            raise
+
+        failed = read_through(channel, read)
+        if failed is not None:
+            return failed
         self.give_back(machine, channel)
         return _messages.Answered(begun.head, b"".join(parts))
 
@@ -259,6 +255,28 @@
         return status
 
 
+def read_through(
+    channel: _channel.Channel, read: collections.abc.Callable[[], None]
+) -> _messages.Unknown | _messages.TimedOut | None:
+    """Read an answer by ``read``; return what cut it short, if anything.
+
+    A connection that was not read to its end is closed, which ends the
+    work at the target too.
+    """
+    try:
+        read()
+    except _channel.BrokenError as exc:
+        channel.close()
+        return _messages.Unknown(str(exc))
+    except _channel.OverdueError as exc:
+        channel.close()
+        return _messages.TimedOut(str(exc))
+    except BaseException:
+        channel.close()
+        raise
+    return None
+
+
 def _converse(
     channel: _channel.Channel, outgoing: _messages.Outgoing, deadline: float
 ) -> int:
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -7,6 +7,7 @@
 import result
 
 from agatewing import config
+from agatewing import net
 
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Millis = typing.Annotated[float, msgspec.Meta(ge=0)]
@@ -117,20 +118,14 @@
     return result.Err(tuple(faults)) if faults else result.Ok(settings)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP number and port."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def peer_seeds(settings: GatewaySettings) -> list[str]:
     """Return the seeds on the port of other instances.
 
     All instances use the same port, so only the IP numbers of the seeds
     matter.
     """
-    _, port = split_address(settings.peer_address)
-    return [f"{split_address(seed)[0]}:{port}" for seed in settings.seeds]
+    _, port = net.split_address(settings.peer_address)
+    return [f"{net.split_address(seed)[0]}:{port}" for seed in settings.seeds]
 
 
 def _is_address(address: str) -> bool:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -125,15 +125,14 @@
         if self._prefill.held is None:
             return self._work
         work = self._work
-        source = self._pool.engines.get(self._prefill.engine)
-        return decisions.Work(
-            0,
-            work.output_tokens,
-            work.zone,
-            {},
-            work.prompt_tokens,
-            source_zone=source.target.zone if source is not None else "",
-            cross_s=work.cross_s,
+        maker = self._prefill.maker
+        return dataclasses.replace(
+            work,
+            prompt_tokens=0,
+            cached={},
+            fetched_tokens=work.prompt_tokens,
+            source="",
+            source_zone=maker.target.zone if maker is not None else "",
         )
 
     def _serve(self, machine: _machine.Machine) -> bool:
@@ -163,7 +162,7 @@
         facts = self._prefill.facts(machine, False, last)
         sender = self._parts.sender
         stall = None
-        if job.attempts.idempotent and self._another_left():
+        if job.attempts.idempotent and job.attempts.another_left:
             stall = self._prefill.stall(meter)
         begun = sender.begin(
             machine,
@@ -178,10 +177,6 @@
         self._prefill.note_fetched()
         return self._relay.pass_on(machine, begun, meter)
 
-    def _another_left(self) -> bool:
-        attempts = self._job.attempts
-        return attempts.targets + 1 < attempts.max_targets
-
     def _note_end(self, machine: _machine.Machine, status: int) -> None:
         first_s = self._relay.first_at - self._job.req.arrived_at
         self._parts.metrics.first_event_seconds.observe(
--- a/agatewing/gateway/_work_notes.py
+++ b/agatewing/gateway/_work_notes.py
@@ -20,6 +20,7 @@
 from agatewing.gateway import _catalog
 from agatewing.gateway import _machines
 from agatewing.gateway import _peers
+from agatewing import net
 from agatewing import wire
 
 _log = logging.getLogger("agatewing.work")
@@ -167,9 +168,8 @@
     ) -> None:
         data = self._encode(work)
         for address in self.receivers():
-            host, _, port = address.rpartition(":")
             try:
-                sock.sendto(data, (host, int(port)))
+                sock.sendto(data, net.split_address(address))
             except OSError as exc:
                 _log.debug("work: %s not reached: %s", address, exc)
                 continue
@@ -243,14 +243,14 @@
             or note.through > self._catalog.through
         ):
             self._peers.ask_soon(note.instance)
+        now = self._clock.monotonic()
         self._notes[note.instance] = Noted(
-            self._clock.monotonic(),
+            now,
             note.sequence,
             {work.engine: work for work in note.work},
         )
         self._stale = True
         self._machines.note_changing(note.changing)
-        now = self._clock.monotonic()
         for held in note.held:
             told = decisions.Placement(
                 held.engine, held.chain, held.ready_ms / 1_000
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 import result
 
+from agatewing import _program
 from agatewing import gateway
 from agatewing import gatewayd
 from agatewing.platform import standins
@@ -42,7 +43,7 @@
     path = tmp_path / "settings.jsonc"
     path.write_text(GOOD.replace(old, new, 1))
     arguments = ["--settings", str(path), "--check"]
-    assert gatewayd.main(arguments) == gatewayd.EXIT_SETTINGS
+    assert gatewayd.main(arguments) == _program.EXIT_SETTINGS
     shown = capsys.readouterr().err
     assert str(path) in shown
     assert named in shown
--- a/agatewing/gatewayd.py
+++ b/agatewing/gatewayd.py
@@ -6,23 +6,17 @@
 import pathlib
 import random
 import signal
-import sys
 
 import gevent
-import gevent.event
 import result
 
 from agatewing import _clock
+from agatewing import _program
 from agatewing import gateway
 from agatewing import platform
 
 _log = logging.getLogger("agatewing.daemon")
 
-#: Exit codes, the same as those of ``agatewingd``.
-EXIT_OK = 0
-EXIT_CUT = 1
-EXIT_SETTINGS = 2
-EXIT_PORT = 3
 #: Time between two looks at the settings file, in seconds: a change has to
 #: be followed within two.
 LOOK_PERIOD_S = 1.0
@@ -30,11 +24,8 @@
 
 def _parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="agatewing-gatewayd",
-        description="One instance of agatewing on a platform.",
-        epilog="exit codes: 0 stopped in order; 1 stopped with answers "
-        "cut off; 2 faults in the settings; 3 a port cannot be opened",
+    parser = _program.parser(
+        "agatewing-gatewayd", "One instance of agatewing on a platform."
     )
     parser.add_argument(
         "--settings",
@@ -42,9 +33,6 @@
         default=os.environ.get("AGATEWING_CONFIG"),
         help="file of JSON with comments; default: $AGATEWING_CONFIG",
     )
-    parser.add_argument(
-        "--check", action="store_true", help="read the settings and exit"
-    )
     return parser
 
 
@@ -54,17 +42,14 @@
     args = parser.parse_args(argv)
     if args.settings is None:
         parser.error("name a file with --settings or AGATEWING_CONFIG")
-    match gateway.load_gateway_settings(pathlib.Path(args.settings)):
-        case result.Err(faults):
-            for fault in faults:
-                print(fault, file=sys.stderr)
-            return EXIT_SETTINGS
+    path = pathlib.Path(args.settings)
+    loaded = gateway.load_gateway_settings(path)
+    match _program.settings_or_exit(loaded, path, args.check):
+        case result.Err(code):
+            return code
         case result.Ok(settings):
-            pass
-    if args.check:
-        print(f"{args.settings}: no faults")
-        return EXIT_OK
-    return _run(settings, pathlib.Path(args.settings))
+            return _run(settings, path)
+    raise AssertionError("a result is either of the two")
 
 
 def _run(settings: gateway.GatewaySettings, path: pathlib.Path) -> int:
@@ -80,19 +65,11 @@
         )
         instance.start()
     except OSError as exc:
-        print(
-            f"cannot open a port of {settings.caller_address}: {exc}; "
-            "choose free ports in the settings",
-            file=sys.stderr,
-        )
-        return EXIT_PORT
-    stop = gevent.event.Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
+        return _program.no_port(settings.caller_address, exc)
     gevent.signal_handler(signal.SIGHUP, _reload, instance, path)
     gevent.spawn(_watch_file, instance, path, clock)
-    stop.wait()
-    return EXIT_OK if instance.stop() else EXIT_CUT
+    _program.wait_for_stop()
+    return _program.EXIT_OK if instance.stop() else _program.EXIT_CUT
 
 
 def _watch_file(
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -14,6 +14,7 @@
 from agatewing import _exceptions
 from agatewing.membership import _detector
 from agatewing.membership import _peers
+from agatewing import net
 from agatewing import wire
 
 _log = logging.getLogger("agatewing.links")
@@ -89,13 +90,11 @@
         self, address: str, stream: str
     ) -> result.Result[wire.StateReply, _exceptions.AgatewingError]:
         """Ask a peer for its state of a stream."""
-        host, _, port = address.rpartition(":")
+        place = net.split_address(address)
         request = wire.StateRequest(stream=stream)
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
-                sock = gevent.socket.create_connection(
-                    (host.strip("[]"), int(port)), timeout=1.0
-                )
+                sock = gevent.socket.create_connection(place, timeout=1.0)
                 with sock:
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     wire.send_frame(sock, self._codec.encode(request))
@@ -150,9 +149,9 @@
     def _send(self, outgoing: list[_peers.Outgoing]) -> None:
         for item in outgoing:
             data = self._codec.encode(item.message)
-            host, _, port = item.address.rpartition(":")
+            place = net.split_address(item.address)
             try:
-                self._udp.sendto(data, (host.strip("[]"), int(port)))
+                self._udp.sendto(data, place)
             except OSError as exc:
                 _log.info("links: %s not reached: %s", item.address, exc)
                 continue
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -1,5 +1,6 @@
 """HTTP towards callers, targets and the platform, by library."""
 
+from agatewing.net._address import split_address
 from agatewing.net._http_client import call_once
 from agatewing.net._http_client import CallOnce
 from agatewing.net._http_client import Headers
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -12,6 +12,7 @@
 from geventhttpclient import response as http_response
 
 from agatewing import _exceptions
+from agatewing.net import _address
 
 #: Largest block read from a connection at once, in bytes.
 READ_BLOCK_BYTES = 65_536
@@ -166,10 +167,10 @@
     ) -> None:
         #: IP number and port.
         self.address = address
-        host, _, port = address.rpartition(":")
+        host, port = _address.split_address(address)
         self._client = geventhttpclient.HTTPClient(
-            host.strip("[]"),
-            int(port),
+            host,
+            port,
             connection_timeout=connect_timeout_s,
             network_timeout=silence_timeout_s,
             concurrency=connections,
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -7,21 +7,7 @@
 from agatewing.platform import _names
 
 #: Headers of a request that concern one connection, in lower case.
-_CONNECTION = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
+_CONNECTION = gateway.CONNECTION_HEADERS | {b"content-length", b"expect"}
 
 
 class _Handle(msgspec.Struct, frozen=True):
--- a/agatewing/platform/soak/_proxy.py
+++ b/agatewing/platform/soak/_proxy.py
@@ -6,6 +6,9 @@
 import gevent.server
 import gevent.socket
 
+from agatewing import net
+from agatewing.platform import standins
+
 #: Bytes copied at once.
 BLOCK_BYTES = 65_536
 #: Delay of each block in the mode SLOW, in seconds.
@@ -26,27 +29,20 @@
     CUT = "cut"
 
 
-class Proxy:
+class Proxy(standins.Loopback):
     """Passes connections on to one address."""
 
     def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
+        self._target = net.split_address(target)
         self.mode = ProxyMode.FINE
         self._pairs: set[gevent.socket.socket] = set()
-        self._server = gevent.server.StreamServer(
-            ("127.0.0.1", 0), self._serve
+        super().__init__(
+            gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
         )
-        self._server.start()
-
-    @property
-    def address(self) -> str:
-        """IP number and port."""
-        return f"127.0.0.1:{self._server.server_port}"
 
     def stop(self) -> None:
         """Close the port and every connection."""
-        self._server.stop(timeout=0)
+        super().stop()
         self.break_connections()
 
     def break_connections(self) -> None:
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -13,6 +13,8 @@
 import gevent.server
 import gevent.socket
 
+from agatewing.platform.standins import _loopback
+
 #: Time after which a request that hangs is answered, in seconds: never.
 HANG_S = 3_600.0
 
@@ -63,7 +65,7 @@
     body: bytes
 
 
-class EngineStandin:
+class EngineStandin(_loopback.Loopback):
     """One target on loopback."""
 
     def __init__(self, name: str, events: int = 3) -> None:
@@ -90,19 +92,9 @@
         #: Connections accepted.
         self.accepted = 0
         self._open: set[gevent.socket.socket] = set()
-        self._server = gevent.server.StreamServer(
-            ("127.0.0.1", 0), self._serve
+        super().__init__(
+            gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
         )
-        self._server.start()
-
-    @property
-    def address(self) -> str:
-        """IP number and port."""
-        return f"127.0.0.1:{self._server.server_port}"
-
-    def stop(self) -> None:
-        """Close the port."""
-        self._server.stop(timeout=0)
 
     def _serve(self, sock: gevent.socket.socket, _: typing.Any) -> None:
         self.accepted += 1
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -12,6 +12,7 @@
 from agatewing import _clock
 from agatewing import gateway
 from agatewing import harness
+from agatewing import net
 from agatewing import platform
 from agatewing.platform.standins import _engine
 from agatewing.platform.standins import _store
@@ -238,8 +239,7 @@
         }
         lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
         head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
-        host, _, port = address.rpartition(":")
-        place = (host, int(port))
+        place = net.split_address(address)
         with gevent.socket.create_connection(place) as sock:
             sock.sendall(head)
             return read_reply(sock)
--- a/agatewing/platform/standins/_store.py
+++ b/agatewing/platform/standins/_store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from agatewing import net
+from agatewing.platform.standins import _loopback
 
 #: Longest wait of a read here, in seconds; keeps tests short.
 LONGEST_WAIT_S = 0.3
@@ -62,26 +63,16 @@
         return offset
 
 
-class StoreStandin:
+class StoreStandin(_loopback.Loopback):
     """A log on loopback that tests write to as operator and targets."""
 
     def __init__(self) -> None:
         self.mode = StoreMode.FINE
         self.calls = 0
         self._topics: dict[str, _Topic] = {}
-        self._server = gevent.pywsgi.WSGIServer(
-            ("127.0.0.1", 0), self._serve, log=None
+        super().__init__(
+            gevent.pywsgi.WSGIServer(("127.0.0.1", 0), self._serve, log=None)
         )
-        self._server.start()
-
-    @property
-    def address(self) -> str:
-        """IP number and port."""
-        return f"127.0.0.1:{self._server.server_port}"
-
-    def stop(self) -> None:
-        """Close the port."""
-        self._server.stop(timeout=0)
 
     def topic(self, name: str) -> _Topic:
         """Return a topic, made on first use."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,6 +14,7 @@
 import gevent
 import pytest
 
+from agatewing import _program
 from agatewing import harness
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
@@ -384,7 +385,7 @@
     path = tmp_path / "bad.jsonc"
     path.write_text('{"instance": "a", "hots": "x"} // no')
     args = ["--settings", str(path), "--check"]
-    assert daemon.main(args) == daemon.EXIT_SETTINGS
+    assert daemon.main(args) == _program.EXIT_SETTINGS
     good = EXAMPLES / "settings.jsonc"
     assert daemon.main(["--settings", str(good), "--check"]) == 0
 
