Log and count how targets frame their answers

Change: request: answered has the fields framing and rest_bytes (bytes after the last complete event), and agatewing_framings_total counts the framings. No answer changes.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -180,7 +180,9 @@
                 if name.lower() not in CONNECTION_HEADERS
             ]
             self._read_keep_alive(raw)
-            return _messages.AnswerHead(event.status_code, tuple(fields))
+            return _messages.AnswerHead(
+                event.status_code, tuple(fields), _framing(raw)
+            )
 
     def _read_keep_alive(self, headers: _messages.Headers) -> None:
         value = _messages.header(headers, b"keep-alive")
@@ -326,6 +328,15 @@
         self._idle.clear()
 
 
+def _framing(headers: _messages.Headers) -> _messages.Framing:
+    """Return how a body is framed; chunks outrank a length."""
+    if _messages.header(headers, b"transfer-encoding") is not None:
+        return _messages.Framing.CHUNKED
+    if _messages.header(headers, b"content-length") is not None:
+        return _messages.Framing.LENGTH
+    return _messages.Framing.CLOSE
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -52,6 +52,8 @@
     zone: str
     #: Number of forwarded answers by HTTP status.
     answers: collections.Counter[str]
+    #: Number of forwarded answers by the target's framing.
+    framings: collections.Counter[str]
     #: Histograms of answer times.
     metrics: _metrics.Metrics
 
@@ -93,17 +95,23 @@
 
 
 def record_answer(
-    ctx: HandlerContext, job: Job, target: str, status: int, **fields: object
+    ctx: HandlerContext,
+    job: Job,
+    target: str,
+    head: _messages.AnswerHead,
+    **fields: object,
 ) -> None:
     """Count, time and log a target's answer that was forwarded."""
-    ctx.answers[str(status)] += 1
+    ctx.answers[str(head.status)] += 1
+    ctx.framings[str(head.framing)] += 1
     taken_s = ctx.clock.monotonic() - job.req.arrived_at
     ctx.metrics.answer_seconds.observe({"kind": str(job.route.kind)}, taken_s)
     log_event(
         job,
         "answered",
         target=target,
-        status=status,
+        status=head.status,
+        framing=str(head.framing),
         taken_s=round(taken_s, 4),
         **fields,
     )
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -140,6 +140,7 @@
             index,
             self.settings.zone,
             collections.Counter(),
+            collections.Counter(),
             self.metrics,
         )
 
@@ -320,6 +321,12 @@
             "status",
             self.handler_context.answers,
         )
+        metrics.counters(
+            "agatewing_framings_total",
+            "Answers of targets passed on, by how their bodies were framed",
+            "framing",
+            self.handler_context.framings,
+        )
         metrics.counters(
             "agatewing_refused_total",
             "Refusals by kind",
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -1,6 +1,7 @@
 """Requests, answers and outcomes passed between modules of the gateway."""
 
 import dataclasses
+import enum
 import typing
 
 Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -120,14 +121,27 @@
     body: bytes
 
 
+class Framing(enum.StrEnum):
+    """How an answer shows where its body ends (RFC 9112, section 6.3)."""
+
+    #: Content-Length.
+    LENGTH = "length"
+    #: Chunked transfer coding.
+    CHUNKED = "chunked"
+    #: The end of the connection.
+    CLOSE = "close"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of a target's answer."""
+    """Status, headers and framing of a target's answer."""
 
     #: Status code.
     status: int
     #: Headers without connection headers (hop-by-hop).
     headers: Headers
+    #: How the target framed the body.
+    framing: Framing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -145,9 +145,7 @@
     ) -> None:
         fields = without_content_length(answer.head.headers)
         job.conn.answer(answer.head.status, fields, answer.body)
-        _context.record_answer(
-            self._ctx, job, tracked.target.id, answer.head.status
-        )
+        _context.record_answer(self._ctx, job, tracked.target.id, answer.head)
 
 
 def without_content_length(
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -183,7 +183,7 @@
             meter.end()
         if isinstance(outcome, _messages.Answered):
             self._prefill.record_prefix(tracked)
-            self._record_answer(tracked, outcome.head.status)
+            self._record_answer(tracked, outcome.head)
             return True
         self._prepare_retry(tracked, outcome, used_cache)
         return False
@@ -217,7 +217,9 @@
         return self._relay.forward(tracked, result, meter)
 
     def _record_answer(
-        self, tracked: _tracked_target.TrackedTarget, status: int
+        self,
+        tracked: _tracked_target.TrackedTarget,
+        head: _messages.AnswerHead,
     ) -> None:
         first_s = self._relay.first_event_at - self._job.req.arrived_at
         self._ctx.metrics.first_event_seconds.observe(
@@ -227,7 +229,7 @@
             self._ctx,
             self._job,
             tracked.target.id,
-            status,
+            head,
             prefill=self._prefill.engine_id,
             tokens=self._profile.prompt_tokens,
             cached=self._profile.cached.get(
@@ -236,6 +238,7 @@
             events=self._relay.event_count,
             first_s=round(first_s, 4),
             pause_s=round(self._relay.longest_pause_s, 4),
+            rest_bytes=self._relay.rest_bytes,
         )
 
     def _prepare_retry(
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -60,6 +60,7 @@
         assert site.ask(instance, "/other/").status == 404
         text = instance.render_metrics()[0].decode()
     assert 'agatewing_answers_total{status="200"} 1' in text
+    assert 'agatewing_framings_total{framing="length"} 1' in text
     assert 'agatewing_refused_total{kind="not-found"} 1' in text
     assert f"agatewing_config_version {version}" in text
     assert "agatewing_answer_seconds_bucket" in text
