Soak: pass a reset through the link proxy as a reset

Cause: the proxy of the soak closed both sides in order after any error, so that a reset by a target reached the instance as the orderly end of an unframed answer. No network does that. Change: the proxy resets the other side, and a cut link resets its connections.

--- a/agatewing/platform/soak/_proxy.py
+++ b/agatewing/platform/soak/_proxy.py
@@ -26,7 +26,7 @@
     SILENT = "silent"
     #: Requests pass, answers are held back.
     ONE_WAY = "one-way"
-    #: Open connections are closed, new ones are closed at once.
+    #: Open connections are reset, new ones are closed at once.
     CUT = "cut"
 
 
@@ -47,9 +47,9 @@
         self.break_connections()
 
     def break_connections(self) -> None:
-        """Close all open connections; new ones are still accepted."""
+        """Reset all open connections; new ones are still accepted."""
         for sock in list(self._sockets):
-            sock.close()
+            standins.reset(sock)
         self._sockets.clear()
 
     def _serve(self, sock: gevent.socket.socket, _: object) -> None:
@@ -73,14 +73,17 @@
         sink: gevent.socket.socket,
         is_answer: bool,
     ) -> None:
-        """Copy one direction until it ends or breaks; close both sides."""
+        """Copy one direction until it ends or breaks; end both sides.
+
+        A broken connection is reset on the other side too: an orderly close
+        would end an unframed answer.
+        """
         try:
             while data := source.recv(BLOCK_BYTES):
                 self._delay(is_answer)
                 sink.sendall(data)
         except OSError:
-            # The close() calls below pass the break on to the other side.
-            pass
+            standins.reset(sink)
         sink.close()
         source.close()
 
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -312,8 +312,5 @@
 
 def _reset(sock: gevent.socket.socket) -> bool:
     """Close with a TCP reset; return that the connection is not kept."""
-    # A linger time of 0 s makes close() send a reset.
-    linger = b"\1\0\0\0\0\0\0\0"
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    sock.close()
+    _loopback.reset(sock)
     return False
--- a/agatewing/platform/standins/_loopback.py
+++ b/agatewing/platform/standins/_loopback.py
@@ -1,6 +1,10 @@
 """Base class of servers on a free loopback port."""
 
+import errno
+import socket
+
 import gevent.baseserver
+import gevent.socket
 
 
 class Loopback:
@@ -18,3 +22,15 @@
     def stop(self) -> None:
         """Stop the server and close its port."""
         self._server.stop(timeout=0)
+
+
+def reset(sock: gevent.socket.socket) -> None:
+    """Close a connection with a TCP reset; a closed one stays as it is."""
+    try:
+        # A linger time of 0 s makes close() send a reset.
+        linger = b"\1\0\0\0\0\0\0\0"
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    except OSError as exc:
+        if exc.errno != errno.EBADF:
+            raise
+    sock.close()
