Treat a stream that ends inside an event as broken off

Cause: an engine that breaks off an answer without length or chunks closes its connection, which HTTP defines as the end of such an answer. EventRelay took the parser's end of message as the end of the stream, forwarded the unfinished event and ended the chunked answer. Change: after the last byte the stream must be at an event boundary, whatever its framing; an answer that ends with its connection must hold an event. If not, the send counts as broken: a resumable stream goes on at another engine, others are cut off, or refused with 502 before their first event. The soak draws both behaviours.

--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -43,8 +43,13 @@
             raise EventTooLargeError
         return data[:end]
 
+    @property
+    def in_event(self) -> bool:
+        """Whether an event has begun and is not complete."""
+        return bool(self._partial.strip())
+
     def rest(self) -> bytes:
-        """Return the partial event and clear it."""
+        """Return the bytes after the last complete event and clear them."""
         rest, self._partial = self._partial, b""
         return rest
 
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Forwards the events of a stream from one or several engines."""
 
 from agatewing import _clock
+from agatewing.gateway import _channel
 from agatewing.gateway import _context
 from agatewing.gateway import _events
 from agatewing.gateway import _messages
@@ -71,9 +72,12 @@
         if answer.head.status >= 300:
             return self._forward_failure(tracked, answer)
 
+        events_before = self.event_count
+
         def read() -> None:
             while piece := answer.channel.read_piece(self._read_deadline()):
                 self._forward_piece(answer, meter, piece)
+            self._check_end(answer, self.event_count - events_before)
 
         failure = _sender.read_or_close(answer.channel, read)
         if failure is not None:
@@ -81,6 +85,20 @@
         self._finish(tracked, answer)
         return _messages.Answered(answer.head)
 
+    def _check_end(
+        self, answer: _sender.AnswerStarted, event_count: int
+    ) -> None:
+        """Raise :class:`BrokenError` if an answer did not end in order.
+
+        An engine that breaks off may close its connection like one that has
+        finished, so the end of the message alone proves nothing.
+        ``event_count`` is the number of events in this answer.
+        """
+        if self._splitter.in_event:
+            raise _channel.BrokenError("the answer ended inside an event")
+        if answer.head.framing is _messages.Framing.CLOSE and not event_count:
+            raise _channel.BrokenError("the connection ended without an event")
+
     def _forward_piece(
         self,
         answer: _sender.AnswerStarted,
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -21,8 +21,6 @@
 
 Behaviour = standins.Behaviour
 
-#: Behaviours whose fault is listed in KNOWN-RED.txt.
-UNMENDED = {Behaviour.UNFRAMED_CUT, Behaviour.CHUNKED_CUT}
 #: Instances in an episode.
 INSTANCES = 3
 #: Events in each stream.
@@ -195,7 +193,7 @@
             for kind in list(_proxy.ProxyMode)[1:]:
                 fault = functools.partial(_degrade_link, proxy, kind)
                 yield f"link to {target} {kind}", fault
-        for behaviour in [b for b in list(Behaviour)[1:] if b not in UNMENDED]:
+        for behaviour in list(Behaviour)[1:]:
             fault = functools.partial(self._script_behaviour, behaviour)
             yield f"targets {behaviour}", fault
         yield "configuration", self._change_configuration
