Reset a broken stream for callers whose answers end with the connection

What callers saw: a caller of HTTP/1.0 gets a stream without length or chunks; when it broke off, the connection was closed in order, so that the stream looked complete. Cause: CallerConn.close relies on the missing last chunk. Change: an unfinished answer that only the end of the connection delimits is reset. The reset is one function of net, used by the stand-ins too. Evidence: two of the three new cases fail without the change ('complete' is true after CUT and UNFRAMED_CUT).

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -21,6 +21,7 @@
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
 from agatewing.gateway import _refusals
+from agatewing import net
 
 _log = logging.getLogger("agatewing.caller")
 
@@ -358,9 +359,25 @@
     def close(self) -> None:
         """Close the connection; an unfinished answer stays incomplete."""
         self._reader.kill(block=False)
-        self._close_write_side()
+        if self._ends_by_close:
+            net.reset_on_close(self._sock)
+        else:
+            self._close_write_side()
         self._sock.close()
 
+    @property
+    def _ends_by_close(self) -> bool:
+        """Whether an orderly close would end an unfinished answer.
+
+        Callers of HTTP/1.0 get answers without length or chunks.
+        """
+        version = self._parser.their_http_version
+        return (
+            self._parser.our_state is h11.SEND_BODY
+            and version is not None
+            and version < b"1.1"
+        )
+
     def _close_write_side(self) -> None:
         """Shut down the write side first, so that the last answer arrives."""
         try:
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -1,7 +1,6 @@
 """Connections to targets: send a request, read its answer."""
 
 import socket
-import struct
 import typing
 
 import gevent
@@ -25,8 +24,6 @@
 #: Largest body that is sent without a greenlet of its own, in bytes; it fits
 #: into the socket's buffer.
 SMALL_BODY_BYTES = 8_192
-#: Value of SO_LINGER that makes a close reset the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Largest number of answers to other requests that are skipped before the
 #: answer to a request.
 MAX_STRAY_ANSWERS = 2
@@ -277,9 +274,7 @@
     def reset(self) -> None:
         """Reset the connection, so that undelivered bytes never arrive."""
         if self._sock is not None:
-            self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+            net.reset_on_close(self._sock)
         self.close()
 
 
--- a/agatewing/platform/standins/_loopback.py
+++ b/agatewing/platform/standins/_loopback.py
@@ -1,11 +1,12 @@
 """Base class of servers on a free loopback port."""
 
 import errno
-import socket
 
 import gevent.baseserver
 import gevent.socket
 
+from agatewing import net
+
 
 class Loopback:
     """Runs a server on a loopback port."""
@@ -27,9 +28,7 @@
 def reset(sock: gevent.socket.socket) -> None:
     """Close a connection with a TCP reset; a closed one stays as it is."""
     try:
-        # A linger time of 0 s makes close() send a reset.
-        linger = b"\1\0\0\0\0\0\0\0"
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        net.reset_on_close(sock)
     except OSError as exc:
         if exc.errno != errno.EBADF:
             raise
--- a/agatewing/platform/tests/test_broken_streams.py
+++ b/agatewing/platform/tests/test_broken_streams.py
@@ -83,3 +83,31 @@
     assert reply.complete is case.complete
     if case.status == 200:
         assert reply.body == b"".join(EVENTS[: case.received])
+
+
+# A stream that broke off ended in order for callers of HTTP/1.0, whose
+# answers end with the connection.
+@pytest.mark.parametrize(
+    ("behaviour", "whole"),
+    [
+        (Behaviour.CUT, False),
+        (Behaviour.UNFRAMED_CUT, False),
+        (Behaviour.ANSWER, True),
+    ],
+)
+def test_a_broken_stream_is_reset_for_a_caller_of_http_1_0(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    behaviour: Behaviour,
+    whole: bool,
+) -> None:
+    for engine in site.targets.values():
+        engine.script.append(behaviour)
+    fields = {"Host": standins.HOST, "X-Request-Id": "s1", **PROMPT_HEADERS}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    with site.connect(instance) as sock:
+        sock.sendall(f"POST /draft/x HTTP/1.0\r\n{lines}\r\n".encode())
+        reply = standins.read_reply(sock)
+    assert reply.status == 200
+    assert reply.complete is whole
+    assert not whole or reply.body == b"".join(EVENTS)
