Reject a read of the log that ends inside the length of a record

An unframed answer of the log whose connection closes inside the four bytes of a record's length decoded as a whole page. Cause: decode_read stopped quietly at fewer than four remaining bytes. Change: remaining bytes of any number make the answer unusable, as inside a record.

--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -244,7 +244,9 @@
     records: list[gateway.KeyedRecord] = []
     position = READ_HEADER_BYTES
     count = 0
-    while position + RECORD_LENGTH_BYTES <= len(body):
+    while position < len(body):
+        if position + RECORD_LENGTH_BYTES > len(body):
+            return gateway.LogUnavailable("the answer ends inside a length")
         (length,) = struct.unpack_from(">I", body, position)
         position += RECORD_LENGTH_BYTES
         content = body[position : position + length]
