Do not return a JSON answer that its connection cut short

What callers could get: in the product's own interface, a plain target's JSON answer without length or chunks that ends inside its document was returned as whole, and stored for replay if its call was at-most-once. Cause: HTTP ends such an answer with the connection, and net.HttpClient took that for a whole body. Change: a JSON body that ends with its connection must be a document; if not, the call counts as sent without an answer.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -10,6 +10,7 @@
 import geventhttpclient
 from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
+import msgspec
 
 from agatewing import _exceptions
 from agatewing.net import _address
@@ -118,6 +119,18 @@
         """Content type; empty if the answer names none."""
         return str(self._response.get("content-type", "") or "")
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Whether the body has no length and no chunks.
+
+        Its end is then the end of the connection.
+        """
+        headers = self._response
+        return (
+            headers.get("content-length") is None
+            and headers.get("transfer-encoding") is None
+        )
+
     def read_available(self) -> bytes:
         """Wait for body bytes and return those that have arrived.
 
@@ -252,12 +265,17 @@
     ) -> HttpAnswer:
         """Send a request and return the whole answer.
 
-        Raises the errors of ``open`` and ``StreamAnswer.read_all``.
+        Raises the errors of ``open`` and ``StreamAnswer.read_all``, and
+        ``TargetSilentError`` if a JSON answer that ends with its connection
+        is not a whole document.
         """
         answer = self.open(method, path, body, headers, may_send)
-        return HttpAnswer(
-            answer.status, answer.content_type, answer.read_all()
-        )
+        raw = answer.read_all()
+        if answer.ends_by_close and raw and _is_cut_json(answer, raw):
+            raise _exceptions.TargetSilentError(
+                self.address, "connection closed inside a JSON answer"
+            )
+        return HttpAnswer(answer.status, answer.content_type, raw)
 
     def _ensure_connected(self) -> None:
         """Put an open connection into the pool for the next request."""
@@ -274,6 +292,18 @@
         self._client.close()
 
 
+def _is_cut_json(answer: StreamAnswer, body: bytes) -> bool:
+    """Return whether a JSON answer holds no whole document."""
+    media_type = answer.content_type.partition(";")[0].strip().lower()
+    if media_type != "application/json":
+        return False
+    try:
+        msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return True
+    return False
+
+
 class CallOnce(typing.Protocol):
     """The signature of :func:`call_once`, for simulated networks."""
 
--- /dev/null
+++ b/agatewing/net/tests/test_http_client.py
@@ -0,0 +1,66 @@
+"""Answers that are whole, and answers that were broken off."""
+
+import dataclasses
+
+import gevent
+import gevent.server
+import gevent.socket
+import pytest
+
+from agatewing import _exceptions
+from agatewing import net
+
+JSON = "Content-Type: application/json\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    headers: str
+    body: bytes
+    #: Body that the client returns; ``None`` if the answer is broken.
+    read: bytes | None
+    reset: bool = False
+
+
+CASES = {
+    "length": Case("Content-Length: 2\r\n", b"{}", b"{}"),
+    "length, cut": Case("Content-Length: 9\r\n", b"{}", None),
+    "chunks": Case(CHUNKED, b"2\r\n{}\r\n0\r\n\r\n", b"{}"),
+    "chunks, cut in a chunk": Case(CHUNKED, b"5\r\n{}", None),
+    "chunks, last one missing": Case(CHUNKED, b"2\r\n{}\r\n", None),
+    "close": Case("", b"abc", b"abc"),
+    "close, reset": Case("", b"abc", None, reset=True),
+    "close, JSON": Case(JSON, b'{"a": 1}', b'{"a": 1}'),
+    "close, JSON cut": Case(JSON, b'{"a": ', None),
+    "length, no JSON": Case(f"{JSON}Content-Length: 2\r\n", b"{!", b"{!"),
+}
+
+
+# A JSON answer that its connection's end cut short was returned as whole,
+# and stored for replay if its call was at-most-once.
+@pytest.mark.parametrize("name", CASES)
+def test_a_broken_answer_is_not_returned(name: str) -> None:
+    case = CASES[name]
+
+    def serve(sock: gevent.socket.socket, _: object) -> None:
+        sock.recv(65_536)
+        head = f"HTTP/1.1 200 OK\r\n{case.headers}\r\n"
+        sock.sendall(head.encode() + case.body)
+        if case.reset:
+            gevent.sleep(0.02)
+            net.reset_on_close(sock)
+        sock.close()
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client = net.HttpClient(f"127.0.0.1:{server.server_port}")
+    try:
+        if case.read is None:
+            with pytest.raises(_exceptions.TargetSilentError):
+                client.call("GET", "/")
+        else:
+            assert client.call("GET", "/").body == case.read
+    finally:
+        client.close()
+        server.stop(timeout=0)
