Log the software version of engines and what a caller's attempt resumes

Change: the version in a target's entry and the headers Last-Event-Id and Resumes of a request are decoded; request: answered and request: send failed name them. No request is routed differently.

--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -21,6 +21,7 @@
 from agatewing.gateway._messages import PrefixBlock
 from agatewing.gateway._messages import Prompt
 from agatewing.gateway._messages import SendOptions
+from agatewing.gateway._messages import TakeUp
 from agatewing.gateway._ports import EndMismatch
 from agatewing.gateway._ports import HistoryLost
 from agatewing.gateway._ports import KeyedRecord
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -165,6 +165,9 @@
     born_ms: int = 0
     #: Number of the announcement since that start.
     sequence: int = dataclasses.field(default=0, compare=False)
+    #: Version of its software, not of its models' weights; empty if not
+    #: announced.
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -44,6 +44,14 @@
         return [(block.id, block.tokens) for block in self.blocks]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeUp:
+    """Statement of a caller that it continues a stream of earlier attempts."""
+
+    #: Id of the attempt that brought the first event; empty if not stated.
+    first_attempt: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """One request of a caller, read in full."""
@@ -67,6 +75,8 @@
     caller_timeout_s: float | None
     #: Prompt; ``None`` for a request to a plain service.
     prompt: Prompt | None
+    #: Stream that it continues; ``None`` if it begins a new one.
+    take_up: TakeUp | None = None
 
     @property
     def path(self) -> str:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -221,6 +221,7 @@
         tracked: _tracked_target.TrackedTarget,
         head: _messages.AnswerHead,
     ) -> None:
+        take_up = self._job.req.take_up
         first_s = self._relay.first_event_at - self._job.req.arrived_at
         self._ctx.metrics.first_event_seconds.observe(
             {"kind": str(self._job.route.kind)}, max(0.0, first_s)
@@ -239,6 +240,8 @@
             first_s=round(first_s, 4),
             pause_s=round(self._relay.longest_pause_s, 4),
             rest_bytes=self._relay.rest_bytes,
+            software=tracked.target.software,
+            resumes=take_up.first_attempt if take_up is not None else "",
         )
 
     def _prepare_retry(
@@ -268,6 +271,7 @@
             outcome,
             used_cache,
             events=self._relay.event_count,
+            software=tracked.target.software,
         )
         self._relay.prepare_resume()
 
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -60,6 +60,7 @@
             arrived_at,
             _ms_to_seconds(values.get(_names.DEADLINE)),
             _parse_prompt(values),
+            _parse_take_up(values),
         )
 
     def target_request(
@@ -194,6 +195,14 @@
     return int(value) / 1_000
 
 
+def _parse_take_up(values: dict[bytes, bytes]) -> gateway.TakeUp | None:
+    """Return the stream to continue; ``None`` without an event id."""
+    if not values.get(_names.LAST_EVENT_ID, b"").strip():
+        return None
+    first_attempt = values.get(_names.RESUMES, b"").strip()
+    return gateway.TakeUp(first_attempt.decode("latin-1"))
+
+
 def _parse_prompt(values: dict[bytes, bytes]) -> gateway.Prompt | None:
     """Return the prompt that the headers describe.
 
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -37,6 +37,9 @@
 KV_SOURCE = b"x-kv-source"
 #: Id of the last event of a stream that the caller has received.
 LAST_EVENT_ID = b"last-event-id"
+#: Id of the caller's attempt that brought the first event of the stream which
+#: this attempt takes up.
+RESUMES = b"resumes"
 
 #: Headers that only the system may set on a request to a target; those that
 #: a caller sent are removed.
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -90,6 +90,8 @@
     stage: str | None = None
     # Start of the target, in Unix milliseconds.
     born: int = 0
+    # Version of the target's software, not of the entry.
+    version: str = ""
 
 
 class RecordDecoder:
@@ -168,6 +170,7 @@
             raw.cold_left_ms / 1_000,
             raw.born,
             raw.seq,
+            raw.version,
         )
 
 
