--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -111,14 +111,16 @@
         service: str = "chat",
         role: str | None = "decode",
         events: int = 3,
+        **changes: object,
     ) -> _engine.EngineStandin:
         """Start a target and write its entry to the log.
 
-        ``role`` is ``None`` for a target of a plain service.
+        ``role`` is ``None`` for a target of a plain service; ``changes``
+        override fields of the entry.
         """
         engine = _engine.EngineStandin(name, events)
         self.targets[name] = engine
-        self.announce(name, service, role)
+        self.announce(name, service, role, **changes)
         return engine
 
     def announce(
