Resume a stream within an answer only at its software version

Cause: after forwarded events any engine with room was chosen; the version of an engine's software was no part of the choice. Change: once an event was forwarded the request's profile carries the version of its engine, and only engines of that version may decode. If the engine that broke off is the only one, the stream is sent back to it once; if none decodes, the answer is cut off at once, without a wait.

--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -59,6 +59,10 @@
     fetch_source_zone: str = ""
     #: Cost of sending the request to another zone, in seconds.
     cross_zone_s: float = ZONE_ROUND_TRIP_S
+    #: Software version of the engines that may decode the request; ``None``
+    #: if any may. Engines of two versions cannot continue each other's
+    #: streams.
+    software: str | None = None
 
     @property
     def kv_tokens(self) -> int:
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -107,6 +107,8 @@
     slowness: float = 1.0
     #: Share of its normal traffic to send, from outlier detection.
     traffic_share: float = 1.0
+    #: Version of its software.
+    software: str = ""
 
     @property
     def sequences(self) -> int:
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -323,7 +323,7 @@
 ) -> bool:
     """Return whether the engine can be sent this request now.
 
-    The memory of a prefill engine is not checked.
+    Memory and software version of a prefill engine are not checked.
     """
     if not engine.routable or engine.credits <= 0:
         return False
@@ -331,4 +331,6 @@
         return False
     if engine.role is _types.Role.PREFILL:
         return True
+    if profile.software not in (None, engine.software):
+        return False
     return engine.has_memory(profile.kv_tokens)
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -32,6 +32,8 @@
         "_profile",
         "_relay",
         "_prefill",
+        "_broken_engine",
+        "_sent_back",
     )
 
     def __init__(
@@ -47,6 +49,10 @@
         self._profile = profile
         self._relay = _relay.EventRelay(job, ctx.clock, ctx.sender)
         self._prefill = _prefill.Prefill(ctx, job, pool, profile)
+        # Id of the engine that broke the stream off last; empty if none did.
+        self._broken_engine = ""
+        # Whether the stream was resumed on the engine that broke it off.
+        self._sent_back = False
 
     def run(self, route: decisions.Route) -> None:
         """Serve the stream by ``route``; retry on other engines if allowed.
@@ -102,6 +108,8 @@
         That engine also prefills the prompt if no KV cache is to be fetched.
         """
         for _ in self._poll_pool():
+            if not self._can_be_decoded():
+                break
             tracked = self._find_decode_engine()
             if tracked is not None:
                 return tracked
@@ -126,13 +134,39 @@
                 return
             clock.sleep(REROUTE_POLL_S)
 
+    def _avoided(self) -> frozenset[str]:
+        """Return the ids of engines that the request is not sent to.
+
+        The engine that broke the stream off may go on, once, if no other one
+        of its software version decodes.
+        """
+        avoid = frozenset(self._job.excluded)
+        software = self._profile.software
+        if software is None or self._sent_back:
+            return avoid
+        if self._pool.decodes(software, avoid):
+            return avoid
+        return avoid - {self._broken_engine}
+
+    def _can_be_decoded(self) -> bool:
+        """Return whether an engine of the stream's software version decodes.
+
+        A stream without an event is bound to no version.
+        """
+        software = self._profile.software
+        if software is None:
+            return True
+        return self._pool.decodes(software, self._avoided())
+
     def _find_decode_engine(self) -> _tracked_target.TrackedTarget | None:
+        """Return the best engine to decode on; ``None`` if none has room."""
         loads = [
             load
             for load in self._pool.loads()
             if load.role is not _types.Role.PREFILL
         ]
         decode_profile = self._decode_profile()
+        avoid = self._avoided()
         # If no engine has enough memory free for the KV cache, an engine is
         # chosen regardless of its size: waiting would only keep memory
         # occupied, as the prefill engine holds the cache until it is fetched.
@@ -140,10 +174,9 @@
             decode_profile,
             dataclasses.replace(decode_profile, fetched_tokens=0),
         ):
-            route = self._pool.router.choose(
-                profile, loads, frozenset(self._job.excluded)
-            )
+            route = self._pool.router.choose(profile, loads, avoid)
             if isinstance(route, decisions.Single):
+                self._sent_back |= route.engine == self._broken_engine
                 return self._pool.engines[route.engine]
         return None
 
@@ -274,6 +307,11 @@
             software=tracked.target.software,
         )
         self._relay.prepare_resume()
+        self._broken_engine = tracked.target.id
+        if self._relay.event_count:
+            self._profile = dataclasses.replace(
+                self._profile, software=tracked.target.software
+            )
 
     def _next_engine(self) -> _tracked_target.TrackedTarget:
         """Return the engine for the next send.
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -104,6 +104,21 @@
         self._merge_reports()
         return [tracked.load for tracked in self.engines.values()]
 
+    def decodes(
+        self, software: str, avoid: collections.abc.Set[str] = frozenset()
+    ) -> bool:
+        """Return whether an engine of a software version decodes.
+
+        Engines whose ids are in ``avoid`` do not count.
+        """
+        return any(
+            tracked.active
+            and name not in avoid
+            and tracked.target.software == software
+            and tracked.load.role is not _types.Role.PREFILL
+            for name, tracked in self.engines.items()
+        )
+
     def routable(self) -> list[_tracked_target.TrackedTarget]:
         """Return the engines that may get new requests."""
         return [
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -90,6 +90,7 @@
             speed,
         )
         self.load.kv_limit = kv_limit
+        self.load.software = target.software
         #: Smoothed ratio of measured to expected duration.
         self.slowness = decisions.SmoothedRatio(
             alpha=RATIO_ALPHA, half_life_s=RATIO_HALF_LIFE_S, limit=RATIO_LIMIT
@@ -131,6 +132,7 @@
         if target.role is not self.target.role:
             self.changing_until = self.ordered_until = float("-inf")
         self.target = target
+        self.load.software = target.software
         if target.role is not None:
             self.load.role = target.role
 
