Take a stream up only at the software version that began it

Cause: an attempt with Last-Event-Id was routed like a new request; no instance knew where the stream had begun. Evidence: five cases of test_stream_versions fail on the code before. Change: the instance that forwards the first event of a resumable stream remembers service and software version, and tells its peers with its load reports while the service has had engines of more than one version in the last 30 s. An instance that is asked to take a stream up uses its own memory, then the only version of that time, then asks its peers, which know it after a restart of one. If nobody knows, or no engine of the version decodes, it refuses with 503. The memory is bounded by time and number and lost with a restart. agatewing_take_ups_total counts how versions were found.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -54,5 +54,8 @@
 from agatewing.decisions._shared_budget import BudgetBound
 from agatewing.decisions._shared_budget import SharedRetryBudget
 from agatewing.decisions._stall import stall_timeout_s
+from agatewing.decisions._stream_versions import StreamOrigin
+from agatewing.decisions._stream_versions import StreamOrigins
+from agatewing.decisions._stream_versions import VersionHistory
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -17,6 +17,7 @@
 from agatewing.gateway import _ports
 from agatewing.gateway import _refusals
 from agatewing.gateway import _sender
+from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 
 _log = logging.getLogger("agatewing.request")
@@ -48,6 +49,8 @@
     dispatcher: dispatch.Dispatcher
     #: Prefix blocks that each engine has cached, as far as known.
     index: decisions.PlacementIndex
+    #: Software versions that began recent streams.
+    streams: _stream_directory.StreamDirectory
     #: Availability zone of this instance.
     zone: str
     #: Number of forwarded answers by HTTP status.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -24,6 +24,7 @@
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
 from agatewing.gateway import _settings
+from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import net
 from agatewing import wire
@@ -92,6 +93,12 @@
             _settings.peer_seeds(settings),
         )
         index = decisions.PlacementIndex(settings.cache_keep_s)
+        self.streams = _stream_directory.StreamDirectory(
+            clock, self.peers, self._view_age_s
+        )
+        self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
+            self.streams.reply
+        )
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
             net.split_address(settings.peer_address),
@@ -102,6 +109,7 @@
             wire.Codec(settings.peer_secret),
             rng,
             index,
+            self.streams,
             settings.zone,
         )
         self.metrics = _metrics.Metrics()
@@ -138,6 +146,7 @@
             self.budget,
             self.dispatcher,
             index,
+            self.streams,
             self.settings.zone,
             collections.Counter(),
             collections.Counter(),
@@ -171,6 +180,13 @@
             )
         )
 
+    def _view_age_s(self) -> float:
+        """Return the age of the view of the targets, in seconds.
+
+        An instance that hears from others learns of changes from them.
+        """
+        return 0.0 if self.load_reports.alive() else self.catalog.age_s()
+
     def _apply_changes(self) -> None:
         """Apply a change of configuration, targets or instances."""
         configuration = self.catalog.configuration
@@ -181,6 +197,7 @@
         self.dispatcher.instances = instances
         self.registry.instances = instances
         self.registry.apply(configuration.services, self.catalog.targets)
+        self.streams.observe(self.registry.pools)
         self.handler_context.index.retain_engines(self.registry.by_id)
         self.registry.changed.set()
 
@@ -363,6 +380,12 @@
             "Bytes of notes sent to other instances",
             self.load_reports.sent_bytes,
         )
+        metrics.counters(
+            "agatewing_take_ups_total",
+            "Streams that callers took up, by how their version was found",
+            "how",
+            self.streams.take_ups,
+        )
         metrics.counter(
             "agatewing_orders_total",
             "Orders to engines to take a role",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -6,7 +6,7 @@
 one datagram after a change and at most twenty times a second, so that the
 queues are visible within one period. Reports also carry the configuration
 version and the log offset that the sender has read, the role changes that it
-ordered, and prefix cache placements.
+ordered, prefix cache placements, and the streams that it began.
 """
 
 import dataclasses
@@ -22,6 +22,7 @@
 from agatewing import decisions
 from agatewing.gateway import _catalog
 from agatewing.gateway import _peers
+from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import net
 from agatewing import wire
@@ -31,10 +32,6 @@
 #: Least time between two reports of one instance, in seconds: half of the
 #: time in which an engine prefills a prompt of 6,600 tokens.
 MIN_SEND_PERIOD_S = 0.05
-#: Largest number of peers that get one report. With more peers, they are
-#: drawn at random, so that the traffic of one instance does not grow with
-#: the fleet.
-FANOUT = 8
 #: Number of those peers in other zones; traffic between zones is billed.
 OTHER_ZONE_FANOUT = 2
 #: Age at which a report expires, in seconds; its sender may be gone.
@@ -80,6 +77,7 @@
         "_registry",
         "_codec",
         "_index",
+        "_streams",
         "_zone",
         "_random",
         "_socket",
@@ -103,9 +101,11 @@
         codec: wire.Codec,
         rng: random.Random,
         index: decisions.PlacementIndex,
+        streams: _stream_directory.StreamDirectory,
         zone: str,
     ) -> None:
         self._zone = zone
+        self._streams = streams
         self._index = index
         self._name = name
         self._address = address
@@ -173,8 +173,12 @@
     def _send(
         self, sock: gevent.socket.socket, loads: list[wire.EngineWork]
     ) -> None:
-        data = self._encode(loads)
-        for address in self.receivers():
+        begun = self._streams.take_unpublished()
+        data = self._encode(loads, begun)
+        addresses = set(self.receivers())
+        for begin in begun:
+            addresses.update(self._streams.keepers(begin.attempt))
+        for address in addresses:
             try:
                 sock.sendto(data, net.split_address(address))
             except OSError as exc:
@@ -182,7 +186,11 @@
                 continue
             self.sent_bytes += len(data)
 
-    def _encode(self, loads: list[wire.EngineWork]) -> bytes:
+    def _encode(
+        self,
+        loads: list[wire.EngineWork],
+        begun: list[wire.StreamBegin],
+    ) -> bytes:
         """Return the next report, shortened if it exceeds a datagram."""
         self._sequence += 1
         record = wire.WorkNote(
@@ -193,6 +201,7 @@
             through=self._catalog.through,
             changing=self._registry.own_role_changes()[:MAX_ROLE_CHANGES],
             held=self._placements(),
+            begun=begun,
         )
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and (record.work or record.held):
@@ -220,12 +229,12 @@
         the report between zones.
         """
         known = self._peers.known.values()
-        if len(known) <= FANOUT:
+        if len(known) <= _peers.FANOUT:
             return [entry.address for entry in known]
         near = [e.address for e in known if e.zone == self._zone]
         far = [e.address for e in known if e.zone != self._zone]
         others = self._random.sample(far, min(OTHER_ZONE_FANOUT, len(far)))
-        count = min(FANOUT - len(others), len(near))
+        count = min(_peers.FANOUT - len(others), len(near))
         return others + self._random.sample(near, count)
 
     def _receive_forever(self, sock: gevent.socket.socket) -> None:
@@ -242,7 +251,11 @@
                     self.malformed += 1
 
     def handle(self, record: wire.WorkNote) -> None:
-        """Handle a load report of another instance; older ones are ignored."""
+        """Handle a load report of another instance.
+
+        Of one that arrives late, only the streams count.
+        """
+        self._streams.merge(record.begun or ())
         last = self._last_reports.get(record.instance)
         if last is not None and record.sequence <= last.sequence:
             return
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -38,6 +38,10 @@
 #: that it has read further, in seconds: ten times the latency of the log
 #: without load.
 REQUEST_DELAY_S = 0.04
+#: Largest number of peers that get one load report. With more peers, they
+#: are drawn at random, so that the traffic of one instance does not grow with
+#: the fleet.
+FANOUT = 8
 #: Peers asked in one round: more than one, as a peer may be unable to read the
 #: log too.
 PEERS_PER_ROUND = 2
@@ -60,11 +64,12 @@
         "_seeds",
         "_clock",
         "_catalog",
-        "_codec",
+        "codec",
         "_random",
         "_server",
         "_loop",
         "known",
+        "replies",
         "requests_sent",
         "_request_pending",
     )
@@ -85,12 +90,18 @@
         )
         self._clock = clock
         self._catalog = catalog
-        self._codec = codec
+        #: Codec of messages between instances.
+        self.codec = codec
         self._random = rng
         self._server = gevent.server.StreamServer(address, self._serve)
         self._loop: gevent.Greenlet | None = None
         #: Entries of other instances by name.
         self.known: dict[str, PeerEntry] = {}
+        #: Returns the reply to a request for another state than the
+        #: snapshot, given its key; by the stream that the request names.
+        self.replies: dict[
+            str, collections.abc.Callable[[str], wire.StateReply]
+        ] = {}
         #: Number of snapshot requests sent.
         self.requests_sent = 0
         self._request_pending = False
@@ -180,19 +191,9 @@
 
     def _fetch(self, address: str) -> result.Result[_contracts.Snapshot, str]:
         request = wire.StateRequest(stream=SNAPSHOT_STREAM)
-        try:
-            with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
-                host_port = net.split_address(address)
-                sock = gevent.socket.create_connection(host_port)
-                with sock:
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    wire.send_frame(sock, self._codec.encode(request))
-                    data = wire.read_frame(sock)
-        except (OSError, ValueError) as exc:
-            return result.Err(str(exc))
-        match self._codec.decode(wire.StateReply, data):
-            case result.Err(fault):
-                return result.Err(str(fault))
+        match exchange(self.codec, address, request):
+            case result.Err() as failure:
+                return failure
             case result.Ok(reply):
                 pass
         try:
@@ -208,9 +209,10 @@
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("slow peer")):
                 data = wire.read_frame(sock, limit=4_096)
-                match self._codec.decode(wire.StateRequest, data):
-                    case result.Ok():
-                        wire.send_frame(sock, self._codec.encode(self.reply()))
+                match self.codec.decode(wire.StateRequest, data):
+                    case result.Ok(request):
+                        reply = self._reply_to(request)
+                        wire.send_frame(sock, self.codec.encode(reply))
                     case result.Err(exc):
                         _log.warning(
                             "peers: rejected a state request: %s", exc
@@ -220,6 +222,10 @@
         finally:
             sock.close()
 
+    def _reply_to(self, request: wire.StateRequest) -> wire.StateReply:
+        other = self.replies.get(request.stream)
+        return other(request.key or "") if other is not None else self.reply()
+
     def reply(self) -> wire.StateReply:
         """Return the reply that carries the snapshot of this instance."""
         snapshot = self._catalog.snapshot()
@@ -228,3 +234,23 @@
             through=snapshot.through,
             state=msgspec.json.encode(snapshot),
         )
+
+
+def exchange(
+    codec: wire.Codec, address: str, request: wire.StateRequest
+) -> result.Result[wire.StateReply, str]:
+    """Send a request to a peer; return its reply, or why there is none.
+
+    Takes ``EXCHANGE_S`` at most.
+    """
+    try:
+        with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
+            host_port = net.split_address(address)
+            sock = gevent.socket.create_connection(host_port)
+            with sock:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                wire.send_frame(sock, codec.encode(request))
+                data = wire.read_frame(sock)
+    except (OSError, ValueError) as exc:
+        return result.Err(str(exc))
+    return codec.decode(wire.StateReply, data).map_err(str)
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -117,6 +117,31 @@
     )
 
 
+def unknown_stream(rng: random.Random) -> GatewayRefusal:
+    """Return the refusal of a stream whose software version is not known."""
+    return GatewayRefusal(
+        503,
+        _types.RefusalKind.STREAM_LOST,
+        "no instance knows which software version began the stream; send "
+        "the request without Last-Event-Id to begin a new one",
+        NO_TARGET_RETRY_S * (1 + RETRY_JITTER * rng.random()),
+    )
+
+
+def no_version(
+    service: str, software: str, rng: random.Random
+) -> GatewayRefusal:
+    """Return the refusal of a stream whose software version has no engine."""
+    return GatewayRefusal(
+        503,
+        _types.RefusalKind.STREAM_LOST,
+        f"no engine of {service} decodes with software {software}, which "
+        "began the stream; come back later, or send the request without "
+        "Last-Event-Id to begin a new one",
+        NO_TARGET_RETRY_S * (1 + RETRY_JITTER * rng.random()),
+    )
+
+
 def overloaded(
     reason: str, retry_after_s: float = OVERLOADED_RETRY_S
 ) -> GatewayRefusal:
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -1,5 +1,7 @@
 """Forwards the events of a stream from one or several engines."""
 
+import collections.abc
+
 from agatewing import _clock
 from agatewing.gateway import _channel
 from agatewing.gateway import _context
@@ -24,6 +26,7 @@
         "_clock",
         "_sender",
         "_splitter",
+        "_on_begin",
         "_last_event_at",
         "first_event_at",
         "longest_pause_s",
@@ -35,7 +38,12 @@
         job: _context.Job,
         clock: _clock.Clock,
         sender: _sender.Sender,
+        on_begin: collections.abc.Callable[
+            [_tracked_target.TrackedTarget], None
+        ],
     ) -> None:
+        # Called with the engine of the first event before it is forwarded.
+        self._on_begin = on_begin
         self._job = job
         self._clock = clock
         self._sender = sender
@@ -76,7 +84,7 @@
 
         def read() -> None:
             while piece := answer.channel.read_piece(self._read_deadline()):
-                self._forward_piece(answer, meter, piece)
+                self._forward_piece(tracked, answer, meter, piece)
             self._check_end(answer, self.event_count - events_before)
 
         failure = _sender.read_or_close(answer.channel, read)
@@ -101,6 +109,7 @@
 
     def _forward_piece(
         self,
+        tracked: _tracked_target.TrackedTarget,
         answer: _sender.AnswerStarted,
         meter: _meter.LoadMeter,
         piece: bytes,
@@ -110,6 +119,8 @@
             return
         now = self._clock.monotonic()
         meter.mark_prompt_processed(now)
+        if not self.first_event_at:
+            self._on_begin(tracked)
         self._record_event(now)
         self._send_head(answer)
         self._job.conn.write(events)
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -47,7 +47,9 @@
         self._job = job
         self._pool = pool
         self._profile = profile
-        self._relay = _relay.EventRelay(job, ctx.clock, ctx.sender)
+        self._relay = _relay.EventRelay(
+            job, ctx.clock, ctx.sender, self._record_begin
+        )
         self._prefill = _prefill.Prefill(ctx, job, pool, profile)
         # Id of the engine that broke the stream off last; empty if none did.
         self._broken_engine = ""
@@ -249,6 +251,16 @@
         self._prefill.mark_fetched()
         return self._relay.forward(tracked, result, meter)
 
+    def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
+        """Let other instances know which version began the stream."""
+        job = self._job
+        if job.attempts.idempotent and job.req.id and not job.req.take_up:
+            self._ctx.streams.record_begin(
+                decisions.StreamOrigin(
+                    job.req.id, job.service, tracked.target.software
+                )
+            )
+
     def _record_answer(
         self,
         tracked: _tracked_target.TrackedTarget,
--- /dev/null
+++ b/agatewing/gateway/_stream_directory.py
@@ -0,0 +1,215 @@
+"""Finds the software version that began a stream.
+
+Instances tell each other of new streams with their load reports while the
+engines of a service are, or may have been, of several software versions. An
+instance that does not know a stream which a caller takes up asks its peers.
+"""
+
+import collections
+import collections.abc
+
+import gevent
+import msgspec
+import result
+import xxhash
+
+from agatewing import _clock
+from agatewing import decisions
+from agatewing.gateway import _peers
+from agatewing.gateway import _target_registry
+from agatewing import wire
+
+#: Name of the state in requests to peers; the key is the attempt.
+ORIGIN_STREAM = "gateway-stream-origins"
+#: Number of peers that learn of each stream in a fleet where load reports do
+#: not reach all peers: the loss of two leaves one.
+KEEPERS = 3
+#: Largest number of streams in one report, so that it fits into a datagram.
+MAX_BEGUN = 6
+#: Largest number of streams that wait for a report; the oldest are dropped.
+MAX_UNPUBLISHED = 4_096
+#: Age of the view of the log above which a version may have been missed, in
+#: seconds: a read of the log takes up to 4.6 s, and half a second to spare.
+MAX_VIEW_AGE_S = 5.1
+
+
+class _Origin(msgspec.Struct, frozen=True):
+    """Reply of a peer that knows a stream."""
+
+    # Service of the engine that sent its first event.
+    service: str
+    # Version of that engine's software.
+    software: str
+
+
+class StreamDirectory:
+    """Origins of streams, shared with the other instances."""
+
+    __slots__ = (
+        "_clock",
+        "_peers",
+        "_view_age_s",
+        "_origins",
+        "_histories",
+        "_unpublished",
+        "take_ups",
+    )
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        peers: _peers.Peers,
+        view_age_s: collections.abc.Callable[[], float],
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        # Returns the age of this instance's view of the targets, in seconds.
+        self._view_age_s = view_age_s
+        self._origins = decisions.StreamOrigins()
+        # Versions by service.
+        self._histories: collections.defaultdict[
+            str, decisions.VersionHistory
+        ] = collections.defaultdict(decisions.VersionHistory)
+        self._unpublished: collections.deque[decisions.StreamOrigin] = (
+            collections.deque(maxlen=MAX_UNPUBLISHED)
+        )
+        #: Number of streams that callers took up, by how their version was
+        #: found.
+        self.take_ups: collections.Counter[str] = collections.Counter()
+
+    def observe(
+        self, pools: collections.abc.Mapping[str, _target_registry.Pool]
+    ) -> None:
+        """Record the versions of all engines that are announced now.
+
+        If a service had one version before, its recent streams are published.
+        """
+        now = self._clock.monotonic()
+        for name, pool in pools.items():
+            history = self._histories[name]
+            before = history.only(now)
+            history.observe(pool.versions(), now)
+            if before is not None and history.only(now) is None:
+                self._unpublished.extend(
+                    origin
+                    for origin in self._origins.recent(now)
+                    if origin.service == name
+                )
+
+    def record_begin(self, origin: decisions.StreamOrigin) -> None:
+        """Record a stream whose first event is about to be forwarded."""
+        now = self._clock.monotonic()
+        self._origins.record(origin, now)
+        if self._histories[origin.service].only(now) is None:
+            self._unpublished.append(origin)
+
+    def take_unpublished(self) -> list[wire.StreamBegin]:
+        """Remove and return the streams for the next report."""
+        count = min(MAX_BEGUN, len(self._unpublished))
+        origins = [self._unpublished.popleft() for _ in range(count)]
+        return [
+            wire.StreamBegin(
+                attempt=origin.attempt,
+                service_name=origin.service,
+                software=origin.software,
+            )
+            for origin in origins
+        ]
+
+    def merge(self, begun: collections.abc.Iterable[wire.StreamBegin]) -> None:
+        """Record streams that began at another instance."""
+        now = self._clock.monotonic()
+        for begin in begun:
+            self._origins.record(
+                decisions.StreamOrigin(
+                    begin.attempt, begin.service_name, begin.software
+                ),
+                now,
+            )
+
+    def keepers(self, attempt: str) -> list[str]:
+        """Return the addresses of the peers that learn of a stream.
+
+        All of them in a small fleet; otherwise ``KEEPERS``, which all
+        instances choose alike.
+        """
+        known = self._peers.known
+        names = sorted(known)
+        if len(names) > _peers.FANOUT:
+            names.sort(
+                key=lambda name: xxhash.xxh64_intdigest(
+                    f"{name}/{attempt}".encode()
+                )
+            )
+            names = names[:KEEPERS]
+        return [known[name].address for name in names]
+
+    def find(
+        self, attempt: str, service: str
+    ) -> decisions.StreamOrigin | None:
+        """Return the origin of a stream that a caller takes up.
+
+        ``attempt`` is empty if the caller did not name it. Asks the peers if
+        this instance does not know. Returns ``None`` if nobody does.
+        """
+        origin = self._find_here(attempt, service)
+        how = "known"
+        if origin is None:
+            origin = self._ask_peers(attempt, service)
+            how = "peer" if origin is not None else "unknown"
+        self.take_ups[how] += 1
+        return origin
+
+    def _find_here(
+        self, attempt: str, service: str
+    ) -> decisions.StreamOrigin | None:
+        now = self._clock.monotonic()
+        origin = self._origins.find(attempt, now)
+        if origin is not None:
+            return origin
+        only = self._histories[service].only(now)
+        if only is None or self._view_age_s() > MAX_VIEW_AGE_S:
+            return None
+        return decisions.StreamOrigin(attempt, service, only)
+
+    def _ask_peers(
+        self, attempt: str, service: str
+    ) -> decisions.StreamOrigin | None:
+        requests = [
+            gevent.spawn(self._ask, address, attempt, service)
+            for address in self.keepers(attempt)
+        ]
+        for request in gevent.iwait(requests, timeout=_peers.EXCHANGE_S):
+            if request.value is not None:
+                return request.value
+        return None
+
+    def _ask(
+        self, address: str, attempt: str, service: str
+    ) -> decisions.StreamOrigin | None:
+        key = f"{service}/{attempt}"
+        request = wire.StateRequest(stream=ORIGIN_STREAM, key=key)
+        match _peers.exchange(self._peers.codec, address, request):
+            case result.Ok(reply):
+                pass
+            case result.Err():
+                return None
+        try:
+            found = msgspec.json.decode(reply.state, type=_Origin)
+        except msgspec.MsgspecError:
+            # The peer does not know the stream.
+            return None
+        return decisions.StreamOrigin(attempt, found.service, found.software)
+
+    def reply(self, key: str) -> wire.StateReply:
+        """Return the reply to a peer that asks for a stream's origin."""
+        service, _, attempt = key.partition("/")
+        origin = self._find_here(attempt, service)
+        state = b""
+        if origin is not None:
+            state = msgspec.json.encode(
+                _Origin(origin.service, origin.software)
+            )
+        return wire.StateReply(
+            known=origin is not None, through=0, state=state
+        )
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -1,5 +1,7 @@
 """Forwards requests whose answers are streams of events to engines."""
 
+import dataclasses
+
 from agatewing import _exceptions
 from agatewing import _types
 from agatewing import decisions
@@ -35,23 +37,58 @@
 
     def handle(self, job: _context.Job) -> None:
         """Answer one request; raise ``GatewayRefusedError`` if refused."""
+        software = self._find_version(job)
         pool = self._ctx.registry.pools.get(job.service)
         if pool is None or not pool.engines:
             raise _refusals.GatewayRefusedError(
                 _refusals.no_target(job.service, False, self._ctx.rng)
             )
+        if software is not None and not pool.decodes(software):
+            raise _refusals.GatewayRefusedError(
+                _refusals.no_version(job.service, software, self._ctx.rng)
+            )
         now = self._ctx.clock.monotonic()
         pool.refresh(now)
-        profile = self._request_profile(job, pool)
+        profile = dataclasses.replace(
+            self._request_profile(job, pool), software=software
+        )
+        account = job.route.name
+        if software is not None:
+            # Engines of one version may be full while others have room.
+            account = f"{account} of {software}"
         try:
             route = self._ctx.dispatcher.wait_for_route(
-                pool, RouteAccount(job.route.name), profile, job.deadline
+                pool, RouteAccount(account), profile, job.deadline
             )
         except _exceptions.RefusedError as exc:
             raise _context.dispatcher_refusal(exc) from exc
         self._check_patience(job, pool, profile, route)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
+    def _find_version(self, job: _context.Job) -> str | None:
+        """Return the software version that a taken-up stream is bound to.
+
+        ``None`` for a new stream. Sets the job's service to that which began
+        the stream. Raises :class:`GatewayRefusedError` if the version is not
+        known, or the route no longer leads to that service.
+        """
+        take_up = job.req.take_up
+        if take_up is None or not job.attempts.idempotent:
+            return None
+        origin = self._ctx.streams.find(take_up.first_attempt, job.service)
+        if origin is None:
+            raise _refusals.GatewayRefusedError(
+                _refusals.unknown_stream(self._ctx.rng)
+            )
+        if origin.service not in {s.service for s in job.route.shares}:
+            raise _refusals.GatewayRefusedError(
+                _refusals.no_version(
+                    origin.service, origin.software, self._ctx.rng
+                )
+            )
+        job.service = origin.service
+        return origin.software
+
     def _check_patience(
         self,
         job: _context.Job,
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -104,6 +104,14 @@
         self._merge_reports()
         return [tracked.load for tracked in self.engines.values()]
 
+    def versions(self) -> frozenset[str]:
+        """Return the software versions of all engines, leaving ones too."""
+        return frozenset(
+            tracked.target.software
+            for tracked in self.engines.values()
+            if tracked.target.role is not None
+        )
+
     def decodes(
         self, software: str, avoid: collections.abc.Set[str] = frozenset()
     ) -> bool:
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -13,6 +13,7 @@
 from agatewing.gateway import _contracts
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _peers
+from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import wire
 
@@ -63,6 +64,7 @@
         codec,
         rng,
         decisions.PlacementIndex(10.0),
+        _stream_directory.StreamDirectory(clock, peers, catalog.age_s),
         "z",
     )
 
@@ -140,7 +142,7 @@
     reports._zone = "z1"
     for _ in range(20):
         receivers = reports.receivers()
-        assert len(set(receivers)) == _load_reports.FANOUT
+        assert len(set(receivers)) == _peers.FANOUT
         far = [address for address in receivers if zones[address] != "z1"]
         assert len(far) == _load_reports.OTHER_ZONE_FANOUT
 
@@ -172,10 +174,29 @@
         registry.by_id[name].mark_role_change(3.0)
         blocks = [(f"p{number}", 5_000), ("own", 100)]
         reports._index.add(name, blocks, clock.monotonic(), 2.0)
-    data = reports._encode(reports._own_load())
+    streams = reports._streams
+    for number in range(_stream_directory.MAX_BEGUN + 1):
+        attempt = f"{number}".ljust(name_length, "x")
+        streams.record_begin(decisions.StreamOrigin(attempt, "chat", "v1.2"))
+    begun = streams.take_unpublished()
+    data = reports._encode(reports._own_load(), begun)
     assert len(data) <= _load_reports.DATAGRAM_BYTES
     decoded = wire.Codec("a secret of the tests").decode(wire.WorkNote, data)
     read = decoded.unwrap()
     assert read.work
     assert read.held
+    assert len(read.begun) == _stream_directory.MAX_BEGUN
     assert len(read.changing) == _load_reports.MAX_ROLE_CHANGES
+
+
+def test_streams_of_a_late_report_are_remembered(
+    reports: _load_reports.LoadReports,
+) -> None:
+    late = report("i1", 7, 0)
+    late.begun = [
+        wire.StreamBegin(attempt="s1", service_name="chat", software="v1")
+    ]
+    reports.handle(report("i1", 8, 0))
+    reports.handle(late)
+    origin = reports._streams.find("s1", "chat")
+    assert origin == decisions.StreamOrigin("s1", "chat", "v1")
--- a/agatewing/platform/tests/test_stream_versions.py
+++ b/agatewing/platform/tests/test_stream_versions.py
@@ -150,10 +150,16 @@
 
 # A caller that took a stream up at another instance was sent to an engine of
 # another software version.
-def test_a_stream_is_taken_up_at_its_version(site: standins.Site) -> None:
+@pytest.mark.parametrize("first_dies", [False, True])
+def test_a_stream_is_taken_up_at_its_version(
+    site: standins.Site, first_dies: bool
+) -> None:
     add_engines(site, {"e1": "v1", "e2": "v2"})
     first, second = start_pair(site)
     begin_and_break(site, first)
+    if first_dies:
+        site.wait(lambda: second.streams.reply("chat/s1").known)
+        first.kill()
     load(second, "e1")
     reply = take_up(site, second, "s1")
     assert reply.complete
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -596,16 +596,19 @@
     """
     Attributes:
      - stream
+     - key
 
     """
 
     __slots__ = (
         'stream',
+        'key',
     )
 
 
-    def __init__(self, stream=None,):
+    def __init__(self, stream=None, key=None,):
         self.stream = stream
+        self.key = key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -621,6 +624,11 @@
                     self.stream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -635,6 +643,10 @@
             oprot.writeFieldBegin('stream', TType.STRING, 1)
             oprot.writeString(self.stream.encode('utf-8') if sys.version_info[0] == 2 else self.stream)
             oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -984,6 +996,104 @@
         return not (self == other)
 
 
+class StreamBegin(object):
+    """
+    Attributes:
+     - attempt
+     - service_name
+     - software
+
+    """
+
+    __slots__ = (
+        'attempt',
+        'service_name',
+        'software',
+    )
+
+
+    def __init__(self, attempt=None, service_name=None, software=None,):
+        self.attempt = attempt
+        self.service_name = service_name
+        self.software = software
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamBegin')
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 1)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 3)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.software is None:
+            raise TProtocolException(message='Required field software is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkNote(object):
     """
     Attributes:
@@ -994,6 +1104,7 @@
      - through
      - changing
      - held
+     - begun
 
     """
 
@@ -1005,10 +1116,11 @@
         'through',
         'changing',
         'held',
+        'begun',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -1016,6 +1128,7 @@
         self.through = through
         self.changing = changing
         self.held = held
+        self.begun = begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1078,6 +1191,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.begun = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = StreamBegin()
+                        _elem37.read(iprot)
+                        self.begun.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1099,8 +1223,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter32 in self.work:
-                iter32.write(oprot)
+            for iter38 in self.work:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1114,15 +1238,22 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter33 in self.changing:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.changing:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter34 in self.held:
-                iter34.write(oprot)
+            for iter40 in self.held:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.begun))
+            for iter41 in self.begun:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1203,6 +1334,7 @@
 StateRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
 )
 all_structs.append(StateReply)
 StateReply.thrift_spec = (
@@ -1227,6 +1359,13 @@
     (2, TType.I64, 'chain', None, None, ),  # 2
     (3, TType.I32, 'ready_ms', None, None, ),  # 3
 )
+all_structs.append(StreamBegin)
+StreamBegin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'software', 'UTF8', None, ),  # 3
+)
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
     None,  # 0
@@ -1237,6 +1376,7 @@
     (5, TType.I64, 'through', None, None, ),  # 5
     (6, TType.LIST, 'changing', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.LIST, 'held', (TType.STRUCT, [PartsHeld, None], False), None, ),  # 7
+    (8, TType.LIST, 'begun', (TType.STRUCT, [StreamBegin, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -59,6 +59,8 @@
 // Request for the replicated state of a log stream, over TCP.
 struct StateRequest {
   1: required string stream,
+  // Asks for one key of the state only.
+  2: optional string key,
 }
 
 struct StateReply {
@@ -89,6 +91,15 @@
   3: required i32 ready_ms,
 }
 
+// A stream of events that began recently.
+struct StreamBegin {
+  // Id of the caller's attempt.
+  1: required string attempt,
+  2: required string service_name,
+  // Version of the software of the engine that sent its first event.
+  3: required string software,
+}
+
 // Load report: load of one instance at all engines, in a separate datagram.
 struct WorkNote {
   1: required string instance,
@@ -104,4 +115,6 @@
   6: required list<string> changing,
   // New placements of prefix blocks since the previous report.
   7: required list<PartsHeld> held,
+  // Streams that began at the sender since the previous report.
+  8: optional list<StreamBegin> begun,
 }
