Give a software version that decodes a second decode engine

Cause: the role plan did not know versions. Change: plan_roles pairs a single decode engine with another of its version where there is one, and then takes the surplus engine from a version with a single one. Plans for one version are unchanged.

--- a/agatewing/decisions/tests/test_role_plan.py
+++ b/agatewing/decisions/tests/test_role_plan.py
@@ -84,3 +84,74 @@
     assert decisions.plan_roles(list(present.values()), share) == ()
     if len(present) > 1:
         assert {e.role for e in present.values()} == {P, D}
+
+
+def versions(text: str) -> list[decisions.RolePlanEngine]:
+    """Return engines written like ``a:D``, with their software version."""
+    roles = {"P": P, "D": D}
+    return [
+        decisions.RolePlanEngine(
+            f"e{number}", "z", roles[role], software=software
+        )
+        for number, (software, _, role) in enumerate(
+            word.partition(":") for word in text.split()
+        )
+    ]
+
+
+def carry_out(
+    present: list[decisions.RolePlanEngine],
+) -> list[decisions.RolePlanEngine]:
+    """Return the engines after one plan was carried out."""
+    moves = {m.engine: m.role for m in decisions.plan_roles(present, SHARE)}
+    return [
+        dataclasses.replace(e, role=moves.get(e.name, e.role)) for e in present
+    ]
+
+
+# The engines that decoded were of two versions. When one crashed, the streams
+# of its version could go on nowhere, though others of its version served.
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        ("a:D a:P a:P b:D b:P", "a:D a:D a:P b:P b:P"),
+        ("a:D a:P b:P b:D b:P", "a:P a:P b:D b:D b:P"),
+        # The other version has no engine to spare.
+        ("a:D b:D b:P b:P c:P", "a:P b:D b:D b:P c:P"),
+        # Neither has.
+        ("a:D b:D c:P c:P c:P", "a:D b:D c:P c:P c:P"),
+        # A decode engine was lost.
+        ("a:D a:P b:P b:P", "a:D a:D b:P b:P"),
+        ("a:P b:P b:P c:P c:P c:P", "a:P b:P b:P c:D c:D c:D"),
+        # Three are wanted; two pairs are kept rather than split.
+        ("a:D a:D a:P a:P b:D b:P b:P", "a:D a:D a:P a:P b:D b:D b:P"),
+        # Too many decode.
+        ("a:D a:D b:D b:P b:P", "a:D a:D b:P b:P b:P"),
+    ],
+)
+def test_a_version_that_decodes_has_two_decode_engines(
+    before: str, after: str
+) -> None:
+    present = versions(before)
+    for _ in range(4):
+        present = carry_out(present)
+    assert present == versions(after)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("abc"), strategies.sampled_from("PD")
+        ),
+        min_size=3,
+        max_size=12,
+    )
+)
+def test_plans_with_several_versions_come_to_rest(
+    drawn: list[tuple[str, str]],
+) -> None:
+    present = versions(" ".join(":".join(pair) for pair in drawn))
+    for _ in range(len(present) + 2):
+        present = carry_out(present)
+    assert decisions.plan_roles(present, SHARE) == ()
+    assert {e.role for e in present} == {P, D}
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -169,6 +169,7 @@
                     sent.role if sent else role,
                     tracked.load.sequences,
                     sent is not None,
+                    tracked.target.software,
                 )
             )
         return engines
