Generate a relayed stream on only at its software version

What callers could get: in the product's own interface, a stream whose engine was lost went on at any engine, from the same seed; another software version need not generate the same events. Cause: neither load reports nor resume handles named the version. Change: engines name it in their load report, the signed handle in event ids carries it, and a relay goes on only at that version. A handle without it, of an earlier build, binds to none, as before.

--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -1,6 +1,7 @@
 """Answers /v1/completions and /v1/chat/completions."""
 
 import collections.abc
+import dataclasses
 import random
 
 import msgspec
@@ -158,6 +159,9 @@
         digest = _resume.body_digest(req.body)
         _resume.check_resume(handle, req.identity.name, digest)
         call = _engine_call(handle.stream, body, handle.seed, handle.created)
+        profile = dataclasses.replace(
+            profile, software=handle.software or None
+        )
         relay = _relay.Relay(
             self._deps, pool, call, profile, deadline, position
         )
@@ -359,6 +363,7 @@
             self.call.seed,
             self.call.created,
             digest,
+            self._relay.software or "",
         )
 
 
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -1,6 +1,7 @@
 """Relays one stream of events; replaces engines that fail."""
 
 import collections.abc
+import dataclasses
 import functools
 import logging
 
@@ -84,6 +85,11 @@
         #: Whether any engine has accepted the request.
         self.ever_accepted = False
 
+    @property
+    def software(self) -> str | None:
+        """Software version that began the stream; ``None`` before that."""
+        return self._profile.software
+
     @property
     def engine(self) -> str:
         """Name of the current engine; empty if there is none."""
@@ -177,6 +183,7 @@
 
     def _check_progress(self, block: bytes, now: float) -> None:
         if block:
+            self._bind_version()
             self._progress_at = now
             self._resume_attempts = 0
         elif (
@@ -187,6 +194,16 @@
                 self.engine, f"no token for {STALL_TIMEOUT_S:g} s"
             )
 
+    def _bind_version(self) -> None:
+        """Let only engines of the present software version go on.
+
+        The same request generates the same events only at one version.
+        """
+        if self._profile.software is None and self._target is not None:
+            self._profile = dataclasses.replace(
+                self._profile, software=self._target.load.software
+            )
+
     def _prefill_allowance_s(self) -> float:
         """Return the extra time allowed for the prompt, in seconds.
 
@@ -371,7 +388,10 @@
 
     def _first_routable(self) -> decisions.Route | None:
         """Return a route to a routable engine, whatever its credits."""
+        software = self._profile.software
         for target in self._pool.routable():
+            if software not in (None, target.load.software):
+                continue
             if target.name not in self._avoid:
                 return decisions.Single(target.name, 0.0)
         return None
--- a/agatewing/entry/_resume.py
+++ b/agatewing/entry/_resume.py
@@ -30,6 +30,9 @@
     created: int
     # Digest of the request body.
     body_digest: bytes
+    # Software version of the engine that sent the first event; empty if not
+    # known.
+    software: str = ""
 
 
 def body_digest(raw: bytes) -> bytes:
--- a/agatewing/fleet/_targets.py
+++ b/agatewing/fleet/_targets.py
@@ -57,6 +57,8 @@
     prefill_tokens_per_s: float = 8_000.0
     # Duration of a step at the current load, in seconds.
     step_s: float = 0.02
+    # Version of the engine's software, not of its models.
+    software: str = ""
 
 
 class EngineTarget:
@@ -157,6 +159,7 @@
         self.draining = report.draining
         load = self.load
         load.role = report.role
+        load.software = report.software
         load.reported_sequences = report.running + report.queued
         load.reported_tokens = float(report.queued_tokens)
         speed = load.speed
