Resume a stream only after an event with an id

What callers could get: a stream whose engine broke off after a comment, or after an event without an id, was sent to another engine without Last-Event-Id and its events came twice (ORDER). Cause: comments counted as events, and the last one was parsed for an id without a check that it had one. Change: comments are forwarded but are no events; a stream whose last event has no id is cut off. Comments no longer count as the first event either. Measured: two of the three new cases fail without the change; the third, a comment before any event, passes with and without it. Tests of platform and gateway pass.

--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         self._partial = b""
-        #: Number of complete events returned by ``feed``.
+        #: Number of complete events returned by ``feed``, without comments.
         self.events = 0
         #: The last complete event.
         self.last = b""
@@ -32,12 +32,13 @@
         Raises ``EventTooLargeError`` if the partial event is too large.
         """
         data = self._partial + data if self._partial else data
-        end = start = 0
+        end = 0
         for match in _END.finditer(data):
             start, end = end, match.end()
-            self.events += 1
-        if end:
-            self.last = data[start:end]
+            event = data[start:end]
+            if not _is_comment(event):
+                self.events += 1
+                self.last = event
         self._partial = data[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLargeError
@@ -56,3 +57,10 @@
     def drop_partial(self) -> None:
         """Discard the partial event, for example of a broken connection."""
         self._partial = b""
+
+
+def _is_comment(event: bytes) -> bool:
+    """Return whether all lines are comments, so that there is no event."""
+    return event.startswith(b":") and all(
+        line.startswith(b":") for line in event.strip().splitlines()
+    )
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -114,16 +114,18 @@
         meter: _meter.LoadMeter,
         piece: bytes,
     ) -> None:
-        events = self._splitter.feed(piece)
-        if not events:
+        events_before = self.event_count
+        data = self._splitter.feed(piece)
+        if not data:
             return
-        now = self._clock.monotonic()
-        meter.mark_prompt_processed(now)
-        if not self.first_event_at:
-            self._on_begin(tracked)
-        self._record_event(now)
+        if self.event_count > events_before:
+            now = self._clock.monotonic()
+            meter.mark_prompt_processed(now)
+            if not self.first_event_at:
+                self._on_begin(tracked)
+            self._record_event(now)
         self._send_head(answer)
-        self._job.conn.write(events)
+        self._job.conn.write(data)
 
     def _record_event(self, now: float) -> None:
         if self.first_event_at:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -228,11 +228,7 @@
     ) -> _messages.Outcome:
         """Send the request and forward the answer; return the outcome."""
         job = self._job
-        last_event_id = None
-        if self._relay.event_count:
-            last_event_id = self._ctx.dialect.last_event_id(
-                self._relay.last_event
-            )
+        last_event_id = self._last_event_id()
         options = self._prefill.send_options(tracked, False, last_event_id)
         sender = self._ctx.sender
         stall = None
@@ -251,6 +247,15 @@
         self._prefill.mark_fetched()
         return self._relay.forward(tracked, result, meter)
 
+    def _last_event_id(self) -> bytes | None:
+        """Return the id of the last forwarded event.
+
+        ``None`` if it has none, or no event was forwarded.
+        """
+        if not self._relay.event_count:
+            return None
+        return self._ctx.dialect.last_event_id(self._relay.last_event)
+
     def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
         """Let other instances know which version began the stream."""
         job = self._job
@@ -321,6 +326,10 @@
         self._relay.prepare_resume()
         self._broken_engine = tracked.target.id
         if self._relay.event_count:
+            if self._last_event_id() is None:
+                raise _context.give_up_error(
+                    self._job, "the last event has no id to resume after"
+                )
             self._profile = dataclasses.replace(
                 self._profile, software=tracked.target.software
             )
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -60,6 +60,17 @@
     UNFRAMED_CUT = "unframed-cut"
     #: Ends a chunked stream in order, but inside its last event.
     CHUNKED_CUT = "chunked-cut"
+    #: Sends a comment in place of the last event of a stream, then closes.
+    COMMENT_CUT = "comment-cut"
+    #: Sends an event without an id in place of the last one, then closes.
+    NO_ID_CUT = "no-id-cut"
+
+
+#: What some behaviours send in place of the last event of a stream.
+LAST_PIECES = {
+    Behaviour.COMMENT_CUT: b": ping\n\n",
+    Behaviour.NO_ID_CUT: b"data: no id\n\n",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,6 +269,10 @@
             if behaviour is Behaviour.CUT and number == self.events:
                 sock.sendall(b"%x\r\n" % len(event) + event[:7])
                 return False
+            if behaviour in LAST_PIECES and number == self.events:
+                piece = LAST_PIECES[behaviour]
+                sock.sendall(b"%x\r\n" % len(piece) + piece + b"\r\n")
+                return False
             if behaviour is Behaviour.CHUNKED_CUT and number == self.events:
                 event = event[:-UNSENT_BYTES]
             sock.sendall(b"%x\r\n" % len(event) + event + b"\r\n")
--- a/agatewing/platform/tests/test_broken_streams.py
+++ b/agatewing/platform/tests/test_broken_streams.py
@@ -111,3 +111,38 @@
     assert reply.status == 200
     assert reply.complete is whole
     assert not whole or reply.body == b"".join(EVENTS)
+
+
+# A stream that broke off after a comment, or after an event without an id,
+# was resumed without a position, so that its events came twice.
+@pytest.mark.parametrize(
+    ("behaviour", "events", "body", "complete"),
+    [
+        (
+            Behaviour.COMMENT_CUT,
+            3,
+            [*EVENTS[:2], b": ping\n\n", EVENTS[2]],
+            True,
+        ),
+        # No event was forwarded, so another engine begins the stream.
+        (Behaviour.COMMENT_CUT, 1, [b": ping\n\n", EVENTS[0]], True),
+        (Behaviour.NO_ID_CUT, 3, [*EVENTS[:2], b"data: no id\n\n"], False),
+    ],
+)
+def test_a_stream_is_resumed_only_after_an_event_with_an_id(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    behaviour: Behaviour,
+    events: int,
+    body: list[bytes],
+    complete: bool,
+) -> None:
+    for engine in site.targets.values():
+        engine.events = events
+    site.targets["e1"].script.append(behaviour)
+    # 1,000 queued tokens make e2 the second choice.
+    instance.registry.by_id["e2"].record_sent(1_000)
+    reply = site.ask(instance, "/chat/x", "s1", PROMPT_HEADERS)
+    assert reply.status == 200
+    assert reply.complete is complete
+    assert reply.body == b"".join(body)
