--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -30,7 +30,6 @@
         "_last_event_at",
         "first_event_at",
         "longest_pause_s",
-        "rest_bytes",
     )
 
     def __init__(
@@ -53,8 +52,6 @@
         self.first_event_at = 0.0
         #: Longest time between two events, in seconds.
         self.longest_pause_s = 0.0
-        #: Bytes after the last complete event at the end of the answer.
-        self.rest_bytes = 0
 
     @property
     def event_count(self) -> int:
@@ -178,7 +175,6 @@
         conn = self._job.conn
         self._send_head(answer)
         rest = self._splitter.rest()
-        self.rest_bytes = len(rest)
         if rest:
             conn.write(rest)
         conn.end()
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -289,7 +289,6 @@
             events=self._relay.event_count,
             first_s=round(first_s, 4),
             pause_s=round(self._relay.longest_pause_s, 4),
-            rest_bytes=self._relay.rest_bytes,
             software=tracked.target.software,
             resumes=take_up.first_attempt if take_up is not None else "",
         )
