Take up unknown streams while one version serves

Cause: the only version counted as certain only after it had been observed for 30 s, and peers were asked for the stream but not for what they had observed. Change: a peer's reply names the versions that it has seen lately and whether its view is current. If nobody knows the stream and all together have seen one version, it goes on there. A view that is older than a read of the log counts neither for this nor as a reason not to share new streams.

--- a/agatewing/decisions/_stream_versions.py
+++ b/agatewing/decisions/_stream_versions.py
@@ -104,10 +104,13 @@
         """
         if self._since is None or now - self._since < KEEP_S:
             return None
-        versions = set(self._present)
-        versions.update(
+        versions = self.lately(now)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def lately(self, now: float) -> frozenset[str]:
+        """Return all versions observed in the last ``KEEP_S``."""
+        return self._present | {
             version
             for version, at in self._gone_at.items()
             if now - at < KEEP_S
-        )
-        return versions.pop() if len(versions) == 1 else None
+        }
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -94,7 +94,7 @@
         )
         index = decisions.PlacementIndex(settings.cache_keep_s)
         self.streams = _stream_directory.StreamDirectory(
-            clock, self.peers, self._view_age_s
+            clock, self.peers, self.catalog.age_s
         )
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
@@ -180,13 +180,6 @@
             )
         )
 
-    def _view_age_s(self) -> float:
-        """Return the age of the view of the targets, in seconds.
-
-        An instance that hears from others learns of changes from them.
-        """
-        return 0.0 if self.load_reports.alive() else self.catalog.age_s()
-
     def _apply_changes(self) -> None:
         """Apply a change of configuration, targets or instances."""
         configuration = self.catalog.configuration
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import logging
 
 import gevent
 import msgspec
@@ -19,6 +20,8 @@
 from agatewing.gateway import _target_registry
 from agatewing import wire
 
+_log = logging.getLogger("agatewing.streams")
+
 #: Name of the state in requests to peers; the key is the attempt.
 ORIGIN_STREAM = "gateway-stream-origins"
 #: Number of peers that learn of each stream in a fleet where load reports do
@@ -33,13 +36,15 @@
 MAX_VIEW_AGE_S = 5.1
 
 
-class _Origin(msgspec.Struct, frozen=True):
-    """Reply of a peer that knows a stream."""
+class _Reply(msgspec.Struct, frozen=True):
+    """What a peer knows of a stream."""
 
-    # Service of the engine that sent its first event.
-    service: str
-    # Version of that engine's software.
-    software: str
+    # Software versions that the engines of the service have had lately.
+    versions: frozenset[str]
+    # Whether the peer has read the log so recently that it missed none.
+    current: bool
+    # Origin of the stream; ``None`` if the peer does not know it.
+    origin: decisions.StreamOrigin | None = None
 
 
 class StreamDirectory:
@@ -100,7 +105,7 @@
         """Record a stream whose first event is about to be forwarded."""
         now = self._clock.monotonic()
         self._origins.record(origin, now)
-        if self._histories[origin.service].only(now) is None:
+        if self._only_version(origin.service, now) is None:
             self._unpublished.append(origin)
 
     def take_unpublished(self) -> list[wire.StreamBegin]:
@@ -150,66 +155,86 @@
         """Return the origin of a stream that a caller takes up.
 
         ``attempt`` is empty if the caller did not name it. Asks the peers if
-        this instance does not know. Returns ``None`` if nobody does.
+        this instance does not know. If nobody does, the stream began at the
+        only version that anybody has seen lately; returns ``None`` if there
+        are several, or if this instance may have missed one.
         """
-        origin = self._find_here(attempt, service)
+        now = self._clock.monotonic()
+        only = self._only_version(service, now)
+        origin = self._origins.find(attempt, now)
         how = "known"
+        if origin is None and only is not None:
+            origin = decisions.StreamOrigin(attempt, service, only)
         if origin is None:
             origin = self._ask_peers(attempt, service)
             how = "peer" if origin is not None else "unknown"
         self.take_ups[how] += 1
         return origin
 
-    def _find_here(
-        self, attempt: str, service: str
-    ) -> decisions.StreamOrigin | None:
-        now = self._clock.monotonic()
-        origin = self._origins.find(attempt, now)
-        if origin is not None:
-            return origin
-        only = self._histories[service].only(now)
-        if only is None or self._view_age_s() > MAX_VIEW_AGE_S:
+    def _only_version(self, service: str, now: float) -> str | None:
+        """Return the version that began all recent streams of a service.
+
+        ``None`` if there may have been several.
+        """
+        if not self._view_is_current:
             return None
-        return decisions.StreamOrigin(attempt, service, only)
+        return self._histories[service].only(now)
+
+    @property
+    def _view_is_current(self) -> bool:
+        return self._view_age_s() <= MAX_VIEW_AGE_S
 
     def _ask_peers(
         self, attempt: str, service: str
     ) -> decisions.StreamOrigin | None:
+        versions = self._histories[service].lately(self._clock.monotonic())
+        current = self._view_is_current
         requests = [
             gevent.spawn(self._ask, address, attempt, service)
             for address in self.keepers(attempt)
         ]
         for request in gevent.iwait(requests, timeout=_peers.EXCHANGE_S):
-            if request.value is not None:
-                return request.value
-        return None
+            reply: _Reply | None = request.value
+            if reply is None:
+                continue
+            if reply.origin is not None:
+                return reply.origin
+            versions |= reply.versions
+            current |= reply.current
+        if len(versions) != 1 or not current:
+            return None
+        return decisions.StreamOrigin(attempt, service, *versions)
 
-    def _ask(
-        self, address: str, attempt: str, service: str
-    ) -> decisions.StreamOrigin | None:
+    def _ask(self, address: str, attempt: str, service: str) -> _Reply | None:
         key = f"{service}/{attempt}"
         request = wire.StateRequest(stream=ORIGIN_STREAM, key=key)
         match _peers.exchange(self._peers.codec, address, request):
-            case result.Ok(reply):
+            case result.Ok(answer):
                 pass
-            case result.Err():
+            case result.Err(reason):
+                _log.info(
+                    "streams: no reply from a peer",
+                    extra={"instance": address, "reason": reason},
+                )
                 return None
         try:
-            found = msgspec.json.decode(reply.state, type=_Origin)
-        except msgspec.MsgspecError:
-            # The peer does not know the stream.
+            return msgspec.json.decode(answer.state, type=_Reply)
+        except msgspec.MsgspecError as exc:
+            _log.info(
+                "streams: reply of a peer ignored, it cannot be decoded",
+                extra={"instance": address, "reason": str(exc)},
+            )
             return None
-        return decisions.StreamOrigin(attempt, found.service, found.software)
 
     def reply(self, key: str) -> wire.StateReply:
         """Return the reply to a peer that asks for a stream's origin."""
         service, _, attempt = key.partition("/")
-        origin = self._find_here(attempt, service)
-        state = b""
-        if origin is not None:
-            state = msgspec.json.encode(
-                _Origin(origin.service, origin.software)
-            )
+        now = self._clock.monotonic()
+        origin = self._origins.find(attempt, now)
+        versions = self._histories[service].lately(now)
+        known = _Reply(versions, self._view_is_current, origin)
         return wire.StateReply(
-            known=origin is not None, through=0, state=state
+            known=origin is not None,
+            through=0,
+            state=msgspec.json.encode(known),
         )
--- a/agatewing/platform/tests/test_stream_versions.py
+++ b/agatewing/platform/tests/test_stream_versions.py
@@ -183,6 +183,19 @@
     assert engines_of(site, "s2") == ["e1"]
 
 
+# While one version serves, streams that nobody knows were refused, for
+# instance after all instances had been killed.
+@pytest.mark.parametrize("stream", ["unknown", ""])
+def test_an_unknown_stream_goes_on_while_one_version_serves(
+    site: standins.Site, stream: str
+) -> None:
+    add_engines(site, {"e1": "v1", "e2": "v1"})
+    for made in start_pair(site):
+        reply = take_up(site, made, stream)
+        assert reply.complete
+        assert reply.body == EVENTS[2]
+
+
 # A stream whose version is not known, or serves no longer, went on anywhere.
 @pytest.mark.parametrize("stream", ["s1", "unknown", ""])
 def test_a_stream_that_cannot_go_on_is_refused(
