Soak: two software versions, and callers that take streams up

Engines of two versions serve the streams; a caller whose resumable stream broke off takes it up once at any instance. The checks find events of two versions in a stream, and pieces that come twice or are missing over its attempts.

--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -17,8 +17,12 @@
     id: str
     #: Whether the request may run more than once.
     idempotent: bool
-    #: Events expected in the answer; 0 for a plain request.
+    #: Events of the whole stream; 0 for a plain request.
     events: int
+    #: Attempt that began the stream; empty if this one begins it.
+    resumes: str = ""
+    #: Number of events that the caller had before.
+    after: int = 0
 
 
 class CallerRecords:
@@ -79,7 +83,27 @@
                     )
             if reply.status == 200 and reply.complete:
                 violations += _wrong_body(attempt, reply)
-        return violations
+        return violations + self._mixed_versions()
+
+    def _mixed_versions(self) -> list[str]:
+        """Return the streams with events of several software versions.
+
+        The data of an event end with the version of its engine.
+        """
+        versions: dict[str, set[bytes]] = collections.defaultdict(set)
+        for name, reply in self._replies.items():
+            attempt = self._attempts[name]
+            if attempt.events and reply.status == 200:
+                versions[attempt.resumes or name].update(
+                    event.split()[-1]
+                    for event in reply.body.split(b"\n\n")[:-1]
+                    if event.startswith(b"id: ")
+                )
+        return [
+            f"ORDER: stream {name} has events of {sorted(found)}"
+            for name, found in versions.items()
+            if len(found) > 1
+        ]
 
 
 def _wrong_body(attempt: Attempt, reply: standins.Reply) -> list[str]:
@@ -89,11 +113,14 @@
         if reply.body != expected:
             return [f"MIXED: {attempt.id} got {reply.body[:40]!r}"]
         return []
-    ids = [
-        int(line[4:])
-        for line in reply.body.split(b"\n")
-        if line.startswith(b"id: ")
-    ]
-    if ids != list(range(1, attempt.events + 1)):
+    ids = event_ids(reply.body)
+    if ids != list(range(attempt.after + 1, attempt.events + 1)):
         return [f"ORDER: {attempt.id} got events {ids}"]
     return []
+
+
+def event_ids(body: bytes) -> list[int]:
+    """Return the ids of the events in a body."""
+    return [
+        int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")
+    ]
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -114,17 +114,25 @@
         site.route("/draft/", "streaming", sticky=True)
         site.route("/chat/", "streaming", sticky=True, resumable=True)
         self._proxies: dict[str, _proxy.Proxy] = {}
-        for name, service, role in (
-            ("t1", "ledger", None),
-            ("t2", "ledger", None),
-            ("e1", "chat", "decode"),
-            ("e2", "chat", "decode"),
-            ("p1", "chat", "prefill"),
+        for name, service, role, version in (
+            ("t1", "ledger", None, "v1"),
+            ("t2", "ledger", None, "v1"),
+            ("e1", "chat", "decode", "v1"),
+            ("e2", "chat", "decode", "v1"),
+            ("e3", "chat", "decode", "v2"),
+            ("p1", "chat", "prefill", "v2"),
         ):
             engine = site.add_target(name, service, role, EVENTS)
+            engine.event_suffix = f" {version}"
             self._proxies[name] = _proxy.Proxy(engine.address)
-            address = self._proxies[name].address
-            site.announce(name, service, role, address=address, seq=2)
+            site.announce(
+                name,
+                service,
+                role,
+                address=self._proxies[name].address,
+                version=version,
+                seq=2,
+            )
         self._log_proxy = _proxy.Proxy(site.store.address)
         site.publish()
         self._settings = {
@@ -272,6 +280,28 @@
             if not reply.complete or not keep_alive:
                 sock.close()
                 sock = None
+            if path == "/chat/x" and not reply.complete:
+                self._take_up(attempt, reply, rng)
+
+    def _take_up(
+        self,
+        began: _checks.Attempt,
+        reply: standins.Reply,
+        rng: random.Random,
+    ) -> None:
+        """Take a stream that broke off up once, at any instance."""
+        ids = _checks.event_ids(reply.body.rpartition(b"\n\n")[0])
+        if not ids:
+            return
+        attempt = dataclasses.replace(
+            began, id=f"{began.id}r", resumes=began.id, after=ids[-1]
+        )
+        self._records.record_attempt(attempt)
+        sock = self._connect(rng.choice(list(self._settings)), None)
+        if sock is not None:
+            again = _send_attempt(sock, "/chat/x", attempt, rng)
+            self._records.record_reply(attempt.id, again)
+            sock.close()
 
     def _connect(
         self, name: str, previous: gevent.socket.socket | None
@@ -322,6 +352,9 @@
         tokens = 9_000 if long else 400
         fields += f"X-Token-Count: {tokens},20\r\n"
         fields += f"X-Prefix-Hash: aa:200,{attempt.id}:200\r\n"
+    if attempt.resumes:
+        fields += f"Last-Event-Id: {attempt.after}\r\n"
+        fields += f"Resumes: {attempt.resumes}\r\n"
     head = f"POST {path} HTTP/1.1\r\n{fields}Content-Length: 0\r\n\r\n"
     sock.settimeout(REPLY_TIMEOUT_S)
     try:
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -95,6 +95,8 @@
         self.name = name
         #: Events of each stream.
         self.events = events
+        #: Text at the end of the data of each event.
+        self.event_suffix = ""
         #: Pause before each event, in seconds.
         self.pause_s = 0.0
         #: Duration of a request with X-Stage: prefill, in seconds.
@@ -244,7 +246,9 @@
         if "x-token-count" not in run.headers:
             return b"body of " + run.id.encode()
         last = int(run.headers.get("last-event-id", "0"))
-        return b"".join(_event(n) for n in range(last + 1, self.events + 1))
+        return b"".join(
+            self._event(n) for n in range(last + 1, self.events + 1)
+        )
 
     def _stream(
         self,
@@ -265,7 +269,7 @@
             if self._closed_within(sock, self.pause_s):
                 self.dropped.append(run.id)
                 return False
-            event = _event(number)
+            event = self._event(number)
             if behaviour is Behaviour.CUT and number == self.events:
                 sock.sendall(b"%x\r\n" % len(event) + event[:7])
                 return False
@@ -279,6 +283,11 @@
         sock.sendall(b"0\r\n\r\n")
         return True
 
+    def _event(self, number: int) -> bytes:
+        """Return a server-sent event with its id."""
+        data = f"token {number}{self.event_suffix}"
+        return f"id: {number}\ndata: {data}\n\n".encode()
+
     def _closed_within(
         self, sock: gevent.socket.socket, pause_s: float
     ) -> bool:
@@ -295,11 +304,6 @@
         self.dropped.append(run.id)
 
 
-def _event(number: int) -> bytes:
-    """Return a server-sent event with its id."""
-    return f"id: {number}\ndata: token {number}\n\n".encode()
-
-
 def _parse(head: bytes) -> Run:
     """Parse the head of a request; the body is left empty."""
     line, *fields = head.decode("latin-1").split("\r\n")
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -26,6 +26,7 @@
 ONCE = _checks.Attempt("a1", False, 0)
 REPEATABLE = _checks.Attempt("a1", True, 0)
 STREAM = _checks.Attempt("a1", False, 3)
+TAKEN_UP = _checks.Attempt("a1", True, 3, resumes="a0", after=1)
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
 
 CASES = {
@@ -40,6 +41,13 @@
     "a piece twice": Case(STREAM, reply(200, EVENTS + EVENTS), 1, "ORDER"),
     "cut and seen to be": Case(STREAM, reply(200, EVENTS[:9], False), 1, ""),
     "whole": Case(STREAM, reply(200, EVENTS), 1, ""),
+    "taken up": Case(TAKEN_UP, reply(200, EVENTS[15:]), 1, ""),
+    "taken up with a piece twice": Case(
+        TAKEN_UP, reply(200, EVENTS), 1, "ORDER"
+    ),
+    "taken up with a piece missing": Case(
+        TAKEN_UP, reply(200, EVENTS[30:]), 1, "ORDER"
+    ),
 }
 
 
@@ -59,6 +67,19 @@
     )
 
 
+@pytest.mark.parametrize(("version", "found"), [("v1", 0), ("v2", 1)])
+def test_events_of_two_versions_are_found(version: str, found: int) -> None:
+    began = _checks.Attempt("a0", True, 2)
+    taken_up = _checks.Attempt("a1", True, 2, resumes="a0", after=1)
+    records = soak.CallerRecords()
+    first = reply(200, b"id: 1\ndata: x v1\n\n", complete=False)
+    rest = reply(200, f"id: 2\ndata: x {version}\n\n".encode())
+    for attempt, answer in ((began, first), (taken_up, rest)):
+        records.record_attempt(attempt)
+        records.record_reply(attempt.id, answer)
+    assert len(records.violations([])) == found
+
+
 def test_a_run_that_no_caller_sent_is_found() -> None:
     engine = standins.EngineStandin("e1")
     engine.runs = [standins.Run("smuggled", "", {}, b"")]
