Keep a decode engine until the one that replaces it decodes

Cause: an engine that was ordered to decode counts as decoding at once, so the plan took the single engine of the other version away while the new one still changed its role, for three seconds. Change: while engines of several versions decode and one of them has an outstanding order, none is taken away. Measured: the case with an outstanding order fails without the change; tests of decisions, gateway and platform pass.

--- a/agatewing/decisions/_role_plan.py
+++ b/agatewing/decisions/_role_plan.py
@@ -73,6 +73,8 @@
     prefill = [e for e in engines if e.role is _types.Role.PREFILL]
     wanted = wanted_decode_engines(len(decode) + len(prefill), decode_share)
     if len(decode) > wanted:
+        if _is_pairing(decode):
+            return ()
         return _fewer_decode_engines(decode, len(decode) - wanted)
     missing = wanted - len(decode)
     if not missing and _pairing_engines(decode, prefill):
@@ -82,6 +84,15 @@
     return _more_decode_engines(decode, prefill, missing)
 
 
+def _is_pairing(decode: list[RolePlanEngine]) -> bool:
+    """Return whether an engine was ordered to decode beside another version.
+
+    Until it decodes, none is taken away.
+    """
+    versions = {e.software for e in decode}
+    return len(versions) > 1 and any(e.ordered for e in decode)
+
+
 def _pairing_engines(
     decode: list[RolePlanEngine], prefill: list[RolePlanEngine]
 ) -> bool:
--- a/agatewing/decisions/tests/test_role_plan.py
+++ b/agatewing/decisions/tests/test_role_plan.py
@@ -138,6 +138,18 @@
     assert present == versions(after)
 
 
+# The single engine of a version was ordered to prefill while the one that was
+# to replace it still changed its role.
+@pytest.mark.parametrize(("ordered", "moves"), [(True, []), (False, ["e2"])])
+def test_an_engine_decodes_until_its_replacement_does(
+    ordered: bool, moves: list[str]
+) -> None:
+    present = versions("a:D a:D b:D a:P b:P")
+    present[1] = dataclasses.replace(present[1], ordered=ordered)
+    plan = decisions.plan_roles(present, SHARE)
+    assert [move.engine for move in plan] == moves
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
