Bind a stream to its version at the first event

Cause: the version was read from the engine's entry when a send failed; an entry that had changed meanwhile, without a new start time, gave the version of a later engine. Change: it is read when the first event is forwarded, where it is also shared.

--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -257,13 +257,16 @@
         return self._ctx.dialect.last_event_id(self._relay.last_event)
 
     def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
-        """Let other instances know which version began the stream."""
-        job = self._job
+        """Bind the stream to the version of the engine of its first event.
+
+        Other instances learn of it, unless the caller takes up a stream that
+        began before.
+        """
+        job, software = self._job, tracked.target.software
+        self._profile = dataclasses.replace(self._profile, software=software)
         if job.attempts.idempotent and job.req.id and not job.req.take_up:
             self._ctx.streams.record_begin(
-                decisions.StreamOrigin(
-                    job.req.id, job.service, tracked.target.software
-                )
+                decisions.StreamOrigin(job.req.id, job.service, software)
             )
 
     def _record_answer(
@@ -324,13 +327,9 @@
         )
         self._relay.prepare_resume()
         self._broken_engine = tracked.target.id
-        if self._relay.event_count:
-            if self._last_event_id() is None:
-                raise _context.give_up_error(
-                    self._job, "the last event has no id to resume after"
-                )
-            self._profile = dataclasses.replace(
-                self._profile, software=tracked.target.software
+        if self._relay.event_count and self._last_event_id() is None:
+            raise _context.give_up_error(
+                self._job, "the last event has no id to resume after"
             )
 
     def _next_engine(self) -> _tracked_target.TrackedTarget:
