Refuse a queued stream once no engine of its version is left

What callers saw: a stream that was taken up and waited for room at its version waited on until its deadline after the last engine of the version had left. Cause: the dispatcher keeps a request queued while the router finds no engine. Change: a request that is bound to a version no engine decodes with is refused at the next check, with the time to come back. Measured: the new case gets 'deadline-unreachable' without the change and 'stream-lost' with it; tests of platform, gateway and decisions pass.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -46,6 +46,7 @@
 from agatewing.decisions._roles import RolePolicy
 from agatewing.decisions._roles import served_share
 from agatewing.decisions._roles import TokenDemand
+from agatewing.decisions._routing import may_be_decoded
 from agatewing.decisions._routing import Route
 from agatewing.decisions._routing import Router
 from agatewing.decisions._routing import Single
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -318,6 +318,20 @@
         return Split(prefill.name, decode.name, seconds)
 
 
+def may_be_decoded(
+    profile: _costs.RequestProfile,
+    engines: collections.abc.Iterable[EngineLoad],
+) -> bool:
+    """Return whether any engine, usable now or not, may decode a request.
+
+    A request that is bound to no software version always may be.
+    """
+    return profile.software is None or any(
+        e.software == profile.software and e.role is not _types.Role.PREFILL
+        for e in engines
+    )
+
+
 def _usable(
     engine: EngineLoad, avoid: frozenset[str], profile: _costs.RequestProfile
 ) -> bool:
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -18,6 +18,9 @@
 
 #: Interval at which queues that wait for credits are checked, in seconds.
 DISPATCH_INTERVAL_S = 0.02
+#: Retry-After if no engine has the software version of a stream, in seconds:
+#: an engine that crashed is back within a second.
+VERSION_RETRY_S = 0.5
 #: Weight of a new sample in the moving average of the calibration factor.
 CALIBRATION_ALPHA = 0.05
 
@@ -279,6 +282,10 @@
             if self._refuse_late(queue, queued, now):
                 queue.fair_queue.remove_head(entry)
                 return True
+            if not decisions.may_be_decoded(queued.profile, loads):
+                queue.fair_queue.remove_head(entry)
+                queued.routing_result.set(_version_gone())
+                return True
             route = pool.router.choose(queued.profile, loads)
             if route is None:
                 continue
@@ -409,6 +416,16 @@
     )
 
 
+def _version_gone() -> _exceptions.Refusal:
+    """Return the refusal of a stream whose software version left."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.STREAM_LOST,
+        "no engine decodes with the software version that began the stream",
+        "send the request without Last-Event-Id to begin a new stream",
+        retry_after_s=VERSION_RETRY_S,
+    )
+
+
 def _overloaded(retry_after_s: float) -> _exceptions.Refusal:
     """Return the refusal of a request because the queue is full."""
     return _exceptions.Refusal(
--- a/agatewing/platform/tests/test_stream_versions.py
+++ b/agatewing/platform/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+import gevent
 import pytest
 
 from agatewing import gateway
@@ -19,7 +20,13 @@
 @pytest.fixture
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
-        made.route("/chat/", "streaming", sticky=True, resumable=True)
+        made.route(
+            "/chat/",
+            "streaming",
+            sticky=True,
+            resumable=True,
+            timeout_ms=9_000,
+        )
         made.publish()
         yield made
 
@@ -214,6 +221,27 @@
     assert not engines_of(site, "s2")
 
 
+# A stream that waited for room at its version waited on, until its deadline,
+# after the last engine of the version had left.
+def test_a_queued_stream_is_refused_when_its_version_leaves(
+    site: standins.Site,
+) -> None:
+    add_engines(site, {"e1": "v1", "e2": "v2"})
+    instance = start_ready(site, "i1")
+    begin_and_break(site, instance)
+    full = instance.registry.by_id["e1"]
+    for _ in range(full.target.slots):
+        full.record_sent(0)
+    asked = gevent.spawn(take_up, site, instance, "s1")
+    queues = instance.dispatcher.queues
+    site.wait(lambda: any(len(q.fair_queue) for q in queues.values()))
+    site.withdraw("e1")
+    reply = asked.get()
+    assert reply.status == 503
+    assert reply.body.startswith(b"stream-lost")
+    assert not engines_of(site, "s2")
+
+
 def _serves(name: str, instances: tuple[gateway.GatewayInstance, ...]) -> bool:
     """Return whether any instance still sends to an engine."""
     return any(made.registry.by_id[name].active for made in instances)
