--- a/agatewing/decisions/_role_plan.py
+++ b/agatewing/decisions/_role_plan.py
@@ -73,18 +73,18 @@
     prefill = [e for e in engines if e.role is _types.Role.PREFILL]
     wanted = wanted_decode_engines(len(decode) + len(prefill), decode_share)
     if len(decode) > wanted:
-        if _is_pairing(decode):
+        if _awaits_replacement(decode):
             return ()
         return _fewer_decode_engines(decode, len(decode) - wanted)
     missing = wanted - len(decode)
-    if not missing and _pairing_engines(decode, prefill):
+    if not missing and _can_pair(decode, prefill):
         # The surplus is removed afterwards, from a version with a single
         # decode engine.
         missing = 1
     return _more_decode_engines(decode, prefill, missing)
 
 
-def _is_pairing(decode: list[RolePlanEngine]) -> bool:
+def _awaits_replacement(decode: list[RolePlanEngine]) -> bool:
     """Return whether an engine was ordered to decode beside another version.
 
     Until it decodes, none is taken away.
@@ -93,7 +93,7 @@
     return len(versions) > 1 and any(e.ordered for e in decode)
 
 
-def _pairing_engines(
+def _can_pair(
     decode: list[RolePlanEngine], prefill: list[RolePlanEngine]
 ) -> bool:
     """Return whether one more decode engine would pair a single one.
--- a/agatewing/platform/tests/test_stream_versions.py
+++ b/agatewing/platform/tests/test_stream_versions.py
@@ -188,6 +188,8 @@
     reply = take_up(site, second, "s1")
     assert reply.body == EVENTS[2]
     assert engines_of(site, "s2") == ["e1"]
+    metrics = second.render_metrics()[0].decode()
+    assert 'agatewing_take_ups_total{how="peer"} 1' in metrics
 
 
 # While one version serves, streams that nobody knows were refused, for
