Log the shared prefix blocks of a request

Cause: after an engine crashed, no line said which parts the prompts of its streams had in common, so a crash because of a prompt could not be told from one of load. The lines of answers and of failed sends now name the prefix blocks that other requests may share.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -116,6 +116,7 @@
         status=head.status,
         framing=str(head.framing),
         taken_s=round(taken_s, 4),
+        prefix=",".join(job.req.shared_blocks),
         **fields,
     )
 
@@ -164,6 +165,7 @@
         failure=str(failure),
         reason=reason,
         next=str(step),
+        prefix=",".join(job.req.shared_blocks),
         **fields,
     )
     if step is not decisions.NextStep.ANOTHER_FREE:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -43,6 +43,14 @@
         """Id and tokens of each prefix block, in order."""
         return [(block.id, block.tokens) for block in self.blocks]
 
+    @property
+    def shared_blocks(self) -> tuple[str, ...]:
+        """Ids of the prefix blocks that other requests may share.
+
+        All but the last, which belongs to the request or its session alone.
+        """
+        return tuple(block.id for block in self.blocks[:-1])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeUp:
@@ -84,6 +92,11 @@
         raw = self.target.split(b"?", 1)[0]
         return raw.decode("latin-1")
 
+    @property
+    def shared_blocks(self) -> tuple[str, ...]:
+        """Ids of the prefix blocks that other requests may share."""
+        return self.prompt.shared_blocks if self.prompt is not None else ()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheHandle:
