Reproduce prompts that crash one engine after the other

The stand-in engine crashes as it begins to answer a prompt with a given prefix block, and comes back under a new id.

--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -117,6 +117,11 @@
         self.freed: list[str] = []
         #: Ids of requests that were aborted because the caller disconnected.
         self.dropped: list[str] = []
+        #: Ids of prefix blocks on which it crashes as soon as it begins to
+        #: write an answer; the last block of a prompt does not count.
+        self.crash_blocks: set[str] = set()
+        #: Called after a crash.
+        self.on_crash: collections.abc.Callable[[], None] | None = None
         #: Number of connections accepted.
         self.accepted = 0
         self._connections: set[gevent.socket.socket] = set()
@@ -190,8 +195,18 @@
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
             return _send(sock, 200, run, body % handle.encode())
         self.runs.append(run)
+        if not self.crash_blocks.isdisjoint(shared_blocks(run)):
+            self._crash()
+            return False
         return self._run_request(sock, run, behaviour)
 
+    def _crash(self) -> None:
+        """Refuse new connections and close all that are open."""
+        self.stop()
+        self.drop_connections()
+        if self.on_crash is not None:
+            self.on_crash()
+
     def _run_request(
         self, sock: gevent.socket.socket, run: Run, behaviour: Behaviour
     ) -> bool:
@@ -304,6 +319,12 @@
         self.dropped.append(run.id)
 
 
+def shared_blocks(run: Run) -> list[str]:
+    """Return the ids of a prompt's prefix blocks except the last."""
+    field = run.headers.get("x-prefix-hash", "")
+    return [part.partition(":")[0] for part in field.split(",")[:-1]]
+
+
 def _parse(head: bytes) -> Run:
     """Parse the head of a request; the body is left empty."""
     line, *fields = head.decode("latin-1").split("\r\n")
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import random
 import typing
 
@@ -23,6 +24,9 @@
 #: Host of every route and request.
 HOST = "site.example"
 
+#: Time after which an engine that crashed is back under a new id, in seconds.
+RESTART_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -91,14 +95,20 @@
         # Override the settings of every instance.
         self._settings = settings or {}
         self._version = 0
+        self._restarts: list[gevent.Greenlet] = []
         #: Routes of the next configuration to be published.
         self.routes: list[dict[str, typing.Any]] = []
+        #: Ids of prefix blocks on which every engine crashes.
+        self.crash_blocks: set[str] = set()
+        #: Names of the engines that crashed, in that order.
+        self.crashed: list[str] = []
         self.services: list[dict[str, typing.Any]] = []
 
     def __enter__(self) -> "Site":
         return self
 
     def __exit__(self, *args: object) -> None:
+        gevent.killall(self._restarts)
         for instance in self.instances:
             instance.kill()
         for engine in self.targets.values():
@@ -119,10 +129,32 @@
         override fields of the entry.
         """
         engine = _engine.EngineStandin(name, events)
+        engine.crash_blocks = self.crash_blocks
+        engine.on_crash = functools.partial(
+            self._replace_crashed, name, service, role, events, **changes
+        )
         self.targets[name] = engine
         self.announce(name, service, role, **changes)
         return engine
 
+    def _replace_crashed(
+        self,
+        name: str,
+        service: str,
+        role: str | None,
+        events: int,
+        **changes: object,
+    ) -> None:
+        """Start a new engine for one that crashed, after ``RESTART_S``."""
+        self.crashed.append(name)
+
+        def replace() -> None:
+            self.withdraw(name)
+            new_name = f"{name}-{len(self.crashed)}"
+            self.add_target(new_name, service, role, events, **changes)
+
+        self._restarts.append(gevent.spawn_later(RESTART_S, replace))
+
     def announce(
         self,
         name: str,
