Keep prompts from engines that crash on one of their blocks

Cause: each instance saw a few of the crashes, retried the request on the next engine and forgot it. Nothing joined the crashes that six instances saw.

Change: when a stream breaks off before its second event and its engine then refuses connections, the blocks of its prompt (all but the last) are suspected. Load reports carry the evidence, which merges as a union of sets; three crashed engines under two prompts put a block under quarantine for two minutes, each further crash doubles that. A block of a prompt that was answered in full within 30 s is not suspected, so sound prompts with the same first block, which break off in the same crashes, are served; an instance that gets a report against such a block clears it at the others. Requests, queued ones, retries, resumes, prefills and plain services check the quarantine before each send; a request that broke off is not sent to a third engine.

--- a/agatewing/_types.py
+++ b/agatewing/_types.py
@@ -49,6 +49,7 @@
     DEADLINE = "deadline-unreachable"
     RATE_LIMITED = "rate-limited"
     NO_TARGET = "no-target"
+    QUARANTINED = "quarantined"
     TARGET_FAILED = "target-failed"
     OUTCOME_LOST = "outcome-lost"
     STREAM_LOST = "stream-lost"
@@ -79,6 +80,7 @@
     RefusalKind.DEADLINE: 503,
     RefusalKind.RATE_LIMITED: 429,
     RefusalKind.NO_TARGET: 503,
+    RefusalKind.QUARANTINED: 503,
     RefusalKind.TARGET_FAILED: 502,
     RefusalKind.OUTCOME_LOST: 502,
     RefusalKind.STREAM_LOST: 502,
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -47,6 +47,10 @@
     """No connection was established; nothing was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The host answered that no process listens on the port."""
+
+
 class BrokenError(Exception):
     """The connection broke, or carried an invalid answer."""
 
@@ -93,6 +97,8 @@
                 net.split_address(self.address),
                 timeout=max(0.001, min(CONNECT_TIMEOUT_S, timeout_s)),
             )
+        except ConnectionRefusedError as exc:
+            raise ConnectRefusedError(f"{self.address}: {exc}") from exc
         except (OSError, ValueError) as exc:
             raise ConnectError(f"{self.address}: {exc}") from exc
         # The connect timeout would otherwise apply to every later read.
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -5,6 +5,8 @@
 import logging
 import random
 
+import gevent
+
 from agatewing import _clock
 from agatewing import _exceptions
 from agatewing import _metrics
@@ -15,6 +17,7 @@
 from agatewing.gateway import _contracts
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
+from agatewing.gateway import _quarantine
 from agatewing.gateway import _refusals
 from agatewing.gateway import _sender
 from agatewing.gateway import _stream_directory
@@ -51,6 +54,8 @@
     index: decisions.PlacementIndex
     #: Software versions that began recent streams.
     streams: _stream_directory.StreamDirectory
+    #: Prefix blocks on which engines crash.
+    quarantine: _quarantine.Quarantine
     #: Availability zone of this instance.
     zone: str
     #: Number of forwarded answers by HTTP status.
@@ -105,6 +110,8 @@
     **fields: object,
 ) -> None:
     """Count, time and log a target's answer that was forwarded."""
+    if head.status < 300:
+        ctx.quarantine.record_served(job.req)
     ctx.answers[str(head.status)] += 1
     ctx.framings[str(head.framing)] += 1
     taken_s = ctx.clock.monotonic() - job.req.arrived_at
@@ -132,6 +139,32 @@
     return ctx.budget.try_spend(job.service, now)
 
 
+def check_quarantine(ctx: HandlerContext, job: Job) -> None:
+    """Raise :class:`GatewayRefusedError` if engines would crash on a prompt.
+
+    Called before each send, as that may become known at any time.
+    """
+    found = ctx.quarantine.find_block(job.req)
+    if found is None:
+        return
+    block, left_s = found
+    reason = f"engines crash on the prefix block {block}"
+    if job.attempts.maybe_ran:
+        raise give_up_error(job, reason)
+    raise _refusals.GatewayRefusedError(_refusals.quarantined(reason, left_s))
+
+
+def await_check(
+    ctx: HandlerContext, job: Job, check: gevent.Greenlet | None
+) -> None:
+    """Raise :class:`GatewayRefusedError` if another engine might crash.
+
+    ``check`` is that of the send that failed.
+    """
+    if not ctx.quarantine.may_be_sent_again(job.req, check):
+        raise give_up_error(job, "engines crashed on similar prompts")
+
+
 def give_up_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
     """Return the error for a request given up without an answer to forward.
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -20,6 +20,7 @@
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
+from agatewing.gateway import _quarantine
 from agatewing.gateway import _role_loop
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
@@ -99,6 +100,11 @@
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
         )
+        self.quarantine = _quarantine.Quarantine(
+            clock,
+            decisions.CrashSuspects(rng.random()),
+            self.registry.changed,
+        )
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
             net.split_address(settings.peer_address),
@@ -110,6 +116,7 @@
             rng,
             index,
             self.streams,
+            self.quarantine,
             settings.zone,
         )
         self.metrics = _metrics.Metrics()
@@ -147,6 +154,7 @@
             self.dispatcher,
             index,
             self.streams,
+            self.quarantine,
             self.settings.zone,
             collections.Counter(),
             collections.Counter(),
@@ -379,6 +387,16 @@
             "how",
             self.streams.take_ups,
         )
+        metrics.counter(
+            "agatewing_crashes_total",
+            "Engines that crashed under a prompt of this instance",
+            self.quarantine.crashes,
+        )
+        metrics.gauge(
+            "agatewing_quarantined_blocks",
+            "Prefix blocks that are kept from engines, as these crash on them",
+            self.quarantine.block_count,
+        )
         metrics.counter(
             "agatewing_orders_total",
             "Orders to engines to take a role",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -6,7 +6,8 @@
 one datagram after a change and at most twenty times a second, so that the
 queues are visible within one period. Reports also carry the configuration
 version and the log offset that the sender has read, the role changes that it
-ordered, prefix cache placements, and the streams that it began.
+ordered, prefix cache placements, the streams that it began, and the prefix
+blocks on which engines may crash.
 """
 
 import dataclasses
@@ -22,6 +23,7 @@
 from agatewing import decisions
 from agatewing.gateway import _catalog
 from agatewing.gateway import _peers
+from agatewing.gateway import _quarantine
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import net
@@ -78,6 +80,7 @@
         "_codec",
         "_index",
         "_streams",
+        "_quarantine",
         "_zone",
         "_random",
         "_socket",
@@ -102,9 +105,11 @@
         rng: random.Random,
         index: decisions.PlacementIndex,
         streams: _stream_directory.StreamDirectory,
+        quarantine: _quarantine.Quarantine,
         zone: str,
     ) -> None:
         self._zone = zone
+        self._quarantine = quarantine
         self._streams = streams
         self._index = index
         self._name = name
@@ -202,6 +207,8 @@
             changing=self._registry.own_role_changes()[:MAX_ROLE_CHANGES],
             held=self._placements(),
             begun=begun,
+            suspects=self._quarantine.take_suspects(),
+            served=self._quarantine.take_served(),
         )
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and (record.work or record.held):
@@ -253,9 +260,11 @@
     def handle(self, record: wire.WorkNote) -> None:
         """Handle a load report of another instance.
 
-        Of one that arrives late, only the streams count.
+        Of one that arrives late, only the streams and the blocks on which
+        engines may crash count.
         """
         self._streams.merge(record.begun or ())
+        self._quarantine.merge(record.suspects or (), record.served or ())
         last = self._last_reports.get(record.instance)
         if last is not None and record.sequence <= last.sequence:
             return
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -97,6 +97,12 @@
         """Ids of the prefix blocks that other requests may share."""
         return self.prompt.shared_blocks if self.prompt is not None else ()
 
+    @property
+    def own_block(self) -> str:
+        """Id of the prompt's last prefix block; empty if there is none."""
+        blocks = self.prompt.blocks if self.prompt is not None else ()
+        return blocks[-1].id if blocks else ""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheHandle:
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -23,6 +23,7 @@
     def handle(self, job: _context.Job) -> None:
         """Answer one request; raise ``GatewayRefusedError`` if refused."""
         while True:
+            _context.check_quarantine(self._ctx, job)
             tracked = self._pick(job)
             outcome = self._send(job, tracked)
             if isinstance(outcome, _messages.Answered):
@@ -31,7 +32,11 @@
                     continue
                 self._forward(job, outcome, tracked)
                 return
+            check = self._ctx.quarantine.check_break(
+                job.req, tracked.target, outcome
+            )
             _context.prepare_retry(self._ctx, job, tracked.target.id, outcome)
+            _context.await_check(self._ctx, job, check)
 
     def _pick(self, job: _context.Job) -> _tracked_target.TrackedTarget:
         pool = self._ctx.registry.pools.get(job.service)
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -77,6 +77,7 @@
         On success the handle is in ``unfetched_cache``. Raises
         :class:`GatewayRefusedError` if it did not and no retry is allowed.
         """
+        _context.check_quarantine(self._ctx, self._job)
         clock = self._ctx.clock
         meter = _meter.LoadMeter(
             tracked, self._profile, False, clock.monotonic()
@@ -152,6 +153,9 @@
             self._ctx.index.drop(
                 tracked.target.id, job.req.prompt.sized_blocks
             )
+        check = self._ctx.quarantine.check_break(
+            job.req, tracked.target, outcome
+        )
         reason = "the prefill failed"
         _context.log_event(
             job, reason, target=tracked.target.id, outcome=str(outcome)
@@ -169,6 +173,7 @@
             raise _context.give_up_error(job, f"{reason}; no time is left")
         if not _context.spend_retry(self._ctx, job):
             raise _context.give_up_error(job, f"{reason}; no retry is left")
+        _context.await_check(self._ctx, job, check)
 
     def send_options(
         self,
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -151,6 +151,19 @@
     )
 
 
+def quarantined(reason: str, left_s: float) -> GatewayRefusal:
+    """Return the refusal of a prompt on which engines would crash.
+
+    ``left_s`` is the time until it may be tried again, in seconds.
+    """
+    return GatewayRefusal(
+        503,
+        _types.RefusalKind.QUARANTINED,
+        f"{reason}; send a prompt without it, or come back later",
+        left_s,
+    )
+
+
 def outcome_unknown(reason: str) -> GatewayRefusal:
     """Return the refusal of a request that may have run."""
     return GatewayRefusal(502, _types.RefusalKind.TARGET_FAILED, reason)
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -209,7 +209,9 @@
         Raises :class:`GatewayRefusedError` if it failed and must not be
         retried.
         """
+        _context.check_quarantine(self._ctx, self._job)
         used_cache = self._prefill.unfetched_cache is not None
+        events_before = self._relay.event_count
         now = self._ctx.clock.monotonic()
         meter = _meter.LoadMeter(tracked, self._profile, used_cache, now)
         try:
@@ -220,7 +222,8 @@
             self._prefill.record_prefix(tracked)
             self._record_answer(tracked, outcome.head)
             return True
-        self._prepare_retry(tracked, outcome, used_cache)
+        events = self._relay.event_count - events_before
+        self._prepare_retry(tracked, outcome, used_cache, events)
         return False
 
     def _exchange(
@@ -301,11 +304,16 @@
         tracked: _tracked_target.TrackedTarget,
         outcome: _messages.Outcome,
         used_cache: bool,
+        events: int,
     ) -> None:
         """Record the failure and prepare the next send.
 
+        ``events`` is the number of events that this send has brought.
         Raises :class:`GatewayRefusedError` if no further send is allowed.
         """
+        check = self._ctx.quarantine.check_break(
+            self._job.req, tracked.target, outcome, events
+        )
         match outcome:
             case _messages.TimedOut() | _messages.Unknown():
                 tracked.record_no_answer()
@@ -325,6 +333,7 @@
             events=self._relay.event_count,
             software=tracked.target.software,
         )
+        _context.await_check(self._ctx, self._job, check)
         self._relay.prepare_resume()
         self._broken_engine = tracked.target.id
         if self._relay.event_count and self._last_event_id() is None:
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -13,6 +13,7 @@
 from agatewing.gateway import _contracts
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _peers
+from agatewing.gateway import _quarantine
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import wire
@@ -65,6 +66,9 @@
         rng,
         decisions.PlacementIndex(10.0),
         _stream_directory.StreamDirectory(clock, peers, catalog.age_s),
+        _quarantine.Quarantine(
+            clock, decisions.CrashSuspects(), registry.changed
+        ),
         "z",
     )
 
--- a/agatewing/platform/tests/test_crashing_prompts.py
+++ b/agatewing/platform/tests/test_crashing_prompts.py
@@ -30,6 +30,7 @@
         made.route("/look/", "safe", max_attempts=3)
         for name in ("e1", "e2", "e3", "e4"):
             made.add_target(name)
+        made.add_target("p1", role="prefill")
         made.publish()
         yield made
 
@@ -39,6 +40,7 @@
     made = [site.start(name) for name in ("i1", "i2", "i3")]
     site.wait(lambda: all(i.lifecycle.ready for i in made))
     site.wait(lambda: all(len(i.peers.known) == 2 for i in made))
+    site.wait(lambda: all(len(i.catalog.targets) == 5 for i in made))
     return made
 
 
@@ -71,6 +73,7 @@
     instances: list[gateway.GatewayInstance],
     path: str,
     block: str,
+    count: str,
 ) -> None:
     """Send prompts with a block until so many engines have crashed.
 
@@ -81,22 +84,34 @@
         if len(site.crashed) >= CRASHES:
             return
         instance = instances[number % len(instances)]
-        ask(site, instance, path, block)
-        ask(site, instance, path, "sound")
+        ask(site, instance, path, block, count)
+        ask(site, instance, path, "sound", count)
         gevent.sleep(standins.RESTART_S)
 
 
 # Requests whose prompts shared a prefix block crashed one engine after the
 # other, as no instance learned from the crashes that others saw.
-@pytest.mark.parametrize("path", ["/draft/x", "/chat/x", "/look/x"])
+@pytest.mark.parametrize(
+    ("path", "count"),
+    [
+        ("/draft/x", "1200,20"),
+        ("/chat/x", "1200,20"),
+        ("/look/x", "1200,20"),
+        # Prefilled at another engine, which does not crash.
+        ("/chat/x", "6000,20"),
+    ],
+)
 def test_a_block_that_crashes_engines_is_kept_from_them(
-    site: standins.Site, instances: list[gateway.GatewayInstance], path: str
+    site: standins.Site,
+    instances: list[gateway.GatewayInstance],
+    path: str,
+    count: str,
 ) -> None:
     site.crash_blocks.add("bad")
-    crash_engines(site, instances, path, "bad")
+    crash_engines(site, instances, path, "bad", count)
     gevent.sleep(LEARN_S)
     before = runs_with(site, "bad")
-    replies = [ask(site, i, path, "bad") for i in instances * 3]
+    replies = [ask(site, i, path, "bad", count) for i in instances * 3]
     assert runs_with(site, "bad") - before <= MAX_LATE_SENDS
     refused = [reply for reply in replies if reply.status == 503]
     assert len(refused) >= len(replies) - MAX_LATE_SENDS
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1094,6 +1094,218 @@
         return not (self == other)
 
 
+class CrashSuspect(object):
+    """
+    Attributes:
+     - block
+     - engines
+     - prompts
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'block',
+        'engines',
+        'prompts',
+        'age_ms',
+    )
+
+
+    def __init__(self, block=None, engines=None, prompts=None, age_ms=None,):
+        self.block = block
+        self.engines = engines
+        self.prompts = prompts
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.block = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readI32()
+                        self.engines.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readI32()
+                        self.prompts.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashSuspect')
+        if self.block is not None:
+            oprot.writeFieldBegin('block', TType.I64, 1)
+            oprot.writeI64(self.block)
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.engines))
+            for iter26 in self.engines:
+                oprot.writeI32(iter26)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.prompts))
+            for iter27 in self.prompts:
+                oprot.writeI32(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.block is None:
+            raise TProtocolException(message='Required field block is unset!')
+        if self.engines is None:
+            raise TProtocolException(message='Required field engines is unset!')
+        if self.prompts is None:
+            raise TProtocolException(message='Required field prompts is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedBlock(object):
+    """
+    Attributes:
+     - block
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'block',
+        'age_ms',
+    )
+
+
+    def __init__(self, block=None, age_ms=None,):
+        self.block = block
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.block = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedBlock')
+        if self.block is not None:
+            oprot.writeFieldBegin('block', TType.I64, 1)
+            oprot.writeI64(self.block)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.block is None:
+            raise TProtocolException(message='Required field block is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkNote(object):
     """
     Attributes:
@@ -1105,6 +1317,8 @@
      - changing
      - held
      - begun
+     - suspects
+     - served
 
     """
 
@@ -1117,10 +1331,12 @@
         'changing',
         'held',
         'begun',
+        'suspects',
+        'served',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -1129,6 +1345,8 @@
         self.changing = changing
         self.held = held
         self.begun = begun
+        self.suspects = suspects
+        self.served = served
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1152,11 +1370,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EngineWork()
-                        _elem19.read(iprot)
-                        self.work.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = EngineWork()
+                        _elem33.read(iprot)
+                        self.work.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1173,32 +1391,54 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.changing = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.changing.append(_elem25)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.changing.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = PartsHeld()
-                        _elem31.read(iprot)
-                        self.held.append(_elem31)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = PartsHeld()
+                        _elem45.read(iprot)
+                        self.held.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = StreamBegin()
-                        _elem37.read(iprot)
-                        self.begun.append(_elem37)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = StreamBegin()
+                        _elem51.read(iprot)
+                        self.begun.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = CrashSuspect()
+                        _elem57.read(iprot)
+                        self.suspects.append(_elem57)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.served = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = ServedBlock()
+                        _elem63.read(iprot)
+                        self.served.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1223,8 +1463,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter38 in self.work:
-                iter38.write(oprot)
+            for iter64 in self.work:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1238,22 +1478,36 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter39 in self.changing:
-                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
+            for iter65 in self.changing:
+                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter40 in self.held:
-                iter40.write(oprot)
+            for iter66 in self.held:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter41 in self.begun:
-                iter41.write(oprot)
+            for iter67 in self.begun:
+                iter67.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter68 in self.suspects:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.served))
+            for iter69 in self.served:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1366,6 +1620,20 @@
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'software', 'UTF8', None, ),  # 3
 )
+all_structs.append(CrashSuspect)
+CrashSuspect.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'block', None, None, ),  # 1
+    (2, TType.LIST, 'engines', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'prompts', (TType.I32, None, False), None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(ServedBlock)
+ServedBlock.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'block', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
     None,  # 0
@@ -1377,6 +1645,8 @@
     (6, TType.LIST, 'changing', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.LIST, 'held', (TType.STRUCT, [PartsHeld, None], False), None, ),  # 7
     (8, TType.LIST, 'begun', (TType.STRUCT, [StreamBegin, None], False), None, ),  # 8
+    (9, TType.LIST, 'suspects', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 9
+    (10, TType.LIST, 'served', (TType.STRUCT, [ServedBlock, None], False), None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -100,6 +100,26 @@
   3: required string software,
 }
 
+// Evidence that engines crash on a prefix block of prompts.
+struct CrashSuspect {
+  // Hash of the block's id.
+  1: required i64 block,
+  // Hashes of the incarnations of engines that crashed, and of the prompts
+  // that they were to answer.
+  2: required list<i32> engines,
+  3: required list<i32> prompts,
+  // Milliseconds since the last of the crashes.
+  4: required i32 age_ms,
+}
+
+// A prefix block that was suspected, but is in a prompt answered in full.
+struct ServedBlock {
+  // Hash of the block's id.
+  1: required i64 block,
+  // Milliseconds since that answer.
+  2: required i32 age_ms,
+}
+
 // Load report: load of one instance at all engines, in a separate datagram.
 struct WorkNote {
   1: required string instance,
@@ -117,4 +137,7 @@
   7: required list<PartsHeld> held,
   // Streams that began at the sender since the previous report.
   8: optional list<StreamBegin> begun,
+  // Prefix blocks on which engines may crash, and those cleared of it.
+  9: optional list<CrashSuspect> suspects,
+  10: optional list<ServedBlock> served,
 }
