Move the hashes shared between instances to a module of their own

The hashes of names in messages between instances are needed by more than the evidence against prefix blocks. Behaviour is unchanged: 18 tests of test_crash_suspects pass.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -19,10 +19,8 @@
 from agatewing.decisions._costs import RequestProfile
 from agatewing.decisions._costs import single_engine_s
 from agatewing.decisions._costs import ZONE_ROUND_TRIP_S
-from agatewing.decisions._crash_suspects import block_key
 from agatewing.decisions._crash_suspects import CrashSuspects
 from agatewing.decisions._crash_suspects import ServedReport
-from agatewing.decisions._crash_suspects import short_key
 from agatewing.decisions._crash_suspects import SuspectReport
 from agatewing.decisions._credits import credits
 from agatewing.decisions._credits import own_share
@@ -30,6 +28,8 @@
 from agatewing.decisions._engines import Speed
 from agatewing.decisions._fair_queue import Entry
 from agatewing.decisions._fair_queue import FairQueue
+from agatewing.decisions._hashes import long_key
+from agatewing.decisions._hashes import short_key
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
 from agatewing.decisions._placement_index import Placement
--- a/agatewing/decisions/_crash_suspects.py
+++ b/agatewing/decisions/_crash_suspects.py
@@ -18,8 +18,6 @@
 import dataclasses
 import math
 
-import xxhash
-
 #: Crashed engines, and different prompts under which they crashed, from which
 #: on a block is under quarantine. One engine may crash of something else and
 #: the retry on a second one as well; and one prompt may break off many times,
@@ -52,21 +50,11 @@
 AGE_TOLERANCE_S = 1.0
 
 
-def block_key(block: str) -> int:
-    """Return the hash of a block's id, a signed 64-bit number."""
-    return xxhash.xxh64_intdigest(block.encode()) - (1 << 63)
-
-
-def short_key(name: str) -> int:
-    """Return the hash of a prompt or an engine, a signed 32-bit number."""
-    return xxhash.xxh32_intdigest(name.encode()) - (1 << 31)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectReport:
     """Evidence against one block, as instances share it."""
 
-    #: Hash of the block, see :func:`block_key`.
+    #: Hash of the block, see :func:`long_key`.
     block: int
     #: Hashes of the incarnations of engines that crashed.
     engines: frozenset[int]
@@ -80,7 +68,7 @@
 class ServedReport:
     """A block that was suspected, but was in a prompt answered in full."""
 
-    #: Hash of the block, see :func:`block_key`.
+    #: Hash of the block, see :func:`long_key`.
     block: int
     #: Time since that answer, in seconds.
     age_s: float
--- a/agatewing/decisions/tests/test_crash_suspects.py
+++ b/agatewing/decisions/tests/test_crash_suspects.py
@@ -14,7 +14,7 @@
 EVIDENCE_S = _crash_suspects.EVIDENCE_S
 SERVED_S = _crash_suspects.SERVED_S
 SYSTEM, BAD, SOUND = (
-    decisions.block_key(name) for name in ("system", "bad", "sound")
+    decisions.long_key(name) for name in ("system", "bad", "sound")
 )
 
 
@@ -204,7 +204,7 @@
     fleet = [decisions.CrashSuspects() for _ in range(size)]
     for suspects in fleet[::2]:
         suspects.record_served([SYSTEM], 0.0)
-    others = [decisions.block_key(f"other {n}") for n in range(collateral)]
+    others = [decisions.long_key(f"other {n}") for n in range(collateral)]
     # Five crashes, each seen by one instance; one of these restarts.
     watchers = rng.sample(range(size), 5)
     for number, watcher in enumerate(watchers):
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -83,7 +83,7 @@
         now = self._clock.monotonic()
         for block in req.shared_blocks:
             left_s = self._suspects.quarantine_left_s(
-                decisions.block_key(block), now
+                decisions.long_key(block), now
             )
             if left_s > 0:
                 return block, left_s
@@ -234,4 +234,4 @@
 
 
 def _keys(req: _messages.CallerRequest) -> list[int]:
-    return [decisions.block_key(block) for block in req.shared_blocks]
+    return [decisions.long_key(block) for block in req.shared_blocks]
