Log the limits that targets name for all instances together

Cause: a target in need names the requests a second that it takes from all instances; no line or metric told whether an instance had seen that, nor how many requests such a target got. Lines now name the begin and the end of a limit, and a counter the sends to targets that have one. The new test failed before: there was no line.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -21,6 +21,7 @@
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
+from agatewing.gateway import _request_limits
 from agatewing.gateway import _role_loop
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
@@ -100,6 +101,7 @@
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
         )
+        self.limits = _request_limits.RequestLimits(clock)
         self.quarantine = _quarantine.Quarantine(
             clock,
             decisions.CrashSuspects(rng.random()),
@@ -149,7 +151,7 @@
             dialect,
             self.catalog,
             self.registry,
-            _sender.Sender(self.clock, dialect),
+            _sender.Sender(self.clock, dialect, self.limits),
             self.budget,
             self.dispatcher,
             index,
@@ -387,6 +389,11 @@
             "how",
             self.streams.take_ups,
         )
+        metrics.counter(
+            "agatewing_sends_to_limited_total",
+            "Requests sent to targets while they named a limit",
+            self.limits.sends,
+        )
         metrics.counter(
             "agatewing_crashes_total",
             "Engines that crashed under a prompt of this instance",
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -138,6 +138,12 @@
     def is_signed(self, head: _messages.AnswerHead) -> bool:
         """Return whether an answer bears the target's signature."""
 
+    def request_limit(self, head: _messages.AnswerHead) -> float | None:
+        """Return the requests a second that a target takes from all.
+
+        ``None`` if the answer names no limit.
+        """
+
     def cache_handle(
         self, address: str, body: bytes
     ) -> _messages.CacheHandle | None:
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -8,6 +8,7 @@
 from agatewing.gateway import _channel
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
+from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
 #: Longest idle time of a connection that may carry a request which must not
@@ -56,11 +57,17 @@
 class Sender:
     """Sends requests to targets over pooled connections."""
 
-    __slots__ = ("_clock", "_dialect", "request_count")
+    __slots__ = ("_clock", "_dialect", "_limits", "request_count")
 
-    def __init__(self, clock: _clock.Clock, dialect: _ports.Dialect) -> None:
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        dialect: _ports.Dialect,
+        limits: _request_limits.RequestLimits,
+    ) -> None:
         self._clock = clock
         self._dialect = dialect
+        self._limits = limits
         #: Number of sends that ``send_request`` began on an open connection,
         #: failed ones included.
         self.request_count = 0
@@ -118,6 +125,8 @@
     ) -> SendResult:
         outgoing = self._dialect.target_request(req, options)
         self.request_count += 1
+        sent_at = self._clock.monotonic()
+        self._limits.record_send(tracked.target)
         try:
             channel.send(outgoing, deadline)
             head = self._read_head(channel, req, deadline, stall)
@@ -131,6 +140,9 @@
         except _channel.DeadlineExceededError as exc:
             channel.close()
             return _messages.TimedOut(str(exc))
+        if not self._dialect.address_reassigned(head):
+            limit = self._dialect.request_limit(head)
+            self._limits.observe(tracked.target, limit, sent_at)
         return self._classify(tracked, channel, head, options.prefill_only)
 
     def _read_head(
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Reads and writes requests and answers in the platform's format."""
 
+import math
+
 import msgspec
 
 from agatewing import _types
@@ -125,6 +127,20 @@
         """Return whether an answer carries a signature header."""
         return gateway.header(head.headers, _names.SIGNATURE) is not None
 
+    def request_limit(self, head: gateway.AnswerHead) -> float | None:
+        """Return the requests a second that a target takes from all.
+
+        ``None`` if it names no limit, or one that cannot be read.
+        """
+        raw = gateway.header(head.headers, _names.REQUEST_LIMIT)
+        if raw is None:
+            return None
+        try:
+            limit = float(raw)
+        except ValueError:
+            return None
+        return limit if math.isfinite(limit) and limit >= 0 else None
+
     def cache_handle(
         self, address: str, body: bytes
     ) -> gateway.CacheHandle | None:
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -18,6 +18,9 @@
 SIGNATURE = b"x-server-stamp"
 #: Present in an answer if the target did not run the request.
 NOT_RUN = b"x-not-executed"
+#: Requests a second, a decimal number, that a target takes from all
+#: instances together; in its answers for as long as that holds.
+REQUEST_LIMIT = b"server-limit"
 #: Model that the request is for.
 MODEL = b"x-model"
 #: Prompt tokens and maximum output tokens, separated by a comma.
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import socket
+import time
 import typing
 
 import gevent
@@ -120,6 +121,11 @@
         #: Ids of prefix blocks on which it crashes as soon as it begins to
         #: write an answer; the last block of a prompt does not count.
         self.crash_blocks: set[str] = set()
+        #: Requests a second that it takes from all instances together, as
+        #: its answers name it; empty for none.
+        self.limit = ""
+        #: Monotonic time of each request that reached it, in seconds.
+        self.arrivals: list[float] = []
         #: Called after a crash.
         self.on_crash: collections.abc.Callable[[], None] | None = None
         #: Number of connections accepted.
@@ -178,13 +184,15 @@
             return _send(sock, 200, run, b"")
         if run.line.startswith("POST /-/order"):
             return self._accept_order(sock, run)
+        self.arrivals.append(time.monotonic())
         behaviour = self.script.popleft() if self.script else None
         behaviour = behaviour or Behaviour.ANSWER
         if run.headers.get("x-expect-instance", self.name) != self.name:
             behaviour = Behaviour.MOVED
         match behaviour:
             case Behaviour.NOT_RUN:
-                return _send(sock, 503, run, b"", "X-Not-Executed: 1\r\n")
+                fields = f"X-Not-Executed: 1\r\n{self._limit_field()}"
+                return _send(sock, 503, run, b"", fields)
             case Behaviour.MOVED:
                 return _send(sock, 421, run, b"")
         if run.headers.get("x-stage") == "prefill":
@@ -193,7 +201,8 @@
             gevent.sleep(HANG_PREFILL_S if hangs else self.prefill_s)
             handle = f"h{next(_HANDLE_NUMBERS)}"
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
-            return _send(sock, 200, run, body % handle.encode())
+            fields = self._limit_field()
+            return _send(sock, 200, run, body % handle.encode(), fields)
         self.runs.append(run)
         if not self.crash_blocks.isdisjoint(shared_blocks(run)):
             self._crash()
@@ -211,7 +220,7 @@
         self, sock: gevent.socket.socket, run: Run, behaviour: Behaviour
     ) -> bool:
         """Answer a request that ran; return whether to keep the connection."""
-        signature = f"X-Server-Stamp: {self.name}\r\n"
+        signature = f"X-Server-Stamp: {self.name}\r\n{self._limit_field()}"
         body = self._body(run)
         match behaviour:
             case Behaviour.ERROR:
@@ -256,6 +265,9 @@
             _send(sock, 200, run, b"unasked", signature)
         return True
 
+    def _limit_field(self) -> str:
+        return f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+
     def _body(self, run: Run) -> bytes:
         """Return the body of an answer; for a stream, the remaining events."""
         if "x-token-count" not in run.headers:
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -31,6 +31,28 @@
     return made
 
 
+# Nothing said that a target limits the requests of all instances.
+def test_lines_name_the_limit_of_a_target(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    engine = site.targets["e1"]
+    with caplog.at_level(logging.INFO, logger="agatewing.limits"):
+        for engine.limit in ("", "5.1", "5.1", "not a number"):
+            reply = site.ask(instance, "/chat/x", "s1", PROMPT_HEADERS)
+            assert reply.status == 200
+    assert [
+        (r.getMessage(), getattr(r, "limit_per_s", None))
+        for r in caplog.records
+    ] == [
+        ("limits: a target limits its requests", 5.1),
+        ("limits: a target has no limit any more", None),
+    ]
+    metrics = instance.render_metrics()[0].decode()
+    assert "agatewing_sends_to_limited_total 2" in metrics
+
+
 # Logs did not say which prefix blocks the requests of a crash had in common.
 @pytest.mark.parametrize(
     ("behaviour", "message"),
