--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -184,7 +184,7 @@
             return _send(sock, 200, run, b"")
         if run.line.startswith("POST /-/order"):
             return self._accept_order(sock, run)
-        self.arrivals.append(time.monotonic())
+        self.arrivals.append(self.now())
         behaviour = self.script.popleft() if self.script else None
         behaviour = behaviour or Behaviour.ANSWER
         if run.headers.get("x-expect-instance", self.name) != self.name:
@@ -265,6 +265,11 @@
             _send(sock, 200, run, b"unasked", signature)
         return True
 
+    @staticmethod
+    def now() -> float:
+        """Return the monotonic time by which arrivals are recorded."""
+        return time.monotonic()
+
     def _limit_field(self) -> str:
         return f"Server-Limit: {self.limit}\r\n" if self.limit else ""
 
