Keep the limits that targets name for all instances together

Cause: nothing read the limit, and no instance knows what the others send.

Change: instances share, in the load reports, the limits that answers name and how many requests they sent to these targets in the last 4 s. An instance sends only while the sum stays below the limit; requests that no engine has worked on use four fifths of it, so that prefilled prompts and broken streams can go on. Reports are 50 to 100 ms old, so instances that see the same room wait for different times, those that have sent least go first, and room is used at once only if all others may use it too. In fleets of ten and more, nine instances that a rendezvous hash names send to a target with a limit, and report to each other. Queued streams wait for room; a plain request is refused at once with the time to come back if no target has any. All sends count: prefills, retries, resumes and calls of plain services.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -59,6 +59,8 @@
 from agatewing.decisions._service_rate import ServiceRate
 from agatewing.decisions._shared_budget import BudgetBound
 from agatewing.decisions._shared_budget import SharedRetryBudget
+from agatewing.decisions._shared_limits import LimitReport
+from agatewing.decisions._shared_limits import SharedLimits
 from agatewing.decisions._stall import stall_timeout_s
 from agatewing.decisions._stream_versions import StreamOrigin
 from agatewing.decisions._stream_versions import StreamOrigins
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -103,6 +103,9 @@
     kv_limit: int = 0
     #: Sequences that this instance may send to it now.
     credits: int = 1
+    #: Whether it gets nothing now, as it limits the requests of all
+    #: instances together.
+    held_back: bool = False
     #: Ratio of measured to expected duration; 1 is as fast as ``speed`` says.
     slowness: float = 1.0
     #: Share of its normal traffic to send, from outlier detection.
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -339,7 +339,7 @@
 
     Memory and software version of a prefill engine are not checked.
     """
-    if not engine.routable or engine.credits <= 0:
+    if not engine.routable or engine.held_back or engine.credits <= 0:
         return False
     if engine.name in avoid:
         return False
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -47,6 +47,9 @@
     def load(self) -> decisions.EngineLoad:
         """Load of the engine, with this instance's credits for it."""
 
+    def record_route(self) -> None:
+        """Record a request that was routed to it and is not sent yet."""
+
 
 class Meter(typing.Protocol):
     """Measures the demand for tokens."""
@@ -291,13 +294,13 @@
                 continue
             queue.fair_queue.remove_head(entry)
             queue.rate.record_sent(entry.cost, now)
-            self._spend_credit(pool, route)
+            self._record_route(pool, route)
             queued.routing_result.set(route)
             return True
         return False
 
-    def _spend_credit(self, pool: Pool, route: decisions.Route) -> None:
-        """Spend a credit of the engine that decodes.
+    def _record_route(self, pool: Pool, route: decisions.Route) -> None:
+        """Record a request at its engines; spend a credit of the decoding one.
 
         The credit is spent here because the engine's load counts the request
         only once it is sent; until then, further requests could be routed to
@@ -305,9 +308,11 @@
         """
         match route:
             case decisions.Single(engine=name):
-                pool.engines[name].load.credits -= 1
-            case decisions.Split(decode=name):
-                pool.engines[name].load.credits -= 1
+                pool.engines[name].record_route()
+            case decisions.Split(prefill=first, decode=name):
+                pool.engines[first].record_route()
+                pool.engines[name].record_route()
+        pool.engines[name].load.credits -= 1
 
     def _refuse_all(self, queue: PoolQueue) -> None:
         """Refuse every queued request of a pool that was removed."""
--- a/agatewing/fleet/_targets.py
+++ b/agatewing/fleet/_targets.py
@@ -139,6 +139,9 @@
             self.inactive_since = min(self.inactive_since, now)
         self._update_routable()
 
+    def record_route(self) -> None:
+        """Do nothing: engines of this interface name no limits."""
+
     def record_sent(self, tokens: int, now: float) -> None:
         """Count a sequence with so many prompt tokens sent to the engine."""
         self.load.own_sequences += 1
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -4,6 +4,7 @@
 import enum
 
 from agatewing import _types
+from agatewing import decisions
 
 #: Callers abandon a silent stream after the longest of three times: a fixed
 #: time in seconds, a multiple of the route's objective, and a multiple of its
@@ -169,6 +170,11 @@
     #: announced.
     software: str = ""
 
+    @property
+    def key(self) -> int:
+        """Hash of its incarnation, as instances name it to each other."""
+        return decisions.short_key(f"{self.id}/{self.born_ms}")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -21,7 +21,6 @@
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
-from agatewing.gateway import _request_limits
 from agatewing.gateway import _role_loop
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
@@ -72,7 +71,10 @@
         self.platform = platform
         self.catalog = _catalog.Catalog(clock, self._apply_changes)
         self.registry = _target_registry.TargetRegistry(
-            clock, rng, _engine_speed(settings.engines)
+            clock,
+            rng,
+            _engine_speed(settings.engines),
+            settings.instance,
         )
         self.budget = decisions.SharedRetryBudget(
             decisions.BudgetBound(
@@ -101,7 +103,6 @@
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
         )
-        self.limits = _request_limits.RequestLimits(clock)
         self.quarantine = _quarantine.Quarantine(
             clock,
             decisions.CrashSuspects(rng.random()),
@@ -151,7 +152,7 @@
             dialect,
             self.catalog,
             self.registry,
-            _sender.Sender(self.clock, dialect, self.limits),
+            _sender.Sender(self.clock, dialect, self.registry.limits),
             self.budget,
             self.dispatcher,
             index,
@@ -200,6 +201,10 @@
         self.dispatcher.instances = instances
         self.registry.instances = instances
         self.registry.apply(configuration.services, self.catalog.targets)
+        self.registry.limits.set_members(
+            self.peers.known,
+            [tracked.target for tracked in self.registry.by_id.values()],
+        )
         self.streams.observe(self.registry.pools)
         self.handler_context.index.retain_engines(self.registry.by_id)
         self.registry.changed.set()
@@ -392,7 +397,7 @@
         metrics.counter(
             "agatewing_sends_to_limited_total",
             "Requests sent to targets while they named a limit",
-            self.limits.sends,
+            self.registry.limits.sends,
         )
         metrics.counter(
             "agatewing_crashes_total",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -183,6 +183,9 @@
         addresses = set(self.receivers())
         for begin in begun:
             addresses.update(self._streams.keepers(begin.attempt))
+        for name in self._registry.limits.co_senders():
+            if name in self._peers.known:
+                addresses.add(self._peers.known[name].address)
         for address in addresses:
             try:
                 sock.sendto(data, net.split_address(address))
@@ -209,6 +212,7 @@
             begun=begun,
             suspects=self._quarantine.take_suspects(),
             served=self._quarantine.take_served(),
+            limits=self._registry.limits.take_reports(),
         )
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and (record.work or record.held):
@@ -273,6 +277,7 @@
             or record.through > self._catalog.through
         ):
             self._peers.request_snapshot_soon(record.instance)
+        self._registry.limits.merge(record.instance, record.limits or ())
         now = self._clock.monotonic()
         self._last_reports[record.instance] = LastReport(
             now,
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -42,6 +42,10 @@
         pool = self._ctx.registry.pools.get(job.service)
         now = self._ctx.clock.monotonic()
         usable = pool.usable(job.excluded, now) if pool else []
+        limited = [t for t in usable if not t.may_get()]
+        usable = [t for t in usable if t not in limited]
+        if limited and not usable:
+            raise self._limit_error(job, limited)
         if not usable:
             if job.attempts.maybe_ran:
                 raise _context.give_up_error(job, "no other target is left")
@@ -63,9 +67,27 @@
             )
             for tracked in usable
         ]
-        chosen = decisions.choose_target(loads, self._ctx.rng)
-        return next(
-            tracked for tracked in usable if tracked.target.id == chosen
+        name = decisions.choose_target(loads, self._ctx.rng)
+        chosen = next(t for t in usable if t.target.id == name)
+        chosen.record_route()
+        return chosen
+
+    def _limit_error(
+        self, job: _context.Job, limited: list[_tracked_target.TrackedTarget]
+    ) -> _refusals.GatewayRefusedError:
+        """Return the error if all targets that are left name a limit."""
+        reason = "the targets take no more requests now"
+        if job.attempts.maybe_ran:
+            return _context.give_up_error(job, reason)
+        after_s = self._ctx.registry.limits.room_after_s(
+            tracked.target for tracked in limited
+        )
+        if after_s is None:
+            after_s = _refusals.NO_TARGET_RETRY_S
+        return _refusals.GatewayRefusedError(
+            _refusals.overloaded(
+                reason, max(_refusals.OVERLOADED_RETRY_S, after_s)
+            )
         )
 
     def _send(
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -133,7 +133,7 @@
         self, req: _messages.CallerRequest, target: _contracts.Target
     ) -> None:
         """Record the crash of an engine, if it crashed."""
-        engine = decisions.short_key(f"{target.id}/{target.born_ms}")
+        engine = target.key
         if engine not in self._crashed:
             check = self._checks.get(engine)
             if check is None:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -164,7 +164,7 @@
         """Return the best engine to decode on; ``None`` if none has room."""
         loads = [
             load
-            for load in self._pool.loads()
+            for load in self._pool.loads(begun=True)
             if load.role is not _types.Role.PREFILL
         ]
         decode_profile = self._decode_profile()
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -11,6 +11,7 @@
 from agatewing import decisions
 from agatewing import fleet
 from agatewing.gateway import _contracts
+from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
 #: Part of an instance's equal share of a target's connections that it may keep
@@ -50,6 +51,8 @@
         "instances",
         "service",
         "_merge_reports",
+        "_limits",
+        "_any_held_back",
     )
 
     def __init__(
@@ -57,8 +60,12 @@
         service: _contracts.Service,
         router: decisions.Router,
         merge_reports: collections.abc.Callable[[], None],
+        limits: _request_limits.RequestLimits,
     ) -> None:
         self._merge_reports = merge_reports
+        self._limits = limits
+        # Whether an engine may still be marked as held back.
+        self._any_held_back = False
         #: Name of the service.
         self.name = service.name
         #: Targets by id; named as ``dispatch.Pool`` requires.
@@ -99,9 +106,18 @@
             )
             tracked.channels.max_idle = idle_limit
 
-    def loads(self) -> list[decisions.EngineLoad]:
-        """Merge pending load reports; return the loads of all engines."""
+    def loads(self, begun: bool = False) -> list[decisions.EngineLoad]:
+        """Merge pending load reports; return the loads of all engines.
+
+        ``begun`` says that an engine has worked on the request for which they
+        are read.
+        """
         self._merge_reports()
+        active = self._limits.active
+        if active or self._any_held_back:
+            for tracked in self.engines.values():
+                tracked.load.held_back = not tracked.may_get(begun)
+            self._any_held_back = active
         return [tracked.load for tracked in self.engines.values()]
 
     def versions(self) -> frozenset[str]:
@@ -162,6 +178,7 @@
         "by_id",
         "instances",
         "changed",
+        "limits",
         "merge_reports",
     )
 
@@ -170,6 +187,7 @@
         clock: _clock.Clock,
         rng: random.Random,
         speed: decisions.Speed,
+        name: str,
     ) -> None:
         self._clock = clock
         self._random = rng
@@ -184,6 +202,10 @@
         self.merge_reports: collections.abc.Callable[[], None] = _no_reports
         #: Set whenever this instance's load at targets changes.
         self.changed = gevent.event.Event()
+        #: Limits that targets name for the requests of all instances.
+        self.limits = _request_limits.RequestLimits(
+            clock, decisions.SharedLimits(name, rng), self.changed
+        )
 
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
@@ -228,7 +250,7 @@
                     RECOMPUTE_WEIGHT,
                 )
                 pool = self.pools[name] = Pool(
-                    service, router, self._run_merge_reports
+                    service, router, self._run_merge_reports, self.limits
                 )
             pool.service = service
             pool.instances = self.instances
@@ -257,6 +279,7 @@
             speed,
             self._clock,
             self.changed,
+            self.limits,
             properties.kv_tokens if properties else 0,
         )
 
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -10,6 +10,7 @@
 from agatewing import decisions
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
+from agatewing.gateway import _request_limits
 
 #: First and longest backoff for a target that accepts no connections, in
 #: seconds; the platform removes the entry of a dead target after three
@@ -68,6 +69,7 @@
         "changing_until",
         "ordered_until",
         "meters",
+        "_limits",
         "_clock",
         "_changed",
     )
@@ -78,8 +80,10 @@
         speed: decisions.Speed,
         clock: _clock.Clock,
         changed: gevent.event.Event,
+        limits: _request_limits.RequestLimits,
         kv_limit: int = 0,
     ) -> None:
+        self._limits = limits
         #: Its last announcement.
         self.target = target
         #: Load and speed, as routing decisions read them.
@@ -203,6 +207,17 @@
         until = max(self.avoid_until, self.changing_until)
         return self.active and now >= until
 
+    def may_get(self, begun: bool = False) -> bool:
+        """Return whether its limit, if it names one, leaves room now.
+
+        ``begun`` says that an engine has worked on the request already.
+        """
+        return self._limits.may_send(self.target, begun)
+
+    def record_route(self) -> None:
+        """Record a request that was routed to it and is not sent yet."""
+        self._limits.record_route(self.target)
+
     def record_sent(self, tokens: int, kv_tokens: int = 0) -> None:
         """Add a sent request to the load.
 
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -29,7 +29,7 @@
     clock: _clock.ManualClock,
 ) -> _target_registry.TargetRegistry:
     made = _target_registry.TargetRegistry(
-        clock, random.Random(1), decisions.Speed()
+        clock, random.Random(1), decisions.Speed(), "me"
     )
     properties = gateway.EngineProperties(64, 1_000, 1, 1e9)
     target = gateway.Target(
--- a/agatewing/gateway/tests/test_meter.py
+++ b/agatewing/gateway/tests/test_meter.py
@@ -1,5 +1,7 @@
 """Load that requests add to an engine, also if answers are lost."""
 
+import random
+
 import gevent.event
 import pytest
 
@@ -8,6 +10,7 @@
 from agatewing import decisions
 from agatewing import gateway
 from agatewing.gateway import _meter
+from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
 PROFILE = decisions.RequestProfile(6_400, 100, "z")
@@ -30,8 +33,11 @@
         _types.Role.DECODE,
     )
     changed = gevent.event.Event()
+    limits = _request_limits.RequestLimits(
+        clock, decisions.SharedLimits("me", random.Random(1)), changed
+    )
     return _tracked_target.TrackedTarget(
-        target, decisions.Speed(), clock, changed
+        target, decisions.Speed(), clock, changed, limits
     )
 
 
--- a/agatewing/platform/tests/test_shared_limits.py
+++ b/agatewing/platform/tests/test_shared_limits.py
@@ -98,13 +98,15 @@
     path: str
     #: Limit of each target of the service, by name.
     limits: dict[str, str]
+    #: Whether no target without a limit is left.
+    all_limited: bool
 
 
 CASES = {
-    "one engine": Case("/draft/x", {"e1": "5.1"}),
-    "all engines": Case("/draft/x", {"e1": "5.1", "e2": "2.9"}),
-    "one plain target": Case("/look/x", {"t1": "3"}),
-    "all plain targets": Case("/pay/x", {"t1": "3", "t2": "2.5"}),
+    "one engine": Case("/draft/x", {"e1": "5.1"}, False),
+    "all engines": Case("/draft/x", {"e1": "5.1", "e2": "2.9"}, True),
+    "one plain target": Case("/look/x", {"t1": "3"}, False),
+    "all plain targets": Case("/pay/x", {"t1": "3", "t2": "2.5"}, True),
 }
 
 
@@ -131,7 +133,9 @@
         )
         assert count <= EXTRA_SHARE * per_window + EXTRA
         # Sound work is not stopped beyond what the limit asks for.
-        assert count >= per_window / 2
+        assert not case.all_limited or count >= per_window / 2
+    if not case.all_limited:
+        assert set(callers.statuses) == {200}
     assert not callers.without_time
 
 
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -16,5 +16,6 @@
 from agatewing.wire.gen.peer.ttypes import StateRequest
 from agatewing.wire.gen.peer.ttypes import Status
 from agatewing.wire.gen.peer.ttypes import StreamBegin
+from agatewing.wire.gen.peer.ttypes import TargetLimit
 from agatewing.wire.gen.peer.ttypes import Vouch
 from agatewing.wire.gen.peer.ttypes import WorkNote
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1306,6 +1306,116 @@
         return not (self == other)
 
 
+class TargetLimit(object):
+    """
+    Attributes:
+     - target
+     - limit
+     - age_ms
+     - sends
+
+    """
+
+    __slots__ = (
+        'target',
+        'limit',
+        'age_ms',
+        'sends',
+    )
+
+
+    def __init__(self, target=None, limit=None, age_ms=None, sends=None,):
+        self.target = target
+        self.limit = limit
+        self.age_ms = age_ms
+        self.sends = sends
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.sends = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetLimit')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 1)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.DOUBLE, 2)
+            oprot.writeDouble(self.limit)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.sends is not None:
+            oprot.writeFieldBegin('sends', TType.I32, 4)
+            oprot.writeI32(self.sends)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.sends is None:
+            raise TProtocolException(message='Required field sends is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkNote(object):
     """
     Attributes:
@@ -1319,6 +1429,7 @@
      - begun
      - suspects
      - served
+     - limits
 
     """
 
@@ -1333,10 +1444,11 @@
         'begun',
         'suspects',
         'served',
+        'limits',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -1347,6 +1459,7 @@
         self.begun = begun
         self.suspects = suspects
         self.served = served
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1442,6 +1555,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = TargetLimit()
+                        _elem69.read(iprot)
+                        self.limits.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1463,8 +1587,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter64 in self.work:
-                iter64.write(oprot)
+            for iter70 in self.work:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1478,36 +1602,43 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter65 in self.changing:
-                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
+            for iter71 in self.changing:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter66 in self.held:
-                iter66.write(oprot)
+            for iter72 in self.held:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter67 in self.begun:
-                iter67.write(oprot)
+            for iter73 in self.begun:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter68 in self.suspects:
-                iter68.write(oprot)
+            for iter74 in self.suspects:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter69 in self.served:
-                iter69.write(oprot)
+            for iter75 in self.served:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter76 in self.limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1634,6 +1765,14 @@
     (1, TType.I64, 'block', None, None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
+all_structs.append(TargetLimit)
+TargetLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'target', None, None, ),  # 1
+    (2, TType.DOUBLE, 'limit', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'sends', None, None, ),  # 4
+)
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
     None,  # 0
@@ -1647,6 +1786,7 @@
     (8, TType.LIST, 'begun', (TType.STRUCT, [StreamBegin, None], False), None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 9
     (10, TType.LIST, 'served', (TType.STRUCT, [ServedBlock, None], False), None, ),  # 10
+    (11, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -120,6 +120,18 @@
   2: required i32 age_ms,
 }
 
+// Limit that a target names for the requests of all instances together.
+struct TargetLimit {
+  // Hash of the target's incarnation.
+  1: required i32 target,
+  // Requests a second; absent if the target names no limit any more.
+  2: optional double limit,
+  // Milliseconds since an answer of the target said so.
+  3: required i32 age_ms,
+  // Requests that the sender sent to it in the window of the limit.
+  4: required i32 sends,
+}
+
 // Load report: load of one instance at all engines, in a separate datagram.
 struct WorkNote {
   1: required string instance,
@@ -140,4 +152,6 @@
   // Prefix blocks on which engines may crash, and those cleared of it.
   9: optional list<CrashSuspect> suspects,
   10: optional list<ServedBlock> served,
+  // Targets that name a limit or did so lately.
+  11: optional list<TargetLimit> limits,
 }
