Bound every read of an answer in bytes and time

Cause: bytes without end were bounded in part only. The client of the log, of the product's own targets and of calls that run once limited the silence between two reads, not the whole: a head or body that arrived byte by byte kept a call, or the follower of the log, for ever, and a head without end filled the memory. On the platform, skipped answers, rejections, orders and streams had no limit of bytes, interim answers none of number, and each answer read into memory was limited to 16 MB by itself, on instances of 200 MB.

Change: the HTTP client bounds the head (128 KB, silence timeout and a second), each piece and the whole body of a call (by its caller's timeout, 3 s and 4 MB for the log); the gateway bounds each body to 16 MB, interim answers to eight, and all answers that are read into memory to 48 MB together.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -15,6 +15,10 @@
 READ_BYTES = 65_536
 #: Largest head of an answer, in bytes.
 MAX_HEAD_BYTES = 65_536
+#: Largest body of an answer, in bytes; a stream counts as one.
+MAX_BODY_BYTES = 16_000_000
+#: Largest number of informational heads before that of an answer.
+MAX_INFORMATIONAL = 8
 #: Timeout for establishing a connection, in seconds; callers also allow one
 #: second for a connection to an instance.
 CONNECT_TIMEOUT_S = 1.0
@@ -69,6 +73,7 @@
         "_parser",
         "_send_greenlet",
         "_request",
+        "_body_bytes",
         "idle_since",
         "keep_alive_s",
         "fresh",
@@ -82,6 +87,8 @@
         self._parser = _new_parser()
         self._send_greenlet: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
+        # Number of bytes of the present answer's body that were read.
+        self._body_bytes = 0
         #: Monotonic time at which the last answer was read in full.
         self.idle_since = 0.0
         #: Time for which the target keeps an idle connection, in seconds;
@@ -170,7 +177,8 @@
 
     def read_head(self, deadline: float) -> _messages.AnswerHead:
         """Return the head of the next answer that is not informational."""
-        while True:
+        self._body_bytes = 0
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = self._next_event(deadline)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -186,6 +194,7 @@
             return _messages.AnswerHead(
                 event.status_code, tuple(fields), _framing(raw)
             )
+        raise BrokenError(f"{self.address}: too many informational heads")
 
     def _read_keep_alive(self, headers: _messages.Headers) -> None:
         value = _messages.header(headers, b"keep-alive")
@@ -197,11 +206,17 @@
                 self.keep_alive_s = float(number)
 
     def read_piece(self, deadline: float) -> bytes:
-        """Return the next piece of the body; ``b""`` at its end."""
+        """Return the next piece of the body; ``b""`` at its end.
+
+        Raises :class:`BrokenError` if the body is over ``MAX_BODY_BYTES``.
+        """
         event = self._next_event(deadline)
         while isinstance(event, h11.Data) and not event.data:
             event = self._next_event(deadline)
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > MAX_BODY_BYTES:
+                raise BrokenError(f"{self.address}: the answer is too large")
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self.fresh = False
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -18,8 +18,9 @@
 #: Longest idle time of a connection for requests that may be retried, in
 #: seconds.
 RETRY_MAX_IDLE_S = 10.0
-#: Largest answer that is read into memory, in bytes.
-MAX_ANSWER_BYTES = 16_000_000
+#: Largest size of all answers together that are being read into memory, in
+#: bytes; the smallest instances have 200 MB.
+MAX_BUFFERED_BYTES = 48_000_000
 #: Timeout for reading the rest of a rejection, in seconds.
 REJECTION_READ_S = 0.2
 
@@ -57,7 +58,13 @@
 class Sender:
     """Sends requests to targets over pooled connections."""
 
-    __slots__ = ("_clock", "_dialect", "_limits", "request_count")
+    __slots__ = (
+        "_clock",
+        "_dialect",
+        "_limits",
+        "_buffered_bytes",
+        "request_count",
+    )
 
     def __init__(
         self,
@@ -68,6 +75,8 @@
         self._clock = clock
         self._dialect = dialect
         self._limits = limits
+        # Size of all answers that are being read into memory, in bytes.
+        self._buffered_bytes = 0
         #: Number of sends that ``send_request`` began on an open connection,
         #: failed ones included.
         self.request_count = 0
@@ -228,14 +237,16 @@
         channel = answer.channel
 
         def read() -> None:
-            size = 0
             while piece := channel.read_piece(deadline):
                 chunks.append(piece)
-                size += len(piece)
-                if size > MAX_ANSWER_BYTES:
-                    raise _channel.BrokenError("the answer is too large")
+                self._buffered_bytes += len(piece)
+                if self._buffered_bytes > MAX_BUFFERED_BYTES:
+                    raise _channel.BrokenError("too many large answers")
 
-        failure = read_or_close(channel, read)
+        try:
+            failure = read_or_close(channel, read)
+        finally:
+            self._buffered_bytes -= sum(len(piece) for piece in chunks)
         if failure is not None:
             return failure
         self.release_channel(tracked, channel)
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 import socket
 import typing
 
@@ -19,6 +20,13 @@
 READ_BLOCK_BYTES = 65_536
 #: Default limit of connections of one client.
 MAX_CONNECTIONS = 4_096
+#: Maximum number of bytes that are read before the head of an answer is
+#: complete, or without a byte of its body.
+MAX_OVERHEAD_BYTES = 131_072
+#: Time that the head of an answer, or a piece of its body, may take beyond the
+#: silence timeout, and the default for a whole body, in seconds.
+PIECE_TIMEOUT_S = 1.0
+BODY_TIMEOUT_S = 10.0
 #: Time after which an idle connection is not reused, in seconds.
 IDLE_LIMIT_S = 4.0
 #: Maximum size of a whole answer from a target or platform service, in
@@ -64,9 +72,36 @@
         )
 
 
+class _Socket(gevent.socket.socket):
+    """A socket that limits the bytes received before the head is complete."""
+
+    # Bytes that may still be received; ``None`` for any number.
+    allowed_bytes: int | None = None
+
+    def recv(self, *args: typing.Any) -> bytes:
+        """Receive bytes; raise ``OSError`` once no more are allowed."""
+        if self.allowed_bytes is not None and self.allowed_bytes <= 0:
+            raise OSError(errno.EMSGSIZE, "the head of the answer is too long")
+        data = super().recv(*args)
+        if self.allowed_bytes is not None:
+            self.allowed_bytes -= len(data)
+        return data
+
+
 class _Pool(connectionpool.ConnectionPool):
     """A connection pool with TCP_NODELAY, keep-alive and an idle limit."""
 
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> gevent.socket.socket:
+        return _Socket(family, socktype, protocol)
+
+    def get_socket(self) -> gevent.socket.socket:
+        """Return a connection on which a head is expected."""
+        sock = super().get_socket()
+        sock.allowed_bytes = MAX_OVERHEAD_BYTES
+        return sock
+
     def after_connect(self, sock: gevent.socket.socket) -> None:
         """Set TCP_NODELAY and the keep-alive options."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -99,15 +134,18 @@
 class StreamAnswer:
     """An HTTP answer whose body is read as it arrives."""
 
-    __slots__ = ("_response", "_address")
+    __slots__ = ("_response", "_address", "_timeout_s")
 
     def __init__(
         self,
         response: http_response.HTTPSocketPoolResponse,
         address: str,
+        timeout_s: float,
     ) -> None:
         self._response = response
         self._address = address
+        # Time in which the next byte of the body must arrive, in seconds.
+        self._timeout_s = timeout_s
 
     @property
     def status(self) -> int:
@@ -140,19 +178,11 @@
         response = self._response
         buffer = response._body_buffer
         try:
-            while not buffer and not response.message_complete:
-                sock = response._sock
-                if sock is None:
-                    raise _exceptions.TargetSilentError(
-                        self._address, "connection closed"
-                    )
-                data = sock.recv(READ_BLOCK_BYTES)
-                response.feed(data)
-                if not data and not response.message_complete:
-                    raise _exceptions.TargetSilentError(
-                        self._address,
-                        "connection closed before the end of the answer",
-                    )
+            if not buffer and not response.message_complete:
+                with gevent.Timeout(
+                    self._timeout_s, TimeoutError("no byte of the body came")
+                ):
+                    self._receive()
         except (OSError, http_response.HTTPParseError) as exc:
             self.close()
             raise _exceptions.TargetSilentError(
@@ -162,6 +192,24 @@
         del buffer[:]
         return data
 
+    def _receive(self) -> None:
+        """Receive until a byte of the body has arrived, or its end."""
+        response = self._response
+        sock = response._sock
+        if sock is None:
+            raise _exceptions.TargetSilentError(
+                self._address, "connection closed"
+            )
+        sock.allowed_bytes = MAX_OVERHEAD_BYTES
+        while not response._body_buffer and not response.message_complete:
+            data = sock.recv(READ_BLOCK_BYTES)
+            response.feed(data)
+            if not data and not response.message_complete:
+                raise _exceptions.TargetSilentError(
+                    self._address,
+                    "connection closed before the end of the answer",
+                )
+
     def read_all(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body.
 
@@ -187,7 +235,14 @@
 class HttpClient:
     """Sends requests to one address over pooled connections."""
 
-    __slots__ = ("address", "_client")
+    __slots__ = (
+        "address",
+        "_client",
+        "_head_timeout_s",
+        "_piece_timeout_s",
+        "_body_timeout_s",
+        "_max_answer_bytes",
+    )
 
     def __init__(
         self,
@@ -195,9 +250,15 @@
         connect_timeout_s: float = 1.0,
         silence_timeout_s: float = 5.0,
         connections: int = MAX_CONNECTIONS,
+        body_timeout_s: float = BODY_TIMEOUT_S,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         #: IP number and port.
         self.address = address
+        self._piece_timeout_s = silence_timeout_s + PIECE_TIMEOUT_S
+        self._head_timeout_s = connect_timeout_s + self._piece_timeout_s
+        self._body_timeout_s = body_timeout_s
+        self._max_answer_bytes = max_answer_bytes
         host, port = _address.split_address(address)
         self._client = geventhttpclient.HTTPClient(
             host,
@@ -242,9 +303,12 @@
             if not may_send():
                 raise SendForbiddenError(self.address)
         try:
-            response = self._client.request(
-                method, path, body, dict(headers or {})
-            )
+            with gevent.Timeout(
+                self._head_timeout_s, TimeoutError("no head in time")
+            ):
+                response = self._client.request(
+                    method, path, body, dict(headers or {})
+                )
         except ConnectionRefusedError as exc:
             raise _exceptions.ConnectRefusedError(
                 self.address, str(exc)
@@ -253,7 +317,7 @@
             raise _exceptions.TargetSilentError(
                 self.address, str(exc) or type(exc).__name__
             ) from exc
-        return StreamAnswer(response, self.address)
+        return StreamAnswer(response, self.address, self._piece_timeout_s)
 
     def call(
         self,
@@ -270,7 +334,16 @@
         is not a whole document.
         """
         answer = self.open(method, path, body, headers, may_send)
-        raw = answer.read_all()
+        try:
+            with gevent.Timeout(
+                self._body_timeout_s, TimeoutError("no whole body in time")
+            ):
+                raw = answer.read_all(self._max_answer_bytes)
+        except OSError as exc:
+            answer.close()
+            raise _exceptions.TargetSilentError(
+                self.address, str(exc)
+            ) from exc
         if answer.ends_by_close and raw and _is_cut_json(answer, raw):
             raise _exceptions.TargetSilentError(
                 self.address, "connection closed inside a JSON answer"
@@ -344,6 +417,7 @@
         connect_timeout_s=min(1.0, timeout_s),
         silence_timeout_s=timeout_s,
         connections=1,
+        body_timeout_s=timeout_s,
     )
     sent = False
 
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -28,6 +28,12 @@
 #: Time limit for an answer of the log beyond the long-poll time, in seconds;
 #: under normal load it answers in 4 ms.
 ANSWER_TIMEOUT_S = 0.6
+#: Time limit for the body of an answer, in seconds: a page of 1 MB takes 1.7 s
+#: on the slowest link of the users' sites, 5 Mbit/s.
+BODY_TIMEOUT_S = 3.0
+#: Largest answer, in bytes: a page of 1 MB and one more record, which base64
+#: and JSON lengthen.
+MAX_ANSWER_BYTES = 4_000_000
 #: Largest size of one read, in kilobytes.
 MAX_READ_KB = 1_024
 #: Sizes in the body of a read, in bytes: the header (end and first offset of
@@ -84,6 +90,8 @@
                 silence_timeout_s=READ_WAIT_MS[topic] / 1_000
                 + ANSWER_TIMEOUT_S,
                 connections=1,
+                body_timeout_s=BODY_TIMEOUT_S,
+                max_answer_bytes=MAX_ANSWER_BYTES,
             )
             for topic in gateway.Topic
         }
@@ -91,6 +99,8 @@
             address,
             connect_timeout_s=ANSWER_TIMEOUT_S,
             silence_timeout_s=ANSWER_TIMEOUT_S,
+            body_timeout_s=BODY_TIMEOUT_S,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
 
     def read_newest(
