--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -270,6 +270,7 @@
         """
         deadline = self._clock.monotonic() + timeout_s
         channel = tracked.channels.acquire(RETRY_MAX_IDLE_S, timeout_s)
+        self._limits.record_send(tracked.target)
         try:
             _round_trip(channel, outgoing, deadline)
         except BaseException:
@@ -300,6 +301,7 @@
                 raise _channel.BrokenError(
                     "the right to send the command has ended"
                 )
+            self._limits.record_send(tracked.target)
             status = _round_trip(channel, outgoing, deadline)
         except BaseException:
             channel.reset()
