--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -159,8 +159,7 @@
             role = tracked.target.role
             if role is None or not tracked.active:
                 continue
-            if tracked.failures >= EXCLUDE_AFTER_FAILURES or tracked.limited:
-                # It does not carry the share that the plan counts on.
+            if tracked.failures >= EXCLUDE_AFTER_FAILURES:
                 continue
             sent = self._pending_orders.get(name)
             engines.append(
