Keep prompts from engines that crash on them on the own interface too

Cause: the twin of the crashes on the platform.

Change: when an engine fails before its first event and then refuses connections, the first prefix blocks of the prompt that no complete answer has had are suspected, by the same rule as on the platform. A request is not sent to a third engine, and a prompt with a block under quarantine is refused with the time to come back. An instance learns from its own requests only.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -323,6 +323,7 @@
             self.retry_budget,
             self.invariants,
             self.gate,
+            entry.CrashGuard(self.clock, decisions.CrashSuspects()),
         )
         generation = entry.Generation(
             relay_dependencies,
--- a/agatewing/entry/__init__.py
+++ b/agatewing/entry/__init__.py
@@ -5,6 +5,7 @@
 from agatewing.entry._assembler import insert_handle
 from agatewing.entry._bodies import parse_body
 from agatewing.entry._context import CallerRequest
+from agatewing.entry._crashes import CrashGuard
 from agatewing.entry._gate import Gate
 from agatewing.entry._gate import Phase
 from agatewing.entry._generation import Generation
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -68,6 +68,7 @@
         byte of the answer is sent.
         """
         body = _bodies.parse_body(shape, req.body)
+        self._deps.crashes.check(body.prompt)
         pool, service = self._find_pool(body, req.identity)
         deadline = self._deadline(service, req)
         profile = self._request_profile(pool, req, body)
@@ -226,6 +227,7 @@
         """
         req, profile = stream.req, stream.profile
         now = self._deps.clock.monotonic()
+        self._deps.crashes.record_served(stream.call.prompt)
         self._deps.events.add(
             timeline.EventKind.REQUEST_ANSWERED,
             request=stream.call.id,
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -51,6 +51,8 @@
         "_resume_attempts",
         "_engines_tried",
         "_engine_accepted",
+        "_begun_at",
+        "_failed_at",
         "_progress_at",
         "assembler",
         "ever_accepted",
@@ -78,6 +80,11 @@
         self._engines_tried = 0
         # Whether the current engine has accepted the request.
         self._engine_accepted = False
+        # Position at which the current engine began.
+        self._begun_at = position
+        # Position at which the current engine broke off or went silent;
+        # ``None`` if it did not.
+        self._failed_at: int | None = None
         # Monotonic time of the last new event or change of engine.
         self._progress_at = 0.0
         #: Puts events in order; holds the position in the stream.
@@ -219,6 +226,8 @@
         self._resume_attempts = 0
         self._engines_tried += 1
         self._engine_accepted = False
+        self._begun_at = self.assembler.position
+        self._failed_at = None
         self._progress_at = self._deps.clock.monotonic()
         if target is not None:
             cached = self._profile.cached.get(name, 0)
@@ -337,6 +346,8 @@
         target = self._target
         if target is None:
             return
+        if isinstance(exc, _exceptions.TargetSilentError):
+            self._failed_at = self.assembler.position
         self._deps.events.add(
             timeline.EventKind.STREAM_FAILED,
             request=self._call.id,
@@ -353,6 +364,7 @@
         """
         if self._target is not None:
             self._avoid.add(self._target.name)
+            self._check_crash(self._target)
         if (
             self._engines_tried >= MAX_ENGINES
             or not self._deps.retries.try_spend()
@@ -386,6 +398,19 @@
             detail=f"from position {self.assembler.position}",
         )
 
+    def _check_crash(self, target: fleet.EngineTarget) -> None:
+        """Find out whether an engine crashed as it began to answer.
+
+        Raises ``RefusedError`` if engines crashed on similar prompts.
+        """
+        if self._failed_at is None or self._failed_at > self._begun_at:
+            return
+        if not self._deps.crashes.record_failure(self._call.prompt, target):
+            self.close()
+            raise _exceptions.RefusedError(
+                self._stream_lost("engines crashed on similar prompts")
+            )
+
     def _first_routable(self) -> decisions.Route | None:
         """Return a route to a routable engine, whatever its credits."""
         software = self._profile.software
--- a/agatewing/entry/_relay_types.py
+++ b/agatewing/entry/_relay_types.py
@@ -7,6 +7,7 @@
 from agatewing import _clock
 from agatewing import _invariants
 from agatewing import decisions
+from agatewing.entry import _crashes
 from agatewing.entry import _gate
 from agatewing import fleet
 from agatewing import timeline
@@ -53,3 +54,5 @@
     invariants: _invariants.Invariants
     #: Decides whether a request may be sent now.
     gate: _gate.Gate
+    #: Keeps prompts from engines that would crash on them.
+    crashes: _crashes.CrashGuard
--- a/agatewing/entry/tests/test_relay_versions.py
+++ b/agatewing/entry/tests/test_relay_versions.py
@@ -81,6 +81,7 @@
         decisions.RetryBudget(random.Random(1)),
         _invariants.Invariants(events),
         typing.cast(typing.Any, types.SimpleNamespace(may_send=lambda: True)),
+        entry.CrashGuard(clock, decisions.CrashSuspects()),
     )
     profile = decisions.RequestProfile(9, 9, "z", software=software)
     deadline = clock.monotonic() + 10.0
