--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -57,7 +57,7 @@
         Each line starts with its kind: TWICE for a request that ran more
         than once, UNASKED for one that no caller sent, REFUSED for one that
         ran although its status promises that it did not, MIXED or ORDER for
-        a wrong body.
+        a wrong body, STOPPED for a sound prompt that was put under quarantine.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -83,6 +83,9 @@
                     )
             if reply.status == 200 and reply.complete:
                 violations += _wrong_body(attempt, reply)
+            if reply.body.startswith(b"quarantined"):
+                # No prompt of the soak crashes engines.
+                violations.append(f"STOPPED: {name} got {reply.status}")
         return violations + self._mixed_versions()
 
     def _mixed_versions(self) -> list[str]:
