Refuse at once what a limit leaves no room for

Cause: while engines name a limit, more streams arrive than they take, and a stream was queued as long as its deadline allowed.

Change: while an engine of the service names a limit, a stream is queued only for as long as its caller waits; the admission control refuses at once what would wait longer, with the time to come back. A plain request is told the time until this instance uses the room that it sees, if there is any.

--- a/agatewing/decisions/_shared_limits.py
+++ b/agatewing/decisions/_shared_limits.py
@@ -200,7 +200,9 @@
     def may_send(self, target: int, now: float, begun: bool = False) -> bool:
         """Return whether a request may be sent to a target now.
 
-        ``begun`` says that an engine has worked on the request already.
+        ``begun`` says that an engine has worked on the request already. If
+        there is room that other instances may see too, the first call only
+        sets the time from which this one uses it.
         """
         limit = self.limit(target, now)
         if limit is None:
@@ -241,6 +243,9 @@
         limit = self.limit(target, now)
         if not limit or self._name not in self.senders(target):
             return None
+        room_at = self._targets[target].room_at
+        if room_at is not None:
+            return room_at - now
         # All instances together send so many in the time until then.
         return len(self.senders(target)) / limit
 
--- a/agatewing/decisions/tests/test_shared_limits.py
+++ b/agatewing/decisions/tests/test_shared_limits.py
@@ -115,6 +115,30 @@
     assert report.sends == 3
 
 
+@pytest.mark.parametrize(
+    ("limit", "peers", "least", "most"),
+    [
+        (10.0, 0, 0.0, 0.0),
+        # Others may see the same room: they go first.
+        (5.0, 14, 0.0, 2 * _shared_limits.STAGGER_S),
+        # No room: each of three instances sends every 0.6 s.
+        (5.0, 20, 0.6, 0.6),
+    ],
+)
+def test_a_caller_is_told_when_there_may_be_room(
+    limit: float, peers: int, least: float, most: float
+) -> None:
+    known = limits()
+    known.set_members(["i1", "i2"])
+    known.observe(TARGET, limit, 0.0, 1.0)
+    known.merge("i1", decisions.LimitReport(TARGET, limit, 0.0, peers), 1.0)
+    after_s = known.room_after_s(TARGET, 1.0)
+    assert after_s is not None
+    assert least <= after_s <= most
+    known.observe(TARGET, 0.0, 1.0, 1.0)
+    assert known.room_after_s(TARGET, 1.0) is None
+
+
 @pytest.mark.parametrize("size", [2, 9, 10, 60])
 def test_all_instances_choose_the_same_senders(size: int) -> None:
     names = [f"i{number}" for number in range(size)]
--- a/agatewing/gateway/_request_limits.py
+++ b/agatewing/gateway/_request_limits.py
@@ -74,6 +74,11 @@
         """Whether any target has a limit, or had one lately."""
         return self._shared.active(self._clock.monotonic())
 
+    def limits(self, target: _contracts.Target) -> bool:
+        """Return whether a target names a limit."""
+        now = self._clock.monotonic()
+        return self._shared.limit(target.key, now) is not None
+
     def may_send(self, target: _contracts.Target, begun: bool = False) -> bool:
         """Return whether a request may be sent to a target now.
 
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -59,13 +59,29 @@
             account = f"{account} of {software}"
         try:
             route = self._ctx.dispatcher.wait_for_route(
-                pool, RouteAccount(account), profile, job.deadline
+                pool,
+                RouteAccount(account),
+                profile,
+                self._queue_deadline(job, pool),
             )
         except _exceptions.RefusedError as exc:
             raise _context.dispatcher_refusal(exc) from exc
         self._check_patience(job, pool, profile, route)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
+    def _queue_deadline(
+        self, job: _context.Job, pool: _target_registry.Pool
+    ) -> float:
+        """Return the monotonic time until which a request may be queued.
+
+        While engines limit the requests of all instances, a queue holds more
+        than they take; callers that would give up are refused at once.
+        """
+        if not pool.limited:
+            return job.deadline
+        give_up_at = job.req.arrived_at + job.route.patience_s
+        return min(job.deadline, give_up_at - _context.ANSWER_MARGIN_S)
+
     def _find_version(self, job: _context.Job) -> str | None:
         """Return the software version that a taken-up stream is bound to.
 
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -120,6 +120,13 @@
             self._any_held_back = active
         return [tracked.load for tracked in self.engines.values()]
 
+    @property
+    def limited(self) -> bool:
+        """Whether any engine limits the requests of all instances."""
+        return self._limits.active and any(
+            tracked.limited for tracked in self.engines.values()
+        )
+
     def versions(self) -> frozenset[str]:
         """Return the software versions of all engines, leaving ones too."""
         return frozenset(
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -207,6 +207,11 @@
         until = max(self.avoid_until, self.changing_until)
         return self.active and now >= until
 
+    @property
+    def limited(self) -> bool:
+        """Whether it limits the requests of all instances together."""
+        return self._limits.limits(self.target)
+
     def may_get(self, begun: bool = False) -> bool:
         """Return whether its limit, if it names one, leaves room now.
 
--- a/agatewing/platform/tests/test_shared_limits.py
+++ b/agatewing/platform/tests/test_shared_limits.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import time
 
 import gevent
 import pytest
@@ -61,6 +62,8 @@
         self._path = path
         #: Status of each reply.
         self.statuses: list[int] = []
+        #: Time until each refusal, in seconds.
+        self.refusal_times: list[float] = []
         #: Replies of status 503 without a time to come back.
         self.without_time: list[standins.Reply] = []
         self._loops = [
@@ -73,8 +76,11 @@
         headers = PROMPT_HEADERS if self._path == "/draft/x" else {}
         while True:
             attempt = f"a{next(_NUMBERS)}"
+            asked_at = time.monotonic()
             reply = self._site.ask(instance, self._path, attempt, headers)
             self.statuses.append(reply.status)
+            if reply.status == 503:
+                self.refusal_times.append(time.monotonic() - asked_at)
             if reply.status == 503 and "retry-after" not in reply.headers:
                 self.without_time.append(reply)
             gevent.sleep(PAUSE_S)
@@ -139,6 +145,22 @@
     assert not callers.without_time
 
 
+# Streams that a limit left no room for waited until near their deadline, long
+# after their callers had given up.
+def test_streams_are_refused_before_their_callers_give_up(
+    site: standins.Site, instances: list[gateway.GatewayInstance]
+) -> None:
+    for name in ("e1", "e2"):
+        site.targets[name].limit = "2"
+    callers = Callers(site, instances, "/draft/x")
+    gevent.sleep(LEARN_S + COUNT_S)
+    callers.stop()
+    route = instances[0].catalog.routes.find(standins.HOST, "/draft/x")
+    assert route is not None
+    assert callers.refusal_times
+    assert max(callers.refusal_times) < route.patience_s
+
+
 # A limit that a target names no more must not be kept.
 def test_a_limit_ends_with_the_answers_that_name_it(
     site: standins.Site, instances: list[gateway.GatewayInstance]
