Log what led to an answer that ends early

The logs did not tell a target that fell silent from one that broke the connection, nor a change of configuration from either, and a connection that the instance ended under a request had no line at all. 'request: send failed' names the silence before it, 'server: answer cut off' the events that the caller had and both configuration versions, and a new line names connections that end because the caller does not read or the instance stops.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -41,6 +41,10 @@
     """The caller closed its connection, or it broke."""
 
 
+class CallerNotReadingError(CallerGoneError):
+    """The caller did not read its answer within ``WRITE_TIMEOUT_S``."""
+
+
 class _ReceiveBuffer:
     """Received bytes that were not parsed yet."""
 
@@ -337,6 +341,8 @@
                 WRITE_TIMEOUT_S, TimeoutError("write timed out")
             ):
                 self._sock.sendall(data)
+        except TimeoutError as exc:
+            raise CallerNotReadingError(str(exc)) from exc
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
 
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -74,6 +74,7 @@
         "_send_greenlet",
         "_request",
         "_body_bytes",
+        "_last_byte_at",
         "idle_since",
         "keep_alive_s",
         "fresh",
@@ -89,6 +90,9 @@
         self._request: h11.Request | None = None
         # Number of bytes of the present answer's body that were read.
         self._body_bytes = 0
+        # Monotonic time of the last received bytes, or of the send if none
+        # came after it, in seconds.
+        self._last_byte_at = clock.monotonic()
         #: Monotonic time at which the last answer was read in full.
         self.idle_since = 0.0
         #: Time for which the target keeps an idle connection, in seconds;
@@ -140,6 +144,7 @@
     def send(self, outgoing: _messages.Outgoing, deadline: float) -> None:
         """Send a request; a large one is sent while the answer is read."""
         head, body = _encode(self._parser, outgoing)
+        self._last_byte_at = self._clock.monotonic()
         self._request = h11.Request(
             method=outgoing.method, target="*", headers=[("Host", "none")]
         )
@@ -268,8 +273,18 @@
             raise BrokenError(f"{self.address}: {exc}") from exc
         if not data and self._parser.their_state is h11.SEND_RESPONSE:
             raise BrokenError(f"{self.address}: closed without an answer")
+        if data:
+            self._last_byte_at = self._clock.monotonic()
         self._parser.receive_data(data)
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the last byte from the target, in seconds.
+
+        Since the send, if none came after it.
+        """
+        return self._clock.monotonic() - self._last_byte_at
+
     def prepare_reuse(self) -> bool:
         """Reset the parser for another request; return whether that worked."""
         if self._send_greenlet is not None and not self._send_greenlet.ready():
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -86,6 +86,10 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     #: Whether a target has received it, so that another send is a retry.
     reached_target: bool = False
+    #: Version of the configuration by which it was accepted.
+    config_version: int = 0
+    #: Number of complete events forwarded to the caller.
+    events: int = 0
 
 
 def log_event(job: Job, event: str, **fields: object) -> None:
@@ -199,6 +203,7 @@
         reason=reason,
         next=str(step),
         prefix=",".join(job.req.shared_blocks),
+        silent_s=_silent_s(outcome),
         **fields,
     )
     if step is not decisions.NextStep.ANOTHER_FREE:
@@ -229,6 +234,14 @@
     raise AssertionError("outcome is an answer; pass only failed outcomes")
 
 
+def _silent_s(outcome: _messages.Outcome) -> float | None:
+    """Return how long the target was silent; ``None`` if that says nothing."""
+    match outcome:
+        case _messages.TimedOut() | _messages.Unknown():
+            return round(outcome.silent_s, 3)
+    return None
+
+
 def _deadline_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
     """Return the error for a request whose deadline has passed."""
     if job.attempts.maybe_ran:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -210,6 +210,9 @@
     #: Whether a reused connection failed before a valid head of the answer;
     #: usually the target had closed it while it was idle.
     stale: bool = False
+    #: Time since the last byte from the target, or since the send if none
+    #: came, in seconds.
+    silent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,6 +221,9 @@
 
     #: Cause, for logs and refusals.
     reason: str
+    #: Time since the last byte from the target, or since the send if none
+    #: came, in seconds.
+    silent_s: float = 0.0
 
 
 Outcome: typing.TypeAlias = Answered | NotSent | NotRun | Unknown | TimedOut
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -116,6 +116,7 @@
         if not data:
             return
         if self.event_count > events_before:
+            self._job.events = self.event_count
             now = self._clock.monotonic()
             meter.mark_prompt_processed(now)
             if not self.first_event_at:
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -145,10 +145,14 @@
             # was idle.
             if channel.fresh:
                 tracked.record_failure()
-            return _messages.Unknown(str(exc), stale=not channel.fresh)
+            return _messages.Unknown(
+                str(exc),
+                stale=not channel.fresh,
+                silent_s=channel.silent_s,
+            )
         except _channel.DeadlineExceededError as exc:
             channel.close()
-            return _messages.TimedOut(str(exc))
+            return _messages.TimedOut(str(exc), channel.silent_s)
         if not self._dialect.address_reassigned(head):
             limit = self._dialect.request_limit(head)
             self._limits.observe(tracked.target, limit, sent_at)
@@ -322,10 +326,10 @@
         read()
     except _channel.BrokenError as exc:
         channel.close()
-        return _messages.Unknown(str(exc))
+        return _messages.Unknown(str(exc), silent_s=channel.silent_s)
     except _channel.DeadlineExceededError as exc:
         channel.close()
-        return _messages.TimedOut(str(exc))
+        return _messages.TimedOut(str(exc), channel.silent_s)
     except BaseException:
         channel.close()
         raise
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -37,6 +37,7 @@
         "_streams",
         "_server",
         "_conns",
+        "_jobs",
         "refusals",
     )
 
@@ -54,6 +55,8 @@
             address, self._serve, backlog=BACKLOG
         )
         self._conns: set[_caller_conn.CallerConn] = set()
+        # Requests that are being handled, by connection.
+        self._jobs: dict[_caller_conn.CallerConn, _context.Job] = {}
         #: Number of refusals by kind.
         self.refusals: collections.Counter[str] = collections.Counter()
 
@@ -82,6 +85,26 @@
             if not conn.busy:
                 conn.end_idle()
 
+    def log_unanswered(self, reason: str) -> None:
+        """Log the requests whose connections end now, without an answer."""
+        for job in self._jobs.values():
+            self._log_unanswered(job, reason)
+
+    def _log_unanswered(self, job: _context.Job, reason: str) -> None:
+        _log.info(
+            "server: connection ended without an answer",
+            extra={"request": job.req.id, **self._progress(job, reason)},
+        )
+
+    def _progress(self, job: _context.Job, reason: str) -> dict[str, object]:
+        """Return the fields of an answer that ends early."""
+        return {
+            "reason": reason,
+            "events": job.events,
+            "config": self._ctx.catalog.config_version,
+            "config_at_start": job.config_version,
+        }
+
     def _limits(self) -> _contracts.CallerLimits:
         configuration = self._ctx.catalog.configuration
         if configuration is None:
@@ -128,14 +151,23 @@
         try:
             self._handle(conn, req)
         except _refusals.GatewayRefusedError as exc:
-            if conn.started:
+            job = self._jobs.get(conn)
+            if job is not None and conn.started:
                 # The answer must not look complete, so it is cut off.
                 _log.info(
                     "server: answer cut off",
-                    extra={"request": req.id, "reason": str(exc)},
+                    extra={
+                        "request": req.id,
+                        **self._progress(job, str(exc)),
+                    },
                 )
                 return False
             self._refuse(conn, exc.refusal, req.id)
+        except _caller_conn.CallerNotReadingError as exc:
+            job = self._jobs.get(conn)
+            if job is not None:
+                self._log_unanswered(job, str(exc))
+            raise
         except (_caller_conn.CallerGoneError, gevent.GreenletExit):
             raise
         except Exception:
@@ -149,6 +181,8 @@
             self._refuse(
                 conn, _refusals.outcome_unknown("internal error"), req.id
             )
+        finally:
+            self._jobs.pop(conn, None)
         conn.closing = conn.closing or self._lifecycle.closing
         return conn.prepare_next_request()
 
@@ -165,7 +199,7 @@
             raise _refusals.GatewayRefusedError(
                 _refusals.not_found(req.host, req.path)
             )
-        job = self._new_job(conn, req, route)
+        job = self._jobs[conn] = self._new_job(conn, req, route)
         self._ctx.budget.record_request(job.service, req.arrived_at)
         if route.kind.streams:
             self._streams.handle(job)
@@ -189,6 +223,7 @@
             _routes.choose_service(route, self._ctx.rng),
             deadline,
             decisions.Attempts(route.kind.idempotent, route.max_targets),
+            config_version=self._ctx.catalog.config_version,
         )
 
     def _refuse(
@@ -223,4 +258,5 @@
     while not lifecycle.may_end():
         server.close_idle()
         clock.sleep(STOP_POLL_S)
+    server.log_unanswered("the instance ends")
     return lifecycle.in_flight == 0
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -3,9 +3,11 @@
 import collections.abc
 import logging
 
+import gevent
 import pytest
 
 from agatewing import gateway
+from agatewing.gateway import _caller_conn
 from agatewing.platform import standins
 
 PROMPT_HEADERS = {
@@ -18,6 +20,7 @@
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
         made.route("/chat/", "streaming", sticky=True)
+        made.route("/slow/", "streaming", sticky=True, timeout_ms=9_000)
         made.add_target("e1")
         made.publish()
         yield made
@@ -73,3 +76,119 @@
         site.ask(instance, "/chat/x", "s1", PROMPT_HEADERS)
     (line,) = [r for r in caplog.records if r.getMessage() == message]
     assert getattr(line, "prefix") == "aa,bb"
+
+
+def lines_of(
+    caplog: pytest.LogCaptureFixture, message: str
+) -> list[logging.LogRecord]:
+    return [r for r in caplog.records if r.getMessage() == message]
+
+
+# Nothing told a target that was silent from one that broke the connection.
+@pytest.mark.parametrize(
+    ("behaviour", "at_least", "below"),
+    [
+        (standins.Behaviour.RESET, 0.0, 0.3),
+        (standins.Behaviour.HANG, 0.4, 3.0),
+        (standins.Behaviour.NOT_RUN, None, None),
+    ],
+)
+def test_a_failed_send_names_the_silence_before_it(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+    behaviour: standins.Behaviour,
+    at_least: float | None,
+    below: float | None,
+) -> None:
+    site.targets["e1"].script.append(behaviour)
+    headers = {**PROMPT_HEADERS, "X-Deadline-Ms": "1500"}
+    with caplog.at_level(logging.INFO, logger="agatewing.request"):
+        site.ask(instance, "/chat/x", "s1", headers)
+    (line,) = lines_of(caplog, "request: send failed")
+    silent_s = getattr(line, "silent_s")
+    if at_least is None or below is None:
+        assert silent_s is None
+    else:
+        assert at_least <= silent_s < below
+
+
+# Nothing said whether the configuration had changed under an answer that was
+# cut off, nor how much of it the caller had.
+def test_a_cut_off_answer_names_its_events_and_the_configurations(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    engine = site.targets["e1"]
+    engine.pause_s = 0.3
+    engine.script.append(standins.Behaviour.CUT)
+    before = instance.catalog.config_version
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        asked = gevent.spawn(
+            site.ask, instance, "/chat/x", "s1", PROMPT_HEADERS
+        )
+        site.wait(lambda: engine.runs)
+        after = site.publish()
+        assert not asked.get().complete
+    (line,) = lines_of(caplog, "server: answer cut off")
+    assert before < after
+    assert (
+        getattr(line, "events"),
+        getattr(line, "config_at_start"),
+        getattr(line, "config"),
+    ) == (2, before, after)
+
+
+# A connection that the instance ended under a request left no line.
+def test_a_caller_that_does_not_read_leaves_a_line(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_caller_conn, "WRITE_TIMEOUT_S", 0.2)
+    site.targets["e1"].event_suffix = "x" * 900_000
+    site.targets["e1"].events = 12
+    fields = {"Host": standins.HOST, "X-Request-Id": "s1", **PROMPT_HEADERS}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        with site.connect(instance) as sock:
+            sock.sendall(f"POST /chat/x HTTP/1.1\r\n{lines}\r\n".encode())
+            site.wait(lambda: caplog.records)
+    (line,) = lines_of(caplog, "server: connection ended without an answer")
+    assert getattr(line, "reason") == "write timed out"
+    assert getattr(line, "request") == "s1"
+
+
+def test_a_caller_that_disconnects_leaves_no_line(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    engine = site.targets["e1"]
+    engine.script.append(standins.Behaviour.HANG)
+    fields = {"Host": standins.HOST, "X-Request-Id": "s1", **PROMPT_HEADERS}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        with site.connect(instance) as sock:
+            sock.sendall(f"POST /chat/x HTTP/1.1\r\n{lines}\r\n".encode())
+            site.wait(lambda: engine.runs)
+        site.wait(lambda: engine.dropped)
+    assert not caplog.records
+
+
+def test_a_request_under_way_at_the_end_of_the_instance_leaves_a_line(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    engine = site.targets["e1"]
+    engine.script.append(standins.Behaviour.HANG)
+    instance.lifecycle.stop_limit_s = 1.0
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        gevent.spawn(site.ask, instance, "/slow/x", "s1", PROMPT_HEADERS)
+        site.wait(lambda: engine.runs)
+        assert not instance.stop()
+    (line,) = lines_of(caplog, "server: connection ended without an answer")
+    assert getattr(line, "reason") == "the instance ends"
