Answer a refused HEAD request with the head of the refusal

Cause: a refusal has a body, h11 forbids one in an answer to HEAD, and the exception ended the connection without a byte. Change: the body is left out for HEAD. Result: test_a_refused_head_request_gets_the_head_of_the_refusal failed in both cases (LocalProtocolError, no answer) and passes.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -105,6 +105,7 @@
         "busy",
         "closing",
         "_started",
+        "_head_only",
     )
 
     def __init__(
@@ -129,6 +130,8 @@
         #: Whether the connection is closed after the current answer.
         self.closing = False
         self._started = False
+        # Whether the answer must not have a body.
+        self._head_only = False
         self._reader = gevent.spawn(self._receive_loop)
 
     def _new_parser(self) -> h11.Connection:
@@ -178,6 +181,7 @@
         event = self._next_event()
         if not isinstance(event, h11.Request):
             raise CallerGoneError("the connection ended inside a head")
+        self._head_only = event.method == b"HEAD"
         body = self._read_body(event)
         return self._dialect.read_request(
             event.method,
@@ -305,7 +309,7 @@
         """Send a whole answer with one write to the socket."""
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
         data = self._head(status, fields)
-        if body:
+        if body and not self._head_only:
             data += self._parser.send(h11.Data(data=body)) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
         self._send(data)
--- /dev/null
+++ b/agatewing/gateway/tests/test_odd_requests.py
@@ -0,0 +1,53 @@
+"""Odd requests that once ended without an answer."""
+
+import collections.abc
+
+import pytest
+
+from agatewing import gateway
+from agatewing.platform import standins
+
+
+@pytest.fixture(scope="module")
+def site() -> collections.abc.Iterator[standins.Site]:
+    with standins.Site() as made:
+        made.route("/look/", "safe", "ledger", max_attempts=2)
+        made.route("/draft/", "streaming", sticky=True)
+        made.add_target("t1", "ledger", None)
+        made.add_target("e1")
+        made.publish()
+        instance = made.start()
+        made.wait(lambda: len(instance.catalog.targets) == 2)
+        made.wait(lambda: instance.lifecycle.ready)
+        yield made
+
+
+@pytest.fixture
+def instance(site: standins.Site) -> gateway.GatewayInstance:
+    return site.instances[0]
+
+
+REFUSED_HEADS = {
+    "no route": ("/nowhere/", 404),
+    "no configuration": ("/look/x", 503),
+}
+
+
+# A refusal has a body, which an answer to HEAD must not have.
+@pytest.mark.parametrize("name", REFUSED_HEADS)
+def test_a_refused_head_request_gets_the_head_of_the_refusal(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+) -> None:
+    path, status = REFUSED_HEADS[name]
+    if name == "no configuration":
+        monkeypatch.setattr(instance.catalog, "configuration", None)
+    request = f"HEAD {path} HTTP/1.1\r\nHost: {standins.HOST}\r\n\r\n"
+    with site.connect(instance) as sock:
+        sock.settimeout(2.0)
+        sock.sendall(request.encode())
+        answer = sock.recv(4_096)
+        assert answer.startswith(b"HTTP/1.1 %d" % status)
+        assert answer.endswith(b"\r\n\r\n")
