Answer a request that a defect keeps from being read

Cause: only refusals were caught while a request is read; any other exception ended the connection without an answer. Change: it is logged and answered 503, as the request certainly has not run. Result: test_a_defect_while_a_request_is_read_is_answered failed (status 0) and passes.

--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -151,6 +151,13 @@
     )
 
 
+def unread() -> GatewayRefusal:
+    """Return the refusal of a request that a defect kept from being read."""
+    return overloaded(
+        "this instance failed to read the request; ask another one"
+    )
+
+
 def quarantined(reason: str, left_s: float) -> GatewayRefusal:
     """Return the refusal of a prompt on which engines would crash.
 
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -136,6 +136,13 @@
             conn.closing = True
             self._refuse(conn, exc.refusal, "")
             return False
+        except (_caller_conn.CallerGoneError, gevent.GreenletExit):
+            raise
+        except Exception:
+            _log.exception("server: unexpected error while reading a request")
+            conn.closing = True
+            self._refuse(conn, _refusals.unread(), "")
+            return False
         if req is None:
             return False
         self._lifecycle.in_flight += 1
--- a/agatewing/gateway/tests/test_odd_requests.py
+++ b/agatewing/gateway/tests/test_odd_requests.py
@@ -51,3 +51,20 @@
         answer = sock.recv(4_096)
         assert answer.startswith(b"HTTP/1.1 %d" % status)
         assert answer.endswith(b"\r\n\r\n")
+
+
+# Only the exceptions of a refusal were answered while a request was read.
+def test_a_defect_while_a_request_is_read_is_answered(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(*args: object) -> None:
+        raise RuntimeError("a defect")
+
+    dialect = type(instance.platform.dialect)
+    monkeypatch.setattr(dialect, "read_request", fail)
+    reply = site.ask(instance, "/look/x", "defect")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert not any(run.id == "defect" for run in site.targets["t1"].runs)
