Read a number with too many digits as absent

Cause: int() raises for over 4,300 digits, and 400 digits overflow a float, so that a header of a caller ended its connection without an answer (X-Deadline-Ms) or got 502 (token counts).

--- a/agatewing/gateway/tests/test_odd_requests.py
+++ b/agatewing/gateway/tests/test_odd_requests.py
@@ -53,6 +53,34 @@
         assert answer.endswith(b"\r\n\r\n")
 
 
+# The number was too long to convert, and the connection ended.
+@pytest.mark.parametrize(
+    "header",
+    ["X-Deadline-Ms", "X-Token-Count", "X-Length-Hint", "X-Prefix-Hash"],
+)
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_a_number_with_too_many_digits_counts_as_absent(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    header: str,
+    digits: int,
+) -> None:
+    number = "9" * digits
+    fields = {"X-Token-Count": "100,3", "X-Prefix-Hash": "aa:50,bb:50"}
+    fields[header] = f"aa:{number}" if header == "X-Prefix-Hash" else number
+    reply = site.ask(instance, "/draft/x", f"long {header}", fields)
+    assert reply.status == 200
+    assert reply.complete
+
+
+def test_a_length_with_too_many_digits_is_too_large(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    fields = {"Content-Length": "9" * 5_000}
+    reply = site.ask(instance, "/look/x", "long length", fields)
+    assert reply.status in (400, 413)
+
+
 # Only the exceptions of a refusal were answered while a request was read.
 def test_a_defect_while_a_request_is_read_is_answered(
     site: standins.Site,
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -16,6 +16,10 @@
 }
 
 
+#: Largest number of digits in a header's number; longer ones are unreadable.
+_MAX_DIGITS = 15
+
+
 class _PrefillAnswer(msgspec.Struct, frozen=True):
     # Handle of the KV cache, unique at the engine that answered.
     transfer_handle: str
@@ -206,7 +210,7 @@
 
 def _ms_to_seconds(value: bytes | None) -> float | None:
     """Convert a value in milliseconds; ``None`` if it is not a number."""
-    if value is None or not value.strip().isdigit():
+    if value is None or not _is_number(value.strip()):
         return None
     return int(value) / 1_000
 
@@ -251,4 +255,9 @@
     Token counts only feed cost estimates, so a wrong one breaks nothing.
     """
     raw = raw.strip()
-    return int(raw) if raw.isdigit() else 0
+    return int(raw) if _is_number(raw) else 0
+
+
+def _is_number(raw: bytes) -> bool:
+    """Return whether bytes are a decimal number of a sensible length."""
+    return raw.isdigit() and len(raw) <= _MAX_DIGITS
