Split the receiving half off a caller's connection

Change: CallerInput receives, its behaviour as before. Result: the tests of connections and paths pass unchanged.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -1,21 +1,16 @@
-"""One connection of a caller: reads requests, writes answers.
-
-A reader greenlet receives bytes all the time, so that a closed connection is
-noticed while the request still waits for its target.
-"""
+"""One connection of a caller: reads requests, writes answers."""
 
 import collections.abc
-import errno
 import logging
 import socket
 import typing
 
 import gevent
-import gevent.event
 import gevent.socket
 import h11
 
 from agatewing import _clock
+from agatewing.gateway import _caller_input
 from agatewing.gateway import _contracts
 from agatewing.gateway import _head_check
 from agatewing.gateway import _messages
@@ -25,10 +20,6 @@
 
 _log = logging.getLogger("agatewing.caller")
 
-#: Largest number of bytes read from a connection at once.
-READ_BYTES = 65_536
-#: Bytes of later requests that are buffered while one is in flight.
-READ_AHEAD_BYTES = 65_536
 #: Timeout of a write to a caller that does not read, in seconds; callers
 #: abandon a stream after two seconds or more without an event, see
 #: ``Route.patience_s``.
@@ -45,49 +36,6 @@
     """The caller did not read its answer within ``WRITE_TIMEOUT_S``."""
 
 
-class _ReceiveBuffer:
-    """Received bytes that were not parsed yet."""
-
-    __slots__ = ("_chunks", "_size", "_data_arrived", "closed")
-
-    def __init__(self) -> None:
-        self._chunks: list[bytes] = []
-        self._size = 0
-        self._data_arrived = gevent.event.Event()
-        #: Whether the caller has closed its side.
-        self.closed = False
-
-    @property
-    def full(self) -> bool:
-        """Whether the reader should pause."""
-        return self._size >= READ_AHEAD_BYTES
-
-    def put(self, data: bytes) -> None:
-        """Append received bytes; empty bytes mark the end of input."""
-        if data:
-            self._chunks.append(data)
-            self._size += len(data)
-        else:
-            self.closed = True
-        self._data_arrived.set()
-
-    def take(self, timeout_s: float) -> bytes | None:
-        """Remove and return all bytes, waiting for some if there are none.
-
-        Returns ``b""`` at the end of input and ``None`` after the timeout.
-        """
-        while not self._chunks:
-            if self.closed:
-                return b""
-            self._data_arrived.clear()
-            if not self._data_arrived.wait(timeout_s):
-                return None
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._size = 0
-        return data
-
-
 class CallerConn:
     """Connection of one caller; serves its requests one by one."""
 
@@ -97,9 +45,7 @@
         "_dialect",
         "_limits",
         "_parser",
-        "_buffer",
-        "_space_freed",
-        "_reader",
+        "_input",
         "_handler_greenlet",
         "_unparsed",
         "busy",
@@ -121,8 +67,6 @@
         self._dialect = dialect
         self._limits = limits
         self._parser = self._new_parser()
-        self._buffer = _ReceiveBuffer()
-        self._space_freed = gevent.event.Event()
         self._unparsed = b""
         self._handler_greenlet: gevent.Greenlet = gevent.getcurrent()
         #: Whether a request is in flight.
@@ -132,39 +76,17 @@
         self._started = False
         # Whether the answer must not have a body.
         self._head_only = False
-        self._reader = gevent.spawn(self._receive_loop)
+        self._input = _caller_input.CallerInput(sock, self._abort_handler)
 
     def _new_parser(self) -> h11.Connection:
         size = self._limits().max_head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
-    def _receive_loop(self) -> None:
-        """Receive bytes until the caller closes the connection."""
-        while True:
-            while self._buffer.full:
-                self._space_freed.clear()
-                self._space_freed.wait()
-            try:
-                data = self._sock.recv(READ_BYTES)
-            except OSError as exc:
-                if exc.errno == errno.EBADF:
-                    return
-                data = b""
-            self._buffer.put(data)
-            if not data:
-                self._abort_handler()
-                return
-
     def _abort_handler(self) -> None:
         """Abort the handling of a request whose caller has disconnected."""
         if self.busy:
             self._handler_greenlet.kill(CallerGoneError, block=False)
 
-    def _take(self, timeout_s: float) -> bytes | None:
-        data = self._buffer.take(timeout_s)
-        self._space_freed.set()
-        return data
-
     def next_request(self) -> _messages.CallerRequest | None:
         """Return the next request, read in full.
 
@@ -215,7 +137,7 @@
             wait = limits.idle_timeout_s
             if deadline is not None:
                 wait = deadline - now
-            data = self._take(wait) if wait > 0 else None
+            data = self._input.take(wait) if wait > 0 else None
             if data is None:
                 if raw:
                     raise _refused("the head did not arrive in time", 408)
@@ -274,7 +196,7 @@
                 )
             )
         remaining_s = until - self._clock.monotonic()
-        data = self._take(remaining_s) if remaining_s > 0 else None
+        data = self._input.take(remaining_s) if remaining_s > 0 else None
         if data is None:
             raise _refused("the body did not arrive in time", 408)
         if not data:
@@ -364,11 +286,11 @@
 
     def end_idle(self) -> None:
         """End an idle connection as if the caller had closed it."""
-        self._buffer.put(b"")
+        self._input.end()
 
     def close(self) -> None:
         """Close the connection; an unfinished answer stays incomplete."""
-        self._reader.kill(block=False)
+        self._input.stop()
         if self._ends_by_close:
             net.reset_on_close(self._sock)
         else:
--- /dev/null
+++ b/agatewing/gateway/_caller_input.py
@@ -0,0 +1,94 @@
+"""Receives the bytes of one caller's connection.
+
+A reader greenlet receives all the time, so that a closed connection is
+noticed while the request still waits for its target.
+"""
+
+import collections.abc
+import errno
+
+import gevent
+import gevent.event
+import gevent.socket
+
+#: Largest number of bytes read from a connection at once.
+READ_BYTES = 65_536
+#: Bytes of later requests that are buffered while one is in flight.
+READ_AHEAD_BYTES = 65_536
+
+
+class CallerInput:
+    """Bytes that a caller has sent and that were not parsed yet."""
+
+    __slots__ = (
+        "_sock",
+        "_on_end",
+        "_chunks",
+        "_size",
+        "_data_arrived",
+        "_space_freed",
+        "_reader",
+        "ended",
+    )
+
+    def __init__(
+        self,
+        sock: gevent.socket.socket,
+        on_end: collections.abc.Callable[[], None],
+    ) -> None:
+        self._sock = sock
+        # Called once the caller has closed its side.
+        self._on_end = on_end
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._data_arrived = gevent.event.Event()
+        self._space_freed = gevent.event.Event()
+        #: Whether the caller has closed its side.
+        self.ended = False
+        self._reader = gevent.spawn(self._receive_loop)
+
+    def _receive_loop(self) -> None:
+        """Receive bytes until the caller closes the connection."""
+        while True:
+            while self._size >= READ_AHEAD_BYTES:
+                self._space_freed.clear()
+                self._space_freed.wait()
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError as exc:
+                if exc.errno == errno.EBADF:
+                    return
+                data = b""
+            if not data:
+                self.end()
+                self._on_end()
+                return
+            self._chunks.append(data)
+            self._size += len(data)
+            self._data_arrived.set()
+
+    def end(self) -> None:
+        """Treat the input as ended, as if the caller had closed its side."""
+        self.ended = True
+        self._data_arrived.set()
+
+    def stop(self) -> None:
+        """Stop receiving."""
+        self._reader.kill(block=False)
+
+    def take(self, timeout_s: float) -> bytes | None:
+        """Remove and return all bytes, waiting for some if there are none.
+
+        Returns ``b""`` at the end of input and ``None`` after the timeout.
+        """
+        while not self._chunks:
+            if self.ended:
+                return b""
+            self._data_arrived.clear()
+            if not self._data_arrived.wait(timeout_s):
+                return None
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._size = 0
+        self._space_freed.set()
+        return data
