Apply the limits in force to a connection that idles

Cause: the limits of a connection were read when its wait began. With a raised idle limit it was closed at the older one while its caller counted on the newer, and with a lowered one at the newer while callers may still know the older; a longer head was refused by a limit no longer in force. No timer is added.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -11,7 +11,7 @@
 
 from agatewing import _clock
 from agatewing.gateway import _caller_input
-from agatewing.gateway import _contracts
+from agatewing.gateway import _caller_limits
 from agatewing.gateway import _head_check
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
@@ -59,7 +59,7 @@
         sock: gevent.socket.socket,
         clock: _clock.Clock,
         dialect: _ports.Dialect,
-        limits: collections.abc.Callable[[], _contracts.CallerLimits],
+        limits: _caller_limits.CallerLimitsInForce,
     ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
@@ -79,7 +79,7 @@
         self._input = _caller_input.CallerInput(sock, self._abort_handler)
 
     def _new_parser(self) -> h11.Connection:
-        size = self._limits().max_head_bytes
+        size = self._limits.present.max_head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
     def _abort_handler(self) -> None:
@@ -120,10 +120,12 @@
         idle for too long; raises a refusal if a head that has begun is
         invalid or does not arrive in time.
         """
-        limits = self._limits()
         raw = self._unparsed
+        idle_since = self._clock.monotonic()
         deadline: float | None = None
         while True:
+            if deadline is None:
+                limits = self._limits.present
             if not raw.startswith(b"\r\n") and _head_check.HEAD_END in raw:
                 break
             raw = raw[2:] if raw.startswith(b"\r\n") else raw
@@ -134,14 +136,13 @@
             now = self._clock.monotonic()
             if raw and deadline is None:
                 deadline = now + limits.head_timeout_s
-            wait = limits.idle_timeout_s
-            if deadline is not None:
-                wait = deadline - now
-            data = self._input.take(max(0.0, wait))
-            if data is None:
-                if raw:
-                    raise _refused("the head did not arrive in time", 408)
-                return False
+            until = deadline or idle_since + self._limits.idle_timeout_s
+            data = self._input.take(max(0.0, until - now))
+            if data is None and raw:
+                raise _refused("the head did not arrive in time", 408)
+            if data is None and self._still_idles(idle_since):
+                # The limit was raised meanwhile.
+                continue
             if not data:
                 return False
             raw += data
@@ -155,6 +156,11 @@
         self._parser.receive_data(raw)
         return True
 
+    def _still_idles(self, since: float) -> bool:
+        """Return whether a connection idle since a time may idle further."""
+        now = self._clock.monotonic()
+        return now < since + self._limits.idle_timeout_s
+
     def _next_event(self) -> typing.Any:
         try:
             return self._parser.next_event()
@@ -163,7 +169,7 @@
 
     def _read_body(self, head: h11.Request) -> bytes:
         """Return the whole body; raise a refusal if it exceeds a limit."""
-        limits = self._limits()
+        limits = self._limits.present
         limit = limits.max_body_bytes
         until = self._clock.monotonic() + (
             limits.head_timeout_s * BODY_TIMEOUT_FACTOR
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -12,6 +12,7 @@
 
 from agatewing import _clock
 from agatewing import _types
+from agatewing.gateway import _caller_limits
 from agatewing.gateway import _contracts
 from agatewing.gateway import _routes
 
@@ -36,6 +37,7 @@
         "_clock",
         "_on_change",
         "configuration",
+        "caller_limits",
         "routes",
         "targets",
         "through",
@@ -55,6 +57,8 @@
         self._on_change = on_change
         #: Configuration in force; ``None`` before the first.
         self.configuration: _contracts.Configuration | None = None
+        #: Limits on callers of that configuration.
+        self.caller_limits = _caller_limits.CallerLimitsInForce(clock)
         #: Routes of that configuration.
         self.routes = _routes.RouteTable(())
         #: Targets by id.
@@ -105,6 +109,7 @@
         if present is not None and configuration.version <= present.version:
             return False
         self.configuration = configuration
+        self.caller_limits.apply(configuration.limits)
         self.routes = _routes.RouteTable(configuration.routes)
         _log.info(
             "catalogue: configuration in force",
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -105,17 +105,14 @@
             "config_at_start": job.config_version,
         }
 
-    def _limits(self) -> _contracts.CallerLimits:
-        configuration = self._ctx.catalog.configuration
-        if configuration is None:
-            return _contracts.CallerLimits()
-        return configuration.limits
-
     def _serve(
         self, sock: gevent.socket.socket, address: tuple[str, int]
     ) -> None:
         conn = _caller_conn.CallerConn(
-            sock, self._ctx.clock, self._ctx.dialect, self._limits
+            sock,
+            self._ctx.clock,
+            self._ctx.dialect,
+            self._ctx.catalog.caller_limits,
         )
         self._conns.add(conn)
         try:
--- a/agatewing/gateway/tests/test_connection_ends.py
+++ b/agatewing/gateway/tests/test_connection_ends.py
@@ -3,6 +3,7 @@
 import collections.abc
 import time
 
+import gevent
 import pytest
 
 from agatewing import gateway
@@ -57,3 +58,54 @@
         sock._sock.send(rest)
         time.sleep(4 * HEAD_TIMEOUT_S)
         assert standins.read_reply(sock).status == 200
+
+
+# The limit was read once, when the wait began, and a lowered one applied at
+# once, though callers may know the older one still.
+@pytest.mark.parametrize(
+    ("limit_s", "changed_s", "idles_before"),
+    [(IDLE_S, 6 * IDLE_S, True), (6 * IDLE_S, IDLE_S, False)],
+    ids=["raised while idle", "lowered just before"],
+)
+def test_an_idle_connection_is_kept_for_the_longest_limit_of_late(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    limit_s: float,
+    changed_s: float,
+    idles_before: bool,
+) -> None:
+    def publish(idle_s: float) -> None:
+        version = site.publish(idle_timeout_ms=idle_s * 1_000)
+        site.wait(lambda: instance.catalog.config_version == version)
+
+    publish(limit_s)
+    if not idles_before:
+        publish(changed_s)
+    with site.connect(instance) as sock:
+        sock.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert standins.read_reply(sock).status == 200
+        if idles_before:
+            publish(changed_s)
+        gevent.sleep(2 * IDLE_S)
+        sock.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert standins.read_reply(sock).status == 200
+
+
+# The limits of a head were those of the time at which the wait began.
+def test_a_head_counts_by_the_limits_of_its_arrival(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.publish(max_header_bytes=1_000)
+    site.wait(lambda: _limits(instance).max_head_bytes == 1_000)
+    with site.connect(instance) as sock:
+        site.wait(lambda: instance.server._conns)
+        site.publish(max_header_bytes=9_000)
+        site.wait(lambda: _limits(instance).max_head_bytes == 9_000)
+        sock.sendall(HEAD + b"A: " + b"b" * 5_000 + b"\r\n\r\n")
+        assert standins.read_reply(sock).status == 200
+
+
+def _limits(instance: gateway.GatewayInstance) -> gateway.CallerLimits:
+    configuration = instance.catalog.configuration
+    assert configuration is not None
+    return configuration.limits
