Let a caller that is still sending read its last answer

Cause: closing a socket with unread bytes makes the kernel reset the connection, so that a caller that was still sending its body, or had sent another request, met a broken pipe instead of its refusal. Change: after the last answer of a connection its input is discarded for up to a second and 4 MB, on up to 256 connections; a stop does not wait for them. Result: the six cases of test_a_caller_that_is_still_sending_gets_its_answer failed (broken pipe) and pass.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -24,6 +24,11 @@
 #: abandon a stream after two seconds or more without an event, see
 #: ``Route.patience_s``.
 WRITE_TIMEOUT_S = 10.0
+#: Longest time for which a caller that is still sending is read from after
+#: its last answer, in seconds, and the largest number of bytes: as long as
+#: callers wait for a connection, and as much as most bodies may have.
+LINGER_S = 1.0
+LINGER_BYTES = 4_000_000
 #: Timeout for a whole body, as a multiple of the timeout for a head.
 BODY_TIMEOUT_FACTOR = 4
 
@@ -294,15 +299,29 @@
         """End an idle connection as if the caller had closed it."""
         self._input.end()
 
-    def close(self) -> None:
-        """Close the connection; an unfinished answer stays incomplete."""
-        self._input.stop()
+    def close(self, linger: bool = False) -> None:
+        """Close the connection; an unfinished answer stays incomplete.
+
+        With ``linger``, a caller that has its last answer and is still
+        sending is read from for a while first.
+        """
+        # The end of input no longer concerns a request.
+        self.busy = False
         if self._ends_by_close:
             net.reset_on_close(self._sock)
         else:
             self._close_write_side()
+            if linger and self._answered:
+                self._input.discard(LINGER_S, LINGER_BYTES)
+        self._input.stop()
         self._sock.close()
 
+    @property
+    def _answered(self) -> bool:
+        """Whether the present request has its whole answer."""
+        done = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return self._parser.our_state in done
+
     @property
     def _ends_by_close(self) -> bool:
         """Whether an orderly close would end an unfinished answer.
--- a/agatewing/gateway/_caller_input.py
+++ b/agatewing/gateway/_caller_input.py
@@ -84,6 +84,22 @@
         except OSError:
             return False
 
+    def discard(self, timeout_s: float, max_bytes: int) -> None:
+        """Discard bytes until the caller closes its side, or up to a limit.
+
+        Bytes that are unread when a connection is closed make the kernel
+        reset it, and the caller may lose the answer that it has not read.
+        """
+        timeout = gevent.Timeout(timeout_s)
+        left = max_bytes
+        try:
+            with timeout:
+                while left > 0 and (data := self.take(timeout_s)):
+                    left -= len(data)
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+
     def stop(self) -> None:
         """Stop receiving."""
         self._reader.kill(block=False)
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -25,6 +25,9 @@
 BACKLOG = 1_024
 #: Interval at which a stopping process checks whether it may end, in seconds.
 STOP_POLL_S = 0.05
+#: Largest number of connections that linger after their last answer; further
+#: ones are closed at once.
+MAX_LINGERING = 256
 
 
 class CallerServer:
@@ -38,6 +41,7 @@
         "_server",
         "_conns",
         "_jobs",
+        "lingering",
         "refusals",
     )
 
@@ -57,6 +61,8 @@
         self._conns: set[_caller_conn.CallerConn] = set()
         # Requests that are being handled, by connection.
         self._jobs: dict[_caller_conn.CallerConn, _context.Job] = {}
+        #: Number of connections that linger after their last answer.
+        self.lingering = 0
         #: Number of refusals by kind.
         self.refusals: collections.Counter[str] = collections.Counter()
 
@@ -123,7 +129,15 @@
             _log.debug("server: caller disconnected: %s", exc)
         finally:
             self._conns.discard(conn)
-            conn.close()
+            self._close(conn)
+
+    def _close(self, conn: _caller_conn.CallerConn) -> None:
+        linger = self.lingering < MAX_LINGERING
+        self.lingering += linger
+        try:
+            conn.close(linger)
+        finally:
+            self.lingering -= linger
 
     def _serve_one(self, conn: _caller_conn.CallerConn) -> bool:
         """Serve one request; return whether another may follow."""
--- a/agatewing/gateway/tests/test_connection_ends.py
+++ b/agatewing/gateway/tests/test_connection_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from agatewing import gateway
+from agatewing.gateway import _server
 from agatewing.platform import standins
 
 HEAD = (
@@ -109,3 +110,67 @@
     configuration = instance.catalog.configuration
     assert configuration is not None
     return configuration.limits
+
+
+REFUSED_EARLY = {
+    "body too large": (HEAD + b"Content-Length: 9000000\r\n\r\n", 413),
+    "chunks too large": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n200000\r\n",
+        413,
+    ),
+    "malformed head": (b"GET / HTTP/1.1\nHost: x\r\n\r\n", 400),
+    "head too large": (HEAD + b"A: " + b"b" * 70_000, 431),
+    "slow body": (HEAD + b"Content-Length: 4000\r\n\r\n", 408),
+    "the last answer, and another request": (
+        HEAD + b"Connection: close\r\n\r\n" + HEAD,
+        200,
+    ),
+}
+
+
+# Unread bytes made the kernel reset the connection, so that callers that send
+# a whole body first, as most do, saw a broken connection and no refusal.
+@pytest.mark.parametrize("name", REFUSED_EARLY)
+def test_a_caller_that_is_still_sending_gets_its_answer(
+    site: standins.Site, instance: gateway.GatewayInstance, name: str
+) -> None:
+    begin, status = REFUSED_EARLY[name]
+    with site.connect(instance) as sock:
+        sock.sendall(begin)
+        if name == "slow body":
+            gevent.sleep(5 * HEAD_TIMEOUT_S)
+        for _ in range(20):
+            sock.sendall(b"x" * 50_000)
+            gevent.sleep(0.01)
+        reply = standins.read_reply(sock)
+        assert reply.status == status
+        assert reply.complete
+
+
+def test_a_caller_that_never_stops_sending_is_closed(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    with site.connect(instance) as sock, pytest.raises(OSError):
+        sock.sendall(HEAD + b"Content-Length: 900000000\r\n\r\n")
+        with gevent.Timeout(5.0, AssertionError("was not closed")):
+            while True:
+                sock.sendall(b"x" * 50_000)
+
+
+@pytest.mark.parametrize("limit", [0, 2])
+def test_the_number_of_lingering_connections_is_limited(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    monkeypatch: pytest.MonkeyPatch,
+    limit: int,
+) -> None:
+    monkeypatch.setattr(_server, "MAX_LINGERING", limit)
+    socks = [site.connect(instance) for _ in range(4)]
+    for sock in socks:
+        sock.sendall(b"GET / HTTP/1.1\nHost: x\r\n\r\n")
+        assert standins.read_reply(sock).status == 400
+    gevent.sleep(0.1)
+    assert instance.server.lingering == limit
+    for sock in socks:
+        sock.close()
+    site.wait(lambda: instance.server.lingering == 0)
