Send no request whose caller closed before it was read

Cause: the end of a caller's input was looked at only while a request was under way. A process that had not run for a while read requests and the end of their connections at once and had engines work for callers that had left. Change: a request is dropped if the input has ended by the time it was read. Result: test_a_request_whose_caller_has_left_is_not_sent failed (the target ran it) and passes.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -110,6 +110,9 @@
             raise CallerGoneError("the connection ended inside a head")
         self._head_only = event.method == b"HEAD"
         body = self._read_body(event)
+        if self._input.closed_by_caller:
+            # Nobody would notice the end of input any more.
+            raise CallerGoneError("the caller closed its side")
         return self._dialect.read_request(
             event.method,
             event.target,
--- a/agatewing/gateway/_caller_input.py
+++ b/agatewing/gateway/_caller_input.py
@@ -31,7 +31,8 @@
         "_data_arrived",
         "_space_freed",
         "_reader",
-        "ended",
+        "closed_by_caller",
+        "_ended",
     )
 
     def __init__(
@@ -47,7 +48,9 @@
         self._data_arrived = gevent.event.Event()
         self._space_freed = gevent.event.Event()
         #: Whether the caller has closed its side.
-        self.ended = False
+        self.closed_by_caller = False
+        # Whether no more bytes are awaited.
+        self._ended = False
         self._reader = gevent.spawn(self._receive_loop)
 
     def _receive_loop(self) -> None:
@@ -63,6 +66,7 @@
                     return
                 data = b""
             if not data:
+                self.closed_by_caller = True
                 self.end()
                 self._on_end()
                 return
@@ -72,7 +76,7 @@
 
     def end(self) -> None:
         """Treat the input as ended, as if the caller had closed its side."""
-        self.ended = True
+        self._ended = True
         self._data_arrived.set()
 
     @property
@@ -113,7 +117,7 @@
         """
         reader_had_turn = False
         while not self._chunks:
-            if self.ended:
+            if self._ended:
                 return b""
             self._data_arrived.clear()
             if self._data_arrived.wait(timeout_s) or self._chunks:
--- a/agatewing/gateway/tests/test_connection_ends.py
+++ b/agatewing/gateway/tests/test_connection_ends.py
@@ -1,6 +1,7 @@
 """Connections of callers that end beside a request or an answer."""
 
 import collections.abc
+import socket
 import time
 
 import gevent
@@ -174,3 +175,17 @@
     for sock in socks:
         sock.close()
     site.wait(lambda: instance.server.lingering == 0)
+
+
+# The end of input was looked at only once a request was under way, so that
+# engines worked for callers that had left while the process did not run.
+def test_a_request_whose_caller_has_left_is_not_sent(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.targets["t1"].script.append(standins.Behaviour.HANG)
+    with site.connect(instance) as sock:
+        site.wait(lambda: instance.server._conns)
+        gevent.sleep(0.05)
+        sock._sock.send(HEAD + b"Content-Length: 0\r\n\r\n")
+    site.wait(lambda: not instance.server._conns)
+    assert not site.targets["t1"].runs
