Refuse a request whose caller shut down its write side

Cause: HTTP lets a caller close its write side after a request and read on. That looks like a caller that has left, whose engine must stop at once, so the request was cancelled and the caller got nothing. Change: it is still cancelled, but refused first: 503 while it is queued or unread, else 502. Result: both cases of test_a_caller_that_shuts_its_write_side_down_is_refused failed (one got no answer, one was run for a caller that may have left) and pass.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -41,6 +41,13 @@
     """The caller did not read its answer within ``WRITE_TIMEOUT_S``."""
 
 
+class CallerClosedError(CallerGoneError):
+    """The caller closed its side after a whole request.
+
+    It may have shut down its write side only and still read.
+    """
+
+
 class CallerConn:
     """Connection of one caller; serves its requests one by one."""
 
@@ -90,7 +97,9 @@
     def _abort_handler(self) -> None:
         """Abort the handling of a request whose caller has disconnected."""
         if self.busy:
-            self._handler_greenlet.kill(CallerGoneError, block=False)
+            self._handler_greenlet.kill(
+                CallerClosedError("the caller closed its side"), block=False
+            )
 
     def next_request(self) -> _messages.CallerRequest | None:
         """Return the next request, read in full.
@@ -112,7 +121,7 @@
         body = self._read_body(event)
         if self._input.closed_by_caller:
             # Nobody would notice the end of input any more.
-            raise CallerGoneError("the caller closed its side")
+            raise CallerClosedError("the caller closed its side")
         return self._dialect.read_request(
             event.method,
             event.target,
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -90,6 +90,13 @@
     config_version: int = 0
     #: Number of complete events forwarded to the caller.
     events: int = 0
+    #: Whether it waits for an engine with room.
+    queued: bool = False
+
+    @property
+    def maybe_ran(self) -> bool:
+        """Whether it may have run; a send that is under way counts."""
+        return self.attempts.maybe_ran or not self.queued
 
 
 def log_event(job: Job, event: str, **fields: object) -> None:
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -151,6 +151,18 @@
     )
 
 
+def caller_closed(maybe_ran: bool) -> GatewayRefusal:
+    """Return the refusal of a request whose caller has closed its side.
+
+    ``maybe_ran`` says whether a target may have run it.
+    """
+    reason = (
+        "the connection was closed from the caller's side; keep both sides "
+        "open until the answer has come"
+    )
+    return outcome_unknown(reason) if maybe_ran else overloaded(reason)
+
+
 def unread() -> GatewayRefusal:
     """Return the refusal of a request that a defect kept from being read."""
     return overloaded(
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -11,7 +11,6 @@
 from agatewing import decisions
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _context
-from agatewing.gateway import _contracts
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _messages
 from agatewing.gateway import _plain_forwarder
@@ -147,6 +146,10 @@
             conn.closing = True
             self._refuse(conn, exc.refusal, "")
             return False
+        except _caller_conn.CallerClosedError:
+            conn.closing = True
+            conn.refuse(_refusals.caller_closed(maybe_ran=False))
+            return False
         except (_caller_conn.CallerGoneError, gevent.GreenletExit):
             raise
         except Exception:
@@ -166,10 +169,11 @@
     def _answer(
         self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
     ) -> bool:
+        job = None
         try:
-            self._handle(conn, req)
+            job = self._jobs[conn] = self._new_job(conn, req)
+            self._handle(job)
         except _refusals.GatewayRefusedError as exc:
-            job = self._jobs.get(conn)
             if job is not None and conn.started:
                 # The answer must not look complete, so it is cut off.
                 _log.info(
@@ -182,10 +186,15 @@
                 return False
             self._refuse(conn, exc.refusal, req.id)
         except _caller_conn.CallerNotReadingError as exc:
-            job = self._jobs.get(conn)
             if job is not None:
                 self._log_unanswered(job, str(exc))
             raise
+        except _caller_conn.CallerClosedError:
+            if not conn.started:
+                conn.closing = True
+                maybe_ran = job is not None and job.maybe_ran
+                conn.refuse(_refusals.caller_closed(maybe_ran))
+            raise
         except (_caller_conn.CallerGoneError, gevent.GreenletExit):
             raise
         except Exception:
@@ -204,9 +213,20 @@
         conn.closing = conn.closing or self._lifecycle.closing
         return conn.prepare_next_request()
 
-    def _handle(
+    def _handle(self, job: _context.Job) -> None:
+        self._ctx.budget.record_request(job.service, job.req.arrived_at)
+        if job.route.kind.streams:
+            self._streams.handle(job)
+        else:
+            self._plain.handle(job)
+
+    def _new_job(
         self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
-    ) -> None:
+    ) -> _context.Job:
+        """Return the state of a request, or raise a refusal.
+
+        It keeps its route and deadline whatever the configuration becomes.
+        """
         catalog = self._ctx.catalog
         if catalog.configuration is None:
             raise _refusals.GatewayRefusedError(
@@ -217,19 +237,6 @@
             raise _refusals.GatewayRefusedError(
                 _refusals.not_found(req.host, req.path)
             )
-        job = self._jobs[conn] = self._new_job(conn, req, route)
-        self._ctx.budget.record_request(job.service, req.arrived_at)
-        if route.kind.streams:
-            self._streams.handle(job)
-        else:
-            self._plain.handle(job)
-
-    def _new_job(
-        self,
-        conn: _caller_conn.CallerConn,
-        req: _messages.CallerRequest,
-        route: _contracts.Route,
-    ) -> _context.Job:
         timeout_s = route.timeout_s
         if req.caller_timeout_s is not None:
             timeout_s = min(timeout_s, req.caller_timeout_s)
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -57,6 +57,7 @@
         if software is not None:
             # Engines of one version may be full while others have room.
             account = f"{account} of {software}"
+        job.queued = True
         try:
             route = self._ctx.dispatcher.wait_for_route(
                 pool,
@@ -64,6 +65,7 @@
                 profile,
                 self._queue_deadline(job, pool),
             )
+            job.queued = False
         except _exceptions.RefusedError as exc:
             raise _context.dispatcher_refusal(exc) from exc
         self._check_patience(job, pool, profile, route)
--- a/agatewing/gateway/tests/test_connection_ends.py
+++ b/agatewing/gateway/tests/test_connection_ends.py
@@ -177,6 +177,27 @@
     site.wait(lambda: instance.server.lingering == 0)
 
 
+# Both look the same until something is written. The engine has to stop for a
+# caller that has left, and one that reads on got nothing.
+@pytest.mark.parametrize("behaviour", ["answer", "hang"])
+def test_a_caller_that_shuts_its_write_side_down_is_refused(
+    site: standins.Site, instance: gateway.GatewayInstance, behaviour: str
+) -> None:
+    target = site.targets["t1"]
+    target.script.append(standins.Behaviour(behaviour))
+    with site.connect(instance) as sock:
+        sock.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        if behaviour == "hang":
+            site.wait(lambda: target.runs)
+        sock.shutdown(socket.SHUT_WR)
+        reply = standins.read_reply(sock)
+    assert reply.complete
+    # 503 promises that the request has not run.
+    assert reply.status == (502 if target.runs else 503)
+    site.wait(lambda: target.dropped == [run.id for run in target.runs])
+    site.wait(lambda: instance.lifecycle.in_flight == 0)
+
+
 # The end of input was looked at only once a request was under way, so that
 # engines worked for callers that had left while the process did not run.
 def test_a_request_whose_caller_has_left_is_not_sent(
