Announce the end of a connection before it is closed

Cause: a stop marked connections as closing; one whose answer had begun before was closed right after it though the answer had not said so, and the next request of its caller met a closed connection. Change: only an answer that said Connection: close ends its connection; the next one says so. Result: test_a_connection_is_not_closed_before_that_was_announced failed (no answer to the next request) and passes.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -83,7 +83,7 @@
         self._handler_greenlet: gevent.Greenlet = gevent.getcurrent()
         #: Whether a request is in flight.
         self.busy = False
-        #: Whether the connection is closed after the current answer.
+        #: Whether the next answer announces that the connection is closed.
         self.closing = False
         self._started = False
         # Whether the answer must not have a body.
@@ -298,7 +298,7 @@
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
         self.busy = False
-        if self.closing or self._parser.our_state is not h11.DONE:
+        if self._parser.our_state is not h11.DONE:
             return False
         if self._parser.their_state is not h11.DONE:
             return False
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -210,7 +210,6 @@
             )
         finally:
             self._jobs.pop(conn, None)
-        conn.closing = conn.closing or self._lifecycle.closing
         return conn.prepare_next_request()
 
     def _handle(self, job: _context.Job) -> None:
