Refuse requests that are under way when an instance ends

Cause: at its stop limit the process exited, and requests under way lost their connection; a request that was being read did not even count as under way, and an unfinished answer without length or chunks looked complete. Change: the drain waits for every connection on which a request has begun to arrive. At the limit a request without a byte of an answer is refused, 503 with Retry-After if it certainly has not run, else 502, and an answer that has begun is cut off.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -48,6 +48,10 @@
     """
 
 
+class StoppedError(Exception):
+    """The process is about to exit."""
+
+
 class CallerConn:
     """Connection of one caller; serves its requests one by one."""
 
@@ -62,6 +66,7 @@
         "_unparsed",
         "busy",
         "closing",
+        "_head_begun",
         "_started",
         "_head_only",
     )
@@ -83,6 +88,8 @@
         self._handler_greenlet: gevent.Greenlet = gevent.getcurrent()
         #: Whether a request is in flight.
         self.busy = False
+        # Whether part of a head has arrived.
+        self._head_begun = False
         #: Whether the next answer announces that the connection is closed.
         self.closing = False
         self._started = False
@@ -141,6 +148,7 @@
         idle_since = self._clock.monotonic()
         deadline: float | None = None
         while True:
+            self._head_begun = bool(raw)
             if deadline is None:
                 limits = self._limits.present
             if not raw.startswith(b"\r\n") and _head_check.HEAD_END in raw:
@@ -297,7 +305,7 @@
 
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
-        self.busy = False
+        self.busy = self._head_begun = False
         if self._parser.our_state is not h11.DONE:
             return False
         if self._parser.their_state is not h11.DONE:
@@ -307,9 +315,19 @@
         self._parser = self._new_parser()
         return True
 
+    @property
+    def reading(self) -> bool:
+        """Whether part of a request, or all of it, has arrived."""
+        return self.busy or self._head_begun
+
     def end_idle(self) -> None:
-        """End an idle connection as if the caller had closed it."""
-        self._input.end()
+        """End the connection as if by its caller, if nothing has arrived."""
+        if not self.reading and not self._input.pending:
+            self._input.end()
+
+    def stop(self) -> None:
+        """Raise :class:`StoppedError` where the connection is served."""
+        self._handler_greenlet.kill(StoppedError, block=False)
 
     def close(self, linger: bool = False) -> None:
         """Close the connection; an unfinished answer stays incomplete.
--- a/agatewing/gateway/_caller_input.py
+++ b/agatewing/gateway/_caller_input.py
@@ -79,6 +79,11 @@
         self._ended = True
         self._data_arrived.set()
 
+    @property
+    def pending(self) -> bool:
+        """Whether bytes have arrived that were not taken yet."""
+        return bool(self._chunks) or self.unread
+
     @property
     def unread(self) -> bool:
         """Whether bytes have arrived that were not received yet."""
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -290,9 +290,9 @@
     def stop(self) -> bool:
         """Drain and stop; return whether every answer was finished."""
         _log.info("instance: stopping", extra={"under_way": self._in_flight})
-        ended = _server.drain(self.clock, self.server, self.lifecycle)
-        _log.info("instance: stopped", extra={"cut_off": self._in_flight})
-        return ended
+        given_up = _server.drain(self.clock, self.server, self.lifecycle)
+        _log.info("instance: stopped", extra={"cut_off": given_up})
+        return given_up == 0
 
     def kill(self) -> None:
         """Stop at once without draining, as if killed; for tests."""
--- a/agatewing/gateway/_lifecycle.py
+++ b/agatewing/gateway/_lifecycle.py
@@ -1,6 +1,7 @@
 """Readiness and orderly shutdown of an instance."""
 
 import enum
+import math
 
 from agatewing import _clock
 from agatewing.gateway import _catalog
@@ -83,11 +84,17 @@
             < ACCEPT_AFTER_STOP_S
         )
 
-    def may_end(self) -> bool:
-        """Return whether the process may exit now."""
-        if self._stopping_since is None or self.keeps_idle_connections:
-            return False
-        if self.in_flight == 0:
-            return True
-        elapsed = self._clock.monotonic() - self._stopping_since
-        return elapsed > self.stop_limit_s - EXIT_RESERVE_S
+    @property
+    def stop_at(self) -> float:
+        """Monotonic time at which requests under way are given up.
+
+        Infinite before the stop signal.
+        """
+        if self._stopping_since is None:
+            return math.inf
+        return self._stopping_since + self.stop_limit_s - EXIT_RESERVE_S
+
+    @property
+    def time_is_up(self) -> bool:
+        """Whether requests under way are given up now."""
+        return self._clock.monotonic() >= self.stop_at
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -22,6 +22,9 @@
 #: starts, and while the log that holds the configuration is unavailable.
 NOT_READY_RETRY_S = 0.2
 LOG_UNAVAILABLE_RETRY_S = 2.5
+#: Retry-After of an instance that stops, in seconds: other instances serve,
+#: and callers open a new connection for each try.
+LEAVING_RETRY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,6 +154,16 @@
     )
 
 
+def leaving(rng: random.Random) -> GatewayRefusal:
+    """Return the refusal of a request that an instance has no time for."""
+    return GatewayRefusal(
+        503,
+        _types.RefusalKind.LEAVING,
+        "this instance stops; ask another one",
+        LEAVING_RETRY_S * (1 + RETRY_JITTER * rng.random()),
+    )
+
+
 def caller_closed(maybe_ran: bool) -> GatewayRefusal:
     """Return the refusal of a request whose caller has closed its side.
 
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -39,7 +39,6 @@
         "_streams",
         "_server",
         "_conns",
-        "_jobs",
         "lingering",
         "refusals",
     )
@@ -58,8 +57,6 @@
             address, self._serve, backlog=BACKLOG
         )
         self._conns: set[_caller_conn.CallerConn] = set()
-        # Requests that are being handled, by connection.
-        self._jobs: dict[_caller_conn.CallerConn, _context.Job] = {}
         #: Number of connections that linger after their last answer.
         self.lingering = 0
         #: Number of refusals by kind.
@@ -85,15 +82,25 @@
             conn.closing = True
 
     def close_idle(self) -> None:
-        """Close connections on which no request is in flight."""
+        """Close connections on which no request has begun to arrive."""
         for conn in list(self._conns):
-            if not conn.busy:
-                conn.end_idle()
+            conn.end_idle()
 
-    def log_unanswered(self, reason: str) -> None:
-        """Log the requests whose connections end now, without an answer."""
-        for job in self._jobs.values():
-            self._log_unanswered(job, reason)
+    @property
+    def open_count(self) -> int:
+        """Number of connections, without those that linger."""
+        return len(self._conns)
+
+    def stop_requests(self) -> None:
+        """Refuse all requests without an answer and cut off the others."""
+        for conn in list(self._conns):
+            conn.stop()
+
+    def _log_cut_off(self, job: _context.Job, reason: str) -> None:
+        _log.info(
+            "server: answer cut off",
+            extra={"request": job.req.id, **self._progress(job, reason)},
+        )
 
     def _log_unanswered(self, job: _context.Job, reason: str) -> None:
         _log.info(
@@ -147,8 +154,13 @@
             self._refuse(conn, exc.refusal, "")
             return False
         except _caller_conn.CallerClosedError:
-            conn.closing = True
-            conn.refuse(_refusals.caller_closed(maybe_ran=False))
+            if conn.busy:
+                conn.closing = True
+                conn.refuse(_refusals.caller_closed(maybe_ran=False))
+            return False
+        except _caller_conn.StoppedError:
+            if conn.reading:
+                self._refuse(conn, _refusals.leaving(self._ctx.rng), "")
             return False
         except (_caller_conn.CallerGoneError, gevent.GreenletExit):
             raise
@@ -171,18 +183,12 @@
     ) -> bool:
         job = None
         try:
-            job = self._jobs[conn] = self._new_job(conn, req)
+            job = self._new_job(conn, req)
             self._handle(job)
         except _refusals.GatewayRefusedError as exc:
             if job is not None and conn.started:
                 # The answer must not look complete, so it is cut off.
-                _log.info(
-                    "server: answer cut off",
-                    extra={
-                        "request": req.id,
-                        **self._progress(job, str(exc)),
-                    },
-                )
+                self._log_cut_off(job, str(exc))
                 return False
             self._refuse(conn, exc.refusal, req.id)
         except _caller_conn.CallerNotReadingError as exc:
@@ -195,6 +201,8 @@
                 maybe_ran = job is not None and job.maybe_ran
                 conn.refuse(_refusals.caller_closed(maybe_ran))
             raise
+        except _caller_conn.StoppedError:
+            self._end_stopped(conn, req, job)
         except (_caller_conn.CallerGoneError, gevent.GreenletExit):
             raise
         except Exception:
@@ -208,10 +216,26 @@
             self._refuse(
                 conn, _refusals.outcome_unknown("internal error"), req.id
             )
-        finally:
-            self._jobs.pop(conn, None)
         return conn.prepare_next_request()
 
+    def _end_stopped(
+        self,
+        conn: _caller_conn.CallerConn,
+        req: _messages.CallerRequest,
+        job: _context.Job | None,
+    ) -> None:
+        """Refuse or cut off a request at the stop limit of the process."""
+        if job is not None and conn.started:
+            self._log_cut_off(job, "the instance stops")
+        elif job is not None and job.maybe_ran:
+            refusal = _refusals.outcome_unknown(
+                "this instance stops; the request may have run"
+            )
+            self._refuse(conn, refusal, req.id)
+        else:
+            refusal = _refusals.leaving(self._ctx.rng)
+            self._refuse(conn, refusal, req.id)
+
     def _handle(self, job: _context.Job) -> None:
         self._ctx.budget.record_request(job.service, job.req.arrived_at)
         if job.route.kind.streams:
@@ -272,15 +296,23 @@
 
 def drain(
     clock: _clock.Clock, server: CallerServer, lifecycle: _lifecycle.Lifecycle
-) -> bool:
-    """Drain the server and wait; return whether every answer was finished."""
+) -> int:
+    """Drain the server; return the number of connections given up.
+
+    At the stop limit, requests without an answer are refused and other
+    answers cut off.
+    """
     lifecycle.begin_drain()
     server.mark_closing()
     while lifecycle.keeps_idle_connections:
         clock.sleep(STOP_POLL_S)
     server.close_port()
-    while not lifecycle.may_end():
+    # Connections that were accepted last are served meanwhile.
+    clock.sleep(STOP_POLL_S)
+    while server.open_count and not lifecycle.time_is_up:
         server.close_idle()
         clock.sleep(STOP_POLL_S)
-    server.log_unanswered("the instance ends")
-    return lifecycle.in_flight == 0
+    given_up = server.open_count
+    server.stop_requests()
+    clock.sleep(STOP_POLL_S)
+    return given_up
--- a/agatewing/platform/tests/test_stops.py
+++ b/agatewing/platform/tests/test_stops.py
@@ -1,6 +1,7 @@
 """Requests under way when an instance is stopped."""
 
 import collections.abc
+import dataclasses
 
 import gevent
 import pytest
@@ -9,6 +10,7 @@
 from agatewing.gateway import _lifecycle
 from agatewing.platform import standins
 
+Behaviour = standins.Behaviour
 ACCEPT_S = 0.2
 STOP_LIMIT_S = 0.6
 PROMPT = "X-Token-Count: 10,3\r\nX-Prefix-Hash: aa:5,bb:5\r\n"
@@ -45,6 +47,65 @@
     ).encode()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    #: What the caller has sent before the stop.
+    sent: bytes
+    #: Status of the answer; 0 for none.
+    status: int
+    #: Pause of the engine before each event, in seconds.
+    pause_s: float = 0.0
+    #: Events that the caller has had before the stop.
+    events: int = 0
+
+
+CASES = {
+    "a call at its target": Case(request("/pay/x"), 502),
+    "a repeatable call at its target": Case(request("/look/x"), 502),
+    "a stream before its first event": Case(
+        request("/draft/x", PROMPT), 502, 9.0
+    ),
+    "a stream after an event": Case(
+        request("/draft/x", PROMPT), 200, 0.4, events=1
+    ),
+    "a stream without length or chunks": Case(
+        request("/draft/x", PROMPT, "1.0"), 200, 0.4, events=1
+    ),
+    "half of a body": Case(
+        request("/pay/x", "Content-Length: 4\r\n") + b"ab", 503
+    ),
+    "half of a head": Case(request("/pay/x")[:-9], 503),
+}
+
+
+# The process ended at its stop limit, and with it the connections.
+@pytest.mark.parametrize("name", CASES)
+def test_a_stop_leaves_no_request_without_an_answer(
+    site: standins.Site, instance: gateway.GatewayInstance, name: str
+) -> None:
+    case = CASES[name]
+    for target in site.targets.values():
+        target.events = 9
+        target.pause_s = case.pause_s
+    site.targets["t1"].script.append(Behaviour.HANG)
+    with site.connect(instance) as sock:
+        sock.sendall(case.sent)
+        reading = gevent.spawn(standins.read_reply, sock)
+        gevent.sleep(0.5 if case.events else 0.1)
+        finished = instance.stop()
+        gevent.sleep(0.01)
+        # Whatever comes later is lost with the process.
+        assert reading.ready()
+    reply = reading.get()
+    assert reply.status == case.status
+    assert reply.complete is (not case.events)
+    assert reply.body.count(b"\n\n") >= case.events
+    assert not finished
+    if case.status == 503:
+        assert 0 < float(reply.headers["retry-after"]) < 1
+        assert not any(target.runs for target in site.targets.values())
+
+
 def test_a_connection_is_not_closed_before_that_was_announced(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
