Refuse streams early that outlast a stopping instance

Cause: a queued request waited for an engine up to the stop limit, and a stream that takes longer than the rest of the stop was begun and cut off, though other instances could serve both at once. Change: at the stop signal the dispatcher refuses what cannot be answered in the time left, 503 with a Retry-After of 0.1 s, in the queue and on admission.

--- a/agatewing/decisions/_fair_queue.py
+++ b/agatewing/decisions/_fair_queue.py
@@ -152,6 +152,10 @@
         self._schedule(caller, self._flows[caller])
         return entry
 
+    def entries(self) -> list[Entry[T]]:
+        """Return all queued entries, those of each caller in their order."""
+        return [e for flow in self._flows.values() for e in flow.entries]
+
     def heads(self) -> list[Entry[T]]:
         """Return the first entry of each caller, by virtual start time."""
         non_empty = [f for f in self._flows.values() if f.entries]
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
 import gevent.event
@@ -21,6 +22,9 @@
 #: Retry-After if no engine has the software version of a stream, in seconds:
 #: an engine that crashed is back within a second.
 VERSION_RETRY_S = 0.5
+#: Retry-After if the process ends too early for a request, in seconds: other
+#: instances serve it at once.
+LEAVING_RETRY_S = 0.1
 #: Weight of a new sample in the moving average of the calibration factor.
 CALIBRATION_ALPHA = 0.05
 
@@ -151,6 +155,7 @@
         "_has_queued",
         "queues",
         "instances",
+        "_ends_at",
     )
 
     def __init__(
@@ -164,6 +169,21 @@
         self.queues: dict[str, PoolQueue] = {}
         #: Number of live instances that share the engines.
         self.instances = 1
+        # Monotonic time at which the process ends.
+        self._ends_at = math.inf
+
+    def begin_end(self, ends_at: float) -> None:
+        """Refuse what cannot be answered before the process ends.
+
+        ``ends_at`` is the monotonic time of its end. Queued requests are
+        refused at once, later ones on admission.
+        """
+        self._ends_at = ends_at
+        now = self._clock.monotonic()
+        for queue in self.queues.values():
+            for entry in queue.fair_queue.entries():
+                if self._refuse_late(queue, entry.item, now):
+                    queue.fair_queue.cancel(entry)
 
     def run(self) -> None:
         """Dispatch from non-empty queues until the greenlet is killed.
@@ -332,11 +352,18 @@
 
         Returns whether it was refused.
         """
-        remaining_s = queued.deadline - now
-        if decisions.can_meet_deadline(queued.service_s, remaining_s):
+        if not decisions.can_meet_deadline(
+            queued.service_s, queued.deadline - now
+        ):
+            refusal = _too_late(2.0)
+        elif not decisions.can_meet_deadline(
+            queued.service_s, self._ends_at - now
+        ):
+            refusal = _leaving()
+        else:
             return False
         queue.refused_late += 1
-        queued.routing_result.set(_too_late(2.0))
+        queued.routing_result.set(refusal)
         return True
 
     def _admit(
@@ -357,6 +384,10 @@
         )
         queue = self.queue_of(pool)
         queue_state = self._queue_state(queue, caller, len(routable), now)
+        ends_in_s = self._ends_at - now
+        match decisions.admit(queue_state, service_s, ends_in_s):
+            case decisions.TooLate():
+                raise _exceptions.RefusedError(_leaving())
         match decisions.admit(queue_state, service_s, deadline - now):
             case decisions.TooLate(retry_after_s=after):
                 raise _exceptions.RefusedError(_too_late(after))
@@ -421,6 +452,16 @@
     )
 
 
+def _leaving() -> _exceptions.Refusal:
+    """Return the refusal of a request that outlasts the process."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.LEAVING,
+        "this instance stops before the answer can be whole",
+        "ask another instance",
+        retry_after_s=LEAVING_RETRY_S,
+    )
+
+
 def _version_gone() -> _exceptions.Refusal:
     """Return the refusal of a stream whose software version left."""
     return _exceptions.Refusal(
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -76,8 +76,9 @@
         self._server.stop_accepting()
         self._server.close()
 
-    def mark_closing(self) -> None:
-        """Mark every connection to be closed after its current answer."""
+    def begin_drain(self) -> None:
+        """Announce the end of connections, and refuse what outlasts it."""
+        self._ctx.dispatcher.begin_end(self._lifecycle.stop_at)
         for conn in self._conns:
             conn.closing = True
 
@@ -303,7 +304,7 @@
     answers cut off.
     """
     lifecycle.begin_drain()
-    server.mark_closing()
+    server.begin_drain()
     while lifecycle.keeps_idle_connections:
         clock.sleep(STOP_POLL_S)
     server.close_port()
--- a/agatewing/platform/tests/test_stops.py
+++ b/agatewing/platform/tests/test_stops.py
@@ -106,6 +106,48 @@
         assert not any(target.runs for target in site.targets.values())
 
 
+def test_a_queued_request_is_refused_as_soon_as_it_cannot_be_served(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    """Guards against a wait for the stop limit that can only end in vain."""
+    engine = instance.registry.by_id["e1"]
+    for _ in range(engine.target.slots):
+        engine.record_sent(0)
+    clock = instance.clock
+    with site.connect(instance) as sock:
+        # At a full engine, 30 tokens take longer than the stop.
+        sock.sendall(request("/draft/x", PROMPT.replace("10,3", "10,30")))
+        queues = instance.dispatcher.queues
+        site.wait(lambda: any(len(q.fair_queue) for q in queues.values()))
+        began_at = clock.monotonic()
+        stopping = gevent.spawn(instance.stop)
+        reply = standins.read_reply(sock)
+        taken_s = clock.monotonic() - began_at
+    stopping.join()
+    assert reply.status == 503
+    assert reply.body.startswith(b"instance-leaving")
+    assert 0 < float(reply.headers["retry-after"]) < 1
+    assert taken_s < ACCEPT_S
+    assert not site.targets["e1"].runs
+
+
+@pytest.mark.parametrize(("tokens", "status"), [(3, 200), (100, 503)])
+def test_a_stream_that_outlasts_the_instance_is_refused_at_once(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    tokens: int,
+    status: int,
+) -> None:
+    """Guards against streams that begin only to be cut off at the stop."""
+    prompt = {"X-Token-Count": f"10,{tokens}", "X-Prefix-Hash": "aa:5,bb:5"}
+    stopping = gevent.spawn(instance.stop)
+    site.wait(lambda: instance.lifecycle.closing)
+    reply = site.ask(instance, "/draft/x", "late", prompt)
+    stopping.join()
+    assert reply.status == status
+    assert len(site.targets["e1"].runs) == (status == 200)
+
+
 def test_a_connection_is_not_closed_before_that_was_announced(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
