Survive SIGHUP while the daemon starts

Cause: the handler was set after the ports were open, so that a SIGHUP before, as when a reload overlaps with a restart, ended the process and every connection; and a change of the file between loading and watching was never seen. Change: SIGHUP is ignored until it can be handled, and the file is compared with its text before it was loaded. A signal before main() still ends the process.

--- a/agatewing/gatewayd.py
+++ b/agatewing/gatewayd.py
@@ -38,22 +38,30 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon until SIGTERM or SIGINT; return the exit status."""
+    # Until the settings can be reloaded; a change is found without a signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = _parser()
     args = parser.parse_args(argv)
     if args.settings is None:
         parser.error("name a file with --settings or AGATEWING_CONFIG")
     path = pathlib.Path(args.settings)
+    text = _read_text(path)
     loaded = gateway.load_gateway_settings(path)
     match _program.settings_or_exit(loaded, path, args.check):
         case result.Err(code):
             return code
         case result.Ok(settings):
-            return _run(settings, path)
+            return _run(settings, path, text)
     raise AssertionError("settings_or_exit() returned neither Ok nor Err")
 
 
-def _run(settings: gateway.GatewaySettings, path: pathlib.Path) -> int:
-    """Serve until a stop signal, then drain; return the exit status."""
+def _run(
+    settings: gateway.GatewaySettings, path: pathlib.Path, text: str | None
+) -> int:
+    """Serve until a stop signal, then drain; return the exit status.
+
+    ``text`` is that of the file before the settings were loaded.
+    """
     clock = _clock.SystemClock()
     gateway.LoggingSetup(clock, settings.instance, settings.log_level)
     try:
@@ -63,11 +71,11 @@
             platform.connect(settings.log_address),
             random.Random(),
         )
+        gevent.signal_handler(signal.SIGHUP, _reload, instance, path)
         instance.start()
     except OSError as exc:
         return _program.report_port_error(settings.caller_address, exc)
-    gevent.signal_handler(signal.SIGHUP, _reload, instance, path)
-    gevent.spawn(_watch_file, instance, path, clock)
+    gevent.spawn(_watch_file, instance, path, clock, text)
     _program.wait_for_stop()
     return _program.EXIT_OK if instance.stop() else _program.EXIT_REQUESTS_CUT
 
@@ -76,9 +84,12 @@
     instance: gateway.GatewayInstance,
     path: pathlib.Path,
     clock: _clock.Clock,
+    known: str | None,
 ) -> None:
-    """Reload the settings when their file changes without a signal."""
-    known = _read_text(path)
+    """Reload the settings when their file changes without a signal.
+
+    ``known`` is its text when the settings were loaded.
+    """
     while True:
         clock.sleep(FILE_CHECK_PERIOD_S)
         text = _read_text(path)
