Refuse queued requests once no engine of their service is left

Cause: the pool of a withdrawn service kept the engines that it had had, and a pool without engines kept its queue: requests that nobody could serve any more waited until their deadlines. Change: pools of withdrawn services lose their engines too, and a queue without engines is refused at once, 503 with Retry-After, as new requests are.

--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -278,14 +278,18 @@
     def dispatch_queued(self, name: str) -> None:
         """Route queued requests of a pool while engines have credits.
 
-        Refuses all of them if the pool is no longer configured.
+        Refuses all of them if the pool is no longer configured, or has no
+        engine left.
         """
         pool = self._pool_source.pools.get(name)
         queue = self.queues.get(name)
         if queue is None:
             return
         if pool is None:
-            self._refuse_all(queue)
+            self._refuse_all(queue, _withdrawn())
+            return
+        if not pool.engines:
+            self._refuse_all(queue, _no_engine())
             return
         while self._route_one(pool, queue):
             pass
@@ -334,16 +338,12 @@
                 pool.engines[name].record_route()
         pool.engines[name].load.credits -= 1
 
-    def _refuse_all(self, queue: PoolQueue) -> None:
-        """Refuse every queued request of a pool that was removed."""
+    def _refuse_all(
+        self, queue: PoolQueue, refusal: _exceptions.Refusal
+    ) -> None:
+        """Refuse every queued request of a pool."""
         while (entry := queue.fair_queue.pop()) is not None:
-            entry.item.routing_result.set(
-                _exceptions.Refusal(
-                    _types.RefusalKind.NO_TARGET,
-                    "the service was withdrawn",
-                    "ask for another model",
-                )
-            )
+            entry.item.routing_result.set(refusal)
 
     def _refuse_late(
         self, queue: PoolQueue, queued: QueuedRequest, now: float
@@ -482,6 +482,15 @@
     )
 
 
+def _withdrawn() -> _exceptions.Refusal:
+    """Return the refusal given after a pool was removed."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.NO_TARGET,
+        "the service was withdrawn",
+        "ask for another model",
+    )
+
+
 def _no_engine() -> _exceptions.Refusal:
     """Return the refusal given while no engine accepts requests."""
     return _exceptions.Refusal(
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -261,6 +261,8 @@
                 )
             pool.service = service
             pool.instances = self.instances
+        # Requests of a withdrawn service may still be queued.
+        for name, pool in self.pools.items():
             pool.engines = {
                 key: tracked
                 for key, tracked in self.by_id.items()
