Keep a silent try of a repeatable call while another target is tried

Cause: a call of a plain service was given up after 5 s of silence, and with it the only path that would still have brought the answer; with no other target or no retry left the caller got 502. Change: after 5 s another target is tried as well, the first answer of any try counts, and the call fails only when every try has. A target's client waits for the deadline of its service.

--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -15,13 +15,11 @@
 from agatewing.entry import _context
 from agatewing.entry import _gate
 from agatewing.entry import _identity
+from agatewing.entry import _repeatable
 from agatewing import fleet
 from agatewing import net
 from agatewing import timeline
 
-#: Largest number of tries of a call that may be retried.
-MAX_TRIES = 3
-
 
 class Services:
     """Handles calls of plain services.
@@ -194,13 +192,8 @@
         deadline: float,
     ) -> net.HttpAnswer:
         self._retries.record_first_try()
-        avoid: frozenset[str] = frozenset()
-        may_have_run = False
-        for attempt in range(1, MAX_TRIES + 1):
-            target = self._fleet.pick_target(name, avoid, self._zone)
-            if target is None:
-                break
-            target.in_flight += 1
+
+        def send(target: fleet.ServiceTarget) -> net.HttpAnswer:
             try:
                 return target.client.call(
                     req.method,
@@ -211,17 +204,18 @@
                 )
             except net.SendForbiddenError:
                 self._gate.check()
-            except _exceptions.ConnectRefusedError:
-                target.record_failure(self._clock.monotonic())
-            except _exceptions.AgatewingError:
-                may_have_run = True
-                target.record_failure(self._clock.monotonic())
-            finally:
-                target.in_flight -= 1
-            avoid |= {target.name}
-            if not self._wait_for_retry(attempt, deadline):
-                break
-        raise _exceptions.RefusedError(_no_answer(name, may_have_run))
+                raise
+
+        call = _repeatable.RepeatableCall(
+            self._clock,
+            self._retries,
+            lambda avoid: self._fleet.pick_target(name, avoid, self._zone),
+            send,
+        )
+        answer = call.run(deadline)
+        if answer is None:
+            raise _exceptions.RefusedError(_no_answer(name, call.may_have_run))
+        return answer
 
     def _may_send_to(self, target: fleet.ServiceTarget) -> bool:
         """Return whether a new call may be sent to the target now."""
@@ -229,20 +223,6 @@
             return False
         return target.usable(self._clock.monotonic())
 
-    def _wait_for_retry(self, attempt: int, deadline: float) -> bool:
-        """Spend a retry and sleep for the backoff.
-
-        Returns ``False`` at once if the deadline would pass or the retry
-        budget is used up.
-        """
-        backoff_s = self._retries.backoff_s(attempt)
-        if self._clock.monotonic() + backoff_s >= deadline:
-            return False
-        if not self._retries.try_spend():
-            return False
-        self._clock.sleep(backoff_s)
-        return True
-
 
 def _at_most_once_call(
     name: str, path: str, req: _context.CallerRequest, deadline: float
--- a/agatewing/fleet/__init__.py
+++ b/agatewing/fleet/__init__.py
@@ -8,5 +8,6 @@
 from agatewing.fleet._targets import ClientFactory
 from agatewing.fleet._targets import EngineTarget
 from agatewing.fleet._targets import LoadReport
+from agatewing.fleet._targets import SERVICE_SILENCE_TIMEOUT_S
 from agatewing.fleet._targets import ServiceTarget
 from agatewing.fleet._targets import STREAM_SILENCE_TIMEOUT_S
--- a/agatewing/fleet/_fleet.py
+++ b/agatewing/fleet/_fleet.py
@@ -166,9 +166,12 @@
         targets: dict[str, _targets.ServiceTarget] = {}
         for name, spec in document.targets.items():
             target = self.targets.get(name)
+            deadline_s = document.services[spec.service].deadline_s
             if target is None or target.spec.address != spec.address:
-                target = _targets.ServiceTarget(name, spec, self._make_client)
-            target.spec = spec
+                target = _targets.ServiceTarget(
+                    name, spec, self._make_client, deadline_s
+                )
+            target.update_spec(spec, deadline_s)
             targets[name] = target
         self.targets = targets
 
--- a/agatewing/fleet/_targets.py
+++ b/agatewing/fleet/_targets.py
@@ -23,7 +23,8 @@
 #: Time without data after which a stream is resumed on a new connection or
 #: moved to another engine, in seconds.
 STREAM_SILENCE_TIMEOUT_S = 3.0
-#: Time without data after which a call of a plain service fails, in seconds.
+#: Time without an answer after which another target of a plain service is
+#: tried as well, in seconds.
 SERVICE_SILENCE_TIMEOUT_S = 5.0
 
 
@@ -219,18 +220,26 @@
         "in_flight",
         "avoid_until",
         "slowness",
+        "_make_client",
+        "_silence_timeout_s",
     )
 
     def __init__(
-        self, name: str, spec: config.Target, make_client: "ClientFactory"
+        self,
+        name: str,
+        spec: config.Target,
+        make_client: "ClientFactory",
+        deadline_s: float,
     ) -> None:
         #: Name in the inventory.
         self.name = name
         #: Row of the inventory.
         self.spec = spec
+        self._make_client = make_client
+        self._silence_timeout_s = _service_timeout_s(deadline_s)
         #: Connections to it.
         self.client = make_client(
-            spec.address, silence_timeout_s=SERVICE_SILENCE_TIMEOUT_S
+            spec.address, silence_timeout_s=self._silence_timeout_s
         )
         #: Calls from this instance in flight.
         self.in_flight = 0
@@ -239,6 +248,20 @@
         #: Unused: nothing updates or reads it.
         self.slowness = decisions.SmoothedRatio()
 
+    def update_spec(self, spec: config.Target, deadline_s: float) -> None:
+        """Apply a new inventory row with the same address.
+
+        ``deadline_s`` is the deadline of the service. Calls in progress keep
+        the timeout with which they began.
+        """
+        self.spec = spec
+        silence_timeout_s = _service_timeout_s(deadline_s)
+        if silence_timeout_s != self._silence_timeout_s:
+            self._silence_timeout_s = silence_timeout_s
+            self.client = self._make_client(
+                spec.address, silence_timeout_s=silence_timeout_s
+            )
+
     def record_failure(self, now: float) -> None:
         """Send no new calls for ``AVOID_AFTER_FAILURE_S`` seconds."""
         self.avoid_until = now + AVOID_AFTER_FAILURE_S
@@ -247,3 +270,11 @@
         """Return whether new calls may go to the target."""
         active = self.spec.state is _types.TargetState.ACTIVE
         return active and now >= self.avoid_until
+
+
+def _service_timeout_s(deadline_s: float) -> float:
+    """Return the silence after which a call of a service has failed.
+
+    A silent target may still answer in time.
+    """
+    return max(SERVICE_SILENCE_TIMEOUT_S, deadline_s)
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -250,14 +250,17 @@
         connect_timeout_s: float = 1.0,
         silence_timeout_s: float = 5.0,
         connections: int = MAX_CONNECTIONS,
-        body_timeout_s: float = BODY_TIMEOUT_S,
+        body_timeout_s: float | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         #: IP number and port.
         self.address = address
         self._piece_timeout_s = silence_timeout_s + PIECE_TIMEOUT_S
         self._head_timeout_s = connect_timeout_s + self._piece_timeout_s
-        self._body_timeout_s = body_timeout_s
+        # A body may be silent once for as long as a head.
+        self._body_timeout_s = body_timeout_s or max(
+            BODY_TIMEOUT_S, silence_timeout_s
+        )
         self._max_answer_bytes = max_answer_bytes
         host, port = _address.split_address(address)
         self._client = geventhttpclient.HTTPClient(
@@ -344,6 +347,9 @@
             raise _exceptions.TargetSilentError(
                 self.address, str(exc)
             ) from exc
+        except gevent.GreenletExit:
+            answer.close()
+            raise
         if answer.ends_by_close and raw and _is_cut_json(answer, raw):
             raise _exceptions.TargetSilentError(
                 self.address, "connection closed inside a JSON answer"
