Return a stream to an engine that was only silent if no other is left

Cause: an engine that sent no byte for 3 s was replaced; if no other engine, attempt or retry was left, the request ended though the engine still had it. Change: a time-out is told from a broken connection, and the relay goes back to an engine that timed out, by position or with the same id, until it refuses or the deadline passes. A retry is spent only if there is an engine for it.

--- a/agatewing/_exceptions.py
+++ b/agatewing/_exceptions.py
@@ -88,6 +88,17 @@
         self.address = address
 
 
+class TargetOverdueError(TargetSilentError):
+    """Nothing came in time on an open connection, which proves nothing.
+
+    The target may still answer the request.
+    """
+
+
+class ConnectTimeoutError(ConnectRefusedError):
+    """The connection did not open in time; nothing was sent."""
+
+
 class ProtocolError(AgatewingError):
     """A peer, target or platform service sent a malformed message."""
 
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -54,6 +54,7 @@
         "_begun_at",
         "_failed_at",
         "_progress_at",
+        "_overdue",
         "assembler",
         "ever_accepted",
     )
@@ -87,6 +88,9 @@
         self._failed_at: int | None = None
         # Monotonic time of the last new event or change of engine.
         self._progress_at = 0.0
+        # Engines that were last silent and may still answer, by name, each
+        # with whether it has accepted the request.
+        self._overdue: dict[str, tuple[fleet.EngineTarget, bool]] = {}
         #: Puts events in order; holds the position in the stream.
         self.assembler = _assembler.EventAssembler(call.id, position)
         #: Whether any engine has accepted the request.
@@ -197,7 +201,7 @@
             now - self._progress_at
             > STALL_TIMEOUT_S + self._prefill_allowance_s()
         ):
-            raise _exceptions.TargetSilentError(
+            raise _exceptions.TargetOverdueError(
                 self.engine, f"no token for {STALL_TIMEOUT_S:g} s"
             )
 
@@ -219,7 +223,9 @@
         return self._profile.prompt_tokens / 1_000
 
     def _switch_to(self, name: str) -> None:
-        target = self._pool.engines.get(name)
+        self._switch_target(self._pool.engines.get(name))
+
+    def _switch_target(self, target: fleet.EngineTarget | None) -> None:
         if self._target is not None:
             self._target.record_ended()
         self._target = target
@@ -230,7 +236,7 @@
         self._failed_at = None
         self._progress_at = self._deps.clock.monotonic()
         if target is not None:
-            cached = self._profile.cached.get(name, 0)
+            cached = self._profile.cached.get(target.name, 0)
             tokens = max(0, self._profile.prompt_tokens - cached)
             target.record_sent(tokens, self._progress_at)
 
@@ -348,6 +354,12 @@
             return
         if isinstance(exc, _exceptions.TargetSilentError):
             self._failed_at = self.assembler.position
+        self._overdue.pop(target.name, None)
+        if isinstance(
+            exc,
+            _exceptions.TargetOverdueError | _exceptions.ConnectTimeoutError,
+        ):
+            self._overdue[target.name] = (target, self._engine_accepted)
         self._deps.events.add(
             timeline.EventKind.STREAM_FAILED,
             request=self._call.id,
@@ -360,43 +372,72 @@
     def _replace_engine(self) -> None:
         """Choose another engine, which generates the same answer.
 
-        Raises ``RefusedError`` if the retries or the engines are used up.
+        If there is none, returns to one that was only silent. Raises
+        ``RefusedError`` if no such engine is left or the deadline passed.
         """
         if self._target is not None:
             self._avoid.add(self._target.name)
             self._check_crash(self._target)
-        if (
-            self._engines_tried >= MAX_ENGINES
-            or not self._deps.retries.try_spend()
-        ):
+        reason = self._switch_to_other()
+        if reason and not self._return_to_overdue():
             self.close()
-            raise _exceptions.RefusedError(
-                self._stream_lost("retries are used up")
-            )
-        self._deps.clock.sleep(
-            self._deps.retries.backoff_s(self._engines_tried)
+            raise _exceptions.RefusedError(self._stream_lost(reason))
+        self._deps.events.add(
+            timeline.EventKind.STREAM_REPLACED,
+            request=self._call.id,
+            target=self.engine,
+            detail=f"from position {self.assembler.position}",
         )
+
+    def _switch_to_other(self) -> str:
+        """Switch to an engine not tried yet; return why not, or empty."""
+        if self._engines_tried >= MAX_ENGINES:
+            return "retries are used up"
         route = self._pool.router.choose(
             self._profile, self._pool.loads(), frozenset(self._avoid)
         )
         if route is None:
             route = self._first_routable()
         if route is None:
-            self.close()
-            raise _exceptions.RefusedError(
-                self._stream_lost("no engine is left")
-            )
+            return "no engine is left"
+        if not self._deps.retries.try_spend():
+            return "retries are used up"
+        self._deps.clock.sleep(
+            self._deps.retries.backoff_s(self._engines_tried)
+        )
         match route:
             case decisions.Single(engine=name):
                 self._switch_to(name)
             case decisions.Split(decode=name):
                 self._switch_to(name)
-        self._deps.events.add(
-            timeline.EventKind.STREAM_REPLACED,
-            request=self._call.id,
-            target=self.engine,
-            detail=f"from position {self.assembler.position}",
+        return ""
+
+    def _return_to_overdue(self) -> bool:
+        """Switch back to an engine that was silent and may still answer.
+
+        Prefers one that has accepted the request, and of several the one
+        that was silent first. Returns ``False`` if there is none. Raises
+        ``RefusedError`` if the deadline passed.
+        """
+        software = self._profile.software
+        candidates = [
+            (target, accepted)
+            for target, accepted in self._overdue.values()
+            if software in (None, target.load.software)
+        ]
+        if not candidates:
+            return False
+        if self._deps.clock.monotonic() > self._deadline:
+            self.cancel()
+            raise _exceptions.RefusedError(_deadline_passed())
+        self._deps.clock.sleep(
+            self._deps.retries.backoff_s(self._engines_tried)
         )
+        target, accepted = max(candidates, key=lambda item: item[1])
+        self._switch_target(target)
+        # An engine that may get no new request may have this one already.
+        self._engine_accepted = accepted or not self._may_start_on(target)
+        return True
 
     def _check_crash(self, target: fleet.EngineTarget) -> None:
         """Find out whether an engine crashed as it began to answer.
@@ -405,6 +446,8 @@
         """
         if self._failed_at is None or self._failed_at > self._begun_at:
             return
+        if target.name in self._overdue:
+            return
         if not self._deps.crashes.record_failure(self._call.prompt, target):
             self.close()
             raise _exceptions.RefusedError(
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -173,7 +173,8 @@
         """Wait for body bytes and return those that have arrived.
 
         Returns empty bytes at the end of the body. Raises
-        ``TargetSilentError`` if the connection breaks or stays silent.
+        ``TargetOverdueError`` if the connection stays silent, and
+        ``TargetSilentError`` if it breaks.
         """
         response = self._response
         buffer = response._body_buffer
@@ -183,6 +184,11 @@
                     self._timeout_s, TimeoutError("no byte of the body came")
                 ):
                     self._receive()
+        except TimeoutError as exc:
+            self.close()
+            raise _exceptions.TargetOverdueError(
+                self._address, str(exc)
+            ) from exc
         except (OSError, http_response.HTTPParseError) as exc:
             self.close()
             raise _exceptions.TargetSilentError(
@@ -316,6 +322,10 @@
             raise _exceptions.ConnectRefusedError(
                 self.address, str(exc)
             ) from exc
+        except TimeoutError as exc:
+            raise _exceptions.TargetOverdueError(
+                self.address, str(exc) or type(exc).__name__
+            ) from exc
         except (OSError, http_response.HTTPParseError) as exc:
             raise _exceptions.TargetSilentError(
                 self.address, str(exc) or type(exc).__name__
@@ -361,6 +371,10 @@
         pool = self._client._connection_pool
         try:
             pool.return_socket(pool.get_socket())
+        except TimeoutError as exc:
+            raise _exceptions.ConnectTimeoutError(
+                self.address, str(exc)
+            ) from exc
         except OSError as exc:
             raise _exceptions.ConnectRefusedError(
                 self.address, str(exc)
