Refuse a stream that engines may have begun with the outcome unknown

Cause: the outcome was not-run unless the head of an engine's answer had come, also when the request had been sent and the connection broke off.

--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -55,6 +55,7 @@
         "_failed_at",
         "_progress_at",
         "_overdue",
+        "_may_have_run",
         "assembler",
         "ever_accepted",
     )
@@ -91,6 +92,8 @@
         # Engines that were last silent and may still answer, by name, each
         # with whether it has accepted the request.
         self._overdue: dict[str, tuple[fleet.EngineTarget, bool]] = {}
+        # Whether an engine may have run the request.
+        self._may_have_run = False
         #: Puts events in order; holds the position in the stream.
         self.assembler = _assembler.EventAssembler(call.id, position)
         #: Whether any engine has accepted the request.
@@ -354,6 +357,7 @@
             return
         if isinstance(exc, _exceptions.TargetSilentError):
             self._failed_at = self.assembler.position
+            self._may_have_run = True
         self._overdue.pop(target.name, None)
         if isinstance(
             exc,
@@ -465,7 +469,7 @@
         return None
 
     def _stream_lost(self, reason: str) -> _exceptions.Refusal:
-        if not self.ever_accepted:
+        if not self.ever_accepted and not self._may_have_run:
             return _exceptions.Refusal(
                 _types.RefusalKind.NO_TARGET,
                 f"no engine took the request: {reason}",
--- a/agatewing/entry/tests/test_crashing_prompts.py
+++ b/agatewing/entry/tests/test_crashing_prompts.py
@@ -105,14 +105,18 @@
             report = fleet.LoadReport(_types.Role.MIXED)
             engine.handle_load_report(report, self.clock.monotonic())
 
-    def ask(self, number: int, prompt: str) -> bool:
-        """Return whether a prompt is answered in full."""
+    def relay(self, number: int, prompt: str) -> entry.Relay:
+        """Return a relay for a prompt."""
         call = entry.GenerateCall(
             f"s{number}", "m", prompt, 9, "completions", 0, 5, 7
         )
         profile = decisions.RequestProfile(9, 9, "z")
         deadline = self.clock.monotonic() + 10.0
-        relay = entry.Relay(self._deps, self.pool, call, profile, deadline)
+        return entry.Relay(self._deps, self.pool, call, profile, deadline)
+
+    def ask(self, number: int, prompt: str) -> bool:
+        """Return whether a prompt is answered in full."""
+        relay = self.relay(number, prompt)
         try:
             self.guard.check(prompt)
             relay.start(decisions.Single(f"e{number % ENGINES}", 0.0))
