Keep a silent target until another one has delivered

A target that was silent beyond the stall timeout, 1.5 s between events or half of the time left was given up before another had delivered. Its connection was closed, and then no engine had room, took the request or answered, or no attempt or retry was left; the answer was refused or cut off though the target would have gone on.

A path (prefill, engine, answer) now stays open while another is tried beside it; the first that delivers is kept and the others are closed in the same step. A hedge counts as a target and spends a retry as a retry did. One path at a time may await the request itself, so a request that must not run twice is sent once, and only its prefill is hedged. A target that is silent and still open counts as lost only when another path was faster, so new requests reach the only target. TCP_USER_TIMEOUT was below a silence of a target that does not read; it is now above the silence after which the platform drops a target's entry. Streams are read by _event_reader, engines chosen by _stream_engines.

A case of the reproduction withdrew the decoding engines before the request was sent to any; a request must not reach an engine that leaves, so only the engines that have it leave now.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -30,6 +30,14 @@
 from agatewing.decisions._fair_queue import FairQueue
 from agatewing.decisions._hashes import long_key
 from agatewing.decisions._hashes import short_key
+from agatewing.decisions._hedging import GiveUp
+from agatewing.decisions._hedging import Hedge
+from agatewing.decisions._hedging import next_step
+from agatewing.decisions._hedging import PathState
+from agatewing.decisions._hedging import PathView
+from agatewing.decisions._hedging import RaceStep
+from agatewing.decisions._hedging import Take
+from agatewing.decisions._hedging import Wait
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
 from agatewing.decisions._placement_index import Placement
@@ -61,6 +69,7 @@
 from agatewing.decisions._shared_budget import SharedRetryBudget
 from agatewing.decisions._shared_limits import LimitReport
 from agatewing.decisions._shared_limits import SharedLimits
+from agatewing.decisions._stall import MIN_STALL_S
 from agatewing.decisions._stall import stall_timeout_s
 from agatewing.decisions._stream_versions import StreamOrigin
 from agatewing.decisions._stream_versions import StreamOrigins
--- a/agatewing/decisions/_attempts.py
+++ b/agatewing/decisions/_attempts.py
@@ -53,18 +53,28 @@
     #: Whether it may have run somewhere.
     maybe_ran: bool = False
 
+    def record_silence(self) -> None:
+        """Count a target that is silent, or whose answer is not awaited."""
+        self.targets += 1
+        self.maybe_ran = True
+
     def record_failure(
-        self, failure: Failure, used_cache: bool = False
+        self,
+        failure: Failure,
+        used_cache: bool = False,
+        counted: bool = False,
     ) -> NextStep:
         """Record a failed send and return the next step.
 
-        ``used_cache`` is whether the send named a KV cache to fetch.
+        ``used_cache`` is whether the send named a KV cache to fetch;
+        ``counted`` says that its target was counted while it was silent.
         """
         if failure is Failure.NOT_SENT:
             return NextStep.ANOTHER_FREE
         if failure is Failure.NOT_RUN and used_cache:
             return NextStep.SAME_WITHOUT_CACHE
-        self.targets += 1
+        if not counted:
+            self.targets += 1
         if failure is not Failure.NOT_RUN:
             self.maybe_ran = True
             if not self.idempotent:
--- a/agatewing/decisions/_stall.py
+++ b/agatewing/decisions/_stall.py
@@ -2,9 +2,9 @@
 
 An engine may hang, or run a request and lose the answer, while its
 connection stays open; only a timeout shows this. An idempotent request is
-then retried on another engine. For any other request the instance goes on
-waiting, but no longer counts it in the engine's backlog, which would seem
-to grow otherwise.
+then also sent to another engine, beside the first. For any other request the
+instance goes on waiting. Neither counts any longer in the first engine's
+backlog, which would seem to grow otherwise.
 """
 
 #: Shortest time before a request counts as lost, in seconds: twice the
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -22,9 +22,11 @@
 #: Timeout for establishing a connection, in seconds; callers also allow one
 #: second for a connection to an instance.
 CONNECT_TIMEOUT_S = 1.0
-#: Time after which unacknowledged data breaks the connection, in milliseconds;
-#: a target that has vanished sends no reset.
-TCP_USER_TIMEOUT_MS = 1_500
+#: Time after which unacknowledged data, or data that the target does not read,
+#: breaks the connection, in milliseconds; a target that has vanished sends no
+#: reset. The platform removes the entry of a target that was silent for three
+#: heartbeats, of about 1.2 s each; one that is silent for less goes on.
+TCP_USER_TIMEOUT_MS = 4_000
 #: Largest body that is sent without a greenlet of its own, in bytes; it fits
 #: into the socket's buffer.
 SMALL_BODY_BYTES = 8_192
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -192,16 +192,19 @@
     target: str,
     outcome: _messages.Outcome,
     used_cache: bool = False,
+    counted: bool = False,
+    others: bool = False,
     **fields: object,
 ) -> None:
     """Update the state for another send, or raise the final refusal.
 
-    ``used_cache`` says whether the target was to fetch a KV cache. Raises
-    :class:`GatewayRefusedError` if the deadline has passed or no further
-    send is allowed.
+    ``used_cache`` says whether the target was to fetch a KV cache,
+    ``counted`` whether it was counted while it was silent. Raises
+    :class:`GatewayRefusedError` if the deadline has passed, no further send
+    is allowed, or ``others`` are still awaited.
     """
     failure, reason = _failure_of(outcome)
-    step = job.attempts.record_failure(failure, used_cache)
+    step = job.attempts.record_failure(failure, used_cache, counted)
     log_event(
         job,
         "send failed",
@@ -221,6 +224,8 @@
         raise _deadline_error(job, reason)
     if step in (decisions.NextStep.FAIL, decisions.NextStep.REFUSE):
         raise give_up_error(job, reason)
+    if others:
+        raise give_up_error(job, f"{reason}; another target is awaited")
     if not spend_retry(ctx, job):
         raise give_up_error(job, f"{reason}; no retry is left")
 
--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -54,10 +54,6 @@
         rest, self._partial = self._partial, b""
         return rest
 
-    def drop_partial(self) -> None:
-        """Discard the partial event, for example of a broken connection."""
-        self._partial = b""
-
 
 def _is_comment(event: bytes) -> bool:
     """Return whether all lines are comments, so that there is no event."""
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -217,7 +217,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
-    """The deadline or the stall limit passed; the request may have run."""
+    """The deadline passed; the request may have run."""
 
     #: Cause, for logs and refusals.
     reason: str
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -3,6 +3,7 @@
 Keeps the handle of the KV cache until another engine has fetched it.
 """
 
+import collections.abc
 import logging
 
 import gevent
@@ -43,6 +44,7 @@
         "_job",
         "_pool",
         "_profile",
+        "_check",
         "unfetched_cache",
         "engine_id",
     )
@@ -58,6 +60,8 @@
         self._job = job
         self._pool = pool
         self._profile = profile
+        # Check of the last failure: whether it crashed its engine.
+        self._check: gevent.Greenlet | None = None
         #: KV cache that no engine has fetched yet; ``None`` if there is none.
         self.unfetched_cache: _messages.CacheHandle | None = None
         #: Id of the engine that processed the prompt; empty if none did.
@@ -71,11 +75,15 @@
         """
         return self._pool.engines.get(self.engine_id)
 
-    def run_on(self, tracked: _tracked_target.TrackedTarget) -> bool:
+    def run_on(
+        self,
+        tracked: _tracked_target.TrackedTarget,
+        expect_within: collections.abc.Callable[[float], None],
+    ) -> bool:
         """Have one engine process the prompt; return whether it did.
 
-        On success the handle is in ``unfetched_cache``. Raises
-        :class:`GatewayRefusedError` if it did not and no retry is allowed.
+        On success the handle is in ``unfetched_cache``. ``expect_within`` is
+        told the time, in seconds, after which the engine counts as silent.
         """
         _context.check_quarantine(self._ctx, self._job)
         clock = self._ctx.clock
@@ -86,7 +94,8 @@
         # prefix are routed to this engine meanwhile.
         self.record_prefix(tracked, meter.expected_s)
         try:
-            outcome = self._send(tracked, self.stall_limit(meter))
+            expect_within(meter.stall_timeout_s)
+            outcome = self._send(tracked)
             if self.unfetched_cache is not None:
                 meter.mark_prompt_processed(clock.monotonic())
         finally:
@@ -95,20 +104,20 @@
             self.engine_id = tracked.target.id
             self.record_prefix(tracked)
             return True
-        self._prepare_retry(tracked, outcome)
+        self._record_failure(tracked, outcome)
         return False
 
     def _send(
-        self, tracked: _tracked_target.TrackedTarget, stall: _sender.StallLimit
+        self, tracked: _tracked_target.TrackedTarget
     ) -> _messages.Outcome:
         sender = self._ctx.sender
-        result = self._send_once(tracked, sender.max_idle_s(True), stall)
+        result = self._send_once(tracked, sender.max_idle_s(True))
         if isinstance(result, _messages.Unknown) and result.stale:
             # The target closed the connection while it was idle. Retrying is
             # safe, because a prompt may be processed twice.
             self._job.reached_target = True
             if _context.spend_retry(self._ctx, self._job):
-                result = self._send_once(tracked, 0.0, stall)
+                result = self._send_once(tracked, 0.0)
         if not isinstance(result, _sender.AnswerStarted):
             return result
         outcome = sender.read_body(result, tracked, self._job.deadline)
@@ -125,7 +134,6 @@
         self,
         tracked: _tracked_target.TrackedTarget,
         max_idle_s: float,
-        stall: _sender.StallLimit,
     ) -> _sender.SendResult:
         return self._ctx.sender.send_request(
             tracked,
@@ -133,32 +141,28 @@
             self.send_options(tracked, prefill_only=True),
             self._job.deadline,
             max_idle_s,
-            stall,
         )
 
-    def _prepare_retry(
+    def _record_failure(
         self,
         tracked: _tracked_target.TrackedTarget,
         outcome: _messages.Outcome,
     ) -> None:
-        """Exclude the engine for the next try, or raise the final refusal.
-
-        A prefill does not run the request itself, so it may be retried within
-        the retry budget. It does not count towards the route's limit of
-        targets.
-        """
+        """Exclude an engine that did not process the prompt."""
         job = self._job
         job.excluded.add(tracked.target.id)
         if job.req.prompt is not None:
             self._ctx.index.drop(
                 tracked.target.id, job.req.prompt.sized_blocks
             )
-        check = self._ctx.quarantine.check_break(
+        self._check = self._ctx.quarantine.check_break(
             job.req, tracked.target, outcome
         )
-        reason = "the prefill failed"
         _context.log_event(
-            job, reason, target=tracked.target.id, outcome=str(outcome)
+            job,
+            "the prefill failed",
+            target=tracked.target.id,
+            outcome=str(outcome),
         )
         match outcome:
             case _messages.NotSent():
@@ -169,10 +173,22 @@
             case _:
                 job.reached_target = True
                 tracked.record_no_answer()
+
+    def prepare_retry(self, others: bool) -> None:
+        """Prepare another try after a failure, or raise the final refusal.
+
+        A prefill does not run the request itself, so it may be retried within
+        the retry budget. It does not count towards the route's limit of
+        targets. ``others`` says whether other paths are still awaited.
+        """
+        job, reason = self._job, "the prefill failed"
         if self._ctx.clock.monotonic() >= job.deadline:
             raise _context.give_up_error(job, f"{reason}; no time is left")
+        if others:
+            raise _context.give_up_error(job, f"{reason}; another is awaited")
         if not _context.spend_retry(self._ctx, job):
             raise _context.give_up_error(job, f"{reason}; no retry is left")
+        check, self._check = self._check, None
         _context.await_check(self._ctx, job, check)
 
     def send_options(
@@ -210,17 +226,6 @@
         source = self._pool.engines.get(self._profile.fetch_source)
         return source.target.address if source is not None else None
 
-    def stall_limit(self, meter: _meter.LoadMeter) -> _sender.StallLimit:
-        """Return when a send without an answer is given up for a retry."""
-        now = self._ctx.clock.monotonic()
-        return _sender.StallLimit(
-            now + meter.stall_timeout_s, self._retry_left
-        )
-
-    def _retry_left(self) -> bool:
-        now = self._ctx.clock.monotonic()
-        return self._ctx.budget.allows_retry(self._job.service, now)
-
     def record_prefix(
         self, tracked: _tracked_target.TrackedTarget, ready_s: float = 0.0
     ) -> None:
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -35,17 +35,6 @@
     channel: _channel.Channel
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StallLimit:
-    """Limit after which an answer counts as lost before its deadline."""
-
-    #: Monotonic time of the limit, in seconds.
-    at: float
-    #: Called at that time; if it returns ``False``, no retry is left and the
-    #: answer is awaited until the deadline.
-    retry_left: collections.abc.Callable[[], bool]
-
-
 SendResult: typing.TypeAlias = (
     AnswerStarted
     | _messages.NotSent
@@ -93,13 +82,10 @@
         options: _messages.SendOptions,
         deadline: float,
         max_idle_s: float,
-        stall: StallLimit | None = None,
     ) -> SendResult:
         """Send a request and return once the head of its answer was read.
 
         A connection that idled for longer than ``max_idle_s`` is not used.
-        With ``stall``, returns ``TimedOut`` at ``stall.at`` if the head was
-        not read by then and a retry is left.
         """
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
@@ -114,9 +100,7 @@
             channel.close()
             return _messages.NotSent("the target is leaving")
         try:
-            return self._exchange(
-                tracked, channel, req, options, deadline, stall
-            )
+            return self._exchange(tracked, channel, req, options, deadline)
         except BaseException:
             # If the caller disconnects or the greenlet is killed, closing
             # the connection cancels the request at the target.
@@ -130,7 +114,6 @@
         req: _messages.CallerRequest,
         options: _messages.SendOptions,
         deadline: float,
-        stall: StallLimit | None,
     ) -> SendResult:
         outgoing = self._dialect.target_request(req, options)
         self.request_count += 1
@@ -138,7 +121,7 @@
         self._limits.record_send(tracked.target)
         try:
             channel.send(outgoing, deadline)
-            head = self._read_head(channel, req, deadline, stall)
+            head = self._matching_head(channel, req, deadline)
         except _channel.BrokenError as exc:
             channel.close()
             # A reused connection was usually closed by the target while it
@@ -158,27 +141,6 @@
             self._limits.observe(tracked.target, limit, sent_at)
         return self._classify(tracked, channel, head, options.prefill_only)
 
-    def _read_head(
-        self,
-        channel: _channel.Channel,
-        req: _messages.CallerRequest,
-        deadline: float,
-        stall: StallLimit | None,
-    ) -> _messages.AnswerHead:
-        """Return the head of the answer.
-
-        Raises :class:`DeadlineExceededError` at the stall limit if a retry is
-        left, otherwise at the deadline.
-        """
-        if stall is None or stall.at >= deadline:
-            return self._matching_head(channel, req, deadline)
-        try:
-            return self._matching_head(channel, req, stall.at)
-        except _channel.DeadlineExceededError:
-            if stall.retry_left():
-                raise
-        return self._matching_head(channel, req, deadline)
-
     def _matching_head(
         self,
         channel: _channel.Channel,
--- /dev/null
+++ b/agatewing/gateway/_stream_path.py
@@ -0,0 +1,447 @@
+"""One path of a stream: a prefill, an engine to decode on, its answer."""
+
+import dataclasses
+
+import gevent
+
+from agatewing import decisions
+from agatewing.gateway import _context
+from agatewing.gateway import _event_reader
+from agatewing.gateway import _messages
+from agatewing.gateway import _meter
+from agatewing.gateway import _prefill
+from agatewing.gateway import _race
+from agatewing.gateway import _relay
+from agatewing.gateway import _send_turn
+from agatewing.gateway import _sender
+from agatewing.gateway import _stream_engines
+from agatewing.gateway import _tracked_target
+
+
+class StreamPath:
+    """Sends a stream's request; retries as long as it is the only path."""
+
+    __slots__ = (
+        "_ctx",
+        "_job",
+        "_engines",
+        "_relay",
+        "_turn",
+        "_route",
+        "_reader",
+        "_meter",
+        "_used_cache",
+        "_events",
+        "_failure",
+        "_counted",
+        "_silent",
+        "_paid_targets",
+        "_hedge",
+        "_prefilling",
+        "_closed",
+        "prefill",
+        "tracked",
+        "race",
+        "silent_at",
+    )
+
+    def __init__(
+        self,
+        ctx: _context.HandlerContext,
+        job: _context.Job,
+        engines: _stream_engines.StreamEngines,
+        relay: _relay.EventRelay,
+        turn: _send_turn.SendTurn,
+        route: decisions.Route | None,
+    ) -> None:
+        self._ctx = ctx
+        self._job = job
+        self._engines = engines
+        self._relay = relay
+        self._turn = turn
+        # Route of the next send; ``None`` to choose one.
+        self._route = route
+        # Whether it was opened beside a silent path and has sent nothing.
+        self._hedge = route is None
+        # Reads the present answer; ``None`` before its head.
+        self._reader: _event_reader.EventReader | None = None
+        self._meter: _meter.LoadMeter | None = None
+        self._used_cache = False
+        # Number of events of the present answer.
+        self._events = 0
+        # Failed outcome that is not handled yet.
+        self._failure: _messages.Outcome | None = None
+        # Whether the present engine was counted while it was silent.
+        self._counted = False
+        # Whether the engine that is awaited is silent.
+        self._silent = False
+        # Number of targets of the request after which this path may send
+        # without spending another retry.
+        self._paid_targets = job.attempts.targets
+        # Whether the answer to a separate prefill is awaited.
+        self._prefilling = False
+        self._closed = False
+        #: Prefill of this path and its KV cache.
+        self.prefill = _prefill.Prefill(
+            ctx, job, engines.pool, engines.profile
+        )
+        #: Engine of the present answer; ``None`` before a choice.
+        self.tracked: _tracked_target.TrackedTarget | None = None
+        #: Race that it takes part in; ``None`` if it is the only path.
+        self.race: _race.Race[StreamPath] | None = None
+        #: Monotonic time at which it counts as silent, in seconds.
+        self.silent_at = _race.NEVER
+
+    def next(self) -> _relay.Piece:
+        """Return the next part of the stream that holds an event or its end.
+
+        Raises :class:`GatewayRefusedError` if it fails while another path is
+        open, or if no further send is allowed.
+        """
+        held = b""
+        while True:
+            match self._advance():
+                case _relay.Piece() as piece:
+                    if piece.events or piece.ended or not self._others():
+                        data = held + piece.data
+                        return dataclasses.replace(piece, data=data)
+                    # A comment does not decide which path is kept.
+                    held += piece.data
+                case _ if self._failure is not None:
+                    held = b""
+
+    def _advance(self) -> _relay.Piece | None:
+        """Take one step; return what it brought, if anything."""
+        if self._failure is not None:
+            self._handle_failure()
+        elif self._reader is not None:
+            return self.read(_race.NEVER)
+        else:
+            if self.tracked is None:
+                self.tracked = self._choose_engine()
+            return self._send_to(self.tracked)
+        return None
+
+    def read(self, max_silence_s: float) -> _relay.Piece | None:
+        """Return the next part of the present answer.
+
+        Returns ``None`` if it failed, or if nothing came for
+        ``max_silence_s``; :meth:`next` goes on in both cases.
+        """
+        reader = self._reader
+        if reader is None:
+            raise AssertionError("read() needs an answer; call next()")
+        match reader.read(max_silence_s, self._job.deadline):
+            case _event_reader.Silent(since=since):
+                self.silent_at = since
+                return None
+            case _relay.Piece() as piece:
+                if piece.events:
+                    self._record_events(piece.events)
+                return piece
+            case failure:
+                self._failure = failure
+                return None
+
+    def _record_events(self, count: int) -> None:
+        self._events += count
+        self._silent = False
+        self._expect(_race.NEVER)
+        if self._meter is not None:
+            self._meter.mark_prompt_processed(self._ctx.clock.monotonic())
+
+    def _choose_engine(self) -> _tracked_target.TrackedTarget:
+        """Return the engine for the next send, after a prefill if needed.
+
+        After forwarded events, or while a KV cache is unfetched, only an
+        engine to decode on is chosen. Otherwise, for instance if the KV cache
+        could not be fetched, the whole request is routed anew. If the new
+        route has a separate prefill, it must be allowed as a retry of its
+        own; if it is not, one engine prefills and decodes.
+        """
+        engines = self._engines
+        route, self._route = self._route, None
+        if route is not None:
+            return self._prepare_decode_engine(route)
+        if self._relay.event_count or self.prefill.unfetched_cache is not None:
+            tracked = engines.wait_for_decode_engine(self.prefill)
+            self._pay_for_hedge()
+            return tracked
+        route = engines.reroute()
+        sent_before = self._job.attempts.targets > 0
+        self._pay_for_hedge()
+        separate_prefill = isinstance(route, decisions.Split)
+        if (
+            separate_prefill
+            and sent_before
+            and not _context.spend_retry(self._ctx, self._job)
+        ):
+            # The retry budget was charged for the send, but not for the
+            # additional prefill.
+            return engines.wait_for_decode_engine(self.prefill)
+        return self._prepare_decode_engine(route)
+
+    def _pay_for_hedge(self) -> None:
+        """Spend the retry of a path that was opened beside a silent one."""
+        if self._hedge:
+            self._spend_retry()
+            self._hedge = False
+
+    def _spend_retry(self) -> None:
+        if not _context.spend_retry(self._ctx, self._job):
+            raise _context.give_up_error(self._job, "no retry is left")
+        self._paid_targets = self._job.attempts.targets
+
+    def _prepare_decode_engine(
+        self, route: decisions.Route
+    ) -> _tracked_target.TrackedTarget:
+        """Run the prefill of a split route; return the engine to decode on.
+
+        A prefill can take seconds, so the engine that decodes is chosen again
+        after it. A prefill that fails is retried on another engine. Raises
+        :class:`GatewayRefusedError` if the request is given up.
+        """
+        pool = self._engines.pool
+        while True:
+            match route:
+                case decisions.Single(engine=name):
+                    return pool.engines.get(
+                        name
+                    ) or self._engines.wait_for_decode_engine(self.prefill)
+                case decisions.Split(prefill=name):
+                    engine = pool.engines.get(name)
+                    if engine is not None and self._run_prefill(engine):
+                        return self._engines.wait_for_decode_engine(
+                            self.prefill
+                        )
+            route = self._engines.reroute()
+
+    def _run_prefill(self, engine: _tracked_target.TrackedTarget) -> bool:
+        self.tracked, self._prefilling = engine, True
+        try:
+            if self.prefill.run_on(engine, self._expect_within):
+                return True
+        finally:
+            self.tracked, self._prefilling = None, False
+            self._silent = False
+            self._expect(_race.NEVER)
+        self.prefill.prepare_retry(self._others())
+        return False
+
+    def _expect_within(self, timeout_s: float) -> None:
+        self._expect(self._ctx.clock.monotonic() + timeout_s)
+
+    def _expect(self, silent_at: float) -> None:
+        """Set when the path counts as silent."""
+        if silent_at != self.silent_at:
+            self.silent_at = silent_at
+            if self.race is not None:
+                self.race.wake()
+
+    def _others(self) -> bool:
+        """Return whether another path may still deliver."""
+        return self.race is not None and self.race.others(self)
+
+    def _send_to(
+        self, tracked: _tracked_target.TrackedTarget
+    ) -> _relay.Piece | None:
+        """Send the request; return the answer of an engine that failed it.
+
+        Returns ``None`` if an answer has begun, or the send failed.
+        """
+        if not self._take_turn(tracked):
+            self.tracked = None
+            return None
+        _context.check_quarantine(self._ctx, self._job)
+        job, sender = self._job, self._ctx.sender
+        self._used_cache = self.prefill.unfetched_cache is not None
+        self._events, self._counted, self._silent = 0, False, False
+        now = self._ctx.clock.monotonic()
+        self._meter = _meter.LoadMeter(
+            tracked, self._engines.profile, self._used_cache, now
+        )
+        if job.attempts.idempotent:
+            self._expect(now + self._meter.stall_timeout_s)
+        result = sender.send_request(
+            tracked,
+            job.req,
+            self.prefill.send_options(tracked, False, self._last_event_id()),
+            job.deadline,
+            sender.max_idle_s(job.attempts.idempotent),
+        )
+        if not isinstance(result, _sender.AnswerStarted):
+            self._failure = result
+            return None
+        self.prefill.mark_fetched()
+        if result.head.status >= 300:
+            return self._read_failure(tracked, result)
+        self._reader = _event_reader.EventReader(result, self._ctx.clock)
+        return None
+
+    def _take_turn(self, tracked: _tracked_target.TrackedTarget) -> bool:
+        """Wait until the request may be sent; pay for it if need be.
+
+        Returns whether ``tracked`` is still an engine to send it to. Raises
+        :class:`GatewayRefusedError` if the request may not be sent any more.
+        """
+        attempts = self._job.attempts
+        waits = self._turn.taken_by_other(self)
+        if waits:
+            # No engine is awaited by this path, so it does not keep another
+            # one from being tried.
+            self._expect(0.0)
+        self._turn.acquire(self)
+        if self._closed:
+            raise gevent.GreenletExit
+        self._expect(_race.NEVER)
+        ran_once = attempts.maybe_ran and not attempts.idempotent
+        if ran_once or attempts.targets >= attempts.max_targets:
+            raise _context.give_up_error(self._job, "no attempt is left")
+        if attempts.targets > self._paid_targets:
+            self._spend_retry()
+        # Another path may have met the engine meanwhile.
+        return not waits or tracked.target.id not in self._job.excluded
+
+    def _read_failure(
+        self,
+        tracked: _tracked_target.TrackedTarget,
+        answer: _sender.AnswerStarted,
+    ) -> _relay.Piece | None:
+        """Return an engine's error answer, unless the stream may go on."""
+        outcome = self._ctx.sender.read_body(
+            answer, tracked, self._job.deadline
+        )
+        if not isinstance(outcome, _messages.Answered):
+            self._failure = outcome
+            return None
+        others = self._job.attempts.idempotent and self._others()
+        if self._relay.head_sent or others:
+            self._failure = _messages.Unknown(f"status {outcome.head.status}")
+            return None
+        return _relay.Piece(outcome.head, outcome.body, ended=True)
+
+    def _last_event_id(self) -> bytes | None:
+        """Return the id of the last forwarded event.
+
+        ``None`` if it has none, or no event was forwarded.
+        """
+        if not self._relay.event_count:
+            return None
+        return self._ctx.dialect.last_event_id(self._relay.last_event)
+
+    def _handle_failure(self) -> None:
+        """Record the failure and prepare the next send.
+
+        Raises :class:`GatewayRefusedError` if no further send is allowed or
+        another path is open.
+        """
+        outcome, self._failure = self._failure, None
+        tracked, self.tracked = self.tracked, None
+        if outcome is None or tracked is None:
+            raise AssertionError("only a send that was made can fail")
+        used_cache, counted = self._used_cache, self._counted
+        self._end_send()
+        check = self._ctx.quarantine.check_break(
+            self._job.req, tracked.target, outcome, self._events
+        )
+        match outcome:
+            case _messages.TimedOut() | _messages.Unknown():
+                tracked.record_no_answer()
+            case _messages.NotRun() if used_cache:
+                if tracked.half_full:
+                    # The engine is more likely full than the cache gone.
+                    tracked.record_busy()
+                self.prefill.mark_fetch_failed()
+            case _messages.NotRun():
+                tracked.record_busy()
+        self._engines.broken_engine = tracked.target.id
+        _context.prepare_retry(
+            self._ctx,
+            self._job,
+            tracked.target.id,
+            outcome,
+            used_cache,
+            counted,
+            self._others(),
+            events=self._relay.event_count,
+            software=tracked.target.software,
+        )
+        self._paid_targets = self._job.attempts.targets
+        self._release_turn()
+        _context.await_check(self._ctx, self._job, check)
+        if self._relay.event_count and self._last_event_id() is None:
+            raise _context.give_up_error(
+                self._job, "the last event has no id to resume after"
+            )
+
+    def _end_send(self) -> None:
+        """Stop awaiting the present answer."""
+        self._reader = None
+        meter, self._meter = self._meter, None
+        if meter is not None:
+            meter.end()
+        self._expect(_race.NEVER)
+
+    def _release_turn(self) -> None:
+        """Let another path send, unless the request must not run again."""
+        attempts = self._job.attempts
+        if attempts.idempotent or not attempts.maybe_ran:
+            self._turn.release(self)
+
+    @property
+    def sending(self) -> bool:
+        """Whether the answer to the request itself is awaited."""
+        return self._meter is not None
+
+    @property
+    def counted(self) -> bool:
+        """Whether its engine was counted while it was silent."""
+        return self._counted
+
+    def mark_silent(self) -> None:
+        """Let another path try while this one is silent."""
+        awaited = self.sending or self._prefilling
+        if self.tracked is None or not awaited:
+            return
+        self._silent = True
+        if self._counted:
+            return
+        self._job.reached_target = True
+        self._job.excluded.add(self.tracked.target.id)
+        _context.log_event(
+            self._job,
+            "target silent",
+            target=self.tracked.target.id,
+            prefill=not self.sending,
+            events=self._relay.event_count,
+        )
+        if self.sending:
+            self._counted = True
+            self._job.attempts.record_silence()
+            self._release_turn()
+
+    def record_loss(self) -> None:
+        """Count a silent engine's answer as lost: another one was faster."""
+        if self._silent and self.tracked is not None:
+            self.tracked.record_no_answer()
+
+    def finish(self) -> None:
+        """Keep the connection after an answer that was read to its end."""
+        if self.tracked is None:
+            return
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            self._ctx.sender.release_channel(self.tracked, reader.channel)
+            self.tracked.record_answer()
+
+    def close(self) -> None:
+        """Close the connection and free the KV cache; may be repeated."""
+        self._closed = True
+        if self._reader is not None:
+            self._reader.channel.close()
+        if self.sending and not self._counted:
+            self._job.attempts.record_silence()
+            self._counted = True
+        self._end_send()
+        self._release_turn()
+        self.prefill.release()
--- a/agatewing/platform/tests/_silences.py
+++ b/agatewing/platform/tests/_silences.py
@@ -168,7 +168,10 @@
 
 
 def apply_change(site: standins.Site, case: Case) -> None:
-    names = [n for n in silent_names(site) if n in case.target_names]
+    # A request must not be sent to engines that leave, so only those leave
+    # that have it already.
+    awaited = "p" if case.place is Place.PREFILL else ("e", "t")
+    names = [n for n in silent_names(site) if n.startswith(awaited)]
     (rule,) = [r for r in site.routes if r["path_prefix"] == f"/{case.kind}/"]
     service = str(rule["service"])
     match case.change:
--- a/agatewing/platform/tests/test_silent_targets.py
+++ b/agatewing/platform/tests/test_silent_targets.py
@@ -4,6 +4,8 @@
 own; every caller has to get its whole answer.
 """
 
+import dataclasses
+
 import gevent
 import pytest
 
@@ -136,6 +138,88 @@
     assert not found, "\n".join(found)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hedge:
+    silence_s: float
+    #: Software version of the second engine; the first has v1.
+    version: str
+    #: Events of the answer that each engine sent.
+    first: range
+    second: range
+    #: Requests that the second engine ran.
+    runs: int
+
+
+HEDGES = {
+    "the other engine is faster": Hedge(
+        6.0, "v1", range(1, 2), range(2, 6), 1
+    ),
+    "no other engine of the version": Hedge(
+        2.2, "v2", range(1, 6), range(0), 0
+    ),
+}
+
+
+# Beside a silent engine, another one resumed the stream at a wrong event, or
+# one of another version did.
+@pytest.mark.parametrize("name", HEDGES)
+def test_a_stream_goes_on_at_an_engine_of_its_version(name: str) -> None:
+    hedge = HEDGES[name]
+    case = Case(Kind.RESUMABLE, Place.EVENT, hedge.silence_s)
+    with standins.Site() as site:
+        _silences.build(site, case)
+        site.announce("e2", version=hedge.version)
+        instance = site.start()
+        _silences.wait_until_ready(site, instance, 2)
+        for engine in site.targets.values():
+            engine.event_suffix = f" of {engine.name}"
+        _silences.plan_silence(site, case)
+        # 8,000 queued tokens make the first engine the first choice.
+        instance.registry.by_id["e2"].record_sent(8_000)
+        headers = {
+            "X-Deadline-Ms": str(_silences.TIMEOUT_MS),
+            **_silences.PROMPT_HEADERS,
+        }
+        reply = site.ask(instance, "/chat/x", "a1", headers)
+        first, second = site.targets["e1"], site.targets["e2"]
+        assert reply.complete
+        assert reply.body == b"".join(
+            f"id: {number}\ndata: token {number} of {engine}\n\n".encode()
+            for engine, numbers in (("e1", hedge.first), ("e2", hedge.second))
+            for number in numbers
+        )
+        assert len(second.runs) == hedge.runs
+        if hedge.runs:
+            site.wait(lambda: first.dropped == ["a1"])
+            overlap_s = first.ended_at["a1"] - second.begun_at["a1"]
+            assert overlap_s <= _silences.OVERLAP_S
+
+
+# A caller that left while its engine was silent kept both engines at work.
+def test_both_engines_are_left_when_the_caller_leaves() -> None:
+    case = Case(Kind.RESUMABLE, Place.HEAD, 2.0, _silences.Silent.ALL)
+    with standins.Site() as site:
+        _silences.build(site, case)
+        instance = site.start()
+        _silences.wait_until_ready(site, instance, 2)
+        engines = list(site.targets.values())
+        for engine in engines:
+            engine.script.append(Behaviour.HANG)
+        fields = {
+            "Host": standins.HOST,
+            "X-Request-Id": "a1",
+            **_silences.PROMPT_HEADERS,
+        }
+        lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
+        with site.connect(instance) as sock:
+            sock.sendall(f"POST /chat/x HTTP/1.1\r\n{lines}\r\n".encode())
+            site.wait(lambda: all(engine.runs for engine in engines))
+            assert not any(engine.dropped for engine in engines)
+        site.wait(lambda: all(e.dropped == ["a1"] for e in engines))
+        site.wait(lambda: not instance.registry.by_id["e1"].in_flight)
+        assert not instance.registry.by_id["e2"].in_flight
+
+
 # The kernel reset connections on which a silent target acknowledged nothing.
 @pytest.mark.parametrize("kind", [Kind.SAFE, Kind.UNSAFE])
 def test_a_large_body_waits_for_a_target_that_does_not_read(
