Move the dispatcher's refusals into a module of their own

Change: its refusals and their retry times are in _refusals; no text or time changed. Result: the tests of the dispatcher, of stops and of queued requests pass unchanged.

--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -14,17 +14,11 @@
 
 from agatewing import _clock
 from agatewing import _exceptions
-from agatewing import _types
 from agatewing import decisions
+from agatewing.dispatch import _refusals
 
 #: Interval at which queues that wait for credits are checked, in seconds.
 DISPATCH_INTERVAL_S = 0.02
-#: Retry-After if no engine has the software version of a stream, in seconds:
-#: an engine that crashed is back within a second.
-VERSION_RETRY_S = 0.5
-#: Retry-After if the process ends too early for a request, in seconds: other
-#: instances serve it at once.
-LEAVING_RETRY_S = 0.1
 #: Weight of a new sample in the moving average of the calibration factor.
 CALIBRATION_ALPHA = 0.05
 
@@ -243,7 +237,7 @@
         remaining_s = max(0.0, deadline - self._clock.monotonic())
         try:
             if not self._clock.wait(queued.routing_result, remaining_s):
-                raise _exceptions.RefusedError(_too_late(2.0))
+                raise _exceptions.RefusedError(_refusals.too_late(2.0))
         finally:
             queue.fair_queue.cancel(entry)
         routing_result = queued.routing_result.get()
@@ -286,10 +280,10 @@
         if queue is None:
             return
         if pool is None:
-            self._refuse_all(queue, _withdrawn())
+            self._refuse_all(queue, _refusals.withdrawn())
             return
         if not pool.engines:
-            self._refuse_all(queue, _no_engine())
+            self._refuse_all(queue, _refusals.no_engine())
             return
         while self._route_one(pool, queue):
             pass
@@ -311,7 +305,7 @@
                 return True
             if not decisions.may_be_decoded(queued.profile, loads):
                 queue.fair_queue.remove_head(entry)
-                queued.routing_result.set(_version_gone())
+                queued.routing_result.set(_refusals.version_gone())
                 return True
             route = pool.router.choose(queued.profile, loads)
             if route is None:
@@ -355,11 +349,11 @@
         if not decisions.can_meet_deadline(
             queued.service_s, queued.deadline - now
         ):
-            refusal = _too_late(2.0)
+            refusal = _refusals.too_late(2.0)
         elif not decisions.can_meet_deadline(
             queued.service_s, self._ends_at - now
         ):
-            refusal = _leaving()
+            refusal = _refusals.leaving()
         else:
             return False
         queue.refused_late += 1
@@ -376,7 +370,7 @@
         """Return a request to queue; raise if it has to be refused now."""
         routable = pool.routable()
         if not routable:
-            raise _exceptions.RefusedError(_no_engine())
+            raise _exceptions.RefusedError(_refusals.no_engine())
         now = self._clock.monotonic()
         service_s = min(
             decisions.single_engine_s(profile, engine.load)
@@ -387,12 +381,12 @@
         ends_in_s = self._ends_at - now
         match decisions.admit(queue_state, service_s, ends_in_s):
             case decisions.TooLate():
-                raise _exceptions.RefusedError(_leaving())
+                raise _exceptions.RefusedError(_refusals.leaving())
         match decisions.admit(queue_state, service_s, deadline - now):
             case decisions.TooLate(retry_after_s=after):
-                raise _exceptions.RefusedError(_too_late(after))
+                raise _exceptions.RefusedError(_refusals.too_late(after))
             case decisions.QueueFull(retry_after_s=after):
-                raise _exceptions.RefusedError(_overloaded(after))
+                raise _exceptions.RefusedError(_refusals.overloaded(after))
         return QueuedRequest(
             caller,
             profile,
@@ -440,62 +434,3 @@
     The engine that has it need not be the one that is chosen.
     """
     return min(profile.prompt_tokens, max(profile.cached.values(), default=0))
-
-
-def _too_late(retry_after_s: float) -> _exceptions.Refusal:
-    """Return the refusal of a request whose deadline cannot be met."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.DEADLINE,
-        "the answer cannot be whole before the deadline",
-        "come back after Retry-After, or allow more time",
-        retry_after_s=retry_after_s,
-    )
-
-
-def _leaving() -> _exceptions.Refusal:
-    """Return the refusal of a request that outlasts the process."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.LEAVING,
-        "this instance stops before the answer can be whole",
-        "ask another instance",
-        retry_after_s=LEAVING_RETRY_S,
-    )
-
-
-def _version_gone() -> _exceptions.Refusal:
-    """Return the refusal of a stream whose software version left."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.STREAM_LOST,
-        "no engine decodes with the software version that began the stream",
-        "send the request without Last-Event-Id to begin a new stream",
-        retry_after_s=VERSION_RETRY_S,
-    )
-
-
-def _overloaded(retry_after_s: float) -> _exceptions.Refusal:
-    """Return the refusal of a request because the queue is full."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.OVERLOADED,
-        "too many requests wait for this service",
-        "come back after Retry-After",
-        retry_after_s=retry_after_s,
-    )
-
-
-def _withdrawn() -> _exceptions.Refusal:
-    """Return the refusal given after a pool was removed."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.NO_TARGET,
-        "the service was withdrawn",
-        "ask for another model",
-    )
-
-
-def _no_engine() -> _exceptions.Refusal:
-    """Return the refusal given while no engine accepts requests."""
-    return _exceptions.Refusal(
-        _types.RefusalKind.NO_TARGET,
-        "no engine of this service takes new work now",
-        "come back after Retry-After",
-        retry_after_s=2.0,
-    )
