Log a fingerprint of what a caller repeats

Cause: no log line showed that a request came again, as each attempt has an id of its own and the body is not logged; so a request that ends its targets could not be told from others that were under way there.

It is computed on first use, once a request. Ids, deadlines, hints and trace headers do not count, as they differ each time.

Before, the new tests failed as the records had no such attribute.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -28,6 +28,7 @@
 from agatewing.decisions._engines import Speed
 from agatewing.decisions._fair_queue import Entry
 from agatewing.decisions._fair_queue import FairQueue
+from agatewing.decisions._hashes import fingerprint
 from agatewing.decisions._hashes import long_key
 from agatewing.decisions._hashes import short_key
 from agatewing.decisions._hedging import GiveUp
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -113,6 +113,11 @@
     )
 
 
+def _hex(key: int) -> str:
+    """Return a signed 64-bit hash as 16 hexadecimal digits."""
+    return f"{key & (1 << 64) - 1:016x}"
+
+
 def record_answer(
     ctx: HandlerContext,
     job: Job,
@@ -135,6 +140,7 @@
         framing=str(head.framing),
         taken_s=round(taken_s, 4),
         prefix=",".join(job.req.shared_blocks),
+        fingerprint=_hex(job.req.fingerprint),
         **fields,
     )
 
@@ -214,6 +220,7 @@
         next=str(step),
         prefix=",".join(job.req.shared_blocks),
         silent_s=_silent_s(outcome),
+        fingerprint=_hex(job.req.fingerprint),
         **fields,
     )
     if step is not decisions.NextStep.ANOTHER_FREE:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -1,12 +1,21 @@
 """Requests, answers and outcomes passed between modules of the gateway."""
 
+import collections.abc
 import dataclasses
 import enum
 import typing
 
+from agatewing import decisions
+from agatewing.gateway import _routes
+
 Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
+#: Headers by which a caller is identified, in lower case. Others, such as ids
+#: and deadlines, differ each time that it sends a request.
+_CALLER_HEADERS = frozenset((b"authorization", b"cookie", b"x-api-key"))
+
+
 def header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
     for key, value in headers:
@@ -85,6 +94,39 @@
     prompt: Prompt | None
     #: Stream that it continues; ``None`` if it begins a new one.
     take_up: TakeUp | None = None
+    # Fingerprint once it was computed.
+    _fingerprint: int | None = dataclasses.field(
+        default=None, init=False, repr=False, compare=False
+    )
+
+    @property
+    def fingerprint(self) -> int:
+        """Signed 64-bit hash of what is the same each time it is sent.
+
+        That is the method, host, path and query, caller, prompt and body. It
+        is computed on first use, as bodies may be large.
+        """
+        if self._fingerprint is None:
+            value = decisions.fingerprint(self._repeated_parts())
+            object.__setattr__(self, "_fingerprint", value)
+            return value
+        return self._fingerprint
+
+    def _repeated_parts(self) -> collections.abc.Iterator[bytes]:
+        yield self.method
+        yield _routes.plain_host(self.host).encode("latin-1")
+        yield self.target
+        for name, value in self.headers:
+            if name.lower() in _CALLER_HEADERS:
+                yield name.lower()
+                yield value
+        if self.prompt is not None:
+            prompt = self.prompt
+            yield f"{prompt.model},{prompt.tokens}".encode()
+            for block in prompt.blocks:
+                yield f"{block.id}:{block.tokens}".encode()
+        # Without a body, it ends with an empty part.
+        yield self.body
 
     @property
     def path(self) -> str:
--- a/agatewing/gateway/_routes.py
+++ b/agatewing/gateway/_routes.py
@@ -19,7 +19,7 @@
 
     def find(self, host: str, path: str) -> _contracts.Route | None:
         """Return the route for a host and a path without query, if any."""
-        for route in self._by_host.get(_plain_host(host), ()):
+        for route in self._by_host.get(plain_host(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
@@ -34,7 +34,7 @@
     return rng.choices(names, weights)[0]
 
 
-def _plain_host(host: str) -> str:
+def plain_host(host: str) -> str:
     """Return the host in lower case, without its port."""
     name, colon, port = host.rpartition(":")
     if colon and port.isdecimal():
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -269,10 +269,11 @@
         request_id: str = "a1",
         headers: collections.abc.Mapping[str, str] | None = None,
         method: str = "POST",
+        body: bytes = b"",
     ) -> Reply:
         """Send one request to an instance; return the answer."""
         address = f"127.0.0.1:{instance.server.port}"
-        return self.ask_at(address, path, request_id, headers, method)
+        return self.ask_at(address, path, request_id, headers, method, body)
 
     def ask_at(
         self,
@@ -281,6 +282,7 @@
         request_id: str = "a1",
         headers: collections.abc.Mapping[str, str] | None = None,
         method: str = "POST",
+        body: bytes = b"",
     ) -> Reply:
         """Send one request on a new connection; return the answer."""
         fields = {
@@ -288,11 +290,13 @@
             "X-Request-Id": request_id,
             **(headers or {}),
         }
+        if body:
+            fields["Content-Length"] = str(len(body))
         lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
         head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
         host_port = net.split_address(address)
         with gevent.socket.create_connection(host_port) as sock:
-            sock.sendall(head)
+            sock.sendall(head + body)
             return read_reply(sock)
 
     def connect(
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -1,6 +1,7 @@
 """Fields of the log lines that describe a request."""
 
 import collections.abc
+import dataclasses
 import logging
 
 import gevent
@@ -196,3 +197,81 @@
     (line,) = lines_of(caplog, "server: refused")
     assert (getattr(line, "request"), getattr(line, "status")) == ("s1", 502)
     assert (reply.status, reply.complete) == (502, True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    path: str = "/chat/x?a=1"
+    body: bytes = b"text"
+
+
+def fingerprints(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+    requests: list[Sent],
+    message: str,
+) -> list[str]:
+    """Send requests; return the fingerprints that the log lines name."""
+    with caplog.at_level(logging.INFO, logger="agatewing.request"):
+        for number, sent in enumerate(requests):
+            headers = {**PROMPT_HEADERS, **sent.headers}
+            # A target that broke an answer off would be left out.
+            instance.registry.by_id["e1"].record_answer()
+            site.ask(
+                instance, sent.path, f"s{number}", headers, body=sent.body
+            )
+    lines = [r for r in caplog.records if r.getMessage() == message]
+    return [getattr(line, "fingerprint") for line in lines]
+
+
+# Logs did not say which requests were the same one, sent again by its caller:
+# each attempt has an id of its own.
+@pytest.mark.parametrize(
+    ("behaviour", "message"),
+    [
+        (standins.Behaviour.ANSWER, "request: answered"),
+        (standins.Behaviour.RESET, "request: send failed"),
+    ],
+)
+def test_lines_show_that_a_request_comes_again(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+    behaviour: standins.Behaviour,
+    message: str,
+) -> None:
+    same = [
+        Sent(),
+        Sent({"X-Deadline-Ms": "900", "Host": "SITE.example:80"}),
+        Sent({"X-Length-Hint": "7", "Traceparent": "00-1"}),
+    ]
+    site.targets["e1"].script.extend([behaviour] * len(same))
+    found = fingerprints(site, instance, caplog, same, message)
+    assert len(found) == len(same)
+    assert len(set(found)) == 1
+    assert len(found[0]) == 16
+
+
+def test_lines_tell_different_requests_apart(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    others = [
+        Sent(),
+        Sent(path="/chat/y?a=1"),
+        Sent(path="/chat/x?a=2"),
+        Sent(body=b"texts"),
+        Sent(body=b""),
+        Sent({"Authorization": "Bearer a"}),
+        Sent({"Authorization": "Bearer b"}),
+        Sent({"Cookie": "Bearer b"}),
+        Sent({"X-Model": "m2"}),
+        Sent({"X-Token-Count": "1201,20"}),
+        Sent({"X-Prefix-Hash": "aa:700,bb:100,cd:400"}),
+        Sent({"X-Prefix-Hash": "aa:700,bb:100"}),
+    ]
+    found = fingerprints(site, instance, caplog, others, "request: answered")
+    assert len(set(found)) == len(others)
