Wake the greenlet that follows paths less often

Each send and each first event woke the greenlet that waits for the paths of a request, to compute the time of the next look again. A time at least MIN_STALL_S ahead is seen at the next look anyway, which now comes at that period.

--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -201,7 +201,7 @@
     def _expect(self, silent_at: float) -> None:
         """Set when the path counts as silent."""
         self.silent_at = silent_at
-        self._race.wake()
+        self._race.expect(silent_at)
 
     def mark_silent(self) -> None:
         """Let another path try while this one is silent."""
--- a/agatewing/gateway/_race.py
+++ b/agatewing/gateway/_race.py
@@ -13,6 +13,10 @@
 #: Time after a hedge that was not allowed, or that failed, before another one
 #: may be tried, in seconds.
 HEDGE_PERIOD_S = decisions.MIN_STALL_S
+#: Longest time between two looks at the paths, in seconds. No engine counts as
+#: silent earlier than that after its send, so a send need not wake the
+#: greenlet that waits.
+LOOK_PERIOD_S = decisions.MIN_STALL_S
 #: ``silent_at`` of a path that awaits nothing from an engine.
 NEVER = float("inf")
 
@@ -51,7 +55,14 @@
 class Race(typing.Generic[P]):
     """Follows the paths of one request until one of them delivers."""
 
-    __slots__ = ("_clock", "_is_final", "_entries", "_changed", "_error")
+    __slots__ = (
+        "_clock",
+        "_is_final",
+        "_entries",
+        "_changed",
+        "_error",
+        "_look_at",
+    )
 
     def __init__(
         self,
@@ -65,6 +76,8 @@
         self._changed = gevent.event.Event()
         # Failure of the path that failed last, or of one that is final.
         self._error: Exception | None = None
+        # Monotonic time at which the paths are looked at next, in seconds.
+        self._look_at = NEVER
 
     def add(self, path: P) -> None:
         """Follow another path from now on."""
@@ -94,9 +107,13 @@
         entry.state = decisions.PathState.FINAL if final else failed
         entry.path.close()
 
-    def wake(self) -> None:
-        """Look at the paths again, as ``silent_at`` of one has changed."""
-        self._changed.set()
+    def expect(self, silent_at: float) -> None:
+        """Look at the paths in time for a changed ``silent_at`` of one.
+
+        ``silent_at`` is a monotonic time in seconds.
+        """
+        if silent_at < self._look_at:
+            self._changed.set()
 
     def running(self) -> list[P]:
         """Return the paths that may still deliver."""
@@ -143,8 +160,8 @@
                     if path is not None:
                         self.add(path)
                 case decisions.Wait(until=until):
-                    timeout = None if until == NEVER else until - now
-                    self._changed.wait(timeout)
+                    self._look_at = min(until, now + LOOK_PERIOD_S)
+                    self._changed.wait(self._look_at - now)
 
     def close(self) -> None:
         """Close all paths that are left."""
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -233,10 +233,9 @@
 
     def _expect(self, silent_at: float) -> None:
         """Set when the path counts as silent."""
-        if silent_at != self.silent_at:
-            self.silent_at = silent_at
-            if self.race is not None:
-                self.race.wake()
+        self.silent_at = silent_at
+        if self.race is not None:
+            self.race.expect(silent_at)
 
     def _others(self) -> bool:
         """Return whether another path may still deliver."""
--- a/agatewing/gateway/tests/test_race.py
+++ b/agatewing/gateway/tests/test_race.py
@@ -118,7 +118,7 @@
     gevent.sleep(0.05)
     assert not asked
     path.silent_at = 0.0
-    race.wake()
+    race.expect(0.0)
     gevent.sleep(0.01)
     assert asked
     path.deliver()
