Take only ports that are free for UDP as well in tests

An instance binds its peer port for TCP and, for load reports, for UDP. free_ports() tried TCP alone, so an instance of a test failed to start with 'Address already in use' when another process had the port's UDP side; the tables of silent targets start many instances at once and met it twice.

Result: seen in two tests of one whole run with five workers beside the tests of others; test_request_logs.py and test_shared_limits.py pass with the change. Whether it ends all collisions only more runs can show.

--- a/agatewing/harness/_processes.py
+++ b/agatewing/harness/_processes.py
@@ -22,7 +22,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct loopback ports on which nothing listens now.
+    """Return distinct loopback ports that are free now, for TCP and UDP.
 
     They lie below the range from which the kernel takes ports of outgoing
     connections. Each process starts its search at another port.
@@ -30,9 +30,13 @@
     ports: list[int] = []
     while len(ports) < count:
         port = FIRST_PORT + next(_next_port) % PORT_COUNT
-        with socket.socket() as sock:
+        with (
+            socket.socket() as sock,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram_sock,
+        ):
             try:
                 sock.bind(("127.0.0.1", port))
+                datagram_sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
         ports.append(port)
