Read on after a stray answer that came alone

Cause: after an answer to another request, the bytes that follow it are handed to a new parser; if none had arrived, the empty byte string counted as the end of the connection, so the expected answer was lost and a request that must not run twice ended with 502.

Change: nothing is handed over if nothing has arrived.

Measured: with a pause of 0.05 s between the two answers of the stand-in, two of the four new cases failed before (502) and all pass now; without a pause, both answers arrived together, so the earlier test did not see it.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -248,7 +248,9 @@
             # that it returns here are not sent.
             self._parser.send(self._request)
             self._parser.send(h11.EndOfMessage())
-        self._parser.receive_data(unread)
+        if unread:
+            # Without bytes, the parser takes it for the end of the connection.
+            self._parser.receive_data(unread)
 
     def _next_event(self, deadline: float) -> typing.Any:
         """Return the parser's next event, receiving bytes as needed."""
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -155,6 +155,25 @@
         assert reply.body == b"body of " + request.encode()
 
 
+# A stray answer that arrived some time before the expected one was taken for
+# the end of the connection.
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("path", ["/pay/x", "/look/x"])
+def test_a_stray_answer_comes_before_the_expected_one(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    path: str,
+    pause_s: float,
+) -> None:
+    for engine in site.targets.values():
+        engine.pause_s = pause_s
+        engine.script.append(Behaviour.STRAY_FIRST)
+    reply = site.ask(instance, path, "once")
+    assert reply.status == 200
+    assert reply.body == b"body of once"
+    assert runs(site, "once") == 1
+
+
 def _prefer_t1(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> list[str]:
