Name at least 0.1 s in the refusal of a quarantined request

Cause: a request that came 4 ms before the end of its quarantine was refused with Retry-After 0.00, which callers take for at once.

Change: the least time is that of an overloaded service, 0.1 s.

--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -193,7 +193,7 @@
         503,
         _types.RefusalKind.QUARANTINED,
         f"{reason}; {remedy}, or come back later",
-        left_s,
+        max(left_s, OVERLOADED_RETRY_S),
     )
 
 
