Let instances take turns to try a request that may crash targets

Cause: six seconds after its first quarantine, every instance was allowed to try a request.

Change: each instance has its turn for a quarter of a round of 6 s, for half of the next one, and for all of the third, in an order by fingerprint.

--- a/agatewing/decisions/_crash_evidence.py
+++ b/agatewing/decisions/_crash_evidence.py
@@ -27,10 +27,12 @@
 #: as nothing tells a request that crashes targets from a sound one of which
 #: several copies were under way when targets crashed of something else.
 FIRST_TRIAL_S = 4.0
-#: Time over which the instances then begin to try a whole request, in
-#: seconds. A failed trial is known everywhere within about 0.4 s, so that
-#: hardly a second instance tries it meanwhile.
-TRIAL_SPREAD_S = 6.0
+#: Time in which the instances then take turns to try a whole request, in
+#: seconds, and part of it for which each may do so in the first round; twice
+#: as long in the next one. A trial is known everywhere within about 0.4 s; few
+#: instances may try the request meanwhile.
+TRIAL_ROUND_S = 6.0
+TRIAL_SHARE = 0.25
 #: Time after the beginning of a trial at one instance in which no other one
 #: tries the request, in seconds: half of the longest deadline on the users'
 #: sites.
@@ -150,13 +152,14 @@
         duration_s = self.quarantine_s
         if not duration_s:
             return 0.0
+        since_s = now - self.at - duration_s
         match self.kind:
             case PromptBlocks():
-                spread_s = END_JITTER * duration_s
+                wait_s = delay * END_JITTER * duration_s - since_s
             case WholeRequests():
-                spread_s = max(TRIAL_SPREAD_S, END_JITTER * duration_s)
-        end = self.at + duration_s + delay * spread_s
-        return max(0.0, end - now, self.tried_at + TRIAL_S - now)
+                round_s = max(TRIAL_ROUND_S, END_JITTER * duration_s)
+                wait_s = _turn_wait_s(since_s / round_s, delay) * round_s
+        return max(0.0, wait_s, self.tried_at + TRIAL_S - now)
 
     def add(self, report: SuspectReport, now: float) -> bool:
         """Add evidence; return whether any of it is new.
@@ -188,6 +191,19 @@
         )
 
 
+def _turn_wait_s(rounds: float, place: float) -> float:
+    """Return the time until the turn of an instance, in rounds; 0 if it is.
+
+    ``rounds`` is the time since the quarantine has ended, negative before,
+    and ``place`` the place of the instance in a round, 0 to 1.
+    """
+    if rounds < 0:
+        return _turn_wait_s(0.0, place) - rounds
+    share = min(1.0, TRIAL_SHARE * math.pow(2.0, min(int(rounds), 8)))
+    phase = (rounds - place) % 1.0
+    return 0.0 if phase < share else 1.0 - phase
+
+
 def _later(known: float, other: float) -> float:
     """Return the time of an event that may be the known one."""
     return other if other - known > AGE_TOLERANCE_S else known
