--- a/agatewing/entry/tests/test_silent_targets.py
+++ b/agatewing/entry/tests/test_silent_targets.py
@@ -84,29 +84,42 @@
 
 
 class Deployment:
-    """Two real instances in this process, with stand-ins of targets."""
+    """Real instances in this process, with stand-ins of targets."""
 
-    def __init__(self, engines: int) -> None:
+    def __init__(
+        self, engines: int, instances_: int = 2, call_s: float = CALL_S
+    ) -> None:
         self._clock = _clock.SystemClock()
         self.silences = {
             name: Silence() for name in (*ENGINES[:engines], *TARGETS)
         }
+        self._call_s = call_s
+        #: Port and application of each target, by name.
+        self.applications: dict[str, tuple[int, net.Application]] = {}
         self.services: list[service.ServiceServer] = []
-        self._servers: list[net.Server] = []
+        #: Servers of the targets, by name.
+        self.servers: dict[str, net.Server] = {}
         self._log = log.LogModel(self._clock)
         self._list = instances.InstanceListModel(self._clock, 0.1)
         self.document = self._start_targets(engines)
-        self.instances = [self._start_instance(n) for n in ("i1", "i2")]
+        self.instances = [
+            self._start_instance(f"i{n}") for n in range(instances_)
+        ]
         self.publish({}, config.to_plain(self.document))
         self._wait_until_ready()
 
     def _serve(self, name: str, handler: _http.Handler) -> str:
-        app = self.silences[name].wrap(_http.application(handler), HEAD_S)
+        app = self.wrap(name, _http.application(handler))
         server = net.Server("127.0.0.1", 0, app)
         server.start()
-        self._servers.append(server)
+        self.servers[name] = server
+        self.applications[name] = (server.port, app)
         return f"127.0.0.1:{server.port}"
 
+    def wrap(self, name: str, app: net.Application) -> net.Application:
+        """Return the application of a target, with its faults."""
+        return self.silences[name].wrap(app, HEAD_S)
+
     def _start_targets(self, engines: int) -> config.Document:
         spec = enginemodel.EngineSpec(step_base_s=0.01)
         engine_rows, target_rows = {}, {}
@@ -119,7 +132,7 @@
             engine_rows[name] = config.Engine(address, "z", "chat")
         for name in TARGETS:
             plain = service.ServiceServer(name, 1)
-            plain.faults.slow_s = CALL_S
+            plain.faults.slow_s = self._call_s
             self.services.append(plain)
             # One target for calls that may be repeated.
             kind = "reports" if name == "t1" else "orders"
@@ -187,22 +200,22 @@
             while not all(map(_is_ready, self.instances)):
                 gevent.sleep(0.05)
 
-    def ask(self, kind: str, number: int) -> str:
+    def ask(self, kind: str, number: int, text: str = "sound") -> str:
         """Return what is wrong with an answer; empty if it is whole."""
         ports = [i.settings.caller_port for i in self.instances]
         client = net.HttpClient(
-            f"127.0.0.1:{ports[number % 2]}", silence_timeout_s=40.0
+            f"127.0.0.1:{ports[number % len(ports)]}", silence_timeout_s=40.0
         )
         path, body = "/v1/completions", {
-            "model": "m", "prompt": f"{kind} {number}", "max_tokens": 90,
-            "stream": kind == "stream", "seed": number,
+            "model": "m", "prompt": f"{text} {kind}", "max_tokens": 90,
+            "stream": kind == "stream", "seed": 5,
         }  # fmt: skip
         headers = {"Authorization": f"Bearer {TOKEN}"}
         method = "POST"
         if kind == "safe":
-            method, path = "GET", f"/services/reports/{number}"
+            method, path = "GET", f"/services/reports/{text}"
         elif kind == "unsafe":
-            path = f"/services/orders/{number}"
+            path = f"/services/orders/{text}"
             key = calls.new_key(self._clock.wall(), number)
             headers["Idempotency-Key"] = str(key)
         try:
@@ -222,7 +235,7 @@
     def ask_all(self, count: int) -> list[gevent.Greenlet]:
         kinds = {"stream": count, "json": count, "safe": 4, "unsafe": 4}
         return [
-            gevent.spawn(self.ask, kind, number)
+            gevent.spawn(self.ask, kind, number, f"sound-{number}")
             for kind, number_of in kinds.items()
             for number in range(number_of)
         ]
@@ -230,7 +243,7 @@
     def close(self) -> None:
         for instance in self.instances:
             instance.stop()
-        for server in self._servers:
+        for server in self.servers.values():
             server.stop(timeout=0)
 
 
