Let keep-alive probes outlast the silence of a sound target

Cause: two probes a second apart broke a connection after two seconds without an acknowledgement, and with it the answer of a call that runs at most once and is not sent again. Change: five probes. Measured: the new test of the options failed with two and passes; a machine without acknowledgements can't be played on loopback, so no run shows the loss itself.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -33,12 +33,13 @@
 #: bytes.
 MAX_ANSWER_BYTES = 64_000_000
 #: TCP keep-alive options: the first probe after one idle second, then one
-#: a second; two unanswered probes break the connection. A network device
-#: in between may have dropped the connection without notice.
+#: a second; five unanswered probes break the connection. A network device
+#: in between may have dropped the connection without notice; a sound target
+#: may be silent for three seconds.
 KEEP_ALIVE_OPTIONS = {
     socket.TCP_KEEPIDLE: 1,
     socket.TCP_KEEPINTVL: 1,
-    socket.TCP_KEEPCNT: 2,
+    socket.TCP_KEEPCNT: 5,
 }
 
 #: Guard that is called just before a send; ``False`` forbids the send.
--- a/agatewing/net/tests/test_http_client.py
+++ b/agatewing/net/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Answers that are whole, and answers that were broken off."""
 
 import dataclasses
+import socket
 
 import gevent
 import gevent.server
@@ -64,3 +65,22 @@
     finally:
         client.close()
         server.stop(timeout=0)
+
+
+# The kernel broke the connection of a call that runs at most once after two
+# seconds without an acknowledgement; its answer was lost.
+def test_keep_alive_outlasts_the_silence_of_a_sound_target() -> None:
+    with gevent.socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        client = net.HttpClient(address, silence_timeout_s=0.05)
+        try:
+            pool = client._client._connection_pool
+            with pool._create_socket() as sock:
+                interval_s, probes = (
+                    sock.getsockopt(socket.IPPROTO_TCP, option)
+                    for option in (socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+                )
+        finally:
+            client.close()
+    # The first probe may come as the silence begins.
+    assert interval_s * probes > 3.0
