Call targets that failed lately if a plain service has no other

Cause: a target that had failed or been silent got no call for two seconds; if that held for each, calls were refused although the targets were back. Change: such targets are the last choice instead of none; a draining one is never chosen.

--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -221,7 +221,7 @@
         """Return whether a new call may be sent to the target now."""
         if not self._gate.may_send():
             return False
-        return target.usable(self._clock.monotonic())
+        return target.active
 
 
 def _at_most_once_call(
--- a/agatewing/fleet/_fleet.py
+++ b/agatewing/fleet/_fleet.py
@@ -124,18 +124,20 @@
     ) -> _targets.ServiceTarget | None:
         """Choose a target of a plain service, or return ``None``.
 
-        Draws two usable targets at random and returns the one with fewer
+        Draws two active targets at random and returns the one with fewer
         calls in flight from this instance; on a tie, the one in ``zone``.
+        Targets that failed lately are chosen only if there is no other.
         """
         if self.document is None:
             return None
         now = self._clock.monotonic()
         names = self.document.targets_of(service)
-        usable = [
+        active = [
             target
             for name in names
-            if name not in avoid and (target := self.targets[name]).usable(now)
+            if name not in avoid and (target := self.targets[name]).active
         ]
+        usable = [target for target in active if target.usable(now)] or active
         if not usable:
             return None
         candidates = self._random.sample(usable, min(2, len(usable)))
--- a/agatewing/fleet/_targets.py
+++ b/agatewing/fleet/_targets.py
@@ -18,7 +18,7 @@
 UNREACHABLE_AFTER_FAILURES = 2
 #: Age after which the counts of a load report are ignored, in seconds.
 REPORT_STALE_S = 5.0
-#: Time for which a target gets no new calls after a failure, in seconds.
+#: Time for which other targets are preferred after a failure, in seconds.
 AVOID_AFTER_FAILURE_S = 2.0
 #: Time without data after which a stream is resumed on a new connection or
 #: moved to another engine, in seconds.
@@ -243,7 +243,8 @@
         )
         #: Calls from this instance in flight.
         self.in_flight = 0
-        #: Monotonic time until which it gets no new call, in seconds.
+        #: Monotonic time until which it gets no new call if there is another
+        #: target, in seconds.
         self.avoid_until = float("-inf")
         #: Unused: nothing updates or reads it.
         self.slowness = decisions.SmoothedRatio()
@@ -263,13 +264,17 @@
             )
 
     def record_failure(self, now: float) -> None:
-        """Send no new calls for ``AVOID_AFTER_FAILURE_S`` seconds."""
+        """Prefer other targets for ``AVOID_AFTER_FAILURE_S`` seconds."""
         self.avoid_until = now + AVOID_AFTER_FAILURE_S
 
+    @property
+    def active(self) -> bool:
+        """Whether new calls may go to the target."""
+        return self.spec.state is _types.TargetState.ACTIVE
+
     def usable(self, now: float) -> bool:
-        """Return whether new calls may go to the target."""
-        active = self.spec.state is _types.TargetState.ACTIVE
-        return active and now >= self.avoid_until
+        """Return whether the target is active and did not fail lately."""
+        return self.active and now >= self.avoid_until
 
 
 def _service_timeout_s(deadline_s: float) -> float:
