Send each call of the HTTP client once

Cause: the library sends a call of an idempotent method again, up to its pool size, if the connection closes before the head. A target that crashed on a call got it again, and one that was gone by then was reported as never reached. Change: no attempt is left to the library; callers decide on retries. Measured: GET, PUT and DELETE of the new test failed before, its 4 cases and the others of test_http_client pass.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -288,6 +288,9 @@
             connection_timeout=connect_timeout_s,
             network_timeout=silence_timeout_s,
         )
+        # The library sends a call again ``size + 1`` times if its connection
+        # closes before the head and the method is idempotent.
+        self._client._connection_pool.size = -1
 
     def open(
         self,
--- a/agatewing/net/tests/test_http_client.py
+++ b/agatewing/net/tests/test_http_client.py
@@ -84,3 +84,25 @@
             client.close()
     # The first probe may come as the silence begins.
     assert interval_s * probes > 3.0
+
+
+# The HTTP library sent calls again whose connection closed before the head,
+# and reported a target that was gone by then as never reached.
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+def test_a_call_is_sent_once(method: str) -> None:
+    requests = []
+
+    def close(sock: gevent.socket.socket, _: object) -> None:
+        requests.append(sock.recv(65_536))
+        sock.close()
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), close)
+    server.start()
+    client = net.HttpClient(f"127.0.0.1:{server.server_port}", connections=2)
+    try:
+        with pytest.raises(_exceptions.TargetSilentError):
+            client.call(method, "/", may_send=lambda: True)
+    finally:
+        client.close()
+        server.stop(timeout=0)
+    assert len(requests) == 1
