Keep whole requests that crash targets from them on the own interface

Cause: crashes were learned for shared prefix blocks only, so a request without one, or of a plain service, ended one target after another each time that it came, at each instance. Change: a request is also known by a hash of caller, method, path and body; it is refused after three crashes, not sent again after two, and cleared by an answer in full. Instances exchange the evidence in a state request after each crash.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -11,6 +11,7 @@
 
 from agatewing import _backend
 from agatewing import _clock
+from agatewing import _crash_exchange
 from agatewing import _exceptions
 from agatewing import _invariants
 from agatewing import _watch
@@ -55,7 +56,7 @@
         """
 
     def fetch_state(
-        self, address: str, stream: str
+        self, address: str, stream: str, key: str = ""
     ) -> "result.Result[wire.StateReply, _exceptions.AgatewingError]":
         """Request a peer's replayed state of a stream."""
 
@@ -276,6 +277,15 @@
         )
         #: Retry budget that plain calls and streams share.
         self.retry_budget = decisions.RetryBudget(self.rng)
+        #: Keeps requests from targets that would crash on them.
+        self.crashes = entry.CrashGuard(self.clock, decisions.CrashSuspects())
+        #: Shares with other instances what targets crash on.
+        self.crash_exchange = _crash_exchange.CrashExchange(
+            self.clock,
+            self.crashes,
+            self.links.fetch_state,
+            self.detector.live_peers,
+        )
         #: Handles calls of plain services.
         self.services = entry.Services(
             self.clock,
@@ -285,6 +295,7 @@
             self.retry_budget,
             self.settings.zone,
             self.dependencies.call_once,
+            self.crashes,
         )
         #: Runs at-most-once calls.
         self.executor = calls.OnceExecutor(
@@ -323,7 +334,7 @@
             self.retry_budget,
             self.invariants,
             self.gate,
-            entry.CrashGuard(self.clock, decisions.CrashSuspects()),
+            self.crashes,
         )
         generation = entry.Generation(
             relay_dependencies,
@@ -411,6 +422,7 @@
             self.orders.run,
             self.role_loop.run,
             self.reaper.run,
+            self.crash_exchange.run,
         ]
         self.gate.engines_polled = not poll_engines
         if poll_engines:
@@ -494,8 +506,10 @@
             (stamp.wall_ms, stamp.counter),
         )
 
-    def state_reply(self, stream: str) -> wire.StateReply:
+    def state_reply(self, stream: str, key: str = "") -> wire.StateReply:
         """Return the reply to a peer's request for the state of a stream."""
+        if stream == _crash_exchange.CRASH_EVIDENCE:
+            return self.crash_exchange.reply(key)
         return self.watch.state_reply(stream)
 
     def _is_gone(self, process: str, after_s: float) -> bool:
--- a/agatewing/entry/_crashes.py
+++ b/agatewing/entry/_crashes.py
@@ -1,32 +1,150 @@
-"""Keeps prompts from engines that would crash on them.
+"""Keeps requests from engines and targets that would crash on them.
 
 On this interface, the parts of a prompt are its prefix blocks, each identified
-by the hash of the prompt from its start to the end of the block. An instance
-learns of crashes from its own requests only.
+by the hash of the prompt from its start to the end of the block. A request of
+a model or of a plain service is also known as a whole, by the hash of what is
+the same each time that its caller repeats it. Instances share evidence
+against whole requests; of prefix blocks, each learns from its own requests.
 """
 
+import typing
+
+import gevent.event
+import msgspec
+import xxhash
+
 from agatewing import _clock
 from agatewing import _exceptions
 from agatewing import _types
 from agatewing import decisions
 from agatewing import enginemodel
 from agatewing import fleet
+from agatewing import net
 
 #: Largest number of blocks suspected after a crash: the first ones that no
 #: prompt answered in full has had. The later ones contain them.
 MAX_SUSPECTS = 8
+#: Time after a request broke off at which its target is tried, in seconds: a
+#: process that ends closes its connections before its port.
+SETTLE_S = 0.05
+#: Time within which failures of a target count as one crash, in seconds;
+#: a crashed target is not back sooner.
+CRASH_WINDOW_S = 2.0
+#: Largest number of requests in one report to another instance.
+MAX_REPORTED = 32
+
+
+class _Evidence(msgspec.Struct, frozen=True):
+    """Evidence against whole requests, as instances exchange it."""
+
+    suspects: tuple[decisions.SuspectReport, ...] = ()
+    served: tuple[decisions.ServedReport, ...] = ()
+
+
+_evidence_decoder = msgspec.json.Decoder(_Evidence)
+
+
+class Target(typing.Protocol):
+    """An engine or a target of a plain service."""
+
+    @property
+    def name(self) -> str:
+        """Name in the inventory."""
+
+    @property
+    def client(self) -> net.HttpClient:
+        """Connections to it."""
+
+
+def request_key(caller: str, method: str, path: str, body: bytes) -> int:
+    """Return the hash of what is the same when a caller repeats a request."""
+    digest = xxhash.xxh3_64("\0".join((caller, method, path)).encode())
+    digest.update(b"\0" + body)
+    return digest.intdigest() - (1 << 63)
 
 
 class CrashGuard:
-    """Prefix blocks on which engines crash, as this instance knows them."""
+    """What targets crash on, as this instance knows it."""
 
-    __slots__ = ("_clock", "_suspects")
+    __slots__ = ("_clock", "_suspects", "_requests", "changed")
 
     def __init__(
         self, clock: _clock.Clock, suspects: decisions.CrashSuspects
     ) -> None:
         self._clock = clock
         self._suspects = suspects
+        # Evidence against whole requests. Apart, since many different
+        # requests answered in full would displace the prefix blocks.
+        self._requests = decisions.CrashSuspects()
+        #: Set when there is new evidence of this instance to share.
+        self.changed = gevent.event.Event()
+
+    def take_evidence(self) -> bytes:
+        """Return the evidence against whole requests, as JSON."""
+        now = self._clock.monotonic()
+        return msgspec.json.encode(
+            _Evidence(
+                tuple(self._requests.take_reports(now, MAX_REPORTED)),
+                tuple(self._requests.take_served(now, MAX_REPORTED)),
+            )
+        )
+
+    def merge_evidence(self, data: bytes | str) -> None:
+        """Add the evidence of another instance.
+
+        Raises ``msgspec.MsgspecError`` if it cannot be decoded.
+        """
+        evidence = _evidence_decoder.decode(data)
+        now = self._clock.monotonic()
+        for suspect in evidence.suspects[:MAX_REPORTED]:
+            self._requests.merge(suspect, now)
+        for served in evidence.served[:MAX_REPORTED]:
+            self._requests.merge_served(served, now)
+
+    def check_request(self, request: int) -> None:
+        """Raise ``RefusedError`` if targets would crash on a request."""
+        left_s = self._requests.quarantine_left_s(
+            request, self._clock.monotonic()
+        )
+        if left_s > 0:
+            raise _exceptions.RefusedError(
+                _exceptions.Refusal(
+                    _types.RefusalKind.QUARANTINED,
+                    "targets crash on this request",
+                    "send another request, or come back after Retry-After",
+                    retry_after_s=left_s,
+                )
+            )
+
+    def record_answered(self, request: int) -> None:
+        """Record a request that was answered in full."""
+        self._requests.record_served((request,), self._clock.monotonic())
+
+    def record_broken(self, request: int, target: Target) -> bool:
+        """Record a request that broke off before its answer began.
+
+        Returns whether it may be sent again. Waits for ``SETTLE_S`` and asks
+        whether the target accepts connections.
+        """
+        now = self._clock.monotonic()
+        if not self._requests.is_cleared((request,), now):
+            self._clock.sleep(SETTLE_S)
+            if _is_gone(target):
+                self._record_crash(request, target)
+        return self._requests.may_be_sent_again(
+            (request,), self._clock.monotonic()
+        )
+
+    def _record_crash(self, request: int, target: Target) -> None:
+        crash = decisions.short_key(
+            f"{target.name}/{self._clock.wall() // CRASH_WINDOW_S}"
+        )
+        # A block needs crashes under several prompts; a whole request is the
+        # same each time, so each crash counts as a prompt of its own.
+        self._requests.record_crash(
+            (request,), crash, crash, self._clock.monotonic()
+        )
+        self.changed.set()
 
     def check(self, prompt: str) -> None:
         """Raise ``RefusedError`` if engines would crash on a prompt."""
@@ -81,6 +199,18 @@
     return enginemodel.block_hashes(prompt)[:-1]
 
 
+def _is_gone(target: Target) -> bool:
+    """Return whether a target refuses connections."""
+    try:
+        target.client.check_connection()
+    except _exceptions.ConnectTimeoutError:
+        # It may be cut off or silent.
+        return False
+    except _exceptions.ConnectRefusedError:
+        return True
+    return False
+
+
 def _refuses_connections(target: fleet.EngineTarget) -> bool:
     try:
         target.client.call("GET", "/v1/load")
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -16,6 +16,7 @@
 from agatewing.entry import _assembler
 from agatewing.entry import _bodies
 from agatewing.entry import _context
+from agatewing.entry import _crashes
 from agatewing.entry import _identity
 from agatewing.entry import _relay
 from agatewing.entry import _relay_types
@@ -69,6 +70,7 @@
         """
         body = _bodies.parse_body(shape, req.body)
         self._deps.crashes.check(body.prompt)
+        self._deps.crashes.check_request(_request_key(req))
         pool, service = self._find_pool(body, req.identity)
         deadline = self._deadline(service, req)
         profile = self._request_profile(pool, req, body)
@@ -130,6 +132,8 @@
         route = self._dispatcher.wait_for_route(
             pool, req.identity, profile, deadline
         )
+        # Engines may have crashed while the request was queued.
+        self._deps.crashes.check_request(_request_key(req))
         seed = body.seed
         if seed is None:
             seed = self._random.getrandbits(31)
@@ -137,7 +141,14 @@
         call = msgspec.structs.replace(
             call, priority=_engine_priority(body, profile)
         )
-        relay = _relay.Relay(self._deps, pool, call, profile, deadline)
+        relay = _relay.Relay(
+            self._deps,
+            pool,
+            call,
+            profile,
+            deadline,
+            request=_request_key(req),
+        )
         self._deps.events.add(
             timeline.EventKind.REQUEST_ROUTED,
             request=req.id,
@@ -164,7 +175,13 @@
             profile, software=handle.software or None
         )
         relay = _relay.Relay(
-            self._deps, pool, call, profile, deadline, position
+            self._deps,
+            pool,
+            call,
+            profile,
+            deadline,
+            position,
+            _request_key(req),
         )
         self._deps.events.add(
             timeline.EventKind.STREAM_RESUMED,
@@ -228,6 +245,7 @@
         req, profile = stream.req, stream.profile
         now = self._deps.clock.monotonic()
         self._deps.crashes.record_served(stream.call.prompt)
+        self._deps.crashes.record_answered(_request_key(req))
         self._deps.events.add(
             timeline.EventKind.REQUEST_ANSWERED,
             request=stream.call.id,
@@ -369,6 +387,13 @@
         )
 
 
+def _request_key(req: _context.CallerRequest) -> int:
+    """Return the hash of what is the same each time a request comes."""
+    return _crashes.request_key(
+        req.identity.name, req.method, req.path, req.body
+    )
+
+
 def _error_event(refusal: _exceptions.Refusal) -> bytes:
     """Return the event that reports an incomplete answer."""
     return b"event: error\ndata: " + net.encode(refusal) + b"\n\n"
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -56,6 +56,7 @@
         "_progress_at",
         "_overdue",
         "_may_have_run",
+        "_request",
         "assembler",
         "ever_accepted",
     )
@@ -68,8 +69,11 @@
         profile: decisions.RequestProfile,
         deadline: float,
         position: int = 0,
+        request: int | None = None,
     ) -> None:
         self._deps = deps
+        # Hash of the whole request; ``None`` if it is not known as a whole.
+        self._request = request
         self._pool = pool
         self._call = call
         self._profile = profile
@@ -452,7 +456,11 @@
             return
         if target.name in self._overdue:
             return
-        if not self._deps.crashes.record_failure(self._call.prompt, target):
+        crashes = self._deps.crashes
+        may_send = crashes.record_failure(self._call.prompt, target)
+        if self._request is not None:
+            may_send &= crashes.record_broken(self._request, target)
+        if not may_send:
             self.close()
             raise _exceptions.RefusedError(
                 self._stream_lost("engines crashed on similar prompts")
--- a/agatewing/entry/_repeatable.py
+++ b/agatewing/entry/_repeatable.py
@@ -15,6 +15,9 @@
 MAX_TRIES = 3
 
 Send = collections.abc.Callable[[fleet.ServiceTarget], net.HttpAnswer]
+#: Records a target that broke off the call; returns whether the call may be
+#: sent again.
+RecordBroken = collections.abc.Callable[[fleet.ServiceTarget], bool]
 PickTarget = collections.abc.Callable[
     [frozenset[str]], fleet.ServiceTarget | None
 ]
@@ -32,6 +35,8 @@
         "_retries",
         "_pick_target",
         "_send",
+        "_record_broken",
+        "_may_be_sent_again",
         "_changed",
         "_tries",
         "_answer",
@@ -45,11 +50,14 @@
         retries: decisions.RetryBudget,
         pick_target: PickTarget,
         send: Send,
+        record_broken: RecordBroken,
     ) -> None:
         self._clock = clock
         self._retries = retries
         self._pick_target = pick_target
         self._send = send
+        self._record_broken = record_broken
+        self._may_be_sent_again = True
         # Set when a try ends.
         self._changed = gevent.event.Event()
         # Greenlets of the tries that have not ended.
@@ -107,9 +115,11 @@
             pass
         except _exceptions.ConnectRefusedError:
             target.record_failure(self._clock.monotonic())
-        except _exceptions.AgatewingError:
+        except _exceptions.AgatewingError as exc:
             self.may_have_run = True
             target.record_failure(self._clock.monotonic())
+            if not isinstance(exc, _exceptions.TargetOverdueError):
+                self._may_be_sent_again = self._record_broken(target)
         else:
             self._answer = self._answer or answer
         finally:
@@ -134,10 +144,11 @@
         """Spend a retry and sleep for the backoff.
 
         Returns ``False`` at once if the deadline would pass, the instance
-        refuses calls or the retry budget is used up.
+        refuses calls, targets crashed on the call or the retry budget is used
+        up.
         """
         backoff_s = self._retries.backoff_s(attempt)
-        if self._refusal is not None:
+        if self._refusal is not None or not self._may_be_sent_again:
             return False
         if self._clock.monotonic() + backoff_s >= deadline:
             return False
--- a/agatewing/entry/_services.py
+++ b/agatewing/entry/_services.py
@@ -13,6 +13,7 @@
 from agatewing import config
 from agatewing import decisions
 from agatewing.entry import _context
+from agatewing.entry import _crashes
 from agatewing.entry import _gate
 from agatewing.entry import _identity
 from agatewing.entry import _repeatable
@@ -36,6 +37,7 @@
         "_retries",
         "_zone",
         "_send_without_retry",
+        "_crashes",
         "executor",
     )
 
@@ -48,6 +50,7 @@
         retries: decisions.RetryBudget,
         zone: str,
         call_once: net.CallOnce,
+        crashes: _crashes.CrashGuard,
     ) -> None:
         self._clock = clock
         self._fleet = target_fleet
@@ -56,6 +59,7 @@
         self._retries = retries
         self._zone = zone
         self._send_without_retry = call_once
+        self._crashes = crashes
         #: Runs calls at most once; set by the composition root.
         self.executor: calls.OnceExecutor | None = None
 
@@ -94,8 +98,15 @@
         Another target is tried only if the connection was refused, as
         nothing was sent then.
         """
+        request = _crashes.request_key(
+            call.caller, call.method, f"{call.service}{call.path}", call.body
+        )
         avoid: frozenset[str] = frozenset()
         while True:
+            try:
+                self._crashes.check_request(request)
+            except _exceptions.RefusedError as exc:
+                return calls.NotSent(exc.refusal.detail)
             target = self._fleet.pick_target(call.service, avoid, self._zone)
             if target is None:
                 return calls.NotSent("no target accepts connections")
@@ -116,11 +127,14 @@
                 continue
             except net.SendForbiddenError:
                 return calls.NotSent("the attempt had given up")
-            except _exceptions.AgatewingError:
+            except _exceptions.AgatewingError as exc:
                 target.record_failure(self._clock.monotonic())
+                if not isinstance(exc, _exceptions.TargetOverdueError):
+                    self._crashes.record_broken(request, target)
                 return calls.OutcomeUnknown(target.name)
             finally:
                 target.in_flight -= 1
+            self._crashes.record_answered(request)
             return calls.Answered(target.name, answer)
 
     def _check_configuration(
@@ -193,7 +207,15 @@
     ) -> net.HttpAnswer:
         self._retries.record_first_try()
 
+        request = _crashes.request_key(
+            req.identity.name,
+            req.method,
+            f"{name}{_with_query(path, req.query)}",
+            req.body,
+        )
+
         def send(target: fleet.ServiceTarget) -> net.HttpAnswer:
+            self._crashes.check_request(request)
             try:
                 return target.client.call(
                     req.method,
@@ -211,10 +233,12 @@
             self._retries,
             lambda avoid: self._fleet.pick_target(name, avoid, self._zone),
             send,
+            functools.partial(self._crashes.record_broken, request),
         )
         answer = call.run(deadline)
         if answer is None:
             raise _exceptions.RefusedError(_no_answer(name, call.may_have_run))
+        self._crashes.record_answered(request)
         return answer
 
     def _may_send_to(self, target: fleet.ServiceTarget) -> bool:
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -24,7 +24,7 @@
 #: Timeout of a whole exchange of state over TCP, in seconds.
 EXCHANGE_TIMEOUT_S = 3.0
 
-StateSource = collections.abc.Callable[[str], wire.StateReply]
+StateSource = collections.abc.Callable[[str, str], wire.StateReply]
 SenderStateSource = collections.abc.Callable[[], _peers.SenderState]
 StampSink = collections.abc.Callable[[int, int], None]
 T = typing.TypeVar("T")
@@ -94,7 +94,7 @@
         self._tcp.stop()
 
     def fetch_state(
-        self, address: str, stream: str
+        self, address: str, stream: str, key: str = ""
     ) -> result.Result[wire.StateReply, _exceptions.AgatewingError]:
         """Fetch a peer's state of a stream.
 
@@ -103,7 +103,7 @@
         cannot be decoded.
         """
         socket_address = net.split_address(address)
-        request = wire.StateRequest(stream=stream)
+        request = wire.StateRequest(stream=stream, key=key or None)
         try:
             with gevent.Timeout(EXCHANGE_TIMEOUT_S, TimeoutError("no answer")):
                 sock = gevent.socket.create_connection(
@@ -129,7 +129,9 @@
                 data = wire.read_frame(sock, limit=MAX_READ_BYTES)
                 match self._codec.decode(wire.StateRequest, data):
                     case result.Ok(request):
-                        reply = self._state_source(request.stream)
+                        reply = self._state_source(
+                            request.stream, request.key or ""
+                        )
                         wire.send_frame(sock, self._codec.encode(reply))
                     case result.Err(exc):
                         self.malformed += 1
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -384,6 +384,13 @@
                 self.address, str(exc)
             ) from exc
 
+    def check_connection(self) -> None:
+        """Open a connection unless one is open; send nothing.
+
+        Raises ``ConnectRefusedError`` if none opens.
+        """
+        self._ensure_connected()
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
--- a/agatewing/rig/_network.py
+++ b/agatewing/rig/_network.py
@@ -175,10 +175,17 @@
         """Return the function with which one process creates clients."""
 
         def make(address: str, *, silence_timeout_s: float) -> _Client:
-            return _Client(call_once, address, silence_timeout_s)
+            return _Client(
+                call_once, address, silence_timeout_s, self._target_of
+            )
 
         return make
 
+    def _target_of(
+        self, address: str
+    ) -> _targets.FakeEngine | _targets.FakeService:
+        return self.engines.get(address) or self.services[address]
+
     def _handle_call(
         self,
         target: _targets.FakeEngine | _targets.FakeService,
@@ -205,12 +212,24 @@
     """A client of one target on the in-memory network."""
 
     def __init__(
-        self, call_once: net.CallOnce, address: str, silence_s: float
+        self,
+        call_once: net.CallOnce,
+        address: str,
+        silence_s: float,
+        target_of: collections.abc.Callable[
+            [str], _targets.FakeEngine | _targets.FakeService
+        ],
     ) -> None:
+        self._target_of = target_of
         self._call_once = call_once
         self._address = address
         self._silence_s = silence_s
 
+    def check_connection(self) -> None:
+        """Raise ``ConnectRefusedError`` if the target is down."""
+        if self._target_of(self._address).down:
+            raise _exceptions.ConnectRefusedError(self._address, "down")
+
     def call(
         self,
         method: str,
@@ -268,7 +287,7 @@
         gevent.killall(self._tasks, block=False)
 
     def fetch_state(
-        self, address: str, stream: str
+        self, address: str, stream: str, key: str = ""
     ) -> "result.Result[wire.StateReply, _exceptions.AgatewingError]":
         """Return a peer's state of a stream, or the error of the call."""
         self._clock.sleep(self._network.delay())
@@ -279,7 +298,7 @@
             # A paused peer doesn't answer; the call times out.
             self._clock.sleep(1.0)
             return result.Err(_exceptions.TargetSilentError(address, "paused"))
-        reply = peer._instance.state_reply(stream)
+        reply = peer._instance.state_reply(stream, key)
         self._clock.sleep(self._network.delay())
         return result.Ok(reply)
 
