--- a/agatewing/entry/tests/test_crashing_requests.py
+++ b/agatewing/entry/tests/test_crashing_requests.py
@@ -3,10 +3,17 @@
 import collections.abc
 import dataclasses
 import io
+import json
 
 import gevent
 import pytest
+import result
 
+from agatewing import _clock
+from agatewing import _crash_exchange
+from agatewing import _exceptions
+from agatewing import decisions
+from agatewing import entry
 from agatewing.entry.tests import test_silent_targets
 from agatewing import net
 
@@ -82,3 +89,29 @@
         assert not deployment.ask(case.kind, 1_002, "after")
     finally:
         deployment.close()
+
+
+EVIDENCE = {
+    "no JSON": "{",
+    "another type": "[]",
+    "fields of another type": '{"suspects": [{"block": "x"}]}',
+    "nothing": "{}",
+}
+
+
+# Evidence that another version of the program sends must not end the
+# exchange, nor keep sound requests from targets.
+@pytest.mark.parametrize("name", EVIDENCE)
+def test_evidence_that_cannot_be_used_is_ignored(name: str) -> None:
+    clock = _clock.ManualClock()
+    guard = entry.CrashGuard(clock, decisions.CrashSuspects())
+    exchange = _crash_exchange.CrashExchange(
+        clock,
+        guard,
+        lambda address, stream, key: result.Err(
+            _exceptions.TargetSilentError(address, "not used")
+        ),
+        list,
+    )
+    reply = exchange.reply(EVIDENCE[name])
+    assert json.loads(reply.state) == {"suspects": [], "served": []}
