End quarantines of requests at a time of each instance's own

Cause: all instances would have tried a request again at the same moment after its quarantine, each at another target. Change: part of the time is drawn from the name and start of the instance, as in the gateway.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -278,7 +278,11 @@
         #: Retry budget that plain calls and streams share.
         self.retry_budget = decisions.RetryBudget(self.rng)
         #: Keeps requests from targets that would crash on them.
-        self.crashes = entry.CrashGuard(self.clock, decisions.CrashSuspects())
+        self.crashes = entry.CrashGuard(
+            self.clock,
+            decisions.CrashSuspects(),
+            random.Random(f"{self.author}/crashes").random(),
+        )
         #: Shares with other instances what targets crash on.
         self.crash_exchange = _crash_exchange.CrashExchange(
             self.clock,
--- a/agatewing/entry/_crashes.py
+++ b/agatewing/entry/_crashes.py
@@ -69,13 +69,16 @@
     __slots__ = ("_clock", "_suspects", "_requests", "changed")
 
     def __init__(
-        self, clock: _clock.Clock, suspects: decisions.CrashSuspects
+        self,
+        clock: _clock.Clock,
+        suspects: decisions.CrashSuspects,
+        jitter: float = 0.0,
     ) -> None:
         self._clock = clock
         self._suspects = suspects
         # Evidence against whole requests. Apart, since many different
         # requests answered in full would displace the prefix blocks.
-        self._requests = decisions.CrashSuspects()
+        self._requests = decisions.CrashSuspects(jitter)
         #: Set when there is new evidence of this instance to share.
         self.changed = gevent.event.Event()
 
