--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -23,6 +23,10 @@
     resumes: str = ""
     #: Number of events that the caller had before.
     after: int = 0
+    #: Name of the instance to which it is sent.
+    instance: str = ""
+    #: Monotonic time at which it is sent, in seconds.
+    sent_at: float = 0.0
 
 
 class CallerRecords:
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from agatewing import harness
+from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _proxy
 from agatewing.platform import standins
@@ -23,14 +24,6 @@
 
 #: Instances in an episode.
 INSTANCES = 3
-#: Events in each stream.
-EVENTS = 4
-#: Concurrent callers; each reuses its connection.
-CALLERS = 6
-#: Time limit of one blocking call on a caller's connection, in seconds.
-REPLY_TIMEOUT_S = 4.0
-#: Pause between two requests of a caller, in seconds.
-REQUEST_PERIOD_S = 0.02
 #: Shortest and longest time between the starts of two faults, in seconds.
 FAULT_PERIOD_S = (0.1, 0.8)
 #: Shortest and longest duration of a fault, in seconds.
@@ -42,14 +35,6 @@
 #: run before the check.
 FAULT_FREE_S = 4.0
 
-#: Whether a request may run more than once, by its path.
-IDEMPOTENT_BY_PATH = {
-    "/pay/x": False,
-    "/look/x": True,
-    "/draft/x": False,
-    "/chat/x": True,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
@@ -84,7 +69,6 @@
         self._faults: list[str] = []
         self._processes: dict[str, harness.Process] = {}
         self._settings_folder = pathlib.Path()
-        self._sending = True
         self._added_routes = 0
 
     def run(self) -> Verdict:
@@ -122,7 +106,7 @@
             ("e3", "chat", "decode", "v2"),
             ("p1", "chat", "prefill", "v2"),
         ):
-            engine = site.add_target(name, service, role, EVENTS)
+            engine = site.add_target(name, service, role, _callers.EVENTS)
             engine.event_suffix = f" {version}"
             self._proxies[name] = _proxy.Proxy(engine.address)
             site.announce(
@@ -168,7 +152,15 @@
 
     def _inject_faults(self) -> None:
         """Run the callers and inject random faults until the duration ends."""
-        callers = [gevent.spawn(self._run_caller, n) for n in range(CALLERS)]
+        callers = _callers.Callers(
+            self._seed,
+            self._records,
+            {
+                name: str(settings["caller_address"])
+                for name, settings in self._settings.items()
+            },
+        )
+        callers.start()
         deadline = time.monotonic() + self._duration_s
         active: list[gevent.Greenlet] = []
         while time.monotonic() < deadline:
@@ -178,8 +170,7 @@
             self._faults.append(f"{name} for {fault_s:.2f} s")
             active.append(gevent.spawn(fault, fault_s))
         gevent.joinall(active)
-        self._sending = False
-        gevent.joinall(callers)
+        callers.stop()
 
     def _possible_faults(
         self,
@@ -249,73 +240,6 @@
         self._site.route(f"/new{self._added_routes}/", "safe", "ledger")
         self._site.publish()
 
-    def _run_caller(self, caller: int) -> None:
-        """Send requests until the episode ends.
-
-        Opens a new connection at random, and after the previous one broke or
-        was closed.
-        """
-        rng = random.Random(f"{self._seed}/{caller}")
-        number = 0
-        sock: gevent.socket.socket | None = None
-        while self._sending:
-            gevent.sleep(REQUEST_PERIOD_S)
-            number += 1
-            path = rng.choice(list(IDEMPOTENT_BY_PATH))
-            name = rng.choice(list(self._settings))
-            is_stream = path in ("/draft/x", "/chat/x")
-            attempt = _checks.Attempt(
-                f"c{caller}-{number}",
-                IDEMPOTENT_BY_PATH[path],
-                EVENTS if is_stream else 0,
-            )
-            self._records.record_attempt(attempt)
-            if sock is None or rng.random() < 0.3:
-                sock = self._connect(name, sock)
-            if sock is None:
-                continue
-            reply = _send_attempt(sock, path, attempt, rng)
-            self._records.record_reply(attempt.id, reply)
-            keep_alive = reply.headers.get("connection") != "close"
-            if not reply.complete or not keep_alive:
-                sock.close()
-                sock = None
-            if path == "/chat/x" and not reply.complete:
-                self._take_up(attempt, reply, rng)
-
-    def _take_up(
-        self,
-        began: _checks.Attempt,
-        reply: standins.Reply,
-        rng: random.Random,
-    ) -> None:
-        """Take a stream that broke off up once, at any instance."""
-        ids = _checks.event_ids(reply.body.rpartition(b"\n\n")[0])
-        if not ids:
-            return
-        attempt = dataclasses.replace(
-            began, id=f"{began.id}r", resumes=began.id, after=ids[-1]
-        )
-        self._records.record_attempt(attempt)
-        sock = self._connect(rng.choice(list(self._settings)), None)
-        if sock is not None:
-            again = _send_attempt(sock, "/chat/x", attempt, rng)
-            self._records.record_reply(attempt.id, again)
-            sock.close()
-
-    def _connect(
-        self, name: str, previous: gevent.socket.socket | None
-    ) -> gevent.socket.socket | None:
-        if previous is not None:
-            previous.close()
-        host, _, port = str(self._settings[name]["caller_address"]).rpartition(
-            ":"
-        )
-        try:
-            return gevent.socket.create_connection((host, int(port)), 1.0)
-        except OSError:
-            return None
-
     def _kill_processes(self) -> None:
         """Kill the processes, also frozen ones, and stop the proxies."""
         for process in self._processes.values():
@@ -334,31 +258,3 @@
         proxy.break_connections()
     gevent.sleep(fault_s)
     proxy.mode = _proxy.ProxyMode.FINE
-
-
-def _send_attempt(
-    sock: gevent.socket.socket,
-    path: str,
-    attempt: _checks.Attempt,
-    rng: random.Random,
-) -> standins.Reply:
-    """Send one request on a connection and read its reply.
-
-    A broken connection gives a reply with status 0.
-    """
-    fields = f"Host: {standins.HOST}\r\nX-Request-Id: {attempt.id}\r\n"
-    if attempt.events:
-        long = rng.random() < 0.5
-        tokens = 9_000 if long else 400
-        fields += f"X-Token-Count: {tokens},20\r\n"
-        fields += f"X-Prefix-Hash: aa:200,{attempt.id}:200\r\n"
-    if attempt.resumes:
-        fields += f"Last-Event-Id: {attempt.after}\r\n"
-        fields += f"Resumes: {attempt.resumes}\r\n"
-    head = f"POST {path} HTTP/1.1\r\n{fields}Content-Length: 0\r\n\r\n"
-    sock.settimeout(REPLY_TIMEOUT_S)
-    try:
-        sock.sendall(head.encode())
-        return standins.read_reply(sock)
-    except OSError:
-        return standins.Reply(0, {}, b"", False)
