Soak of processes: let targets fall silent for a time

Cause: no run had targets that send nothing for a second or two, with their connections open, and then go on; nothing checked that a request whose target is only silent gets a whole answer. Change: one, several or all targets fall silent for 0.5 to 3 s, before an answer, inside an event and between two, beside the other faults. WHOLE: an attempt that reached a target and ended before its time limit without a complete answer, though its instance was neither paused nor killed, no link to its service was cut and no scripted behaviour met it. Slow and silent links, orderly stops, reloads, changes of the configuration and an absent log excuse nothing.

--- a/agatewing/platform/soak/__main__.py
+++ b/agatewing/platform/soak/__main__.py
@@ -24,13 +24,21 @@
         type=pathlib.Path,
         help="folder for the instances' logs; also prints failed requests",
     )
+    parser.add_argument(
+        "--only",
+        nargs="+",
+        default=(),
+        help="draw only faults whose names begin so, for example: silence",
+    )
     args = parser.parse_args()
     if args.logs is not None:
         args.logs.mkdir(parents=True, exist_ok=True)
     deadline = time.monotonic() + args.duration
     seed, failed = args.seed, 0
     while time.monotonic() < deadline:
-        verdict = _episode.Episode(seed, args.episode, args.logs).run()
+        verdict = _episode.Episode(
+            seed, args.episode, args.logs, tuple(args.only)
+        ).run()
         state = "broken" if verdict.violations else "held"
         print(f"seed {seed}: {state}; replies {verdict.statuses}", flush=True)
         if args.logs is not None:
--- a/agatewing/platform/soak/_callers.py
+++ b/agatewing/platform/soak/_callers.py
@@ -12,7 +12,7 @@
 from agatewing.platform import standins
 
 #: Concurrent callers; each reuses its connection.
-CALLERS = 6
+CALLERS = 16
 #: Events in each stream.
 EVENTS = 4
 #: Time limit of one blocking call on a caller's connection, in seconds.
@@ -30,6 +30,9 @@
     "/draft/x": False,
     "/chat/x": True,
 }
+#: Service of the plain routes, and that of the streams.
+PLAIN_SERVICE = "ledger"
+STREAM_SERVICE = "chat"
 #: Paths on which the answer is a stream.
 STREAM_PATHS = frozenset(("/draft/x", "/chat/x"))
 
@@ -92,12 +95,14 @@
                 link = self._connect(name)
             if link is None:
                 continue
+            streams = path in STREAM_PATHS
             attempt = _checks.Attempt(
                 f"c{caller}-{number}",
                 IDEMPOTENT_BY_PATH[path],
-                EVENTS if path in STREAM_PATHS else 0,
+                EVENTS if streams else 0,
                 instance=link.instance,
                 sent_at=time.monotonic(),
+                service=STREAM_SERVICE if streams else PLAIN_SERVICE,
             )
             reply = self._send(link, path, attempt, rng)
             keep_alive = reply.headers.get("connection") != "close"
@@ -168,5 +173,5 @@
             reply = standins.read_reply(link.sock)
         except OSError:
             reply = standins.Reply(0, {}, b"", False)
-        self._records.record_reply(attempt.id, reply)
+        self._records.record_reply(attempt.id, reply, time.monotonic())
         return reply
--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -3,8 +3,14 @@
 import collections
 import dataclasses
 
+from agatewing.platform.soak import _disturbances
 from agatewing.platform import standins
 
+#: Time limit of every route, in seconds; an answer may be cut off at it.
+ROUTE_TIMEOUT_S = 3.0
+#: Time before that limit at which an instance gives up already, in seconds:
+#: twice the margin that it keeps for its last answer to arrive.
+DEADLINE_MARGIN_S = 0.03
 #: Statuses that promise that a request has not run and never will run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -27,6 +33,8 @@
     instance: str = ""
     #: Monotonic time at which it is sent, in seconds.
     sent_at: float = 0.0
+    #: Service of its route.
+    service: str = ""
 
 
 class CallerRecords:
@@ -35,6 +43,9 @@
     def __init__(self) -> None:
         self._attempts: dict[str, Attempt] = {}
         self._replies: dict[str, standins.Reply] = {}
+        self._ended_at: dict[str, float] = {}
+        #: Faults that may end the requests of an instance or of a service.
+        self.disturbances = _disturbances.Disturbances()
         #: Number of replies by status; 0 for connections without a reply.
         self.statuses: collections.Counter[int] = collections.Counter()
 
@@ -42,9 +53,15 @@
         """Record an attempt; to be called before it is sent."""
         self._attempts[attempt.id] = attempt
 
-    def record_reply(self, request_id: str, reply: standins.Reply) -> None:
-        """Record the reply that the caller received."""
+    def record_reply(
+        self, request_id: str, reply: standins.Reply, at: float
+    ) -> None:
+        """Record the reply that the caller received.
+
+        ``at`` is the monotonic time at which it ended, in seconds.
+        """
         self._replies[request_id] = reply
+        self._ended_at[request_id] = at
         self.statuses[reply.status] += 1
 
     def failed(self) -> list[str]:
@@ -61,7 +78,8 @@
         Each line starts with its kind: TWICE for a request that ran more
         than once, UNASKED for one that no caller sent, REFUSED for one that
         ran although its status promises that it did not, MIXED or ORDER for
-        a wrong body, STOPPED for a sound prompt that was put under quarantine.
+        a wrong body, STOPPED for a sound prompt that was put under quarantine,
+        WHOLE for one that had no complete answer though no fault ended it.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -90,8 +108,41 @@
             if reply.body.startswith(b"quarantined"):
                 # No prompt of the soak crashes engines.
                 violations.append(f"STOPPED: {name} got {reply.status}")
+        violations += self._unfinished(engines)
         return violations + self._mixed_versions()
 
+    def _unfinished(self, engines: list[standins.EngineStandin]) -> list[str]:
+        """Return the attempts whose reply ended early without a cause.
+
+        They reached a target, and no fault was injected at their instance or
+        in their service until they ended. Targets and links that are slow or
+        silent for a time are no cause, nor are an orderly stop, a change of
+        the configuration, or a log that is away.
+        """
+        reached: dict[str, list[str]] = collections.defaultdict(list)
+        scripted = set()
+        for engine in engines:
+            scripted |= engine.scripted
+            for run in (*engine.prefills, *engine.runs):
+                reached[run.id].append(engine.name)
+        found = []
+        for name, reply in self._replies.items():
+            if reply.complete or name not in reached or name in scripted:
+                continue
+            attempt = self._attempts[name]
+            since, until = attempt.sent_at, self._ended_at[name]
+            if until - since >= ROUTE_TIMEOUT_S - DEADLINE_MARGIN_S or any(
+                self.disturbances.overlap(where, since, until)
+                for where in (attempt.instance, attempt.service)
+            ):
+                continue
+            found.append(
+                f"WHOLE: {name} ended after {until - since:.2f} s with status "
+                f"{reply.status} and events {event_ids(reply.body)}; "
+                f"{attempt.instance} sent it to {reached[name]}"
+            )
+        return found
+
     def _mixed_versions(self) -> list[str]:
         """Return the streams with events of several software versions.
 
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -22,12 +22,17 @@
 
 Behaviour = standins.Behaviour
 
+#: Pause before each event of a stream, in seconds, so that faults meet
+#: streams under way.
+EVENT_PERIOD_S = 0.05
 #: Instances in an episode.
 INSTANCES = 3
 #: Shortest and longest time between the starts of two faults, in seconds.
 FAULT_PERIOD_S = (0.1, 0.8)
 #: Shortest and longest duration of a fault, in seconds.
-FAULT_DURATION_S = (0.2, 2.5)
+FAULT_DURATION_S = (0.2, 3.0)
+#: Shortest time for which targets fall silent, in seconds.
+MIN_SILENCE_S = 0.5
 #: Time limit for a process to stop, in seconds; longer than its own limit for
 #: an orderly stop.
 STOP_TIMEOUT_S = 10.0
@@ -36,6 +41,37 @@
 FAULT_FREE_S = 4.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSpec:
+    """What a target publishes about itself."""
+
+    #: Service that it belongs to.
+    service: str
+    #: Role of an engine; ``None`` for a target of a plain service.
+    role: str | None
+    #: Software version.
+    version: str
+
+
+PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
+#: Targets by id.
+TARGETS = {
+    "t1": TargetSpec(PLAIN, None, "v1"),
+    "t2": TargetSpec(PLAIN, None, "v1"),
+    "e1": TargetSpec(STREAMS, "decode", "v1"),
+    "e2": TargetSpec(STREAMS, "decode", "v1"),
+    "e3": TargetSpec(STREAMS, "decode", "v2"),
+    "p1": TargetSpec(STREAMS, "prefill", "v2"),
+}
+#: Targets that fall silent together, besides single ones.
+GROUPS = (
+    ("t1", "t2"),
+    ("e1", "e2"),
+    ("e1", "e2", "e3", "p1"),
+    tuple(TARGETS),
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
     """Result of an episode."""
@@ -60,7 +96,10 @@
         seed: int,
         duration_s: float,
         logs: pathlib.Path | None = None,
+        only: tuple[str, ...] = (),
     ) -> None:
+        # Beginnings of the names of the faults to draw; all if empty.
+        self._only = only
         self._log_folder = logs
         self._seed = seed
         self._duration_s = duration_s
@@ -93,28 +132,26 @@
     def _start_site(self) -> None:
         """Publish targets behind proxies and start the instances."""
         site = self._site
-        site.route("/pay/", "unsafe", "ledger", max_attempts=3)
-        site.route("/look/", "safe", "ledger", max_attempts=3)
-        site.route("/draft/", "streaming", sticky=True)
-        site.route("/chat/", "streaming", sticky=True, resumable=True)
+        timeout_ms = int(_checks.ROUTE_TIMEOUT_S * 1_000)
+        add_route = functools.partial(site.route, timeout_ms=timeout_ms)
+        add_route("/pay/", "unsafe", PLAIN, max_attempts=3)
+        add_route("/look/", "safe", PLAIN, max_attempts=3)
+        add_route("/draft/", "streaming", STREAMS, sticky=True)
+        add_route("/chat/", "streaming", STREAMS, sticky=True, resumable=True)
         self._proxies: dict[str, _proxy.Proxy] = {}
-        for name, service, role, version in (
-            ("t1", "ledger", None, "v1"),
-            ("t2", "ledger", None, "v1"),
-            ("e1", "chat", "decode", "v1"),
-            ("e2", "chat", "decode", "v1"),
-            ("e3", "chat", "decode", "v2"),
-            ("p1", "chat", "prefill", "v2"),
-        ):
-            engine = site.add_target(name, service, role, _callers.EVENTS)
-            engine.event_suffix = f" {version}"
+        for name, spec in TARGETS.items():
+            engine = site.add_target(
+                name, spec.service, spec.role, _callers.EVENTS
+            )
+            engine.event_suffix = f" {spec.version}"
+            engine.pause_s = EVENT_PERIOD_S
             self._proxies[name] = _proxy.Proxy(engine.address)
             site.announce(
                 name,
-                service,
-                role,
+                spec.service,
+                spec.role,
                 address=self._proxies[name].address,
-                version=version,
+                version=spec.version,
                 seq=2,
             )
         self._log_proxy = _proxy.Proxy(site.store.address)
@@ -152,6 +189,7 @@
 
     def _inject_faults(self) -> None:
         """Run the callers and inject random faults until the duration ends."""
+        begun_at = time.monotonic()
         callers = _callers.Callers(
             self._seed,
             self._records,
@@ -166,8 +204,15 @@
         while time.monotonic() < deadline:
             gevent.sleep(self._random.uniform(*FAULT_PERIOD_S))
             fault_s = self._random.uniform(*FAULT_DURATION_S)
-            name, fault = self._random.choice(list(self._possible_faults()))
-            self._faults.append(f"{name} for {fault_s:.2f} s")
+            name, fault = self._random.choice(
+                [
+                    (name, fault)
+                    for name, fault in self._possible_faults()
+                    if not self._only or name.startswith(self._only)
+                ]
+            )
+            at_s = time.monotonic() - begun_at
+            self._faults.append(f"{at_s:.2f} s: {name} for {fault_s:.2f} s")
             active.append(gevent.spawn(fault, fault_s))
         gevent.joinall(active)
         callers.stop()
@@ -188,27 +233,37 @@
             yield f"reload {name}", functools.partial(self._reload, name)
         for mode in list(standins.StoreMode)[1:]:
             yield f"log {mode}", functools.partial(self._degrade_log, mode)
-        for target, proxy in self._proxies.items():
+        for target in self._proxies:
             for kind in list(_proxy.ProxyMode)[1:]:
-                fault = functools.partial(_degrade_link, proxy, kind)
+                fault = functools.partial(self._degrade_link, target, kind)
                 yield f"link to {target} {kind}", fault
         for behaviour in list(Behaviour)[1:]:
             fault = functools.partial(self._script_behaviour, behaviour)
             yield f"targets {behaviour}", fault
         yield "configuration", self._change_configuration
+        for group in (*((name,) for name in TARGETS), *GROUPS):
+            names = ", ".join(group)
+            yield (
+                f"silence of {names}",
+                functools.partial(self._silence, group),
+            )
 
     def _pause(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
+        disturbance = self._records.disturbances.begin(name)
         process.freeze()
         gevent.sleep(fault_s)
         process.thaw()
+        disturbance.end()
 
     def _kill(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
+        disturbance = self._records.disturbances.begin(name)
         process.kill()
         gevent.sleep(fault_s)
         if self._processes[name] is process:
             self._start(name)
+        disturbance.end()
 
     def _stop(self, name: str, fault_s: float) -> None:
         """Stop an instance in an orderly way, then start it again."""
@@ -231,13 +286,35 @@
         gevent.sleep(fault_s)
         self._site.store.mode = standins.StoreMode.FINE
 
+    def _degrade_link(
+        self, target: str, mode: _proxy.ProxyMode, fault_s: float
+    ) -> None:
+        """Inject a network fault; CUT also closes open connections."""
+        proxy = self._proxies[target]
+        disturbance = None
+        if mode is _proxy.ProxyMode.CUT:
+            service = TARGETS[target].service
+            disturbance = self._records.disturbances.begin(service)
+        proxy.mode = mode
+        if mode is _proxy.ProxyMode.CUT:
+            proxy.break_connections()
+        gevent.sleep(fault_s)
+        proxy.mode = _proxy.ProxyMode.FINE
+        if disturbance is not None:
+            disturbance.end()
+
+    def _silence(self, names: tuple[str, ...], fault_s: float) -> None:
+        """Let targets send nothing for a time, with all connections open."""
+        for name in names:
+            self._proxies[name].silence(max(MIN_SILENCE_S, fault_s))
+
     def _script_behaviour(self, behaviour: Behaviour, fault_s: float) -> None:
         for engine in self._site.targets.values():
             engine.script.append(behaviour)
 
     def _change_configuration(self, fault_s: float) -> None:
         self._added_routes += 1
-        self._site.route(f"/new{self._added_routes}/", "safe", "ledger")
+        self._site.route(f"/new{self._added_routes}/", "safe", PLAIN)
         self._site.publish()
 
     def _kill_processes(self) -> None:
@@ -247,14 +324,3 @@
             process.kill()
         for proxy in (*self._proxies.values(), self._log_proxy):
             proxy.stop()
-
-
-def _degrade_link(
-    proxy: _proxy.Proxy, mode: _proxy.ProxyMode, fault_s: float
-) -> None:
-    """Inject a network fault; CUT also closes open connections."""
-    proxy.mode = mode
-    if mode is _proxy.ProxyMode.CUT:
-        proxy.break_connections()
-    gevent.sleep(fault_s)
-    proxy.mode = _proxy.ProxyMode.FINE
--- a/agatewing/platform/soak/_proxy.py
+++ b/agatewing/platform/soak/_proxy.py
@@ -1,6 +1,8 @@
 """A TCP proxy on loopback that injects network faults."""
 
 import enum
+import random
+import time
 
 import gevent
 import gevent.server
@@ -14,6 +16,8 @@
 #: Delay of each block in mode SLOW, and the polling period of the modes that
 #: block, in seconds.
 DELAY_S = 0.05
+#: Shortest time between two silences of a target, in seconds.
+MIN_TALK_S = 0.5
 
 
 class ProxyMode(enum.StrEnum):
@@ -36,6 +40,9 @@
     def __init__(self, target: str) -> None:
         self._target = net.split_address(target)
         self.mode = ProxyMode.FINE
+        # Monotonic time until which the target is silent, in seconds.
+        self._silent_until = 0.0
+        self._random = random.Random(self._target[1])
         self._sockets: set[gevent.socket.socket] = set()
         super().__init__(
             gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -52,6 +59,16 @@
             standins.reset(sock)
         self._sockets.clear()
 
+    def silence(self, duration_s: float) -> None:
+        """Let the target fall silent; it goes on with the exact rest.
+
+        Does nothing if it was silent less than ``MIN_TALK_S`` ago, so that
+        silences that overlap do not add up.
+        """
+        now = time.monotonic()
+        if now >= self._silent_until + MIN_TALK_S:
+            self._silent_until = now + duration_s
+
     def _serve(self, sock: gevent.socket.socket, _: object) -> None:
         if self.mode is ProxyMode.CUT:
             sock.close()
@@ -81,12 +98,33 @@
         try:
             while data := source.recv(BLOCK_BYTES):
                 self._delay(is_answer)
+                if is_answer:
+                    data = self._hold_rest(sink, data)
                 sink.sendall(data)
         except OSError:
             standins.reset(sink)
         sink.close()
         source.close()
 
+    def _hold_rest(self, sink: gevent.socket.socket, data: bytes) -> bytes:
+        """Wait while the target is silent; return what is still to be sent.
+
+        Of the blocks that come meanwhile, a third is held back whole, a third
+        in part, and a third passes, so that answers fall silent before their
+        first byte, inside an event, and between two.
+        """
+        left_s = self._silent_until - time.monotonic()
+        if left_s <= 0:
+            return data
+        passed = self._random.choice(
+            (0, self._random.randrange(len(data)), len(data))
+        )
+        sink.sendall(data[:passed])
+        while passed < len(data) and left_s > 0:
+            gevent.sleep(left_s)
+            left_s = self._silent_until - time.monotonic()
+        return data[passed:]
+
     def _delay(self, is_answer: bool) -> None:
         """Delay a block by DELAY_S, or until the mode lets it pass."""
         if self.mode is ProxyMode.SLOW:
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -73,6 +73,8 @@
         self.script: collections.deque[_behaviour.Behaviour] = (
             collections.deque()
         )
+        #: Ids of the requests that met with a behaviour of the script.
+        self.scripted: set[str] = set()
         #: Requests that it ran, in order of arrival.
         self.runs: list[Run] = []
         #: Prefill requests that it ran; they are not in ``runs``.
@@ -175,6 +177,8 @@
             return self._accept_order(sock, run)
         self.arrivals.append(self.now())
         behaviour = self.script.popleft() if self.script else None
+        if behaviour is not None:
+            self.scripted.add(run.id)
         behaviour = behaviour or _behaviour.Behaviour.ANSWER
         if run.headers.get("x-expect-instance", self.name) != self.name:
             behaviour = _behaviour.Behaviour.MOVED
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -1,11 +1,18 @@
 """The soak's checks find broken promises; a short run breaks none."""
 
 import dataclasses
+import socket
+import time
 
+import gevent
+import gevent.socket
 import pytest
 
+from agatewing import net
 from agatewing.platform import soak
 from agatewing.platform.soak import _checks
+from agatewing.platform.soak import _disturbances
+from agatewing.platform.soak import _proxy
 from agatewing.platform import standins
 
 
@@ -15,6 +22,12 @@
     reply: standins.Reply
     runs: int
     violation: str
+    # Time at which the reply ended after the request was sent, in seconds.
+    at: float = 0.0
+    # Place of a fault meanwhile.
+    fault: str = ""
+    # Whether a scripted behaviour of the target met the request.
+    scripted: bool = False
 
 
 def reply(
@@ -23,10 +36,20 @@
     return standins.Reply(status, {}, body, complete)
 
 
-ONCE = _checks.Attempt("a1", False, 0)
-REPEATABLE = _checks.Attempt("a1", True, 0)
-STREAM = _checks.Attempt("a1", False, 3)
-TAKEN_UP = _checks.Attempt("a1", True, 3, resumes="a0", after=1)
+def attempt(
+    idempotent: bool, events: int, resumes: str = "", after: int = 0
+) -> _checks.Attempt:
+    return _checks.Attempt(
+        "a1", idempotent, events, resumes, after, "i0", 0.0, "chat"
+    )
+
+
+ONCE = attempt(False, 0)
+REPEATABLE = attempt(True, 0)
+STREAM = attempt(False, 3)
+TAKEN_UP = attempt(True, 3, resumes="a0", after=1)
+#: Time limit of the routes, in seconds.
+TIMEOUT_S = 3.0
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
 
 CASES = {
@@ -39,7 +62,29 @@
     "another's body": Case(ONCE, reply(200, b"body of b2"), 1, "MIXED"),
     "a piece missing": Case(STREAM, reply(200, EVENTS[15:]), 1, "ORDER"),
     "a piece twice": Case(STREAM, reply(200, EVENTS + EVENTS), 1, "ORDER"),
-    "cut and seen to be": Case(STREAM, reply(200, EVENTS[:9], False), 1, ""),
+    "cut and seen to be": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "", TIMEOUT_S
+    ),
+    "cut before its deadline": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "WHOLE", 2.9
+    ),
+    "no answer at all": Case(REPEATABLE, reply(0, b"", False), 1, "WHOLE"),
+    "no answer, and no target reached": Case(
+        REPEATABLE, reply(0, b"", False), 0, ""
+    ),
+    "refused in part": Case(ONCE, reply(502, b"", False), 1, "WHOLE"),
+    "cut by the instance's fault": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "", 2.9, "i0"
+    ),
+    "cut by the service's fault": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "", 2.9, "chat"
+    ),
+    "cut beside a fault elsewhere": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "WHOLE", 2.9, "i1"
+    ),
+    "cut as the script says": Case(
+        STREAM, reply(200, EVENTS[:9], False), 1, "", 2.9, scripted=True
+    ),
     "whole": Case(STREAM, reply(200, EVENTS), 1, ""),
     "taken up": Case(TAKEN_UP, reply(200, EVENTS[15:]), 1, ""),
     "taken up with a piece twice": Case(
@@ -55,9 +100,15 @@
 def test_a_broken_promise_is_found(name: str) -> None:
     case = CASES[name]
     records = soak.CallerRecords()
-    records.record_attempt(case.attempt)
-    records.record_reply(case.attempt.id, case.reply)
+    begun_at = time.monotonic()
+    sent = dataclasses.replace(case.attempt, sent_at=begun_at)
+    records.record_attempt(sent)
+    if case.fault:
+        records.disturbances.begin(case.fault).end()
+    records.record_reply(sent.id, case.reply, begun_at + case.at)
     engine = standins.EngineStandin("e1")
+    if case.scripted:
+        engine.scripted.add(sent.id)
     run = standins.Run(case.attempt.id, "", {}, b"")
     engine.runs = [run] * case.runs
     violations = records.violations([engine])
@@ -76,10 +127,57 @@
     rest = reply(200, f"id: 2\ndata: x {version}\n\n".encode())
     for attempt, answer in ((began, first), (taken_up, rest)):
         records.record_attempt(attempt)
-        records.record_reply(attempt.id, answer)
+        records.record_reply(attempt.id, answer, TIMEOUT_S)
     assert len(records.violations([])) == found
 
 
+@pytest.mark.parametrize(
+    ("since", "until", "overlaps"),
+    [
+        (-2.0, -1.0, False),
+        (-2.0, 0.0, True),
+        (0.0, 1.0, True),
+        (5.0, 6.0, False),
+    ],
+)
+def test_only_a_fault_at_the_same_time_excuses(
+    since: float, until: float, overlaps: bool
+) -> None:
+    disturbances = _disturbances.Disturbances()
+    disturbance = disturbances.begin("i0")
+    begun_at = disturbance.since
+    assert disturbances.overlap("i0", begun_at + 5.0, begun_at + 6.0)
+    disturbance.end()
+    span = (begun_at + since, begun_at + until)
+    assert disturbances.overlap("i0", *span) == overlaps
+    assert not disturbances.overlap("i1", *span)
+
+
+# A silence that swallowed or changed bytes would be another fault.
+def test_a_silent_target_goes_on_with_the_exact_rest() -> None:
+    engine = standins.EngineStandin("e1", events=40)
+    proxy = _proxy.Proxy(engine.address)
+    engine.pause_s = 0.005
+    head = "POST / HTTP/1.1\r\nX-Request-Id: a1\r\nX-Token-Count: 1,1\r\n\r\n"
+    try:
+        with gevent.socket.create_connection(
+            net.split_address(proxy.address)
+        ) as sock:
+            sock.sendall(head.encode())
+            gevent.sleep(0.05)
+            proxy.silence(0.5)
+            proxy.silence(60.0)
+            gevent.sleep(0.4)
+            heard = sock.recv(65_536, socket.MSG_PEEK)
+            answer = standins.read_reply(sock)
+    finally:
+        proxy.stop()
+        engine.stop()
+    assert b"id: 40\n" not in heard
+    assert answer.complete
+    assert _checks.event_ids(answer.body) == list(range(1, 41))
+
+
 def test_a_run_that_no_caller_sent_is_found() -> None:
     engine = standins.EngineStandin("e1")
     engine.runs = [standins.Run("smuggled", "", {}, b"")]
