Soak of processes: requests on which each target crashes

Cause: no run had a request that ends each target that runs it and comes again at any instance, and nothing checked that it is kept from targets. Change: a crashing request (one path, caller and body; plain safe, plain unsafe, stream, resumable stream) comes until the faults end; targets that crash refuse connections and are back under their id and address after 1 to 3 s. CRASHED: from 3 s after the third crash more than three sends reach targets, prefills counted, sent by instances that were not paused, killed or stopped in the 3 s before. STOPPED now judges sound requests, among them some with the crashing request's path and caller. A crash excuses WHOLE in its service until the target is back. The targets with their faults get a module of their own.

--- a/agatewing/platform/soak/_callers.py
+++ b/agatewing/platform/soak/_callers.py
@@ -19,6 +19,9 @@
 REPLY_TIMEOUT_S = 4.0
 #: Pause between two requests of a caller, in seconds.
 REQUEST_PERIOD_S = 0.02
+#: Shortest and longest pause between two sends of a request on which targets
+#: crash, in seconds.
+CRASHING_PERIOD_S = (0.05, 0.4)
 #: Tokens of a short prompt, and of one that is prefilled apart.
 SHORT_TOKENS = 400
 LONG_TOKENS = 9_000
@@ -37,6 +40,19 @@
 STREAM_PATHS = frozenset(("/draft/x", "/chat/x"))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What is the same each time that a caller sends a request."""
+
+    path: str
+    #: Value of the header Authorization.
+    caller: str
+    body: bytes
+    #: Tokens of the prompt, and its last prefix block, of a stream.
+    tokens: int
+    block: str
+
+
 class _Link:
     """Connection of a caller to one instance."""
 
@@ -87,7 +103,6 @@
         while self._sending:
             gevent.sleep(REQUEST_PERIOD_S)
             number += 1
-            path = rng.choice(list(IDEMPOTENT_BY_PATH))
             name = rng.choice(list(self._addresses))
             if link is None or rng.random() < 0.3:
                 if link is not None:
@@ -95,25 +110,49 @@
                 link = self._connect(name)
             if link is None:
                 continue
-            streams = path in STREAM_PATHS
-            attempt = _checks.Attempt(
-                f"c{caller}-{number}",
-                IDEMPOTENT_BY_PATH[path],
-                EVENTS if streams else 0,
-                instance=link.instance,
-                sent_at=time.monotonic(),
-                service=STREAM_SERVICE if streams else PLAIN_SERVICE,
-            )
-            reply = self._send(link, path, attempt, rng)
+            req = self._new_request(rng, caller, f"c{caller}-{number}")
+            attempt = _new_attempt(f"c{caller}-{number}", req, link)
+            reply = self._send(link, req, attempt)
             keep_alive = reply.headers.get("connection") != "close"
             if not reply.complete or not keep_alive:
                 link.sock.close()
                 link = None
-            if path == "/chat/x" and not reply.complete:
-                self._take_up(attempt, reply, rng)
+            if req.path == "/chat/x" and not reply.complete:
+                self._take_up(req, attempt, reply, rng)
+
+    def send_crashing(self, req: Request, until: float) -> None:
+        """Send one request on which targets crash again and again.
+
+        Each time to any instance, until a monotonic time in seconds.
+        """
+        name = req.block
+        rng = random.Random(f"{self._seed}/{name}")
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            link = self._connect(rng.choice(list(self._addresses)))
+            if link is not None:
+                attempt = _new_attempt(f"{name}-{number}", req, link)
+                self._send(
+                    link, req, dataclasses.replace(attempt, crashing=name)
+                )
+                link.sock.close()
+            gevent.sleep(rng.uniform(*CRASHING_PERIOD_S))
+
+    @staticmethod
+    def _new_request(rng: random.Random, caller: int, name: str) -> Request:
+        """Return a sound request; some have the same body as others."""
+        return Request(
+            rng.choice(list(IDEMPOTENT_BY_PATH)),
+            f"Bearer c{caller}",
+            rng.choice((b"", b"text", name.encode())),
+            rng.choice((SHORT_TOKENS, LONG_TOKENS)),
+            name,
+        )
 
     def _take_up(
         self,
+        req: Request,
         began: _checks.Attempt,
         reply: standins.Reply,
         rng: random.Random,
@@ -133,7 +172,7 @@
             instance=link.instance,
             sent_at=time.monotonic(),
         )
-        self._send(link, "/chat/x", attempt, rng)
+        self._send(link, req, attempt)
         link.sock.close()
 
     def _connect(self, name: str) -> _Link | None:
@@ -147,31 +186,49 @@
         return _Link(name, sock)
 
     def _send(
-        self,
-        link: _Link,
-        path: str,
-        attempt: _checks.Attempt,
-        rng: random.Random,
+        self, link: _Link, req: Request, attempt: _checks.Attempt
     ) -> standins.Reply:
-        """Send one request; return its reply, with both recorded.
+        """Send a request; return its reply, with both recorded.
 
         A broken connection gives a reply with status 0.
         """
         fields = f"Host: {standins.HOST}\r\nX-Request-Id: {attempt.id}\r\n"
+        fields += f"Authorization: {req.caller}\r\n"
         if attempt.events:
-            tokens = LONG_TOKENS if rng.random() < 0.5 else SHORT_TOKENS
-            fields += f"X-Token-Count: {tokens},20\r\n"
-            fields += f"X-Prefix-Hash: aa:200,{attempt.id}:200\r\n"
+            fields += f"X-Token-Count: {req.tokens},20\r\n"
+            fields += f"X-Prefix-Hash: aa:200,{req.block}:200\r\n"
         if attempt.resumes:
             fields += f"Last-Event-Id: {attempt.after}\r\n"
             fields += f"Resumes: {attempt.resumes}\r\n"
-        head = f"POST {path} HTTP/1.1\r\n{fields}Content-Length: 0\r\n\r\n"
+        fields += f"Content-Length: {len(req.body)}\r\n"
+        head = f"POST {req.path} HTTP/1.1\r\n{fields}\r\n"
         self._records.record_attempt(attempt)
         link.sock.settimeout(REPLY_TIMEOUT_S)
         try:
-            link.sock.sendall(head.encode())
+            link.sock.sendall(head.encode() + req.body)
             reply = standins.read_reply(link.sock)
         except OSError:
             reply = standins.Reply(0, {}, b"", False)
         self._records.record_reply(attempt.id, reply, time.monotonic())
         return reply
+
+
+def crashing_request(path: str, name: str) -> Request:
+    """Return a request with a body of its own, for targets to crash on.
+
+    Its caller sends sound ones too.
+    """
+    return Request(path, "Bearer c0", name.encode(), SHORT_TOKENS, name)
+
+
+def _new_attempt(name: str, req: Request, link: _Link) -> _checks.Attempt:
+    """Return the attempt to send a request that begins now."""
+    streams = req.path in STREAM_PATHS
+    return _checks.Attempt(
+        name,
+        IDEMPOTENT_BY_PATH[req.path],
+        EVENTS if streams else 0,
+        instance=link.instance,
+        sent_at=time.monotonic(),
+        service=STREAM_SERVICE if streams else PLAIN_SERVICE,
+    )
--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -1,6 +1,8 @@
 """Records what callers and targets saw; finds broken promises."""
 
 import collections
+import collections.abc
+import contextlib
 import dataclasses
 
 from agatewing.platform.soak import _disturbances
@@ -11,6 +13,12 @@
 #: Time before that limit at which an instance gives up already, in seconds:
 #: twice the margin that it keeps for its last answer to arrive.
 DEADLINE_MARGIN_S = 0.03
+#: Time in which all instances must have learned which request it is that
+#: crashes targets, in seconds: the users' rule, like the two counts below.
+LEARN_S = 3.0
+#: Crashes after which that time begins, and sends allowed after it.
+CRASHES = 3
+MAX_LATE_SENDS = 3
 #: Statuses that promise that a request has not run and never will run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -35,6 +43,9 @@
     sent_at: float = 0.0
     #: Service of its route.
     service: str = ""
+    #: Request on which targets crash, by a name that its sends share; empty
+    #: for a sound one.
+    crashing: str = ""
 
 
 class CallerRecords:
@@ -46,6 +57,8 @@
         self._ended_at: dict[str, float] = {}
         #: Faults that may end the requests of an instance or of a service.
         self.disturbances = _disturbances.Disturbances()
+        #: Times in which instances did not run or were to end.
+        self.absences = _disturbances.Disturbances()
         #: Number of replies by status; 0 for connections without a reply.
         self.statuses: collections.Counter[int] = collections.Counter()
 
@@ -64,6 +77,22 @@
         self._ended_at[request_id] = at
         self.statuses[reply.status] += 1
 
+    @contextlib.contextmanager
+    def absent(
+        self, instance: str, ends_requests: bool = False
+    ) -> collections.abc.Iterator[None]:
+        """Record that an instance does not run, or is to end, meanwhile.
+
+        ``ends_requests`` says whether its requests may end by that.
+        """
+        records = [self.absences]
+        if ends_requests:
+            records.append(self.disturbances)
+        begun = [record.begin(instance) for record in records]
+        yield
+        for disturbance in begun:
+            disturbance.end()
+
     def failed(self) -> list[str]:
         """Return attempts without a complete 200 reply, with their status."""
         return [
@@ -78,8 +107,10 @@
         Each line starts with its kind: TWICE for a request that ran more
         than once, UNASKED for one that no caller sent, REFUSED for one that
         ran although its status promises that it did not, MIXED or ORDER for
-        a wrong body, STOPPED for a sound prompt that was put under quarantine,
-        WHOLE for one that had no complete answer though no fault ended it.
+        a wrong body, STOPPED for a sound request that was put under
+        quarantine, WHOLE for one that had no complete answer though no fault
+        ended it, CRASHED for one on which targets crash that was not kept
+        from them.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -105,10 +136,11 @@
                     )
             if reply.status == 200 and reply.complete:
                 violations += _wrong_body(attempt, reply)
-            if reply.body.startswith(b"quarantined"):
-                # No prompt of the soak crashes engines.
+            quarantined = reply.body.startswith(b"quarantined")
+            if quarantined and not attempt.crashing:
                 violations.append(f"STOPPED: {name} got {reply.status}")
         violations += self._unfinished(engines)
+        violations += self._late_sends(engines)
         return violations + self._mixed_versions()
 
     def _unfinished(self, engines: list[standins.EngineStandin]) -> list[str]:
@@ -143,6 +175,45 @@
             )
         return found
 
+    def _late_sends(self, engines: list[standins.EngineStandin]) -> list[str]:
+        """Return the requests that went on reaching targets that crash.
+
+        Only sends of instances count that ran in the whole time that they
+        have to learn of it.
+        """
+        crashes: dict[str, list[float]] = collections.defaultdict(list)
+        sends: dict[str, list[tuple[float, str]]] = collections.defaultdict(
+            list
+        )
+        for engine in engines:
+            for run in (*engine.prefills, *engine.runs):
+                attempt = self._attempts.get(run.id)
+                if attempt is not None and attempt.crashing:
+                    sends[attempt.crashing].append((run.at, attempt.instance))
+            # It crashes once; a target that is back is another stand-in.
+            for run in engine.runs:
+                attempt = self._attempts.get(run.id)
+                if attempt is not None and attempt.crashing:
+                    crashes[attempt.crashing].append(run.at)
+                    break
+        found = []
+        for name, times in crashes.items():
+            if len(times) < CRASHES:
+                continue
+            known_at = sorted(times)[CRASHES - 1] + LEARN_S
+            late = [
+                f"{at - known_at:.2f} s by {instance}"
+                for at, instance in sorted(sends[name])
+                if at > known_at
+                and not self.absences.overlap(instance, at - LEARN_S, at)
+            ]
+            if len(late) > MAX_LATE_SENDS:
+                found.append(
+                    f"CRASHED: {name} ended {len(times)} targets; it reached "
+                    f"them {len(late)} times after it had to be known: {late}"
+                )
+        return found
+
     def _mixed_versions(self) -> list[str]:
         """Return the streams with events of several software versions.
 
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -9,6 +9,7 @@
 import signal
 import tempfile
 import time
+import typing
 
 import gevent
 import gevent.socket
@@ -18,21 +19,17 @@
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _proxy
+from agatewing.platform.soak import _targets
 from agatewing.platform import standins
 
 Behaviour = standins.Behaviour
 
-#: Pause before each event of a stream, in seconds, so that faults meet
-#: streams under way.
-EVENT_PERIOD_S = 0.05
 #: Instances in an episode.
 INSTANCES = 3
 #: Shortest and longest time between the starts of two faults, in seconds.
 FAULT_PERIOD_S = (0.1, 0.8)
 #: Shortest and longest duration of a fault, in seconds.
 FAULT_DURATION_S = (0.2, 3.0)
-#: Shortest time for which targets fall silent, in seconds.
-MIN_SILENCE_S = 0.5
 #: Time limit for a process to stop, in seconds; longer than its own limit for
 #: an orderly stop.
 STOP_TIMEOUT_S = 10.0
@@ -41,35 +38,10 @@
 FAULT_FREE_S = 4.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetSpec:
-    """What a target publishes about itself."""
-
-    #: Service that it belongs to.
-    service: str
-    #: Role of an engine; ``None`` for a target of a plain service.
-    role: str | None
-    #: Software version.
-    version: str
-
-
 PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
-#: Targets by id.
-TARGETS = {
-    "t1": TargetSpec(PLAIN, None, "v1"),
-    "t2": TargetSpec(PLAIN, None, "v1"),
-    "e1": TargetSpec(STREAMS, "decode", "v1"),
-    "e2": TargetSpec(STREAMS, "decode", "v1"),
-    "e3": TargetSpec(STREAMS, "decode", "v2"),
-    "p1": TargetSpec(STREAMS, "prefill", "v2"),
-}
-#: Targets that fall silent together, besides single ones.
-GROUPS = (
-    ("t1", "t2"),
-    ("e1", "e2"),
-    ("e1", "e2", "e3", "p1"),
-    tuple(TARGETS),
-)
+
+#: Name of a fault, and its function, which takes its duration in seconds.
+_Fault: typing.TypeAlias = tuple[str, collections.abc.Callable[[float], None]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +81,8 @@
         self._processes: dict[str, harness.Process] = {}
         self._settings_folder = pathlib.Path()
         self._added_routes = 0
+        # Services with a request on which targets crash.
+        self._crashing: set[str] = set()
 
     def run(self) -> Verdict:
         """Run the episode and return its result."""
@@ -117,15 +91,18 @@
             self._settings_folder = pathlib.Path(folder)
             self._site = stack.enter_context(standins.Site())
             stack.callback(self._kill_processes)
+            self._targets = _targets.Targets(
+                self._seed, self._site, self._records.disturbances
+            )
+            stack.callback(self._targets.stop)
             self._start_site()
             self._inject_faults()
             gevent.sleep(FAULT_FREE_S)
-            engines = list(self._site.targets.values())
             return Verdict(
                 self._seed,
                 dict(sorted(self._records.statuses.items())),
                 tuple(self._faults),
-                tuple(self._records.violations(engines)),
+                tuple(self._records.violations(self._targets.engines)),
                 tuple(self._records.failed()),
             )
 
@@ -138,22 +115,7 @@
         add_route("/look/", "safe", PLAIN, max_attempts=3)
         add_route("/draft/", "streaming", STREAMS, sticky=True)
         add_route("/chat/", "streaming", STREAMS, sticky=True, resumable=True)
-        self._proxies: dict[str, _proxy.Proxy] = {}
-        for name, spec in TARGETS.items():
-            engine = site.add_target(
-                name, spec.service, spec.role, _callers.EVENTS
-            )
-            engine.event_suffix = f" {spec.version}"
-            engine.pause_s = EVENT_PERIOD_S
-            self._proxies[name] = _proxy.Proxy(engine.address)
-            site.announce(
-                name,
-                spec.service,
-                spec.role,
-                address=self._proxies[name].address,
-                version=spec.version,
-                seq=2,
-            )
+        self._targets.start()
         self._log_proxy = _proxy.Proxy(site.store.address)
         site.publish()
         self._settings = {
@@ -190,7 +152,7 @@
     def _inject_faults(self) -> None:
         """Run the callers and inject random faults until the duration ends."""
         begun_at = time.monotonic()
-        callers = _callers.Callers(
+        self._callers = _callers.Callers(
             self._seed,
             self._records,
             {
@@ -198,30 +160,36 @@
                 for name, settings in self._settings.items()
             },
         )
-        callers.start()
-        deadline = time.monotonic() + self._duration_s
+        self._callers.start()
+        self._deadline = begun_at + self._duration_s
         active: list[gevent.Greenlet] = []
-        while time.monotonic() < deadline:
+        while time.monotonic() < self._deadline:
             gevent.sleep(self._random.uniform(*FAULT_PERIOD_S))
             fault_s = self._random.uniform(*FAULT_DURATION_S)
-            name, fault = self._random.choice(
-                [
-                    (name, fault)
-                    for name, fault in self._possible_faults()
-                    if not self._only or name.startswith(self._only)
-                ]
-            )
+            name, fault = self._random.choice(self._drawn_faults())
             at_s = time.monotonic() - begun_at
             self._faults.append(f"{at_s:.2f} s: {name} for {fault_s:.2f} s")
             active.append(gevent.spawn(fault, fault_s))
         gevent.joinall(active)
-        callers.stop()
+        self._callers.stop()
 
-    def _possible_faults(
-        self,
-    ) -> collections.abc.Iterator[
-        tuple[str, collections.abc.Callable[[float], None]]
-    ]:
+    def _drawn_faults(self) -> list[_Fault]:
+        """Return the possible faults that the episode is limited to.
+
+        Raises ``ValueError`` if there are none.
+        """
+        possible = list(self._possible_faults())
+        drawn = [
+            fault
+            for fault in possible
+            if not self._only or fault[0].startswith(self._only)
+        ]
+        if not drawn:
+            names = "; ".join(name for name, _ in possible)
+            raise ValueError(f"no such fault, choose beginnings of: {names}")
+        return drawn
+
+    def _possible_faults(self) -> collections.abc.Iterator[_Fault]:
         """Yield the name and function of each possible fault.
 
         The order decides which fault a seed draws.
@@ -233,47 +201,56 @@
             yield f"reload {name}", functools.partial(self._reload, name)
         for mode in list(standins.StoreMode)[1:]:
             yield f"log {mode}", functools.partial(self._degrade_log, mode)
-        for target in self._proxies:
+        for target in _targets.TARGETS:
             for kind in list(_proxy.ProxyMode)[1:]:
-                fault = functools.partial(self._degrade_link, target, kind)
+                fault = functools.partial(
+                    self._targets.degrade_link, target, kind
+                )
                 yield f"link to {target} {kind}", fault
         for behaviour in list(Behaviour)[1:]:
-            fault = functools.partial(self._script_behaviour, behaviour)
+            fault = functools.partial(
+                self._targets.script_behaviour, behaviour
+            )
             yield f"targets {behaviour}", fault
         yield "configuration", self._change_configuration
-        for group in (*((name,) for name in TARGETS), *GROUPS):
+        for group in (
+            *((name,) for name in _targets.TARGETS),
+            *_targets.GROUPS,
+        ):
             names = ", ".join(group)
             yield (
                 f"silence of {names}",
-                functools.partial(self._silence, group),
+                functools.partial(self._targets.fall_silent, group),
             )
+        for path in _callers.IDEMPOTENT_BY_PATH:
+            send = functools.partial(self._send_crashing, path)
+            yield f"crashing request to {path}", send
 
     def _pause(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
-        disturbance = self._records.disturbances.begin(name)
-        process.freeze()
-        gevent.sleep(fault_s)
-        process.thaw()
-        disturbance.end()
+        with self._records.absent(name, ends_requests=True):
+            process.freeze()
+            gevent.sleep(fault_s)
+            process.thaw()
 
     def _kill(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
-        disturbance = self._records.disturbances.begin(name)
-        process.kill()
-        gevent.sleep(fault_s)
-        if self._processes[name] is process:
-            self._start(name)
-        disturbance.end()
+        with self._records.absent(name, ends_requests=True):
+            process.kill()
+            gevent.sleep(fault_s)
+            if self._processes[name] is process:
+                self._start(name)
 
     def _stop(self, name: str, fault_s: float) -> None:
         """Stop an instance in an orderly way, then start it again."""
         process = self._processes[name]
-        process.stop()
-        deadline = time.monotonic() + STOP_TIMEOUT_S
-        while process.running and time.monotonic() < deadline:
-            gevent.sleep(0.05)
-        if self._processes[name] is process:
-            self._start(name)
+        with self._records.absent(name):
+            process.stop()
+            deadline = time.monotonic() + STOP_TIMEOUT_S
+            while process.running and time.monotonic() < deadline:
+                gevent.sleep(0.05)
+            if self._processes[name] is process:
+                self._start(name)
 
     def _reload(self, name: str, fault_s: float) -> None:
         settings = {**self._settings[name], "log_level": "DEBUG"}
@@ -286,31 +263,19 @@
         gevent.sleep(fault_s)
         self._site.store.mode = standins.StoreMode.FINE
 
-    def _degrade_link(
-        self, target: str, mode: _proxy.ProxyMode, fault_s: float
-    ) -> None:
-        """Inject a network fault; CUT also closes open connections."""
-        proxy = self._proxies[target]
-        disturbance = None
-        if mode is _proxy.ProxyMode.CUT:
-            service = TARGETS[target].service
-            disturbance = self._records.disturbances.begin(service)
-        proxy.mode = mode
-        if mode is _proxy.ProxyMode.CUT:
-            proxy.break_connections()
-        gevent.sleep(fault_s)
-        proxy.mode = _proxy.ProxyMode.FINE
-        if disturbance is not None:
-            disturbance.end()
-
-    def _silence(self, names: tuple[str, ...], fault_s: float) -> None:
-        """Let targets send nothing for a time, with all connections open."""
-        for name in names:
-            self._proxies[name].silence(max(MIN_SILENCE_S, fault_s))
-
-    def _script_behaviour(self, behaviour: Behaviour, fault_s: float) -> None:
-        for engine in self._site.targets.values():
-            engine.script.append(behaviour)
+    def _send_crashing(self, path: str, fault_s: float) -> None:
+        """Send a request on which targets crash until the episode ends."""
+        streams = path in _callers.STREAM_PATHS
+        service = STREAMS if streams else PLAIN
+        if service in self._crashing:
+            return
+        self._crashing.add(service)
+        name = f"crash-{service}"
+        req = _callers.crashing_request(path, name)
+        self._site.crash_requests.add(
+            standins.CrashRequest(req.path, req.body, req.caller)
+        )
+        self._callers.send_crashing(req, self._deadline)
 
     def _change_configuration(self, fault_s: float) -> None:
         self._added_routes += 1
@@ -318,9 +283,8 @@
         self._site.publish()
 
     def _kill_processes(self) -> None:
-        """Kill the processes, also frozen ones, and stop the proxies."""
+        """Kill the processes, also frozen ones, and stop the log's proxy."""
         for process in self._processes.values():
             process.thaw()
             process.kill()
-        for proxy in (*self._proxies.values(), self._log_proxy):
-            proxy.stop()
+        self._log_proxy.stop()
--- a/agatewing/platform/soak/_proxy.py
+++ b/agatewing/platform/soak/_proxy.py
@@ -37,7 +37,8 @@
 class Proxy(standins.Loopback):
     """Forwards connections to one address."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int = 0) -> None:
+        """Listen on a port; on any free one for 0."""
         self._target = net.split_address(target)
         self.mode = ProxyMode.FINE
         # Monotonic time until which the target is silent, in seconds.
@@ -45,7 +46,7 @@
         self._random = random.Random(self._target[1])
         self._sockets: set[gevent.socket.socket] = set()
         super().__init__(
-            gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+            gevent.server.StreamServer(("127.0.0.1", port), self._serve)
         )
 
     def stop(self) -> None:
@@ -59,7 +60,7 @@
             standins.reset(sock)
         self._sockets.clear()
 
-    def silence(self, duration_s: float) -> None:
+    def fall_silent(self, length_s: float) -> None:
         """Let the target fall silent; it goes on with the exact rest.
 
         Does nothing if it was silent less than ``MIN_TALK_S`` ago, so that
@@ -67,7 +68,7 @@
         """
         now = time.monotonic()
         if now >= self._silent_until + MIN_TALK_S:
-            self._silent_until = now + duration_s
+            self._silent_until = now + length_s
 
     def _serve(self, sock: gevent.socket.socket, _: object) -> None:
         if self.mode is ProxyMode.CUT:
--- /dev/null
+++ b/agatewing/platform/soak/_targets.py
@@ -0,0 +1,162 @@
+"""Targets of an episode, each behind a proxy, and their faults."""
+
+import dataclasses
+import functools
+import random
+import time
+
+import gevent
+
+from agatewing import harness
+from agatewing.platform.soak import _callers
+from agatewing.platform.soak import _disturbances
+from agatewing.platform.soak import _proxy
+from agatewing.platform import standins
+
+#: Pause before each event of a stream, in seconds, so that faults meet
+#: streams under way.
+EVENT_PERIOD_S = 0.05
+#: Shortest and longest time after which a target that crashed is back, in
+#: seconds.
+RESTART_S = (1.0, 3.0)
+#: Time for which a target runs a request before it crashes on it, in seconds,
+#: so that others are under way there.
+CRASH_AFTER_S = 0.02
+#: Shortest time for which targets fall silent, in seconds.
+MIN_SILENCE_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSpec:
+    """What a target publishes about itself."""
+
+    #: Service that it belongs to.
+    service: str
+    #: Role of an engine; ``None`` for a target of a plain service.
+    role: str | None
+    #: Software version.
+    version: str
+
+
+PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
+#: Targets by id.
+TARGETS = {
+    "t1": TargetSpec(PLAIN, None, "v1"),
+    "t2": TargetSpec(PLAIN, None, "v1"),
+    "e1": TargetSpec(STREAMS, "decode", "v1"),
+    "e2": TargetSpec(STREAMS, "decode", "v1"),
+    "e3": TargetSpec(STREAMS, "decode", "v2"),
+    "p1": TargetSpec(STREAMS, "prefill", "v2"),
+}
+#: Targets that fall silent together, besides single ones.
+GROUPS = (
+    ("t1", "t2"),
+    ("e1", "e2"),
+    ("e1", "e2", "e3", "p1"),
+    tuple(TARGETS),
+)
+
+
+class Targets:
+    """Starts the targets, and those again that crashed."""
+
+    def __init__(
+        self,
+        seed: int,
+        site: standins.Site,
+        disturbances: _disturbances.Disturbances,
+    ) -> None:
+        self._site = site
+        self._disturbances = disturbances
+        self._random = random.Random(f"{seed}/targets")
+        #: All targets, also those that crashed.
+        self.engines: list[standins.EngineStandin] = []
+        self._proxies: dict[str, _proxy.Proxy] = {}
+        self._ports = dict(
+            zip(TARGETS, harness.free_ports(len(TARGETS)), strict=True)
+        )
+        # Ids of the targets that are to be started again.
+        self._crashed: set[str] = set()
+        self._replacements: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start all targets and publish them."""
+        for name in TARGETS:
+            self._start(name)
+
+    def stop(self) -> None:
+        """Stop the proxies; the site stops the targets."""
+        gevent.killall(self._replacements)
+        for proxy in self._proxies.values():
+            proxy.stop()
+
+    def _start(self, name: str) -> None:
+        """Start a target and its proxy, or a new one in place of a crashed.
+
+        The new one has the id and address of the old one.
+        """
+        spec = TARGETS[name]
+        engine = standins.EngineStandin(name, _callers.EVENTS)
+        engine.event_suffix = f" {spec.version}"
+        engine.pause_s = EVENT_PERIOD_S
+        engine.crash_requests = self._site.crash_requests
+        engine.crash_after_s = CRASH_AFTER_S
+        engine.crash_after_event = self._random.random() < 0.5
+        engine.on_crash = functools.partial(self._replace_crashed, name)
+        self.engines.append(engine)
+        self._site.targets[name] = engine
+        self._proxies[name] = _proxy.Proxy(engine.address, self._ports[name])
+        self._site.announce(
+            name,
+            spec.service,
+            spec.role,
+            address=self._proxies[name].address,
+            version=spec.version,
+            born=int(time.time() * 1_000),
+        )
+
+    def _replace_crashed(self, name: str) -> None:
+        """Refuse connections to a target that crashed until it is back."""
+        if name in self._crashed:
+            return
+        self._crashed.add(name)
+        self._proxies[name].stop()
+        service = TARGETS[name].service
+        disturbance = self._disturbances.begin(service)
+
+        def replace() -> None:
+            self._crashed.discard(name)
+            self._start(name)
+            disturbance.end()
+
+        after_s = self._random.uniform(*RESTART_S)
+        self._replacements.append(gevent.spawn_later(after_s, replace))
+
+    def degrade_link(
+        self, target: str, mode: _proxy.ProxyMode, fault_s: float
+    ) -> None:
+        """Inject a network fault; CUT also closes open connections."""
+        proxy = self._proxies[target]
+        disturbance = None
+        if mode is _proxy.ProxyMode.CUT:
+            service = TARGETS[target].service
+            disturbance = self._disturbances.begin(service)
+        proxy.mode = mode
+        if mode is _proxy.ProxyMode.CUT:
+            proxy.break_connections()
+        gevent.sleep(fault_s)
+        proxy.mode = _proxy.ProxyMode.FINE
+        if disturbance is not None:
+            disturbance.end()
+
+    def fall_silent(self, names: tuple[str, ...], fault_s: float) -> None:
+        """Let targets send nothing for a time, with all connections open."""
+        for name in names:
+            self._proxies[name].fall_silent(max(MIN_SILENCE_S, fault_s))
+
+    def script_behaviour(
+        self, behaviour: standins.Behaviour, fault_s: float
+    ) -> None:
+        """Let each target behave so once; the duration is not used."""
+        for engine in self._site.targets.values():
+            engine.script.append(behaviour)
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -41,6 +41,8 @@
     headers: dict[str, str]
     #: Whole body.
     body: bytes
+    #: Monotonic time at which its head arrived, in seconds.
+    at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -403,7 +405,8 @@
     for field in fields:
         name, _, value = field.partition(":")
         headers[name.lower()] = value.strip()
-    return Run(headers.get("x-request-id", ""), line, headers, b"")
+    now = EngineStandin.now()
+    return Run(headers.get("x-request-id", ""), line, headers, b"", now)
 
 
 def _send(
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -165,8 +165,8 @@
         ) as sock:
             sock.sendall(head.encode())
             gevent.sleep(0.05)
-            proxy.silence(0.5)
-            proxy.silence(60.0)
+            proxy.fall_silent(0.5)
+            proxy.fall_silent(60.0)
             gevent.sleep(0.4)
             heard = sock.recv(65_536, socket.MSG_PEEK)
             answer = standins.read_reply(sock)
@@ -178,6 +178,74 @@
     assert _checks.event_ids(answer.body) == list(range(1, 41))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashCase:
+    # Times of the sends that reach a target each, in seconds; a target
+    # crashes on those that are no prefills.
+    sends: tuple[float, ...]
+    prefills: tuple[float, ...]
+    found: bool
+    # Begin and end of an absence of the instance.
+    absence: tuple[float, float] | None = None
+
+
+CRASH_CASES = {
+    "two crashes": CrashCase((0.0, 9.0), (9.0, 9.1, 9.2, 9.3), False),
+    "three late sends": CrashCase(
+        (0.0, 0.1, 0.2, 0.3, 3.1, 3.3, 3.4, 3.5), (), False
+    ),
+    "four late sends": CrashCase(
+        (0.0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6), (), True
+    ),
+    "four late prefills": CrashCase(
+        (0.0, 0.1, 0.2), (3.3, 3.4, 3.5, 3.6), True
+    ),
+    "one by an instance away": CrashCase(
+        (0.0, 0.1, 0.2, 3.3, 3.4, 3.5, 6.6), (), False, (4.0, 4.0)
+    ),
+    "all after an instance was away": CrashCase(
+        (0.0, 0.1, 0.2, 7.3, 7.4, 7.5, 7.6), (), True, (4.0, 4.0)
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CRASH_CASES)
+def test_a_crashing_request_that_is_not_kept_away_is_found(name: str) -> None:
+    case = CRASH_CASES[name]
+    records = soak.CallerRecords()
+    engines = []
+    begun_at = time.monotonic()
+    if case.absence is not None:
+        absence = records.absences.begin("i0")
+        absence.since = begun_at + case.absence[0]
+        absence.until = begun_at + case.absence[1]
+    for number, at in enumerate(case.sends + case.prefills):
+        engine = standins.EngineStandin(f"e{number}")
+        engine.stop()
+        engines.append(engine)
+        sent = dataclasses.replace(
+            REPEATABLE, id=f"x-{number}", crashing="x", instance="i0"
+        )
+        records.record_attempt(sent)
+        run = standins.Run(sent.id, "", {}, b"", begun_at + at)
+        if number < len(case.sends):
+            engine.runs.append(run)
+        else:
+            engine.prefills.append(run)
+    violations = records.violations(engines)
+    assert [v.split(":")[0] for v in violations] == ["CRASHED"] * case.found
+
+
+@pytest.mark.parametrize(("crashing", "found"), [("", ["STOPPED"]), ("x", [])])
+def test_only_a_crashing_request_may_be_under_quarantine(
+    crashing: str, found: list[str]
+) -> None:
+    records = soak.CallerRecords()
+    records.record_attempt(dataclasses.replace(STREAM, crashing=crashing))
+    records.record_reply("a1", reply(503, b"quarantined: text\n"), 0.0)
+    assert [v.split(":")[0] for v in records.violations([])] == found
+
+
 def test_a_run_that_no_caller_sent_is_found() -> None:
     engine = standins.EngineStandin("e1")
     engine.runs = [standins.Run("smuggled", "", {}, b"")]
@@ -191,3 +259,21 @@
     verdict = soak.Episode(seed=3, duration_s=3.0).run()
     assert verdict.violations == ()
     assert verdict.statuses.get(200, 0) > 0
+
+
+# Each fault on its own meets far more requests than the mixture does.
+@pytest.mark.parametrize(
+    ("faults", "seed", "duration_s"),
+    [pytest.param("crashing", 7, 12.0, id="crashing requests")],
+)
+def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
+    faults: str, seed: int, duration_s: float
+) -> None:
+    verdict = soak.Episode(seed, duration_s, only=(faults,)).run()
+    assert verdict.violations == ()
+    assert verdict.statuses.get(200, 0) > 0
+
+
+def test_an_unknown_kind_of_fault_is_refused() -> None:
+    with pytest.raises(ValueError, match="silence of t1; "):
+        soak.Episode(3, 0.1, only=("nothing",)).run()
