Soak of processes: hold the port of a target that crashed

Cause: the port of a crashed target was free for 1 to 3 s, so that another process on the machine could take it; instances then reached a foreign server. Change: a bound socket that does not listen holds the port; it refuses connections as before.

--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -3,9 +3,11 @@
 import dataclasses
 import functools
 import random
+import socket
 import time
 
 import gevent
+import gevent.socket
 
 from agatewing import harness
 from agatewing.platform.soak import _callers
@@ -123,8 +125,14 @@
         self._proxies[name].stop()
         service = TARGETS[name].service
         disturbance = self._disturbances.begin(service)
+        # Bound but not listening: it refuses connections, and no other
+        # process takes the port meanwhile.
+        held = gevent.socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", self._ports[name]))
 
         def replace() -> None:
+            held.close()
             self._crashed.discard(name)
             self._start(name)
             disturbance.end()
