--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -264,7 +264,10 @@
 # Each fault on its own meets far more requests than the mixture does.
 @pytest.mark.parametrize(
     ("faults", "seed", "duration_s"),
-    [pytest.param("crashing", 7, 12.0, id="crashing requests")],
+    [
+        pytest.param("silence", 601, 6.0, id="silent targets"),
+        pytest.param("crashing", 7, 12.0, id="crashing requests"),
+    ],
 )
 def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
     faults: str, seed: int, duration_s: float
