Send a request on trial once

Cause: a request that is tried after its quarantine could reach a second target, by a retry after any failure but a crash, or as a hedge while the first target was silent; its trial counted for the whole attempt. Change: a trial ends with its send, and a request on trial is not hedged. Result: both cases of test_a_request_on_trial_is_sent_once failed (two sends after the third crash) and pass.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -232,6 +232,8 @@
         fingerprint=_messages.hex_key(job.req.fingerprint),
         **fields,
     )
+    # The trial of a request ends with its send.
+    job.on_trial = False
     if step is not decisions.NextStep.ANOTHER_FREE:
         job.reached_target = True
     if step is not decisions.NextStep.SAME_WITHOUT_CACHE:
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -70,6 +70,8 @@
         """Return a path to try beside silent ones; ``None`` if not allowed."""
         job, running = self._job, self._race.running()
         uncounted = sum(not path.counted for path in running)
+        if job.on_trial:
+            return None
         if job.attempts.targets + uncounted >= job.attempts.max_targets:
             return None
         now = self._ctx.clock.monotonic()
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -182,6 +182,7 @@
         targets. ``others`` says whether other paths are still awaited.
         """
         job, reason = self._job, "the prefill failed"
+        job.on_trial = False
         if self._ctx.clock.monotonic() >= job.deadline:
             raise _context.give_up_error(job, f"{reason}; no time is left")
         if others:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -131,6 +131,8 @@
 
     def _may_hedge(self, silent: list[_stream_path.StreamPath]) -> bool:
         attempts, relay = self._job.attempts, self._relay
+        if self._job.on_trial:
+            return False
         if not attempts.idempotent and self._turn.taken:
             return False
         uncounted = sum(p.sending and not p.counted for p in silent)
--- a/agatewing/platform/tests/test_crashing_requests.py
+++ b/agatewing/platform/tests/test_crashing_requests.py
@@ -199,6 +199,32 @@
         assert ask(site, instance, sound).status == 200
 
 
+# A request that was tried after its quarantine was sent to a second target
+# while the first one was silent.
+@pytest.mark.parametrize("name", ["safe", "resumable, one block"])
+def test_a_request_on_trial_is_sent_once(
+    site: standins.Site, instances: list[gateway.GatewayInstance], name: str
+) -> None:
+    bad = CASES[name]
+    crash_on(site, bad)
+    for number in range(MAX_TRIES):
+        if len(site.crashed) >= CRASHES:
+            break
+        ask(site, instances[number % 3], bad)
+        wait_for_targets(site, instances)
+        site.clock.advance(1.0)
+    assert len(site.crashed) >= CRASHES
+    before = sends_of(site, bad)
+    for _ in range(MAX_TRIES):
+        pass_time(site, 1.0)
+        for engine in site.targets.values():
+            engine.voice.fall_silent(2.2)
+        ask(site, instances[0], bad)
+        if sends_of(site, bad) > before:
+            break
+    assert sends_of(site, bad) == before + 1
+
+
 BAD = Repeated("/look/x", body=b"bad")
 BAD_STREAM = Repeated("/chat/x", ONE_BLOCK, b"bad")
 
