Recognise a request that comes with another query each time

Change: a request with a query is also a suspect without it; an answer in full to one query clears the path, but not the query on which targets crash.

--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -99,8 +99,8 @@
     prompt: Prompt | None
     #: Stream that it continues; ``None`` if it begins a new one.
     take_up: TakeUp | None = None
-    # Fingerprint once it was computed.
-    _fingerprint: int | None = dataclasses.field(
+    # Fingerprints once they were computed.
+    _fingerprints: tuple[int, ...] | None = dataclasses.field(
         default=None, init=False, repr=False, compare=False
     )
 
@@ -111,16 +111,31 @@
         That is the method, host, path and query, caller, prompt and body. It
         is computed on first use, as bodies may be large.
         """
-        if self._fingerprint is None:
-            value = decisions.fingerprint(self._repeated_parts())
-            object.__setattr__(self, "_fingerprint", value)
-            return value
-        return self._fingerprint
+        return self.fingerprints[0]
+
+    @property
+    def fingerprints(self) -> tuple[int, ...]:
+        """The fingerprint, and if there is a query, the one without it.
 
-    def _repeated_parts(self) -> collections.abc.Iterator[bytes]:
+        Callers may add a query that changes nothing, or another each time.
+        """
+        if self._fingerprints is None:
+            path, mark, _ = self.target.partition(b"?")
+            targets = (self.target, path) if mark else (self.target,)
+            values = tuple(
+                decisions.fingerprint(self._repeated_parts(target))
+                for target in targets
+            )
+            object.__setattr__(self, "_fingerprints", values)
+            return values
+        return self._fingerprints
+
+    def _repeated_parts(
+        self, target: bytes
+    ) -> collections.abc.Iterator[bytes]:
         yield self.method
         yield _routes.plain_host(self.host).encode("latin-1")
-        yield self.target
+        yield target
         for name, value in self.headers:
             if name.lower() in _CALLER_HEADERS:
                 yield name.lower()
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -123,13 +123,19 @@
                 return HeldBlock(block, left_s)
         if on_trial:
             return None
-        left_s = self._requests.quarantine_left_s(req.fingerprint, now)
+        left_s = max(
+            self._requests.quarantine_left_s(key, now)
+            for key in req.fingerprints
+        )
         return HeldRequest(left_s) if left_s > 0 else None
 
     def begin_trial(self, req: _messages.CallerRequest) -> bool:
         """Record that a request is sent; return whether this is a trial."""
         now = self._clock.monotonic()
-        if not self._requests.begin_trial(req.fingerprint, now):
+        begun = [
+            self._requests.begin_trial(key, now) for key in req.fingerprints
+        ]
+        if not any(begun):
             return False
         self._changed.set()
         return True
@@ -138,7 +144,7 @@
         """Record a request that a target answered in full."""
         now = self._clock.monotonic()
         self._blocks.record_served(_block_keys(req), now)
-        self._requests.record_served((req.fingerprint,), now)
+        self._requests.record_served(req.fingerprints, now)
         if self._requests.has_news:
             self._changed.set()
 
@@ -163,7 +169,7 @@
             return None
         if self._blocks.is_cleared(
             _block_keys(req), now
-        ) and self._requests.is_cleared((req.fingerprint,), now):
+        ) and self._requests.is_cleared(req.fingerprints, now):
             return None
         return gevent.spawn(self._check, req, target)
 
@@ -184,9 +190,9 @@
                 failed = False
             case _:
                 failed = events <= MAX_EVENTS
-        self._requests.end_trial(
-            req.fingerprint, target.key, failed, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        for key in req.fingerprints:
+            self._requests.end_trial(key, target.key, failed, now)
         if self._requests.has_news:
             self._changed.set()
 
@@ -203,7 +209,7 @@
         now = self._clock.monotonic()
         return self._blocks.may_be_sent_again(
             _block_keys(req), now
-        ) and self._requests.may_be_sent_again((req.fingerprint,), now)
+        ) and self._requests.may_be_sent_again(req.fingerprints, now)
 
     def _check(
         self, req: _messages.CallerRequest, target: _contracts.Target
@@ -226,9 +232,7 @@
             self._blocks.record_crash(_block_keys(req), engine, prompt, now)
         )
         self._log_requests(
-            self._requests.record_crash(
-                (req.fingerprint,), engine, prompt, now
-            )
+            self._requests.record_crash(req.fingerprints, engine, prompt, now)
         )
         self._changed.set()
 
--- a/agatewing/platform/tests/test_crashing_requests.py
+++ b/agatewing/platform/tests/test_crashing_requests.py
@@ -225,6 +225,43 @@
     assert sends_of(site, bad) == before + 1
 
 
+# A request that came with another query each time counted as a new one.
+def test_a_request_with_changing_queries_is_kept_from_targets(
+    site: standins.Site, instances: list[gateway.GatewayInstance]
+) -> None:
+    variants = [
+        Repeated(f"/look/x?page={n}", body=b"bad") for n in range(MAX_TRIES)
+    ]
+    for variant in variants:
+        crash_on(site, variant)
+    late = 0
+    for number, variant in enumerate(variants):
+        known = len(site.crashed) >= CRASHES
+        ask(site, instances[number % 3], variant)
+        late += known and sends_of(site, variant) > 0
+        wait_for_targets(site, instances)
+        pass_time(site, 1.0)
+    assert len(site.crashed) >= CRASHES
+    assert late <= MAX_LATE_SENDS
+
+
+# An answer to one query clears the path, but not the query that crashes.
+def test_other_queries_of_a_path_are_served(
+    site: standins.Site, instances: list[gateway.GatewayInstance]
+) -> None:
+    bad = Repeated("/look/x?page=bad", body=b"same")
+    sound = Repeated("/look/x?page=sound", body=b"same")
+    for instance in instances:
+        assert ask(site, instance, sound).status == 200
+    crash_on(site, bad)
+    for number in range(6):
+        ask(site, instances[number % 3], bad)
+        wait_for_targets(site, instances)
+        site.clock.advance(1.0)
+        assert ask(site, instances[number % 3], sound).status == 200
+    assert len(site.crashed) <= CRASHES + MAX_LATE_SENDS
+
+
 BAD = Repeated("/look/x", body=b"bad")
 BAD_STREAM = Repeated("/chat/x", ONE_BLOCK, b"bad")
 
