Try no further engine on a prompt that crashed two beside a silent one

Cause: a path that failed while a silent one was open ended without a look at its check, and the next hedge asked only for the retry budget, so one request crashed an engine every 0.5 s up to its attempts. Change: a hedge waits for the last check, and none follows once the request may not be sent again.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -94,6 +94,8 @@
     queued: bool = False
     #: Whether it is sent to find out if targets still crash on it.
     on_trial: bool = False
+    #: Last check of a failed send: whether it crashed its engine.
+    check: gevent.Greenlet | None = None
 
     @property
     def maybe_ran(self) -> bool:
@@ -153,6 +155,20 @@
     return ctx.budget.try_spend(job.service, now)
 
 
+def may_hedge(ctx: HandlerContext, job: Job) -> bool:
+    """Return whether a request may be tried beside silent targets.
+
+    Nothing is tried while a failed send may have crashed its engine.
+    """
+    check = job.check
+    if check is not None:
+        if not check.ready():
+            return False
+        if not ctx.quarantine.may_be_sent_again(job.req, check):
+            return False
+    return ctx.budget.allows_retry(job.service, ctx.clock.monotonic())
+
+
 def check_quarantine(
     ctx: HandlerContext, job: Job, sending: bool = True
 ) -> None:
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -74,8 +74,7 @@
             return None
         if job.attempts.targets + uncounted >= job.attempts.max_targets:
             return None
-        now = self._ctx.clock.monotonic()
-        if not self._ctx.budget.allows_retry(job.service, now):
+        if not _context.may_hedge(self._ctx, job):
             return None
         for path in running:
             path.mark_silent()
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -103,6 +103,8 @@
             check = self._ctx.quarantine.check_break(
                 job.req, tracked.target, outcome
             )
+            if check is not None:
+                job.check = check
             _context.prepare_retry(
                 self._ctx,
                 job,
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -141,8 +141,7 @@
         last_event_id = self._ctx.dialect.last_event_id
         if relay.event_count and last_event_id(relay.last_event) is None:
             return False
-        now = self._ctx.clock.monotonic()
-        return self._ctx.budget.allows_retry(self._job.service, now)
+        return _context.may_hedge(self._ctx, self._job)
 
     def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
         """Bind the stream to the version of the engine of its first event.
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -343,6 +343,8 @@
         check = self._ctx.quarantine.check_break(
             self._job.req, tracked.target, outcome, self._events
         )
+        if check is not None:
+            self._job.check = check
         match outcome:
             case _messages.TimedOut() | _messages.Unknown():
                 tracked.record_no_answer()
--- a/agatewing/platform/tests/test_crashing_prompts.py
+++ b/agatewing/platform/tests/test_crashing_prompts.py
@@ -16,6 +16,9 @@
 #: engines after it; both are the users' rule.
 CRASHES = 5
 MAX_LATE_SENDS = 3
+#: Engines that one request may crash: its first and one more, besides one
+#: that was silent.
+MAX_CRASHES_OF_ONE = 3
 #: Tries of one test to get so many crashes.
 MAX_TRIES = 40
 
@@ -145,3 +148,29 @@
         for number in range(6)
     ]
     assert [reply.status for reply in replies] == [200] * len(replies)
+
+
+# Beside a silent engine, further ones were tried though the request had
+# crashed those before.
+@pytest.mark.parametrize("path", ["/chat/y", "/look/y"])
+def test_a_silent_engine_lets_a_prompt_crash_no_more_engines(
+    path: str,
+) -> None:
+    with standins.Site() as made:
+        made.route("/chat/", "streaming", max_attempts=6, sticky=True)
+        made.routes[-1]["resumable"] = True
+        made.route("/look/", "safe", max_attempts=6, timeout_ms=6_000)
+        for number in range(6):
+            made.add_target(f"e{number}")
+        made.publish()
+        instance = made.start()
+        made.wait(lambda: len(instance.catalog.targets) == 6)
+        made.wait(lambda: instance.lifecycle.ready)
+        made.crash_blocks.add("bad")
+        # 8,000 queued tokens make the silent engine the first choice.
+        for name in ("e1", "e2", "e3", "e4", "e5"):
+            instance.registry.by_id[name].record_sent(8_000)
+            instance.registry.by_id[name].in_flight += 4
+        made.targets["e0"].voice.fall_silent(6.5)
+        ask(made, instance, path, "bad")
+        assert len(made.crashed) <= MAX_CRASHES_OF_ONE
