Wait for the refusals of all requests at the stop limit

Cause: the process ended 50 ms after it had begun to refuse what was under way; the requests that it had not reached by then ended without an answer.

--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -24,6 +24,9 @@
 BACKLOG = 1_024
 #: Interval at which a stopping process checks whether it may end, in seconds.
 STOP_POLL_S = 0.05
+#: Longest time for the refusals at the stop limit, in seconds; the rest of
+#: ``EXIT_RESERVE_S`` is left for the process to exit.
+REFUSE_LIMIT_S = 0.3
 #: Largest number of connections that linger after their last answer; further
 #: ones are closed at once.
 MAX_LINGERING = 256
@@ -315,5 +318,7 @@
         clock.sleep(STOP_POLL_S)
     given_up = server.open_count
     server.stop_requests()
-    clock.sleep(STOP_POLL_S)
+    refuse_until = clock.monotonic() + REFUSE_LIMIT_S
+    while server.open_count and clock.monotonic() < refuse_until:
+        clock.sleep(STOP_POLL_S)
     return given_up
--- a/agatewing/platform/tests/test_stops.py
+++ b/agatewing/platform/tests/test_stops.py
@@ -167,3 +167,21 @@
         assert reply.headers["connection"] == "close"
     stopping.join()
     assert stopping.value
+
+
+# A fixed time was left for the refusals, which many requests exceeded.
+def test_a_stop_waits_until_all_requests_are_refused(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    count = 300
+    site.targets["t1"].script.extend([Behaviour.HANG] * count)
+    callers = []
+    for _ in range(count):
+        callers.append(site.connect(instance))
+        callers[-1].sendall(request("/pay/x"))
+    site.wait(lambda: instance.lifecycle.in_flight == count)
+    assert not instance.stop()
+    # Whatever is left is lost with the process.
+    assert instance.lifecycle.in_flight == 0
+    for sock in callers:
+        sock.close()
