Limit the time without progress of a write, not the whole write

Cause: ten seconds were allowed for a whole answer, so a large one was cut off while its caller was reading it. Change: the limit is for each part that the socket takes. Result: the new test failed with "write timed out" and passes, as the tests of the log lines of callers that do not read do.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -20,7 +20,7 @@
 
 _log = logging.getLogger("agatewing.caller")
 
-#: Timeout of a write to a caller that does not read, in seconds; callers
+#: Time without progress of a write to a caller, in seconds; callers
 #: abandon a stream after two seconds or more without an event, see
 #: ``Route.patience_s``.
 WRITE_TIMEOUT_S = 10.0
@@ -294,10 +294,12 @@
         if not data:
             return
         try:
-            with gevent.Timeout(
-                WRITE_TIMEOUT_S, TimeoutError("write timed out")
-            ):
-                self._sock.sendall(data)
+            unsent = memoryview(data)
+            while unsent:
+                with gevent.Timeout(
+                    WRITE_TIMEOUT_S, TimeoutError("write timed out")
+                ):
+                    unsent = unsent[self._sock.send(unsent) :]
         except TimeoutError as exc:
             raise CallerNotReadingError(str(exc)) from exc
         except OSError as exc:
