--- a/agatewing/gateway/_stream_engines.py
+++ b/agatewing/gateway/_stream_engines.py
@@ -48,12 +48,13 @@
         # Whether the stream was resumed on the engine that broke it off.
         self._sent_back = False
 
-    def reroute(self) -> decisions.Route:
+    def reroute(self, wait: bool = True) -> decisions.Route:
         """Return a new route for the whole request, prompt included.
 
-        Raises :class:`GatewayRefusedError` if no engine has room in time.
+        ``wait`` says whether to wait for an engine with room. Raises
+        :class:`GatewayRefusedError` if no engine has room in time.
         """
-        for _ in self._poll_pool():
+        for _ in self._poll_pool(wait):
             route = self.pool.router.choose(
                 self.profile,
                 self.pool.loads(),
@@ -64,14 +65,14 @@
         raise _context.give_up_error(self._job, "no other engine has room")
 
     def wait_for_decode_engine(
-        self, prefill: _prefill.Prefill
+        self, prefill: _prefill.Prefill, wait: bool = True
     ) -> _tracked_target.TrackedTarget:
-        """Return an engine to decode on, waiting for one with room.
+        """Return an engine to decode on, if ``wait`` once one has room.
 
         That engine also prefills the prompt if no KV cache of ``prefill`` is
         to be fetched. Raises :class:`GatewayRefusedError` if there is none.
         """
-        for _ in self._poll_pool():
+        for _ in self._poll_pool(wait):
             if not self._can_be_decoded():
                 break
             tracked = self._find_decode_engine(prefill)
@@ -81,8 +82,8 @@
             self._job, "no engine that decodes is left"
         )
 
-    def _poll_pool(self) -> collections.abc.Iterator[None]:
-        """Yield at once, then periodically up to ``REROUTE_TIMEOUT_S``.
+    def _poll_pool(self, wait: bool) -> collections.abc.Iterator[None]:
+        """Yield at once; to wait, periodically up to ``REROUTE_TIMEOUT_S``.
 
         Ends then, or at the deadline; if all engines are still full, the
         request is refused instead of being queued.
@@ -94,7 +95,7 @@
         while True:
             self.pool.refresh(clock.monotonic())
             yield
-            if clock.monotonic() >= give_up_at:
+            if not wait or clock.monotonic() >= give_up_at:
                 return
             clock.sleep(REROUTE_POLL_S)
 
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -160,14 +160,16 @@
         own; if it is not, one engine prefills and decodes.
         """
         engines = self._engines
+        # A hedge that finds no room is tried again periodically.
+        wait = not (self._hedge and self._others())
         route, self._route = self._route, None
         if route is not None:
             return self._prepare_decode_engine(route)
         if self._relay.event_count or self.prefill.unfetched_cache is not None:
-            tracked = engines.wait_for_decode_engine(self.prefill)
+            tracked = engines.wait_for_decode_engine(self.prefill, wait)
             self._pay_for_hedge()
             return tracked
-        route = engines.reroute()
+        route = engines.reroute(wait)
         sent_before = self._job.attempts.targets > 0
         self._pay_for_hedge()
         separate_prefill = isinstance(route, decisions.Split)
--- a/agatewing/platform/tests/test_silent_targets.py
+++ b/agatewing/platform/tests/test_silent_targets.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 
+from agatewing.gateway import _target_registry
 from agatewing.platform import standins
 from agatewing.platform.tests import _silences
 
@@ -18,6 +19,8 @@
 Kind = _silences.Kind
 Place = standins.Place
 LONG_S = (1.0, 3.0)
+#: Largest number of looks for an engine with room in 2.2 s of silence.
+MAX_LOOKS = 8
 SILENCES = {
     "resumable, head": _silences.table(Kind.RESUMABLE, Place.HEAD),
     "resumable, first event": _silences.table(
@@ -278,3 +281,32 @@
     assert [(r.status, r.complete, r.body) for r in replies] == [
         (200, True, _silences.EVENTS)
     ] * 5
+
+
+# Each stream looked for room 25 times a second as long as its engine was
+# silent, which took most of an instance's processor time.
+def test_a_silent_stream_seldom_looks_for_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    case = Case(Kind.RESUMABLE, Place.HEAD, 2.2)
+    looks: list[str] = []
+    refresh = _target_registry.Pool.refresh
+
+    def count(pool: _target_registry.Pool, now: float) -> None:
+        looks.append(pool.name)
+        refresh(pool, now)
+
+    with standins.Site() as site:
+        _silences.build(site, case)
+        instance = site.start()
+        _silences.wait_until_ready(site, instance, 2)
+        _silences.plan_silence(site, case)
+        instance.registry.by_id["e2"].mark_role_change(9.0)
+        monkeypatch.setattr(_target_registry.Pool, "refresh", count)
+        headers = {
+            "X-Token-Count": "40,20",
+            "X-Prefix-Hash": "aa:20,bb:20",
+        }
+        reply = site.ask(instance, "/chat/x", "a1", headers)
+    assert reply.body == _silences.EVENTS
+    assert 2 <= len(looks) <= MAX_LOOKS
