Exchange evidence against requests without an infinite age

Cause: suspects got the age of their last trial, infinite without one. JSON has no infinity, so evidence of other instances of the own interface failed to decode and was ignored: each instance learned for itself, and four of them ran a request that crashes its targets 12 times, where 6 are allowed. Change: the message holds only the fields that the interface uses.

--- a/agatewing/entry/_crashes.py
+++ b/agatewing/entry/_crashes.py
@@ -34,10 +34,22 @@
 MAX_REPORTED = 32
 
 
+class _Suspect(msgspec.Struct, frozen=True):
+    """Fields of a ``SuspectReport`` without those of trials.
+
+    Requests are not tried on this interface, and JSON has no infinity.
+    """
+
+    key: int
+    engines: frozenset[int]
+    prompts: frozenset[int]
+    age_s: float
+
+
 class _Evidence(msgspec.Struct, frozen=True):
     """Evidence against whole requests, as instances exchange it."""
 
-    suspects: tuple[decisions.SuspectReport, ...] = ()
+    suspects: tuple[_Suspect, ...] = ()
     served: tuple[decisions.ServedReport, ...] = ()
 
 
@@ -87,7 +99,17 @@
         now = self._clock.monotonic()
         return msgspec.json.encode(
             _Evidence(
-                tuple(self._requests.take_reports(now, MAX_REPORTED)),
+                tuple(
+                    _Suspect(
+                        report.key,
+                        report.engines,
+                        report.prompts,
+                        report.age_s,
+                    )
+                    for report in self._requests.take_reports(
+                        now, MAX_REPORTED
+                    )
+                ),
                 tuple(self._requests.take_served(now, MAX_REPORTED)),
             )
         )
@@ -100,7 +122,10 @@
         evidence = _evidence_decoder.decode(data)
         now = self._clock.monotonic()
         for suspect in evidence.suspects[:MAX_REPORTED]:
-            self._requests.merge(suspect, now)
+            report = decisions.SuspectReport(
+                suspect.key, suspect.engines, suspect.prompts, suspect.age_s
+            )
+            self._requests.merge(report, now)
         for served in evidence.served[:MAX_REPORTED]:
             self._requests.merge_served(served, now)
 
