Send reads of the log again if their connection closes

Cause: the HTTP client no longer sends any call twice, so that a call which ends its target is not repeated. Change: clients of the log and of the instance list ask for the second send, those of targets do not.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -259,7 +259,14 @@
         connections: int = MAX_CONNECTIONS,
         body_timeout_s: float | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        resend: bool = False,
     ) -> None:
+        """Create a client of one address.
+
+        ``resend`` says whether a call of an idempotent method is sent again
+        if its connection closes before the head. A call that may end the
+        process that it reaches must not be.
+        """
         #: IP number and port.
         self.address = address
         self._piece_timeout_s = silence_timeout_s + PIECE_TIMEOUT_S
@@ -288,9 +295,9 @@
             connection_timeout=connect_timeout_s,
             network_timeout=silence_timeout_s,
         )
-        # The library sends a call again ``size + 1`` times if its connection
-        # closes before the head and the method is idempotent.
-        self._client._connection_pool.size = -1
+        if not resend:
+            # The library sends such a call again ``size + 1`` times.
+            self._client._connection_pool.size = -1
 
     def open(
         self,
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -92,6 +92,7 @@
                 connections=1,
                 body_timeout_s=BODY_TIMEOUT_S,
                 max_answer_bytes=MAX_ANSWER_BYTES,
+                resend=True,
             )
             for topic in gateway.Topic
         }
--- a/agatewing/platform/tests/test_log_answers.py
+++ b/agatewing/platform/tests/test_log_answers.py
@@ -2,6 +2,8 @@
 
 import struct
 
+import gevent.server
+import gevent.socket
 import pytest
 
 from agatewing import gateway
@@ -23,3 +25,28 @@
     record = gateway.KeyedRecord("key", b"vv")
     page = platform.decode_read(HEADER + RECORD + RECORD, 5)
     assert page == gateway.Page((record, record), 7)
+
+
+# A read ended with its connection when the log closed that, though another
+# connection would have served it; instances kept an old configuration.
+def test_a_read_is_sent_again_if_its_connection_closes() -> None:
+    page = HEADER + RECORD + RECORD
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(page)
+    connections: list[gevent.socket.socket] = []
+
+    def serve(sock: gevent.socket.socket, _: object) -> None:
+        connections.append(sock)
+        sock.recv(65_536)
+        if len(connections) > 1:
+            sock.sendall(answer + page)
+        sock.close()
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    log = platform.connect(f"127.0.0.1:{server.server_port}").log
+    try:
+        read = log.read(gateway.Topic.CONFIGURATION, 5)
+    finally:
+        server.stop(timeout=0)
+    assert isinstance(read, gateway.Page)
+    assert len(connections) == 2
--- a/agatewing/platform_services/_instance_list.py
+++ b/agatewing/platform_services/_instance_list.py
@@ -38,7 +38,9 @@
 
     def __init__(self, url: str) -> None:
         self._client = net.HttpClient(
-            url.removeprefix("http://").rstrip("/"), silence_timeout_s=2.0
+            url.removeprefix("http://").rstrip("/"),
+            silence_timeout_s=2.0,
+            resend=True,
         )
 
     def read(self) -> InstanceList:
--- a/agatewing/platform_services/_log_client.py
+++ b/agatewing/platform_services/_log_client.py
@@ -55,6 +55,7 @@
             url.removeprefix("http://").rstrip("/"),
             connect_timeout_s=1.0,
             silence_timeout_s=SILENCE_TIMEOUT_S,
+            resend=True,
         )
 
     def append(self, stream: str, body: str) -> int:
