Name target and request line of a run that no caller sent

Cause: the soak's line for such a run showed only the request id. A run without an id left an empty place there, so a report could not tell an instance's own request from one of another process. Change: the line names the target and shows the first line of the request; each such run has its own line. The test is a table with and without an id and compares the whole line, where the one before compared id and kind.

--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -123,9 +123,10 @@
             and not self._attempts[name].idempotent
         ]
         violations += [
-            f"UNASKED: {name} ran"
-            for name in runs
-            if name not in self._attempts
+            f"UNASKED: {run.id!r} ran at {engine.name}: {run.line}"
+            for engine in engines
+            for run in engine.runs
+            if run.id not in self._attempts
         ]
         for name, reply in self._replies.items():
             attempt = self._attempts[name]
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -246,13 +246,29 @@
     assert [v.split(":")[0] for v in records.violations([])] == found
 
 
-def test_a_run_that_no_caller_sent_is_found() -> None:
+@pytest.mark.parametrize(
+    ("request_id", "line", "violation"),
+    [
+        (
+            "smuggled",
+            "POST /pay/x HTTP/1.1",
+            "UNASKED: 'smuggled' ran at e1: POST /pay/x HTTP/1.1",
+        ),
+        (
+            "",
+            "GET /-/ready HTTP/1.1",
+            "UNASKED: '' ran at e1: GET /-/ready HTTP/1.1",
+        ),
+    ],
+    ids=["with an id", "without an id"],
+)
+def test_a_run_that_no_caller_sent_is_found(
+    request_id: str, line: str, violation: str
+) -> None:
     engine = standins.EngineStandin("e1")
-    engine.runs = [standins.Run("smuggled", "", {}, b"")]
+    engine.runs = [standins.Run(request_id, line, {}, b"")]
     engine.stop()
-    assert soak.CallerRecords().violations([engine]) == [
-        "UNASKED: smuggled ran"
-    ]
+    assert soak.CallerRecords().violations([engine]) == [violation]
 
 
 def test_a_short_seeded_soak_of_processes_breaks_no_promise() -> None:
