Lease the loopback ports of tests until their owner ends

Cause: free_ports looked for ports that were free at that moment, and children opened them a good part of a second later. Searches of processes begin 211 ports apart for successive pids, so those of two test workers can meet; each then got the other's ports, and the targets of one soak met the requests of another. Change: PortLease binds each port without listening until its owner is closed, so no other lease gets it, while the owner's processes may open it again and again. Deployment, Site, the soak's targets and the entry's tests take all their ports from it; the soak needs no hold of its own any more.

--- a/agatewing/entry/tests/test_silent_targets.py
+++ b/agatewing/entry/tests/test_silent_targets.py
@@ -94,6 +94,7 @@
             name: Silence() for name in (*ENGINES[:engines], *TARGETS)
         }
         self._call_s = call_s
+        self._ports = harness.PortLease()
         #: Port and application of each target, by name.
         self.applications: dict[str, tuple[int, net.Application]] = {}
         self.services: list[service.ServiceServer] = []
@@ -156,7 +157,7 @@
         )
 
     def _start_instance(self, name: str) -> _compose.Instance:
-        caller, admin, peer = harness.free_ports(3)
+        caller, admin, peer = self._ports.take(3)
         settings = config.Settings(
             name, "z", "127.0.0.1", caller, admin, peer,
             "http://127.0.0.1:1", "http://127.0.0.1:1", "s" * 16, "s" * 16,
@@ -245,6 +246,7 @@
             instance.stop()
         for server in self.servers.values():
             server.stop(timeout=0)
+        self._ports.close()
 
 
 def _is_ready(instance: _compose.Instance) -> bool:
--- a/agatewing/harness/__init__.py
+++ b/agatewing/harness/__init__.py
@@ -7,5 +7,5 @@
 from agatewing.harness._load import AtMostOnceResult
 from agatewing.harness._load import GenerationResult
 from agatewing.harness._load import LoadClient
-from agatewing.harness._processes import free_ports
+from agatewing.harness._ports import PortLease
 from agatewing.harness._processes import Process
--- a/agatewing/harness/_deployment.py
+++ b/agatewing/harness/_deployment.py
@@ -13,6 +13,7 @@
 from agatewing import _admin_client
 from agatewing import _exceptions
 from agatewing import config
+from agatewing.harness import _ports
 from agatewing.harness import _processes
 from agatewing import net
 
@@ -77,10 +78,11 @@
         self._setting_overrides = settings or {}
         self._role_change_s = role_change_s
         self._engine_speed = engine_speed
-        self.document = _with_free_ports(parsed.ok_value)
+        self._lease = _ports.PortLease()
+        self.document = _with_ports(parsed.ok_value, self._lease)
         self.tokens = _caller_tokens(self.document)
         self.version = 0
-        log_port, list_port, weights_port = _processes.free_ports(3)
+        log_port, list_port, weights_port = self._lease.take(3)
         self.log_address = f"{HOST}:{log_port}"
         self.list_address = f"{HOST}:{list_port}"
         self.weights_address = f"{HOST}:{weights_port}"
@@ -120,7 +122,7 @@
         for index in range(instances):
             name = f"entry-{index + 1}"
             self.zones[name] = zones[index % len(zones)]
-            self.ports[name] = Ports(*_processes.free_ports(3))
+            self.ports[name] = Ports(*self._lease.take(3))
             self.instances[name] = self._instance_process(name)
 
     def __enter__(self) -> "Deployment":
@@ -294,6 +296,7 @@
         for process in processes:
             if process.wait(2.0) is None:
                 process.kill()
+        self._lease.close()
         self._dir.cleanup()
 
     def _instance_process(self, name: str) -> _processes.Process:
@@ -368,10 +371,12 @@
     )
 
 
-def _with_free_ports(document: config.Document) -> config.Document:
-    """Return the document with free loopback ports for all targets."""
+def _with_ports(
+    document: config.Document, lease: _ports.PortLease
+) -> config.Document:
+    """Return the document with loopback ports for all targets."""
     count = len(document.engines) + len(document.targets)
-    ports = iter(_processes.free_ports(count))
+    ports = iter(lease.take(count))
     engines = {
         name: msgspec.structs.replace(e, address=f"{HOST}:{next(ports)}")
         for name, e in document.engines.items()
--- a/agatewing/harness/_processes.py
+++ b/agatewing/harness/_processes.py
@@ -1,48 +1,16 @@
 """Child processes, which are signalled by their pid only."""
 
-import itertools
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
-#: Ports for deployments; below the kernel's range for outgoing connections.
-FIRST_PORT = 10_000
-PORT_COUNT = 20_000
-#: Distance between the first ports of processes with successive pids.
-PORT_STRIDE = 211
-
-_next_port = itertools.count(os.getpid() * PORT_STRIDE)
-
 #: Longest wait for a killed process to exit, in seconds.
 EXIT_TIMEOUT_S = 10.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return distinct loopback ports that are free now, for TCP and UDP.
-
-    They lie below the range from which the kernel takes ports of outgoing
-    connections. Each process starts its search at another port.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = FIRST_PORT + next(_next_port) % PORT_COUNT
-        with (
-            socket.socket() as sock,
-            socket.socket(type=socket.SOCK_DGRAM) as datagram_sock,
-        ):
-            try:
-                sock.bind(("127.0.0.1", port))
-                datagram_sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
-
-
 class Process:
     """A Python module that runs as a child process."""
 
--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -3,13 +3,10 @@
 import dataclasses
 import functools
 import random
-import socket
 import time
 
 import gevent
-import gevent.socket
 
-from agatewing import harness
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _proxy
@@ -75,7 +72,7 @@
         self.engines: list[standins.EngineStandin] = []
         self._proxies: dict[str, _proxy.Proxy] = {}
         self._ports = dict(
-            zip(TARGETS, harness.free_ports(len(TARGETS)), strict=True)
+            zip(TARGETS, site.ports.take(len(TARGETS)), strict=True)
         )
         # Ids of the targets that are to be started again.
         self._crashed: set[str] = set()
@@ -125,14 +122,8 @@
         self._proxies[name].stop()
         service = TARGETS[name].service
         disturbance = self._disturbances.begin(service)
-        # Bound but not listening: it refuses connections, and no other
-        # process takes the port meanwhile.
-        held = gevent.socket.socket()
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind(("127.0.0.1", self._ports[name]))
 
         def replace() -> None:
-            held.close()
             self._crashed.discard(name)
             self._start(name)
             disturbance.end()
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -108,6 +108,8 @@
 
     def __init__(self, settings: dict[str, typing.Any] | None = None) -> None:
         self.store = _store.StoreStandin()
+        #: Ports of instances and of targets that keep theirs.
+        self.ports = harness.PortLease()
         #: Engines and plain targets, by id.
         self.targets: dict[str, _engine.EngineStandin] = {}
         #: Log client of each instance, by its name.
@@ -139,6 +141,7 @@
         for engine in self.targets.values():
             engine.stop()
         self.store.stop()
+        self.ports.close()
 
     def add_target(
         self,
@@ -253,18 +256,21 @@
         return self._version
 
     def settings(self, name: str, log_address: str) -> dict[str, typing.Any]:
-        """Return settings of an instance, with free ports."""
+        """Return settings of an instance, with ports of its own."""
         return {
             "instance": name,
             "zone": "z1",
-            "caller_address": _free_address(),
-            "ready_address": _free_address(),
-            "peer_address": _free_address(),
+            "caller_address": self._new_address(),
+            "ready_address": self._new_address(),
+            "peer_address": self._new_address(),
             "log_address": log_address,
             "peer_secret": "secret of the stand-ins",
             **self._settings,
         }
 
+    def _new_address(self) -> str:
+        return f"127.0.0.1:{self.ports.take(1)[0]}"
+
     def start(self, name: str = "i1") -> gateway.GatewayInstance:
         """Start an instance; it may not be ready yet when this returns."""
         raw = self.settings(name, self.store.address)
@@ -361,8 +367,3 @@
                 return Reply(status, headers, body, True)
             elif isinstance(event, h11.ConnectionClosed):
                 return Reply(status, headers, body, False)
-
-
-def _free_address() -> str:
-    """Return a loopback address with a port that is free at present."""
-    return f"127.0.0.1:{harness.free_ports(1)[0]}"
