Wait at a stop for callers that still read their answer

Cause: drain waited for connections with a request only. Those that linger after their last answer, because their callers are still sending, were reset when the process ended, and the answer was lost with them.

Change: drain also waits for lingering connections, up to the stop limit and, for refusals at the limit, within the time that is reserved for them. They do not count as given up, as their answer was sent.

Measured (test_stops.py): a caller that goes on sending for 0.5 s after a stop: before, the stop had ended while it was sending, whether it was refused 0.0 or 0.4 s after the stop; now the stop ends after the caller has read its 400.

--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -95,6 +95,11 @@
         """Number of connections, without those that linger."""
         return len(self._conns)
 
+    @property
+    def in_use(self) -> bool:
+        """Whether any connection is open, those that linger included."""
+        return bool(self._conns) or self.lingering > 0
+
     def stop_requests(self) -> None:
         """Refuse all requests without an answer and cut off the others."""
         for conn in list(self._conns):
@@ -304,7 +309,9 @@
     """Drain the server; return the number of connections given up.
 
     At the stop limit, requests without an answer are refused and other
-    answers cut off.
+    answers cut off. Connections that linger are waited for as well: their
+    callers may not have read the last answer, which the end of the process
+    would take from them.
     """
     lifecycle.begin_drain()
     server.begin_drain()
@@ -313,12 +320,12 @@
     server.close_port()
     # Connections that were accepted last are served meanwhile.
     clock.sleep(STOP_POLL_S)
-    while server.open_count and not lifecycle.time_is_up:
+    while server.in_use and not lifecycle.time_is_up:
         server.close_idle()
         clock.sleep(STOP_POLL_S)
     given_up = server.open_count
     server.stop_requests()
     refuse_until = clock.monotonic() + REFUSE_LIMIT_S
-    while server.open_count and clock.monotonic() < refuse_until:
+    while server.in_use and clock.monotonic() < refuse_until:
         clock.sleep(STOP_POLL_S)
     return given_up
--- a/agatewing/platform/tests/test_stops.py
+++ b/agatewing/platform/tests/test_stops.py
@@ -185,3 +185,48 @@
     assert instance.lifecycle.in_flight == 0
     for sock in callers:
         sock.close()
+
+
+SENDS_S = 0.5
+
+
+# Connections with an answer that their callers had not read were reset by the
+# end of the process.
+@pytest.mark.parametrize("refused_s", [0.0, SENDS_S - 0.1])
+def test_a_stop_waits_for_callers_that_are_still_sending(
+    site: standins.Site, instance: gateway.GatewayInstance, refused_s: float
+) -> None:
+    with site.connect(instance) as sock:
+        stopping = gevent.spawn(instance.stop)
+        began_at = instance.clock.monotonic()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n")
+        gevent.sleep(refused_s)
+        sock.sendall(b"a line without a colon\r\n\r\n")
+        while instance.clock.monotonic() < began_at + SENDS_S:
+            assert not stopping.ready()
+            sock.sendall(b"x" * 9_000)
+            gevent.sleep(0.01)
+        reply = standins.read_reply(sock)
+        assert not stopping.ready()
+    assert (reply.status, reply.complete) == (400, True)
+    assert stopping.get()
+    assert instance.server.lingering == 0
+
+
+def test_a_stop_ends_beside_a_caller_that_never_stops_sending(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    """Guards against a wait for callers beyond the time left for it."""
+    with site.connect(instance) as sock:
+        stopping = gevent.spawn(instance.stop)
+        began_at = instance.clock.monotonic()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n")
+        gevent.sleep(STOP_LIMIT_S - 0.1)
+        sock.sendall(b"a line without a colon\r\n\r\n")
+        while not stopping.ready():
+            sock.sendall(b"x" * 9_000)
+            gevent.sleep(0.01)
+        taken_s = instance.clock.monotonic() - began_at
+    # Its answer was sent, so nothing was given up.
+    assert stopping.get()
+    assert STOP_LIMIT_S <= taken_s < STOP_LIMIT_S + _lifecycle.EXIT_RESERVE_S
