Give the connection of a killed call back to its pool

Cause: the HTTP library gives a connection back only after an error of a socket. A try of the own interface that was killed while it sent a large body to a target that did not read kept its slot of the client's pool for good, and its connection open; so did one that a time limit of its caller ended.

Change: the pool knows which connection a greenlet took for a call without a head; HttpClient.open closes it if the call ends before it.

Measured (test_http_client.py): two calls of 20 MB on a client with two slots, ended by GreenletExit or by another's Timeout; before, the next call had no slot after 2 s in both cases; now it is answered, and both connections are closed. agatewing/net: 51 passed.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -92,6 +92,13 @@
 class _Pool(connectionpool.ConnectionPool):
     """A connection pool with TCP_NODELAY, keep-alive and an idle limit."""
 
+    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*args, **options)
+        # Time from which a pooled connection is idle, by its ``id``.
+        self._idle: dict[int, float] = {}
+        # Connection that a greenlet took for a call without a head yet.
+        self._opening: dict[gevent.Greenlet, gevent.socket.socket] = {}
+
     def _create_tcp_socket(
         self, family: int, socktype: int, protocol: int
     ) -> gevent.socket.socket:
@@ -101,8 +108,24 @@
         """Return a connection on which a head is expected."""
         sock = super().get_socket()
         sock.allowed_bytes = MAX_OVERHEAD_BYTES
+        self._opening[gevent.getcurrent()] = sock
         return sock
 
+    def end_opening(self, opened: bool) -> None:
+        """End the call that this greenlet was opening.
+
+        If it was not opened, its connection is closed, unless the library
+        has given it back: that does so after errors of a socket only.
+        """
+        sock = self._opening.pop(gevent.getcurrent(), None)
+        if sock is not None and not opened:
+            self.release_socket(sock)
+
+    def _forget_opening(self, sock: gevent.socket.socket) -> None:
+        current = gevent.getcurrent()
+        if self._opening.get(current) is sock:
+            del self._opening[current]
+
     def after_connect(self, sock: gevent.socket.socket) -> None:
         """Set TCP_NODELAY and the keep-alive options."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -112,25 +135,26 @@
 
     def return_socket(self, sock: gevent.socket.socket) -> None:
         """Put the connection back into the pool; record the time."""
-        self._idle_since()[id(sock)] = gevent.get_hub().loop.now()
+        self._forget_opening(sock)
+        self._idle[id(sock)] = gevent.get_hub().loop.now()
         super().return_socket(sock)
 
+    def release_socket(self, sock: gevent.socket.socket) -> None:
+        """Close the connection and leave its place in the pool."""
+        self._forget_opening(sock)
+        super().release_socket(sock)
+
     def _is_socket_alive(self, sock: gevent.socket.socket | None) -> bool:
         """Return whether a pooled connection may be reused.
 
         A connection idle for more than ``IDLE_LIMIT_S`` counts as dead.
         """
-        since = self._idle_since().pop(id(sock), None)
+        since = self._idle.pop(id(sock), None)
         now = gevent.get_hub().loop.now()
         if since is not None and now - since > IDLE_LIMIT_S:
             return False
         return super()._is_socket_alive(sock)
 
-    def _idle_since(self) -> dict[int, float]:
-        if not hasattr(self, "_idle"):
-            self._idle: dict[int, float] = {}
-        return self._idle
-
 
 class StreamAnswer:
     """An HTTP answer whose body is read as it arrives."""
@@ -245,6 +269,7 @@
     __slots__ = (
         "address",
         "_client",
+        "_pool",
         "_head_timeout_s",
         "_piece_timeout_s",
         "_body_timeout_s",
@@ -286,7 +311,7 @@
             block_size=READ_BLOCK_BYTES,
         )
         default_pool = self._client._connection_pool
-        self._client._connection_pool = _Pool(
+        self._pool = _Pool(
             default_pool._connection_host,
             default_pool._connection_port,
             default_pool._request_host,
@@ -295,9 +320,10 @@
             connection_timeout=connect_timeout_s,
             network_timeout=silence_timeout_s,
         )
+        self._client._connection_pool = self._pool
         if not resend:
             # The library sends such a call again ``size + 1`` times.
-            self._client._connection_pool.size = -1
+            self._pool.size = -1
 
     def open(
         self,
@@ -326,9 +352,7 @@
             with gevent.Timeout(
                 self._head_timeout_s, TimeoutError("no head in time")
             ):
-                response = self._client.request(
-                    method, path, body, dict(headers or {})
-                )
+                response = self._request(method, path, body, headers)
         except ConnectionRefusedError as exc:
             raise _exceptions.ConnectRefusedError(
                 self.address, str(exc)
@@ -343,6 +367,20 @@
             ) from exc
         return StreamAnswer(response, self.address, self._piece_timeout_s)
 
+    def _request(
+        self, method: str, path: str, body: bytes, headers: Headers | None
+    ) -> http_response.HTTPSocketPoolResponse:
+        """Send a request; its connection is closed if that ends early."""
+        opened = False
+        try:
+            response = self._client.request(
+                method, path, body, dict(headers or {})
+            )
+            opened = True
+        finally:
+            self._pool.end_opening(opened)
+        return response
+
     def call(
         self,
         method: str,
@@ -379,9 +417,8 @@
 
     def _ensure_connected(self) -> None:
         """Put an open connection into the pool for the next request."""
-        pool = self._client._connection_pool
         try:
-            pool.return_socket(pool.get_socket())
+            self._pool.return_socket(self._pool.get_socket())
         except TimeoutError as exc:
             raise _exceptions.ConnectTimeoutError(
                 self.address, str(exc)
--- a/agatewing/net/tests/test_http_client.py
+++ b/agatewing/net/tests/test_http_client.py
@@ -106,3 +106,47 @@
         client.close()
         server.stop(timeout=0)
     assert len(requests) == 1
+
+
+# A call that was killed while it sent kept its slot, and those that followed
+# waited for ever.
+@pytest.mark.parametrize("end", [gevent.GreenletExit, gevent.Timeout])
+def test_a_call_that_ends_while_it_sends_leaves_its_slot(
+    end: type[BaseException],
+) -> None:
+    slots = 2
+    unread: list[gevent.socket.socket] = []
+
+    def serve(sock: gevent.socket.socket, _: object) -> None:
+        if len(unread) < slots:
+            unread.append(sock)
+            gevent.sleep(60)
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    def send() -> None:
+        with pytest.raises(end):
+            client.call("POST", "/", b"x" * 20_000_000)
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client = net.HttpClient(
+        f"127.0.0.1:{server.server_port}", connections=slots
+    )
+    try:
+        for number in range(slots):
+            sending = gevent.spawn(send)
+            while len(unread) <= number:
+                gevent.sleep(0.01)
+            sending.kill(end)
+            assert sending.successful()
+        with gevent.Timeout(2.0, AssertionError("no slot was left")):
+            assert client.call("GET", "/").body == b"ok"
+        for sock in unread:
+            # The connections were closed, not kept with half a request.
+            with gevent.Timeout(2.0, AssertionError("was not closed")):
+                while sock.recv(1_000_000):
+                    pass
+    finally:
+        client.close()
+        server.stop(timeout=0)
