Look at the paths of a request by the clock of the process

Cause: Race.wait waited with the timeout of gevent's event. With a manual clock that stands still it woke all the time without anything to do, and an advance of the clock did not wake it.

Change: it waits by Clock.wait, as the rest of the gateway does.

Measured (test_race.py): a silent path under a manual clock that advances by the period of hedges: before, one hedge was asked for and none after the advance; now one more after each.

--- a/agatewing/gateway/_race.py
+++ b/agatewing/gateway/_race.py
@@ -161,7 +161,7 @@
                         self.add(path)
                 case decisions.Wait(until=until):
                     self._look_at = min(until, now + LOOK_PERIOD_S)
-                    self._changed.wait(self._look_at - now)
+                    self._clock.wait(self._changed, self._look_at - now)
 
     def close(self) -> None:
         """Close all paths that are left."""
--- a/agatewing/gateway/tests/test_race.py
+++ b/agatewing/gateway/tests/test_race.py
@@ -137,3 +137,22 @@
     gevent.sleep(0.01)
     assert all(path.closed for path in paths)
     assert not race.running()
+
+
+# Paths were looked at by the time of the machine, so that a test whose clock
+# stood still spun, or met another order of events on a busy machine.
+def test_a_race_waits_by_the_clock_of_the_process() -> None:
+    clock = _clock.ManualClock()
+    race: _race.Race[ScriptedPath] = _race.Race(clock, lambda: False)
+    path = ScriptedPath("a")
+    asked = []
+    race.add(path)
+    following = gevent.spawn(race.wait, lambda: asked.append(1))
+    gevent.sleep(2 * _race.LOOK_PERIOD_S)
+    assert len(asked) == 1
+    for times in (2, 3):
+        clock.advance(_race.HEDGE_PERIOD_S)
+        assert len(asked) == times
+    path.deliver()
+    gevent.sleep(0.01)
+    assert following.get(timeout=5) == (path, "answer of a")
