Call the outcome unknown after a defect in a call that may be repeated

Cause: a try of a plain service's call that ended with an exception of no known kind counted as never begun, so the caller was told not-run, though a target may have run the call.

Change: such an exception is logged, and the outcome is unknown from then on; other targets are still tried, as the call may be repeated.

Measured (test_refused_outcome.py): a call that its target answers with 200, and whose client then raises RuntimeError; before, 502 with the outcome not-run; now 502 with the outcome unknown, and the next call is answered.

--- a/agatewing/entry/_repeatable.py
+++ b/agatewing/entry/_repeatable.py
@@ -1,6 +1,7 @@
 """Runs a call of a plain service that may be sent more than once."""
 
 import collections.abc
+import logging
 
 import gevent
 import gevent.event
@@ -11,6 +12,8 @@
 from agatewing import fleet
 from agatewing import net
 
+_log = logging.getLogger("agatewing.services")
+
 #: Largest number of tries of a call that may be retried.
 MAX_TRIES = 3
 
@@ -120,6 +123,13 @@
             target.record_failure(self._clock.monotonic())
             if not isinstance(exc, _exceptions.TargetOverdueError):
                 self._may_be_sent_again = self._record_broken(target)
+        except Exception:
+            # Nothing says how far a call came that met with a defect.
+            _log.exception(
+                "services: unexpected error in a call",
+                extra={"target": target.name},
+            )
+            self.may_have_run = True
         else:
             self._answer = self._answer or answer
         finally:
