Show the logs of processes that a deployment waits for in vain

Cause: the error of a deployment that does not become ready said to read the logs, which lie in a directory that is deleted with the deployment. Change: the error holds the state and the last 20 lines of each instance that is not ready, and at the start those of each process that has exited.

--- a/agatewing/harness/_deployment.py
+++ b/agatewing/harness/_deployment.py
@@ -137,14 +137,26 @@
         self.close()
 
     def start(self) -> None:
-        """Start all processes and publish the inventory."""
+        """Start all processes and publish the inventory.
+
+        Raises ``AgatewingError``, with the logs of processes that exited, if
+        one does not open its port in time.
+        """
         for process in self.all_processes():
             process.start()
-        for address in self.standin_addresses():
-            wait_open(address)
-        for name in self.instances:
-            self.list_instance(name)
-            wait_open(self.caller_address(name))
+        try:
+            for address in self.standin_addresses():
+                wait_open(address)
+            for name in self.instances:
+                self.list_instance(name)
+                wait_open(self.caller_address(name))
+        except _exceptions.ConnectRefusedError as exc:
+            exited = [
+                p.describe() for p in self.all_processes() if not p.running
+            ]
+            raise _exceptions.AgatewingError(
+                "\n".join((str(exc), *exited))
+            ) from exc
         self.publish(self.document)
 
     def publish(self, document: config.Document) -> int:
@@ -173,18 +185,23 @@
         """Wait until every instance is ready with a version in force.
 
         Returns the time waited, in seconds; raises ``AgatewingError`` after
-        the timeout.
+        the timeout, with the logs of the instances that are not ready.
         """
         waited = 0.0
+        missing = list(self.instances.values())
         while waited < timeout_s:
-            if all(
-                self.version_in_force(n) >= version for n in self.instances
-            ):
+            missing = [
+                process
+                for name, process in self.instances.items()
+                if self.version_in_force(name) < version
+            ]
+            if not missing:
                 return waited
             gevent.sleep(0.05)
             waited += 0.05
+        logs = "\n".join(process.describe() for process in missing)
         raise _exceptions.AgatewingError(
-            "not every instance became ready; read the instances' logs"
+            f"not every instance became ready; their logs end so:\n{logs}"
         )
 
     def version_in_force(self, name: str) -> int:
--- a/agatewing/harness/_processes.py
+++ b/agatewing/harness/_processes.py
@@ -9,6 +9,8 @@
 
 #: Longest wait for a killed process to exit, in seconds.
 EXIT_TIMEOUT_S = 10.0
+#: Lines of a log that errors show.
+LOG_TAIL_LINES = 20
 
 
 class Process:
@@ -88,3 +90,12 @@
         if not self._log_path.exists():
             return ""
         return self._log_path.read_text(errors="replace")
+
+    def describe(self) -> str:
+        """Return whether the process runs, and the end of its output."""
+        state = "not started"
+        if self._child is not None:
+            code = self._child.poll()
+            state = "running" if code is None else f"exited with {code}"
+        tail = self.log_text().splitlines()[-LOG_TAIL_LINES:]
+        return "\n".join((f"{self.name} ({state}):", *tail))
