Announce a trial of a suspected request before it is sent

Cause: a trial was made known only as it was sent, and turns overlap: each instance had a quarter of the first round, half of the second, and from the third round on all had theirs at once. Copies of one moment were tried wherever it was a turn.

Change: an instance announces a trial under its number for the fingerprint and holds the request for 1 s before the send. Of trials announced at about the same time the lowest number goes on; a trial that is sent has a lower one than all announced ones. So a second send needs an instance that missed the first one's announcement for 1 s and then its send. In return, the first quarantine is 3 s instead of 4, and rounds are 2 s with turns of a third, so sound requests wait no longer. trial_by in the peer messages is optional; an instance of the earlier version counts as one that has sent.

New: test_one_of_two_announced_trials_goes_on, test_an_announced_trial_does_not_last.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -19,7 +19,9 @@
 from agatewing.decisions._costs import RequestProfile
 from agatewing.decisions._costs import single_engine_s
 from agatewing.decisions._costs import ZONE_ROUND_TRIP_S
+from agatewing.decisions._crash_evidence import CLAIM_S
 from agatewing.decisions._crash_evidence import PromptBlocks
+from agatewing.decisions._crash_evidence import SENT
 from agatewing.decisions._crash_evidence import ServedReport
 from agatewing.decisions._crash_evidence import SuspectKind
 from agatewing.decisions._crash_evidence import SuspectReport
--- a/agatewing/decisions/_crash_evidence.py
+++ b/agatewing/decisions/_crash_evidence.py
@@ -23,20 +23,26 @@
 #: of an engine.
 QUARANTINE_S = 120.0
 #: Time of the first quarantine of a whole request, in seconds: crashed targets
-#: are back after 3 s, and their entries are read within one more. It is short,
-#: as nothing tells a request that crashes targets from a sound one of which
-#: several copies were under way when targets crashed of something else.
-FIRST_TRIAL_S = 4.0
+#: are back after 3 s, and their entries are read while a trial is announced.
+#: It is short, as nothing tells a request that crashes targets from a sound
+#: one of which several copies were under way when targets crashed of something
+#: else.
+FIRST_TRIAL_S = 3.0
 #: Time in which the instances then take turns to try a whole request, in
 #: seconds, and part of it for which each may do so in the first round; twice
-#: as long in the next one. A trial is known everywhere within about 0.4 s; few
-#: instances may try the request meanwhile.
-TRIAL_ROUND_S = 6.0
-TRIAL_SHARE = 0.25
+#: as long in the next one. Few instances then announce a trial at a time.
+TRIAL_ROUND_S = 2.0
+TRIAL_SHARE = 0.33
 #: Time after the beginning of a trial at one instance in which no other one
 #: tries the request, in seconds: half of the longest deadline on the users'
 #: sites.
 TRIAL_S = 5.0
+#: Time for which a trial is announced before it is sent, in seconds: twice
+#: that in which evidence is known everywhere.
+CLAIM_S = 1.0
+#: Number under which a trial that has been sent is reported. It is lower than
+#: those of announced ones, which therefore give way to it.
+SENT = 0
 #: Part of the time of a quarantine by which instances end it later, so that
 #: they do not all try the block at once.
 END_JITTER = 0.5
@@ -78,8 +84,11 @@
     age_s: float
     #: Hashes of the incarnations of engines at which a trial failed.
     trials: frozenset[int] = frozenset()
-    #: Time since the last trial began, in seconds; infinite for none.
+    #: Time since the last trial was announced or sent, in seconds; infinite
+    #: for none.
     trial_age_s: float = math.inf
+    #: Number of the instance that announced it; ``SENT`` once it is sent.
+    trial_by: int = SENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,10 +114,15 @@
     prompts: frozenset[int] = frozenset()
     #: Hashes of engines at which a trial failed.
     trials: frozenset[int] = frozenset()
-    #: Monotonic time at which the last trial began, in seconds.
+    #: Monotonic time at which the last trial was announced or sent, in
+    #: seconds.
     tried_at: float = -math.inf
-    #: Whether a trial of this instance is under way.
+    #: Number of the instance that announced it; ``SENT`` once it is sent.
+    tried_by: int = SENT
+    #: Whether a trial of this instance is under way, and whether none of
+    #: another one has displaced it.
     trying: bool = False
+    holds: bool = False
     #: Monotonic time at which it was last put into a report, in seconds.
     published_at: float = -math.inf
 
@@ -174,10 +188,25 @@
         )
         self.trials = _lowest(self.trials | report.trials, MAX_TRIALS)
         self.at = _later(self.at, now - report.age_s)
-        tried_before = self.tried_at
-        self.tried_at = _later(tried_before, now - report.trial_age_s)
         after = self.engines, self.prompts, self.trials
-        return before != after or tried_before != self.tried_at
+        return self._add_trial(report, now) or before != after
+
+    def _add_trial(self, report: SuspectReport, now: float) -> bool:
+        """Add another instance's trial; return whether it is news.
+
+        Of two at about the same time, the one of the lower number counts.
+        """
+        later_s = now - report.trial_age_s - self.tried_at
+        if later_s <= AGE_TOLERANCE_S and (
+            later_s < -AGE_TOLERANCE_S or report.trial_by >= self.tried_by
+        ):
+            return False
+        if math.isinf(report.trial_age_s):
+            return False
+        self.tried_at = now - report.trial_age_s
+        self.tried_by = report.trial_by
+        self.holds = False
+        return True
 
     def report(self, key: int, now: float) -> SuspectReport:
         """Return the evidence for other instances."""
@@ -188,6 +217,7 @@
             max(0.0, now - self.at),
             self.trials,
             max(0.0, now - self.tried_at),
+            self.tried_by,
         )
 
 
--- a/agatewing/decisions/_crash_suspects.py
+++ b/agatewing/decisions/_crash_suspects.py
@@ -9,7 +9,9 @@
 lately: that proves that it is not the cause.
 
 After its first quarantine, which is short, a request is tried at one instance
-at a time. Only if that fails is its quarantine as long as that of a block.
+at a time: a trial is announced and waits until all have heard of it; of those
+announced meanwhile one is sent. Only if that fails is its quarantine as long
+as that of a block.
 
 The evidence is a union of sets, so reports may be lost, repeated, or arrive
 in any order. It expires, and so does the quarantine.
@@ -131,6 +133,35 @@
             case _crash_evidence.WholeRequests():
                 return (self._delay + key / (1 << 64)) % 1.0
 
+    def claim_trial(self, key: int, now: float) -> float:
+        """Announce a trial; return the time until it may be sent, in seconds.
+
+        It is 0 if the key may be sent without one. After that time, ask
+        :meth:`holds_trial`: of several instances, one goes on.
+        """
+        suspect = self._find(key, now)
+        if suspect is None or not suspect.quarantine_s:
+            return 0.0
+        self._record_trial(key, suspect, self._number(key), now)
+        return _crash_evidence.CLAIM_S
+
+    def holds_trial(self, key: int, now: float) -> bool:
+        """Return whether a key that was announced may be sent.
+
+        It may not once another instance tries it, or if it waited for so
+        long that another one may.
+        """
+        suspect = self._find(key, now)
+        if suspect is None or not suspect.quarantine_s:
+            return True
+        if not suspect.holds or suspect.tried_by == _crash_evidence.SENT:
+            return suspect.holds
+        since_s = now - suspect.tried_at
+        return (
+            since_s < _crash_evidence.TRIAL_S - _crash_evidence.CLAIM_S
+            and now - suspect.at >= suspect.quarantine_s
+        )
+
     def begin_trial(self, key: int, now: float) -> bool:
         """Record that a key is sent now; return whether this is a trial.
 
@@ -139,10 +170,24 @@
         suspect = self._find(key, now)
         if suspect is None or not suspect.quarantine_s:
             return False
-        suspect.trying = True
+        self._record_trial(key, suspect, _crash_evidence.SENT, now)
+        return True
+
+    def _record_trial(
+        self,
+        key: int,
+        suspect: _crash_evidence.Suspect,
+        number: int,
+        now: float,
+    ) -> None:
+        suspect.trying = suspect.holds = True
         suspect.tried_at = now
+        suspect.tried_by = number
         self._unpublished.add(key)
-        return True
+
+    def _number(self, key: int) -> int:
+        """Return the instance's number for a key, 1 to 2**31 - 1."""
+        return 1 + int(self._place(key) * ((1 << 31) - 2))
 
     def end_trial(
         self, key: int, engine: int, failed: bool, now: float
@@ -156,12 +201,13 @@
         suspect = self._find(key, now)
         if suspect is None or not suspect.trying:
             return
-        suspect.trying = False
+        suspect.trying = suspect.holds = False
         if failed:
             suspect.trials |= {engine}
             suspect.at = now
         else:
             suspect.tried_at = -math.inf
+            suspect.tried_by = _crash_evidence.SENT
         self._unpublished.add(key)
 
     def may_be_sent_again(
--- a/agatewing/decisions/tests/test_crash_fleet.py
+++ b/agatewing/decisions/tests/test_crash_fleet.py
@@ -138,9 +138,39 @@
 
     def send_bad(self, number: int, tries: int = 2) -> None:
         """Send the request that crashes targets, if it is allowed."""
+        self.ask(
+            number,
+            BAD,
+            lambda suspects: self._send_bad(number, suspects, tries),
+        )
+
+    def ask(
+        self,
+        number: int,
+        key: int,
+        send: collections.abc.Callable[[decisions.CrashSuspects], None],
+    ) -> None:
+        """Send a request, once its trial was announced if it needs one."""
         suspects = self.instances[number]
-        if suspects.quarantine_left_s(BAD, self.now) > 0:
+        if suspects.quarantine_left_s(key, self.now) > 0:
             return
+        wait_s = suspects.claim_trial(key, self.now)
+        if not wait_s:
+            send(suspects)
+            return
+
+        def confirm() -> None:
+            # An instance that has restarted meanwhile has lost its callers.
+            if self.instances[number] is suspects and suspects.holds_trial(
+                key, self.now
+            ):
+                send(suspects)
+
+        self.after(wait_s, confirm)
+
+    def _send_bad(
+        self, number: int, suspects: decisions.CrashSuspects, tries: int
+    ) -> None:
         up = [t for t in self.targets if t.up_at <= self.now]
         if not up:
             return
@@ -233,12 +263,14 @@
 
 # Copies that come at the same moment reach instances that cannot have heard
 # of each other's trials.
-@pytest.mark.parametrize(("size", "seeds"), [(6, 20), (60, 3)])
+@pytest.mark.parametrize(
+    ("size", "seeds", "loss"), [(6, 20, 0.0), (60, 3, 0.0), (6, 10, 0.3)]
+)
 def test_a_fleet_keeps_copies_of_one_moment_from_its_targets(
-    size: int, seeds: int
+    size: int, seeds: int, loss: float
 ) -> None:
     late = [
-        play_bad(seed, size, 30, 0.0, copies=5, within_s=0.0).late_sends()
+        play_bad(seed, size, 30, loss, copies=5, within_s=0.0).late_sends()
         for seed in range(seeds)
     ]
     assert max(late) <= MAX_LATE_SENDS
@@ -267,13 +299,14 @@
 
 
 def ask_sound(fleet: Fleet, number: int) -> None:
-    suspects = fleet.instances[number]
-    up = [t for t in fleet.targets if t.up_at <= fleet.now]
-    if not up or suspects.quarantine_left_s(SOUND, fleet.now) > 0:
-        return
-    suspects.begin_trial(SOUND, fleet.now)
-    fleet.sends.append(fleet.now)
-    fleet.after(0.2, lambda: suspects.record_served([SOUND], fleet.now))
+    def send(suspects: decisions.CrashSuspects) -> None:
+        if not any(t.up_at <= fleet.now for t in fleet.targets):
+            return
+        suspects.begin_trial(SOUND, fleet.now)
+        fleet.sends.append(fleet.now)
+        fleet.after(0.2, lambda: suspects.record_served([SOUND], fleet.now))
+
+    fleet.ask(number, SOUND, send)
 
 
 # Copies of a new request broke off together with their targets, and looked
--- a/agatewing/decisions/tests/test_crash_suspects.py
+++ b/agatewing/decisions/tests/test_crash_suspects.py
@@ -362,6 +362,61 @@
     assert second.quarantine_left_s(REQUEST, 7.0) == pytest.approx(expected)
 
 
+# Copies that came at the same moment at several instances were all tried.
+@pytest.mark.parametrize(
+    ("announced", "heard_at", "going_on"),
+    [
+        ((0.0, 0.0), 0.3, {0}),
+        ((0.3, 0.0), 0.5, {0}),
+        ((0.0, 0.3), 0.5, {0}),
+        # The second one did not hear of the first one's, but of its send.
+        ((0.0, 0.3), 1.1, {0}),
+        ((0.3, 0.0), 1.1, {1}),
+        ((0.0, 0.0), None, {0, 1}),
+    ],
+)
+def test_one_of_two_announced_trials_goes_on(
+    announced: tuple[float, float],
+    heard_at: float | None,
+    going_on: set[int],
+) -> None:
+    fleet = [decisions.CrashSuspects(p, REQUESTS) for p in (0.1, 0.2)]
+    for suspects in fleet:
+        for engine in range(3):
+            suspects.record_crash([REQUEST], engine, 1, 0.0)
+    start = FIRST_S + 1.0
+    for suspects, after_s in zip(fleet, announced, strict=True):
+        wait_s = suspects.claim_trial(REQUEST, start + after_s)
+        assert wait_s == decisions.CLAIM_S
+        assert suspects.quarantine_left_s(REQUEST, start + after_s) > 0
+    sent = set()
+    events = [(after_s + 1.0, n) for n, after_s in enumerate(announced)]
+    for at, number in sorted(events):
+        now = start + at
+        if heard_at is not None and heard_at < at:
+            reports = [s.take_reports(start + heard_at, 6) for s in fleet]
+            fleet[0].merge(reports[1][0], start + heard_at)
+            fleet[1].merge(reports[0][0], start + heard_at)
+        if fleet[number].holds_trial(REQUEST, now):
+            fleet[number].begin_trial(REQUEST, now)
+            sent.add(number)
+    assert sent == going_on
+
+
+def test_an_announced_trial_does_not_last() -> None:
+    suspects = decisions.CrashSuspects(0.1, REQUESTS)
+    assert suspects.claim_trial(REQUEST, 0.0) == 0
+    assert suspects.holds_trial(REQUEST, 0.0)
+    for engine in range(3):
+        suspects.record_crash([REQUEST], engine, 1, 0.0)
+    suspects.claim_trial(REQUEST, 10.0)
+    assert suspects.holds_trial(REQUEST, 11.0)
+    assert not suspects.holds_trial(REQUEST, 10.0 + TRIAL_S)
+    # Another one crashed under it meanwhile.
+    suspects.record_crash([REQUEST], 4, 1, 11.0)
+    assert not suspects.holds_trial(REQUEST, 11.0)
+
+
 def test_instances_try_each_request_in_another_order() -> None:
     def first_of(key: int) -> int:
         left = []
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -175,12 +175,19 @@
     """Raise :class:`GatewayRefusedError` if targets would crash on a request.
 
     Called before each send, as that may become known at any time; also
-    before a wait, then with ``sending`` ``False``.
+    before a wait, then with ``sending`` ``False``. A trial waits here until
+    the other instances have heard of it.
     """
     held = ctx.quarantine.find(job.req, job.on_trial)
-    if held is None:
-        if sending and ctx.quarantine.begin_trial(job.req):
+    if held is None and sending and not job.on_trial:
+        wait_s = ctx.quarantine.claim_trial(job.req)
+        if wait_s:
             job.on_trial = True
+            ctx.clock.sleep(wait_s)
+            held = ctx.quarantine.find(job.req, job.on_trial)
+    if held is None:
+        if sending:
+            ctx.quarantine.begin_trial(job.req)
         return
     match held:
         case _quarantine.HeldBlock(block=block):
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRequest:
-    """The request as a whole is under quarantine."""
+    """The request as a whole is under quarantine, or tried elsewhere."""
 
     #: Time left, in seconds.
     left_s: float
@@ -112,7 +112,7 @@
     ) -> Held | None:
         """Return what of a request is under quarantine; ``None`` if nothing.
 
-        ``on_trial`` says that the request itself is being tried.
+        ``on_trial`` says that a trial of the request itself is announced.
         """
         now = self._clock.monotonic()
         for block in req.shared_blocks:
@@ -121,14 +121,31 @@
             )
             if left_s > 0:
                 return HeldBlock(block, left_s)
-        if on_trial:
+        if on_trial and all(
+            self._requests.holds_trial(key, now) for key in req.fingerprints
+        ):
             return None
         left_s = max(
             self._requests.quarantine_left_s(key, now)
             for key in req.fingerprints
         )
+        if on_trial:
+            left_s = max(left_s, decisions.CLAIM_S)
         return HeldRequest(left_s) if left_s > 0 else None
 
+    def claim_trial(self, req: _messages.CallerRequest) -> float:
+        """Announce a trial; return the time to wait for it, in seconds.
+
+        It is 0 if the request may be sent without one.
+        """
+        now = self._clock.monotonic()
+        wait_s = max(
+            self._requests.claim_trial(key, now) for key in req.fingerprints
+        )
+        if wait_s:
+            self._changed.set()
+        return wait_s
+
     def begin_trial(self, req: _messages.CallerRequest) -> bool:
         """Record that a request is sent; return whether this is a trial."""
         now = self._clock.monotonic()
@@ -360,6 +377,7 @@
         age_ms=int(report.age_s * 1_000),
         trials=sorted(report.trials) or None,
         trial_age_ms=int(report.trial_age_s * 1_000) if tried else None,
+        trial_by=report.trial_by or None,
     )
 
 
@@ -374,4 +392,5 @@
         record.age_ms / 1_000,
         frozenset(record.trials or ()),
         trial_age_s,
+        record.trial_by or decisions.SENT,
     )
--- a/agatewing/platform/tests/test_crashing_requests.py
+++ b/agatewing/platform/tests/test_crashing_requests.py
@@ -225,6 +225,40 @@
     assert sends_of(site, bad) == before + 1
 
 
+# Copies that came at the same moment at several instances were all tried.
+@pytest.mark.parametrize(
+    ("name", "sends"),
+    [
+        ("safe", 1),
+        ("resumable, one block", 1),
+        # The prefill and the stream.
+        ("resumable, prefilled", 2),
+    ],
+)
+def test_one_of_the_copies_of_one_moment_is_tried(
+    site: standins.Site,
+    instances: list[gateway.GatewayInstance],
+    name: str,
+    sends: int,
+) -> None:
+    bad = CASES[name]
+    crash_on(site, bad)
+    for number in range(MAX_TRIES):
+        if len(site.crashed) >= CRASHES:
+            break
+        ask(site, instances[number % 3], bad)
+        wait_for_targets(site, instances)
+        site.clock.advance(1.0)
+    assert len(site.crashed) >= CRASHES
+    # It is everybody's turn.
+    pass_time(site, 20.0)
+    wait_for_targets(site, instances)
+    before = sends_of(site, bad)
+    copies = [gevent.spawn(ask, site, i, bad) for i in instances]
+    gevent.joinall(copies)
+    assert sends_of(site, bad) == before + sends
+
+
 # A request that came with another query each time counted as a new one.
 def test_a_request_with_changing_queries_is_kept_from_targets(
     site: standins.Site, instances: list[gateway.GatewayInstance]
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1103,6 +1103,7 @@
      - age_ms
      - trials
      - trial_age_ms
+     - trial_by
 
     """
 
@@ -1113,16 +1114,18 @@
         'age_ms',
         'trials',
         'trial_age_ms',
+        'trial_by',
     )
 
 
-    def __init__(self, block=None, engines=None, prompts=None, age_ms=None, trials=None, trial_age_ms=None,):
+    def __init__(self, block=None, engines=None, prompts=None, age_ms=None, trials=None, trial_age_ms=None, trial_by=None,):
         self.block = block
         self.engines = engines
         self.prompts = prompts
         self.age_ms = age_ms
         self.trials = trials
         self.trial_age_ms = trial_age_ms
+        self.trial_by = trial_by
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1178,6 +1181,11 @@
                     self.trial_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.trial_by = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1221,6 +1229,10 @@
             oprot.writeFieldBegin('trial_age_ms', TType.I32, 6)
             oprot.writeI32(self.trial_age_ms)
             oprot.writeFieldEnd()
+        if self.trial_by is not None:
+            oprot.writeFieldBegin('trial_by', TType.I32, 7)
+            oprot.writeI32(self.trial_by)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1834,6 +1846,7 @@
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.LIST, 'trials', (TType.I32, None, False), None, ),  # 5
     (6, TType.I32, 'trial_age_ms', None, None, ),  # 6
+    (7, TType.I32, 'trial_by', None, None, ),  # 7
 )
 all_structs.append(ServedBlock)
 ServedBlock.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -113,8 +113,11 @@
   4: required i32 age_ms,
   // Hashes of the incarnations of targets at which a trial failed.
   5: optional list<i32> trials,
-  // Milliseconds since the last trial began; absent if there was none.
+  // Milliseconds since the last trial was announced or sent; absent if there
+  // was none.
   6: optional i32 trial_age_ms,
+  // Number of the instance that announced it; absent once it is sent.
+  7: optional i32 trial_by,
 }
 
 // A prefix block that was suspected, but is in a prompt answered in full, or
