Take targets out of routing once an answer says that they leave

Cause: a target that leaves says so in all its answers (Server-Leaving), at times before its entry in the log does, and with the log away nobody learns of it. Instances read the log only and went on sending requests to it.

Change: the adapter decodes what a target says about itself in the head of an answer into one Notice: its limit, and whether it leaves. The sender reads it from every answer, those to role orders and freed KV caches included. A target that leaves is draining for this instance from then on, as if its entry said so: for new requests, retries, hedges, resumed streams, prefills, sources of cached prefixes, checks for crashes and role orders. This is kept by a hash of id, address and start, so a later entry, or one that was gone and is back, does not undo it. The load reports carry these hashes in a new optional field, leaving (14), and every instance passes them on for a minute. Older instances skip the field. The generated code is what make wire gives.

What runs at the target goes on. KV caches that it made are still fetched and freed.

--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -17,6 +17,7 @@
 from agatewing.gateway._messages import CallerRequest
 from agatewing.gateway._messages import header
 from agatewing.gateway._messages import Headers
+from agatewing.gateway._messages import Notice
 from agatewing.gateway._messages import Outgoing
 from agatewing.gateway._messages import PrefixBlock
 from agatewing.gateway._messages import Prompt
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -400,6 +400,12 @@
             "Requests sent to targets while they named a limit",
             self.registry.limits.sends,
         )
+        metrics.counters(
+            "agatewing_departures_total",
+            "Targets that said that they leave, by how that was learned",
+            "source",
+            self.registry.departures.learned,
+        )
         metrics.counter(
             "agatewing_crashes_total",
             "Engines that crashed under a prompt of this instance",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -6,8 +6,8 @@
 one datagram after a change and at most twenty times a second, so that the
 queues are visible within one period. Reports also carry the configuration
 version and the log offset that the sender has read, the role changes that it
-ordered, prefix cache placements, the streams that it began, and the prefix
-blocks and requests on which targets may crash.
+ordered, prefix cache placements, the streams that it began, the prefix blocks
+and requests on which targets may crash, and the targets that leave.
 """
 
 import dataclasses
@@ -215,6 +215,7 @@
             limits=self._registry.limits.take_reports(),
             requests=self._quarantine.take_requests(),
             served_requests=self._quarantine.take_served_requests(),
+            leaving=self._registry.departures.take_reports(),
         )
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and _shorten(record):
@@ -264,11 +265,12 @@
     def handle(self, record: wire.WorkNote) -> None:
         """Handle a load report of another instance.
 
-        Of one that arrives late, only the streams, and the blocks and
-        requests on which targets may crash, count.
+        Of one that arrives late, only the streams, the blocks and requests
+        on which targets may crash, and the targets that leave count.
         """
         self._streams.merge(record.begun or ())
         self._quarantine.merge(record)
+        self._registry.merge_departures(record.leaving or ())
         last = self._last_reports.get(record.instance)
         if last is not None and record.sequence <= last.sequence:
             return
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -235,6 +235,17 @@
     framing: Framing
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What a target says about itself in the head of an answer."""
+
+    #: Requests a second that it takes from all instances together; ``None``
+    #: if it names no limit.
+    limit: float | None = None
+    #: Whether it leaves, and takes no new requests until it ends.
+    leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
     """The target answered in full, or its stream has started."""
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -138,11 +138,8 @@
     def is_signed(self, head: _messages.AnswerHead) -> bool:
         """Return whether an answer bears the target's signature."""
 
-    def request_limit(self, head: _messages.AnswerHead) -> float | None:
-        """Return the requests a second that a target takes from all.
-
-        ``None`` if the answer names no limit.
-        """
+    def notice(self, head: _messages.AnswerHead) -> _messages.Notice:
+        """Return what a target says about itself in an answer."""
 
     def cache_handle(
         self, address: str, body: bytes
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -225,7 +225,9 @@
         if not decisions.fetchable_tokens(self._profile, tracked.load):
             return None
         source = self._pool.engines.get(self._profile.fetch_source)
-        return source.target.address if source is not None else None
+        if source is None or not source.active:
+            return None
+        return source.target.address
 
     def record_prefix(
         self, tracked: _tracked_target.TrackedTarget, ready_s: float = 0.0
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -95,6 +95,8 @@
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return _messages.NotSent("no time is left")
+        if not tracked.active:
+            return _messages.NotSent("the target is leaving")
         try:
             channel = tracked.channels.acquire(max_idle_s, remaining_s)
         except _channel.ConnectError as exc:
@@ -141,11 +143,26 @@
         except _channel.DeadlineExceededError as exc:
             channel.close()
             return _messages.TimedOut(str(exc), channel.silent_s)
-        if not self._dialect.address_reassigned(head):
-            limit = self._dialect.request_limit(head)
-            self._limits.observe(tracked.target, limit, sent_at)
+        self._observe(tracked, head, sent_at)
         return self._classify(tracked, channel, head, options.prefill_only)
 
+    def _observe(
+        self,
+        tracked: _tracked_target.TrackedTarget,
+        head: _messages.AnswerHead,
+        sent_at: float,
+    ) -> None:
+        """Record what a target says about itself in an answer.
+
+        ``sent_at`` is the monotonic time of its request, in seconds.
+        """
+        if self._dialect.address_reassigned(head):
+            return
+        notice = self._dialect.notice(head)
+        self._limits.observe(tracked.target, notice.limit, sent_at)
+        if notice.leaving:
+            tracked.record_leaving()
+
     def _matching_head(
         self,
         channel: _channel.Channel,
@@ -244,11 +261,13 @@
         deadline = self._clock.monotonic() + timeout_s
         channel = tracked.channels.acquire(RETRY_MAX_IDLE_S, timeout_s)
         self._limits.record_send(tracked.target)
+        sent_at = self._clock.monotonic()
         try:
-            _round_trip(channel, outgoing, deadline)
+            head = _round_trip(channel, outgoing, deadline)
         except BaseException:
             channel.close()
             raise
+        self._observe(tracked, head, sent_at)
         self.release_channel(tracked, channel)
 
     def send_command(
@@ -274,13 +293,17 @@
                 raise _channel.BrokenError(
                     "the right to send the command has ended"
                 )
+            if not tracked.active:
+                raise _channel.BrokenError("the target is leaving")
             self._limits.record_send(tracked.target)
-            status = _round_trip(channel, outgoing, deadline)
+            sent_at = self._clock.monotonic()
+            head = _round_trip(channel, outgoing, deadline)
         except BaseException:
             channel.reset()
             raise
+        self._observe(tracked, head, sent_at)
         self.release_channel(tracked, channel)
-        return status
+        return head.status
 
 
 def _body_bytes(head: _messages.AnswerHead) -> int | None:
@@ -315,10 +338,10 @@
 
 def _round_trip(
     channel: _channel.Channel, outgoing: _messages.Outgoing, deadline: float
-) -> int:
-    """Send a request and read its whole answer; return the status."""
+) -> _messages.AnswerHead:
+    """Send a request and read its whole answer; return its head."""
     channel.send(outgoing, deadline)
     head = channel.read_head(deadline)
     while channel.read_piece(deadline):
         pass
-    return head.status
+    return head
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -11,6 +11,7 @@
 from agatewing import decisions
 from agatewing import fleet
 from agatewing.gateway import _contracts
+from agatewing.gateway import _departures
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
@@ -186,6 +187,7 @@
         "instances",
         "changed",
         "limits",
+        "departures",
         "merge_reports",
     )
 
@@ -213,6 +215,8 @@
         self.limits = _request_limits.RequestLimits(
             clock, decisions.SharedLimits(name, rng), self.changed
         )
+        #: Targets that said that they leave.
+        self.departures = _departures.Departures(clock, self.changed)
 
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
@@ -231,6 +235,12 @@
             if tracked is not None:
                 tracked.changing_until = until
 
+    def merge_departures(self, keys: collections.abc.Iterable[int]) -> None:
+        """Add the leaving targets that another instance reported."""
+        if self.departures.merge(keys):
+            for tracked in self.by_id.values():
+                tracked.apply_departure("peer")
+
     def _run_merge_reports(self) -> None:
         # Pools hold this method, as ``merge_reports`` is set later.
         self.merge_reports()
@@ -244,6 +254,7 @@
         for name in list(self.by_id):
             if name not in targets:
                 self.by_id.pop(name).withdraw()
+        self.departures.retain(targets.values())
         for name, target in targets.items():
             self._apply_target(name, target, services.get(target.service))
         for name, service in services.items():
@@ -289,6 +300,7 @@
             self._clock,
             self.changed,
             self.limits,
+            self.departures,
             properties.kv_tokens if properties else 0,
         )
 
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -1,6 +1,7 @@
 """State of one target as this instance sees it: load, health, connections."""
 
 import dataclasses
+import logging
 import typing
 
 import gevent.event
@@ -10,8 +11,11 @@
 from agatewing import decisions
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
+from agatewing.gateway import _departures
 from agatewing.gateway import _request_limits
 
+_log = logging.getLogger("agatewing.targets")
+
 #: First and longest backoff for a target that accepts no connections, in
 #: seconds; the platform removes the entry of a dead target after three
 #: missed heartbeats, about four seconds.
@@ -70,6 +74,7 @@
         "ordered_until",
         "meters",
         "_limits",
+        "_departures",
         "_clock",
         "_changed",
     )
@@ -81,11 +86,13 @@
         clock: _clock.Clock,
         changed: gevent.event.Event,
         limits: _request_limits.RequestLimits,
+        departures: _departures.Departures,
         kv_limit: int = 0,
     ) -> None:
         self._limits = limits
-        #: Its last announcement.
-        self.target = target
+        self._departures = departures
+        #: Its last announcement; one that leaves drains.
+        self.target = self._draining_if_leaving(target)
         #: Load and speed, as routing decisions read them.
         self.load = decisions.EngineLoad(
             target.id,
@@ -135,11 +142,44 @@
         """Apply a new announcement of the same incarnation."""
         if target.role is not self.target.role:
             self.changing_until = self.ordered_until = float("-inf")
-        self.target = target
+        self.target = self._draining_if_leaving(target)
         self.load.software = target.software
         if target.role is not None:
             self.load.role = target.role
 
+    def _draining_if_leaving(
+        self, target: _contracts.Target
+    ) -> _contracts.Target:
+        active = target.state is _types.TargetState.ACTIVE
+        if not active or not self._departures.leaves(target):
+            return target
+        draining = _types.TargetState.DRAINING
+        return dataclasses.replace(target, state=draining)
+
+    def record_leaving(self) -> None:
+        """Record an answer which says that the target leaves."""
+        self._departures.record(self.target)
+        self.apply_departure("answer")
+
+    def apply_departure(self, source: str) -> None:
+        """Send no new requests to the target if it leaves.
+
+        ``source`` says how this instance learned of it, for the log.
+        """
+        target = self._draining_if_leaving(self.target)
+        if target is self.target:
+            return
+        self.target = target
+        self.load.routable = False
+        _log.info(
+            "targets: a target leaves",
+            extra={
+                "target": target.id,
+                "service": target.service,
+                "source": source,
+            },
+        )
+
     def withdraw(self) -> None:
         """Mark the target as withdrawn and close its connections."""
         withdrawn = _types.TargetState.WITHDRAWN
--- a/agatewing/gateway/tests/test_meter.py
+++ b/agatewing/gateway/tests/test_meter.py
@@ -9,6 +9,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing import gateway
+from agatewing.gateway import _departures
 from agatewing.gateway import _meter
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
@@ -37,7 +38,12 @@
         clock, decisions.SharedLimits("me", random.Random(1)), changed
     )
     return _tracked_target.TrackedTarget(
-        target, decisions.Speed(), clock, changed, limits
+        target,
+        decisions.Speed(),
+        clock,
+        changed,
+        limits,
+        _departures.Departures(clock, changed),
     )
 
 
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -131,19 +131,13 @@
         """Return whether an answer carries a signature header."""
         return gateway.header(head.headers, _names.SIGNATURE) is not None
 
-    def request_limit(self, head: gateway.AnswerHead) -> float | None:
-        """Return the requests a second that a target takes from all.
+    def notice(self, head: gateway.AnswerHead) -> gateway.Notice:
+        """Return what a target says about itself in an answer.
 
-        ``None`` if it names no limit, or one that cannot be read.
+        A limit that cannot be read counts as none.
         """
-        raw = gateway.header(head.headers, _names.REQUEST_LIMIT)
-        if raw is None:
-            return None
-        try:
-            limit = float(raw)
-        except ValueError:
-            return None
-        return limit if math.isfinite(limit) and limit >= 0 else None
+        leaving = gateway.header(head.headers, _names.LEAVING)
+        return gateway.Notice(_request_limit(head), leaving is not None)
 
     def cache_handle(
         self, address: str, body: bytes
@@ -195,6 +189,18 @@
         return None
 
 
+def _request_limit(head: gateway.AnswerHead) -> float | None:
+    """Return the requests a second that a target takes from all."""
+    raw = gateway.header(head.headers, _names.REQUEST_LIMIT)
+    if raw is None:
+        return None
+    try:
+        limit = float(raw)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _connection_options(headers: gateway.Headers) -> frozenset[bytes]:
     """Return the header names listed in Connection, in lower case.
 
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -21,6 +21,8 @@
 #: Requests a second, a decimal number, that a target takes from all
 #: instances together; in its answers for as long as that holds.
 REQUEST_LIMIT = b"server-limit"
+#: Present in all answers of a target that leaves.
+LEAVING = b"server-leaving"
 #: Model that the request is for.
 MODEL = b"x-model"
 #: Prompt tokens and maximum output tokens, separated by a comma.
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -107,6 +107,8 @@
         #: Requests a second that it takes from all instances together, as
         #: its answers name it; empty for none.
         self.limit = ""
+        #: Whether all its answers say that it leaves.
+        self.leaving = False
         #: Monotonic time of each request that reached it, in seconds.
         self.arrivals: list[float] = []
         #: Times in which it neither reads nor writes.
@@ -160,7 +162,7 @@
         self.orders.append(run)
         if self.on_role_change is not None:
             self.on_role_change(json.loads(run.body)["stage"])
-        return _send(sock, 202, run, b"")
+        return _send(sock, 202, run, b"", self._notice_fields())
 
     def limit_receive_buffer(self, size: int) -> None:
         """Set the receive buffer of new connections, in bytes."""
@@ -178,7 +180,7 @@
         """Answer one request; return whether the connection stays open."""
         if run.line.startswith("DELETE /-/kv-handle/"):
             self.freed.append(run.line.split()[1].rpartition("/")[2])
-            return _send(sock, 200, run, b"")
+            return _send(sock, 200, run, b"", self._notice_fields())
         if run.line.startswith("POST /-/order"):
             return self._accept_order(sock, run)
         self.arrivals.append(self.now())
@@ -190,10 +192,10 @@
             behaviour = _behaviour.Behaviour.MOVED
         match behaviour:
             case _behaviour.Behaviour.NOT_RUN:
-                fields = f"X-Not-Executed: 1\r\n{self._limit_field()}"
+                fields = f"X-Not-Executed: 1\r\n{self._notice_fields()}"
                 return _send(sock, 503, run, b"", fields)
             case _behaviour.Behaviour.MOVED:
-                return _send(sock, 421, run, b"")
+                return _send(sock, 421, run, b"", self._notice_fields())
         if run.headers.get("x-stage") == "prefill":
             self.prefills.append(run)
             hangs = behaviour is _behaviour.Behaviour.HANG
@@ -202,7 +204,7 @@
             self.voice.wait()
             handle = f"h{next(_HANDLE_NUMBERS)}"
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
-            fields = self._limit_field()
+            fields = self._notice_fields()
             return _send(sock, 200, run, body % handle.encode(), fields)
         self.runs.append(run)
         if not self.crash_blocks.isdisjoint(shared_blocks(run)):
@@ -230,7 +232,7 @@
         behaviour: _behaviour.Behaviour,
     ) -> bool:
         """Answer a request that ran; return whether to keep the connection."""
-        signature = f"X-Server-Stamp: {self.name}\r\n{self._limit_field()}"
+        signature = f"X-Server-Stamp: {self.name}\r\n{self._notice_fields()}"
         body = self._body(run)
         self.voice.reach(_silence.Place.HEAD)
         if self._closed_in_silence(sock, run):
@@ -244,7 +246,8 @@
                 self._wait_for_close(sock, run)
                 return False
             case _behaviour.Behaviour.UNSIGNED:
-                return _send(sock, 200, run, body)
+                fields = self._notice_fields()
+                return _send(sock, 200, run, body, fields)
             case _behaviour.Behaviour.GARBAGE:
                 sock.sendall(b"\x00\x01 no answer\r\n\r\n")
                 return False
@@ -288,8 +291,10 @@
         """Return the monotonic time by which arrivals are recorded."""
         return time.monotonic()
 
-    def _limit_field(self) -> str:
-        return f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+    def _notice_fields(self) -> str:
+        """Return the headers by which it speaks of itself."""
+        limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
 
     def _body(self, run: Run) -> bytes:
         """Return the body of an answer; for a stream, the remaining events."""
@@ -364,9 +369,8 @@
         self, sock: gevent.socket.socket, run: Run, count: int
     ) -> None:
         """Begin a stream and send its first events."""
-        sock.sendall(
-            self._stream_head(run, f"X-Server-Stamp: {self.name}\r\n")
-        )
+        fields = f"X-Server-Stamp: {self.name}\r\n{self._notice_fields()}"
+        sock.sendall(self._stream_head(run, fields))
         last = int(run.headers.get("last-event-id", "0"))
         for number in range(last + 1, last + 1 + count):
             event = self._event(number)
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1476,6 +1476,7 @@
      - limits
      - requests
      - served_requests
+     - leaving
 
     """
 
@@ -1493,10 +1494,11 @@
         'limits',
         'requests',
         'served_requests',
+        'leaving',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -1510,6 +1512,7 @@
         self.limits = limits
         self.requests = requests
         self.served_requests = served_requests
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1638,6 +1641,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = iprot.readI32()
+                        self.leaving.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1659,8 +1672,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter89 in self.work:
-                iter89.write(oprot)
+            for iter95 in self.work:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1674,57 +1687,64 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter90 in self.changing:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter96 in self.changing:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter91 in self.held:
-                iter91.write(oprot)
+            for iter97 in self.held:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter92 in self.begun:
-                iter92.write(oprot)
+            for iter98 in self.begun:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter93 in self.suspects:
-                iter93.write(oprot)
+            for iter99 in self.suspects:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter94 in self.served:
-                iter94.write(oprot)
+            for iter100 in self.served:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter95 in self.limits:
-                iter95.write(oprot)
+            for iter101 in self.limits:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter96 in self.requests:
-                iter96.write(oprot)
+            for iter102 in self.requests:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_requests is not None:
             oprot.writeFieldBegin('served_requests', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.served_requests))
-            for iter97 in self.served_requests:
-                iter97.write(oprot)
+            for iter103 in self.served_requests:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 14)
+            oprot.writeListBegin(TType.I32, len(self.leaving))
+            for iter104 in self.leaving:
+                oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1878,6 +1898,7 @@
     (11, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 11
     (12, TType.LIST, 'requests', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 12
     (13, TType.LIST, 'served_requests', (TType.STRUCT, [ServedBlock, None], False), None, ),  # 13
+    (14, TType.LIST, 'leaving', (TType.I32, None, False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -166,4 +166,6 @@
   // Whole requests on which targets may crash, and those cleared of it.
   12: optional list<CrashSuspect> requests,
   13: optional list<ServedBlock> served_requests,
+  // Hashes of the incarnations of targets that said that they leave.
+  14: optional list<i32> leaving,
 }
