Let a stream wait until its instance may send it

Cause: an instance whose process stood still for about a second may send nothing until its watch sets its standing again, a quarter of a second later at most. The relay took that for a failure of the engine: it tried each engine in turn, spent the retries of the instance, and refused the request with "no engine took the request". Change: a stream that this instance may not send waits for its standing, for a second at most and not past its deadline, and keeps its engine. If it still may not be sent, it is refused as stale-configuration, or as lost if an engine may have run it. Other reasons that forbid a send are as before.

--- a/agatewing/entry/_gate.py
+++ b/agatewing/entry/_gate.py
@@ -10,6 +10,10 @@
 
 #: Age after which a standing does not permit sending any more, in seconds.
 STANDING_MAX_AGE_S = 1.0
+#: Longest wait of an admitted request until it may be sent, and the period
+#: in which it asks, in seconds; the standing is set four times a second.
+SEND_WAIT_S = 1.0
+SEND_WAIT_PERIOD_S = 0.02
 #: Standings in which requests may be sent to targets.
 SERVING_STANDINGS = frozenset(
     {membership.Standing.CURRENT, membership.Standing.OUTAGE}
@@ -61,6 +65,19 @@
             return False
         return self.standing in SERVING_STANDINGS
 
+    def wait_to_send(self, deadline: float) -> bool:
+        """Wait until an admitted request may be sent; return whether it may.
+
+        Waits for ``SEND_WAIT_S`` at most, and not after a monotonic time in
+        seconds. A process that was suspended sets its standing soon after.
+        """
+        until = min(deadline, self._clock.monotonic() + SEND_WAIT_S)
+        while not self.may_send():
+            if self._clock.monotonic() >= until:
+                return False
+            self._clock.sleep(SEND_WAIT_PERIOD_S)
+        return True
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send requests to this instance."""
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -251,6 +251,8 @@
         while self._answer is None:
             try:
                 self._answer = self._open()
+            except _exceptions.RefusedError:
+                raise
             except _exceptions.AgatewingError as exc:
                 self._recover(exc)
 
@@ -262,18 +264,7 @@
         if self._engine_accepted:
             answer = target.client.open("GET", self._resume_path())
         else:
-            call = msgspec.structs.replace(
-                self._call, start=self.assembler.position
-            )
-            headers = {"Content-Type": "application/json"}
-            body = msgspec.json.encode(call)
-            answer = target.client.open(
-                "POST",
-                "/v1/generate",
-                body,
-                headers,
-                functools.partial(self._may_start_on, target),
-            )
+            answer = self._begin_on(target)
         if answer.status != 200:
             status = answer.status
             answer.close()
@@ -283,6 +274,38 @@
         self.ever_accepted = True
         return answer
 
+    def _begin_on(self, target: fleet.EngineTarget) -> net.StreamAnswer:
+        """Send the request to an engine that does not have it.
+
+        Raises ``RefusedError`` if this instance may send nothing.
+        """
+        call = msgspec.structs.replace(
+            self._call, start=self.assembler.position
+        )
+        while True:
+            try:
+                return target.client.open(
+                    "POST",
+                    "/v1/generate",
+                    msgspec.json.encode(call),
+                    {"Content-Type": "application/json"},
+                    functools.partial(self._may_start_on, target),
+                )
+            except net.SendForbiddenError:
+                if self._deps.gate.may_send():
+                    raise
+            # No failure of the engine, which another would not mend.
+            if not self._deps.gate.wait_to_send(self._deadline):
+                self.close()
+                raise _exceptions.RefusedError(self._stale())
+
+    def _stale(self) -> _exceptions.Refusal:
+        """Return the refusal of a request that this instance may not send."""
+        refusal = self._deps.gate.refusal()
+        if refusal is None or self.ever_accepted or self._may_have_run:
+            return self._stream_lost("this instance may be out of date")
+        return refusal
+
     def _may_start_on(self, target: fleet.EngineTarget) -> bool:
         """Return whether a new request may be sent to the engine now."""
         document = self._deps.fleet.document
