Send targets nothing while their Retry-After lasts

Cause: a target that turns a request away with 503 and Retry-After wants nothing from that instance for so long. The header was ignored: plain targets got the next request at once, engines after 0.3 s, and retries were spent on them.

Change: the adapter decodes it into the answer's Notice (status 503 only; digits with or without a fraction; zero, dates and other values are as if absent). The check is made again once a connection is open. It is kept by incarnation (id, address, start), so an entry that is gone and back does not end it. While all targets of a service, or all engines of a stream's software version, back off, callers are refused at once with the earliest return and up to a second more, and no retry is spent. A 503 without proof that the request has not run is otherwise retried as before; it is passed on if nothing is left to retry at.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -214,6 +214,36 @@
         raise give_up_error(job, "targets crashed on the request")
 
 
+def check_back_offs(
+    ctx: HandlerContext, job: Job, software: str | None = None
+) -> None:
+    """Raise :class:`GatewayRefusedError` while all targets back off.
+
+    Called before a retry is spent, as none could be sent.
+    """
+    left_s = back_off_s(ctx, job, software)
+    if not left_s:
+        return
+    if job.attempts.maybe_ran:
+        raise give_up_error(job, "all targets want no requests now")
+    raise _refusals.GatewayRefusedError(
+        _refusals.targets_back_off(job.service, left_s, ctx.rng)
+    )
+
+
+def back_off_s(
+    ctx: HandlerContext, job: Job, software: str | None = None
+) -> float:
+    """Return the time until a target takes requests again, in seconds.
+
+    0 unless all of the service, or of its version ``software``, back off.
+    """
+    pool = ctx.registry.pools.get(job.service)
+    if pool is None:
+        return 0.0
+    return pool.back_off_s(ctx.clock.monotonic(), software)
+
+
 def give_up_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
     """Return the error for a request given up without an answer to forward.
 
@@ -263,6 +293,8 @@
         job.excluded.add(target)
     if ctx.clock.monotonic() >= job.deadline:
         raise _deadline_error(job, reason)
+    if not others:
+        check_back_offs(ctx, job)
     if step in (decisions.NextStep.FAIL, decisions.NextStep.REFUSE):
         raise give_up_error(job, reason)
     if others:
--- a/agatewing/gateway/_departures.py
+++ b/agatewing/gateway/_departures.py
@@ -44,11 +44,11 @@
 
     def leaves(self, target: _contracts.Target) -> bool:
         """Return whether a target said that it leaves."""
-        return bool(self._known) and _key(target) in self._known
+        return bool(self._known) and incarnation_key(target) in self._known
 
     def record(self, target: _contracts.Target) -> None:
         """Record that an answer of a target said that it leaves."""
-        if self._add(_key(target)):
+        if self._add(incarnation_key(target)):
             self.learned["answer"] += 1
 
     def merge(self, keys: collections.abc.Iterable[int]) -> bool:
@@ -74,7 +74,7 @@
         old = {key for key, at in self._known.items() if at < oldest}
         if not old:
             return
-        for key in old - {_key(target) for target in targets}:
+        for key in old - {incarnation_key(target) for target in targets}:
             del self._known[key]
 
     def take_reports(self) -> list[int]:
@@ -87,7 +87,7 @@
         return keys
 
 
-def _key(target: _contracts.Target) -> int:
+def incarnation_key(target: _contracts.Target) -> int:
     """Return a hash of what tells incarnations apart in the registry."""
     return decisions.short_key(
         f"{target.id}/{target.address}/{target.born_ms}"
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -406,6 +406,16 @@
             "source",
             self.registry.departures.learned,
         )
+        metrics.counter(
+            "agatewing_back_offs_total",
+            "Times that a target asked this instance for no requests",
+            self.registry.back_offs.begun,
+        )
+        metrics.gauge(
+            "agatewing_targets_backing_off",
+            "Targets that want no requests from this instance now",
+            self.registry.back_offs.count,
+        )
         metrics.counter(
             "agatewing_crashes_total",
             "Engines that crashed under a prompt of this instance",
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -244,6 +244,9 @@
     limit: float | None = None
     #: Whether it leaves, and takes no new requests until it ends.
     leaving: bool = False
+    #: Time for which it wants no requests from this instance, in seconds;
+    #: ``None`` if it does not say so.
+    back_off_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -118,6 +118,7 @@
     def _pick(self) -> _tracked_target.TrackedTarget:
         job = self._job
         pool = self._ctx.registry.pools.get(job.service)
+        _context.check_back_offs(self._ctx, job)
         now = self._ctx.clock.monotonic()
         usable = pool.usable(job.excluded, now) if pool else []
         limited = [t for t in usable if not t.may_get()]
@@ -266,6 +267,8 @@
         remaining_s = job.deadline - self._ctx.clock.monotonic()
         if remaining_s < job.route.objective_s / 2:
             return False
+        if _context.back_off_s(self._ctx, job):
+            return False
         if not _context.spend_retry(self._ctx, job):
             return False
         job.attempts.targets = targets
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -225,7 +225,8 @@
         if not decisions.fetchable_tokens(self._profile, tracked.load):
             return None
         source = self._pool.engines.get(self._profile.fetch_source)
-        if source is None or not source.active:
+        now = self._ctx.clock.monotonic()
+        if source is None or not source.takes_requests(now):
             return None
         return source.target.address
 
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -18,6 +18,10 @@
 #: Retry-After if targets rejected the request as busy, in seconds: the time
 #: of a few requests to a plain service.
 OVERLOADED_RETRY_S = 0.1
+#: Least and most time over which callers are spread that come back after the
+#: same back-off of targets, in seconds.
+MIN_SPREAD_S = 0.1
+MAX_SPREAD_S = 1.0
 #: Retry-After of an instance without a configuration, in seconds: while it
 #: starts, and while the log that holds the configuration is unavailable.
 NOT_READY_RETRY_S = 0.2
@@ -154,6 +158,22 @@
     )
 
 
+def targets_back_off(
+    service: str, left_s: float, rng: random.Random
+) -> GatewayRefusal:
+    """Return the refusal while all targets of a service want no requests.
+
+    ``left_s`` is the time until the first of them does, in seconds. Callers
+    are told different times, so that they do not all come back at once.
+    """
+    spread_s = min(MAX_SPREAD_S, max(MIN_SPREAD_S, left_s * RETRY_JITTER))
+    return overloaded(
+        f"all targets of {service} want no requests now; come back later",
+        # Not earlier than that, also after rounding.
+        left_s + 0.01 + spread_s * rng.random(),
+    )
+
+
 def leaving(rng: random.Random) -> GatewayRefusal:
     """Return the refusal of a request that an instance has no time for."""
     return GatewayRefusal(
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -201,6 +201,9 @@
         pool: _target_registry.Pool,
         moves: tuple[decisions.RoleMove, ...],
     ) -> None:
+        moves = tuple(m for m in moves if self._takes_orders(pool, m.engine))
+        if not moves:
+            return
         claim = self._context.claims.acquire()
         if claim is None:
             return
@@ -211,6 +214,11 @@
             if tracked is not None:
                 self._send(tracked, move.role, claim)
 
+    def _takes_orders(self, pool: _target_registry.Pool, name: str) -> bool:
+        tracked = pool.engines.get(name)
+        now = self._context.clock.monotonic()
+        return tracked is not None and tracked.takes_requests(now)
+
     def _send(
         self,
         tracked: _tracked_target.TrackedTarget,
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -24,6 +24,7 @@
 MAX_BUFFERED_BYTES = 48_000_000
 #: Timeout for reading the rest of a rejection, in seconds.
 REJECTION_READ_S = 0.2
+_NO_REQUESTS = "the target takes no requests; it leaves or backs off"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,17 +96,17 @@
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return _messages.NotSent("no time is left")
-        if not tracked.active:
-            return _messages.NotSent("the target is leaving")
+        if not tracked.takes_requests(self._clock.monotonic()):
+            return _messages.NotSent(_NO_REQUESTS)
         try:
             channel = tracked.channels.acquire(max_idle_s, remaining_s)
         except _channel.ConnectError as exc:
             tracked.record_failure()
             return _messages.NotSent(str(exc))
-        if not tracked.active:
-            # The target began to drain while the connection was opened.
+        if not tracked.takes_requests(self._clock.monotonic()):
+            # It said so while the connection was opened.
             channel.close()
-            return _messages.NotSent("the target is leaving")
+            return _messages.NotSent(_NO_REQUESTS)
         try:
             return self._exchange(tracked, channel, req, options, deadline)
         except BaseException:
@@ -162,6 +163,8 @@
         self._limits.observe(tracked.target, notice.limit, sent_at)
         if notice.leaving:
             tracked.record_leaving()
+        if notice.back_off_s is not None:
+            tracked.record_back_off(notice.back_off_s)
 
     def _matching_head(
         self,
@@ -258,7 +261,10 @@
 
         Raises the errors of :mod:`_channel` if no answer comes.
         """
-        deadline = self._clock.monotonic() + timeout_s
+        now = self._clock.monotonic()
+        if now < tracked.back_off_until:
+            raise _channel.BrokenError(_NO_REQUESTS)
+        deadline = now + timeout_s
         channel = tracked.channels.acquire(RETRY_MAX_IDLE_S, timeout_s)
         self._limits.record_send(tracked.target)
         sent_at = self._clock.monotonic()
@@ -293,8 +299,8 @@
                 raise _channel.BrokenError(
                     "the right to send the command has ended"
                 )
-            if not tracked.active:
-                raise _channel.BrokenError("the target is leaving")
+            if not tracked.takes_requests(self._clock.monotonic()):
+                raise _channel.BrokenError(_NO_REQUESTS)
             self._limits.record_send(tracked.target)
             sent_at = self._clock.monotonic()
             head = _round_trip(channel, outgoing, deadline)
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -48,6 +48,7 @@
             raise _refusals.GatewayRefusedError(
                 _refusals.no_version(job.service, software, self._ctx.rng)
             )
+        _context.check_back_offs(self._ctx, job, software)
         now = self._ctx.clock.monotonic()
         pool.refresh(now)
         profile = dataclasses.replace(
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -10,6 +10,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing import fleet
+from agatewing.gateway import _back_offs
 from agatewing.gateway import _contracts
 from agatewing.gateway import _departures
 from agatewing.gateway import _request_limits
@@ -151,6 +152,21 @@
             for name, tracked in self.engines.items()
         )
 
+    def back_off_s(self, now: float, software: str | None = None) -> float:
+        """Return the time until the first target takes requests, in seconds.
+
+        0 if one does, or none will. Engines that only prefill do not count,
+        nor those of other versions than ``software``, if it is given.
+        """
+        ends = [
+            tracked.back_off_until
+            for tracked in self.engines.values()
+            if tracked.active
+            and tracked.load.role is not _types.Role.PREFILL
+            and software in (None, tracked.target.software)
+        ]
+        return max(0.0, min(ends, default=now) - now)
+
     def routable(self) -> list[_tracked_target.TrackedTarget]:
         """Return the engines that may get new requests."""
         return [
@@ -188,6 +204,7 @@
         "changed",
         "limits",
         "departures",
+        "back_offs",
         "merge_reports",
     )
 
@@ -217,6 +234,8 @@
         )
         #: Targets that said that they leave.
         self.departures = _departures.Departures(clock, self.changed)
+        #: Targets that want no requests from this instance for a time.
+        self.back_offs = _back_offs.BackOffs(clock)
 
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
@@ -301,6 +320,7 @@
             self.changed,
             self.limits,
             self.departures,
+            self.back_offs,
             properties.kv_tokens if properties else 0,
         )
 
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -9,6 +9,7 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
+from agatewing.gateway import _back_offs
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
 from agatewing.gateway import _departures
@@ -68,6 +69,7 @@
         "in_flight",
         "failures",
         "avoid_until",
+        "back_off_until",
         "no_prefill_until",
         "failed_fetches",
         "changing_until",
@@ -75,6 +77,7 @@
         "meters",
         "_limits",
         "_departures",
+        "_back_offs",
         "_clock",
         "_changed",
     )
@@ -87,10 +90,12 @@
         changed: gevent.event.Event,
         limits: _request_limits.RequestLimits,
         departures: _departures.Departures,
+        back_offs: _back_offs.BackOffs,
         kv_limit: int = 0,
     ) -> None:
         self._limits = limits
         self._departures = departures
+        self._back_offs = back_offs
         #: Its last announcement; one that leaves drains.
         self.target = self._draining_if_leaving(target)
         #: Load and speed, as routing decisions read them.
@@ -118,6 +123,8 @@
         self.failures = 0
         #: Monotonic time until which it gets no new requests.
         self.avoid_until = float("-inf")
+        #: Monotonic time until which it wants no requests.
+        self.back_off_until = back_offs.until(target)
         #: Monotonic time until which it gets no prefills for other engines.
         self.no_prefill_until = float("-inf")
         #: Consecutive failed fetches of KV caches from it.
@@ -180,6 +187,24 @@
             },
         )
 
+    def record_back_off(self, back_off_s: float) -> None:
+        """Record an answer by which the target wants no requests for a time.
+
+        ``back_off_s`` is that time in seconds. Other answers don't end it.
+        """
+        until, begins = self._back_offs.record(self.target, back_off_s)
+        self.back_off_until = until
+        self.load.routable = False
+        if begins:
+            _log.info(
+                "targets: a target backs off",
+                extra={
+                    "target": self.target.id,
+                    "service": self.target.service,
+                    "back_off_s": back_off_s,
+                },
+            )
+
     def withdraw(self) -> None:
         """Mark the target as withdrawn and close its connections."""
         withdrawn = _types.TargetState.WITHDRAWN
@@ -242,10 +267,14 @@
         """Whether at least half of its batch slots are known to be in use."""
         return 2 * self.load.sequences >= self.load.speed.slots
 
+    def takes_requests(self, now: float) -> bool:
+        """Return whether the target has not said otherwise."""
+        return self.active and now >= self.back_off_until
+
     def usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the target."""
         until = max(self.avoid_until, self.changing_until)
-        return self.active and now >= until
+        return self.takes_requests(now) and now >= until
 
     @property
     def limited(self) -> bool:
--- a/agatewing/gateway/tests/test_meter.py
+++ b/agatewing/gateway/tests/test_meter.py
@@ -9,6 +9,7 @@
 from agatewing import _types
 from agatewing import decisions
 from agatewing import gateway
+from agatewing.gateway import _back_offs
 from agatewing.gateway import _departures
 from agatewing.gateway import _meter
 from agatewing.gateway import _request_limits
@@ -44,6 +45,7 @@
         changed,
         limits,
         _departures.Departures(clock, changed),
+        _back_offs.BackOffs(clock),
     )
 
 
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -1,6 +1,7 @@
 """Reads and writes requests and answers in the platform's format."""
 
 import math
+import re
 
 import msgspec
 
@@ -18,6 +19,7 @@
 
 #: Largest number of digits in a header's number; longer ones are unreadable.
 _MAX_DIGITS = 15
+_SECONDS = re.compile(rb"[0-9]+([.][0-9]+)?")
 
 
 class _PrefillAnswer(msgspec.Struct, frozen=True):
@@ -134,10 +136,12 @@
     def notice(self, head: gateway.AnswerHead) -> gateway.Notice:
         """Return what a target says about itself in an answer.
 
-        A limit that cannot be read counts as none.
+        A limit or time that cannot be read counts as none.
         """
         leaving = gateway.header(head.headers, _names.LEAVING)
-        return gateway.Notice(_request_limit(head), leaving is not None)
+        return gateway.Notice(
+            _request_limit(head), leaving is not None, _back_off_s(head)
+        )
 
     def cache_handle(
         self, address: str, body: bytes
@@ -201,6 +205,16 @@
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
+def _back_off_s(head: gateway.AnswerHead) -> float | None:
+    """Return for how long a target wants no requests, in seconds."""
+    if head.status != 503:
+        return None
+    raw = gateway.header(head.headers, _names.RETRY_AFTER)
+    if raw is None or not _SECONDS.fullmatch(raw.strip()):
+        return None
+    return float(raw) or None
+
+
 def _connection_options(headers: gateway.Headers) -> frozenset[bytes]:
     """Return the header names listed in Connection, in lower case.
 
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -21,6 +21,9 @@
 #: Requests a second, a decimal number, that a target takes from all
 #: instances together; in its answers for as long as that holds.
 REQUEST_LIMIT = b"server-limit"
+#: Seconds, with or without a fraction. In an answer with status 503: for how
+#: long the target wants no requests from the instance.
+RETRY_AFTER = b"retry-after"
 #: Present in all answers of a target that leaves.
 LEAVING = b"server-leaving"
 #: Model that the request is for.
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -109,6 +109,13 @@
         self.limit = ""
         #: Whether all its answers say that it leaves.
         self.leaving = False
+        #: Retry-After, in seconds, of the 503 with which it turns all requests
+        #: away; empty if it does not. Whether that proves that they did not
+        #: run.
+        self.retry_after = ""
+        self.turns_away_with_proof = True
+        #: Monotonic time of each such answer, in seconds, by request id.
+        self.turned_away: dict[str, float] = {}
         #: Monotonic time of each request that reached it, in seconds.
         self.arrivals: list[float] = []
         #: Times in which it neither reads nor writes.
@@ -178,6 +185,8 @@
 
     def _answer(self, sock: gevent.socket.socket, run: Run) -> bool:
         """Answer one request; return whether the connection stays open."""
+        if self.retry_after:
+            return self._turn_away(sock, run)
         if run.line.startswith("DELETE /-/kv-handle/"):
             self.freed.append(run.line.split()[1].rpartition("/")[2])
             return _send(sock, 200, run, b"", self._notice_fields())
@@ -218,6 +227,14 @@
             return False
         return self._run_request(sock, run, behaviour)
 
+    def _turn_away(self, sock: gevent.socket.socket, run: Run) -> bool:
+        self.arrivals.append(self.now())
+        self.turned_away[run.id] = self.now()
+        fields = f"Retry-After: {self.retry_after}\r\n{self._notice_fields()}"
+        if self.turns_away_with_proof:
+            fields += "X-Not-Executed: 1\r\n"
+        return _send(sock, 503, run, b"", fields)
+
     def crash(self) -> None:
         """Refuse new connections and close all that are open."""
         self.stop()
