Let the soak draw targets that leave or back off

Cause: nothing but tests of single cases showed that no request follows an answer by which a target leaves or wants none for a time.

Change: two kinds of fault, at the end of the list, so that the earlier ones keep their places: `leaving of NAME` (the answers say so first, the entry after that, then the target ends and starts again) and `back-off of NAME` (503 with Retry-After, every second time with a proof). The checks find requests by DRAIN (sent by a caller more than 2 s after the same instance passed such an answer on) and BUDGET (more than two from one instance, from 0.5 s after the answer to its end), from what targets and callers saw. Absences of the instance excuse both; faults of the link to the target, which are now recorded for all kinds, excuse BUDGET. A silence lasts as a fault as long as the target is silent.

--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from agatewing.platform.soak import _disturbances
+from agatewing.platform.soak import _notices
 from agatewing.platform import standins
 
 #: Time limit of every route, in seconds; an answer may be cut off at it.
@@ -110,7 +111,8 @@
         a wrong body, STOPPED for a sound request that was put under
         quarantine, WHOLE for one that had no complete answer though no fault
         ended it, CRASHED for one on which targets crash that was not kept
-        from them.
+        from them, DRAIN and BUDGET for one that reached a target that left
+        or backed off.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -142,6 +144,7 @@
                 violations.append(f"STOPPED: {name} got {reply.status}")
         violations += self._unfinished(engines)
         violations += self._late_sends(engines)
+        violations += self._unwanted_sends(engines)
         return violations + self._mixed_versions()
 
     def _unfinished(self, engines: list[standins.EngineStandin]) -> list[str]:
@@ -215,6 +218,33 @@
                 )
         return found
 
+    def _unwanted_sends(
+        self, engines: list[standins.EngineStandin]
+    ) -> list[str]:
+        """Return the requests that reached targets which wanted none."""
+        sends = {
+            name: _notices.Send(attempt.instance, attempt.sent_at)
+            for name, attempt in self._attempts.items()
+        }
+        passed_on = {
+            name: _notices.PassedOn(
+                sends[name].instance,
+                self._ended_at[name],
+                reply.headers.get("x-server-stamp", ""),
+            )
+            for name, reply in self._replies.items()
+            if "server-leaving" in reply.headers
+        }
+        found = []
+        for engine in engines:
+            found += _notices.sent_to_leaving(
+                engine, sends, passed_on, self.absences
+            )
+            found += _notices.sent_in_back_off(
+                engine, sends, self.absences, self.disturbances
+            )
+        return found
+
     def _mixed_versions(self) -> list[str]:
         """Return the streams with events of several software versions.
 
--- a/agatewing/platform/soak/_disturbances.py
+++ b/agatewing/platform/soak/_disturbances.py
@@ -4,13 +4,18 @@
 import time
 
 
+def link(target: str) -> str:
+    """Return the place of faults on the link to one target."""
+    return f"link to {target}"
+
+
 class Disturbance:
     """One fault, at an instance or on the links to a service."""
 
     __slots__ = ("where", "since", "until")
 
     def __init__(self, where: str, since: float) -> None:
-        #: Name of the instance or service.
+        #: Name of the instance, service or link.
         self.where = where
         #: Monotonic times of its begin and end, in seconds.
         self.since = since
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -225,6 +225,12 @@
         for path in _callers.IDEMPOTENT_BY_PATH:
             send = functools.partial(self._send_crashing, path)
             yield f"crashing request to {path}", send
+        for target in _targets.TARGETS:
+            leave = functools.partial(self._targets.leave, target)
+            yield f"leaving of {target}", leave
+        for target in _targets.TARGETS:
+            back_off = functools.partial(self._targets.back_off, target)
+            yield f"back-off of {target}", back_off
 
     def _pause(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -21,6 +21,9 @@
 #: Time for which a target runs a request before it crashes on it, in seconds,
 #: so that others are under way there.
 CRASH_AFTER_S = 0.02
+#: Time for which a target goes on serving after its entry says that it
+#: leaves, in seconds; its answers say so before.
+DRAIN_S = 2.0
 #: Shortest time for which targets fall silent, in seconds.
 MIN_SILENCE_S = 0.5
 
@@ -74,6 +77,10 @@
         self._ports = dict(
             zip(TARGETS, site.ports.take(len(TARGETS)), strict=True)
         )
+        # Unix time of the start of each target, in milliseconds.
+        self._born: dict[str, int] = {}
+        # Number of back-offs that were begun.
+        self._back_offs = 0
         # Ids of the targets that are to be started again.
         self._crashed: set[str] = set()
         self._replacements: list[gevent.Greenlet] = []
@@ -105,13 +112,20 @@
         self.engines.append(engine)
         self._site.targets[name] = engine
         self._proxies[name] = _proxy.Proxy(engine.address, self._ports[name])
+        self._born[name] = int(time.time() * 1_000)
+        self._announce(name, "ready", 1)
+
+    def _announce(self, name: str, state: str, sequence: int) -> None:
+        spec = TARGETS[name]
         self._site.announce(
             name,
             spec.service,
             spec.role,
             address=self._proxies[name].address,
             version=spec.version,
-            born=int(time.time() * 1_000),
+            born=self._born[name],
+            state=state,
+            seq=sequence,
         )
 
     def _replace_crashed(self, name: str) -> None:
@@ -136,6 +150,7 @@
     ) -> None:
         """Inject a network fault; CUT also closes open connections."""
         proxy = self._proxies[target]
+        link = self._disturbances.begin(_disturbances.link(target))
         disturbance = None
         if mode is _proxy.ProxyMode.CUT:
             service = TARGETS[target].service
@@ -145,13 +160,55 @@
             proxy.break_connections()
         gevent.sleep(fault_s)
         proxy.mode = _proxy.ProxyMode.FINE
+        link.end()
         if disturbance is not None:
             disturbance.end()
 
     def fall_silent(self, names: tuple[str, ...], fault_s: float) -> None:
         """Let targets send nothing for a time, with all connections open."""
+        silence_s = max(MIN_SILENCE_S, fault_s)
+        links = [
+            self._disturbances.begin(_disturbances.link(name))
+            for name in names
+        ]
         for name in names:
-            self._proxies[name].fall_silent(max(MIN_SILENCE_S, fault_s))
+            self._proxies[name].fall_silent(silence_s)
+        gevent.sleep(silence_s)
+        for link in links:
+            link.end()
+
+    def leave(self, name: str, fault_s: float) -> None:
+        """Let a target leave, then start it again.
+
+        Its answers say so for ``fault_s`` before its entry does.
+        """
+        engine = self._site.targets[name]
+        if engine.leaving:
+            return
+        engine.leaving = True
+        gevent.sleep(fault_s)
+        if self._serves(name, engine):
+            self._announce(name, "draining", 2)
+            gevent.sleep(DRAIN_S)
+        if self._serves(name, engine):
+            engine.crash()
+
+    def _serves(self, name: str, engine: standins.EngineStandin) -> bool:
+        """Return whether a target is still the one that it was."""
+        return name not in self._crashed and self._site.targets[name] is engine
+
+    def back_off(self, name: str, fault_s: float) -> None:
+        """Let a target turn all requests away for a time, as it says itself.
+
+        Every second time its answers prove that they did not run.
+        """
+        engine = self._site.targets[name]
+        self._back_offs += 1
+        engine.turns_away_with_proof = self._back_offs % 2 == 0
+        engine.retry_after = wanted = f"{fault_s:.3f}"
+        gevent.sleep(fault_s)
+        if engine.retry_after == wanted:
+            engine.retry_after = ""
 
     def script_behaviour(
         self, behaviour: standins.Behaviour, fault_s: float
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -114,10 +114,14 @@
         #: run.
         self.retry_after = ""
         self.turns_away_with_proof = True
-        #: Monotonic time of each such answer, in seconds, by request id.
+        #: Monotonic time of each such answer, and of the end of the time that
+        #: it names, in seconds, by request id.
         self.turned_away: dict[str, float] = {}
+        self.back_off_ends: dict[str, float] = {}
         #: Monotonic time of each request that reached it, in seconds.
         self.arrivals: list[float] = []
+        #: Those requests, whatever became of them.
+        self.requests: list[Run] = []
         #: Times in which it neither reads nor writes.
         self.voice = _silence.Voice()
         #: Monotonic times of the first event and of the end of each run, by
@@ -193,6 +197,7 @@
         if run.line.startswith("POST /-/order"):
             return self._accept_order(sock, run)
         self.arrivals.append(self.now())
+        self.requests.append(run)
         behaviour = self.script.popleft() if self.script else None
         if behaviour is not None:
             self.scripted.add(run.id)
@@ -228,8 +233,11 @@
         return self._run_request(sock, run, behaviour)
 
     def _turn_away(self, sock: gevent.socket.socket, run: Run) -> bool:
-        self.arrivals.append(self.now())
-        self.turned_away[run.id] = self.now()
+        now = self.now()
+        self.arrivals.append(now)
+        self.requests.append(run)
+        self.turned_away[run.id] = now
+        self.back_off_ends[run.id] = now + float(self.retry_after)
         fields = f"Retry-After: {self.retry_after}\r\n{self._notice_fields()}"
         if self.turns_away_with_proof:
             fields += "X-Not-Executed: 1\r\n"
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -236,6 +236,90 @@
     assert [v.split(":")[0] for v in violations] == ["CRASHED"] * case.found
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticeCase:
+    # Times at which requests are sent and reach the target, in seconds.
+    sends: tuple[float, ...]
+    violations: list[str]
+    # Instance, and begin and end of its absence or of a fault of the link.
+    fault: tuple[str, float, float] | None = None
+    # Instance of these requests; the first answer is passed on by "i0".
+    instance: str = "i0"
+
+
+LEAVE_CASES = {
+    "in time": NoticeCase((0.0, 1.9, 2.0), []),
+    "late": NoticeCase((1.0, 2.1), ["DRAIN"]),
+    "late by another instance": NoticeCase((2.1,), [], instance="i1"),
+    "late after a freeze": NoticeCase((2.1,), [], ("i0", 1.0, 1.5)),
+    "late before a freeze": NoticeCase((2.1,), ["DRAIN"], ("i0", 3.0, 3.5)),
+}
+BACK_OFF_CASES = {
+    "at first": NoticeCase((0.1, 0.2, 0.3, 0.4), []),
+    "two": NoticeCase((0.6, 2.9), []),
+    "three": NoticeCase((0.6, 1.0, 2.9), ["BUDGET"]),
+    "after the end": NoticeCase((0.6, 1.0, 3.1, 3.2), []),
+    "three by another instance": NoticeCase(
+        (0.6, 1.0, 2.9), [], instance="i1"
+    ),
+    "three with a freeze": NoticeCase((0.6, 1.0, 2.9), [], ("i0", 0.7, 0.8)),
+    "three with a fault of the link": NoticeCase(
+        (0.6, 1.0, 2.9), [], ("link to e1", 0.0, 0.1)
+    ),
+    "three with a fault of another link": NoticeCase(
+        (0.6, 1.0, 2.9), ["BUDGET"], ("link to e2", 0.0, 0.1)
+    ),
+}
+
+
+def sent_after_an_answer(
+    case: NoticeCase, answer: standins.Reply
+) -> tuple[soak.CallerRecords, standins.EngineStandin]:
+    """Return records of requests that follow an answer of e1 at time 0."""
+    records = soak.CallerRecords()
+    engine = standins.EngineStandin("e1")
+    engine.stop()
+    begun_at = time.monotonic()
+    if case.fault is not None:
+        where, since, until = case.fault
+        for record in (records.absences, records.disturbances):
+            fault = record.begin(where)
+            fault.since, fault.until = begun_at + since, begun_at + until
+    for number, at in enumerate((0.0, *case.sends)):
+        sent = dataclasses.replace(
+            REPEATABLE,
+            id=f"x-{number}",
+            instance=case.instance if number else "i0",
+            sent_at=begun_at + at,
+        )
+        records.record_attempt(sent)
+        run = standins.Run(sent.id, "", {}, b"", begun_at + at)
+        engine.requests.append(run)
+    records.record_reply("x-0", answer, begun_at)
+    engine.turned_away["x-0"] = begun_at
+    engine.back_off_ends["x-0"] = begun_at
+    return records, engine
+
+
+@pytest.mark.parametrize("name", LEAVE_CASES)
+def test_a_request_to_a_target_that_left_is_found(name: str) -> None:
+    case = LEAVE_CASES[name]
+    headers = {"server-leaving": "1", "x-server-stamp": "e1"}
+    answer = standins.Reply(200, headers, b"body of x-0", True)
+    records, engine = sent_after_an_answer(case, answer)
+    violations = records.violations([engine])
+    assert [v.split(":")[0] for v in violations] == case.violations
+
+
+@pytest.mark.parametrize("name", BACK_OFF_CASES)
+def test_requests_in_a_back_off_are_found(name: str) -> None:
+    case = BACK_OFF_CASES[name]
+    records, engine = sent_after_an_answer(case, reply(503))
+    engine.back_off_ends["x-0"] += 3.0
+    violations = records.violations([engine])
+    assert [v.split(":")[0] for v in violations] == case.violations
+
+
 @pytest.mark.parametrize(("crashing", "found"), [("", ["STOPPED"]), ("x", [])])
 def test_only_a_crashing_request_may_be_under_quarantine(
     crashing: str, found: list[str]
@@ -283,6 +367,8 @@
     [
         pytest.param("silence", 601, 6.0, id="silent targets"),
         pytest.param("crashing", 7, 12.0, id="crashing requests"),
+        pytest.param("leaving", 11, 8.0, id="leaving targets"),
+        pytest.param("back-off", 11, 8.0, id="targets that back off"),
     ],
 )
 def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
