Follow a log that is restored from an older copy

Cause: the log may come back from a copy some seconds old; offsets go back and are given out again. A follower that kept its offset read from the middle of the new records, or took another record for the next one, and a peer's higher offset of before the restore replaced what the restored log has.

Change: the adapter decodes the header Store-Era of every answer. When the era rises, pending reads end and all topics are listed anew; answers of an older era are discarded, and a listing that spans two eras begins anew. Entries of instances that the copy lacks are kept. The stand-in log names its era and restores copies.

--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -28,6 +28,7 @@
 from agatewing.gateway._ports import KeyedRecord
 from agatewing.gateway._ports import LogUnavailable
 from agatewing.gateway._ports import Page
+from agatewing.gateway._ports import Stored
 from agatewing.gateway._ports import Topic
 from agatewing.gateway._ports import Written
 from agatewing.gateway._settings import GatewaySettings
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -1,6 +1,7 @@
 """The instance's view of configuration and targets, and its age.
 
-The newest configuration stays in force: an older one never replaces it.
+The newest configuration stays in force: an older one never replaces it, also
+not one of a log that was restored from an older copy.
 Targets follow their entries in the log. An entry that is removed before the
 target announced that it drains may have expired while the log was
 unavailable though its target is alive. Such a target is kept for a hold
@@ -14,6 +15,8 @@
 from agatewing import _types
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _contracts
+from agatewing.gateway import _gone_targets
+from agatewing.gateway import _eras
 from agatewing.gateway import _routes
 
 _log = logging.getLogger("agatewing.catalogue")
@@ -41,6 +44,9 @@
         "routes",
         "targets",
         "through",
+        "era",
+        "log_era",
+        "_gone_targets",
         "_drop_at",
         "_read_at",
         "_log_back_at",
@@ -52,7 +58,11 @@
         self,
         clock: _clock.Clock,
         on_change: collections.abc.Callable[[], None],
+        log_era: _eras.LogEra | None = None,
     ) -> None:
+        #: Newest era of the log that is known.
+        self.log_era = log_era or _eras.LogEra()
+        self._gone_targets = _gone_targets.GoneTargets(clock)
         self._clock = clock
         self._on_change = on_change
         #: Configuration in force; ``None`` before the first.
@@ -63,7 +73,9 @@
         self.routes = _routes.RouteTable(())
         #: Targets by id.
         self.targets: dict[str, _contracts.Target] = {}
-        #: Log offset up to which entries of targets were read.
+        #: Era of the log from which the entries of targets were read, 0 if
+        #: the log named none, and the offset up to which they were.
+        self.era = 0
         self.through = 0
         #: Monotonic time at which a target without an entry is dropped, by
         #: id.
@@ -98,6 +110,25 @@
         """Record that the log gave no answer."""
         self.log_unavailable = self.read_failed = True
 
+    def begin_era(self, era: int) -> None:
+        """Record that the entries of targets are those of another era.
+
+        Entries that a restored copy lacks are written again by their targets,
+        like those that expired while the log was unavailable.
+        """
+        self._log_back_at = self._clock.monotonic()
+        for name in self._drop_at:
+            # A copy from before the removal holds the entry still.
+            self._gone_targets.record(self.targets[name], self.era)
+            self._drop_at[name] = self._log_back_at + RETURN_HOLD_S
+        self.era = era
+        self.through = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era of the log and offset up to which targets were read."""
+        return self.era, self.through
+
     def apply_configuration(
         self, configuration: _contracts.Configuration, source: str
     ) -> bool:
@@ -132,7 +163,8 @@
             if name not in targets:
                 self._mark_missing(name)
         for name, target in targets.items():
-            self._upsert(name, target)
+            if not self._gone_targets.hold_back(target, self.era):
+                self._upsert(name, target)
         self.through = through
         self._on_change()
 
@@ -140,6 +172,7 @@
         self, name: str, target: _contracts.Target | None
     ) -> None:
         """Apply the new entry of a target, or with ``None`` its removal."""
+        self._gone_targets.forget(name)
         if target is None:
             self._mark_missing(name)
         else:
@@ -177,15 +210,22 @@
     def _remove(self, name: str) -> None:
         self._drop_at.pop(name, None)
         target = self.targets.pop(name)
+        self._gone_targets.record(target, self.era)
         self._log_change(target, _types.TargetState.WITHDRAWN)
 
     def expire(self) -> None:
-        """Drop missing targets whose hold time is over."""
+        """Drop missing targets whose hold time is over.
+
+        Puts entries into use that a restored log still has.
+        """
         now = self._clock.monotonic()
         expired = [name for name, at in self._drop_at.items() if now >= at]
         for name in expired:
             self._remove(name)
-        if expired:
+        released = self._gone_targets.release()
+        for target in released:
+            self._upsert(target.id, target)
+        if expired or released:
             self._on_change()
 
     def snapshot(self) -> _contracts.Snapshot:
@@ -196,27 +236,26 @@
             if name not in self._drop_at
         )
         return _contracts.Snapshot(
-            self.configuration, targets, self.through, self.age_s()
+            self.configuration, targets, self.through, self.age_s(), self.era
         )
 
     def merge_snapshot(self, snapshot: _contracts.Snapshot, peer: str) -> None:
         """Merge the view of a peer that may have read the log further.
 
         Targets are replaced only if the peer's log offset is higher than
-        the own one.
+        the own one, or of a newer era.
         """
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, peer)
-        if snapshot.through <= self.through:
+        self.log_era.observe(snapshot.era or None)
+        if (snapshot.era, snapshot.through) <= self.position:
             return
-        by_id = {target.id: target for target in snapshot.targets}
-        for name in list(self.targets):
-            if name not in by_id:
-                self._mark_missing(name)
-        for name, target in by_id.items():
-            self._upsert(name, target)
-        self.through = snapshot.through
-        self._on_change()
+        if snapshot.era != self.era:
+            self.begin_era(snapshot.era)
+        self.replace_targets(
+            {target.id: target for target in snapshot.targets},
+            snapshot.through,
+        )
 
     def _log_change(
         self, target: _contracts.Target, state: _types.TargetState
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -188,3 +188,5 @@
     through: int
     #: Seconds since the sender read the end of the log.
     age_s: float
+    #: Era of the log in which that offset is valid; 0 if the log named none.
+    era: int = 0
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -4,9 +4,12 @@
 import dataclasses
 import logging
 
+import gevent
+
 from agatewing import _clock
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
+from agatewing.gateway import _eras
 from agatewing.gateway import _ports
 
 _log = logging.getLogger("agatewing.follow")
@@ -52,6 +55,9 @@
     end_batch: collections.abc.Callable[[int], None]
     #: Called when the log gave no answer.
     on_read_failed: collections.abc.Callable[[], None] = lambda: None
+    #: Called before ``replace_all`` with the era of its records if it is
+    #: another one than that of the records so far.
+    begin_era: collections.abc.Callable[[int], None] = lambda era: None
 
 
 def _never_unavailable() -> bool:
@@ -75,7 +81,11 @@
 
 
 class Follower:
-    """Reads one topic forever; on loss of history it reads all values."""
+    """Reads one topic forever.
+
+    It reads all values on loss of history, and when the log was restored from
+    an older copy: then its offset may name another record than before.
+    """
 
     __slots__ = (
         "_log",
@@ -84,6 +94,8 @@
         "_sink",
         "_limits",
         "_offset",
+        "_era",
+        "_offset_era",
         "failed_reads",
     )
 
@@ -94,7 +106,11 @@
         topic: _ports.Topic,
         sink: Sink,
         limits: ReadLimits | None = None,
+        era: _eras.LogEra | None = None,
     ) -> None:
+        self._era = era or _eras.LogEra()
+        # Era in which the offset is valid; ``None`` if the log named none.
+        self._offset_era: int | None = None
         self._limits = limits or ReadLimits()
         self._log = log
         self._clock = clock
@@ -140,9 +156,16 @@
 
     def step(self) -> bool:
         """Read the log once; return whether it answered."""
-        if self._offset is None:
+        if self._offset is None or self._restored:
+            return self._read_newest()
+        answer = self._read_unless_restored(self._offset)
+        if answer is None:
+            return self._read_newest()
+        if not self._era.observe(answer.era):
+            return self._reject_older(answer.era)
+        if self._restored:
             return self._read_newest()
-        match self._log.read(self._topic, self._offset):
+        match answer:
             case _ports.Page(records=records, next_offset=offset):
                 for record in records:
                     self._sink.apply(record)
@@ -161,17 +184,55 @@
                 self._record_failure(reason)
         return False
 
+    @property
+    def _restored(self) -> bool:
+        """Whether the log was restored since the offset was read."""
+        return self._era.current != self._offset_era
+
+    def _read_unless_restored(
+        self, offset: int
+    ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
+        """Read from an offset; ``None`` as soon as that has become worthless.
+
+        Another topic may show first that the log was restored.
+        """
+        risen = self._era.risen
+        reading = gevent.spawn(self._log.read, self._topic, offset)
+        try:
+            gevent.wait([reading, risen], count=1)
+            return reading.get() if reading.ready() else None
+        finally:
+            reading.kill()
+
     def _read_newest(self) -> bool:
-        match self._log.read_newest(self._topic):
-            case _ports.Page(records=records, next_offset=offset):
-                self._offset = offset
+        self._offset = None
+        known_era = self._era.current
+        answer = self._log.read_newest(self._topic)
+        if not self._era.observe(answer.era):
+            return self._reject_older(answer.era)
+        match answer:
+            case _ports.Page(records=records, next_offset=offset, era=era):
                 self._record_success()
+                self._begin_era(known_era if era is None else era)
+                self._offset = offset
                 self._sink.replace_all(records, offset)
                 return True
             case _ports.LogUnavailable(reason=reason):
                 self._record_failure(reason)
         return False
 
+    def _begin_era(self, era: int | None) -> None:
+        """Set the era of the records that follow."""
+        if era is not None and era != self._offset_era:
+            self._sink.begin_era(era)
+        self._offset_era = era
+
+    def _reject_older(self, era: int | None) -> bool:
+        """Treat an answer of an older era as a failed read."""
+        self._offset = None
+        self._record_failure(f"the answer is of the older era {era}")
+        return False
+
     def _record_success(self) -> None:
         if self.failed_reads:
             _log.info(
@@ -235,4 +296,10 @@
         catalog.record_read()
         catalog.end_batch(offset)
 
-    return Sink(replace_all, apply, end_batch, catalog.record_unavailable)
+    return Sink(
+        replace_all,
+        apply,
+        end_batch,
+        catalog.record_unavailable,
+        catalog.begin_era,
+    )
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -15,6 +15,7 @@
 from agatewing.gateway import _catalog
 from agatewing.gateway import _claims
 from agatewing.gateway import _context
+from agatewing.gateway import _eras
 from agatewing.gateway import _follow
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _load_reports
@@ -69,7 +70,10 @@
         self.settings = settings
         self.clock = clock
         self.platform = platform
-        self.catalog = _catalog.Catalog(clock, self._apply_changes)
+        self.log_era = _eras.LogEra()
+        self.catalog = _catalog.Catalog(
+            clock, self._apply_changes, self.log_era
+        )
         self.registry = _target_registry.TargetRegistry(
             clock,
             rng,
@@ -227,6 +231,7 @@
                 self.peers.replace_entries,
                 self.peers.update_entry,
                 self._instances_changed,
+                begin_era=self.peers.begin_era,
             ),
         }
         limits = _follow.ReadLimits(
@@ -235,7 +240,12 @@
         )
         for topic, sink in sinks.items():
             follower = _follow.Follower(
-                self.platform.log, self.clock, topic, sink, limits
+                self.platform.log,
+                self.clock,
+                topic,
+                sink,
+                limits,
+                self.log_era,
             )
             self._loops.append(gevent.spawn(follower.run))
         self._loops.append(gevent.spawn(self.dispatcher.run))
@@ -260,7 +270,7 @@
             unavailable = self.platform.log.put(
                 _ports.Topic.INSTANCES, self.settings.instance, raw
             )
-            if unavailable is None:
+            if isinstance(unavailable, _ports.Stored):
                 return
             _log.warning(
                 "instance: own entry not written; retrying",
@@ -379,6 +389,16 @@
             "Seconds since the end of the log was known",
             min(self.catalog.age_s(), 1e9),
         )
+        metrics.gauge(
+            "agatewing_log_era",
+            "Newest known era of the log; 0 if it names none",
+            self.log_era.current or 0,
+        )
+        metrics.counter(
+            "agatewing_log_restores_total",
+            "Times that the era of the log was seen to rise",
+            self.log_era.rises,
+        )
         metrics.gauge(
             "agatewing_config_version",
             "Configuration version in force",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -207,6 +207,7 @@
             work=loads,
             config_version=self._catalog.config_version,
             through=self._catalog.through,
+            era=self._catalog.era,
             changing=self._registry.own_role_changes()[:MAX_ROLE_CHANGES],
             held=self._placements(),
             begun=begun,
@@ -276,7 +277,7 @@
             return
         if (
             record.config_version > self._catalog.config_version
-            or record.through > self._catalog.through
+            or (record.era or 0, record.through) > self._catalog.position
         ):
             self._peers.request_snapshot_soon(record.instance)
         self._registry.limits.merge(record.instance, record.limits or ())
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -72,6 +72,7 @@
         "replies",
         "requests_sent",
         "_request_pending",
+        "_restored",
     )
 
     def __init__(
@@ -105,6 +106,8 @@
         #: Number of snapshot requests sent.
         self.requests_sent = 0
         self._request_pending = False
+        # Whether the next listing is the first of a restored log.
+        self._restored = False
 
     def start(self) -> None:
         """Serve snapshots; request them while the log is unavailable."""
@@ -134,11 +137,21 @@
             return
         self.known[record.key] = entry
 
+    def begin_era(self, era: int) -> None:
+        """Record that the next listing is the first of a restored log."""
+        self._restored = True
+
     def replace_entries(
         self, records: tuple[_ports.KeyedRecord, ...], offset: int
     ) -> None:
-        """Replace all entries."""
-        self.known.clear()
+        """Replace all entries.
+
+        Those that a restored log lacks are kept: their instances write them
+        again.
+        """
+        if not self._restored:
+            self.known.clear()
+        self._restored = False
         for record in records:
             self.update_entry(record)
 
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -40,12 +40,17 @@
     records: tuple[KeyedRecord, ...]
     #: Offset at which the next read continues.
     next_offset: int
+    #: Era of the log that it belongs to; ``None`` if the log named none.
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryLost:
     """The requested records are gone; read the newest values instead."""
 
+    #: Era of the log; ``None`` if the log named none.
+    era: int | None = None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogUnavailable:
@@ -53,6 +58,16 @@
 
     #: Description of the failure.
     reason: str
+    #: Era of the log; ``None`` without an answer or if the log named none.
+    era: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """The log has acknowledged a write."""
+
+    #: Era of the log; ``None`` if the log named none.
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,18 +76,28 @@
 
     #: Offset of the record.
     offset: int
+    #: Era of the log; ``None`` if the log named none.
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndMismatch:
     """A conditional write failed: the topic ends at another offset."""
 
+    #: Era of the log; ``None`` if the log named none.
+    era: int | None = None
+
 
 class FleetLog(typing.Protocol):
-    """Operations of the platform's log that the system uses."""
+    """Operations of the platform's log that the system uses.
+
+    The log may be restored from an older copy, which begins a new era: what
+    was written since is gone, and its offsets are given out again. So offsets
+    and acknowledgements count only within their era. Eras rise by one each.
+    """
 
     def read_newest(self, topic: Topic) -> Page | LogUnavailable:
-        """Return the newest value of every key that has one."""
+        """Return the newest value of every key that has one, of one era."""
 
     def read(
         self, topic: Topic, offset: int
@@ -81,7 +106,7 @@
 
     def put(
         self, topic: Topic, key: str, value: bytes
-    ) -> None | LogUnavailable:
+    ) -> Stored | LogUnavailable:
         """Write the value of a key; an empty value removes it."""
 
     def put_if_end(
--- a/agatewing/gateway/tests/test_fuzz_claims.py
+++ b/agatewing/gateway/tests/test_fuzz_claims.py
@@ -63,7 +63,7 @@
 
     def put(
         self, topic: _ports.Topic, key: str, value: bytes
-    ) -> None | _ports.LogUnavailable:
+    ) -> _ports.Stored | _ports.LogUnavailable:
         raise AssertionError("a claim is written under a condition")
 
 
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -57,6 +57,9 @@
     content_type: str
     #: Body.
     body: bytes
+    #: Values of the headers by name in lower case; those of a header that
+    #: comes several times are joined by commas.
+    headers: Headers = dataclasses.field(default_factory=dict)
 
 
 class SendForbiddenError(_exceptions.AgatewingError):
@@ -182,6 +185,18 @@
         """Content type; empty if the answer names none."""
         return str(self._response.get("content-type", "") or "")
 
+    @property
+    def headers(self) -> Headers:
+        """Values of the headers by name in lower case.
+
+        Those of a header that comes several times are joined by commas.
+        """
+        found: dict[str, str] = {}
+        for name, value in self._response.items():
+            key = name.lower()
+            found[key] = f"{found[key]}, {value}" if key in found else value
+        return found
+
     @property
     def ends_by_close(self) -> bool:
         """Whether the body has no length and no chunks.
@@ -413,7 +428,9 @@
             raise _exceptions.TargetSilentError(
                 self.address, "connection closed inside a JSON answer"
             )
-        return HttpAnswer(answer.status, answer.content_type, raw)
+        return HttpAnswer(
+            answer.status, answer.content_type, raw, answer.headers
+        )
 
     def _ensure_connected(self) -> None:
         """Put an open connection into the pool for the next request."""
--- a/agatewing/platform/__init__.py
+++ b/agatewing/platform/__init__.py
@@ -5,6 +5,7 @@
 
 from agatewing import gateway
 from agatewing.platform._dialect import PlatformDialect
+from agatewing.platform._log import decode_era
 from agatewing.platform._log import decode_read
 from agatewing.platform._log import PlatformLog
 from agatewing.platform._names import READY_PATH
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import logging
 import struct
 import urllib.parse
 
@@ -12,6 +13,8 @@
 from agatewing import net
 from agatewing.platform import _names
 
+_log = logging.getLogger("agatewing.platform")
+
 #: Long-poll time of a read, by topic, in milliseconds. Each call is charged
 #: for, so reads wait long. But after an outage the log may never answer a
 #: read that it had accepted before: an instance counts as connected 3 seconds
@@ -36,6 +39,11 @@
 MAX_ANSWER_BYTES = 4_000_000
 #: Largest size of one read, in kilobytes.
 MAX_READ_KB = 1_024
+#: Times that a listing is begun in one call, as all its pages have to be of
+#: one era.
+LISTING_TRIES = 3
+#: Largest era, as peers send it to each other in 64 bits.
+MAX_ERA = 2**63 - 1
 #: Sizes in the body of a read, in bytes: the header (end and first offset of
 #: the topic) and the length field before each record.
 READ_HEADER_BYTES = 16
@@ -71,6 +79,21 @@
 class _ErrorStatus:
     # HTTP status; any but 200.
     status: int
+    # Era of the log; ``None`` if the answer names none.
+    era: int | None
+
+    @property
+    def failure(self) -> gateway.LogUnavailable:
+        """The status as the failure of a call."""
+        return gateway.LogUnavailable(f"status {self.status}", self.era)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Body:
+    # Body of an answer with status 200.
+    raw: bytes
+    # Era of the log; ``None`` if the answer names none.
+    era: int | None
 
 
 class PlatformLog:
@@ -110,26 +133,44 @@
         """Return the newest value of every key.
 
         The pages of one listing are not a consistent snapshot, so the
-        returned ``next_offset`` is the end that the first page gives.
+        returned ``next_offset`` is the end that the first page gives. The
+        listing begins anew if the log was restored between two pages.
         """
+        for _ in range(LISTING_TRIES):
+            listing = self._list(topic)
+            if not isinstance(listing, gateway.HistoryLost):
+                return listing
+        return gateway.LogUnavailable(
+            "restored while it was listed", listing.era
+        )
+
+    def _list(
+        self, topic: gateway.Topic
+    ) -> gateway.Page | gateway.HistoryLost | gateway.LogUnavailable:
+        """List a topic; ``HistoryLost`` if two pages are of two eras."""
         records: list[gateway.KeyedRecord] = []
         after: str | None = None
         end: int | None = None
+        era: int | None = None
         while True:
             match self._newest_page(topic, after):
                 case gateway.LogUnavailable() as failure:
                     return failure
-                case _NewestPage() as page:
+                case (page, page_era):
                     pass
+            if None not in (era, page_era) and era != page_era:
+                return gateway.HistoryLost(page_era)
+            era = page_era if era is None else era
             end = page.end if end is None else end
             records.extend(_decode_item(item) for item in page.items)
             if not page.has_more or not page.items:
-                return gateway.Page(tuple(records), end)
+                return gateway.Page(tuple(records), end, era)
             after = page.items[-1].key
 
     def _newest_page(
         self, topic: gateway.Topic, after: str | None
-    ) -> _NewestPage | gateway.LogUnavailable:
+    ) -> tuple[_NewestPage, int | None] | gateway.LogUnavailable:
+        """Return a page of a listing and its era."""
         query = {"topic": _TOPICS[topic], "part": "0"}
         if after is not None:
             query["after"] = after
@@ -137,14 +178,14 @@
         match self._get(topic, path):
             case gateway.LogUnavailable() as failure:
                 return failure
-            case _ErrorStatus(status=status):
-                return gateway.LogUnavailable(f"status {status}")
-            case bytes() as body:
+            case _ErrorStatus() as error:
+                return error.failure
+            case _Body(raw=raw, era=era):
                 pass
         try:
-            return msgspec.json.decode(body, type=_NewestPage)
+            return msgspec.json.decode(raw, type=_NewestPage), era
         except msgspec.MsgspecError as exc:
-            return gateway.LogUnavailable(f"unreadable: {exc}")
+            return gateway.LogUnavailable(f"unreadable: {exc}", era)
 
     def read(
         self, topic: gateway.Topic, offset: int
@@ -162,24 +203,24 @@
         match self._get(topic, f"/-/log-read?{query}"):
             case gateway.LogUnavailable() as failure:
                 return failure
-            case _ErrorStatus(status=410):
-                return gateway.HistoryLost()
-            case _ErrorStatus(status=status):
-                return gateway.LogUnavailable(f"status {status}")
-            case bytes() as body:
-                return decode_read(body, offset)
+            case _ErrorStatus(status=410, era=era):
+                return gateway.HistoryLost(era)
+            case _ErrorStatus() as error:
+                return error.failure
+            case _Body(raw=raw, era=era):
+                return dataclasses.replace(decode_read(raw, offset), era=era)
 
     def put(
         self, topic: gateway.Topic, key: str, value: bytes
-    ) -> None | gateway.LogUnavailable:
-        """Write the value of a key; an empty value removes the key.
-
-        Returns ``None`` once the log has confirmed the write.
-        """
-        answer = self._append(topic, key, value, {})
-        if isinstance(answer, _ErrorStatus):
-            return gateway.LogUnavailable(f"status {answer.status}")
-        return answer if isinstance(answer, gateway.LogUnavailable) else None
+    ) -> gateway.Stored | gateway.LogUnavailable:
+        """Write the value of a key; an empty value removes the key."""
+        match self._append(topic, key, value, {}):
+            case gateway.LogUnavailable() as failure:
+                return failure
+            case _ErrorStatus() as error:
+                return error.failure
+            case _Body(era=era):
+                return gateway.Stored(era)
 
     def put_if_end(
         self, topic: gateway.Topic, key: str, value: bytes, end: int
@@ -189,19 +230,19 @@
         Returns :class:`gateway.EndMismatch` if it ends elsewhere.
         """
         match self._append(topic, key, value, {"at": end}):
-            case _ErrorStatus(status=412):
-                return gateway.EndMismatch()
-            case _ErrorStatus(status=status):
-                return gateway.LogUnavailable(f"status {status}")
+            case _ErrorStatus(status=412, era=era):
+                return gateway.EndMismatch(era)
+            case _ErrorStatus() as error:
+                return error.failure
             case gateway.LogUnavailable() as failure:
                 return failure
-            case bytes() as body:
+            case _Body(raw=raw, era=era):
                 pass
         try:
-            written = msgspec.json.decode(body, type=_AppendAnswer)
+            written = msgspec.json.decode(raw, type=_AppendAnswer)
         except msgspec.MsgspecError as exc:
-            return gateway.LogUnavailable(f"unreadable: {exc}")
-        return gateway.Written(written.offset)
+            return gateway.LogUnavailable(f"unreadable: {exc}", era)
+        return gateway.Written(written.offset, era)
 
     def _append(
         self,
@@ -209,7 +250,7 @@
         key: str,
         value: bytes,
         condition: dict[str, int],
-    ) -> bytes | _ErrorStatus | gateway.LogUnavailable:
+    ) -> _Body | _ErrorStatus | gateway.LogUnavailable:
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = struct.pack(">I", len(content)) + content
@@ -223,20 +264,44 @@
             )
         except _exceptions.AgatewingError as exc:
             return gateway.LogUnavailable(str(exc))
-        if answer.status != 200:
-            return _ErrorStatus(answer.status)
-        return answer.body
+        return _decode_answer(answer)
 
     def _get(
         self, topic: gateway.Topic, path: str
-    ) -> bytes | _ErrorStatus | gateway.LogUnavailable:
+    ) -> _Body | _ErrorStatus | gateway.LogUnavailable:
         try:
             answer = self._readers[topic].call("GET", path)
         except _exceptions.AgatewingError as exc:
             return gateway.LogUnavailable(str(exc))
-        if answer.status != 200:
-            return _ErrorStatus(answer.status)
-        return answer.body
+        return _decode_answer(answer)
+
+
+def _decode_answer(answer: net.HttpAnswer) -> _Body | _ErrorStatus:
+    """Return the body of an answer, or its status if it isn't 200."""
+    era = decode_era(answer.headers.get(_names.STORE_ERA))
+    if answer.status != 200:
+        return _ErrorStatus(answer.status, era)
+    return _Body(answer.body, era)
+
+
+def decode_era(value: str | None) -> int | None:
+    """Return the era that an answer of the log names.
+
+    ``None`` if it names none, or one that cannot be read.
+    """
+    if value is None:
+        return None
+    digits = value.strip()
+    if digits.isascii() and digits.isdecimal():
+        # More digits than the largest era has are not converted.
+        era = int(digits) if len(digits) <= len(str(MAX_ERA)) else MAX_ERA + 1
+        if era <= MAX_ERA:
+            return era
+    _log.warning(
+        "platform: era of the log ignored, it is no number",
+        extra={"era": value[:40]},
+    )
+    return None
 
 
 def decode_read(
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -87,6 +87,10 @@
 ORDER_PATH = b"/-/order"
 ORDER_OP_STAGE = "stage"
 
+#: Era of the log, in all its answers, which rises by one each time that it is
+#: restored from an older copy.
+STORE_ERA = "store-era"
+
 #: Topics of the log; each has one partition, number 0.
 TOPIC_CONFIGURATION = "keyed.op"
 TOPIC_TARGETS = "keyed.servers"
--- a/agatewing/platform/standins/__init__.py
+++ b/agatewing/platform/standins/__init__.py
@@ -14,5 +14,6 @@
 from agatewing.platform.standins._site import Reply
 from agatewing.platform.standins._site import RESTART_S
 from agatewing.platform.standins._site import Site
+from agatewing.platform.standins._store import StoreCopy
 from agatewing.platform.standins._store import StoreMode
 from agatewing.platform.standins._store import StoreStandin
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -67,7 +67,7 @@
 
     def put(
         self, topic: gateway.Topic, key: str, value: bytes
-    ) -> None | gateway.LogUnavailable:
+    ) -> gateway.Stored | gateway.LogUnavailable:
         """Write a value; :class:`LogUnavailable` while disconnected."""
         if self.disconnected:
             return gateway.LogUnavailable("cut off")
--- a/agatewing/platform/standins/_store.py
+++ b/agatewing/platform/standins/_store.py
@@ -1,6 +1,7 @@
 """Test double of the platform's log, with its failure modes."""
 
 import base64
+import dataclasses
 import enum
 import errno
 import struct
@@ -70,6 +71,21 @@
         self.appended = gevent.event.Event()
         return offset
 
+    def copy(self) -> "_Topic":
+        """Return a copy that later appends do not change."""
+        copied = _Topic()
+        copied.first = self.first
+        copied.records = list(self.records)
+        copied.newest = dict(self.newest)
+        return copied
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of all topics of the log, at one moment."""
+
+    topics: dict[str, _Topic]
+
 
 class StoreStandin(_loopback.Loopback):
     """A log on loopback.
@@ -81,6 +97,8 @@
         self.mode = StoreMode.FINE
         #: Number of calls received.
         self.calls = 0
+        #: Value of the header that names the era; ``None`` sends none.
+        self.era: int | str | None = 1
         self._topics: dict[str, _Topic] = {}
         super().__init__(
             gevent.pywsgi.WSGIServer(("127.0.0.1", 0), self._serve, log=None)
@@ -108,6 +126,26 @@
             topic.first = topic.end
             topic.records.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all topics, to be restored later."""
+        return StoreCopy(
+            {name: topic.copy() for name, topic in self._topics.items()}
+        )
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Replace all topics by those of a copy; the era rises by one.
+
+        Reads that wait for records go on in the restored topics.
+        """
+        before = self._topics
+        self._topics = {
+            name: topic.copy() for name, topic in copied.topics.items()
+        }
+        if isinstance(self.era, int):
+            self.era += 1
+        for topic in before.values():
+            topic.appended.set()
+
     def _serve(
         self, environ: net.Environ, start_response: net.StartResponse
     ) -> list[bytes]:
@@ -117,9 +155,9 @@
         write = environ["REQUEST_METHOD"] == "POST"
         match self.mode:
             case StoreMode.BUSY:
-                return _reply(start_response, 503, b"{}")
+                return self._reply(start_response, 503, b"{}")
             case StoreMode.RATE_LIMITED:
-                return _reply(start_response, 429, b"{}")
+                return self._reply(start_response, 429, b"{}")
             case StoreMode.RESET:
                 raise ConnectionResetError(errno.ECONNRESET, "reset")
             case StoreMode.SILENT:
@@ -129,14 +167,14 @@
             body = environ["wsgi.input"].read()
             if int(query.get("at", topic.end)) != topic.end:
                 conflict = msgspec.json.encode({"end": topic.end})
-                return _reply(start_response, 412, conflict)
+                return self._reply(start_response, 412, conflict)
             answer = self._append(topic, body)
             if self.mode is StoreMode.LOSES_ANSWERS:
                 raise ConnectionResetError(errno.ECONNRESET, "reset")
-            return _reply(start_response, 200, answer)
+            return self._reply(start_response, 200, answer)
         if path == "/-/log-newest":
-            return _reply(start_response, 200, self._newest(topic))
-        return self._read(topic, query, start_response)
+            return self._reply(start_response, 200, self._newest(topic))
+        return self._read(query, start_response)
 
     def _append(self, topic: _Topic, body: bytes) -> bytes:
         offset = topic.end
@@ -160,27 +198,28 @@
         )
 
     def _read(
-        self,
-        topic: _Topic,
-        query: dict[str, str],
-        start_response: net.StartResponse,
+        self, query: dict[str, str], start_response: net.StartResponse
     ) -> list[bytes]:
         offset = int(query["from"])
-        if topic.end <= offset:
+        topic = self.topic(query["topic"])
+        if topic.end == offset:
             wait_s = int(query.get("wait_ms", "0")) / 1_000
             topic.appended.wait(min(MAX_READ_WAIT_S, wait_s))
-        if offset < topic.first:
+            topic = self.topic(query["topic"])
+        if not topic.first <= offset <= topic.end:
             body = msgspec.json.encode({"first": topic.first})
-            return _reply(start_response, 410, body)
+            return self._reply(start_response, 410, body)
         records = topic.records[offset - topic.first :]
         body = struct.pack(">QQ", topic.end, topic.first)
         for record in records:
             body += struct.pack(">I", len(record)) + record
-        return _reply(start_response, 200, body)
+        return self._reply(start_response, 200, body)
 
-
-def _reply(
-    start_response: net.StartResponse, code: int, body: bytes
-) -> list[bytes]:
-    start_response(net.status_line(code), [("Content-Length", str(len(body)))])
-    return [body]
+    def _reply(
+        self, start_response: net.StartResponse, code: int, body: bytes
+    ) -> list[bytes]:
+        fields = [("Content-Length", str(len(body)))]
+        if self.era is not None:
+            fields.append(("Store-Era", str(self.era)))
+        start_response(net.status_line(code), fields)
+        return [body]
--- a/agatewing/platform/tests/test_log_answers.py
+++ b/agatewing/platform/tests/test_log_answers.py
@@ -1,13 +1,16 @@
 """Answers of the log that were broken off."""
 
+import base64
 import struct
 
 import gevent.server
 import gevent.socket
+import msgspec
 import pytest
 
 from agatewing import gateway
 from agatewing import platform
+from agatewing.platform import standins
 
 HEADER = struct.pack(">QQ", 7, 0)
 RECORD = struct.pack(">I", 6) + b"\x03keyvv"
@@ -50,3 +53,104 @@
         server.stop(timeout=0)
     assert isinstance(read, gateway.Page)
     assert len(connections) == 2
+
+
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [
+        (None, None),
+        ("1", 1),
+        (" 7 ", 7),
+        ("0", 0),
+        (str(2**63 - 1), 2**63 - 1),
+        (str(2**63), None),
+        ("9" * 10_000, None),
+        ("", None),
+        ("-1", None),
+        ("1.5", None),
+        ("1, 2", None),
+        ("\u0663", None),
+        ("era", None),
+    ],
+)
+def test_the_era_of_an_answer(value: str | None, era: int | None) -> None:
+    assert platform.decode_era(value) == era
+
+
+class PagedLog:
+    """Serves a listing of two pages; each answer names the next era."""
+
+    def __init__(self, eras: list[str]) -> None:
+        self.eras = eras
+        self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def _serve(self, sock: gevent.socket.socket, _: object) -> None:
+        while data := sock.recv(65_536):
+            era = self.eras.pop(0)
+            first = b"after=" not in data
+            key = "a" if first else "b"
+            value = base64.b64encode(f"era {era}".encode()).decode()
+            body = msgspec.json.encode(
+                {
+                    "items": [{"key": key, "value": value, "offset": 0}],
+                    "has_more": first,
+                    "end": 7 if era == "1" else 3,
+                }
+            )
+            named = f"Store-Era: {era}\r\n" if era else ""
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s"
+                % (len(body), named.encode(), body)
+            )
+
+
+@pytest.mark.parametrize(
+    ("eras", "listed"),
+    [
+        (["1", "1"], (7, 1)),
+        (["", ""], (3, None)),
+        (["1", "2", "2", "2"], (3, 2)),
+        (["2", "1", "2", "2"], (3, 2)),
+        (["1", "2", "3", "4", "5", "6"], 6),
+    ],
+)
+def test_the_pages_of_a_listing_are_of_one_era(
+    eras: list[str], listed: tuple[int, int | None] | int
+) -> None:
+    paged = PagedLog(eras)
+    log = platform.connect(f"127.0.0.1:{paged.server.server_port}").log
+    try:
+        answer = log.read_newest(gateway.Topic.TARGETS)
+    finally:
+        paged.server.stop(timeout=0)
+    assert not paged.eras
+    if isinstance(listed, int):
+        assert isinstance(answer, gateway.LogUnavailable)
+        assert answer.era == listed
+        return
+    assert isinstance(answer, gateway.Page)
+    assert (answer.next_offset, answer.era) == listed
+    values = {record.value for record in answer.records}
+    assert len(values) == 1
+
+
+@pytest.mark.parametrize("mode", list(standins.StoreMode)[:3])
+def test_all_calls_report_the_era(mode: standins.StoreMode) -> None:
+    store = standins.StoreStandin()
+    store.era = 5
+    store.mode = mode
+    topic = gateway.Topic.ORDERS
+    log = platform.connect(store.address).log
+    try:
+        answers = [
+            log.read_newest(topic),
+            log.read(topic, 0),
+            log.read(topic, 9),
+            log.put(topic, "k", b"v"),
+            log.put_if_end(topic, "k", b"v", 1),
+            log.put_if_end(topic, "k", b"v", 9),
+        ]
+    finally:
+        store.stop()
+    assert [answer.era for answer in answers] == [5] * len(answers)
--- /dev/null
+++ b/agatewing/platform/tests/test_restored_log.py
@@ -0,0 +1,163 @@
+"""Instances follow a log that is restored from an older copy."""
+
+import collections.abc
+import dataclasses
+
+import gevent
+import pytest
+
+from agatewing import gateway
+from agatewing.platform import standins
+
+
+@pytest.fixture
+def site() -> collections.abc.Iterator[standins.Site]:
+    with standins.Site() as made:
+        made.route("/look/", "safe", "ledger")
+        made.add_target("t1", "ledger", None)
+        made.add_target("t2", "ledger", None)
+        made.publish()
+        yield made
+
+
+def start(site: standins.Site, *names: str) -> list[gateway.GatewayInstance]:
+    """Start instances; return them when they know each other."""
+    started = [site.start(name) for name in names]
+    for instance in started:
+        site.wait(lambda: instance.lifecycle.ready)
+        site.wait(lambda: len(instance.peers.known) == len(names) - 1)
+    return started
+
+
+def write_filler(site: standins.Site, count: int = 4) -> None:
+    """Let a target write its entry some times."""
+    for number in range(count):
+        site.announce("t1", "ledger", None, seq=10 + number)
+
+
+def announced(site: standins.Site, name: str) -> bool:
+    """Return whether all instances know a target."""
+    return all(name in i.catalog.targets for i in site.instances)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drill:
+    #: Records that are lost, and those written again before the next read.
+    lost: int
+    rewritten: int
+    #: Number of restores of the same copy.
+    restores: int = 1
+    #: Instances without the log from before the drill until after it.
+    away: tuple[str, ...] = ()
+    #: Time for which the log is busy before it is restored, in seconds.
+    busy_s: float = 0.0
+
+
+DRILLS = {
+    "the offset is gone": Drill(4, 0),
+    "the offset is the end again": Drill(4, 3),
+    "the offset has another record": Drill(4, 8),
+    "two eras in a row": Drill(4, 8, 2),
+    "one instance away": Drill(4, 8, away=("i2",)),
+    "one instance away for two eras": Drill(4, 8, 2, ("i2",)),
+    "all away for a moment": Drill(4, 8, busy_s=0.7),
+}
+
+
+# After a restore that reached beyond their offsets, instances missed what had
+# been written at those below.
+@pytest.mark.parametrize("name", DRILLS)
+def test_instances_see_all_that_a_restored_log_has(
+    site: standins.Site, name: str
+) -> None:
+    drill = DRILLS[name]
+    instances = start(site, "i1", "i2", "i3")
+    copied = site.store.copy()
+    write_filler(site, drill.lost)
+    site.wait(
+        lambda: all(i.catalog.through == 2 + drill.lost for i in instances)
+    )
+    for instance in drill.away:
+        site.logs[instance].disconnected = True
+    if drill.busy_s:
+        site.store.mode = standins.StoreMode.BUSY
+        gevent.sleep(drill.busy_s)
+        site.store.mode = standins.StoreMode.FINE
+    for _ in range(drill.restores):
+        site.store.restore(copied)
+        site.add_target("t3", "ledger", None)
+        write_filler(site, drill.rewritten)
+        if drill.restores > 1:
+            gevent.sleep(0.1)
+    site.wait(lambda: announced(site, "t3"))
+    for instance in drill.away:
+        site.logs[instance].disconnected = False
+    site.add_target("t4", "ledger", None)
+    site.withdraw("t1")
+    site.wait(lambda: announced(site, "t4"))
+    site.wait(
+        lambda: not any("t1" in i.catalog.targets for i in site.instances)
+    )
+    assert {i.catalog.era for i in instances} == {1 + drill.restores}
+
+
+@pytest.mark.parametrize("rewritten", ["nothing", "the same", "a newer one"])
+def test_the_configuration_never_goes_back_and_reaches_all(
+    site: standins.Site, rewritten: str
+) -> None:
+    instances = start(site, "i1", "i2", "i3")
+    copied = site.store.copy()
+    older = instances[0].catalog.config_version
+    site.logs["i2"].disconnected = site.logs["i3"].disconnected = True
+    site.route("/new/", "safe", "ledger")
+    version = site.publish()
+    first = instances[0]
+    site.wait(lambda: first.catalog.config_version == version)
+    site.store.restore(copied)
+    site.logs["i2"].disconnected = site.logs["i3"].disconnected = False
+    restarted = site.start("i4")
+    site.wait(lambda: site.store.era == restarted.catalog.era)
+    everywhere = [*instances, restarted]
+    site.wait(
+        lambda: all(i.catalog.config_version == version for i in everywhere)
+    )
+    newest = site.store.topic("keyed.op").newest["config"][1]
+    assert b'"version":%d' % older in newest
+    if rewritten == "the same":
+        site._version = older
+        assert site.publish() == version
+    if rewritten == "a newer one":
+        version = site.publish()
+    site.wait(
+        lambda: all(i.catalog.config_version == version for i in everywhere)
+    )
+    for instance in everywhere:
+        assert site.ask(instance, "/new/x", f"r{instance}").status == 200
+
+
+def test_peers_that_the_copy_lacks_are_kept(site: standins.Site) -> None:
+    copied = site.store.copy()
+    instances = start(site, "i1", "i2")
+    site.store.restore(copied)
+    site.wait(lambda: all(i.catalog.era == 2 for i in instances))
+    # Longer than the least time between two reads of the entries.
+    for _ in range(40):
+        gevent.sleep(0.05)
+        assert [set(i.peers.known) for i in instances] == [{"i2"}, {"i1"}]
+
+
+def test_the_newer_of_two_eras_stays_if_an_answer_is_late(
+    site: standins.Site,
+) -> None:
+    (instance,) = start(site, "i1")
+    site.store.era = 3
+    site.add_target("t3", "ledger", None)
+    site.wait(lambda: announced(site, "t3"))
+    # As if all further answers had been sent before the restore.
+    site.store.era = 2
+    site.withdraw("t3")
+    gevent.sleep(1.5)
+    assert instance.catalog.position[0] == 3
+    assert announced(site, "t3")
+    site.store.era = 4
+    site.wait(lambda: "t3" not in instance.catalog.targets)
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1477,6 +1477,7 @@
      - requests
      - served_requests
      - leaving
+     - era
 
     """
 
@@ -1495,10 +1496,11 @@
         'requests',
         'served_requests',
         'leaving',
+        'era',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None, era=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -1513,6 +1515,7 @@
         self.requests = requests
         self.served_requests = served_requests
         self.leaving = leaving
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1651,6 +1654,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1747,6 +1755,10 @@
                 oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 15)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1899,6 +1911,7 @@
     (12, TType.LIST, 'requests', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 12
     (13, TType.LIST, 'served_requests', (TType.STRUCT, [ServedBlock, None], False), None, ),  # 13
     (14, TType.LIST, 'leaving', (TType.I32, None, False), None, ),  # 14
+    (15, TType.I64, 'era', None, None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -168,4 +168,6 @@
   13: optional list<ServedBlock> served_requests,
   // Hashes of the incarnations of targets that said that they leave.
   14: optional list<i32> leaving,
+  // Era of the log in which the offset is valid; 0 if the log names none.
+  15: optional i64 era,
 }
