Count writes to the log only in their own era

Cause: a restored log lacks records that it had acknowledged. A claim of the right to give orders stayed valid though its record was gone; the next one could get its fencing token again, and be made at once by an instance whose own claim the copy ended with, while orders of a lost claim were still arriving. An append that was carried out in the restored log counted. Entries of instances were written once, at their start.

Change: claims are void when the era rises, and none is made for the time that another holder's claim would take; an append answered in another era than that of the known end is not used; tokens hold the era above the offset.

--- a/agatewing/gateway/_claims.py
+++ b/agatewing/gateway/_claims.py
@@ -9,6 +9,10 @@
 token, so tokens grow with every claim. Claims are never renewed: a claim is
 made when there are orders to send. A claim whose append went unanswered is
 not used, as its outcome is unknown.
+
+The log may be restored from an older copy, which lacks the last claims. Then
+all claims are void, and none is made for as long as after the claim of another
+instance. The era of the log makes tokens grow nevertheless.
 """
 
 import dataclasses
@@ -17,6 +21,7 @@
 import msgspec
 
 from agatewing import _clock
+from agatewing.gateway import _eras
 from agatewing.gateway import _ports
 
 _log = logging.getLogger("agatewing.orders")
@@ -37,6 +42,11 @@
 #: Difference between the elapsed wall and monotonic time that invalidates a
 #: claim, in seconds: the host was suspended, and only its wall clock went on.
 CLOCK_JUMP_S = 0.3
+#: Bits of a fencing token below the era of the log; enough for a claim each
+#: second in a century.
+OFFSET_BITS = 32
+#: Era of a log that was never restored.
+FIRST_ERA = 1
 
 
 class ClaimRecord(msgspec.Struct, frozen=True):
@@ -48,6 +58,10 @@
     start: str
 
 
+#: Stands for the claim of an instance that is not known.
+UNKNOWN_HOLDER = ClaimRecord("", "")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """A successful claim: the right to give orders for a short time."""
@@ -58,6 +72,8 @@
     since: float
     #: Wall time just before the claim was sent, in seconds.
     wall: float
+    #: Era of the log that has its record; ``None`` if the log named none.
+    era: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +86,8 @@
     end: int
     #: Monotonic time at which this instance read or wrote it, in seconds.
     at: float
+    #: Era of the log at that time; ``None`` if the log named none.
+    era: int | None
 
 
 class Claims:
@@ -83,6 +101,9 @@
         "_last_claim",
         "_own_claim",
         "_read_after",
+        "_era",
+        "_rises_seen",
+        "_not_before",
     )
 
     def __init__(
@@ -91,11 +112,17 @@
         clock: _clock.Clock,
         own_record: ClaimRecord,
         gap_s: float,
+        era: _eras.LogEra | None = None,
     ) -> None:
         """Store the log, the clock and the own record.
 
         Orders of two holders are at least ``gap_s`` seconds apart.
         """
+        self._era = era or _eras.LogEra()
+        self._rises_seen = self._era.rises
+        # Monotonic time until which claims that a restored log lacks may be
+        # in use, in seconds.
+        self._not_before = float("-inf")
         self._log = log
         self._clock = clock
         self._own_record = own_record
@@ -106,6 +133,8 @@
 
     def valid(self, claim: Claim) -> bool:
         """Return whether orders may still be sent under a claim."""
+        if claim.era != self._era.current:
+            return False
         elapsed_s = self._clock.monotonic() - claim.since
         clock_jump_s = self._clock.wall() - claim.wall - elapsed_s
         return elapsed_s < CLAIM_VALID_S and abs(clock_jump_s) < CLOCK_JUMP_S
@@ -117,6 +146,7 @@
         when the holder is gone. If there was a newer claim, the append
         fails.
         """
+        self._drop_older()
         now = self._clock.monotonic()
         if self._last_claim is None and now >= self._read_after:
             self._read_after = now + READ_PERIOD_S
@@ -135,17 +165,39 @@
             return None
         return self._append(known)
 
+    def _drop_older(self) -> None:
+        """Drop what is known of the claims of an older era."""
+        known = self._last_claim
+        stale = known is not None and known.era != self._era.current
+        if self._rises_seen == self._era.rises and not stale:
+            return
+        self._rises_seen = self._era.rises
+        self._last_claim = self._own_claim = None
+        self._read_after = float("-inf")
+        self._not_before = self._clock.monotonic() + self._wait_s
+
     def _last_holder_done(self, known: _LastClaim) -> bool:
         """Return whether no order of the last holder can still arrive."""
+        if self._clock.monotonic() < self._not_before:
+            return False
         if known.record is None or known.record == self._own_record:
             return True
         return self._clock.monotonic() - known.at >= self._wait_s
 
     def _read(self) -> _LastClaim | None:
-        match self._log.read_newest(_ports.Topic.ORDERS):
-            case _ports.Page(records=records, next_offset=end):
+        answer = self._log.read_newest(_ports.Topic.ORDERS)
+        newest = self._era.observe(answer.era)
+        self._drop_older()
+        match answer:
+            case _ports.Page(records=records, next_offset=end, era=era):
+                if not newest:
+                    return None
+                record = _newest_record(records)
+                if record is None and (era or 0) > FIRST_ERA:
+                    # A restored log may lack all claims.
+                    record = UNKNOWN_HOLDER
                 now = self._clock.monotonic()
-                return _LastClaim(_newest_record(records), end, now)
+                return _LastClaim(record, end, now, self._era.current)
             case _ports.LogUnavailable(reason=reason):
                 _log.info(
                     "orders: log gives no answer", extra={"reason": reason}
@@ -159,14 +211,16 @@
         written = self._log.put_if_end(
             _ports.Topic.ORDERS, CLAIM_KEY, value, known.end
         )
+        self._era.observe(written.era)
+        self._drop_older()
         match written:
-            case _ports.Written(offset=offset):
-                self._last_claim = _LastClaim(
-                    self._own_record, offset + 1, since
+            case _ports.Written(offset=offset, era=era):
+                if known.era == self._era.current and era in (None, known.era):
+                    return self._begin(offset, since, wall)
+                _log.warning(
+                    "orders: claim void, the log was restored meanwhile",
+                    extra={"era": self._era.current},
                 )
-                self._own_claim = Claim(offset + 1, since, wall)
-                _log.info("orders: claimed", extra={"token": offset + 1})
-                return self._own_claim
             case _ports.EndMismatch():
                 _log.info("orders: another instance claimed")
             case _ports.LogUnavailable(reason=reason):
@@ -176,6 +230,20 @@
         self._last_claim = None
         return None
 
+    def _begin(self, offset: int, since: float, wall: float) -> Claim:
+        """Return the claim whose record has an offset in the present era."""
+        era = self._era.current
+        token = _token(era, offset)
+        self._last_claim = _LastClaim(self._own_record, offset + 1, since, era)
+        self._own_claim = Claim(token, since, wall, era)
+        _log.info("orders: claimed", extra={"token": token})
+        return self._own_claim
+
+
+def _token(era: int | None, offset: int) -> int:
+    """Return the fencing token of a claim; it grows with era and offset."""
+    return ((era or 0) << OFFSET_BITS) + offset + 1
+
 
 def _newest_record(
     records: tuple[_ports.KeyedRecord, ...],
@@ -189,5 +257,5 @@
         except msgspec.MsgspecError:
             # A record that fails to decode still counts as a claim of
             # another instance.
-            return ClaimRecord("", "")
+            return UNKNOWN_HOLDER
     return None
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -19,6 +19,7 @@
 from agatewing.gateway import _follow
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _load_reports
+from agatewing.gateway import _own_entry
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
@@ -36,8 +37,6 @@
 #: Largest number of requests queued for the engines of one service; more are
 #: refused.
 MAX_QUEUE = 2_048
-#: Pause before a failed write of the own entry is retried, in seconds.
-PUBLISH_RETRY_S = 1.0
 
 #: Settings that take effect without a restart.
 RELOADABLE = frozenset(("retries", "stop_limit_s", "log_level"))
@@ -127,6 +126,7 @@
             self.quarantine,
             settings.zone,
         )
+        self.own_entry = self._build_own_entry()
         self.metrics = _metrics.Metrics()
         self.handler_context = self._build_handler_context(rng, index)
         self.role_loop = self._build_role_loop()
@@ -169,6 +169,16 @@
             self.metrics,
         )
 
+    def _build_own_entry(self) -> _own_entry.OwnEntry:
+        settings = self.settings
+        entry = _peers.PeerEntry(settings.peer_address, settings.zone)
+        record = _ports.KeyedRecord(
+            settings.instance, msgspec.json.encode(entry)
+        )
+        return _own_entry.OwnEntry(
+            self.platform.log, self.clock, self.log_era, record
+        )
+
     def _build_role_loop(self) -> _role_loop.RoleLoop:
         settings = self.settings
         own_record = _claims.ClaimRecord(
@@ -179,6 +189,7 @@
             self.clock,
             own_record,
             settings.roles.holder_gap_ms / 1_000,
+            self.log_era,
         )
         return _role_loop.RoleLoop(
             _role_loop.RoleLoopContext(
@@ -228,7 +239,7 @@
             ),
             _ports.Topic.TARGETS: _follow.target_sink(self.catalog, decoder),
             _ports.Topic.INSTANCES: _follow.Sink(
-                self.peers.replace_entries,
+                self._replace_instances,
                 self.peers.update_entry,
                 self._instances_changed,
                 begin_era=self.peers.begin_era,
@@ -249,7 +260,7 @@
             )
             self._loops.append(gevent.spawn(follower.run))
         self._loops.append(gevent.spawn(self.dispatcher.run))
-        self._loops.append(gevent.spawn(self._publish_own_entry))
+        self._loops.append(gevent.spawn(self.own_entry.run))
         if self.settings.roles.decode_share:
             self._loops.append(gevent.spawn(self.role_loop.run))
         _log.info(
@@ -257,27 +268,15 @@
             extra={"address": self.settings.caller_address},
         )
 
+    def _replace_instances(
+        self, records: tuple[_ports.KeyedRecord, ...], offset: int
+    ) -> None:
+        self.peers.replace_entries(records, offset)
+        self.own_entry.check(records)
+
     def _instances_changed(self, offset: int) -> None:
         self._apply_changes()
 
-    def _publish_own_entry(self) -> None:
-        """Write the own entry to the log, so that peers find this instance."""
-        entry = _peers.PeerEntry(
-            self.settings.peer_address, self.settings.zone
-        )
-        raw = msgspec.json.encode(entry)
-        while True:
-            unavailable = self.platform.log.put(
-                _ports.Topic.INSTANCES, self.settings.instance, raw
-            )
-            if isinstance(unavailable, _ports.Stored):
-                return
-            _log.warning(
-                "instance: own entry not written; retrying",
-                extra={"reason": unavailable.reason},
-            )
-            self.clock.sleep(PUBLISH_RETRY_S)
-
     def reload(self, settings: _settings.GatewaySettings) -> None:
         """Apply those settings that can change without a restart."""
         self.budget.bound = decisions.BudgetBound(
@@ -399,6 +398,11 @@
             "Times that the era of the log was seen to rise",
             self.log_era.rises,
         )
+        metrics.counter(
+            "agatewing_records_rewritten_total",
+            "Records written again, as the log lost them",
+            self.own_entry.rewrites,
+        )
         metrics.gauge(
             "agatewing_config_version",
             "Configuration version in force",
--- a/agatewing/platform/tests/test_restored_log.py
+++ b/agatewing/platform/tests/test_restored_log.py
@@ -146,6 +146,30 @@
         assert [set(i.peers.known) for i in instances] == [{"i2"}, {"i1"}]
 
 
+# The copy lacked the entries of instances, and these never wrote them again.
+def test_entries_of_instances_that_the_copy_lacks_are_written_again(
+    site: standins.Site,
+) -> None:
+    (first,) = start(site, "i1")
+    site.wait(lambda: site.store.topic("keyed.instances").newest)
+    copied = site.store.copy()
+    second = site.start("i2")
+    site.wait(lambda: "i2" in first.peers.known)
+    for _ in range(2):
+        site.store.restore(copied)
+        newest = site.store.topic("keyed.instances").newest
+        site.wait(lambda: set(newest) == {"i1", "i2"})
+    third = site.start("i3")
+    site.wait(lambda: set(third.peers.known) == {"i1", "i2"})
+    site.wait(lambda: set(second.peers.known) == {"i1", "i3"})
+    # Only the lost one was written again.
+    assert first.own_entry.rewrites == 0
+    assert second.own_entry.rewrites == 2
+    metrics, _ = second.render_metrics()
+    assert b"agatewing_records_rewritten_total 2" in metrics
+    assert b"agatewing_log_era 3" in metrics
+
+
 def test_the_newer_of_two_eras_stays_if_an_answer_is_late(
     site: standins.Site,
 ) -> None:
