Restore the log from older copies in the soak

Cause: nothing exercised restores of the log under load, beside other faults and with instances as processes.

Change: the soak's last fault takes the log away for up to a second, restores the copy of 0.5, 2 or 5 s before, and lets the operator and the targets write again what they wrote last, up to 1.5 s later. At the end of an episode each instance has to show the newest era and configuration in its metrics (BEHIND). A test bounds the time until six instances agree after a restore.

--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -15,9 +15,12 @@
 import gevent.socket
 import msgspec
 
+from agatewing import _exceptions
 from agatewing import harness
+from agatewing import net
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
+from agatewing.platform.soak import _log_drill
 from agatewing.platform.soak import _proxy
 from agatewing.platform.soak import _targets
 from agatewing.platform import standins
@@ -36,6 +39,9 @@
 #: Time without faults at the end, in seconds, so that requests sent late have
 #: run before the check.
 FAULT_FREE_S = 4.0
+#: Longest time after it until all instances follow the log, in seconds: reads
+#: that the log lost end after 4.6 s.
+FOLLOW_LIMIT_S = 3.0
 
 
 PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
@@ -98,11 +104,12 @@
             self._start_site()
             self._inject_faults()
             gevent.sleep(FAULT_FREE_S)
+            late = self._instances_behind()
             return Verdict(
                 self._seed,
                 dict(sorted(self._records.statuses.items())),
                 tuple(self._faults),
-                tuple(self._records.violations(self._targets.engines)),
+                (*self._records.violations(self._targets.engines), *late),
                 tuple(self._records.failed()),
             )
 
@@ -118,6 +125,9 @@
         self._targets.start()
         self._log_proxy = _proxy.Proxy(site.store.address)
         site.publish()
+        self._log_drill = _log_drill.LogDrill(
+            site.store, self._write_again, self._seed
+        )
         self._settings = {
             f"i{n}": site.settings(f"i{n}", self._log_proxy.address)
             for n in range(INSTANCES)
@@ -126,6 +136,41 @@
             self._start(name)
         site.wait(lambda: all(map(self._is_ready, self._settings)))
 
+    def _instances_behind(self) -> list[str]:
+        """Return the instances that do not follow the log at the end.
+
+        Their era and configuration have to become the newest ones in time.
+        """
+        deadline = time.monotonic() + FOLLOW_LIMIT_S
+        while True:
+            behind = [
+                line for name in self._settings for line in self._behind(name)
+            ]
+            if not behind or time.monotonic() > deadline:
+                return behind
+            gevent.sleep(0.1)
+
+    def _behind(self, name: str) -> list[str]:
+        """Return what an instance has not followed, by its metrics."""
+        address = str(self._settings[name]["ready_address"])
+        try:
+            metrics = net.HttpClient(address).call("GET", "/metrics")
+        except _exceptions.AgatewingError as exc:
+            return [f"BEHIND: {name} shows no metrics: {exc}"]
+        values = dict(
+            line.rpartition(" ")[::2]
+            for line in metrics.body.decode().splitlines()
+        )
+        newest = {
+            "agatewing_log_era": self._site.store.era,
+            "agatewing_config_version": self._site.version,
+        }
+        return [
+            f"BEHIND: {name} has {metric} {values.get(metric)}, not {value}"
+            for metric, value in newest.items()
+            if float(values.get(metric, "nan")) != value
+        ]
+
     def _start(self, name: str) -> None:
         path = self._settings_folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(self._settings[name]))
@@ -231,6 +276,11 @@
         for target in _targets.TARGETS:
             back_off = functools.partial(self._targets.back_off, target)
             yield f"back-off of {target}", back_off
+        for copy_age_s in _log_drill.COPY_AGES_S:
+            yield (
+                f"restore of the log from {copy_age_s} s before",
+                functools.partial(self._log_drill.run, copy_age_s),
+            )
 
     def _pause(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
@@ -288,9 +338,15 @@
         self._site.route(f"/new{self._added_routes}/", "safe", PLAIN)
         self._site.publish()
 
+    def _write_again(self) -> None:
+        """Write what the operator and the targets wrote last."""
+        self._site.publish_again()
+        self._targets.announce_again()
+
     def _kill_processes(self) -> None:
         """Kill the processes, also frozen ones, and stop the log's proxy."""
         for process in self._processes.values():
             process.thaw()
             process.kill()
         self._log_proxy.stop()
+        self._log_drill.stop()
--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -79,6 +79,8 @@
         )
         # Unix time of the start of each target, in milliseconds.
         self._born: dict[str, int] = {}
+        # State and sequence of the last entry of each target.
+        self._entries: dict[str, tuple[str, int]] = {}
         # Number of back-offs that were begun.
         self._back_offs = 0
         # Ids of the targets that are to be started again.
@@ -116,6 +118,8 @@
         self._announce(name, "ready", 1)
 
     def _announce(self, name: str, state: str, sequence: int) -> None:
+        """Write the entry of a target."""
+        self._entries[name] = state, sequence
         spec = TARGETS[name]
         self._site.announce(
             name,
@@ -128,6 +132,12 @@
             seq=sequence,
         )
 
+    def announce_again(self) -> None:
+        """Write the entries of all targets that have not crashed."""
+        for name in TARGETS:
+            if name not in self._crashed:
+                self._announce(name, *self._entries[name])
+
     def _replace_crashed(self, name: str) -> None:
         """Refuse connections to a target that crashed until it is back."""
         if name in self._crashed:
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -118,6 +118,8 @@
         # Override the settings of every instance.
         self._settings = settings or {}
         self._version = 0
+        # The last configuration.
+        self._published: dict[str, typing.Any] = {}
         self._restarts: list[gevent.Greenlet] = []
         #: Clock of all instances.
         self.clock = AdvancingClock()
@@ -248,11 +250,21 @@
         ]
         document = {
             "version": self._version,
-            "routes": self.routes,
+            "routes": list(self.routes),
             "services": services,
             "limits": limits,
         }
-        self.store.put("keyed.op", "config", document)
+        self._published = document
+        self.publish_again()
+        return self._version
+
+    def publish_again(self) -> None:
+        """Write the last configuration to the log once more."""
+        self.store.put("keyed.op", "config", self._published)
+
+    @property
+    def version(self) -> int:
+        """Version of the last configuration that was published."""
         return self._version
 
     def settings(self, name: str, log_address: str) -> dict[str, typing.Any]:
--- a/agatewing/platform/tests/test_restored_log.py
+++ b/agatewing/platform/tests/test_restored_log.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import time
 
 import gevent
 import pytest
@@ -185,3 +186,38 @@
     assert announced(site, "t3")
     site.store.era = 4
     site.wait(lambda: "t3" not in instance.catalog.targets)
+
+
+#: Longest time from the return of the log until all instances agree, in
+#: seconds: the users' limit for following a configuration.
+AGREE_S = 2.0
+
+
+def test_six_instances_agree_soon_after_a_restore(
+    site: standins.Site,
+) -> None:
+    instances = start(site, *(f"i{number}" for number in range(6)))
+    for number in range(3):
+        copied = site.store.copy()
+        site.route(f"/r{number}/", "safe", "ledger")
+        site.publish()
+        name = f"n{number}"
+        site.add_target(name, "ledger", None)
+        site.wait(lambda: announced(site, name))
+        calls = site.store.calls
+        restored_at = time.monotonic()
+        site.store.restore(copied)
+        site.publish_again()
+        site.announce(name, "ledger", None, seq=2)
+        place = (site.store.era, site.store.topic("keyed.servers").end)
+        site.wait(
+            lambda: all(
+                i.catalog.position >= place
+                and i.catalog.config_version == site.version
+                and name in i.catalog.targets
+                for i in instances
+            )
+        )
+        assert time.monotonic() - restored_at < AGREE_S
+        # Three topics are listed, and reads that were pending end.
+        assert site.store.calls - calls <= 12 * len(instances)
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -369,6 +369,7 @@
         pytest.param("crashing", 7, 12.0, id="crashing requests"),
         pytest.param("leaving", 11, 8.0, id="leaving targets"),
         pytest.param("back-off", 11, 8.0, id="targets that back off"),
+        pytest.param("restore", 11, 8.0, id="restored log"),
     ],
 )
 def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
