--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -15,8 +15,8 @@
 from agatewing import _types
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _contracts
-from agatewing.gateway import _gone_targets
 from agatewing.gateway import _eras
+from agatewing.gateway import _gone_targets
 from agatewing.gateway import _routes
 
 _log = logging.getLogger("agatewing.catalogue")
--- a/agatewing/gateway/tests/test_eras.py
+++ b/agatewing/gateway/tests/test_eras.py
@@ -13,9 +13,9 @@
 from agatewing import gateway
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
-from agatewing.gateway import _gone_targets
 from agatewing.gateway import _eras
 from agatewing.gateway import _follow
+from agatewing.gateway import _gone_targets
 
 Answer = gateway.Page | gateway.HistoryLost | gateway.LogUnavailable
 
