Charge another prefill after a rejection to the retry budget

Cause: an engine that turns away a request whose prompt was prefilled apart may only lack its KV cache, so it is not counted as a target that was reached. The next route's prefill was therefore taken for the first one, and each such rejection cost one retry for two arrivals.

Change: Job.sent says whether the request itself has reached an engine, and decides whether another prefill is a retry. If the budget does not allow it, one engine reads the prompt and decodes.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -86,6 +86,8 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     #: Whether a target has received it, so that another send is a retry.
     reached_target: bool = False
+    #: Whether a target has received the request itself, not only a prefill.
+    sent: bool = False
     #: Version of the configuration by which it was accepted.
     config_version: int = 0
     #: Number of complete events forwarded to the caller.
@@ -288,7 +290,7 @@
     # The trial of a request ends with its send.
     job.on_trial = False
     if step is not decisions.NextStep.ANOTHER_FREE:
-        job.reached_target = True
+        job.reached_target = job.sent = True
     if step is not decisions.NextStep.SAME_WITHOUT_CACHE:
         job.excluded.add(target)
     if ctx.clock.monotonic() >= job.deadline:
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -170,7 +170,7 @@
             self._pay_for_hedge()
             return tracked
         route = engines.reroute(wait)
-        sent_before = self._job.attempts.targets > 0
+        sent_before = self._job.sent
         self._pay_for_hedge()
         separate_prefill = isinstance(route, decisions.Split)
         if (
@@ -419,7 +419,7 @@
             events=self._relay.event_count,
         )
         if self.sending:
-            self._counted = True
+            self._counted = self._job.sent = True
             self._job.attempts.record_silence()
             self._release_turn()
 
--- a/agatewing/platform/tests/test_failed_prefills.py
+++ b/agatewing/platform/tests/test_failed_prefills.py
@@ -90,6 +90,20 @@
     assert "x-kv-source" in run.headers
 
 
+# The second prefill of a request was not charged to the retry budget after an
+# engine had turned the first one's KV cache away.
+def test_another_prefill_after_a_rejection_is_a_retry(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    # Allows one retry, which is the second send.
+    instance.budget.bound = decisions.BudgetBound(0.0, 1.5, 10.0)
+    site.targets["e1"].script.append(Behaviour.NOT_RUN)
+    reply = site.ask(instance, "/draft/x", "s1", PROMPT_HEADERS)
+    assert reply.complete
+    assert len(site.targets["e1"].runs) == 1
+    assert prefills(site) == 1
+
+
 def test_a_shared_prefix_is_fetched_from_the_engine_that_caches_it(
     site: standins.Site, instance: gateway.GatewayInstance
 ) -> None:
