Say how long a request beside a silence took, and the loop stood still

The unsafe case of a change of timeouts failed once with 504 at both instances. The message could not tell a request that lost its 1.785 s of room from one that was accepted under the changed timeout, nor a slow answer from a process that stood still.

Failures of the silence cases now name the time of the request and the longest stand-still of the loop. No expectation changes: the time is left out of the comparison of outcomes.

--- a/agatewing/platform/tests/_silences.py
+++ b/agatewing/platform/tests/_silences.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import itertools
+import time
 
 import gevent
 
@@ -25,6 +26,8 @@
 )
 #: Longest time for which two engines may work on one request, in seconds.
 OVERLAP_S = 0.4
+#: Period of the looks that show whether the loop stands still, in seconds.
+LOOK_S = 0.01
 PROMPT_HEADERS = {
     "X-Token-Count": "4000,20",
     "X-Prefix-Hash": "aa:2000,bb:2000",
@@ -102,9 +105,11 @@
     runs_allowed: bool
     #: Whether two engines worked on it for no longer than ``OVERLAP_S``.
     overlap_allowed: bool
+    #: Time from its call to its answer, in seconds.
+    taken_s: float = dataclasses.field(default=0.0, compare=False)
 
     def __str__(self) -> str:
-        words = [str(self.status)]
+        words = [f"{self.status} after {self.taken_s:.2f} s"]
         for holds, word in (
             (self.complete, "cut off"),
             (self.whole, "not whole"),
@@ -119,6 +124,29 @@
 SERVED = Outcome(200, True, True, True, True)
 
 
+class StillWatch:
+    """Measures how long the loop of this process stood still at most."""
+
+    def __init__(self) -> None:
+        #: Longest time beyond ``LOOK_S`` between two looks, in seconds.
+        self.longest_s = 0.0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def __enter__(self) -> "StillWatch":
+        self._greenlet = gevent.spawn(self._look)
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        gevent.kill(self._greenlet)
+
+    def _look(self) -> None:
+        while True:
+            looked_at = time.monotonic()
+            gevent.sleep(LOOK_S)
+            still_s = time.monotonic() - looked_at - LOOK_S
+            self.longest_s = max(self.longest_s, still_s)
+
+
 def plan_silence(site: standins.Site, case: Case) -> None:
     """Have the first engine that a request meets, or all, fall silent."""
     voices = [site.targets[name].voice for name in case.target_names]
@@ -210,18 +238,31 @@
         if case.kind.streams:
             headers |= PROMPT_HEADERS
         asked = [
-            gevent.spawn(site.ask, instance, path, request_id, headers)
+            gevent.spawn(ask, site, instance, path, request_id, headers)
             for request_id, instance in zip(("a1", "a2"), instances)
         ]
         if case.change is not Change.NONE:
             site.wait(lambda: silent_names(site))
             apply_change(site, case)
         return [
-            judge(site, case, request_id, replied.get())
+            judge(site, case, request_id, *replied.get())
             for request_id, replied in zip(("a1", "a2"), asked)
         ]
 
 
+def ask(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    path: str,
+    request_id: str,
+    headers: collections.abc.Mapping[str, str],
+) -> tuple[standins.Reply, float]:
+    """Send one request; return the answer and the time it took, in seconds."""
+    asked_at = time.monotonic()
+    reply = site.ask(instance, path, request_id, headers)
+    return reply, time.monotonic() - asked_at
+
+
 def wait_until_ready(
     site: standins.Site, instance: gateway.GatewayInstance, targets: int
 ) -> None:
@@ -239,7 +280,11 @@
 
 
 def judge(
-    site: standins.Site, case: Case, request_id: str, reply: standins.Reply
+    site: standins.Site,
+    case: Case,
+    request_id: str,
+    reply: standins.Reply,
+    taken_s: float,
 ) -> Outcome:
     runs = sum(
         run.id == request_id for e in site.targets.values() for run in e.runs
@@ -254,6 +299,7 @@
         reply.body == body,
         runs <= limit,
         max_overlap_s(site, request_id) <= OVERLAP_S,
+        taken_s,
     )
 
 
@@ -273,10 +319,12 @@
 
 def failures(cases: collections.abc.Iterable[Case]) -> list[str]:
     """Play cases at the same time; describe the requests not served."""
-    playing = {case: gevent.spawn(play, case) for case in cases}
-    gevent.joinall(list(playing.values()))
+    with StillWatch() as watch:
+        playing = {case: gevent.spawn(play, case) for case in cases}
+        gevent.joinall(list(playing.values()))
+    still = f"the loop stood still for up to {watch.longest_s:.2f} s"
     return [
-        f"{case}: {outcome}"
+        f"{case}: {outcome}; {still}"
         for case, greenlet in playing.items()
         for outcome in greenlet.get()
         if outcome != SERVED
@@ -315,6 +363,6 @@
         headers = {"X-Deadline-Ms": str(TIMEOUT_MS)}
         if case.kind.streams:
             headers |= PROMPT_HEADERS
-        reply = site.ask(instance, f"/{case.kind}/x", "a1", headers)
+        answer = ask(site, instance, f"/{case.kind}/x", "a1", headers)
         assert site.targets[first].runs or site.targets[first].prefills
-        return judge(site, case, "a1", reply)
+        return judge(site, case, "a1", *answer)
