Let the targets of the soak listen on leased ports

Cause: a target took any free port of the kernel's range. Instances that another test of the machine had left running went on asking for the load of their own engines (GET /v1/load) at such a port, so a later target at it had runs that no caller sent.

Change: the soak takes these ports from the lease of its site, too; no outgoing connection and no port 0 meets them.

--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -104,7 +104,9 @@
         The new one has the id and address of the old one.
         """
         spec = TARGETS[name]
-        engine = standins.EngineStandin(name, _callers.EVENTS)
+        # No instance of another test still asks for the load at such a port.
+        [port] = self._site.ports.take(1)
+        engine = standins.EngineStandin(name, _callers.EVENTS, port)
         engine.event_suffix = f" {spec.version}"
         engine.pause_s = EVENT_PERIOD_S
         engine.crash_requests = self._site.crash_requests
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -60,7 +60,8 @@
 class EngineStandin(_loopback.Loopback):
     """One target on a loopback port."""
 
-    def __init__(self, name: str, events: int = 3) -> None:
+    def __init__(self, name: str, events: int = 3, port: int = 0) -> None:
+        """Listen on a port; on any free one for 0."""
         #: Id of the target; other values of X-Expect-Instance get 421.
         self.name = name
         #: Events of each stream.
@@ -134,7 +135,7 @@
         self.accepted = 0
         self._connections: set[gevent.socket.socket] = set()
         super().__init__(
-            gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+            gevent.server.StreamServer(("127.0.0.1", port), self._serve)
         )
 
     def _serve(self, sock: gevent.socket.socket, _: typing.Any) -> None:
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -8,11 +8,13 @@
 import gevent.socket
 import pytest
 
+from agatewing.harness import _ports
 from agatewing import net
 from agatewing.platform import soak
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _proxy
+from agatewing.platform.soak import _targets
 from agatewing.platform import standins
 
 
@@ -355,6 +357,21 @@
     assert soak.CallerRecords().violations([engine]) == [violation]
 
 
+# Instances that other tests had left running reached the targets of a soak.
+def test_targets_listen_on_leased_ports() -> None:
+    with standins.Site() as site:
+        targets = _targets.Targets(3, site, _disturbances.Disturbances())
+        targets.start()
+        ports = {
+            int(engine.address.rpartition(":")[2])
+            for engine in targets.engines
+        }
+        targets.stop()
+    first, count = _ports.FIRST_PORT, _ports.PORT_COUNT
+    assert ports
+    assert all(first <= port < first + count for port in ports)
+
+
 def test_a_short_seeded_soak_of_processes_breaks_no_promise() -> None:
     verdict = soak.Episode(seed=3, duration_s=3.0).run()
     assert verdict.violations == ()
