Take the ports of all targets of a site from its lease

Cause: only the soak's targets got leased ports; those of all other tests still took any of the kernel's, where instances of other tests may go on asking. The special case stood on top of what Site does for every target. Change: Site.start_engine starts a target at a leased port, for add_target and for the soak, which no longer repeats three of its lines.

--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -104,17 +104,13 @@
         The new one has the id and address of the old one.
         """
         spec = TARGETS[name]
-        # No instance of another test still asks for the load at such a port.
-        [port] = self._site.ports.take(1)
-        engine = standins.EngineStandin(name, _callers.EVENTS, port)
+        engine = self._site.start_engine(name, _callers.EVENTS)
         engine.event_suffix = f" {spec.version}"
         engine.pause_s = EVENT_PERIOD_S
-        engine.crash_requests = self._site.crash_requests
         engine.crash_after_s = CRASH_AFTER_S
         engine.crash_after_event = self._random.random() < 0.5
         engine.on_crash = functools.partial(self._replace_crashed, name)
         self.engines.append(engine)
-        self._site.targets[name] = engine
         self._proxies[name] = _proxy.Proxy(engine.address, self._ports[name])
         self._born[name] = int(time.time() * 1_000)
         self._announce(name, "ready", 1)
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -158,16 +158,25 @@
         ``role`` is ``None`` for a target of a plain service; ``changes``
         override fields of the entry.
         """
-        engine = _engine.EngineStandin(name, events)
+        engine = self.start_engine(name, events)
         engine.crash_blocks = self.crash_blocks
-        engine.crash_requests = self.crash_requests
         engine.on_crash = functools.partial(
             self._replace_crashed, name, service, role, events, **changes
         )
-        self.targets[name] = engine
         self.announce(name, service, role, **changes)
         return engine
 
+    def start_engine(self, name: str, events: int) -> _engine.EngineStandin:
+        """Start a target, without an entry in the log.
+
+        Nobody who still asks at a port of an earlier target meets it.
+        """
+        [port] = self.ports.take(1)
+        engine = _engine.EngineStandin(name, events, port)
+        engine.crash_requests = self.crash_requests
+        self.targets[name] = engine
+        return engine
+
     def _replace_crashed(
         self,
         name: str,
