Check trials and attempts before a hedge in one place

Cause: streams and plain requests each asked whether the request is on trial and whether another target is allowed, beside the checks they share. Change: may_hedge asks both; its callers count the targets that have the request. Behaviour is the same. Result: gateway, test_silent_targets and test_crashing_requests pass; no test was changed.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -157,11 +157,17 @@
     return ctx.budget.try_spend(job.service, now)
 
 
-def may_hedge(ctx: HandlerContext, job: Job) -> bool:
+def may_hedge(ctx: HandlerContext, job: Job, uncounted: int) -> bool:
     """Return whether a request may be tried beside silent targets.
 
-    Nothing is tried while a failed send may have crashed its engine.
+    ``uncounted`` is the number of targets that have the request and were not
+    counted yet. Nothing is tried beside a trial, or while a failed send may
+    have crashed its engine.
     """
+    if job.on_trial:
+        return False
+    if job.attempts.targets + uncounted >= job.attempts.max_targets:
+        return False
     check = job.check
     if check is not None:
         if not check.ready():
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -68,13 +68,9 @@
 
     def _hedge(self) -> _plain_path.PlainPath | None:
         """Return a path to try beside silent ones; ``None`` if not allowed."""
-        job, running = self._job, self._race.running()
+        running = self._race.running()
         uncounted = sum(not path.counted for path in running)
-        if job.on_trial:
-            return None
-        if job.attempts.targets + uncounted >= job.attempts.max_targets:
-            return None
-        if not _context.may_hedge(self._ctx, job):
+        if not _context.may_hedge(self._ctx, self._job, uncounted):
             return None
         for path in running:
             path.mark_silent()
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -131,17 +131,13 @@
 
     def _may_hedge(self, silent: list[_stream_path.StreamPath]) -> bool:
         attempts, relay = self._job.attempts, self._relay
-        if self._job.on_trial:
-            return False
         if not attempts.idempotent and self._turn.taken:
             return False
-        uncounted = sum(p.sending and not p.counted for p in silent)
-        if attempts.targets + uncounted >= attempts.max_targets:
-            return False
         last_event_id = self._ctx.dialect.last_event_id
         if relay.event_count and last_event_id(relay.last_event) is None:
             return False
-        return _context.may_hedge(self._ctx, self._job)
+        uncounted = sum(p.sending and not p.counted for p in silent)
+        return _context.may_hedge(self._ctx, self._job, uncounted)
 
     def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
         """Bind the stream to the version of the engine of its first event.
