Hash a request of the own interface once, with the shared function

Cause: request_key hashed caller, method, path and body by a function of its own, though decisions.fingerprint does that for the platform's path; and a generation hashed its whole body four times from its arrival to its end. Change: request_key calls fingerprint; CallerRequest keeps the hash, as the platform's does. Result: agatewing/entry passes; no test was changed.

--- a/agatewing/entry/_context.py
+++ b/agatewing/entry/_context.py
@@ -7,6 +7,7 @@
 
 from agatewing import _exceptions
 from agatewing import _types
+from agatewing.entry import _crashes
 from agatewing.entry import _identity
 from agatewing import net
 
@@ -38,6 +39,24 @@
     idempotency_key: str
     #: Last-Event-ID header; empty if there is none.
     last_event_id: str
+    # Hash once it was computed.
+    _key: int | None = dataclasses.field(
+        default=None, init=False, repr=False, compare=False
+    )
+
+    @property
+    def key(self) -> int:
+        """Hash of what is the same each time that the request comes.
+
+        It is computed on first use, as bodies may be large.
+        """
+        if self._key is None:
+            key = _crashes.request_key(
+                self.identity.name, self.method, self.path, self.body
+            )
+            object.__setattr__(self, "_key", key)
+            return key
+        return self._key
 
 
 def read_request(
--- a/agatewing/entry/_crashes.py
+++ b/agatewing/entry/_crashes.py
@@ -11,7 +11,6 @@
 
 import gevent.event
 import msgspec
-import xxhash
 
 from agatewing import _clock
 from agatewing import _exceptions
@@ -70,9 +69,8 @@
 
 def request_key(caller: str, method: str, path: str, body: bytes) -> int:
     """Return the hash of what is the same when a caller repeats a request."""
-    digest = xxhash.xxh3_64("\0".join((caller, method, path)).encode())
-    digest.update(b"\0" + body)
-    return digest.intdigest() - (1 << 63)
+    parts = (caller.encode(), method.encode(), path.encode(), body)
+    return decisions.fingerprint(parts)
 
 
 class CrashGuard:
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -16,7 +16,6 @@
 from agatewing.entry import _assembler
 from agatewing.entry import _bodies
 from agatewing.entry import _context
-from agatewing.entry import _crashes
 from agatewing.entry import _identity
 from agatewing.entry import _relay
 from agatewing.entry import _relay_types
@@ -70,7 +69,7 @@
         """
         body = _bodies.parse_body(shape, req.body)
         self._deps.crashes.check(body.prompt)
-        self._deps.crashes.check_request(_request_key(req))
+        self._deps.crashes.check_request(req.key)
         pool, service = self._find_pool(body, req.identity)
         deadline = self._deadline(service, req)
         profile = self._request_profile(pool, req, body)
@@ -133,7 +132,7 @@
             pool, req.identity, profile, deadline
         )
         # Engines may have crashed while the request was queued.
-        self._deps.crashes.check_request(_request_key(req))
+        self._deps.crashes.check_request(req.key)
         seed = body.seed
         if seed is None:
             seed = self._random.getrandbits(31)
@@ -147,7 +146,7 @@
             call,
             profile,
             deadline,
-            request=_request_key(req),
+            request=req.key,
         )
         self._deps.events.add(
             timeline.EventKind.REQUEST_ROUTED,
@@ -181,7 +180,7 @@
             profile,
             deadline,
             position,
-            _request_key(req),
+            req.key,
         )
         self._deps.events.add(
             timeline.EventKind.STREAM_RESUMED,
@@ -245,7 +244,7 @@
         req, profile = stream.req, stream.profile
         now = self._deps.clock.monotonic()
         self._deps.crashes.record_served(stream.call.prompt)
-        self._deps.crashes.record_answered(_request_key(req))
+        self._deps.crashes.record_answered(req.key)
         self._deps.events.add(
             timeline.EventKind.REQUEST_ANSWERED,
             request=stream.call.id,
@@ -387,13 +386,6 @@
         )
 
 
-def _request_key(req: _context.CallerRequest) -> int:
-    """Return the hash of what is the same each time a request comes."""
-    return _crashes.request_key(
-        req.identity.name, req.method, req.path, req.body
-    )
-
-
 def _error_event(refusal: _exceptions.Refusal) -> bytes:
     """Return the event that reports an incomplete answer."""
     return b"event: error\ndata: " + net.encode(refusal) + b"\n\n"
