Share the site of all routes between the tests of notices

Cause: test_back_offs and test_leaving_targets set up the same routes, targets and requests, each in 40 lines of its own. Assertions, tables and bounds are the same.

--- a/agatewing/platform/tests/test_back_offs.py
+++ b/agatewing/platform/tests/test_back_offs.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import itertools
 import logging
 import time
 
@@ -14,9 +13,9 @@
 from agatewing.gateway import _messages
 from agatewing import platform
 from agatewing.platform import standins
+from agatewing.platform.tests import _every_route
 
 Behaviour = standins.Behaviour
-PROMPT_HEADERS = {"X-Token-Count": "1200,20", "X-Prefix-Hash": "aa:800,bb:400"}
 #: Back-off of most tests, in seconds.
 BACK_OFF_S = 1.5
 #: Time after a target's answer from which requests count, in seconds: those
@@ -28,53 +27,14 @@
 #: Time that a plain target takes that is slow for its route, in seconds.
 SLOW_S = 0.6
 
-_NUMBERS = itertools.count(1)
-
 
 @pytest.fixture
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
-        made.route("/look/", "safe", "ledger", max_attempts=3)
-        made.route("/pay/", "unsafe", "ledger", max_attempts=3)
-        made.route("/chat/", "streaming")
-        made.route("/draft/", "streaming", sticky=True)
-        made.route("/talk/", "streaming", sticky=True, resumable=True)
-        made.route("/long/", "streaming", "split", sticky=True)
-        for name in ("t1", "t2"):
-            made.add_target(name, "ledger", None)
-        for name in ("e1", "e2"):
-            made.add_target(name)
-        made.add_target("d1", "split")
-        for name in ("p1", "p2"):
-            made.add_target(name, "split", "prefill")
-        made.publish()
+        _every_route.publish(made)
         yield made
 
 
-def start_ready(
-    site: standins.Site, *names: str
-) -> list[gateway.GatewayInstance]:
-    made = [site.start(name) for name in names]
-    site.wait(lambda: all(i.lifecycle.ready for i in made))
-    count = len(site.targets)
-    site.wait(lambda: all(len(i.catalog.targets) == count for i in made))
-    return made
-
-
-def ask(
-    site: standins.Site, instance: gateway.GatewayInstance, path: str
-) -> standins.Reply:
-    number = next(_NUMBERS)
-    headers = {} if path in ("/look/x", "/pay/x") else PROMPT_HEADERS
-    if path == "/long/x":
-        # No two prompts are alike, so that none prefers an engine.
-        headers = {
-            "X-Token-Count": "4000,20",
-            "X-Prefix-Hash": f"p{number}:2000,q{number}:2000",
-        }
-    return site.ask(instance, path, f"a{number}", headers)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ValueCase:
     raw: bytes | None
@@ -120,17 +80,17 @@
 def test_a_back_off_has_a_longest_time(
     site: standins.Site, retry_after: str, longest_s: float
 ) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     for name in ("t1", "t2"):
         site.targets[name].retry_after = retry_after
-    reply = ask(site, instance, "/look/x")
+    reply = _every_route.ask(site, instance, "/look/x")
     assert reply.status == 503
     assert 0.9 * longest_s < float(reply.headers["retry-after"])
     for name in ("t1", "t2"):
         site.targets[name].retry_after = ""
     instance.clock.sleep(0.01)
     site.clock.advance(longest_s + 0.1)
-    assert ask(site, instance, "/look/x").status == 200
+    assert _every_route.ask(site, instance, "/look/x").status == 200
 
 
 #: Path, and the targets that turn requests away.
@@ -153,7 +113,7 @@
     replies: list[standins.Reply],
 ) -> None:
     while True:
-        replies.append(ask(site, instance, path))
+        replies.append(_every_route.ask(site, instance, path))
         gevent.sleep(0.02)
 
 
@@ -181,7 +141,7 @@
     site: standins.Site, name: str, proof: bool
 ) -> None:
     path, pushing = ROUTES[name]
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     instance.registry.by_id["d1"].record_sent(MANY_TOKENS)
     prefer(site, instance, path, pushing)
     for target in pushing:
@@ -222,20 +182,20 @@
 def test_callers_are_told_to_come_back_after_the_back_off(
     site: standins.Site, path: str, names: tuple[str, ...]
 ) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     engines = [site.targets[name] for name in names]
     for engine in engines:
         engine.retry_after = "2"
     site.wait(
         lambda: (
-            ask(site, instance, path).status == 503
+            _every_route.ask(site, instance, path).status == 503
             and all(engine.turned_away for engine in engines)
         )
     )
     until = min(max(e.turned_away.values()) for e in engines) + 2.0
     returns = []
     for _ in range(40):
-        reply = ask(site, instance, path)
+        reply = _every_route.ask(site, instance, path)
         assert reply.status == 503
         returns.append(time.monotonic() + float(reply.headers["retry-after"]))
     assert min(returns) >= until
@@ -251,13 +211,13 @@
 def test_a_back_off_of_all_targets_spends_no_retry(
     site: standins.Site, proof: bool
 ) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     instance.budget.bound = decisions.BudgetBound(0.0, 1.6, 10.0)
     for name in ("t1", "t2"):
         site.targets[name].retry_after = "1"
         site.targets[name].turns_away_with_proof = proof
     for _ in range(6):
-        assert ask(site, instance, "/look/x").status == 503
+        assert _every_route.ask(site, instance, "/look/x").status == 503
     # One retry, from the first target to the second.
     turned_away = [len(site.targets[n].turned_away) for n in ("t1", "t2")]
     assert turned_away == [1, 1]
@@ -294,11 +254,12 @@
     site: standins.Site, name: str
 ) -> None:
     change, ended = CHANGES[name]
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     site.targets["t1"].retry_after = "60"
     site.wait(
         lambda: (
-            ask(site, instance, "/look/x") and site.targets["t1"].turned_away
+            _every_route.ask(site, instance, "/look/x")
+            and site.targets["t1"].turned_away
         )
     )
     change(site)
@@ -316,17 +277,17 @@
 def test_a_line_and_counters_tell_of_a_back_off(
     site: standins.Site, caplog: pytest.LogCaptureFixture
 ) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     site.targets["t1"].retry_after = "0.4"
     with caplog.at_level(logging.INFO, logger="agatewing.targets"):
         site.wait(
             lambda: (
-                ask(site, instance, "/look/x")
+                _every_route.ask(site, instance, "/look/x")
                 and site.targets["t1"].turned_away
             )
         )
         for _ in range(5):
-            assert ask(site, instance, "/look/x").status == 200
+            assert _every_route.ask(site, instance, "/look/x").status == 200
     (line,) = caplog.records
     assert line.getMessage() == "targets: a target backs off"
     assert getattr(line, "target") == "t1"
--- a/agatewing/platform/tests/test_leaving_targets.py
+++ b/agatewing/platform/tests/test_leaving_targets.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import itertools
 
 import gevent
 import pytest
@@ -10,67 +9,22 @@
 from agatewing import _types
 from agatewing import gateway
 from agatewing.platform import standins
+from agatewing.platform.tests import _every_route
 
 Behaviour = standins.Behaviour
-PROMPT_HEADERS = {"X-Token-Count": "1200,20", "X-Prefix-Hash": "aa:800,bb:400"}
 #: Requests after a target has said that it leaves.
 LATER_REQUESTS = 12
 #: Queued tokens that make an engine the last choice.
 MANY_TOKENS = 4_000
 
-_NUMBERS = itertools.count(1)
-
 
 @pytest.fixture
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
-        made.route("/look/", "safe", "ledger", max_attempts=3)
-        made.route("/pay/", "unsafe", "ledger", max_attempts=3)
-        made.route("/chat/", "streaming")
-        made.route("/draft/", "streaming", sticky=True)
-        made.route("/talk/", "streaming", sticky=True, resumable=True)
-        made.route("/long/", "streaming", "split", sticky=True)
-        for name in ("t1", "t2"):
-            made.add_target(name, "ledger", None)
-        for name in ("e1", "e2"):
-            made.add_target(name)
-        made.add_target("d1", "split")
-        for name in ("p1", "p2"):
-            made.add_target(name, "split", "prefill")
-        made.publish()
+        _every_route.publish(made)
         yield made
 
 
-def start_ready(
-    site: standins.Site, *names: str
-) -> list[gateway.GatewayInstance]:
-    made = [site.start(name) for name in names]
-    site.wait(lambda: all(i.lifecycle.ready for i in made))
-    site.wait(lambda: all(len(i.peers.known) == len(names) - 1 for i in made))
-    count = len(site.targets)
-    site.wait(lambda: all(len(i.catalog.targets) == count for i in made))
-    return made
-
-
-def ask(
-    site: standins.Site,
-    instance: gateway.GatewayInstance,
-    path: str,
-    headers: dict[str, str] | None = None,
-) -> standins.Reply:
-    number = next(_NUMBERS)
-    if headers is None and path == "/long/x":
-        # No two prompts are alike, so that none prefers an engine.
-        headers = {
-            "X-Token-Count": "4000,20",
-            "X-Prefix-Hash": f"p{number}:2000,q{number}:2000",
-        }
-    elif headers is None:
-        plain = path in ("/look/x", "/pay/x")
-        headers = {} if plain else PROMPT_HEADERS
-    return site.ask(instance, path, f"a{number}", headers)
-
-
 def disconnect_all(site: standins.Site) -> None:
     for log in site.logs.values():
         log.disconnected = True
@@ -86,7 +40,7 @@
 ) -> None:
     """Ask until a request has reached a target."""
     for _ in range(60):
-        ask(site, instance, path)
+        _every_route.ask(site, instance, path)
         if site.targets[target].arrivals:
             return
     raise AssertionError("no request reached the target; ask more often")
@@ -111,7 +65,7 @@
     site: standins.Site, name: str, log_away: bool
 ) -> None:
     path, leaver = ROUTES[name]
-    instances = start_ready(site, "i1", "i2", "i3")
+    instances = _every_route.start_ready(site, "i1", "i2", "i3")
     if path == "/long/x":
         # So that it has no prompt read itself.
         for instance in instances:
@@ -122,14 +76,16 @@
     ask_until_met(site, instances[0], path, leaver)
     reached = len(site.targets[leaver].arrivals)
     statuses = {
-        ask(site, instances[0], path).status for _ in range(LATER_REQUESTS)
+        _every_route.ask(site, instances[0], path).status
+        for _ in range(LATER_REQUESTS)
     }
     site.wait(
         lambda: not any(i.registry.by_id[leaver].active for i in instances)
     )
     for instance in instances[1:]:
         statuses |= {
-            ask(site, instance, path).status for _ in range(LATER_REQUESTS)
+            _every_route.ask(site, instance, path).status
+            for _ in range(LATER_REQUESTS)
         }
     assert len(site.targets[leaver].arrivals) == reached
     assert statuses == {200}
@@ -165,7 +121,7 @@
     site: standins.Site, name: str
 ) -> None:
     case = ANSWERS[name]
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     engine = site.targets[case.leaver]
     engine.leaving = True
     engine.script.extend([case.behaviour] * 3)
@@ -174,7 +130,7 @@
     reached = len(engine.arrivals)
     if case.leaves:
         for _ in range(LATER_REQUESTS):
-            ask(site, instance, case.path)
+            _every_route.ask(site, instance, case.path)
         assert len(engine.arrivals) == reached
 
 
@@ -183,7 +139,7 @@
 def test_an_answer_to_a_call_says_that_a_target_leaves(
     site: standins.Site, kind: str
 ) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     context = instance.handler_context
     tracked = instance.registry.by_id["e1"]
     site.targets["e1"].leaving = True
@@ -239,7 +195,7 @@
     site: standins.Site, name: str
 ) -> None:
     change, returns = CHANGES[name]
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     engine = site.targets["t1"]
     engine.leaving = True
     ask_until_met(site, instance, "/look/x", "t1")
@@ -262,24 +218,28 @@
     site: standins.Site, leaves: bool
 ) -> None:
     site.announce("e2", version="v2", seq=2)
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     registry = instance.registry
     site.wait(lambda: registry.by_id["e2"].target.software == "v2")
     registry.by_id["e2"].record_sent(MANY_TOKENS)
     engine = site.targets["e1"]
     engine.pause_s = 0.2
-    running = gevent.spawn(ask, site, instance, "/talk/x")
+    running = gevent.spawn(_every_route.ask, site, instance, "/talk/x")
     site.wait(lambda: engine.runs)
     engine.leaving = leaves
     engine.script.append(Behaviour.CUT)
-    broken = site.ask(instance, "/talk/x", "s1", PROMPT_HEADERS)
+    broken = site.ask(instance, "/talk/x", "s1", _every_route.PROMPT_HEADERS)
     assert broken.complete != leaves
     assert running.get().complete
     reached = len(engine.arrivals)
     if not leaves:
         return
-    headers = {**PROMPT_HEADERS, "Last-Event-Id": "2", "Resumes": "s1"}
-    refused = ask(site, instance, "/talk/x", headers)
+    headers = {
+        **_every_route.PROMPT_HEADERS,
+        "Last-Event-Id": "2",
+        "Resumes": "s1",
+    }
+    refused = _every_route.ask(site, instance, "/talk/x", headers)
     assert refused.status == 503
     assert float(refused.headers["retry-after"]) > 0
     assert len(engine.arrivals) == reached
@@ -292,13 +252,15 @@
     site: standins.Site, path: str
 ) -> None:
     names = ("t1", "t2") if path in ("/look/x", "/pay/x") else ("e1", "e2")
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     for name in names:
         site.targets[name].leaving = True
-    statuses = [ask(site, instance, path).status for _ in range(6)]
+    statuses = [
+        _every_route.ask(site, instance, path).status for _ in range(6)
+    ]
     assert statuses == [200, 200, 503, 503, 503, 503]
     began_at = instance.clock.monotonic()
-    refused = ask(site, instance, path)
+    refused = _every_route.ask(site, instance, path)
     assert instance.clock.monotonic() - began_at < 0.3
     assert 0 < float(refused.headers["retry-after"]) < 5
     assert [len(site.targets[name].arrivals) for name in names] == [1, 1]
@@ -306,11 +268,14 @@
 
 # Guards against crash evidence from targets that end in order.
 def test_the_end_of_a_leaving_target_is_no_crash(site: standins.Site) -> None:
-    (instance,) = start_ready(site, "i1")
+    (instance,) = _every_route.start_ready(site, "i1")
     engine = site.targets["t1"]
     engine.leaving = True
     engine.pause_s = 0.5
-    asked = [gevent.spawn(ask, site, instance, "/pay/x") for _ in range(6)]
+    asked = [
+        gevent.spawn(_every_route.ask, site, instance, "/pay/x")
+        for _ in range(6)
+    ]
     site.wait(lambda: len(engine.runs) >= 2)
     engine.pause_s = 0.0
     ask_until_met(site, instance, "/look/x", "t1")
