Use one word for a log that is restored

Cause: soak and tests said drill where logs, metrics and pages say restore, and the imports of _eras stood in the wrong order, which no check finds. Change: names, one sentence and import order only; the table and assertions of test_restored_log only name their case differently.

--- a/agatewing/gateway/_eras.py
+++ b/agatewing/gateway/_eras.py
@@ -1,8 +1,9 @@
 """The era of the log, which rises when the log is restored from a copy."""
 
-import gevent.event
 import logging
 
+import gevent.event
+
 _log = logging.getLogger("agatewing.era")
 
 
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -20,7 +20,7 @@
 from agatewing import net
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
-from agatewing.platform.soak import _log_drill
+from agatewing.platform.soak import _log_restore
 from agatewing.platform.soak import _proxy
 from agatewing.platform.soak import _targets
 from agatewing.platform import standins
@@ -125,7 +125,7 @@
         self._targets.start()
         self._log_proxy = _proxy.Proxy(site.store.address)
         site.publish()
-        self._log_drill = _log_drill.LogDrill(
+        self._log_restore = _log_restore.LogRestores(
             site.store, self._write_again, self._seed
         )
         self._settings = {
@@ -276,10 +276,10 @@
         for target in _targets.TARGETS:
             back_off = functools.partial(self._targets.back_off, target)
             yield f"back-off of {target}", back_off
-        for copy_age_s in _log_drill.COPY_AGES_S:
+        for copy_age_s in _log_restore.COPY_AGES_S:
             yield (
                 f"restore of the log from {copy_age_s} s before",
-                functools.partial(self._log_drill.run, copy_age_s),
+                functools.partial(self._log_restore.run, copy_age_s),
             )
 
     def _pause(self, name: str, fault_s: float) -> None:
@@ -349,4 +349,4 @@
             process.thaw()
             process.kill()
         self._log_proxy.stop()
-        self._log_drill.stop()
+        self._log_restore.stop()
--- a/agatewing/platform/soak/_log_drill.py
+++ b/agatewing/platform/soak/_log_restore.py
@@ -1,4 +1,4 @@
-"""Drills in which the log comes back from an older copy."""
+"""Restores the log of an episode from older copies."""
 
 import collections
 import collections.abc
@@ -19,7 +19,7 @@
 MAX_REWRITE_S = 1.5
 
 
-class LogDrill:
+class LogRestores:
     """Copies the log again and again; restores it from a copy."""
 
     def __init__(
--- a/agatewing/platform/tests/test_restored_log.py
+++ b/agatewing/platform/tests/test_restored_log.py
@@ -42,56 +42,56 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Drill:
+class Restore:
     #: Records that are lost, and those written again before the next read.
     lost: int
     rewritten: int
     #: Number of restores of the same copy.
     restores: int = 1
-    #: Instances without the log from before the drill until after it.
+    #: Instances without the log from before the restore until after it.
     away: tuple[str, ...] = ()
     #: Time for which the log is busy before it is restored, in seconds.
     busy_s: float = 0.0
 
 
-DRILLS = {
-    "the offset is gone": Drill(4, 0),
-    "the offset is the end again": Drill(4, 3),
-    "the offset has another record": Drill(4, 8),
-    "two eras in a row": Drill(4, 8, 2),
-    "one instance away": Drill(4, 8, away=("i2",)),
-    "one instance away for two eras": Drill(4, 8, 2, ("i2",)),
-    "all away for a moment": Drill(4, 8, busy_s=0.7),
+RESTORES = {
+    "the offset is gone": Restore(4, 0),
+    "the offset is the end again": Restore(4, 3),
+    "the offset has another record": Restore(4, 8),
+    "two eras in a row": Restore(4, 8, 2),
+    "one instance away": Restore(4, 8, away=("i2",)),
+    "one instance away for two eras": Restore(4, 8, 2, ("i2",)),
+    "all away for a moment": Restore(4, 8, busy_s=0.7),
 }
 
 
 # After a restore that reached beyond their offsets, instances missed what had
 # been written at those below.
-@pytest.mark.parametrize("name", DRILLS)
+@pytest.mark.parametrize("name", RESTORES)
 def test_instances_see_all_that_a_restored_log_has(
     site: standins.Site, name: str
 ) -> None:
-    drill = DRILLS[name]
+    case = RESTORES[name]
     instances = start(site, "i1", "i2", "i3")
     copied = site.store.copy()
-    write_filler(site, drill.lost)
+    write_filler(site, case.lost)
     site.wait(
-        lambda: all(i.catalog.through == 2 + drill.lost for i in instances)
+        lambda: all(i.catalog.through == 2 + case.lost for i in instances)
     )
-    for instance in drill.away:
+    for instance in case.away:
         site.logs[instance].disconnected = True
-    if drill.busy_s:
+    if case.busy_s:
         site.store.mode = standins.StoreMode.BUSY
-        gevent.sleep(drill.busy_s)
+        gevent.sleep(case.busy_s)
         site.store.mode = standins.StoreMode.FINE
-    for _ in range(drill.restores):
+    for _ in range(case.restores):
         site.store.restore(copied)
         site.add_target("t3", "ledger", None)
-        write_filler(site, drill.rewritten)
-        if drill.restores > 1:
+        write_filler(site, case.rewritten)
+        if case.restores > 1:
             gevent.sleep(0.1)
     site.wait(lambda: announced(site, "t3"))
-    for instance in drill.away:
+    for instance in case.away:
         site.logs[instance].disconnected = False
     site.add_target("t4", "ledger", None)
     site.withdraw("t1")
@@ -99,7 +99,7 @@
     site.wait(
         lambda: not any("t1" in i.catalog.targets for i in site.instances)
     )
-    assert {i.catalog.era for i in instances} == {1 + drill.restores}
+    assert {i.catalog.era for i in instances} == {1 + case.restores}
 
 
 @pytest.mark.parametrize("rewritten", ["nothing", "the same", "a newer one"])
