Share the crashes before a trial between two tests

Cause: two tests sent a request until three targets had crashed on it, in the same eight lines. Change: crash_targets does; its loop and its assertion are those lines unchanged. Result: test_crashing_requests passes.

--- a/agatewing/platform/tests/test_crashing_requests.py
+++ b/agatewing/platform/tests/test_crashing_requests.py
@@ -199,13 +199,12 @@
         assert ask(site, instance, sound).status == 200
 
 
-# A request that was tried after its quarantine was sent to a second target
-# while the first one was silent.
-@pytest.mark.parametrize("name", ["safe", "resumable, one block"])
-def test_a_request_on_trial_is_sent_once(
-    site: standins.Site, instances: list[gateway.GatewayInstance], name: str
+def crash_targets(
+    site: standins.Site,
+    instances: list[gateway.GatewayInstance],
+    bad: Repeated,
 ) -> None:
-    bad = CASES[name]
+    """Send a request until enough targets crashed on it."""
     crash_on(site, bad)
     for number in range(MAX_TRIES):
         if len(site.crashed) >= CRASHES:
@@ -214,6 +213,16 @@
         wait_for_targets(site, instances)
         site.clock.advance(1.0)
     assert len(site.crashed) >= CRASHES
+
+
+# A request that was tried after its quarantine was sent to a second target
+# while the first one was silent.
+@pytest.mark.parametrize("name", ["safe", "resumable, one block"])
+def test_a_request_on_trial_is_sent_once(
+    site: standins.Site, instances: list[gateway.GatewayInstance], name: str
+) -> None:
+    bad = CASES[name]
+    crash_targets(site, instances, bad)
     before = sends_of(site, bad)
     for _ in range(MAX_TRIES):
         pass_time(site, 1.0)
@@ -242,14 +251,7 @@
     sends: int,
 ) -> None:
     bad = CASES[name]
-    crash_on(site, bad)
-    for number in range(MAX_TRIES):
-        if len(site.crashed) >= CRASHES:
-            break
-        ask(site, instances[number % 3], bad)
-        wait_for_targets(site, instances)
-        site.clock.advance(1.0)
-    assert len(site.crashed) >= CRASHES
+    crash_targets(site, instances, bad)
     # It is everybody's turn.
     pass_time(site, 20.0)
     wait_for_targets(site, instances)
