Log why an idle connection is closed, and the time left at a refusal

A connection that the instance closed while it was idle had no line, so such a caller could not be told from one that had left; a refusal did not say whether the configuration had changed under the request, nor how much of its time was left.

Change: 'caller: idle connection closed' with reason, idle time, limit and whether bytes were unread; left_s, config and config_at_start in 'server: refused'. No decision depends on them.

Result: three new cases of test_request_logs pass; they have no line to find before.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -67,6 +67,8 @@
         "busy",
         "closing",
         "_head_begun",
+        "_idle_since",
+        "_idle_end",
         "_started",
         "_head_only",
     )
@@ -90,6 +92,10 @@
         self.busy = False
         # Whether part of a head has arrived.
         self._head_begun = False
+        # Monotonic time since which it has been idle, in seconds.
+        self._idle_since = clock.monotonic()
+        # Why the instance ends it while it is idle; empty if it does not.
+        self._idle_end = ""
         #: Whether the next answer announces that the connection is closed.
         self.closing = False
         self._started = False
@@ -145,7 +151,7 @@
         invalid or does not arrive in time.
         """
         raw = self._unparsed
-        idle_since = self._clock.monotonic()
+        self._idle_since = self._clock.monotonic()
         deadline: float | None = None
         while True:
             self._head_begun = bool(raw)
@@ -161,13 +167,15 @@
             now = self._clock.monotonic()
             if raw and deadline is None:
                 deadline = now + limits.head_timeout_s
-            until = deadline or idle_since + self._limits.idle_timeout_s
+            until = deadline or self._idle_since + self._limits.idle_timeout_s
             data = self._input.take(max(0.0, until - now))
             if data is None and raw:
                 raise _refused("the head did not arrive in time", 408)
-            if data is None and self._still_idles(idle_since):
+            if data is None and self._may_idle:
                 # The limit was raised meanwhile.
                 continue
+            if data is None:
+                self._idle_end = "the idle limit"
             if not data:
                 return False
             raw += data
@@ -181,10 +189,11 @@
         self._parser.receive_data(raw)
         return True
 
-    def _still_idles(self, since: float) -> bool:
-        """Return whether a connection idle since a time may idle further."""
+    @property
+    def _may_idle(self) -> bool:
+        """Whether the connection may be idle any longer."""
         now = self._clock.monotonic()
-        return now < since + self._limits.idle_timeout_s
+        return now < self._idle_since + self._limits.idle_timeout_s
 
     def _next_event(self) -> typing.Any:
         try:
@@ -325,6 +334,7 @@
     def end_idle(self) -> None:
         """End the connection as if by its caller, if nothing has arrived."""
         if not self.reading and not self._input.pending:
+            self._idle_end = self._idle_end or "the instance stops"
             self._input.end()
 
     def stop(self) -> None:
@@ -337,6 +347,8 @@
         With ``linger``, a caller that has its last answer and is still
         sending is read from for a while first.
         """
+        if self._idle_end and not self._input.closed_by_caller:
+            self._log_idle_end()
         # The end of input no longer concerns a request.
         self.busy = False
         if self._ends_by_close:
@@ -348,6 +360,19 @@
         self._input.stop()
         self._sock.close()
 
+    def _log_idle_end(self) -> None:
+        """Log why an idle connection ends, and whether bytes are lost."""
+        idle_s = self._clock.monotonic() - self._idle_since
+        _log.info(
+            "caller: idle connection closed",
+            extra={
+                "reason": self._idle_end,
+                "idle_s": round(idle_s, 3),
+                "limit_s": self._limits.idle_timeout_s,
+                "unread": self._input.pending,
+            },
+        )
+
     @property
     def _answered(self) -> bool:
         """Whether the present request has its whole answer."""
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -119,9 +119,11 @@
 
     def _progress(self, job: _context.Job, reason: str) -> dict[str, object]:
         """Return the fields of an answer that ends early."""
+        return {"reason": reason, "events": job.events, **self._configs(job)}
+
+    def _configs(self, job: _context.Job) -> dict[str, object]:
+        """Return the versions of the configuration now and at the start."""
         return {
-            "reason": reason,
-            "events": job.events,
             "config": self._ctx.catalog.config_version,
             "config_at_start": job.config_version,
         }
@@ -199,7 +201,7 @@
                 # The answer must not look complete, so it is cut off.
                 self._log_cut_off(job, str(exc))
                 return False
-            self._refuse(conn, exc.refusal, req.id)
+            self._refuse(conn, exc.refusal, req.id, job)
         except _caller_conn.CallerNotReadingError as exc:
             if job is not None:
                 self._log_unanswered(job, str(exc))
@@ -222,9 +224,8 @@
             )
             if conn.started:
                 return False
-            self._refuse(
-                conn, _refusals.outcome_unknown("internal error"), req.id
-            )
+            refusal = _refusals.outcome_unknown("internal error")
+            self._refuse(conn, refusal, req.id, job)
         return conn.prepare_next_request()
 
     def _end_stopped(
@@ -240,10 +241,10 @@
             refusal = _refusals.outcome_unknown(
                 "this instance stops; the request may have run"
             )
-            self._refuse(conn, refusal, req.id)
+            self._refuse(conn, refusal, req.id, job)
         else:
             refusal = _refusals.leaving(self._ctx.rng)
-            self._refuse(conn, refusal, req.id)
+            self._refuse(conn, refusal, req.id, job)
 
     def _handle(self, job: _context.Job) -> None:
         self._ctx.budget.record_request(job.service, job.req.arrived_at)
@@ -288,8 +289,13 @@
         conn: _caller_conn.CallerConn,
         refusal: _refusals.GatewayRefusal,
         request: str,
+        job: _context.Job | None = None,
     ) -> None:
         self.refusals[str(refusal.kind)] += 1
+        fields: dict[str, object] = {}
+        if job is not None:
+            left_s = job.deadline - self._ctx.clock.monotonic()
+            fields = {"left_s": round(left_s, 3), **self._configs(job)}
         _log.info(
             "server: refused",
             extra={
@@ -298,6 +304,7 @@
                 "kind": str(refusal.kind),
                 "detail": refusal.detail,
                 "retry_after_s": refusal.retry_after_s,
+                **fields,
             },
         )
         conn.refuse(refusal)
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -9,6 +9,8 @@
 
 from agatewing import gateway
 from agatewing.gateway import _caller_conn
+from agatewing.gateway import _caller_limits
+from agatewing.gateway import _lifecycle
 from agatewing.platform import standins
 
 PROMPT_HEADERS = {
@@ -199,6 +201,54 @@
     assert (reply.status, reply.complete) == (502, True)
 
 
+# Nothing told a refusal at the deadline that a request had been given from
+# one that a changed configuration had brought forward.
+def test_a_refusal_names_its_time_left_and_the_configurations(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    engine = site.targets["e1"]
+    engine.script.append(standins.Behaviour.HANG)
+    headers = {**PROMPT_HEADERS, "X-Deadline-Ms": "700"}
+    before = instance.catalog.config_version
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        asked = gevent.spawn(site.ask, instance, "/slow/x", "s1", headers)
+        site.wait(lambda: engine.runs)
+        after = site.publish()
+        assert asked.get().status == 504
+    (line,) = lines_of(caplog, "server: refused")
+    assert getattr(line, "left_s") <= 0.0
+    assert (getattr(line, "config_at_start"), getattr(line, "config")) == (
+        before,
+        after,
+    )
+
+
+# A connection that the instance closed while it was idle left no line.
+@pytest.mark.parametrize("reason", ["the idle limit", "the instance stops"])
+def test_an_idle_connection_that_is_closed_leaves_a_line(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+    reason: str,
+) -> None:
+    monkeypatch.setattr(_caller_limits, "FORMER_LIMIT_KEEP_S", 0.0)
+    monkeypatch.setattr(_lifecycle, "ACCEPT_AFTER_STOP_S", 0.1)
+    stops = reason == "the instance stops"
+    site.publish(idle_timeout_ms=9_000 if stops else 100)
+    site.wait(lambda: instance.catalog.config_version == site.version)
+    with caplog.at_level(logging.INFO, logger="agatewing.caller"):
+        with site.connect(instance) as sock:
+            if stops:
+                instance.stop()
+            assert not sock.recv(1)
+    (line,) = lines_of(caplog, "caller: idle connection closed")
+    assert getattr(line, "reason") == reason
+    assert not getattr(line, "unread")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
