Show that instances without links serve almost nobody

Cause: an instance that has lost its links to all targets refuses what its peers could serve. Nothing tested that.

Change: a site whose instances reach each target over a link of their own, cut in one of three pictures (hang, reset, live on) at any time. All instances share a process; the connects of an instance's greenlets are diverted to its links, or to an address that does not answer or refuses, so that the log, the settings and the product code are the same as without cuts. test_lost_links plays three cases of six instances, with every kind of request at each of them; all cases, also of twenty instances, run with LOST_LINKS=all.

Most refusals are "503 no-target: no target of ledger takes new work" and "no engine of this service takes new work now". Before the cut all requests were served.

--- a/agatewing/platform/standins/__init__.py
+++ b/agatewing/platform/standins/__init__.py
@@ -4,6 +4,10 @@
 from agatewing.platform.standins._engine import CrashRequest
 from agatewing.platform.standins._engine import EngineStandin
 from agatewing.platform.standins._engine import Run
+from agatewing.platform.standins._link import Flight
+from agatewing.platform.standins._link import Link
+from agatewing.platform.standins._link import Picture
+from agatewing.platform.standins._linked_site import LinkedSite
 from agatewing.platform.standins._loopback import Loopback
 from agatewing.platform.standins._loopback import reset
 from agatewing.platform.standins._silence import Place
--- /dev/null
+++ b/agatewing/platform/standins/_dialing.py
@@ -0,0 +1,83 @@
+"""Diverts the connections that the greenlets of an instance open.
+
+All instances of a test share a process and find the same addresses in the
+log, so that only the greenlet that connects tells them apart.
+"""
+
+import collections.abc
+import contextlib
+import functools
+import typing
+import unittest.mock
+
+import gevent
+import gevent.baseserver
+import gevent.socket
+
+_KEY = "dialer"
+
+Address: typing.TypeAlias = tuple[str, int]
+#: Returns the address that is connected to in place of another one.
+Dialer: typing.TypeAlias = collections.abc.Callable[[Address], Address]
+_T = typing.TypeVar("_T")
+
+
+def run_with(dialer: Dialer, make: collections.abc.Callable[[], _T]) -> _T:
+    """Return the result of a function that starts greenlets and servers.
+
+    Those greenlets, and all that they or the servers start, connect by way
+    of the dialer.
+    """
+
+    def run() -> _T:
+        gevent.getcurrent().spawn_tree_locals = {_KEY: dialer}
+        return make()
+
+    made: _T = gevent.spawn(run).get()
+    return made
+
+
+@contextlib.contextmanager
+def diverted() -> collections.abc.Iterator[None]:
+    """Let greenlets connect by way of their dialers meanwhile."""
+    connect = gevent.socket.socket.connect
+    set_spawn = gevent.baseserver.BaseServer.set_spawn
+
+    def connect_by_dialer(
+        sock: gevent.socket.socket, address: Address
+    ) -> None:
+        dialer = _current()
+        connect(sock, address if dialer is None else dialer(address))
+
+    def set_spawn_with_dialer(
+        server: gevent.baseserver.BaseServer, spawn: object
+    ) -> None:
+        dialer = _current()
+        if spawn == "default" and dialer is not None:
+            spawn = functools.partial(_spawn_with, dialer)
+        set_spawn(server, spawn)
+
+    with (
+        unittest.mock.patch.object(
+            gevent.socket.socket, "connect", connect_by_dialer
+        ),
+        unittest.mock.patch.object(
+            gevent.baseserver.BaseServer, "set_spawn", set_spawn_with_dialer
+        ),
+    ):
+        yield
+
+
+def _spawn_with(dialer: Dialer, *args: typing.Any) -> gevent.Greenlet:
+    """Spawn a greenlet from the hub, on behalf of a server."""
+    spawned = gevent.Greenlet(*args)
+    spawned.spawn_tree_locals = {_KEY: dialer}
+    spawned.start()
+    return spawned
+
+
+def _current() -> Dialer | None:
+    """Return the dialer of the current greenlet."""
+    found = getattr(gevent.getcurrent(), "spawn_tree_locals", None) or {}
+    dialer: Dialer | None = found.get(_KEY)
+    return dialer
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -43,6 +43,8 @@
     body: bytes
     #: Monotonic time at which its head arrived, in seconds.
     at: float = 0.0
+    #: Whether the connection closes after its answer.
+    last: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +135,8 @@
         self.on_crash: collections.abc.Callable[[], None] | None = None
         #: Number of connections accepted.
         self.accepted = 0
+        #: Answers after which it closes a connection; 0 for any number.
+        self.answers_per_connection = 0
         self._connections: set[gevent.socket.socket] = set()
         super().__init__(
             gevent.server.StreamServer(("127.0.0.1", port), self._serve)
@@ -144,7 +148,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         data = b""
         try:
-            while True:
+            for number in itertools.count(1):
                 while b"\r\n\r\n" not in data:
                     received = sock.recv(65_536)
                     if not received:
@@ -160,9 +164,13 @@
                         return
                     data += received
                     self.voice.wait()
-                run = dataclasses.replace(run, body=data[:length])
+                run = dataclasses.replace(
+                    run,
+                    body=data[:length],
+                    last=number == self.answers_per_connection,
+                )
                 data = data[length:]
-                if not self._answer(sock, run):
+                if not self._answer(sock, run) or run.last:
                     return
         except OSError:
             return
@@ -174,7 +182,7 @@
         self.orders.append(run)
         if self.on_role_change is not None:
             self.on_role_change(json.loads(run.body)["stage"])
-        return _send(sock, 202, run, b"", self._notice_fields())
+        return _send(sock, 202, run, b"", self._notice_fields(run))
 
     def limit_receive_buffer(self, size: int) -> None:
         """Set the receive buffer of new connections, in bytes."""
@@ -194,7 +202,7 @@
             return self._turn_away(sock, run)
         if run.line.startswith("DELETE /-/kv-handle/"):
             self.freed.append(run.line.split()[1].rpartition("/")[2])
-            return _send(sock, 200, run, b"", self._notice_fields())
+            return _send(sock, 200, run, b"", self._notice_fields(run))
         if run.line.startswith("POST /-/order"):
             return self._accept_order(sock, run)
         self.arrivals.append(self.now())
@@ -207,10 +215,10 @@
             behaviour = _behaviour.Behaviour.MOVED
         match behaviour:
             case _behaviour.Behaviour.NOT_RUN:
-                fields = f"X-Not-Executed: 1\r\n{self._notice_fields()}"
+                fields = f"X-Not-Executed: 1\r\n{self._notice_fields(run)}"
                 return _send(sock, 503, run, b"", fields)
             case _behaviour.Behaviour.MOVED:
-                return _send(sock, 421, run, b"", self._notice_fields())
+                return _send(sock, 421, run, b"", self._notice_fields(run))
         if run.headers.get("x-stage") == "prefill":
             self.prefills.append(run)
             hangs = behaviour is _behaviour.Behaviour.HANG
@@ -219,7 +227,7 @@
             self.voice.wait()
             handle = f"h{next(_HANDLE_NUMBERS)}"
             body = b'{"transfer_handle":"%s","tokens":1,"version":1}'
-            fields = self._notice_fields()
+            fields = self._notice_fields(run)
             return _send(sock, 200, run, body % handle.encode(), fields)
         self.runs.append(run)
         if not self.crash_blocks.isdisjoint(shared_blocks(run)):
@@ -239,7 +247,9 @@
         self.requests.append(run)
         self.turned_away[run.id] = now
         self.back_off_ends[run.id] = now + float(self.retry_after)
-        fields = f"Retry-After: {self.retry_after}\r\n{self._notice_fields()}"
+        fields = (
+            f"Retry-After: {self.retry_after}\r\n{self._notice_fields(run)}"
+        )
         if self.turns_away_with_proof:
             fields += "X-Not-Executed: 1\r\n"
         return _send(sock, 503, run, b"", fields)
@@ -258,7 +268,9 @@
         behaviour: _behaviour.Behaviour,
     ) -> bool:
         """Answer a request that ran; return whether to keep the connection."""
-        signature = f"X-Server-Stamp: {self.name}\r\n{self._notice_fields()}"
+        signature = (
+            f"X-Server-Stamp: {self.name}\r\n{self._notice_fields(run)}"
+        )
         body = self._body(run)
         self.voice.reach(_silence.Place.HEAD)
         if self._closed_in_silence(sock, run):
@@ -272,7 +284,7 @@
                 self._wait_for_close(sock, run)
                 return False
             case _behaviour.Behaviour.UNSIGNED:
-                fields = self._notice_fields()
+                fields = self._notice_fields(run)
                 return _send(sock, 200, run, body, fields)
             case _behaviour.Behaviour.GARBAGE:
                 sock.sendall(b"\x00\x01 no answer\r\n\r\n")
@@ -317,10 +329,12 @@
         """Return the monotonic time by which arrivals are recorded."""
         return time.monotonic()
 
-    def _notice_fields(self) -> str:
+    def _notice_fields(self, run: Run) -> str:
         """Return the headers by which it speaks of itself."""
         limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
-        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
+        last = "Connection: close\r\n" if run.last else ""
+        leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
+        return limit + leaving + last
 
     def _body(self, run: Run) -> bytes:
         """Return the body of an answer; for a stream, the remaining events."""
@@ -395,7 +409,7 @@
         self, sock: gevent.socket.socket, run: Run, count: int
     ) -> None:
         """Begin a stream and send its first events."""
-        fields = f"X-Server-Stamp: {self.name}\r\n{self._notice_fields()}"
+        fields = f"X-Server-Stamp: {self.name}\r\n{self._notice_fields(run)}"
         sock.sendall(self._stream_head(run, fields))
         last = int(run.headers.get("last-event-id", "0"))
         for number in range(last + 1, last + 1 + count):
--- /dev/null
+++ b/agatewing/platform/tests/_link_checks.py
@@ -0,0 +1,257 @@
+"""What callers see while instances have lost their links to targets."""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+from agatewing.platform import standins
+
+#: Time from the cut in which the instances may learn of it, in seconds.
+LEARN_S = 3.0
+#: Time from the healing after which requests take the direct path, in seconds.
+HEAL_S = 1.0
+#: Least share of requests served at instances that are cut, of that at the
+#: others.
+SHARE = 0.95
+#: Statuses that promise that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request."""
+
+    name: str
+    path: str
+    #: Whether it may run more than once.
+    repeatable: bool = False
+    #: Size of its body.
+    body_bytes: int = 0
+    #: Events of the stream; 0 for a plain answer.
+    events: int = 0
+    #: Whether it takes up a stream that another instance began.
+    takes_up: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request, and what became of it."""
+
+    id: str
+    kind: Kind
+    #: Name of the instance.
+    instance: str
+    #: Monotonic time of its begin, in seconds.
+    sent_at: float
+    #: Number of events that the caller had before.
+    after: int = 0
+    reply: standins.Reply | None = None
+    #: Why there is no reply.
+    error: str = ""
+    #: Monotonic time of its end, in seconds.
+    ended_at: float = math.inf
+
+    @property
+    def expected(self) -> bytes:
+        """Body of the whole answer."""
+        if not self.kind.events:
+            return b"body of " + self.id.encode()
+        return b"".join(
+            b"id: %d\ndata: token %d\n\n" % (number, number)
+            for number in range(self.after + 1, self.kind.events + 1)
+        )
+
+    @property
+    def served(self) -> bool:
+        """Whether the caller got the whole answer."""
+        reply = self.reply
+        return (
+            reply is not None
+            and reply.status == 200
+            and reply.complete
+            and reply.body == self.expected
+        )
+
+    def __str__(self) -> str:
+        reply = self.reply
+        if reply is None:
+            return f"{self.kind.name}: no reply, {self.error}"
+        cut_off = "" if reply.complete else ", cut off"
+        text = "" if reply.status == 200 else reply.body[:80].decode().strip()
+        return f"{self.kind.name}: {reply.status}{cut_off} {text}"
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """Time in which links were cut."""
+
+    #: Monotonic times of the cut and of the healing, in seconds.
+    cut_at: float
+    healed_at: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Requests of a time and of some instances."""
+
+    served: int
+    total: int
+
+    @property
+    def share(self) -> float:
+        """Share that was served."""
+        return self.served / self.total if self.total else math.nan
+
+    def __str__(self) -> str:
+        return f"{self.served} of {self.total}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Findings:
+    """Requests of a case, and the faults in what became of them."""
+
+    attempts: list[Attempt]
+    #: Names of the instances that lost their links.
+    cut: frozenset[str]
+    span: Span
+    #: Whether the cut ends connections that are open.
+    ends_open: bool
+    #: Number of runs by request.
+    runs: collections.Counter[str]
+    #: Instances over whose links each request reached targets.
+    carriers: dict[str, list[str]]
+    #: Longest time for which the loop stood still, in seconds.
+    still_s: float
+
+    def faults(self) -> list[str]:
+        """Return the faults, one line each."""
+        return [
+            *self._unequal(),
+            *self._wordless(),
+            *self._wrong_runs(),
+            *self._not_direct(),
+        ]
+
+    def report(self) -> str:
+        """Return the counts of all times, and why requests failed."""
+        lines = [f"the loop stood still for up to {self.still_s:.2f} s"]
+        for name, (since, until) in self._times().items():
+            at_cut, others = (
+                self._count(since, until, cut) for cut in (True, False)
+            )
+            lines.append(f"{name}: cut {at_cut}, others {others} served")
+        met = [a for a in self.attempts if self._met_cut(a)]
+        count = Count(sum(a.served for a in met), len(met))
+        lines.append(f"under way at the cut: cut {count} served")
+        failed = collections.Counter(
+            ("cut " if a.instance in self.cut else "other ") + str(a)
+            for a in self.attempts
+            if not a.served
+        )
+        lines += [f"{n} x {text}" for text, n in failed.most_common(20)]
+        return "\n".join(lines)
+
+    def _times(self) -> dict[str, tuple[float, float]]:
+        """Return begin and end of the times that are told apart."""
+        cut_at, healed_at = self.span.cut_at, self.span.healed_at
+        return {
+            "before the cut": (-math.inf, cut_at),
+            "first second": (cut_at, cut_at + 1.0),
+            "till 3 s": (cut_at + 1.0, cut_at + LEARN_S),
+            "from 3 s on": (cut_at + LEARN_S, healed_at),
+            "a second after the healing": (healed_at + HEAL_S, math.inf),
+        }
+
+    def _sent(self, since: float, until: float, cut: bool) -> list[Attempt]:
+        """Return what was sent at a time, except what met the cut."""
+        return [
+            a
+            for a in self.attempts
+            if since <= a.sent_at < until
+            and (a.instance in self.cut) == cut
+            and not self._met_cut(a)
+        ]
+
+    def _met_cut(self, attempt: Attempt) -> bool:
+        """Return whether an attempt was under way when its links were cut."""
+        before = attempt.sent_at < self.span.cut_at < attempt.ended_at
+        return before and attempt.instance in self.cut
+
+    def _count(self, since: float, until: float, cut: bool) -> Count:
+        sent = self._sent(since, until, cut)
+        return Count(sum(a.served for a in sent), len(sent))
+
+    def _unequal(self) -> collections.abc.Iterator[str]:
+        """Yield the times in which callers were served too seldom."""
+        learning = ("first second", "till 3 s")
+        for name, (since, until) in self._times().items():
+            at_cut, others = (
+                self._count(since, until, cut) for cut in (True, False)
+            )
+            if not others.share >= SHARE:
+                yield f"OTHERS: {name}, {others} served"
+            if name in learning:
+                continue
+            if not at_cut.share >= SHARE * others.share:
+                yield (
+                    f"SHARE: {name}, cut instances served {at_cut}, others "
+                    f"{others}"
+                )
+            yield from self._unequal_kinds(name, since, until)
+
+    def _unequal_kinds(
+        self, name: str, since: float, until: float
+    ) -> collections.abc.Iterator[str]:
+        """Yield the kinds of which cut instances served too few.
+
+        One miss is allowed, as it may be more than the share of few requests.
+        """
+        by_kind = collections.defaultdict(list)
+        for attempt in self._sent(since, until, True):
+            by_kind[attempt.kind.name].append(attempt.served)
+        for kind, served in by_kind.items():
+            if sum(served) + 1 < SHARE * len(served):
+                count = Count(sum(served), len(served))
+                yield f"KIND: {name}, {kind}, cut instances served {count}"
+
+    def _wordless(self) -> collections.abc.Iterator[str]:
+        """Yield the requests that ended without a word.
+
+        A stream that may not go on elsewhere ends with its connection, if
+        that was open before the cut and does not outlive it.
+        """
+        for attempt in self.attempts:
+            reply = attempt.reply
+            if reply is not None and reply.status and reply.complete:
+                continue
+            once = attempt.kind.events and not attempt.kind.repeatable
+            began = reply is not None and reply.status == 200
+            excused = self.ends_open and self._met_cut(attempt)
+            if once and began and excused:
+                continue
+            at_s = attempt.sent_at - self.span.cut_at
+            yield f"WORD: {attempt.id} at {at_s:.2f} s, {attempt}"
+
+    def _wrong_runs(self) -> collections.abc.Iterator[str]:
+        """Yield the requests that ran although they must not have."""
+        for attempt in self.attempts:
+            runs = self.runs[attempt.id]
+            if runs and not self.carriers[attempt.id]:
+                yield f"FIXTURE: {attempt.id} passed no link"
+            if attempt.kind.repeatable or not runs:
+                continue
+            if runs > 1:
+                yield f"TWICE: {attempt.id} ran {runs} times, {attempt}"
+            if attempt.reply and attempt.reply.status in NOT_RUN_STATUSES:
+                yield f"REFUSED: {attempt.id} ran, {attempt}"
+
+    def _not_direct(self) -> collections.abc.Iterator[str]:
+        """Yield the times without a cut in which detours were taken."""
+        for name in ("before the cut", "a second after the healing"):
+            served = [
+                a for a in self._sent(*self._times()[name], True) if a.served
+            ]
+            direct = sum(a.instance in self.carriers[a.id] for a in served)
+            if direct < SHARE * len(served):
+                yield f"DIRECT: {name}, {Count(direct, len(served))}"
