--- a/agatewing/platform/standins/_linked_site.py
+++ b/agatewing/platform/standins/_linked_site.py
@@ -11,6 +11,8 @@
 from agatewing.platform.standins import _link
 from agatewing.platform.standins import _site
 
+_T = typing.TypeVar("_T")
+
 
 class LinkedSite(_site.Site):
     """Log, targets, instances, and the links from instances to targets.
@@ -52,9 +54,14 @@
     ) -> gateway.GatewayInstance:
         """Start an instance; it may not be ready yet when this returns."""
         self._zones[name] = zone
+        return self.act_as(name, functools.partial(super().start, name))
+
+    def act_as(
+        self, instance: str, function: collections.abc.Callable[[], _T]
+    ) -> _T:
+        """Return the result of a function that uses an instance's links."""
         return _dialing.run_with(
-            functools.partial(self._dial, name),
-            functools.partial(super().start, name),
+            functools.partial(self._dial, instance), function
         )
 
     def link(self, instance: str, target: str) -> _link.Link:
@@ -91,7 +98,7 @@
             if instance in names:
                 link.heal()
 
-    def carrier(self, request: str) -> list[str]:
+    def carriers(self, request: str) -> list[str]:
         """Return the instances over whose links a request reached targets."""
         return [
             instance
--- a/agatewing/platform/tests/_lost_links.py
+++ b/agatewing/platform/tests/_lost_links.py
@@ -248,7 +248,7 @@
             span,
             case.picture is not standins.Picture.LIVE_ON,
             _runs(site),
-            {a.id: site.carrier(a.id) for a in callers.attempts},
+            {a.id: site.carriers(a.id) for a in callers.attempts},
             watch.longest_s,
         )
 
