Play every kind of change beside silences of targets

The tests of silences play five changes, each once, on new connections; none plays series, idle or pipelined connections, large bodies, SIGTERM or SIGHUP beside them.

Change: a matrix of 20 changes, alone and in series, beside silences of 0.5 to 2 s of one or all targets and a stop of the instance's process. The instance runs as a process, so that signals are real and another checkout can be played; callers use every kind of route and connection all the while. A caller that sent a whole request must get an answer or a refusal.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 7
 DURATION ?= 60
 
-.PHONY: demo test lint format fuzz soak soak-processes bench-platform slopes experiment bench capacity rounds wire
+.PHONY: demo test lint format fuzz soak soak-processes matrix bench-platform slopes experiment bench capacity rounds wire
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,10 @@
 	$(BIN)/python -m agatewing.platform.soak --seed $(SEED) \
 	    --duration $(DURATION)
 
+matrix: $(VENV)/.ready
+	MATRIX_SEED=$(SEED) $(BIN)/python -m pytest -q -s -p no:xdist \
+	    agatewing/platform/tests/test_lost_requests.py
+
 slopes: $(VENV)/.ready
 	$(BIN)/python -m agatewing.bench slopes
 
--- a/agatewing/platform/standins/__init__.py
+++ b/agatewing/platform/standins/__init__.py
@@ -16,6 +16,7 @@
 from agatewing.platform.standins._site import HOST
 from agatewing.platform.standins._site import read_reply
 from agatewing.platform.standins._site import Reply
+from agatewing.platform.standins._site import ReplyReader
 from agatewing.platform.standins._site import RESTART_S
 from agatewing.platform.standins._site import Site
 from agatewing.platform.standins._store import StoreCopy
--- a/agatewing/platform/standins/_engine.py
+++ b/agatewing/platform/standins/_engine.py
@@ -361,7 +361,9 @@
         if framed:
             head += f"Content-Length: {len(body)}\r\n"
         sock.sendall(f"{head}\r\n".encode() + body[:half])
-        if self._closed_within(sock, self.half_pause_s):
+        if self._closed_within(
+            sock, self.half_pause_s
+        ) or self._closed_in_silence(sock, run):
             self._record_drop(run)
             return False
         sock.sendall(body[half:])
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import random
+import socket
 import typing
 
 import gevent
@@ -131,7 +132,8 @@
         self.crash_requests: set[_engine.CrashRequest] = set()
         #: Names of the engines that crashed, in that order.
         self.crashed: list[str] = []
-        self.services: list[dict[str, typing.Any]] = []
+        #: Connections that one target accepts, of every service.
+        self.max_conns = 64
 
     def __enter__(self) -> "Site":
         return self
@@ -253,9 +255,14 @@
         ``limits`` are its limits on callers.
         """
         self._version += 3
+        names = {name for rule in self.routes for name in _services(rule)}
         services = [
-            {"name": name, "health_path": "/health", "max_conns": 64}
-            for name in sorted({str(r["service"]) for r in self.routes})
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_conns": self.max_conns,
+            }
+            for name in sorted(names)
         ]
         document = {
             "version": self._version,
@@ -360,31 +367,74 @@
         return gevent.socket.create_connection(address)
 
 
+def _services(rule: dict[str, typing.Any]) -> list[str]:
+    """Return the services to which a route leads."""
+    if rule["service"] is not None:
+        return [rule["service"]]
+    return [share["service"] for share in rule["traffic_split"]]
+
+
 def read_reply(sock: gevent.socket.socket) -> Reply:
     """Read one answer from a connection.
 
     A connection that breaks or closes early gives an incomplete reply.
     """
-    conn = h11.Connection(h11.CLIENT)
-    conn.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
-    conn.send(h11.EndOfMessage())
-    status, body = 0, b""
-    headers: dict[str, str] = {}
-    with gevent.Timeout(WAIT_TIMEOUT_S, AssertionError("no answer")):
-        while True:
-            try:
-                event = conn.next_event()
-                if event is h11.NEED_DATA:
-                    conn.receive_data(sock.recv(65_536))
-                    continue
-            except (OSError, h11.RemoteProtocolError):
-                return Reply(status, headers, body, False)
-            if isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {k.decode(): v.decode() for k, v in event.headers}
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return Reply(status, headers, body, True)
-            elif isinstance(event, h11.ConnectionClosed):
-                return Reply(status, headers, body, False)
+    return ReplyReader(sock).read()
+
+
+class ReplyReader:
+    """Reads one answer after the other, also of pipelined requests."""
+
+    __slots__ = ("_sock", "_unread")
+
+    def __init__(self, sock: gevent.socket.socket) -> None:
+        self._sock = sock
+        # Bytes that were received after the last answer.
+        self._unread = b""
+
+    @property
+    def ended(self) -> bool:
+        """Whether the other side has closed, with nothing left to read."""
+        if self._unread:
+            return False
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return not self._sock._sock.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def read(self, timeout_s: float = WAIT_TIMEOUT_S) -> Reply:
+        """Read one answer, as :func:`read_reply` does."""
+        conn = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method="GET", target="/", headers=[("Host", "x")]
+        )
+        conn.send(request)
+        conn.send(h11.EndOfMessage())
+        if self._unread:
+            conn.receive_data(self._unread)
+        status, body = 0, b""
+        headers: dict[str, str] = {}
+        with gevent.Timeout(timeout_s, AssertionError("no answer")):
+            while True:
+                try:
+                    event = conn.next_event()
+                    if event is h11.NEED_DATA:
+                        conn.receive_data(self._sock.recv(65_536))
+                        continue
+                except (OSError, h11.RemoteProtocolError):
+                    return Reply(status, headers, body, False)
+                if isinstance(event, h11.Response):
+                    status = event.status_code
+                    headers = {
+                        k.decode(): v.decode() for k, v in event.headers
+                    }
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    self._unread = conn.trailing_data[0]
+                    return Reply(status, headers, body, True)
+                elif isinstance(event, h11.ConnectionClosed):
+                    return Reply(status, headers, body, False)
