End the polls of engines with their poller

Cause: Poller.run starts a greenlet for each engine; Instance.stop and kill end only the greenlet of run itself, so an instance that has ended goes on polling each of its engines every half a second for as long as its process lives. In a process of tests the address belongs to another server by then. Class: a loop that starts others does not end them.

Change: run ends all of them in its finally clause.

--- a/agatewing/fleet/_poller.py
+++ b/agatewing/fleet/_poller.py
@@ -70,16 +70,25 @@
         self.polls = 0
 
     def run(self) -> None:
-        """Start and stop the polling of engines as the fleet changes."""
-        while True:
-            engines = {id(engine): engine for engine in self._fleet.engines()}
-            for key, engine in engines.items():
-                if key not in self._tasks:
-                    self._tasks[key] = gevent.spawn(self._poll_engine, engine)
-            for key in set(self._tasks) - set(engines):
-                self._tasks.pop(key).kill(block=False)
-            self._update_shares()
-            self._clock.sleep(POLL_PERIOD_S)
+        """Start and stop the polling of engines as the fleet changes.
+
+        All polling ends with the greenlet that runs this.
+        """
+        try:
+            while True:
+                self._follow_fleet()
+                self._update_shares()
+                self._clock.sleep(POLL_PERIOD_S)
+        finally:
+            gevent.killall(list(self._tasks.values()), block=False)
+
+    def _follow_fleet(self) -> None:
+        engines = {id(engine): engine for engine in self._fleet.engines()}
+        for key, engine in engines.items():
+            if key not in self._tasks:
+                self._tasks[key] = gevent.spawn(self._poll_engine, engine)
+        for key in set(self._tasks) - set(engines):
+            self._tasks.pop(key).kill(block=False)
 
     def _update_shares(self) -> None:
         now = self._clock.monotonic()
