Name each run of the requests whose answers wait for room

The assertion compared counts, so a second run of an unsafe request could not be told from a request of somebody else.

Change: the test compares ids and request lines of all runs with those of the requests, and the number of sends. This is stricter: a run of anybody else, and a second run of any request, still fail it, by name.

--- a/agatewing/gateway/tests/test_large_answers.py
+++ b/agatewing/gateway/tests/test_large_answers.py
@@ -122,8 +122,14 @@
     replies = [greenlet.get() for greenlet in asking]
     assert {reply.status for reply in replies} == {200}
     assert all(len(reply.body) == size for reply in replies)
-    assert len(target.runs) == len(replies)
-    assert instance.handler_context.sender._buffered_bytes == 0
+    # Names each run, so that a second one of a request differs from one that
+    # no caller of this test sent.
+    assert sorted((run.id, run.line) for run in target.runs) == sorted(
+        (f"a{n}", "POST /pay/x HTTP/1.1") for n in range(24)
+    )
+    sender = instance.handler_context.sender
+    assert sender.request_count == len(replies)
+    assert sender._buffered_bytes == 0
 
 
 # 503 would have said that it had not run.
