Let only requests sent in time outlast the stop in the matrix

Cause: the matrix allowed any request to be cut off in the last sixth of the time that a stop has; the rule allows it up to 3 s after SIGTERM.

--- a/agatewing/platform/tests/_change_matrix.py
+++ b/agatewing/platform/tests/_change_matrix.py
@@ -39,6 +39,9 @@
 #: last new connection: the balancer sends none later.
 STOP_LIMIT_S = 4.4
 LAST_CONNECTION_S = 2.3
+#: Time after SIGTERM up to which a request may outlast the process, in
+#: seconds.
+LATEST_SEND_S = 3.0
 #: Part of the time limit of a route after which a request may be cut off.
 USED_UP = 0.97
 #: Longest time from the publication of a configuration until it is in force,
@@ -350,8 +353,9 @@
         """Return whether a target had the request up to the stop limit."""
         if self._stopped_at is None:
             return False
-        limit_s = sent.ended_at - self._stopped_at
-        return limit_s >= STOP_LIMIT_S * 5 / 6
+        if sent.sent_at > self._stopped_at + LATEST_SEND_S:
+            return False
+        return sent.ended_at >= self._stopped_at + STOP_LIMIT_S * 5 / 6
 
     def _describe(self, sent: Sent, outcome: Outcome, runs: int) -> str:
         status = sent.reply.status if sent.reply else 0
