Change the configuration once both requests beside a silence are accepted

Cause, as far as shown: the planned silence began with any request at a target, and the change came as soon as one was silent. A request that no caller sent, shortly before both instances accepted theirs, let both run under the new limit of 0.4 s, by which 504 is right. Ended instances of the entry's tests made such requests at reused ports. That the failed run had this cause is only suspected (docs/issues/010.md).

Change: the change waits until both requests are accepted, so each case meets it with its requests under way; a run at a target that no caller asked for fails the case by name. Nothing is excused that was not before.

--- a/agatewing/platform/tests/_silences.py
+++ b/agatewing/platform/tests/_silences.py
@@ -20,6 +20,8 @@
 #: Timeout of plain routes, in milliseconds: short enough that the longest
 #: silences exceed the time after which another target is tried.
 PLAIN_TIMEOUT_MS = 4_000
+#: Ids of the requests of a case.
+ASKED = ("a1", "a2")
 #: Events of a whole stream of the stand-ins.
 EVENTS = b"".join(
     f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, 6)
@@ -105,6 +107,8 @@
     runs_allowed: bool
     #: Whether two engines worked on it for no longer than ``OVERLAP_S``.
     overlap_allowed: bool
+    #: Request lines of runs at the targets that no caller asked for.
+    strays: tuple[str, ...] = ()
     #: Time from its call to its answer, in seconds.
     taken_s: float = dataclasses.field(default=0.0, compare=False)
 
@@ -118,6 +122,7 @@
         ):
             if not holds:
                 words.append(word)
+        words += [f"beside a run of {line!r}" for line in self.strays]
         return " ".join(words)
 
 
@@ -239,14 +244,21 @@
             headers |= PROMPT_HEADERS
         asked = [
             gevent.spawn(ask, site, instance, path, request_id, headers)
-            for request_id, instance in zip(("a1", "a2"), instances)
+            for request_id, instance in zip(ASKED, instances)
         ]
         if case.change is not Change.NONE:
+            # Both have the time limits of before the change.
+            site.wait(
+                lambda: all(
+                    instance.lifecycle.in_flight or replied.ready()
+                    for instance, replied in zip(instances, asked)
+                )
+            )
             site.wait(lambda: silent_names(site))
             apply_change(site, case)
         return [
             judge(site, case, request_id, *replied.get())
-            for request_id, replied in zip(("a1", "a2"), asked)
+            for request_id, replied in zip(ASKED, asked)
         ]
 
 
@@ -299,10 +311,21 @@
         reply.body == body,
         runs <= limit,
         max_overlap_s(site, request_id) <= OVERLAP_S,
+        strays(site),
         taken_s,
     )
 
 
+def strays(site: standins.Site) -> tuple[str, ...]:
+    """Return the request lines of runs that no caller asked for."""
+    return tuple(
+        run.line
+        for engine in site.targets.values()
+        for run in (*engine.runs, *engine.prefills)
+        if run.id not in ASKED
+    )
+
+
 def max_overlap_s(site: standins.Site, request_id: str) -> float:
     """Return how long an engine worked on beside one that began later."""
     begun = sorted(
