--- a/agatewing/entry/tests/test_silent_targets.py
+++ b/agatewing/entry/tests/test_silent_targets.py
@@ -111,7 +111,9 @@
 
     def _serve(self, name: str, handler: _http.Handler) -> str:
         app = self.wrap(name, _http.application(handler))
-        server = net.Server("127.0.0.1", 0, app)
+        # Nobody who still asks at a port of an earlier target meets it.
+        [port] = self._ports.take(1)
+        server = net.Server("127.0.0.1", port, app)
         server.start()
         self.servers[name] = server
         self.applications[name] = (server.port, app)
