Write the line of an idle connection's close after the close

Cause: the line was written before the connection was closed, so bytes that came meanwhile were lost; and it did not say whose connection it was. Change: address and unread bytes are looked at before the close, the line follows it. It names the caller's address.

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -347,10 +347,9 @@
         With ``linger``, a caller that has its last answer and is still
         sending is read from for a while first.
         """
-        if self._idle_end and not self._input.closed_by_caller:
-            self._log_idle_end()
         # The end of input no longer concerns a request.
         self.busy = False
+        caller, unread = net.peer_address(self._sock), self._input.pending
         if self._ends_by_close:
             net.reset_on_close(self._sock)
         else:
@@ -359,17 +358,21 @@
                 self._input.discard(LINGER_S, LINGER_BYTES)
         self._input.stop()
         self._sock.close()
+        if self._idle_end and not self._input.closed_by_caller:
+            # Later bytes would be lost while the line is written.
+            self._log_idle_end(caller, unread)
 
-    def _log_idle_end(self) -> None:
-        """Log why an idle connection ends, and whether bytes are lost."""
+    def _log_idle_end(self, caller: str, unread: bool) -> None:
+        """Log why an idle connection was closed, and if bytes were lost."""
         idle_s = self._clock.monotonic() - self._idle_since
         _log.info(
             "caller: idle connection closed",
             extra={
+                "caller": caller,
                 "reason": self._idle_end,
                 "idle_s": round(idle_s, 3),
                 "limit_s": self._limits.idle_timeout_s,
-                "unread": self._input.pending,
+                "unread": unread,
             },
         )
 
--- a/agatewing/net/_sockets.py
+++ b/agatewing/net/_sockets.py
@@ -15,3 +15,12 @@
     Raises ``OSError`` if the socket is closed.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
+def peer_address(sock: gevent.socket.socket) -> str:
+    """Return the other end as ``IP:PORT``; empty if it is not connected."""
+    try:
+        host, port, *_ = sock.getpeername()
+    except OSError:
+        return ""
+    return f"{host}:{port}"
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -241,10 +241,12 @@
     site.wait(lambda: instance.catalog.config_version == site.version)
     with caplog.at_level(logging.INFO, logger="agatewing.caller"):
         with site.connect(instance) as sock:
+            host, port = sock.getsockname()
             if stops:
                 instance.stop()
             assert not sock.recv(1)
     (line,) = lines_of(caplog, "caller: idle connection closed")
+    assert getattr(line, "caller") == f"{host}:{port}"
     assert getattr(line, "reason") == reason
     assert not getattr(line, "unread")
 
