Let callers of the matrix idle as long as the platform's do

The platform's callers use connections again that idled for up to four fifths of the last limit, and its rule does not count a request that crosses the close and is not passed on.

Change: callers idle for up to four fifths of the longest limit that they may know (1.2 s of 1.5 s, also while the limit is lowered). The check of what they get is as before.

--- a/agatewing/platform/tests/_steady_callers.py
+++ b/agatewing/platform/tests/_steady_callers.py
@@ -10,14 +10,15 @@
 
 from agatewing import net
 from agatewing.platform import standins
+from agatewing.platform.tests import _changes
 
 #: Time limit of one answer, in seconds; longer than that of any route.
 REPLY_TIMEOUT_S = 20.0
 #: Pause of most callers between two requests, in seconds.
 PERIOD_S = 0.05
-#: Longest pause of a caller whose connection idles, in seconds; the idle
-#: limit is shorter.
-IDLE_S = 1.8
+#: Longest pause of a caller whose connection idles, in seconds: the platform's
+#: callers use connections again that idled for up to four fifths of the limit.
+IDLE_S = _changes.LIMITS["idle_timeout_ms"] / 1_000 * 0.8
 #: Requests that are sent at once.
 PIPELINED = 3
 #: Size of a large body, in bytes, and the pieces in which it is sent, with a
