Say which targets an instance reaches

Change: connections record each attempt to reach a target and the bytes from it. The gauge agatewing_targets_reached{service} and the lines "links: targets not reached" and "links: targets reached again" show what follows from that; "request: send failed" has connect_s. No decision uses any of it yet.

Measured: agatewing/gateway/tests/test_settings.py and agatewing/platform/tests/test_request_logs.py pass, with three new tests of the names; no load was run.

--- /dev/null
+++ b/agatewing/decisions/_link_evidence.py
@@ -0,0 +1,145 @@
+"""What one instance saw of its network path to one target."""
+
+import collections.abc
+import enum
+
+#: Time for which a new connection has to stay open before it proves the path,
+#: in seconds: what refuses connections on the way may accept them first and
+#: reset them then.
+HOLD_S = 0.1
+#: Largest number of failed attempts that are kept for one target.
+MAX_FAILURES = 8
+#: Number of targets of a service that have to fail before an instance may
+#: have lost its own path to them.
+MIN_UNREACHED = 2
+#: Number of attempts at one target that have to fail before that: a network
+#: that loses single packets delays one of them.
+MIN_FAILURES = 2
+
+_NEVER = float("-inf")
+
+
+class LinkFailure(enum.StrEnum):
+    """How an attempt to reach a target failed."""
+
+    #: Nothing came back in time.
+    TIMED_OUT = "timed-out"
+    #: The host answered that nobody listens, or that there is no way to it.
+    REFUSED = "refused"
+    #: The connection was reset, or closed before its first answer.
+    RESET = "reset"
+
+
+class LinkEvidence:
+    """Attempts to connect to one target, and what was heard from it.
+
+    All times are monotonic, in seconds. An attempt that failed counts until a
+    later one is accepted: bytes on connections that are open already do not
+    show that new ones can be opened.
+    """
+
+    __slots__ = ("accepted_at", "heard_at", "_connected_at", "_failures")
+
+    def __init__(self) -> None:
+        #: Time of the last connection that proved the path.
+        self.accepted_at = _NEVER
+        #: Time of the last bytes from the target.
+        self.heard_at = _NEVER
+        # Time of the last connection that proves nothing yet.
+        self._connected_at = _NEVER
+        # Start and kind of the attempts that failed since the last one that
+        # was accepted, oldest first.
+        self._failures: list[tuple[float, LinkFailure]] = []
+
+    def record_connected(self, now: float) -> None:
+        """Record a new connection; it proves the path after ``HOLD_S``."""
+        self.settle(now)
+        if self._connected_at == _NEVER:
+            self._connected_at = now
+
+    def record_failure(
+        self, started_at: float, kind: LinkFailure, now: float
+    ) -> None:
+        """Record an attempt that failed, or that takes too long.
+
+        One that began before the last accepted connection says nothing.
+        """
+        self.settle(now)
+        if kind is LinkFailure.RESET:
+            self._connected_at = _NEVER
+        if started_at <= self.accepted_at:
+            return
+        self._failures.append((started_at, kind))
+        del self._failures[:-MAX_FAILURES]
+
+    def record_heard(self, now: float, first: bool = False) -> None:
+        """Record bytes from the target; ``first`` on a new connection."""
+        self.heard_at = now
+        if first:
+            self._accept(now)
+
+    def settle(self, now: float) -> None:
+        """Count a connection as accepted if it has been open long enough."""
+        if _NEVER < self._connected_at <= now - HOLD_S:
+            self._accept(self._connected_at)
+
+    def _accept(self, at: float) -> None:
+        self._connected_at = _NEVER
+        self.accepted_at = max(self.accepted_at, at)
+        self._failures = [
+            failure
+            for failure in self._failures
+            if failure[0] > self.accepted_at
+        ]
+
+    @property
+    def failures(self) -> int:
+        """Number of attempts that failed since the last accepted one."""
+        return len(self._failures)
+
+    @property
+    def failing_since(self) -> float:
+        """Start of the first attempt that failed since the last accepted one.
+
+        Infinite if none did.
+        """
+        return min((at for at, _ in self._failures), default=float("inf"))
+
+    @property
+    def kinds(self) -> set[LinkFailure]:
+        """How the attempts failed since the last accepted one."""
+        return {kind for _, kind in self._failures}
+
+    @property
+    def reached(self) -> bool:
+        """Whether the last that this instance knows is that it reached it."""
+        return not self._failures and self.contact_at > _NEVER
+
+    @property
+    def contact_at(self) -> float:
+        """Time of the last connection or bytes."""
+        return max(self.accepted_at, self._connected_at, self.heard_at)
+
+
+def unreached_since(
+    links: collections.abc.Sequence[LinkEvidence],
+) -> float | None:
+    """Return since when none of a service's targets has been reached.
+
+    Returns ``None`` if one was reached, or if too few were tried: two have to
+    fail, as a single one may be at fault itself; a service with only one, two
+    times. Targets that were not tried lately say nothing.
+    """
+    failing = [link for link in links if link.failures]
+    needed = min(MIN_UNREACHED, len(links))
+    if not failing or len(failing) < needed:
+        return None
+    if needed == 1 and failing[0].failures < MIN_FAILURES:
+        return None
+    starts = sorted((link.failing_since for link in failing), reverse=True)
+    # Targets that failed earlier may have done so for reasons of their own.
+    since = starts[needed - 1]
+    others = (link for link in links if not link.failures)
+    if any(link.accepted_at > since for link in others):
+        return None
+    return since
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -8,6 +8,8 @@
 import h11
 
 from agatewing import _clock
+from agatewing import decisions
+from agatewing import detour
 from agatewing.gateway import _messages
 from agatewing import net
 
@@ -52,6 +54,9 @@
 class ConnectError(Exception):
     """No connection was established; nothing was sent."""
 
+    #: Time for which it was awaited, in seconds.
+    awaited_s: float = 0.0
+
 
 class ConnectRefusedError(ConnectError):
     """The host answered that no process listens on the port."""
@@ -77,15 +82,29 @@
         "_request",
         "_body_bytes",
         "_last_byte_at",
+        "_link",
+        "_opened_at",
+        "_heard",
         "idle_since",
         "keep_alive_s",
         "fresh",
     )
 
-    def __init__(self, address: str, clock: _clock.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: _clock.Clock,
+        link: detour.TargetLink | None = None,
+    ) -> None:
         #: IP address and port of the target.
         self.address = address
         self._clock = clock
+        # Records what the connection shows of the path to the target.
+        self._link = link or detour.LinkRecorder(clock).open()
+        # Monotonic time at which its opening began, in seconds.
+        self._opened_at = clock.monotonic()
+        # Whether any byte was received.
+        self._heard = False
         self._sock: gevent.socket.socket | None = None
         self._parser = _new_parser()
         self._send_greenlet: gevent.Greenlet | None = None
@@ -105,15 +124,27 @@
 
     def connect(self, timeout_s: float) -> None:
         """Open the connection; raise :class:`ConnectError` if that fails."""
+        limit_s = max(0.001, min(CONNECT_TIMEOUT_S, timeout_s))
+        attempt = self._link.begin()
+        self._opened_at = attempt.started_at
         try:
             sock = gevent.socket.create_connection(
-                net.split_address(self.address),
-                timeout=max(0.001, min(CONNECT_TIMEOUT_S, timeout_s)),
+                net.split_address(self.address), timeout=limit_s
             )
         except ConnectionRefusedError as exc:
-            raise ConnectRefusedError(f"{self.address}: {exc}") from exc
-        except (OSError, ValueError) as exc:
+            attempt.record_failure(decisions.LinkFailure.REFUSED)
+            refused = ConnectRefusedError(f"{self.address}: {exc}")
+            raise self._failed(refused) from exc
+        except OSError as exc:
+            attempt.record_failure(detour.failure_of(exc))
+            raise self._failed(ConnectError(f"{self.address}: {exc}")) from exc
+        except ValueError as exc:
+            attempt.abandon()
             raise ConnectError(f"{self.address}: {exc}") from exc
+        except BaseException:
+            attempt.abandon()
+            raise
+        attempt.record_connected()
         # The connect timeout would otherwise apply to every later read.
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -122,6 +153,10 @@
         )
         self._sock = sock
 
+    def _failed(self, exc: ConnectError) -> ConnectError:
+        exc.awaited_s = self._clock.monotonic() - self._opened_at
+        return exc
+
     def usable(self, now: float, max_idle_s: float) -> bool:
         """Return whether an idle connection may carry another request."""
         idle = now - self.idle_since
@@ -147,6 +182,7 @@
         """Send a request; a large one is sent while the answer is read."""
         head, body = _encode(self._parser, outgoing)
         self._last_byte_at = self._clock.monotonic()
+        self._link.record_sent()
         self._request = h11.Request(
             method=outgoing.method, target="*", headers=[("Host", "none")]
         )
@@ -166,6 +202,7 @@
             ):
                 sock.sendall(data)
         except OSError as exc:
+            self._link.record_broken(self._opened_at, not self._heard)
             raise BrokenError(f"{self.address}: {exc}") from exc
 
     def _send_in_background(self, data: bytes, deadline: float) -> None:
@@ -274,11 +311,15 @@
             ):
                 data = sock.recv(READ_BYTES)
         except OSError as exc:
+            self._link.record_broken(self._opened_at, not self._heard)
             raise BrokenError(f"{self.address}: {exc}") from exc
         if not data and self._parser.their_state is h11.SEND_RESPONSE:
+            self._link.record_broken(self._opened_at, not self._heard)
             raise BrokenError(f"{self.address}: closed without an answer")
         if data:
             self._last_byte_at = self._clock.monotonic()
+            self._link.record_heard(first=not self._heard)
+            self._heard = True
         self._parser.receive_data(data)
 
     @property
@@ -321,11 +362,17 @@
 class ChannelPool:
     """Pool of idle connections to one target."""
 
-    __slots__ = ("_address", "_clock", "_idle", "max_idle", "opened")
+    __slots__ = ("_address", "_clock", "_link", "_idle", "max_idle", "opened")
 
-    def __init__(self, address: str, clock: _clock.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: _clock.Clock,
+        link: detour.TargetLink | None = None,
+    ) -> None:
         self._address = address
         self._clock = clock
+        self._link = link
         self._idle: list[Channel] = []
         #: Largest number of idle connections that are kept.
         self.max_idle = 1
@@ -344,7 +391,7 @@
             if channel.usable(now, max_idle_s):
                 return channel
             channel.close()
-        channel = Channel(self._address, self._clock)
+        channel = Channel(self._address, self._clock, self._link)
         channel.connect(timeout_s)
         self.opened += 1
         return channel
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -290,6 +290,7 @@
         next=str(step),
         prefix=",".join(job.req.shared_blocks),
         silent_s=_silent_s(outcome),
+        connect_s=_connect_s(outcome),
         fingerprint=_messages.hex_key(job.req.fingerprint),
         **fields,
     )
@@ -335,6 +336,14 @@
     return None
 
 
+def _connect_s(outcome: _messages.Outcome) -> float | None:
+    """Return how long a connection was awaited that failed, in seconds."""
+    match outcome:
+        case _messages.NotSent(connect_s=connect_s):
+            return connect_s
+    return None
+
+
 def _deadline_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
     """Return the error for a request whose deadline has passed."""
     if job.attempts.maybe_ran:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -11,6 +11,7 @@
 from agatewing import _clock
 from agatewing import _metrics
 from agatewing import decisions
+from agatewing import detour
 from agatewing import dispatch
 from agatewing.gateway import _catalog
 from agatewing.gateway import _claims
@@ -79,6 +80,9 @@
             _engine_speed(settings.engines),
             settings.instance,
         )
+        self.links = detour.LinkWatch(
+            clock, self.registry.links, self.registry.targets_of
+        )
         self.budget = decisions.SharedRetryBudget(
             decisions.BudgetBound(
                 settings.retries.ratio,
@@ -232,6 +236,7 @@
             server.start()
         self.peers.start()
         self.load_reports.start()
+        self.links.start()
         decoder = self.platform.decoder
         sinks = {
             _ports.Topic.CONFIGURATION: _follow.configuration_sink(
@@ -309,6 +314,7 @@
         gevent.killall(self._loops)
         self.peers.stop()
         self.load_reports.stop()
+        self.links.stop()
         for server in self._probe_servers:
             server.stop(timeout=0)
         self.server.close_port()
@@ -440,6 +446,13 @@
             "Targets that want no requests from this instance now",
             self.registry.back_offs.count,
         )
+        for service in self.registry.pools:
+            metrics.gauge(
+                "agatewing_targets_reached",
+                "Targets that were reached when last tried, by service",
+                self.links.reached_count(service),
+                service=service,
+            )
         metrics.counter(
             "agatewing_crashes_total",
             "Engines that crashed under a prompt of this instance",
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -265,6 +265,9 @@
 
     #: Cause, for logs and refusals.
     reason: str
+    #: Time for which a connection was awaited, in seconds; ``None`` if none
+    #: was tried.
+    connect_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -102,7 +102,7 @@
             channel = tracked.channels.acquire(max_idle_s, remaining_s)
         except _channel.ConnectError as exc:
             tracked.record_failure()
-            return _messages.NotSent(str(exc))
+            return _messages.NotSent(str(exc), round(exc.awaited_s, 3))
         if not tracked.takes_requests(self._clock.monotonic()):
             # It said so while the connection was opened.
             channel.close()
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -9,6 +9,7 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
+from agatewing import detour
 from agatewing import fleet
 from agatewing.gateway import _back_offs
 from agatewing.gateway import _contracts
@@ -205,6 +206,7 @@
         "limits",
         "departures",
         "back_offs",
+        "links",
         "merge_reports",
     )
 
@@ -236,6 +238,8 @@
         self.departures = _departures.Departures(clock, self.changed)
         #: Targets that want no requests from this instance for a time.
         self.back_offs = _back_offs.BackOffs(clock)
+        #: What connections show of this instance's paths to targets.
+        self.links = detour.LinkRecorder(clock)
 
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
@@ -260,6 +264,13 @@
             for tracked in self.by_id.values():
                 tracked.apply_departure("peer")
 
+    def targets_of(
+        self, service: str
+    ) -> collections.abc.Mapping[str, _tracked_target.TrackedTarget]:
+        """Return the targets of a service by id."""
+        pool = self.pools.get(service)
+        return pool.engines if pool is not None else {}
+
     def _run_merge_reports(self) -> None:
         # Pools hold this method, as ``merge_reports`` is set later.
         self.merge_reports()
@@ -322,6 +333,7 @@
             self.departures,
             self.back_offs,
             properties.kv_tokens if properties else 0,
+            self.links.open(target.service),
         )
 
 
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -9,6 +9,7 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
+from agatewing import detour
 from agatewing.gateway import _back_offs
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
@@ -62,6 +63,7 @@
 
     __slots__ = (
         "target",
+        "link",
         "load",
         "slowness",
         "loss_ratio",
@@ -92,7 +94,10 @@
         departures: _departures.Departures,
         back_offs: _back_offs.BackOffs,
         kv_limit: int = 0,
+        link: detour.TargetLink | None = None,
     ) -> None:
+        #: What this instance knows of its path to the target.
+        self.link = link or detour.LinkRecorder(clock).open()
         self._limits = limits
         self._departures = departures
         self._back_offs = back_offs
@@ -116,7 +121,7 @@
             alpha=RATIO_ALPHA, half_life_s=RATIO_HALF_LIFE_S, limit=RATIO_LIMIT
         )
         #: Connections to the target.
-        self.channels = _channel.ChannelPool(target.address, clock)
+        self.channels = _channel.ChannelPool(target.address, clock, self.link)
         #: Requests of this instance in flight.
         self.in_flight = 0
         #: Consecutive failures.
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -64,3 +64,23 @@
     assert 'agatewing_refused_total{kind="not-found"} 1' in text
     assert f"agatewing_config_version {version}" in text
     assert "agatewing_answer_seconds_bucket" in text
+
+
+def test_metrics_say_how_many_targets_of_a_service_are_reached() -> None:
+    with standins.Site() as site:
+        site.route("/look/", "safe", "ledger")
+        site.route("/chat/", "streaming", "chat", sticky=True)
+        site.add_target("t1", "ledger", None)
+        site.publish()
+        instance = site.start()
+        site.wait(lambda: instance.lifecycle.ready)
+        assert site.ask(instance, "/look/x").status == 200
+        before = instance.render_metrics()[0].decode()
+        site.targets["t1"].stop()
+        # Connections that are open already idle for too long then.
+        site.clock.advance(20.0)
+        site.ask(instance, "/look/x", "a2")
+        after = instance.render_metrics()[0].decode()
+    assert 'agatewing_targets_reached{service="ledger"} 1' in before
+    assert 'agatewing_targets_reached{service="chat"} 0' in before
+    assert 'agatewing_targets_reached{service="ledger"} 0' in after
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -13,6 +13,8 @@
 from agatewing.gateway import _lifecycle
 from agatewing.platform import standins
 
+#: Longest time that a line may name, in seconds.
+WAIT_S = 5.0
 PROMPT_HEADERS = {
     "X-Token-Count": "1200,20",
     "X-Prefix-Hash": "aa:700,bb:100,cc:400",
@@ -116,6 +118,61 @@
         assert at_least <= silent_s < below
 
 
+# Nothing said how long a connection was awaited that was not established, nor
+# whether the instance reached any target.
+def test_lines_name_connections_that_fail_and_targets_not_reached(
+    site: standins.Site,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    site.add_target("e2")
+    instance = site.start()
+    site.wait(lambda: len(instance.catalog.targets) == 2)
+    site.wait(lambda: instance.lifecycle.ready)
+    for engine in site.targets.values():
+        engine.stop()
+    headers = {**PROMPT_HEADERS, "X-Deadline-Ms": "900"}
+    with caplog.at_level(logging.INFO, logger="agatewing"):
+        site.ask(instance, "/chat/x", "s1", headers)
+        site.wait(lambda: lines_of(caplog, "links: targets not reached"))
+    (lost,) = lines_of(caplog, "links: targets not reached")
+    assert (
+        getattr(lost, "service"),
+        getattr(lost, "targets"),
+        getattr(lost, "failing"),
+        getattr(lost, "picture"),
+    ) == ("chat", 2, 2, "refused")
+    assert 0.0 <= getattr(lost, "since_s") < WAIT_S
+    failed = lines_of(caplog, "request: send failed")
+    assert failed
+    assert all(0.0 <= getattr(r, "connect_s") < WAIT_S for r in failed)
+
+
+# Nothing said that targets were reached again.
+def test_a_line_says_that_targets_are_reached_again(
+    site: standins.Site,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    instance = site.start()
+    site.wait(lambda: instance.lifecycle.ready)
+    engine = site.targets["e1"]
+    port = int(engine.address.rpartition(":")[2])
+    engine.stop()
+    with caplog.at_level(logging.INFO, logger="agatewing"):
+        for number in range(8):
+            site.ask(instance, "/chat/x", f"s{number}", PROMPT_HEADERS)
+            site.clock.advance(1.0)
+            if lines_of(caplog, "links: targets not reached"):
+                break
+        site.targets["e1"] = standins.EngineStandin("e1", 3, port)
+        site.clock.advance(5.0)
+        reply = site.ask(instance, "/chat/x", "s9", PROMPT_HEADERS)
+        assert reply.status == 200
+        site.wait(lambda: lines_of(caplog, "links: targets reached again"))
+    (again,) = lines_of(caplog, "links: targets reached again")
+    assert getattr(again, "service") == "chat"
+    assert getattr(again, "after_s") > 0.0
+
+
 # Nothing said whether the configuration had changed under an answer that was
 # cut off, nor how much of it the caller had.
 def test_a_cut_off_answer_names_its_events_and_the_configurations(
