--- a/agatewing/platform/tests/_change_matrix.py
+++ b/agatewing/platform/tests/_change_matrix.py
@@ -332,6 +332,8 @@
             if self._outlasts_stop(sent):
                 return Outcome("cut off at the stop limit", False)
             return Outcome("cut off", True)
+        if reply.status in (502, 504) and self._used_up(sent):
+            return Outcome(f"answered {reply.status} at its time limit", False)
         allowed = _changes.allowed_statuses(self._case.change)
         if reply.status not in allowed:
             return Outcome(f"answered {reply.status}", True)
