Try no other target after the deadline of a request

Cause: a silent target and the passed deadline were found at once; the hedge came first and failed for want of a target, and as the failure that came last it was the answer. Class: a decision is made with the time of before a stand-still.

Change: may_hedge, which plain requests and streams share, allows none after the deadline, so the answer is that of the target that was awaited.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -161,10 +161,11 @@
     """Return whether a request may be tried beside silent targets.
 
     ``uncounted`` is the number of targets that have the request and were not
-    counted yet. Nothing is tried beside a trial, or while a failed send may
-    have crashed its engine.
+    counted yet. Nothing is tried beside a trial, while a failed send may have
+    crashed its engine, or after the deadline.
     """
-    if job.on_trial:
+    now = ctx.clock.monotonic()
+    if job.on_trial or now >= job.deadline:
         return False
     if job.attempts.targets + uncounted >= job.attempts.max_targets:
         return False
@@ -174,7 +175,7 @@
             return False
         if not ctx.quarantine.may_be_sent_again(job.req, check):
             return False
-    return ctx.budget.allows_retry(job.service, ctx.clock.monotonic())
+    return ctx.budget.allows_retry(job.service, now)
 
 
 def check_quarantine(
--- a/agatewing/gateway/tests/test_connection_ends.py
+++ b/agatewing/gateway/tests/test_connection_ends.py
@@ -210,3 +210,19 @@
         sock._sock.send(HEAD + b"Content-Length: 0\r\n\r\n")
     site.wait(lambda: not instance.server._conns)
     assert not site.targets["t1"].runs
+
+
+# A hedge that began after the deadline failed last, so that the caller was
+# told that the target had failed.
+def test_a_deadline_that_passes_while_the_process_stands_still_is_named(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    target = site.targets["t1"]
+    target.script.append(standins.Behaviour.HANG)
+    headers = {"X-Deadline-Ms": "400"}
+    asked = gevent.spawn(site.ask, instance, "/look/x", "a", headers)
+    site.wait(lambda: target.runs)
+    # Blocks the loop of this process, which is the instance's too.
+    time.sleep(0.6)
+    reply = asked.get()
+    assert (reply.status, reply.complete) == (504, True)
