Judge whether an instance has lost its own paths

Cause: an instance that reaches no target while its peers do holds every target for faulty; nothing could tell the two cases apart.

Change: decisions/_link_evidence.py judges a service by the own attempts to connect and by the connections of peers. Targets are lost from here only if several attempts failed, none was accepted since, and a peer has opened a connection to them meanwhile. Bytes on connections that were open before prove nothing. Not in use yet.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -45,8 +45,11 @@
 from agatewing.decisions._hedging import Take
 from agatewing.decisions._hedging import Wait
 from agatewing.decisions._link_evidence import HOLD_S
+from agatewing.decisions._link_evidence import judge_links
 from agatewing.decisions._link_evidence import LinkEvidence
 from agatewing.decisions._link_evidence import LinkFailure
+from agatewing.decisions._link_evidence import LinkVerdict
+from agatewing.decisions._link_evidence import MIN_FAILURES
 from agatewing.decisions._link_evidence import unreached_since
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
--- a/agatewing/decisions/_link_evidence.py
+++ b/agatewing/decisions/_link_evidence.py
@@ -1,6 +1,7 @@
 """What one instance saw of its network path to one target."""
 
 import collections.abc
+import dataclasses
 import enum
 
 #: Time for which a new connection has to stay open before it proves the path,
@@ -16,6 +17,13 @@
 #: that loses single packets delays one of them.
 MIN_FAILURES = 2
 
+#: Age up to which a peer's view of a target counts, in seconds.
+PEER_VIEW_S = 4.0
+#: Largest time between a connection of a peer that was accepted and a later
+#: start of an own attempt that failed, in seconds; a target that crashes and
+#: comes back is not accused of a lost path.
+CONCURRENT_S = 0.8
+
 _NEVER = float("-inf")
 
 
@@ -105,6 +113,11 @@
         """
         return min((at for at, _ in self._failures), default=float("inf"))
 
+    @property
+    def last_failed_at(self) -> float:
+        """Start of the last such attempt; negative infinity without one."""
+        return max((at for at, _ in self._failures), default=_NEVER)
+
     @property
     def kinds(self) -> set[LinkFailure]:
         """How the attempts failed since the last accepted one."""
@@ -143,3 +156,52 @@
     if any(link.accepted_at > since for link in others):
         return None
     return since
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkVerdict:
+    """What an instance concludes about its paths to a service's targets."""
+
+    #: Ids of the targets that peers reach, but this instance does not.
+    lost: frozenset[str] = frozenset()
+    #: Whether this instance reaches none of the targets, but peers do.
+    all_lost: bool = False
+
+
+def judge_links(
+    links: collections.abc.Mapping[str, LinkEvidence],
+    peers_reached: collections.abc.Mapping[str, float],
+    now: float,
+) -> LinkVerdict:
+    """Return the verdict about a service.
+
+    ``links`` has the active targets by id, ``peers_reached`` the time at
+    which a peer last opened a connection to a target.
+    """
+    since = unreached_since(list(links.values()))
+    failures = {
+        name: link.failures
+        for name, link in links.items()
+        if name in peers_reached
+        and _is_reached_by_peers(link, peers_reached[name], now)
+    }
+    total = sum(link.failures for link in links.values())
+    # One lost packet is no lost path, but several targets that fail once prove
+    # as much as one that fails again.
+    proved = max(failures.values(), default=0) >= MIN_FAILURES
+    if since is not None and total > MIN_FAILURES:
+        proved = True
+    lost = frozenset(failures) if proved else frozenset()
+    return LinkVerdict(lost, bool(lost) and since is not None)
+
+
+def _is_reached_by_peers(
+    link: LinkEvidence, peer_reached_at: float, now: float
+) -> bool:
+    """Return whether a peer reached a target while attempts failed here."""
+    return (
+        link.failures > 0
+        and peer_reached_at >= link.failing_since
+        and link.last_failed_at >= peer_reached_at - CONCURRENT_S
+        and now - peer_reached_at <= PEER_VIEW_S
+    )
