Find out within a second that own paths are lost

Two of six instances that reached no target refused nearly all requests for 12 s, and did not know that it was they who were cut off (docs/incidents/instances-without-links.md).

Change: detour.LinkWatch. When an attempt to connect fails or takes over 0.25 s, or a service's targets are all silent, it opens connections to a few targets and asks a few peers whether they reach them, in rounds of 0.3 s while there is no verdict or paths are lost. Targets that only peers reach get no requests. Without a suspicion nothing is probed and nobody is asked. HandlerContext.links has lost(service), lost_to(target), reaching(service).

--- /dev/null
+++ b/agatewing/detour/_link_probe.py
@@ -0,0 +1,85 @@
+"""Opens connections to targets only to see whether that works."""
+
+import socket
+
+import gevent
+import gevent.socket
+
+from agatewing import _clock
+from agatewing import decisions
+from agatewing.detour import _link_recorder
+from agatewing import net
+
+#: Timeout of a probe, in seconds.
+PROBE_S = 0.25
+
+
+class LinkProbe:
+    """Probes paths to targets; one probe of a path at a time."""
+
+    __slots__ = ("_clock", "_running", "count")
+
+    def __init__(self, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._running: dict[_link_recorder.TargetLink, gevent.Greenlet] = {}
+        #: Number of probes so far.
+        self.count = 0
+
+    def start(
+        self,
+        link: _link_recorder.TargetLink,
+        address: str,
+        for_peer: bool = False,
+    ) -> gevent.Greenlet:
+        """Return the probe of a path in progress, or start one.
+
+        ``for_peer`` says that a peer asked for it. The value says whether a
+        connection was accepted and stayed open.
+        """
+        running = self._running.get(link)
+        if running is None:
+            self.count += 1
+            running = gevent.spawn(self._run, link, address, for_peer)
+            self._running[link] = running
+        return running
+
+    def _run(
+        self, link: _link_recorder.TargetLink, address: str, for_peer: bool
+    ) -> bool:
+        try:
+            return self._connect(link, address, for_peer)
+        finally:
+            del self._running[link]
+
+    def _connect(
+        self, link: _link_recorder.TargetLink, address: str, for_peer: bool
+    ) -> bool:
+        attempt = link.begin(for_peer)
+        try:
+            sock = gevent.socket.create_connection(
+                net.split_address(address), timeout=PROBE_S
+            )
+        except OSError as exc:
+            attempt.record_failure(_link_recorder.failure_of(exc))
+            return False
+        except BaseException:
+            attempt.abandon()
+            raise
+        attempt.record_connected()
+        with sock:
+            if _closes(sock):
+                attempt.record_broken()
+                return False
+        link.evidence.settle(self._clock.monotonic())
+        return True
+
+
+def _closes(sock: gevent.socket.socket) -> bool:
+    """Return whether a new connection is closed within ``HOLD_S``."""
+    sock.settimeout(decisions.HOLD_S)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
--- a/agatewing/detour/_link_recorder.py
+++ b/agatewing/detour/_link_recorder.py
@@ -1,5 +1,6 @@
 """Records attempts to reach targets, by the connections that use them."""
 
+import gevent
 import gevent.event
 
 from agatewing import _clock
@@ -11,17 +12,27 @@
 #: Delay of a look at the attempts from which on the whole process is assumed
 #: to have stood still, in seconds.
 STANDSTILL_S = 0.15
+#: Weight of a new time in the usual time until bytes come from a target, and
+#: how many times as long it may take before the path is probed.
+USUAL_ALPHA = 0.25
+SLOW_RATIO = 2.0
 
 
 class Attempt:
     """A connection that is being opened."""
 
-    __slots__ = ("_recorder", "link", "started_at", "is_late")
+    __slots__ = ("_recorder", "link", "started_at", "for_peer", "is_late")
 
     def __init__(
-        self, recorder: "LinkRecorder", link: "TargetLink", now: float
+        self,
+        recorder: "LinkRecorder",
+        link: "TargetLink",
+        now: float,
+        for_peer: bool,
     ) -> None:
         self._recorder = recorder
+        #: Whether a peer asked for it; its failure calls for no look here.
+        self.for_peer = for_peer
         #: Path to the target.
         self.link = link
         #: Monotonic time of its start, in seconds.
@@ -38,6 +49,10 @@
         """Record that it failed."""
         self._recorder.fail(self, kind)
 
+    def record_broken(self) -> None:
+        """Record that the connection was accepted and closed at once."""
+        self._recorder.fail(self, decisions.LinkFailure.RESET)
+
     def abandon(self) -> None:
         """Record that it was given up before its outcome was known."""
         self._recorder.end(self)
@@ -46,7 +61,18 @@
 class TargetLink:
     """This instance's path to one target, as its connections record it."""
 
-    __slots__ = ("_recorder", "service", "evidence", "silent_since")
+    __slots__ = (
+        "_recorder",
+        "service",
+        "evidence",
+        "tried_at",
+        "silent_since",
+        "is_silent",
+        "_usual_s",
+        "lost",
+        "lost_until",
+        "quiet_until",
+    )
 
     def __init__(self, recorder: "LinkRecorder", service: str) -> None:
         self._recorder = recorder
@@ -54,13 +80,30 @@
         self.service = service
         #: What the connections have shown.
         self.evidence = decisions.LinkEvidence()
+        #: Monotonic time of the last attempt, in seconds.
+        self.tried_at = float("-inf")
+        #: Whether this instance does not reach the target, but a peer does.
+        self.lost = False
+        #: Monotonic time of the end of the last such time, in seconds.
+        self.lost_until = float("-inf")
+        #: Monotonic time until which its failures call for no look, in
+        #: seconds, as peers do not reach it either.
+        self.quiet_until = float("-inf")
         #: Monotonic time of the first send after the last bytes, in seconds;
         #: infinite if there was none.
         self.silent_since = float("inf")
+        #: Whether it was reported as silent since.
+        self.is_silent = False
+        #: Usual time from a send to the next bytes, in seconds.
+        self._usual_s = 0.0
 
-    def begin(self) -> Attempt:
-        """Record that a connection is being opened."""
-        return self._recorder.begin(self)
+    def begin(self, for_peer: bool = False) -> Attempt:
+        """Record that a connection is being opened.
+
+        ``for_peer`` says that a peer asked for it.
+        """
+        self.tried_at = self._recorder.now()
+        return self._recorder.begin(self, for_peer)
 
     def record_sent(self) -> None:
         """Record a request that was sent."""
@@ -70,9 +113,20 @@
 
     def record_heard(self, first: bool) -> None:
         """Record received bytes; ``first`` are those of a new connection."""
-        self.silent_since = float("inf")
-        self._recorder.forget_silence(self)
-        self.evidence.record_heard(self._recorder.now(), first)
+        now = self._recorder.now()
+        if self.silent_since != float("inf"):
+            taken_s = now - self.silent_since
+            self._usual_s += USUAL_ALPHA * (taken_s - self._usual_s)
+            self._recorder.forget_silence(self)
+        self.evidence.record_heard(now, first)
+
+    @property
+    def slow_at(self) -> float:
+        """Time from which it answers later than usual, if it is silent.
+
+        It is monotonic, in seconds.
+        """
+        return self.silent_since + max(OVERDUE_S, SLOW_RATIO * self._usual_s)
 
     def record_broken(self, opened_at: float, new: bool) -> None:
         """Record a connection that broke, ``new`` before its first answer."""
@@ -87,8 +141,12 @@
         "_attempts",
         "_silent",
         "_due",
+        "_armed",
+        "_loop",
         "changed",
         "broken",
+        "silent",
+        "slow",
     )
 
     def __init__(self, clock: _clock.Clock) -> None:
@@ -99,11 +157,18 @@
         self._silent: dict[TargetLink, None] = {}
         # Monotonic time of the next look at them, in seconds.
         self._due = float("inf")
+        # Set while a look is due some time.
+        self._armed = gevent.event.Event()
+        self._loop: gevent.Greenlet | None = None
         #: Set when there is something new to look at.
         self.changed = gevent.event.Event()
         #: Targets at which an attempt failed or a connection broke since the
         #: last look.
         self.broken: dict[TargetLink, None] = {}
+        #: Targets from which nothing came in time since a send.
+        self.silent: dict[TargetLink, None] = {}
+        #: Targets from which nothing came for longer than usual.
+        self.slow: dict[TargetLink, None] = {}
 
     def now(self) -> float:
         """Return the monotonic time, in seconds."""
@@ -113,9 +178,9 @@
         """Return the record of a new target of a service."""
         return TargetLink(self, service)
 
-    def begin(self, link: TargetLink) -> Attempt:
+    def begin(self, link: TargetLink, for_peer: bool) -> Attempt:
         """Record that a connection is being opened."""
-        attempt = Attempt(self, link, self.now())
+        attempt = Attempt(self, link, self.now(), for_peer)
         self._attempts[attempt] = None
         self._expect(attempt.started_at + OVERDUE_S)
         return attempt
@@ -123,7 +188,7 @@
     def _expect(self, due: float) -> None:
         if self._due == float("inf"):
             self._due = due
-            self.changed.set()
+            self._armed.set()
 
     def end(self, attempt: Attempt) -> None:
         """Forget an attempt."""
@@ -139,24 +204,24 @@
         timed_out = kind is decisions.LinkFailure.TIMED_OUT
         if attempt.is_late or (timed_out and self._stood_still(now)):
             return
-        self._add(attempt.link, attempt.started_at, kind, now)
+        self._add(attempt, kind, now)
 
     def break_off(self, link: TargetLink, opened_at: float, new: bool) -> None:
         """Record a connection that broke, ``new`` before its first answer."""
         if new:
-            self._add(link, opened_at, decisions.LinkFailure.RESET, self.now())
-            return
-        self.broken[link] = None
-        self.changed.set()
+            reset = decisions.LinkFailure.RESET
+            link.evidence.record_failure(opened_at, reset, self.now())
+        self._report(link)
 
     def _add(
-        self,
-        link: TargetLink,
-        started_at: float,
-        kind: decisions.LinkFailure,
-        now: float,
+        self, attempt: Attempt, kind: decisions.LinkFailure, now: float
     ) -> None:
-        link.evidence.record_failure(started_at, kind, now)
+        evidence = attempt.link.evidence
+        evidence.record_failure(attempt.started_at, kind, now)
+        if not attempt.for_peer:
+            self._report(attempt.link)
+
+    def _report(self, link: TargetLink) -> None:
         self.broken[link] = None
         self.changed.set()
 
@@ -168,21 +233,30 @@
     def forget_silence(self, link: TargetLink) -> None:
         """Stop waiting for bytes from a target."""
         self._silent.pop(link, None)
+        link.silent_since = float("inf")
+        link.is_silent = False
 
     def _stood_still(self, now: float) -> bool:
         return now - self._due >= STANDSTILL_S
 
-    def wait(self, timeout_s: float) -> None:
-        """Wait until a look is due, at most ``timeout_s``."""
-        left_s = min(timeout_s, self._due - self.now())
-        if not self.changed.is_set():
-            self._clock.wait(self.changed, max(0.0, left_s))
-        self.changed.clear()
+    def start(self) -> None:
+        """Start to look at what takes too long."""
+        self._loop = gevent.spawn(self._run)
 
-    def look(self) -> None:
-        """Record the attempts that take too long.
+    def stop(self) -> None:
+        """Stop looking."""
+        if self._loop is not None:
+            self._loop.kill()
+
+    def _run(self) -> None:
+        while True:
+            self._armed.wait()
+            self._clock.sleep(max(0.0, self._due - self.now()))
+            self._look()
+
+    def _look(self) -> None:
+        """Report the attempts and the answers that take too long.
 
-        Targets from which nothing came in time are added to ``broken``.
         After a standstill of the process everything gets its whole time
         again.
         """
@@ -198,25 +272,31 @@
                 break
             if not attempt.is_late:
                 attempt.is_late = True
-                self._add(
-                    attempt.link,
-                    attempt.started_at,
-                    decisions.LinkFailure.TIMED_OUT,
-                    now,
-                )
-        while self._silent:
-            link = next(iter(self._silent))
-            if link.silent_since > late:
-                break
-            del self._silent[link]
-            self.broken[link] = None
+                self._add(attempt, decisions.LinkFailure.TIMED_OUT, now)
+        for link in list(self._silent):
+            if link.silent_since <= late and not link.is_silent:
+                link.is_silent = True
+                self.silent[link] = None
+                self.changed.set()
+            if link.slow_at <= now:
+                self.forget_silence(link)
+                self.slow[link] = None
+                self.changed.set()
         waiting = [
             attempt.started_at
             for attempt in self._attempts
             if not attempt.is_late
         ]
-        waiting += [link.silent_since for link in self._silent]
-        self._due = min(waiting, default=float("inf")) + OVERDUE_S
+        due = [started_at + OVERDUE_S for started_at in waiting]
+        due += [
+            link.slow_at if link.is_silent else link.silent_since + OVERDUE_S
+            for link in self._silent
+        ]
+        if due:
+            self._due = min(due)
+        else:
+            self._due = float("inf")
+            self._armed.clear()
 
     def take_broken(self) -> list[TargetLink]:
         """Return the targets in ``broken``, and clear it."""
@@ -224,6 +304,18 @@
         self.broken.clear()
         return broken
 
+    def take_silent(self) -> list[TargetLink]:
+        """Return the targets in ``silent``, and clear it."""
+        silent = list(self.silent)
+        self.silent.clear()
+        return silent
+
+    def take_slow(self) -> list[TargetLink]:
+        """Return the targets in ``slow``, and clear it."""
+        slow = list(self.slow)
+        self.slow.clear()
+        return slow
+
 
 def failure_of(exc: OSError) -> decisions.LinkFailure:
     """Return how a connection failed."""
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -11,6 +11,7 @@
 from agatewing import _exceptions
 from agatewing import _metrics
 from agatewing import decisions
+from agatewing import detour
 from agatewing import dispatch
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _catalog
@@ -56,6 +57,8 @@
     streams: _stream_directory.StreamDirectory
     #: Prefix blocks and requests on which targets crash.
     quarantine: _quarantine.Quarantine
+    #: This instance's own paths to targets.
+    links: detour.LinkWatch
     #: Availability zone of this instance.
     zone: str
     #: Number of forwarded answers by HTTP status.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import logging
 import random
 
@@ -80,9 +81,6 @@
             _engine_speed(settings.engines),
             settings.instance,
         )
-        self.links = detour.LinkWatch(
-            clock, self.registry.links, self.registry.targets_of
-        )
         self.budget = decisions.SharedRetryBudget(
             decisions.BudgetBound(
                 settings.retries.ratio,
@@ -103,6 +101,7 @@
             rng,
             _settings.peer_seeds(settings),
         )
+        self.links = self._build_links(rng)
         index = decisions.PlacementIndex(settings.cache_keep_s)
         self.streams = _stream_directory.StreamDirectory(
             clock, self.peers, self.catalog.age_s
@@ -167,12 +166,35 @@
             index,
             self.streams,
             self.quarantine,
+            self.links,
             self.settings.zone,
             collections.Counter(),
             collections.Counter(),
             self.metrics,
         )
 
+    def _build_links(self, rng: random.Random) -> detour.LinkWatch:
+        probe = detour.LinkProbe(self.clock)
+        exchange = detour.LinkExchange(
+            self.clock,
+            rng,
+            self.settings.zone,
+            self.peers,
+            functools.partial(_peers.exchange, self.peers.codec),
+            probe,
+            self.registry.targets_of,
+        )
+        self.peers.replies[detour.LINK_STREAM] = exchange.reply
+        return detour.LinkWatch(
+            self.clock,
+            rng,
+            self.registry.links,
+            probe,
+            exchange,
+            self.registry.targets_of,
+            self.registry.changed,
+        )
+
     def _build_own_entry(self) -> _own_entry.OwnEntry:
         settings = self.settings
         entry = _peers.PeerEntry(settings.peer_address, settings.zone)
@@ -453,6 +475,22 @@
                 self.links.reached_count(service),
                 service=service,
             )
+            metrics.gauge(
+                "agatewing_links_lost",
+                "Targets that only other instances reach, by service",
+                self.links.lost_count(service),
+                service=service,
+            )
+        metrics.counter(
+            "agatewing_link_probes_total",
+            "Connections opened only to see whether a target is reached",
+            self.links.probes,
+        )
+        metrics.counter(
+            "agatewing_link_questions_total",
+            "Questions to other instances about targets that they reach",
+            self.links.questions,
+        )
         metrics.counter(
             "agatewing_crashes_total",
             "Engines that crashed under a prompt of this instance",
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -113,13 +113,9 @@
         self.load.kv_limit = kv_limit
         self.load.software = target.software
         #: Smoothed ratio of measured to expected duration.
-        self.slowness = decisions.SmoothedRatio(
-            alpha=RATIO_ALPHA, half_life_s=RATIO_HALF_LIFE_S, limit=RATIO_LIMIT
-        )
+        self.slowness = _new_ratio()
         #: Lost answers, smoothed like the slowness; 1 means none.
-        self.loss_ratio = decisions.SmoothedRatio(
-            alpha=RATIO_ALPHA, half_life_s=RATIO_HALF_LIFE_S, limit=RATIO_LIMIT
-        )
+        self.loss_ratio = _new_ratio()
         #: Connections to the target.
         self.channels = _channel.ChannelPool(target.address, clock, self.link)
         #: Requests of this instance in flight.
@@ -248,6 +244,14 @@
         self.failures = 0
         self.avoid_until = float("-inf")
 
+    def forgive(self) -> None:
+        """Forget failures that this instance's lost path may have caused."""
+        self.failures = 0
+        self.avoid_until = float("-inf")
+        self.loss_ratio = _new_ratio()
+        self.slowness = _new_ratio()
+        self._changed.set()
+
     def record_cache_fetch_failure(self) -> None:
         """Count a KV cache that could not be fetched from the engine.
 
@@ -262,6 +266,11 @@
         """Reset the count of failed fetches after a successful one."""
         self.failed_fetches = 0
 
+    @property
+    def address(self) -> str:
+        """IP address and port."""
+        return self.target.address
+
     @property
     def active(self) -> bool:
         """Whether the target announced that it accepts new requests."""
@@ -279,7 +288,7 @@
     def usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the target."""
         until = max(self.avoid_until, self.changing_until)
-        return self.takes_requests(now) and now >= until
+        return self.takes_requests(now) and now >= until and not self.link.lost
 
     @property
     def limited(self) -> bool:
@@ -328,3 +337,9 @@
         self.load.unreported_sequences -= 1
         self._changed.set()
         self.load.credits = decisions.credits(self.load, SHARING_INSTANCES)
+
+
+def _new_ratio() -> decisions.SmoothedRatio:
+    return decisions.SmoothedRatio(
+        alpha=RATIO_ALPHA, half_life_s=RATIO_HALF_LIFE_S, limit=RATIO_LIMIT
+    )
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -84,3 +84,6 @@
     assert 'agatewing_targets_reached{service="ledger"} 1' in before
     assert 'agatewing_targets_reached{service="chat"} 0' in before
     assert 'agatewing_targets_reached{service="ledger"} 0' in after
+    assert 'agatewing_links_lost{service="ledger"} 0' in after
+    assert "agatewing_link_probes_total " in after
+    assert "agatewing_link_questions_total 0" in after
