Let instances hand requests on to each other

An instance has no other way to a target than its own links. Part one of a path through a peer: the exchange between two instances, with nothing that uses it yet.

A connection begins with a state request, whose key is a nonce; the reply carries the nonce of the serving side. All frames after that are signed, numbered and name both nonces, so a recorded frame starts nothing on another connection, twice, or in the other direction. A peer says whether it takes a request before it is sent the body, and serves it only after the last frame of the body: until that frame is begun it is certain that the request has not run.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -53,6 +53,10 @@
 from agatewing.decisions._link_evidence import unreached_since
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
+from agatewing.decisions._peer_choice import choose_peer
+from agatewing.decisions._peer_choice import MAX_PER_PEER
+from agatewing.decisions._peer_choice import OWN_ZONE_FACTOR
+from agatewing.decisions._peer_choice import PeerLoad
 from agatewing.decisions._placement_index import Placement
 from agatewing.decisions._placement_index import PlacementIndex
 from agatewing.decisions._placement_index import preferred_engine
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -7,6 +7,11 @@
 from agatewing.wire.gen.peer.ttypes import CrashSuspect
 from agatewing.wire.gen.peer.ttypes import Demand
 from agatewing.wire.gen.peer.ttypes import EngineWork
+from agatewing.wire.gen.peer.ttypes import HopField
+from agatewing.wire.gen.peer.ttypes import HopFrame
+from agatewing.wire.gen.peer.ttypes import HopHead
+from agatewing.wire.gen.peer.ttypes import HopRefusal
+from agatewing.wire.gen.peer.ttypes import HopRequest
 from agatewing.wire.gen.peer.ttypes import Kind
 from agatewing.wire.gen.peer.ttypes import Member
 from agatewing.wire.gen.peer.ttypes import Message
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1796,6 +1796,759 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class HopField(object):
+    """
+    Attributes:
+     - name
+     - value
+
+    """
+
+    __slots__ = (
+        'name',
+        'value',
+    )
+
+
+    def __init__(self, name=None, value=None,):
+        self.name = name
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HopField')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeBinary(self.name)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HopRequest(object):
+    """
+    Attributes:
+     - method
+     - target
+     - headers
+     - body_bytes
+     - service_name
+     - waited_ms
+     - left_ms
+     - targets_left
+     - excluded
+     - config_version
+     - software
+     - last_event_id
+
+    """
+
+    __slots__ = (
+        'method',
+        'target',
+        'headers',
+        'body_bytes',
+        'service_name',
+        'waited_ms',
+        'left_ms',
+        'targets_left',
+        'excluded',
+        'config_version',
+        'software',
+        'last_event_id',
+    )
+
+
+    def __init__(self, method=None, target=None, headers=None, body_bytes=None, service_name=None, waited_ms=None, left_ms=None, targets_left=None, excluded=None, config_version=None, software=None, last_event_id=None,):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body_bytes = body_bytes
+        self.service_name = service_name
+        self.waited_ms = waited_ms
+        self.left_ms = left_ms
+        self.targets_left = targets_left
+        self.excluded = excluded
+        self.config_version = config_version
+        self.software = software
+        self.last_event_id = last_event_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.method = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = HopField()
+                        _elem110.read(iprot)
+                        self.headers.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.targets_left = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.last_event_id = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HopRequest')
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 1)
+            oprot.writeBinary(self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeBinary(self.target)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter117 in self.headers:
+                iter117.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 4)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 5)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 6)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 7)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        if self.targets_left is not None:
+            oprot.writeFieldBegin('targets_left', TType.I32, 8)
+            oprot.writeI32(self.targets_left)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter118 in self.excluded:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 10)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 11)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.last_event_id is not None:
+            oprot.writeFieldBegin('last_event_id', TType.STRING, 12)
+            oprot.writeBinary(self.last_event_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.body_bytes is None:
+            raise TProtocolException(message='Required field body_bytes is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.waited_ms is None:
+            raise TProtocolException(message='Required field waited_ms is unset!')
+        if self.left_ms is None:
+            raise TProtocolException(message='Required field left_ms is unset!')
+        if self.targets_left is None:
+            raise TProtocolException(message='Required field targets_left is unset!')
+        if self.excluded is None:
+            raise TProtocolException(message='Required field excluded is unset!')
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HopHead(object):
+    """
+    Attributes:
+     - status
+     - headers
+     - framing
+     - target
+     - software
+
+    """
+
+    __slots__ = (
+        'status',
+        'headers',
+        'framing',
+        'target',
+        'software',
+    )
+
+
+    def __init__(self, status=None, headers=None, framing=None, target=None, software=None,):
+        self.status = status
+        self.headers = headers
+        self.framing = framing
+        self.target = target
+        self.software = software
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = HopField()
+                        _elem124.read(iprot)
+                        self.headers.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.framing = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HopHead')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter125 in self.headers:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.framing is not None:
+            oprot.writeFieldBegin('framing', TType.STRING, 3)
+            oprot.writeString(self.framing.encode('utf-8') if sys.version_info[0] == 2 else self.framing)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 4)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 5)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.framing is None:
+            raise TProtocolException(message='Required field framing is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.software is None:
+            raise TProtocolException(message='Required field software is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HopRefusal(object):
+    """
+    Attributes:
+     - status
+     - kind
+     - detail
+     - retry_after_s
+     - not_taken
+     - targets
+
+    """
+
+    __slots__ = (
+        'status',
+        'kind',
+        'detail',
+        'retry_after_s',
+        'not_taken',
+        'targets',
+    )
+
+
+    def __init__(self, status=None, kind=None, detail=None, retry_after_s=None, not_taken=None, targets=None,):
+        self.status = status
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+        self.not_taken = not_taken
+        self.targets = targets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.retry_after_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.not_taken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.targets = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HopRefusal')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 3)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.retry_after_s is not None:
+            oprot.writeFieldBegin('retry_after_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.retry_after_s)
+            oprot.writeFieldEnd()
+        if self.not_taken is not None:
+            oprot.writeFieldBegin('not_taken', TType.BOOL, 5)
+            oprot.writeBool(self.not_taken)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.I32, 6)
+            oprot.writeI32(self.targets)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
+        if self.not_taken is None:
+            raise TProtocolException(message='Required field not_taken is unset!')
+        if self.targets is None:
+            raise TProtocolException(message='Required field targets is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HopFrame(object):
+    """
+    Attributes:
+     - session
+     - sequence
+     - request
+     - ready
+     - data
+     - last
+     - head
+     - refusal
+
+    """
+
+    __slots__ = (
+        'session',
+        'sequence',
+        'request',
+        'ready',
+        'data',
+        'last',
+        'head',
+        'refusal',
+    )
+
+
+    def __init__(self, session=None, sequence=None, request=None, ready=None, data=None, last=None, head=None, refusal=None,):
+        self.session = session
+        self.sequence = sequence
+        self.request = request
+        self.ready = ready
+        self.data = data
+        self.last = last
+        self.head = head
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.session = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.request = HopRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.last = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.head = HopHead()
+                    self.head.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.refusal = HopRefusal()
+                    self.refusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HopFrame')
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 1)
+            oprot.writeBinary(self.session)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 3)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 4)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 5)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.last is not None:
+            oprot.writeFieldBegin('last', TType.BOOL, 6)
+            oprot.writeBool(self.last)
+            oprot.writeFieldEnd()
+        if self.head is not None:
+            oprot.writeFieldBegin('head', TType.STRUCT, 7)
+            self.head.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 8)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.session is None:
+            raise TProtocolException(message='Required field session is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1913,5 +2666,58 @@
     (14, TType.LIST, 'leaving', (TType.I32, None, False), None, ),  # 14
     (15, TType.I64, 'era', None, None, ),  # 15
 )
+all_structs.append(HopField)
+HopField.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+)
+all_structs.append(HopRequest)
+HopRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'method', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'target', 'BINARY', None, ),  # 2
+    (3, TType.LIST, 'headers', (TType.STRUCT, [HopField, None], False), None, ),  # 3
+    (4, TType.I64, 'body_bytes', None, None, ),  # 4
+    (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'waited_ms', None, None, ),  # 6
+    (7, TType.I32, 'left_ms', None, None, ),  # 7
+    (8, TType.I32, 'targets_left', None, None, ),  # 8
+    (9, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I64, 'config_version', None, None, ),  # 10
+    (11, TType.STRING, 'software', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'last_event_id', 'BINARY', None, ),  # 12
+)
+all_structs.append(HopHead)
+HopHead.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.LIST, 'headers', (TType.STRUCT, [HopField, None], False), None, ),  # 2
+    (3, TType.STRING, 'framing', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'software', 'UTF8', None, ),  # 5
+)
+all_structs.append(HopRefusal)
+HopRefusal.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
+    (5, TType.BOOL, 'not_taken', None, None, ),  # 5
+    (6, TType.I32, 'targets', None, None, ),  # 6
+)
+all_structs.append(HopFrame)
+HopFrame.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'session', 'BINARY', None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.STRUCT, 'request', [HopRequest, None], None, ),  # 3
+    (4, TType.BOOL, 'ready', None, None, ),  # 4
+    (5, TType.STRING, 'data', 'BINARY', None, ),  # 5
+    (6, TType.BOOL, 'last', None, None, ),  # 6
+    (7, TType.STRUCT, 'head', [HopHead, None], None, ),  # 7
+    (8, TType.STRUCT, 'refusal', [HopRefusal, None], None, ),  # 8
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -171,3 +171,77 @@
   // Era of the log in which the offset is valid; 0 if the log names none.
   15: optional i64 era,
 }
+
+// Header of a request or an answer that is handed on.
+struct HopField {
+  1: required binary name,
+  2: required binary value,
+}
+
+// Request that an instance hands on to a peer. Its body follows in frames of
+// their own.
+struct HopRequest {
+  1: required binary method,
+  2: required binary target,
+  3: required list<HopField> headers,
+  4: required i64 body_bytes,
+  // Service that the sender chose from the shares of the route.
+  5: required string service_name,
+  // Milliseconds since the head arrived from the caller.
+  6: required i32 waited_ms,
+  // Milliseconds within which the sender needs the answer.
+  7: required i32 left_ms,
+  // Number of targets that the request may still reach.
+  8: required i32 targets_left,
+  // Ids of targets that it is not sent to.
+  9: required list<string> excluded,
+  // Version of the configuration by which it was accepted.
+  10: required i64 config_version,
+  // Version of the software that began the stream; absent if none did.
+  11: optional string software,
+  // Id of the event after which the stream goes on; absent if the sender has
+  // forwarded none.
+  12: optional binary last_event_id,
+}
+
+// Head of an answer.
+struct HopHead {
+  1: required i32 status,
+  2: required list<HopField> headers,
+  // How the target framed the body.
+  3: required string framing,
+  4: required string target,
+  // Version of the target's software.
+  5: required string software,
+}
+
+// Refusal of a request by the peer itself.
+struct HopRefusal {
+  1: required i32 status,
+  2: required string kind,
+  3: required string detail,
+  4: optional double retry_after_s,
+  // Whether the peer has not taken the request, so that another peer may.
+  5: required bool not_taken,
+  // Number of targets that the request has reached.
+  6: required i32 targets,
+}
+
+// One frame of a connection for requests. Either side sends the next one of
+// the members below.
+struct HopFrame {
+  // Side that sends and the nonces of both, so that a recorded frame is not
+  // valid on another connection.
+  1: required binary session,
+  // Number of the frame among those of its side.
+  2: required i64 sequence,
+  3: optional HopRequest request,
+  // The peer takes the request: the sender may send its body.
+  4: optional bool ready,
+  // Piece of the body of the request or of the answer.
+  5: optional binary data,
+  // Whether the body ends with this frame.
+  6: optional bool last,
+  7: optional HopHead head,
+  8: optional HopRefusal refusal,
+}
