Serve requests through a peer when the own links are lost

Callers of an instance without links to the targets got refusals, though its peers reached the same targets. The instance now hands such a request on to a peer, which serves it as if its caller had come there: same admission, limits, quarantine and back-offs. Plain requests and streams, new ones, taken up and resumed, go that way; one peer has a request at a time, one hop at most. Attempts hold over both instances together, and a request that may have run is not sent again unless it may be repeated.

What an instance knows of its links comes from detour.Links; until that is built, no links are ever lost (NoLinksLost).

--- a/agatewing/detour/__init__.py
+++ b/agatewing/detour/__init__.py
@@ -2,6 +2,7 @@
 
 from agatewing.detour._detours import Detours
 from agatewing.detour._detours import Links
+from agatewing.detour._detours import NoLinksLost
 from agatewing.detour._detours import NoPeerError
 from agatewing.detour._hop_client import DeadlineExceededError
 from agatewing.detour._hop_client import Hop
--- a/agatewing/detour/_detours.py
+++ b/agatewing/detour/_detours.py
@@ -33,6 +33,20 @@
         """Return the names of peers that reach them, best first."""
 
 
+class NoLinksLost:
+    """Links of which none is ever lost."""
+
+    __slots__ = ()
+
+    def lost(self, service: str) -> bool:
+        """Return ``False``."""
+        return False
+
+    def reaching(self, service: str) -> collections.abc.Sequence[str]:
+        """Return no peer."""
+        return ()
+
+
 class Peer(typing.Protocol):
     """Entry of a peer in the log."""
 
@@ -60,7 +74,7 @@
         "_clock",
         "_rng",
         "_client",
-        "_links",
+        "links",
         "_peers",
         "_zone",
         "_in_flight",
@@ -83,7 +97,8 @@
         self._clock = clock
         self._rng = rng
         self._client = _hop_client.HopClient(clock, codec)
-        self._links = links
+        #: What is known of the links to the targets.
+        self.links = links
         # Returns the entries of the other instances by name.
         self._peers = peers
         self._zone = zone
@@ -97,7 +112,7 @@
 
     def needed(self, service: str) -> bool:
         """Return whether requests for a service are handed on to peers."""
-        return self._links.lost(service)
+        return self.links.lost(service)
 
     @property
     def in_flight(self) -> int:
@@ -129,7 +144,7 @@
                 self._in_flight[name],
                 self._back_offs.get(name, 0.0),
             )
-            for name in self._links.reaching(service)
+            for name in self.links.reaching(service)
             if name in known
             and known[name].takes_requests
             and name not in tried
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -1,9 +1,11 @@
 """Shared objects of the request handlers, and the state of a request."""
 
 import collections
+import collections.abc
 import dataclasses
 import logging
 import random
+import typing
 
 import gevent
 
@@ -13,7 +15,6 @@
 from agatewing import decisions
 from agatewing import detour
 from agatewing import dispatch
-from agatewing.gateway import _caller_conn
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
 from agatewing.gateway import _messages
@@ -59,6 +60,8 @@
     quarantine: _quarantine.Quarantine
     #: This instance's own paths to targets.
     links: detour.LinkWatch
+    #: Requests that peers serve for this instance.
+    detours: detour.Detours
     #: Availability zone of this instance.
     zone: str
     #: Number of forwarded answers by HTTP status.
@@ -69,6 +72,33 @@
     metrics: _metrics.Metrics
 
 
+class AnswerConn(typing.Protocol):
+    """Connection on which a request is answered."""
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer was sent."""
+
+    def start(
+        self, status: int, headers: collections.abc.Iterable[typing.Any]
+    ) -> None:
+        """Send the head of an answer; its body follows by :meth:`write`."""
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+
+    def end(self) -> None:
+        """Finish the answer."""
+
+    def answer(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[typing.Any],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer."""
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """State of one request in flight."""
@@ -76,7 +106,7 @@
     #: Request of the caller.
     req: _messages.CallerRequest
     #: Connection on which the caller is answered.
-    conn: _caller_conn.CallerConn
+    conn: AnswerConn
     #: Route that matched the request.
     route: _contracts.Route
     #: Service chosen from the route's shares.
@@ -101,6 +131,12 @@
     on_trial: bool = False
     #: Last check of a failed send: whether it crashed its engine.
     check: gevent.Greenlet | None = None
+    #: Where the answer that is forwarded comes from; ``None`` before that.
+    source: _messages.AnswerSource | None = None
+    #: Whether a retry was spent for a send that has not begun.
+    retry_paid: bool = False
+    #: Whether no peer could serve it either.
+    detours_over: bool = False
 
     @property
     def maybe_ran(self) -> bool:
@@ -125,7 +161,7 @@
 def record_answer(
     ctx: HandlerContext,
     job: Job,
-    target: str,
+    source: _messages.AnswerSource,
     head: _messages.AnswerHead,
     **fields: object,
 ) -> None:
@@ -139,7 +175,8 @@
     log_event(
         job,
         "answered",
-        target=target,
+        target=source.target,
+        via=source.via,
         status=head.status,
         framing=str(head.framing),
         taken_s=round(taken_s, 4),
@@ -243,6 +280,37 @@
     )
 
 
+def needs_detour(ctx: HandlerContext, job: Job) -> bool:
+    """Return whether a request is handed on to a peer now.
+
+    One that a peer has handed on is not: it takes one hop at most.
+    """
+    if job.req.handed_on is not None or job.detours_over:
+        return False
+    return ctx.detours.needed(job.service)
+
+
+def check_links(ctx: HandlerContext, job: Job) -> None:
+    """Raise :class:`GatewayRefusedError` if peers serve a request instead.
+
+    Called before a target is chosen.
+    """
+    if needs_detour(ctx, job):
+        raise give_up_error(job, "this instance does not reach the targets")
+
+
+def may_go_on_at_peer(ctx: HandlerContext, job: Job) -> bool:
+    """Return whether a peer may serve a request that failed here."""
+    attempts = job.attempts
+    if attempts.maybe_ran and not attempts.idempotent:
+        return False
+    if attempts.targets >= attempts.max_targets:
+        return False
+    if ctx.clock.monotonic() >= job.deadline:
+        return False
+    return needs_detour(ctx, job)
+
+
 def back_off_s(
     ctx: HandlerContext, job: Job, software: str | None = None
 ) -> float:
@@ -305,7 +373,7 @@
     if step is not decisions.NextStep.SAME_WITHOUT_CACHE:
         job.excluded.add(target)
     if ctx.clock.monotonic() >= job.deadline:
-        raise _deadline_error(job, reason)
+        raise deadline_error(job, reason)
     if not others:
         check_back_offs(ctx, job)
     if step in (decisions.NextStep.FAIL, decisions.NextStep.REFUSE):
@@ -314,6 +382,7 @@
         raise give_up_error(job, f"{reason}; another target is awaited")
     if not spend_retry(ctx, job):
         raise give_up_error(job, f"{reason}; no retry is left")
+    job.retry_paid = job.reached_target
 
 
 def _failure_of(
@@ -348,7 +417,7 @@
     return None
 
 
-def _deadline_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
+def deadline_error(job: Job, reason: str) -> _refusals.GatewayRefusedError:
     """Return the error for a request whose deadline has passed."""
     if job.attempts.maybe_ran:
         return _refusals.GatewayRefusedError(_refusals.timed_out(reason))
--- a/agatewing/gateway/_event_reader.py
+++ b/agatewing/gateway/_event_reader.py
@@ -30,13 +30,16 @@
     __slots__ = ("_head", "_clock", "_splitter", "channel")
 
     def __init__(
-        self, answer: _sender.AnswerStarted, clock: _clock.Clock
+        self,
+        head: _messages.AnswerHead,
+        channel: _sender.BodyChannel,
+        clock: _clock.Clock,
     ) -> None:
-        self._head = answer.head
+        self._head = head
         self._clock = clock
         self._splitter = _events.EventSplitter()
         #: Connection that carries the answer.
-        self.channel = answer.channel
+        self.channel = channel
 
     def read(self, max_silence_s: float, deadline: float) -> ReadResult:
         """Return the next part, once it holds a whole event or comment.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -129,6 +129,14 @@
             self.quarantine,
             settings.zone,
         )
+        self.detours = detour.Detours(
+            clock,
+            rng,
+            self.peers.codec,
+            self.links,
+            lambda: self.peers.known,
+            settings.zone,
+        )
         self.own_entry = self._build_own_entry()
         self.metrics = _metrics.Metrics()
         self.handler_context = self._build_handler_context(rng, index)
@@ -138,6 +146,9 @@
             self.handler_context,
             self.lifecycle,
         )
+        self.peers.hop_server = detour.HopServer(
+            self.peers.codec, self.server.serve_hops
+        )
         self._loops: list[gevent.Greenlet] = []
         addresses = (settings.ready_address, settings.metrics_address)
         self._probe_servers = [
@@ -167,6 +178,7 @@
             self.streams,
             self.quarantine,
             self.links,
+            self.detours,
             self.settings.zone,
             collections.Counter(),
             collections.Counter(),
@@ -197,7 +209,9 @@
 
     def _build_own_entry(self) -> _own_entry.OwnEntry:
         settings = self.settings
-        entry = _peers.PeerEntry(settings.peer_address, settings.zone)
+        entry = _peers.PeerEntry(
+            settings.peer_address, settings.zone, takes_requests=True
+        )
         record = _ports.KeyedRecord(
             settings.instance, msgspec.json.encode(entry)
         )
@@ -295,6 +309,11 @@
             extra={"address": self.settings.caller_address},
         )
 
+    def set_links(self, links: detour.Links) -> None:
+        """Replace what is known of the links to the targets; for tests."""
+        self.links = self.handler_context.links = links
+        self.detours.links = links
+
     def _replace_instances(
         self, records: tuple[_ports.KeyedRecord, ...], offset: int
     ) -> None:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -74,6 +74,27 @@
     first_attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedOn:
+    """What an instance says of a request that it hands on to this one."""
+
+    #: Service that it chose from the shares of the route.
+    service: str
+    #: Time within which it needs the answer, in seconds.
+    left_s: float
+    #: Number of targets that the request may still reach.
+    targets_left: int
+    #: Ids of targets that it is not sent to.
+    excluded: frozenset[str]
+    #: Version of the configuration by which it was accepted.
+    config_version: int
+    #: Version of the software that began the stream; ``None`` if none did.
+    software: str | None = None
+    #: Id of the event after which the stream goes on; ``None`` if the caller
+    #: has no event of this attempt.
+    last_event_id: bytes | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """One request of a caller, read in full."""
@@ -99,6 +120,8 @@
     prompt: Prompt | None
     #: Stream that it continues; ``None`` if it begins a new one.
     take_up: TakeUp | None = None
+    #: Set if it came from another instance; ``None`` if from its caller.
+    handed_on: HandedOn | None = None
     # Fingerprints once they were computed.
     _fingerprints: tuple[int, ...] | None = dataclasses.field(
         default=None, init=False, repr=False, compare=False
@@ -221,6 +244,8 @@
     CHUNKED = "chunked"
     #: The end of the connection.
     CLOSE = "close"
+    #: Frames between instances.
+    HOP = "hop"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +260,19 @@
     framing: Framing
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerSource:
+    """Where an answer comes from."""
+
+    #: Id of the target.
+    target: str
+    #: Version of its software; empty if not announced.
+    software: str = ""
+    #: Name of the instance that passed it on; empty if it came by a
+    #: connection of this instance.
+    via: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """What a target says about itself in the head of an answer."""
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -10,6 +10,7 @@
 import logging
 import random
 import socket
+import typing
 
 import gevent
 import gevent.server
@@ -18,6 +19,8 @@
 import result
 
 from agatewing import _clock
+from agatewing import _exceptions
+from agatewing import detour
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
 from agatewing.gateway import _ports
@@ -47,6 +50,11 @@
 PEERS_PER_ROUND = 2
 
 
+_DecodedRequest: typing.TypeAlias = result.Result[
+    wire.StateRequest, _exceptions.ProtocolError
+]
+
+
 class PeerEntry(msgspec.Struct, frozen=True):
     """Entry of an instance in the log."""
 
@@ -54,6 +62,8 @@
     address: str
     # Availability zone.
     zone: str
+    # Whether its release takes requests of peers.
+    takes_requests: bool = False
 
 
 class Peers:
@@ -70,6 +80,7 @@
         "_loop",
         "known",
         "replies",
+        "hop_server",
         "requests_sent",
         "_request_pending",
         "_restored",
@@ -103,6 +114,8 @@
         self.replies: dict[
             str, collections.abc.Callable[[str], wire.StateReply]
         ] = {}
+        #: Takes requests of peers; ``None`` if this instance takes none.
+        self.hop_server: detour.HopServer | None = None
         #: Number of snapshot requests sent.
         self.requests_sent = 0
         self._request_pending = False
@@ -222,19 +235,39 @@
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("slow peer")):
                 data = wire.read_frame(sock, limit=4_096)
-                match self.codec.decode(wire.StateRequest, data):
-                    case result.Ok(request):
-                        reply = self._reply_to(request)
-                        wire.send_frame(sock, self.codec.encode(reply))
-                    case result.Err(exc):
-                        _log.warning(
-                            "peers: rejected a state request: %s", exc
-                        )
+                request = self.codec.decode(wire.StateRequest, data)
+                hop_server = self._hop_server_for(request)
+                if hop_server is None:
+                    self._answer(sock, request)
+            if hop_server is not None:
+                hop_server.serve(sock, request.unwrap())
         except (OSError, ValueError) as exc:
             _log.info("peers: state request ended early: %s", exc)
         finally:
             sock.close()
 
+    def _hop_server_for(
+        self, request: "_DecodedRequest"
+    ) -> detour.HopServer | None:
+        """Return what serves the rest of a connection; ``None`` if nothing.
+
+        ``request`` is the first frame.
+        """
+        match request:
+            case result.Ok(opening) if opening.stream == detour.HOP_STREAM:
+                return self.hop_server
+        return None
+
+    def _answer(
+        self, sock: gevent.socket.socket, request: "_DecodedRequest"
+    ) -> None:
+        match request:
+            case result.Ok(asked):
+                reply = self._reply_to(asked)
+                wire.send_frame(sock, self.codec.encode(reply))
+            case result.Err(exc):
+                _log.warning("peers: rejected a state request: %s", exc)
+
     def _reply_to(self, request: wire.StateRequest) -> wire.StateReply:
         other = self.replies.get(request.stream)
         return other(request.key or "") if other is not None else self.reply()
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -2,6 +2,7 @@
 
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
+from agatewing.gateway import _plain_detour
 from agatewing.gateway import _plain_path
 from agatewing.gateway import _race
 from agatewing.gateway import _refusals
@@ -31,7 +32,7 @@
         self._ctx = ctx
         self._job = job
         # Paths that are followed while none of them delivers.
-        self._race: _race.Race[_plain_path.PlainPath] = _race.Race(
+        self._race: _race.Race[_plain_path.PlainWay] = _race.Race(
             ctx.clock, self._is_final
         )
         # An error answer that was not forwarded, as others were awaited.
@@ -39,34 +40,61 @@
 
     def run(self) -> None:
         """Answer the request; raise ``GatewayRefusedError`` if refused."""
-        job = self._job
         path = self._new_path(False)
-        if not job.attempts.idempotent or not job.attempts.another_left:
-            self._forward(path.next())
-            return
+        while True:
+            try:
+                self._forward(self._follow(path))
+                return
+            except _refusals.GatewayRefusedError:
+                next_path = self._path_after(path)
+                if next_path is None:
+                    raise
+                path = next_path
+
+    def _follow(self, path: _plain_path.PlainWay) -> _plain_path.Delivery:
+        """Return the answer of a path, or of others while it is silent."""
+        attempts = self._job.attempts
+        if not attempts.idempotent or not attempts.another_left:
+            return path.next()
         self._race.add(path)
         try:
-            _, delivery = self._race.wait(self._hedge)
+            return self._race.wait(self._hedge)[1]
         except _refusals.GatewayRefusedError:
             if self._failure is None:
                 raise
-            delivery = self._failure
+            return self._failure
         finally:
             self._race.close()
-        self._forward(delivery)
 
-    def _new_path(self, hedge: bool) -> _plain_path.PlainPath:
+    def _new_path(self, hedge: bool) -> _plain_path.PlainWay:
+        if _context.needs_detour(self._ctx, self._job):
+            return self._new_detour()
         return _plain_path.PlainPath(
             self._ctx, self._job, self._race, self._keep, hedge
         )
 
+    def _new_detour(self) -> _plain_detour.PlainDetour:
+        return _plain_detour.PlainDetour(
+            self._ctx, self._job, self._race, self._keep
+        )
+
+    def _path_after(
+        self, failed: _plain_path.PlainWay
+    ) -> _plain_path.PlainWay | None:
+        """Return a path of the other kind; ``None`` if none may follow."""
+        if isinstance(failed, _plain_detour.PlainDetour):
+            return self._new_path(False) if failed.links_back else None
+        if _context.may_go_on_at_peer(self._ctx, self._job):
+            return self._new_detour()
+        return None
+
     def _keep(self, failure: _plain_path.Delivery) -> None:
         self._failure = failure
 
     def _is_final(self) -> bool:
         return False
 
-    def _hedge(self) -> _plain_path.PlainPath | None:
+    def _hedge(self) -> _plain_path.PlainWay | None:
         """Return a path to try beside silent ones; ``None`` if not allowed."""
         running = self._race.running()
         uncounted = sum(not path.counted for path in running)
@@ -79,9 +107,10 @@
     def _forward(self, delivery: _plain_path.Delivery) -> None:
         answer = delivery.answer
         fields = without_content_length(answer.head.headers)
+        self._job.source = delivery.source
         self._job.conn.answer(answer.head.status, fields, answer.body)
         _context.record_answer(
-            self._ctx, self._job, delivery.target, answer.head
+            self._ctx, self._job, delivery.source, answer.head
         )
 
 
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 import gevent
 
@@ -24,8 +25,22 @@
 
     #: The answer.
     answer: _messages.Answered
-    #: Id of the target.
-    target: str
+    #: Where it comes from.
+    source: _messages.AnswerSource
+
+
+class PlainWay(_race.Path, typing.Protocol):
+    """One way to the answer of a plain service."""
+
+    @property
+    def counted(self) -> bool:
+        """Whether the targets that may have the request were counted."""
+
+    def next(self) -> Delivery:
+        """Return the answer."""
+
+    def mark_silent(self) -> None:
+        """Let another path try while this one is silent."""
 
 
 class PlainPath:
@@ -40,7 +55,7 @@
         "_tracked",
         "_silent",
         "_closed",
-        "counted",
+        "_counted",
         "silent_at",
     )
 
@@ -48,7 +63,7 @@
         self,
         ctx: _context.HandlerContext,
         job: _context.Job,
-        race: "_race.Race[PlainPath]",
+        race: "_race.Race[PlainWay]",
         keep: collections.abc.Callable[[Delivery], None],
         hedge: bool,
     ) -> None:
@@ -65,11 +80,16 @@
         # Whether the target that is awaited is silent.
         self._silent = False
         self._closed = False
-        #: Whether the target that is awaited was counted.
-        self.counted = False
+        # Whether the target that is awaited was counted.
+        self._counted = False
         #: Monotonic time at which it counts as silent, in seconds.
         self.silent_at = _race.NEVER
 
+    @property
+    def counted(self) -> bool:
+        """Whether the target that is awaited was counted."""
+        return self._counted
+
     def next(self) -> Delivery:
         """Return the answer.
 
@@ -81,22 +101,26 @@
             if self._closed:
                 raise gevent.GreenletExit
             _context.check_quarantine(self._ctx, job, sending=False)
+            _context.check_links(self._ctx, job)
             tracked = self._pick()
             if self._hedge and not _context.spend_retry(self._ctx, job):
                 raise _context.give_up_error(job, "no retry is left")
-            self._hedge = False
+            self._hedge = job.retry_paid = False
             _context.check_quarantine(self._ctx, job)
             outcome = self._send(tracked)
-            counted, self.counted = self.counted, False
+            counted, self._counted = self._counted, False
             others = self._race.others(self)
             if isinstance(outcome, _messages.Answered):
-                delivery = Delivery(outcome, tracked.target.id)
+                source = _messages.AnswerSource(
+                    tracked.target.id, tracked.target.software
+                )
+                delivery = Delivery(outcome, source)
                 if outcome.head.status >= 500 and others:
                     self._keep(delivery)
                     if not counted:
                         job.attempts.record_silence()
                     raise _context.give_up_error(job, "the target failed")
-                if self._prepare_error_retry(outcome, counted):
+                if prepare_error_retry(self._ctx, job, outcome, counted):
                     job.excluded.add(tracked.target.id)
                     continue
                 return delivery
@@ -208,9 +232,9 @@
 
     def mark_silent(self) -> None:
         """Let another path try while this one is silent."""
-        if self._tracked is None or self.counted:
+        if self._tracked is None or self._counted:
             return
-        self._silent = self.counted = True
+        self._silent = self._counted = True
         self._job.reached_target = True
         self._job.excluded.add(self._tracked.target.id)
         self._job.attempts.record_silence()
@@ -249,28 +273,33 @@
         tracked.slowness.observe(duration_s / max(objective, 1e-3), now)
         tracked.record_answer()
 
-    def _prepare_error_retry(
-        self, answer: _messages.Answered, counted: bool
-    ) -> bool:
-        """Return whether a 5xx answer is retried on another target.
 
-        If it is, one retry of the budget is spent and the send is counted;
-        ``counted`` says that it was while it was silent.
-        """
-        job = self._job
-        if answer.head.status < 500 or not job.attempts.idempotent:
-            return False
-        job.reached_target = True
-        targets = job.attempts.targets + (not counted)
-        if targets >= job.attempts.max_targets:
-            return False
-        remaining_s = job.deadline - self._ctx.clock.monotonic()
-        if remaining_s < job.route.objective_s / 2:
-            return False
-        if _context.back_off_s(self._ctx, job):
-            return False
-        if not _context.spend_retry(self._ctx, job):
-            return False
-        job.attempts.targets = targets
-        job.attempts.maybe_ran = True
-        return True
+def prepare_error_retry(
+    ctx: _context.HandlerContext,
+    job: _context.Job,
+    answer: _messages.Answered,
+    counted: bool,
+    targets: int = 1,
+) -> bool:
+    """Return whether a 5xx answer is retried on another target.
+
+    If it is, one retry of the budget is spent and the send is counted as
+    ``targets`` targets; ``counted`` says that it was while it was silent.
+    """
+    if answer.head.status < 500 or not job.attempts.idempotent:
+        return False
+    job.reached_target = True
+    reached = job.attempts.targets + (0 if counted else targets)
+    if reached >= job.attempts.max_targets:
+        return False
+    remaining_s = job.deadline - ctx.clock.monotonic()
+    if remaining_s < job.route.objective_s / 2:
+        return False
+    if _context.back_off_s(ctx, job):
+        return False
+    if not _context.spend_retry(ctx, job):
+        return False
+    job.retry_paid = True
+    job.attempts.targets = reached
+    job.attempts.maybe_ran = True
+    return True
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -174,6 +174,22 @@
     )
 
 
+def links_lost(
+    service: str, reason: str, rng: random.Random
+) -> GatewayRefusal:
+    """Return the refusal if no peer serves a request for this instance.
+
+    ``reason`` says why.
+    """
+    return GatewayRefusal(
+        503,
+        _types.RefusalKind.NO_TARGET,
+        f"this instance does not reach the targets of {service}, and "
+        f"{reason}; ask another one",
+        LEAVING_RETRY_S * (1 + RETRY_JITTER * rng.random()),
+    )
+
+
 def leaving(rng: random.Random) -> GatewayRefusal:
     """Return the refusal of a request that an instance has no time for."""
     return GatewayRefusal(
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -7,7 +7,6 @@
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
 from agatewing.gateway import _plain_forwarder
-from agatewing.gateway import _tracked_target
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,11 +43,9 @@
         self,
         job: _context.Job,
         clock: _clock.Clock,
-        on_begin: collections.abc.Callable[
-            [_tracked_target.TrackedTarget], None
-        ],
+        on_begin: collections.abc.Callable[[_messages.AnswerSource], None],
     ) -> None:
-        # Called with the engine of the first event before it is forwarded.
+        # Called with the source of the first event before it is forwarded.
         self._on_begin = on_begin
         self._job = job
         self._clock = clock
@@ -67,17 +64,16 @@
         """Whether the caller has the head of an answer."""
         return self._job.conn.started
 
-    def forward(
-        self, tracked: _tracked_target.TrackedTarget, piece: Piece
-    ) -> None:
+    def forward(self, source: _messages.AnswerSource, piece: Piece) -> None:
         """Send the next part of the stream to the caller."""
         conn = self._job.conn
+        self._job.source = source
         if piece.head.status >= 300:
             self._forward_failure(piece)
             return
         if piece.events:
             if not self.event_count:
-                self._on_begin(tracked)
+                self._on_begin(source)
             self._record_events(piece)
         if not conn.started:
             # The head of an earlier engine stays.
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -27,6 +27,20 @@
 _NO_REQUESTS = "the target takes no requests; it leaves or backs off"
 
 
+class BodyChannel(typing.Protocol):
+    """Connection from which the body of an answer is read."""
+
+    def read_piece(self, deadline: float) -> bytes:
+        """Return the next piece of the body; ``b""`` at its end."""
+
+    @property
+    def silent_s(self) -> float:
+        """Time since the last byte, in seconds."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStarted:
     """The head of an answer was read; its body follows on the channel."""
@@ -227,9 +241,24 @@
 
         Reading waits while other answers leave no room for this one.
         """
-        chunks: list[bytes] = []
         channel = answer.channel
-        share = self._room.open(_body_bytes(answer.head))
+        outcome = self.read_whole(answer.head, channel, deadline)
+        if isinstance(outcome, _messages.Answered):
+            self.release_channel(tracked, channel)
+        return outcome
+
+    def read_whole(
+        self,
+        head: _messages.AnswerHead,
+        channel: BodyChannel,
+        deadline: float,
+    ) -> _messages.Answered | _messages.Unknown | _messages.TimedOut:
+        """Read the whole body of an answer; keep the connection open.
+
+        If reading fails, the connection is closed.
+        """
+        chunks: list[bytes] = []
+        share = self._room.open(_body_bytes(head))
 
         def read() -> None:
             while piece := channel.read_piece(deadline):
@@ -242,8 +271,7 @@
             self._room.close(share)
         if failure is not None:
             return failure
-        self.release_channel(tracked, channel)
-        return _messages.Answered(answer.head, b"".join(chunks))
+        return _messages.Answered(head, b"".join(chunks))
 
     def release_channel(
         self, tracked: _tracked_target.TrackedTarget, channel: _channel.Channel
@@ -321,7 +349,7 @@
 
 
 def read_or_close(
-    channel: _channel.Channel, read: collections.abc.Callable[[], None]
+    channel: BodyChannel, read: collections.abc.Callable[[], None]
 ) -> _messages.Unknown | _messages.TimedOut | None:
     """Call ``read`` to read an answer; return its failure, if any.
 
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -2,6 +2,7 @@
 
 import collections
 import logging
+import typing
 
 import gevent
 import gevent.server
@@ -9,8 +10,10 @@
 
 from agatewing import _clock
 from agatewing import decisions
+from agatewing import detour
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _context
+from agatewing.gateway import _hop_conn
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _messages
 from agatewing.gateway import _plain_forwarder
@@ -32,6 +35,13 @@
 MAX_LINGERING = 256
 
 
+#: Margin between the deadlines of a request at two instances, in seconds:
+#: twice the network delay between them and a wake-up of the event loop.
+HOP_MARGIN_S = 0.01
+
+_Conn: typing.TypeAlias = _caller_conn.CallerConn | _hop_conn.HopConn
+
+
 class CallerServer:
     """Server on the port for callers."""
 
@@ -42,8 +52,10 @@
         "_streams",
         "_server",
         "_conns",
+        "_hop_room",
         "lingering",
         "refusals",
+        "hops_served",
     )
 
     def __init__(
@@ -59,11 +71,15 @@
         self._server = gevent.server.StreamServer(
             address, self._serve, backlog=BACKLOG
         )
-        self._conns: set[_caller_conn.CallerConn] = set()
+        self._conns: set[_Conn] = set()
+        # Requests of peers that are served now.
+        self._hop_room = detour.Room()
         #: Number of connections that linger after their last answer.
         self.lingering = 0
         #: Number of refusals by kind.
         self.refusals: collections.Counter[str] = collections.Counter()
+        #: Number of requests that peers handed on, by outcome.
+        self.hops_served: collections.Counter[str] = collections.Counter()
 
     @property
     def port(self) -> int:
@@ -189,9 +205,81 @@
             self._lifecycle.in_flight -= 1
             conn.busy = False
 
-    def _answer(
-        self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
-    ) -> bool:
+    def serve_hops(self, hop: detour.HopAnswer) -> None:
+        """Serve the requests that a peer hands on, as if from callers."""
+        conn = _hop_conn.HopConn(hop, self._ctx)
+        try:
+            while self._serve_hop(conn):
+                pass
+        except (
+            _caller_conn.CallerGoneError,
+            _caller_conn.StoppedError,
+        ) as exc:
+            _log.debug("server: peer disconnected: %s", exc)
+        finally:
+            conn.close()
+
+    def _serve_hop(self, conn: _hop_conn.HopConn) -> bool:
+        """Serve one request of a peer; return whether another may follow."""
+        req, body_bytes = conn.next_offer()
+        refusal = self._reason_to_decline(req, body_bytes)
+        if refusal is not None:
+            self.hops_served["declined"] += 1
+            _log.info(
+                "server: request of a peer declined",
+                extra={"request": req.id, "detail": refusal.detail},
+            )
+            conn.decline(refusal)
+            return True
+        room = self._hop_room
+        room.requests += 1
+        room.body_bytes += body_bytes
+        self._conns.add(conn)
+        self._lifecycle.in_flight += 1
+        outcome = "broken"
+        try:
+            req = conn.take(req)
+            _log.info(
+                "server: request of a peer taken", extra={"request": req.id}
+            )
+            goes_on = self._answer(conn, req)
+            if goes_on:
+                outcome = "refused" if conn.refused else "answered"
+            return goes_on
+        finally:
+            self.hops_served[outcome] += 1
+            conn.prepare_next_request()
+            self._lifecycle.in_flight -= 1
+            self._conns.discard(conn)
+            room.requests -= 1
+            room.body_bytes -= body_bytes
+
+    def _reason_to_decline(
+        self, req: _messages.CallerRequest, body_bytes: int
+    ) -> _refusals.GatewayRefusal | None:
+        """Return why a request of a peer is not taken; ``None`` if it is."""
+        catalog, rng = self._ctx.catalog, self._ctx.rng
+        if self._lifecycle.closing:
+            return _refusals.leaving(rng)
+        if catalog.configuration is None:
+            return _refusals.not_ready(catalog.read_failed, rng)
+        handed_on = req.handed_on
+        if handed_on is None:
+            return None
+        route = catalog.routes.find(req.host, req.path)
+        if route is None and catalog.config_version < handed_on.config_version:
+            return _refusals.not_ready(catalog.read_failed, rng)
+        if self._ctx.links.lost(handed_on.service):
+            return _refusals.links_lost(
+                handed_on.service, "neither does the one before it", rng
+            )
+        if not self._hop_room.has_for(body_bytes):
+            return _refusals.overloaded(
+                "this instance serves too many requests of others"
+            )
+        return None
+
+    def _answer(self, conn: _Conn, req: _messages.CallerRequest) -> bool:
         job = None
         try:
             job = self._new_job(conn, req)
@@ -230,7 +318,7 @@
 
     def _end_stopped(
         self,
-        conn: _caller_conn.CallerConn,
+        conn: _Conn,
         req: _messages.CallerRequest,
         job: _context.Job | None,
     ) -> None:
@@ -247,14 +335,16 @@
             self._refuse(conn, refusal, req.id, job)
 
     def _handle(self, job: _context.Job) -> None:
-        self._ctx.budget.record_request(job.service, job.req.arrived_at)
+        if job.req.handed_on is None:
+            # The instance that hands it on has counted it.
+            self._ctx.budget.record_request(job.service, job.req.arrived_at)
         if job.route.kind.streams:
             self._streams.handle(job)
         else:
             self._plain.handle(job)
 
     def _new_job(
-        self, conn: _caller_conn.CallerConn, req: _messages.CallerRequest
+        self, conn: _Conn, req: _messages.CallerRequest
     ) -> _context.Job:
         """Return the state of a request, or raise a refusal.
 
@@ -274,7 +364,7 @@
         if req.caller_timeout_s is not None:
             timeout_s = min(timeout_s, req.caller_timeout_s)
         deadline = req.arrived_at + timeout_s - _context.ANSWER_MARGIN_S
-        return _context.Job(
+        job = _context.Job(
             req,
             conn,
             route,
@@ -283,10 +373,29 @@
             decisions.Attempts(route.kind.idempotent, route.max_targets),
             config_version=self._ctx.catalog.config_version,
         )
+        if req.handed_on is not None:
+            self._bind_to_sender(job, req.handed_on)
+        if isinstance(conn, _hop_conn.HopConn):
+            conn.job = job
+        return job
+
+    def _bind_to_sender(
+        self, job: _context.Job, handed_on: _messages.HandedOn
+    ) -> None:
+        """Keep a request to what the instance that hands it on has left."""
+        if handed_on.service in {s.service for s in job.route.shares}:
+            job.service = handed_on.service
+        until = self._ctx.clock.monotonic() + handed_on.left_s
+        job.deadline = min(job.deadline, until - HOP_MARGIN_S)
+        attempts = job.attempts
+        attempts.max_targets = min(
+            attempts.max_targets, handed_on.targets_left
+        )
+        job.excluded.update(handed_on.excluded)
 
     def _refuse(
         self,
-        conn: _caller_conn.CallerConn,
+        conn: _Conn,
         refusal: _refusals.GatewayRefusal,
         request: str,
         job: _context.Job | None = None,
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -6,12 +6,13 @@
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
 from agatewing.gateway import _race
+from agatewing.gateway import _refusals
 from agatewing.gateway import _relay
 from agatewing.gateway import _send_turn
+from agatewing.gateway import _stream_detour
 from agatewing.gateway import _stream_engines
 from agatewing.gateway import _stream_path
 from agatewing.gateway import _target_registry
-from agatewing.gateway import _tracked_target
 
 #: Time without an event after which a resumable stream is also tried on
 #: another engine, in seconds; callers abandon a stream after two seconds or
@@ -37,35 +38,40 @@
         self._relay = _relay.EventRelay(job, ctx.clock, self._record_begin)
         self._turn = _send_turn.SendTurn()
         # Paths that are followed while none of them delivers.
-        self._race: _race.Race[_stream_path.StreamPath] | None = None
+        self._race: _race.Race[_stream_path.StreamWay] | None = None
 
-    def run(self, route: decisions.Route) -> None:
+    def run(self, route: decisions.Route | None) -> None:
         """Serve the stream by ``route``; try other engines if allowed.
 
-        Raises :class:`GatewayRefusedError` if no engine finishes it.
+        ``None`` leaves it to a peer. Raises :class:`GatewayRefusedError` if no engine finishes it.
         """
-        path: _stream_path.StreamPath | None = None
+        path: _stream_path.StreamWay | None = None
         try:
-            path, piece = self._follow(self._new_path(route))
+            first = self._new_path(route) if route else self._new_detour()
+            path, piece = self._follow(first)
             while True:
-                tracked = path.tracked
-                if tracked is None:
-                    raise AssertionError("a piece comes from an engine")
-                self._relay.forward(tracked, piece)
+                self._relay.forward(path.source, piece)
                 if piece.ended:
                     break
                 path, piece = self._read_on(path)
             path.finish()
-            self._record_answer(path, tracked, piece.head)
+            self._record_answer(path, piece.head)
         finally:
             if self._race is not None:
                 self._race.close()
             if path is not None:
                 path.close()
 
+    def _new_detour(self) -> _stream_detour.StreamDetour:
+        return _stream_detour.StreamDetour(
+            self._ctx, self._job, self._engines, self._relay, self._turn
+        )
+
     def _new_path(
         self, route: decisions.Route | None
-    ) -> _stream_path.StreamPath:
+    ) -> _stream_path.StreamWay:
+        if route is None and _context.needs_detour(self._ctx, self._job):
+            return self._new_detour()
         return _stream_path.StreamPath(
             self._ctx,
             self._job,
@@ -76,8 +82,8 @@
         )
 
     def _read_on(
-        self, path: _stream_path.StreamPath
-    ) -> tuple[_stream_path.StreamPath, _relay.Piece]:
+        self, path: _stream_path.StreamWay
+    ) -> tuple[_stream_path.StreamWay, _relay.Piece]:
         """Return the next piece, and the path that it came on.
 
         The path is read in this greenlet as long as it is not silent.
@@ -94,16 +100,42 @@
         return self._follow(path)
 
     def _follow(
-        self, path: _stream_path.StreamPath
-    ) -> tuple[_stream_path.StreamPath, _relay.Piece]:
+        self, path: _stream_path.StreamWay
+    ) -> tuple[_stream_path.StreamWay, _relay.Piece]:
         """Follow a path, and others while it is silent, to the next piece."""
-        self._race = _race.Race(self._ctx.clock, self._is_final)
-        self._add(path)
-        winner, piece = self._race.wait(self._hedge)
-        winner.race = self._race = None
-        return winner, piece
+        while True:
+            self._race = _race.Race(self._ctx.clock, self._is_final)
+            self._add(path)
+            try:
+                winner, piece = self._race.wait(self._hedge)
+            except _refusals.GatewayRefusedError:
+                next_path = self._path_after(path)
+                if next_path is None:
+                    raise
+                path = next_path
+                continue
+            winner.race = self._race = None
+            return winner, piece
+
+    def _path_after(
+        self, failed: _stream_path.StreamWay
+    ) -> _stream_path.StreamWay | None:
+        """Return a path of the other kind; ``None`` if none may follow."""
+        if isinstance(failed, _stream_detour.StreamDetour):
+            return self._new_path(None) if failed.links_back else None
+        if not _context.may_go_on_at_peer(self._ctx, self._job):
+            return None
+        return self._new_detour() if self._may_resume() else None
 
-    def _add(self, path: _stream_path.StreamPath) -> None:
+    def _may_resume(self) -> bool:
+        """Return whether another answer may go on with the stream."""
+        relay = self._relay
+        if not relay.event_count:
+            return True
+        last_event_id = self._ctx.dialect.last_event_id
+        return last_event_id(relay.last_event) is not None
+
+    def _add(self, path: _stream_path.StreamWay) -> None:
         path.race = self._race
         if self._race is not None:
             self._race.add(path)
@@ -113,7 +145,7 @@
         attempts = self._job.attempts
         return attempts.maybe_ran and not attempts.idempotent
 
-    def _hedge(self) -> _stream_path.StreamPath | None:
+    def _hedge(self) -> _stream_path.StreamWay | None:
         """Return a path to try beside silent ones; ``None`` if not allowed.
 
         The silent engines are counted as targets, and excluded.
@@ -129,23 +161,21 @@
         path.race = self._race
         return path
 
-    def _may_hedge(self, silent: list[_stream_path.StreamPath]) -> bool:
-        attempts, relay = self._job.attempts, self._relay
-        if not attempts.idempotent and self._turn.taken:
+    def _may_hedge(self, silent: list[_stream_path.StreamWay]) -> bool:
+        if not self._job.attempts.idempotent and self._turn.taken:
             return False
-        last_event_id = self._ctx.dialect.last_event_id
-        if relay.event_count and last_event_id(relay.last_event) is None:
+        if not self._may_resume():
             return False
-        uncounted = sum(p.sending and not p.counted for p in silent)
+        uncounted = sum(path.uncounted_targets for path in silent)
         return _context.may_hedge(self._ctx, self._job, uncounted)
 
-    def _record_begin(self, tracked: _tracked_target.TrackedTarget) -> None:
+    def _record_begin(self, source: _messages.AnswerSource) -> None:
         """Bind the stream to the version of the engine of its first event.
 
         Other instances learn of it, unless the caller takes up a stream that
         began before.
         """
-        job, software = self._job, tracked.target.software
+        job, software = self._job, source.software
         engines = self._engines
         engines.profile = dataclasses.replace(
             engines.profile, software=software
@@ -157,11 +187,10 @@
 
     def _record_answer(
         self,
-        path: _stream_path.StreamPath,
-        tracked: _tracked_target.TrackedTarget,
+        path: _stream_path.StreamWay,
         head: _messages.AnswerHead,
     ) -> None:
-        path.prefill.record_prefix(tracked)
+        path.record_prefix()
         take_up = self._job.req.take_up
         profile = self._engines.profile
         first_s = self._relay.first_event_at - self._job.req.arrived_at
@@ -171,16 +200,16 @@
         _context.record_answer(
             self._ctx,
             self._job,
-            tracked.target.id,
+            path.source,
             head,
-            prefill=path.prefill.engine_id,
+            prefill=path.prefilled_by,
             tokens=profile.prompt_tokens,
             cached=profile.cached.get(
-                path.prefill.engine_id or tracked.target.id, 0
+                path.prefilled_by or path.source.target, 0
             ),
             events=self._relay.event_count,
             first_s=round(first_s, 4),
             pause_s=round(self._relay.longest_pause_s, 4),
-            software=tracked.target.software,
+            software=path.source.software,
             resumes=take_up.first_attempt if take_up is not None else "",
         )
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -54,6 +54,9 @@
         profile = dataclasses.replace(
             self._request_profile(job, pool), software=software
         )
+        if _context.needs_detour(self._ctx, job):
+            _stream.Stream(self._ctx, job, pool, profile).run(None)
+            return
         account = job.route.name
         if software is not None:
             # Engines of one version may be full while others have room.
@@ -92,6 +95,9 @@
         the stream. Raises :class:`GatewayRefusedError` if the version is not
         known, or the route no longer leads to that service.
         """
+        handed_on = job.req.handed_on
+        if handed_on is not None:
+            return handed_on.software
         take_up = job.req.take_up
         if take_up is None or not job.attempts.idempotent:
             return None
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -1,10 +1,13 @@
 """One path of a stream: a prefill, an engine to decode on, its answer."""
 
+import collections.abc
 import dataclasses
+import typing
 
 import gevent
 
 from agatewing import decisions
+from agatewing.gateway import _channel
 from agatewing.gateway import _context
 from agatewing.gateway import _event_reader
 from agatewing.gateway import _messages
@@ -18,6 +21,67 @@
 from agatewing.gateway import _tracked_target
 
 
+class StreamWay(_race.Path, typing.Protocol):
+    """One way to the events of a stream."""
+
+    #: Race that it takes part in; ``None`` if it is the only path.
+    race: "_race.Race[StreamWay] | None"
+
+    @property
+    def source(self) -> _messages.AnswerSource:
+        """Where the present answer comes from."""
+
+    @property
+    def prefilled_by(self) -> str:
+        """Id of the engine that prefilled the prompt; empty if unknown."""
+
+    @property
+    def uncounted_targets(self) -> int:
+        """Number of targets that may have the request uncounted."""
+
+    @property
+    def failed(self) -> bool:
+        """Whether the present answer failed."""
+
+    def record_prefix(self) -> None:
+        """Record that the engine has the prompt's prefix blocks cached."""
+
+    def next(self) -> _relay.Piece:
+        """Return the next part that holds an event or the end."""
+
+    def advance(self) -> _relay.Piece | None:
+        """Take one step; return what it brought, if anything."""
+
+    def read(self, max_silence_s: float) -> _relay.Piece | None:
+        """Return the next part of the present answer, if it comes in time."""
+
+    def mark_silent(self) -> None:
+        """Let another path try while this one is silent."""
+
+    def finish(self) -> None:
+        """Keep the connection after an answer that was read to its end."""
+
+
+def next_piece(
+    path: StreamWay, others: collections.abc.Callable[[], bool]
+) -> _relay.Piece:
+    """Return the next part of a stream that holds an event or its end.
+
+    ``others`` returns whether another path may still deliver.
+    """
+    held = b""
+    while True:
+        match path.advance():
+            case _relay.Piece() as piece:
+                if piece.events or piece.ended or not others():
+                    data = held + piece.data
+                    return dataclasses.replace(piece, data=data)
+                # A comment does not decide which path is kept.
+                held += piece.data
+            case _ if path.failed:
+                held = b""
+
+
 class StreamPath:
     """Sends a stream's request; retries as long as it is the only path."""
 
@@ -29,6 +93,7 @@
         "_turn",
         "_route",
         "_reader",
+        "_channel",
         "_meter",
         "_used_cache",
         "_events",
@@ -65,6 +130,8 @@
         self._hedge = route is None
         # Reads the present answer; ``None`` before its head.
         self._reader: _event_reader.EventReader | None = None
+        # Connection that it reads from.
+        self._channel: _channel.Channel | None = None
         self._meter: _meter.LoadMeter | None = None
         self._used_cache = False
         # Number of events of the present answer.
@@ -88,29 +155,37 @@
         #: Engine of the present answer; ``None`` before a choice.
         self.tracked: _tracked_target.TrackedTarget | None = None
         #: Race that it takes part in; ``None`` if it is the only path.
-        self.race: _race.Race[StreamPath] | None = None
+        self.race: _race.Race[StreamWay] | None = None
         #: Monotonic time at which it counts as silent, in seconds.
         self.silent_at = _race.NEVER
 
+    @property
+    def source(self) -> _messages.AnswerSource:
+        """Where the present answer comes from."""
+        if self.tracked is None:
+            raise AssertionError("a piece comes from an engine")
+        target = self.tracked.target
+        return _messages.AnswerSource(target.id, target.software)
+
+    @property
+    def prefilled_by(self) -> str:
+        """Id of the engine that prefilled the prompt; empty if none did."""
+        return self.prefill.engine_id
+
+    def record_prefix(self) -> None:
+        """Record that the engine has the prompt's prefix blocks cached."""
+        if self.tracked is not None:
+            self.prefill.record_prefix(self.tracked)
+
     def next(self) -> _relay.Piece:
         """Return the next part of the stream that holds an event or its end.
 
         Raises :class:`GatewayRefusedError` if it fails while another path is
         open, or if no further send is allowed.
         """
-        held = b""
-        while True:
-            match self._advance():
-                case _relay.Piece() as piece:
-                    if piece.events or piece.ended or not self._others():
-                        data = held + piece.data
-                        return dataclasses.replace(piece, data=data)
-                    # A comment does not decide which path is kept.
-                    held += piece.data
-                case _ if self._failure is not None:
-                    held = b""
-
-    def _advance(self) -> _relay.Piece | None:
+        return next_piece(self, self._others)
+
+    def advance(self) -> _relay.Piece | None:
         """Take one step; return what it brought, if anything."""
         if self._failure is not None:
             self._handle_failure()
@@ -162,6 +237,7 @@
         engines = self._engines
         # A hedge that finds no room is tried again periodically.
         wait = not (self._hedge and self._others())
+        _context.check_links(self._ctx, self._job)
         route, self._route = self._route, None
         if route is not None:
             return self._prepare_decode_engine(route)
@@ -255,6 +331,7 @@
             return None
         _context.check_quarantine(self._ctx, self._job)
         job, sender = self._job, self._ctx.sender
+        job.retry_paid = False
         self._used_cache = self.prefill.unfetched_cache is not None
         self._events, self._counted, self._silent = 0, False, False
         now = self._ctx.clock.monotonic()
@@ -276,7 +353,10 @@
         self.prefill.mark_fetched()
         if result.head.status >= 300:
             return self._read_failure(tracked, result)
-        self._reader = _event_reader.EventReader(result, self._ctx.clock)
+        self._reader = _event_reader.EventReader(
+            result.head, result.channel, self._ctx.clock
+        )
+        self._channel = result.channel
         return None
 
     def _take_turn(self, tracked: _tracked_target.TrackedTarget) -> bool:
@@ -322,13 +402,14 @@
         return _relay.Piece(outcome.head, outcome.body, ended=True)
 
     def _last_event_id(self) -> bytes | None:
-        """Return the id of the last forwarded event.
+        """Return the id of the last event that the caller has.
 
-        ``None`` if it has none, or no event was forwarded.
+        ``None`` if it has no id, or no event was forwarded.
         """
-        if not self._relay.event_count:
-            return None
-        return self._ctx.dialect.last_event_id(self._relay.last_event)
+        if self._relay.event_count:
+            return self._ctx.dialect.last_event_id(self._relay.last_event)
+        handed_on = self._job.req.handed_on
+        return handed_on.last_event_id if handed_on is not None else None
 
     def _handle_failure(self) -> None:
         """Record the failure and prepare the next send.
@@ -379,7 +460,7 @@
 
     def _end_send(self) -> None:
         """Stop awaiting the present answer."""
-        self._reader = None
+        self._reader = self._channel = None
         meter, self._meter = self._meter, None
         if meter is not None:
             meter.end()
@@ -397,9 +478,14 @@
         return self._meter is not None
 
     @property
-    def counted(self) -> bool:
-        """Whether its engine was counted while it was silent."""
-        return self._counted
+    def uncounted_targets(self) -> int:
+        """Number of targets that may have the request uncounted."""
+        return int(self.sending and not self._counted)
+
+    @property
+    def failed(self) -> bool:
+        """Whether the present answer failed."""
+        return self._failure is not None
 
     def mark_silent(self) -> None:
         """Let another path try while this one is silent."""
@@ -432,9 +518,10 @@
         """Keep the connection after an answer that was read to its end."""
         if self.tracked is None:
             return
-        reader, self._reader = self._reader, None
-        if reader is not None:
-            self._ctx.sender.release_channel(self.tracked, reader.channel)
+        self._reader = None
+        channel, self._channel = self._channel, None
+        if channel is not None:
+            self._ctx.sender.release_channel(self.tracked, channel)
             self.tracked.record_answer()
 
     def close(self) -> None:
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -2124,7 +2124,6 @@
     Attributes:
      - status
      - headers
-     - framing
      - target
      - software
 
@@ -2133,16 +2132,14 @@
     __slots__ = (
         'status',
         'headers',
-        'framing',
         'target',
         'software',
     )
 
 
-    def __init__(self, status=None, headers=None, framing=None, target=None, software=None,):
+    def __init__(self, status=None, headers=None, target=None, software=None,):
         self.status = status
         self.headers = headers
-        self.framing = framing
         self.target = target
         self.software = software
 
@@ -2172,16 +2169,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.framing = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
                     self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.STRING:
                     self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -2207,16 +2199,12 @@
                 iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.framing is not None:
-            oprot.writeFieldBegin('framing', TType.STRING, 3)
-            oprot.writeString(self.framing.encode('utf-8') if sys.version_info[0] == 2 else self.framing)
-            oprot.writeFieldEnd()
         if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRING, 4)
+            oprot.writeFieldBegin('target', TType.STRING, 3)
             oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
             oprot.writeFieldEnd()
         if self.software is not None:
-            oprot.writeFieldBegin('software', TType.STRING, 5)
+            oprot.writeFieldBegin('software', TType.STRING, 4)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2227,8 +2215,6 @@
             raise TProtocolException(message='Required field status is unset!')
         if self.headers is None:
             raise TProtocolException(message='Required field headers is unset!')
-        if self.framing is None:
-            raise TProtocolException(message='Required field framing is unset!')
         if self.target is None:
             raise TProtocolException(message='Required field target is unset!')
         if self.software is None:
@@ -2693,9 +2679,8 @@
     None,  # 0
     (1, TType.I32, 'status', None, None, ),  # 1
     (2, TType.LIST, 'headers', (TType.STRUCT, [HopField, None], False), None, ),  # 2
-    (3, TType.STRING, 'framing', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'software', 'UTF8', None, ),  # 5
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'software', 'UTF8', None, ),  # 4
 )
 all_structs.append(HopRefusal)
 HopRefusal.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -208,11 +208,10 @@
 struct HopHead {
   1: required i32 status,
   2: required list<HopField> headers,
-  // How the target framed the body.
-  3: required string framing,
-  4: required string target,
-  // Version of the target's software.
-  5: required string software,
+  // Id of the target.
+  3: required string target,
+  // Version of its software.
+  4: required string software,
 }
 
 // Refusal of a request by the peer itself.
