Keep requests that peers serve to what is left of them

Tests over real instances showed faults of the path through a peer: - a stream that came through a peer ended with an unexpected error after its last event; - the peer sent a resumed stream back to the engine that had broken it off, as the first choice of an engine ignored those to be avoided; - the peer was told to avoid targets that only this instance could not connect to, and refused when none was left; - a peer that answered 502 was not asked again, though it was not at fault, and this instance did not learn which targets it had reached.

Heads and refusals now name the targets to avoid, the fair queue observes them, and targets that were not reached are not among them. A target counts as silent after 0.5 s while this instance does not reach it, so that a peer is tried beside an open connection that hangs. Metrics count detours and requests served for peers.

--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -63,6 +63,8 @@
     #: if any may. Engines of two versions cannot continue each other's
     #: streams.
     software: str | None = None
+    #: Engines to which the request is not sent again.
+    avoid: frozenset[str] = frozenset()
 
     @property
     def kv_tokens(self) -> int:
--- a/agatewing/detour/_hop_server.py
+++ b/agatewing/detour/_hop_server.py
@@ -69,9 +69,13 @@
             raise _session.BrokenError("the length of a body is negative")
         return frame.request
 
+    def say_ready(self) -> None:
+        """Tell the peer to send the body of the request."""
+        self._send(ready=True)
+
     def take(self, request: wire.HopRequest) -> bytes:
         """Take a request; return its body once it has arrived in full."""
-        self._send(ready=True)
+        self.say_ready()
         body = bytearray()
         with _timeout(BODY_TIMEOUT_S, "the body did not arrive in time"):
             while True:
@@ -131,7 +135,7 @@
 class HopServer:
     """Accepts connections on which peers hand on requests."""
 
-    __slots__ = ("_codec", "_serve", "_conns")
+    __slots__ = ("_codec", "_serve", "_socks")
 
     def __init__(
         self,
@@ -141,7 +145,12 @@
         self._codec = codec
         # Serves the requests of a connection.
         self._serve = serve
-        self._conns = 0
+        self._socks: set[gevent.socket.socket] = set()
+
+    def close(self) -> None:
+        """Close all connections, as the end of the process does."""
+        for sock in list(self._socks):
+            sock.close()
 
     def serve(
         self, sock: gevent.socket.socket, opening: wire.StateRequest
@@ -157,10 +166,10 @@
             peer_nonce = b""
         known = (
             len(peer_nonce) == _session.NONCE_BYTES
-            and self._conns < MAX_CONNECTIONS
+            and len(self._socks) < MAX_CONNECTIONS
         )
         reply = wire.StateReply(known=known, through=0, state=nonce)
-        self._conns += 1
+        self._socks.add(sock)
         try:
             _session.set_options(sock)
             with _timeout(WRITE_TIMEOUT_S, "the peer does not read"):
@@ -171,5 +180,5 @@
                 )
                 self._serve(HopAnswer(session))
         finally:
-            self._conns -= 1
+            self._socks.discard(sock)
             sock.close()
--- a/agatewing/detour/tests/test_hops.py
+++ b/agatewing/detour/tests/test_hops.py
@@ -41,7 +41,9 @@
 
 
 def head(status: int = 200) -> wire.HopHead:
-    return wire.HopHead(status=status, headers=[], target="t1", software="")
+    return wire.HopHead(
+        status=status, headers=[], target="t1", software="", excluded=[]
+    )
 
 
 def echo(answer: detour.HopAnswer, req: wire.HopRequest, body: bytes) -> None:
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -307,7 +307,9 @@
                 queue.fair_queue.remove_head(entry)
                 queued.routing_result.set(_refusals.version_gone())
                 return True
-            route = pool.router.choose(queued.profile, loads)
+            route = pool.router.choose(
+                queued.profile, loads, queued.profile.avoid
+            )
             if route is None:
                 continue
             queue.fair_queue.remove_head(entry)
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -31,6 +31,10 @@
 #: the longest network delay to a caller (3 ms) and one scheduler wake-up.
 ANSWER_MARGIN_S = 0.015
 
+#: Time without an answer after which a target counts as silent while this
+#: instance does not reach it, in seconds. Open connections may still work.
+LOST_SILENCE_S = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class HandlerContext:
@@ -117,6 +121,8 @@
     attempts: decisions.Attempts
     #: Ids of the targets that this request is not sent to again.
     excluded: set[str] = dataclasses.field(default_factory=set)
+    #: Those among them to which no connection could be opened.
+    unreached: set[str] = dataclasses.field(default_factory=set)
     #: Whether a target has received it, so that another send is a retry.
     reached_target: bool = False
     #: Whether a target has received the request itself, not only a prefill.
@@ -299,6 +305,20 @@
         raise give_up_error(job, "this instance does not reach the targets")
 
 
+def silent_at(
+    ctx: HandlerContext, job: Job, since: float, expected_at: float
+) -> float:
+    """Return the monotonic time at which a target counts as silent.
+
+    That is ``expected_at``, or sooner while this instance does not reach it;
+    ``since`` is the time at which it was sent to.
+    """
+    lost_at = since + LOST_SILENCE_S
+    if lost_at < expected_at < float("inf") and needs_detour(ctx, job):
+        return lost_at
+    return expected_at
+
+
 def may_go_on_at_peer(ctx: HandlerContext, job: Job) -> bool:
     """Return whether a peer may serve a request that failed here."""
     attempts = job.attempts
@@ -372,6 +392,8 @@
         job.reached_target = job.sent = True
     if step is not decisions.NextStep.SAME_WITHOUT_CACHE:
         job.excluded.add(target)
+    if isinstance(outcome, _messages.NotSent):
+        job.unreached.add(target)
     if ctx.clock.monotonic() >= job.deadline:
         raise deadline_error(job, reason)
     if not others:
--- a/agatewing/gateway/_detour.py
+++ b/agatewing/gateway/_detour.py
@@ -189,7 +189,8 @@
             waited_ms=int((now - job.req.arrived_at) * 1_000),
             left_ms=int((job.deadline - now) * 1_000),
             targets_left=self._allowance,
-            excluded=sorted(job.excluded),
+            # A peer may reach those that this instance could not.
+            excluded=sorted(job.excluded - job.unreached),
             config_version=job.config_version,
             software=resume.software,
             last_event_id=resume.last_event_id,
@@ -219,6 +220,7 @@
         except detour.DeadlineExceededError as exc:
             self.fail(_messages.TimedOut(str(exc), hop.silent_s))
             return None
+        job.excluded.update(head.excluded)
         if isinstance(head, wire.HopRefusal):
             self._handle_refusal(peer, head)
             return None
@@ -291,9 +293,9 @@
             failure = decisions.Failure.OVERDUE
         step = attempts.record_failure(failure, counted=self.counted)
         job.reached_target = job.sent = True
-        self._tried.add(peer)
         self._ctx.detours.outcomes["failed"] += 1
         if refusal is None:
+            self._tried.add(peer)
             self._ctx.detours.record_broken(peer)
         _context.log_event(
             job,
--- a/agatewing/gateway/_hop_conn.py
+++ b/agatewing/gateway/_hop_conn.py
@@ -128,6 +128,7 @@
                     ],
                     target=source.target,
                     software=source.software,
+                    excluded=self._excluded(),
                 )
             )
 
@@ -190,9 +191,14 @@
                     retry_after_s=refusal.retry_after_s,
                     not_taken=not_taken,
                     targets=targets,
+                    excluded=self._excluded(),
                 )
             )
 
+    def _excluded(self) -> list[str]:
+        """Return the ids of targets that the request is not sent to again."""
+        return sorted(self.job.excluded) if self.job is not None else []
+
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
         self.busy = False
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -354,6 +354,8 @@
         """Stop at once without draining, as if killed; for tests."""
         gevent.killall(self._loops)
         self.peers.stop()
+        if self.peers.hop_server is not None:
+            self.peers.hop_server.close()
         self.load_reports.stop()
         self.links.stop()
         for server in self._probe_servers:
@@ -525,6 +527,28 @@
             "Requests that are kept from targets, as these crash on them",
             self.quarantine.request_count,
         )
+        metrics.counters(
+            "agatewing_detours_total",
+            "Requests handed on to a peer, by outcome",
+            "outcome",
+            self.detours.outcomes,
+        )
+        metrics.gauge(
+            "agatewing_detours_under_way",
+            "Requests that peers serve for this instance now",
+            self.detours.in_flight,
+        )
+        metrics.counters(
+            "agatewing_hops_served_total",
+            "Requests that peers offered, by outcome",
+            "outcome",
+            self.server.hops_served,
+        )
+        metrics.gauge(
+            "agatewing_hops_under_way",
+            "Requests of peers that are served now",
+            self.server.hop_count,
+        )
         metrics.counter(
             "agatewing_orders_total",
             "Orders to engines to take a role",
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -94,6 +94,11 @@
     #: has no event of this attempt.
     last_event_id: bytes | None = None
 
+    @property
+    def begins(self) -> bool:
+        """Whether the caller has nothing of its answer yet."""
+        return self.last_event_id is None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/agatewing/gateway/_plain_detour.py
+++ b/agatewing/gateway/_plain_detour.py
@@ -88,6 +88,8 @@
                 self._ctx, job, outcome, counted, self._detour.targets
             ):
                 return delivery
+            # It is forwarded if no target answers better.
+            self._keep(delivery)
             job.excluded.add(begun.source.target)
 
     def _expect(self, silent_at: float) -> None:
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -56,7 +56,8 @@
         "_silent",
         "_closed",
         "_counted",
-        "silent_at",
+        "_silent_at",
+        "_waits_since",
     )
 
     def __init__(
@@ -82,14 +83,23 @@
         self._closed = False
         # Whether the target that is awaited was counted.
         self._counted = False
-        #: Monotonic time at which it counts as silent, in seconds.
-        self.silent_at = _race.NEVER
+        # Monotonic time at which it counts as silent, and of the beginning
+        # of the wait, in seconds.
+        self._silent_at = _race.NEVER
+        self._waits_since = 0.0
 
     @property
     def counted(self) -> bool:
         """Whether the target that is awaited was counted."""
         return self._counted
 
+    @property
+    def silent_at(self) -> float:
+        """Monotonic time at which it counts as silent, in seconds."""
+        return _context.silent_at(
+            self._ctx, self._job, self._waits_since, self._silent_at
+        )
+
     def next(self) -> Delivery:
         """Return the answer.
 
@@ -227,7 +237,8 @@
 
     def _expect(self, silent_at: float) -> None:
         """Set when the path counts as silent."""
-        self.silent_at = silent_at
+        self._silent_at = silent_at
+        self._waits_since = self._ctx.clock.monotonic()
         self._race.expect(silent_at)
 
     def mark_silent(self) -> None:
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -166,7 +166,7 @@
         )
         match outcome:
             case _messages.NotSent():
-                pass
+                job.unreached.add(tracked.target.id)
             case _messages.NotRun():
                 job.reached_target = True
                 tracked.record_busy()
--- a/agatewing/gateway/_race.py
+++ b/agatewing/gateway/_race.py
@@ -24,8 +24,9 @@
 class Path(typing.Protocol):
     """One way to an answer."""
 
-    #: Monotonic time at which it counts as silent, in seconds.
-    silent_at: float
+    @property
+    def silent_at(self) -> float:
+        """Monotonic time at which it counts as silent, in seconds."""
 
     def next(self) -> typing.Any:
         """Return the next part; raise ``GatewayRefusedError`` without one."""
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -111,6 +111,11 @@
         """Number of connections, without those that linger."""
         return len(self._conns)
 
+    @property
+    def hop_count(self) -> int:
+        """Number of requests of peers that are served now."""
+        return self._hop_room.requests
+
     @property
     def in_use(self) -> bool:
         """Whether any connection is open, those that linger included."""
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -43,7 +43,8 @@
     def run(self, route: decisions.Route | None) -> None:
         """Serve the stream by ``route``; try other engines if allowed.
 
-        ``None`` leaves it to a peer. Raises :class:`GatewayRefusedError` if no engine finishes it.
+        ``None`` leaves it to a peer. Raises :class:`GatewayRefusedError` if
+        no engine finishes it.
         """
         path: _stream_path.StreamWay | None = None
         try:
@@ -88,17 +89,35 @@
 
         The path is read in this greenlet as long as it is not silent.
         """
-        max_silence_s = _race.NEVER
         if not self._relay.event_count:
             now = self._ctx.clock.monotonic()
-            max_silence_s = max(0.0, path.silent_at - now)
+            piece = path.read(max(0.0, path.silent_at - now))
         elif self._job.attempts.idempotent:
-            max_silence_s = MAX_SILENCE_S
-        piece = path.read(max_silence_s)
+            piece = self._read_in_time(path)
+        else:
+            piece = path.read(_race.NEVER)
         if piece is not None:
             return path, piece
         return self._follow(path)
 
+    def _read_in_time(
+        self, path: _stream_path.StreamWay
+    ) -> _relay.Piece | None:
+        """Return the next piece; ``None`` if the path failed or is silent.
+
+        It is silent sooner while this instance does not reach its target.
+        """
+        silent_s = 0.0
+        while silent_s < MAX_SILENCE_S:
+            piece = path.read(_context.LOST_SILENCE_S)
+            if piece is not None or path.failed:
+                return piece
+            silent_s += _context.LOST_SILENCE_S
+            own_link = not isinstance(path, _stream_detour.StreamDetour)
+            if own_link and _context.needs_detour(self._ctx, self._job):
+                return None
+        return None
+
     def _follow(
         self, path: _stream_path.StreamWay
     ) -> tuple[_stream_path.StreamWay, _relay.Piece]:
--- a/agatewing/gateway/_stream_detour.py
+++ b/agatewing/gateway/_stream_detour.py
@@ -230,10 +230,9 @@
 
     def finish(self) -> None:
         """Keep the connection after an answer that was read to its end."""
-        begun, self._begun = self._begun, None
         self._reader = None
-        if begun is not None:
-            begun.channel.release()
+        if self._begun is not None:
+            self._begun.channel.release()
 
     def close(self) -> None:
         """Close the connection; may be repeated."""
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -52,7 +52,9 @@
         now = self._ctx.clock.monotonic()
         pool.refresh(now)
         profile = dataclasses.replace(
-            self._request_profile(job, pool), software=software
+            self._request_profile(job, pool),
+            software=software,
+            avoid=self._avoided(job, pool, software),
         )
         if _context.needs_detour(self._ctx, job):
             _stream.Stream(self._ctx, job, pool, profile).run(None)
@@ -61,6 +63,8 @@
         if software is not None:
             # Engines of one version may be full while others have room.
             account = f"{account} of {software}"
+        if profile.avoid:
+            account = f"{account}, sent before"
         job.queued = True
         try:
             route = self._ctx.dispatcher.wait_for_route(
@@ -72,9 +76,32 @@
             job.queued = False
         except _exceptions.RefusedError as exc:
             raise _context.dispatcher_refusal(exc) from exc
-        self._check_patience(job, pool, profile, route)
+        if job.req.handed_on is None or job.req.handed_on.begins:
+            self._check_patience(job, pool, profile, route)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
+    def _avoided(
+        self,
+        job: _context.Job,
+        pool: _target_registry.Pool,
+        software: str | None,
+    ) -> frozenset[str]:
+        """Return the ids of engines that the first send does not go to.
+
+        Another instance has sent it there. If no other engine is left, one
+        that broke a stream off may go on with it; a request that has begun
+        no stream is refused by :class:`GatewayRefusedError`.
+        """
+        avoid = frozenset(job.excluded)
+        if not avoid or pool.decodes(software, avoid):
+            return avoid
+        if software is not None:
+            job.excluded.clear()
+            return frozenset()
+        raise _refusals.GatewayRefusedError(
+            _refusals.no_target(job.service, True, self._ctx.rng)
+        )
+
     def _queue_deadline(
         self, job: _context.Job, pool: _target_registry.Pool
     ) -> float:
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -107,7 +107,8 @@
         "prefill",
         "tracked",
         "race",
-        "silent_at",
+        "_silent_at",
+        "_waits_since",
     )
 
     def __init__(
@@ -156,8 +157,10 @@
         self.tracked: _tracked_target.TrackedTarget | None = None
         #: Race that it takes part in; ``None`` if it is the only path.
         self.race: _race.Race[StreamWay] | None = None
-        #: Monotonic time at which it counts as silent, in seconds.
-        self.silent_at = _race.NEVER
+        # Monotonic time at which it counts as silent, and of the beginning
+        # of the wait, in seconds.
+        self._silent_at = _race.NEVER
+        self._waits_since = 0.0
 
     @property
     def source(self) -> _messages.AnswerSource:
@@ -177,6 +180,13 @@
         if self.tracked is not None:
             self.prefill.record_prefix(self.tracked)
 
+    @property
+    def silent_at(self) -> float:
+        """Monotonic time at which it counts as silent, in seconds."""
+        return _context.silent_at(
+            self._ctx, self._job, self._waits_since, self._silent_at
+        )
+
     def next(self) -> _relay.Piece:
         """Return the next part of the stream that holds an event or its end.
 
@@ -208,7 +218,7 @@
             raise AssertionError("read() needs an answer; call next()")
         match reader.read(max_silence_s, self._job.deadline):
             case _event_reader.Silent(since=since):
-                self.silent_at = since
+                self._silent_at = since
                 return None
             case _relay.Piece() as piece:
                 if piece.events:
@@ -311,7 +321,8 @@
 
     def _expect(self, silent_at: float) -> None:
         """Set when the path counts as silent."""
-        self.silent_at = silent_at
+        self._silent_at = silent_at
+        self._waits_since = self._ctx.clock.monotonic()
         if self.race is not None:
             self.race.expect(silent_at)
 
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -139,16 +139,19 @@
         )
 
     def decodes(
-        self, software: str, avoid: collections.abc.Set[str] = frozenset()
+        self,
+        software: str | None,
+        avoid: collections.abc.Set[str] = frozenset(),
     ) -> bool:
         """Return whether an engine of a software version decodes.
 
-        Engines whose ids are in ``avoid`` do not count.
+        ``None`` stands for any version. Engines whose ids are in ``avoid``
+        do not count.
         """
         return any(
             tracked.active
             and name not in avoid
-            and tracked.target.software == software
+            and software in (None, tracked.target.software)
             and tracked.load.role is not _types.Role.PREFILL
             for name, tracked in self.engines.items()
         )
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -2126,6 +2126,7 @@
      - headers
      - target
      - software
+     - excluded
 
     """
 
@@ -2134,14 +2135,16 @@
         'headers',
         'target',
         'software',
+        'excluded',
     )
 
 
-    def __init__(self, status=None, headers=None, target=None, software=None,):
+    def __init__(self, status=None, headers=None, target=None, software=None, excluded=None,):
         self.status = status
         self.headers = headers
         self.target = target
         self.software = software
+        self.excluded = excluded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2178,6 +2181,16 @@
                     self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2195,8 +2208,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter125 in self.headers:
-                iter125.write(oprot)
+            for iter131 in self.headers:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.target is not None:
@@ -2207,6 +2220,13 @@
             oprot.writeFieldBegin('software', TType.STRING, 4)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter132 in self.excluded:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2219,6 +2239,8 @@
             raise TProtocolException(message='Required field target is unset!')
         if self.software is None:
             raise TProtocolException(message='Required field software is unset!')
+        if self.excluded is None:
+            raise TProtocolException(message='Required field excluded is unset!')
         return
 
     def __repr__(self):
@@ -2249,6 +2271,7 @@
      - retry_after_s
      - not_taken
      - targets
+     - excluded
 
     """
 
@@ -2259,16 +2282,18 @@
         'retry_after_s',
         'not_taken',
         'targets',
+        'excluded',
     )
 
 
-    def __init__(self, status=None, kind=None, detail=None, retry_after_s=None, not_taken=None, targets=None,):
+    def __init__(self, status=None, kind=None, detail=None, retry_after_s=None, not_taken=None, targets=None, excluded=None,):
         self.status = status
         self.kind = kind
         self.detail = detail
         self.retry_after_s = retry_after_s
         self.not_taken = not_taken
         self.targets = targets
+        self.excluded = excluded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2309,6 +2334,16 @@
                     self.targets = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem138)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2343,6 +2378,13 @@
             oprot.writeFieldBegin('targets', TType.I32, 6)
             oprot.writeI32(self.targets)
             oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter139 in self.excluded:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2357,6 +2399,8 @@
             raise TProtocolException(message='Required field not_taken is unset!')
         if self.targets is None:
             raise TProtocolException(message='Required field targets is unset!')
+        if self.excluded is None:
+            raise TProtocolException(message='Required field excluded is unset!')
         return
 
     def __repr__(self):
@@ -2681,6 +2725,7 @@
     (2, TType.LIST, 'headers', (TType.STRUCT, [HopField, None], False), None, ),  # 2
     (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'software', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(HopRefusal)
 HopRefusal.thrift_spec = (
@@ -2691,6 +2736,7 @@
     (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
     (5, TType.BOOL, 'not_taken', None, None, ),  # 5
     (6, TType.I32, 'targets', None, None, ),  # 6
+    (7, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(HopFrame)
 HopFrame.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -212,6 +212,8 @@
   3: required string target,
   // Version of its software.
   4: required string software,
+  // Ids of further targets that the request is not sent to again.
+  5: required list<string> excluded,
 }
 
 // Refusal of a request by the peer itself.
@@ -224,6 +226,8 @@
   5: required bool not_taken,
   // Number of targets that the request has reached.
   6: required i32 targets,
+  // Ids of targets that it is not sent to again.
+  7: required list<string> excluded,
 }
 
 // One frame of a connection for requests. Either side sends the next one of
