Let a stream that goes on at a peer pass its admission

Over the stand-in of cut links, callers whose resumable streams hung in a cut got an answer that broke off: the peer refused the rest of the stream, as the whole of it would not have been ready before the deadline. A stream that goes on was admitted when it began; an instance that resumes one over its own links does not ask the queue either. The peer now chooses an engine at once. The links are looked at every 0.25 s of a silence, not every 0.5 s.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -309,11 +309,6 @@
             extra={"address": self.settings.caller_address},
         )
 
-    def set_links(self, links: detour.Links) -> None:
-        """Replace what is known of the links to the targets; for tests."""
-        self.links = self.handler_context.links = links
-        self.detours.links = links
-
     def _replace_instances(
         self, records: tuple[_ports.KeyedRecord, ...], offset: int
     ) -> None:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -18,6 +18,8 @@
 #: another engine, in seconds; callers abandon a stream after two seconds or
 #: more, see ``Route.patience_s``.
 MAX_SILENCE_S = 1.5
+#: Time between two looks at the links during a silence, in seconds.
+LOOK_PERIOD_S = 0.25
 
 
 class Stream:
@@ -43,13 +45,12 @@
     def run(self, route: decisions.Route | None) -> None:
         """Serve the stream by ``route``; try other engines if allowed.
 
-        ``None`` leaves it to a peer. Raises :class:`GatewayRefusedError` if
-        no engine finishes it.
+        ``None`` leaves the choice to the path, or the stream to a peer.
+        Raises :class:`GatewayRefusedError` if no engine finishes it.
         """
         path: _stream_path.StreamWay | None = None
         try:
-            first = self._new_path(route) if route else self._new_detour()
-            path, piece = self._follow(first)
+            path, piece = self._follow(self._new_path(route))
             while True:
                 self._relay.forward(path.source, piece)
                 if piece.ended:
@@ -109,12 +110,14 @@
         """
         silent_s = 0.0
         while silent_s < MAX_SILENCE_S:
-            piece = path.read(_context.LOST_SILENCE_S)
+            piece = path.read(LOOK_PERIOD_S)
             if piece is not None or path.failed:
                 return piece
-            silent_s += _context.LOST_SILENCE_S
-            own_link = not isinstance(path, _stream_detour.StreamDetour)
-            if own_link and _context.needs_detour(self._ctx, self._job):
+            silent_s += LOOK_PERIOD_S
+            if isinstance(path, _stream_detour.StreamDetour):
+                continue
+            lost = _context.needs_detour(self._ctx, self._job)
+            if lost and silent_s >= _context.LOST_SILENCE_S:
                 return None
         return None
 
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -56,7 +56,11 @@
             software=software,
             avoid=self._avoided(job, pool, software),
         )
-        if _context.needs_detour(self._ctx, job):
+        handed_on = job.req.handed_on
+        resumes = handed_on is not None and not handed_on.begins
+        if resumes or _context.needs_detour(self._ctx, job):
+            # A stream that goes on has been admitted, and a peer admits
+            # those that are handed on.
             _stream.Stream(self._ctx, job, pool, profile).run(None)
             return
         account = job.route.name
@@ -76,8 +80,7 @@
             job.queued = False
         except _exceptions.RefusedError as exc:
             raise _context.dispatcher_refusal(exc) from exc
-        if job.req.handed_on is None or job.req.handed_on.begins:
-            self._check_patience(job, pool, profile, route)
+        self._check_patience(job, pool, profile, route)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
     def _avoided(
