Wait for a verdict on the links before a refusal

In the first half second of a cut it is not known yet that only this instance does not reach the targets, and requests that could not be sent were refused. Such a request now waits until that is decided (Links.await_verdict) and goes to a peer if it is so.

Measured: the new cases of test_a_request_that_reached_no_target fail on the code before; 12 of 12 pass.

--- a/agatewing/detour/_detours.py
+++ b/agatewing/detour/_detours.py
@@ -32,6 +32,9 @@
     def reaching(self, service: str) -> collections.abc.Sequence[str]:
         """Return the names of peers that reach them, best first."""
 
+    def await_verdict(self, service: str, name: str) -> bool:
+        """Return whether only peers reach a target; wait if that is open."""
+
 
 class NoLinksLost:
     """Links of which none is ever lost."""
@@ -46,6 +49,10 @@
         """Return no peer."""
         return ()
 
+    def await_verdict(self, service: str, name: str) -> bool:
+        """Return ``False``."""
+        return False
+
 
 class Peer(typing.Protocol):
     """Entry of a peer in the log."""
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -320,12 +320,21 @@
 
 
 def may_go_on_at_peer(ctx: HandlerContext, job: Job) -> bool:
-    """Return whether a peer may serve a request that failed here."""
+    """Return whether a peer may serve a request that failed here.
+
+    Waits for a short time if targets were not reached and it is not known
+    yet whether peers reach them.
+    """
     attempts = job.attempts
     if attempts.maybe_ran and not attempts.idempotent:
         return False
     if attempts.targets >= attempts.max_targets:
         return False
+    if job.req.handed_on is None and not job.detours_over:
+        # Nothing may be known yet of links that have just failed.
+        for target in sorted(job.unreached):
+            if ctx.links.await_verdict(job.service, target):
+                break
     if ctx.clock.monotonic() >= job.deadline:
         return False
     return needs_detour(ctx, job)
--- a/agatewing/platform/tests/test_detours.py
+++ b/agatewing/platform/tests/test_detours.py
@@ -43,6 +43,9 @@
         self._reaching = reaching
         #: Services whose targets are not reached.
         self.services = {"ledger", "chat", "split"}
+        #: Services of which that becomes known, and after how many seconds.
+        self.to_be_lost: set[str] = set()
+        self.verdict_after_s = 0.0
 
     def lost(self, service: str) -> bool:
         return service in self.services
@@ -50,6 +53,11 @@
     def reaching(self, service: str) -> collections.abc.Sequence[str]:
         return self._reaching
 
+    def await_verdict(self, service: str, name: str) -> bool:
+        gevent.sleep(self.verdict_after_s)
+        self.services |= self.to_be_lost
+        return self.lost(service)
+
 
 def cut(instance: gateway.GatewayInstance, *reaching: str) -> LostLinks:
     """Tell an instance that only the given peers reach the targets."""
@@ -633,14 +641,21 @@
     assert second.server.hops_served == {"answered": 1}
 
 
-# A request whose connection could not be opened was refused.
+# A request whose connection could not be opened was refused, also while it
+# was not known yet that only this instance does not reach the targets.
+@pytest.mark.parametrize("known_at_once", [True, False])
 @pytest.mark.parametrize("path", ROUTES)
 def test_a_request_that_reached_no_target_goes_to_a_peer(
-    site: standins.Site, monkeypatch: pytest.MonkeyPatch, path: str
+    site: standins.Site,
+    monkeypatch: pytest.MonkeyPatch,
+    path: str,
+    known_at_once: bool,
 ) -> None:
     first, second = _every_route.start_ready(site, "i1", "i2")
     links = cut(first, "i2")
     links.services.clear()
+    links.verdict_after_s = 0.3
+    links.to_be_lost = {"ledger", "chat", "split"}
     pools = {t.channels for t in first.registry.by_id.values()}
     acquire = _channel.ChannelPool.acquire
 
@@ -649,7 +664,8 @@
     ) -> _channel.Channel:
         if pool not in pools:
             return acquire(pool, max_idle_s, timeout_s)
-        links.services.update(("ledger", "chat", "split"))
+        if known_at_once:
+            links.services.update(("ledger", "chat", "split"))
         raise _channel.ConnectError("timed out")
 
     monkeypatch.setattr(_channel.ChannelPool, "acquire", fail)
