Keep the beginning of a frame when a wait for its rest ends

A stream that came through a peer is read in waits of 0.25 s. A wait that ended inside a frame lost what had arrived of it; the next frame was then read from its middle and the answer broke off. The bytes are now kept with the connection.

Idle connections to peers are closed after 10 s, also when no request is handed on any more, and a connection breaks only after data was not read for 10 s, as long as a caller may hold up a stream.

--- a/agatewing/detour/_hop_client.py
+++ b/agatewing/detour/_hop_client.py
@@ -155,12 +155,14 @@
 class _Pool:
     """Idle connections to one peer."""
 
-    __slots__ = ("_clock", "_idle")
+    __slots__ = ("_clock", "_idle", "_expiry")
 
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
         # With the monotonic time since which it idles, in seconds.
         self._idle: list[tuple[_session.Session, float]] = []
+        # Closes those that idle for too long.
+        self._expiry: gevent.Greenlet | None = None
 
     def take(self) -> _session.Session | None:
         """Remove and return an open connection; ``None`` without one."""
@@ -176,9 +178,20 @@
         """Keep a connection for another request."""
         if len(self._idle) < MAX_IDLE:
             self._idle.append((session, self._clock.monotonic()))
+            if not self._expiry:
+                self._expiry = gevent.spawn(self._expire)
         else:
             session.close()
 
+    def _expire(self) -> None:
+        """Close connections that idle for too long, until none is left."""
+        while self._idle:
+            self._clock.sleep(MAX_IDLE_S)
+            now = self._clock.monotonic()
+            while self._idle and now - self._idle[0][1] >= MAX_IDLE_S:
+                session, _ = self._idle.pop(0)
+                session.close()
+
     def close(self) -> None:
         """Close all connections."""
         for session, _ in self._idle:
--- a/agatewing/detour/_session.py
+++ b/agatewing/detour/_session.py
@@ -22,8 +22,12 @@
 PART_BYTES = 262_144
 #: Largest frame, in bytes: a piece of a body, or a head with its headers.
 MAX_FRAME_BYTES = PART_BYTES + 65_536
-#: Time after which unacknowledged data breaks a connection, in milliseconds.
-TCP_USER_TIMEOUT_MS = 4_000
+#: Largest number of bytes read from a connection at once.
+READ_BYTES = 65_536
+#: Time after which data that is not acknowledged, or that the other side does
+#: not read, breaks a connection, in milliseconds; as long as a write to a
+#: caller may take, whose pause holds up that of the peer.
+TCP_USER_TIMEOUT_MS = 10_000
 _CALLING = b"c"
 _SERVING = b"s"
 
@@ -35,7 +39,15 @@
 class Session:
     """One side of a connection, once both nonces are known."""
 
-    __slots__ = ("_sock", "_codec", "_own", "_other", "_sent", "_received")
+    __slots__ = (
+        "_sock",
+        "_codec",
+        "_own",
+        "_other",
+        "_sent",
+        "_received",
+        "_unread",
+    )
 
     def __init__(
         self,
@@ -51,6 +63,9 @@
         self._other = other + nonces
         self._sent = 0
         self._received = 0
+        # Bytes of a frame that has not arrived whole. They are kept here, as
+        # a timeout may end a wait for the rest.
+        self._unread = bytearray()
 
     def send(self, **members: object) -> None:
         """Send a frame with the given members.
@@ -69,12 +84,10 @@
     def receive(self) -> wire.HopFrame:
         """Return the next frame of the other side.
 
-        Raises :class:`BrokenError` if there is none or it is not valid.
+        Raises :class:`BrokenError` if there is none or it is not valid. A
+        wait that is interrupted may go on with another call.
         """
-        try:
-            data = wire.read_frame(self._sock, limit=MAX_FRAME_BYTES)
-        except (OSError, ValueError) as exc:
-            raise BrokenError(str(exc)) from exc
+        data = self._receive_frame()
         match self._codec.decode(wire.HopFrame, data):
             case result.Ok(frame):
                 pass
@@ -85,10 +98,32 @@
             raise BrokenError("the frame belongs to another connection")
         return frame
 
+    def _receive_frame(self) -> bytes:
+        head = wire.LENGTH_BYTES
+        self._receive_up_to(head)
+        length = int.from_bytes(self._unread[:head], "big")
+        if length > MAX_FRAME_BYTES:
+            raise BrokenError(f"a frame of {length} bytes is too long")
+        self._receive_up_to(head + length)
+        data = bytes(self._unread[head : head + length])
+        del self._unread[: head + length]
+        return data
+
+    def _receive_up_to(self, count: int) -> None:
+        """Receive until ``count`` bytes are unread."""
+        while len(self._unread) < count:
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError as exc:
+                raise BrokenError(str(exc)) from exc
+            if not data:
+                raise BrokenError("the connection ended")
+            self._unread += data
+
     @property
     def open_and_drained(self) -> bool:
         """Whether the connection is open and nothing has arrived on it."""
-        return self._peek() is None
+        return not self._unread and self._peek() is None
 
     def wait_for_input(self) -> bool:
         """Wait for bytes; return ``False`` if the connection ends instead."""
--- a/agatewing/detour/tests/test_hops.py
+++ b/agatewing/detour/tests/test_hops.py
@@ -12,6 +12,7 @@
 
 from agatewing import _clock
 from agatewing import detour
+from agatewing.detour import _hop_client
 from agatewing.detour import _hop_server
 from agatewing.detour import _session
 from agatewing import wire
@@ -364,6 +365,37 @@
         serving.receive()
 
 
+# What had arrived of a frame was lost when the wait for its rest ended.
+def test_a_frame_may_arrive_in_parts_between_waits() -> None:
+    here, there = gevent.socket.socketpair()
+    codec = wire.Codec(SECRET)
+    nonces = bytes(2 * _session.NONCE_BYTES)
+    serving = _session.Session(there, codec, nonces, serves=True)
+    pool = _hop_client._Pool(CLOCK)
+    calling = _session.Session(here, codec, nonces, serves=False)
+    hop = detour.Hop(calling, CLOCK, pool)
+    serving.send(data=b"whole event")
+    data = here.recv(65_536)
+    for part in (data[:2], data[2:9], data[9:30], data[30:]):
+        with pytest.raises(detour.DeadlineExceededError):
+            hop.read_piece(deadline(0.01))
+        there.sendall(part)
+    assert hop.read_piece(deadline()) == b"whole event"
+
+
+def test_idle_connections_are_closed_after_a_while(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_hop_client, "MAX_IDLE_S", 0.05)
+    with peer() as served:
+        hop = client().open(served.address, request(), 1.0)
+        hop.send_body(b"", deadline())
+        assert read_body(hop) == b""
+        hop.release()
+        wait(lambda: served.errors)
+        assert served.errors == ["the connection ended"]
+
+
 # A frame was accepted by the side that had sent it.
 def test_a_frame_is_not_valid_in_the_other_direction() -> None:
     here, there = gevent.socket.socketpair()
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from agatewing.wire._codec import Codec
 from agatewing.wire._codec import MAX_MESSAGE_BYTES
+from agatewing.wire._frames import LENGTH_BYTES
 from agatewing.wire._frames import read_frame
 from agatewing.wire._frames import send_frame
 from agatewing.wire.gen.peer.ttypes import CrashSuspect
