--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -63,7 +63,7 @@
     #: Prefix blocks and requests on which targets crash.
     quarantine: _quarantine.Quarantine
     #: This instance's own paths to targets.
-    links: detour.LinkWatch
+    links: detour.Links
     #: Requests that peers serve for this instance.
     detours: detour.Detours
     #: Availability zone of this instance.
