Heed why a peer gave a request up

A peer that lost its links after it had taken a request named the targets that it could not connect to among those to avoid, so that the next peer found none left. And a request that a peer gave up, as targets crash on it or no retry was left, was handed on again.

Refusals no longer name targets that were not reached. They say whether only the number of targets ended the request, after it is known whether the last one crashed; otherwise the peer's refusal is final.

--- a/agatewing/gateway/_detour.py
+++ b/agatewing/gateway/_detour.py
@@ -256,7 +256,8 @@
                 outcome = _messages.TimedOut(refusal.detail)
             else:
                 outcome = _messages.Unknown(refusal.detail)
-            self.fail(outcome, max(1, refusal.targets), own)
+            may_go_on = refusal.may_go_on
+            self.fail(outcome, max(1, refusal.targets), own, may_go_on)
             return
         if not self.counted:
             attempts.targets += refusal.targets
@@ -277,12 +278,14 @@
         outcome: _messages.Unknown | _messages.TimedOut,
         targets: int | None = None,
         refusal: _refusals.GatewayRefusal | None = None,
+        may_go_on: bool = True,
     ) -> None:
         """Record that the peer's answer failed; prepare another send.
 
         ``targets`` is the number of targets that it reached, ``refusal`` that
-        of the peer. Raises :class:`GatewayRefusedError` if the request may
-        not be sent again or another path is open.
+        of the peer, ``may_go_on`` whether it lets the request reach further
+        targets. Raises :class:`GatewayRefusedError` if the request may not be
+        sent again or another path is open.
         """
         job, attempts = self._job, self._job.attempts
         peer, self._peer = self._peer, ""
@@ -309,7 +312,8 @@
         )
         if self._ctx.clock.monotonic() >= job.deadline:
             raise _context.deadline_error(job, outcome.reason)
-        if step is not decisions.NextStep.ANOTHER or self._others():
+        another = may_go_on and step is decisions.NextStep.ANOTHER
+        if not another or self._others():
             if refusal is not None:
                 raise _refusals.GatewayRefusedError(refusal)
             raise _context.give_up_error(job, outcome.reason)
--- a/agatewing/gateway/_hop_conn.py
+++ b/agatewing/gateway/_hop_conn.py
@@ -192,12 +192,28 @@
                     not_taken=not_taken,
                     targets=targets,
                     excluded=self._excluded(),
+                    may_go_on=self._may_go_on(),
                 )
             )
 
+    def _may_go_on(self) -> bool:
+        """Return whether only the number of targets ended the request.
+
+        Waits until it is known whether the last one crashed.
+        """
+        job = self.job
+        if job is None or job.attempts.targets < job.attempts.max_targets:
+            return False
+        return self._ctx.quarantine.may_be_sent_again(job.req, job.check)
+
     def _excluded(self) -> list[str]:
-        """Return the ids of targets that the request is not sent to again."""
-        return sorted(self.job.excluded) if self.job is not None else []
+        """Return the ids of targets that the request is not sent to again.
+
+        Without those that only this instance did not reach.
+        """
+        if self.job is None:
+            return []
+        return sorted(self.job.excluded - self.job.unreached)
 
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
--- a/agatewing/platform/tests/_standin_peer.py
+++ b/agatewing/platform/tests/_standin_peer.py
@@ -55,8 +55,8 @@
         self._server.start()
         #: Behaviour for each of the next requests; ANSWER once it is empty.
         self.script: collections.deque[Act] = collections.deque()
-        #: Refusal of each request; ``None`` to follow the script.
-        self.refusal: wire.HopRefusal | None = None
+        #: Refusals of the next requests; it follows the script without one.
+        self.refusals: collections.deque[wire.HopRefusal] = collections.deque()
         #: Requests that it was offered, and those that it may have run.
         self.offered: list[wire.HopRequest] = []
         self.taken: list[wire.HopRequest] = []
@@ -110,8 +110,8 @@
                 return False
         answer.take(offered)
         self.taken.append(offered)
-        if self.refusal is not None:
-            answer.refuse(self.refusal)
+        if self.refusals:
+            answer.refuse(self.refusals.popleft())
             return True
         watch = answer.watch(self._record_left)
         try:
@@ -168,6 +168,7 @@
     targets: int = 0,
     kind: str = "overloaded",
     retry_after_s: float | None = 0.75,
+    may_go_on: bool = False,
 ) -> wire.HopRefusal:
     """Return a refusal of a peer."""
     return wire.HopRefusal(
@@ -178,6 +179,7 @@
         not_taken=not_taken,
         targets=targets,
         excluded=[],
+        may_go_on=may_go_on,
     )
 
 
--- a/agatewing/platform/tests/test_detours.py
+++ b/agatewing/platform/tests/test_detours.py
@@ -363,8 +363,10 @@
     (first,) = _every_route.start_ready(site, "i1")
     with peers_of(first, "p1", "p2") as peers:
         for peer in peers:
-            peer.refusal = _standin_peer.refusal(
-                status, "of the peer", False, 1, kind, after_s
+            peer.refusals.append(
+                _standin_peer.refusal(
+                    status, "of the peer", False, 1, kind, after_s
+                )
             )
         reply, _ = ask(site, first, path)
         assert reply.status == status
@@ -374,6 +376,76 @@
         assert sum(len(peer.taken) for peer in peers) == 1
 
 
+GOES_ON = {
+    "ran out of targets": (True, 2, 200),
+    # For instance as targets crash on the request, or no retry is left.
+    "gave the request up": (False, 1, 502),
+}
+
+
+@pytest.mark.parametrize("path", ["/look/x", "/talk/x"])
+@pytest.mark.parametrize("name", GOES_ON)
+def test_a_request_goes_on_after_a_peer_if_that_lets_it(
+    site: standins.Site, path: str, name: str
+) -> None:
+    may_go_on, taken, status = GOES_ON[name]
+    (first,) = _every_route.start_ready(site, "i1")
+    with peers_of(first, "p1", "p2") as peers:
+        refusal = _standin_peer.refusal(
+            502, "failed", targets=1, may_go_on=may_go_on
+        )
+        refusals = collections.deque([refusal])
+        for peer in peers:
+            peer.refusals = refusals
+        reply, _ = ask(site, first, path)
+        assert reply.status == status
+        assert sum(len(peer.taken) for peer in peers) == taken
+
+
+# The instance sent a request again on which the peer's target had crashed.
+def test_a_request_that_crashes_targets_reaches_no_more_through_peers(
+    site: standins.Site,
+) -> None:
+    first, second = _every_route.start_ready(site, "i1", "i2")
+    site.crash_requests.add(standins.CrashRequest("/look/x"))
+    counts = []
+    for instance in (second, first):
+        cut(first, "i2")
+        before = len(site.crashed)
+        reply, request_id = ask(site, instance, "/look/x")
+        assert reply.status in (502, 503)
+        counts.append(len(site.crashed) - before)
+        site.wait(lambda: len(second.registry.pools["ledger"].engines) == 2)
+    assert counts[1] <= counts[0]
+
+
+# A peer that lost its links after it had taken a request let it fail.
+@pytest.mark.parametrize("path", ["/pay/x", "/draft/x", "/talk/x"])
+def test_a_peer_loses_its_links_with_a_request(
+    site: standins.Site, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    first, second, third = _every_route.start_ready(site, "i1", "i2", "i3")
+    cut(first, "i2")
+    pools = {t.channels for t in second.registry.by_id.values()}
+    acquire = _channel.ChannelPool.acquire
+
+    def fail(
+        pool: _channel.ChannelPool, max_idle_s: float, timeout_s: float
+    ) -> _channel.Channel:
+        if pool not in pools:
+            return acquire(pool, max_idle_s, timeout_s)
+        cut(second, "i3")
+        cut(first, "i3")
+        raise _channel.ConnectError("timed out")
+
+    monkeypatch.setattr(_channel.ChannelPool, "acquire", fail)
+    reply, request_id = ask(site, first, path)
+    assert (reply.status, reply.complete) == (200, True)
+    assert runs(site, request_id) == 1
+    assert second.server.hops_served == {"refused": 1}
+    assert third.server.hops_served == {"answered": 1}
+
+
 # A refusal said that a request had not run, which an earlier peer may have.
 def test_a_refusal_after_an_unknown_outcome_promises_nothing(
     site: standins.Site,
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -2272,6 +2272,7 @@
      - not_taken
      - targets
      - excluded
+     - may_go_on
 
     """
 
@@ -2283,10 +2284,11 @@
         'not_taken',
         'targets',
         'excluded',
+        'may_go_on',
     )
 
 
-    def __init__(self, status=None, kind=None, detail=None, retry_after_s=None, not_taken=None, targets=None, excluded=None,):
+    def __init__(self, status=None, kind=None, detail=None, retry_after_s=None, not_taken=None, targets=None, excluded=None, may_go_on=None,):
         self.status = status
         self.kind = kind
         self.detail = detail
@@ -2294,6 +2296,7 @@
         self.not_taken = not_taken
         self.targets = targets
         self.excluded = excluded
+        self.may_go_on = may_go_on
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2344,6 +2347,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.may_go_on = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2385,6 +2393,10 @@
                 oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.may_go_on is not None:
+            oprot.writeFieldBegin('may_go_on', TType.BOOL, 8)
+            oprot.writeBool(self.may_go_on)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2401,6 +2413,8 @@
             raise TProtocolException(message='Required field targets is unset!')
         if self.excluded is None:
             raise TProtocolException(message='Required field excluded is unset!')
+        if self.may_go_on is None:
+            raise TProtocolException(message='Required field may_go_on is unset!')
         return
 
     def __repr__(self):
@@ -2737,6 +2751,7 @@
     (5, TType.BOOL, 'not_taken', None, None, ),  # 5
     (6, TType.I32, 'targets', None, None, ),  # 6
     (7, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.BOOL, 'may_go_on', None, None, ),  # 8
 )
 all_structs.append(HopFrame)
 HopFrame.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -228,6 +228,9 @@
   6: required i32 targets,
   // Ids of targets that it is not sent to again.
   7: required list<string> excluded,
+  // Whether the peer has only run out of the targets that it was allowed, so
+  // that a request that may be repeated may reach further ones.
+  8: required bool may_go_on,
 }
 
 // One frame of a connection for requests. Either side sends the next one of
