Bound the wait for verdicts before a refusal

Each target that was not reached could hold a refusal up by another wait for a verdict. The wait for all of them is bounded now.

Measured: test_a_refusal_waits_for_one_verdict_only passes.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -34,6 +34,9 @@
 #: Time without an answer after which a target counts as silent while this
 #: instance does not reach it, in seconds. Open connections may still work.
 LOST_SILENCE_S = 0.5
+#: Time after which no further verdict on the links is awaited before a request
+#: is refused, in seconds.
+VERDICT_WAIT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -332,9 +335,12 @@
         return False
     if job.req.handed_on is None and not job.detours_over:
         # Nothing may be known yet of links that have just failed.
+        give_up_at = ctx.clock.monotonic() + VERDICT_WAIT_S
         for target in sorted(job.unreached):
             if ctx.links.await_verdict(job.service, target):
                 break
+            if ctx.clock.monotonic() >= give_up_at:
+                break
     if ctx.clock.monotonic() >= job.deadline:
         return False
     return needs_detour(ctx, job)
--- a/agatewing/platform/tests/test_detours.py
+++ b/agatewing/platform/tests/test_detours.py
@@ -46,6 +46,7 @@
         #: Services of which that becomes known, and after how many seconds.
         self.to_be_lost: set[str] = set()
         self.verdict_after_s = 0.0
+        self.verdicts_awaited = 0
 
     def lost(self, service: str) -> bool:
         return service in self.services
@@ -54,6 +55,7 @@
         return self._reaching
 
     def await_verdict(self, service: str, name: str) -> bool:
+        self.verdicts_awaited += 1
         gevent.sleep(self.verdict_after_s)
         self.services |= self.to_be_lost
         return self.lost(service)
@@ -747,6 +749,27 @@
     assert second.server.hops_served == {"answered": 1}
 
 
+# Each target that was not reached held the refusal up once more.
+def test_a_refusal_waits_for_one_verdict_only(
+    site: standins.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    (first,) = _every_route.start_ready(site, "i1")
+    for number in range(3, 9):
+        site.add_target(f"t{number}", "ledger", None)
+    site.wait(lambda: len(first.registry.pools["ledger"].engines) == 8)
+    links = cut(first)
+    links.services.clear()
+    links.verdict_after_s = 0.3
+
+    def fail(*args: object) -> _channel.Channel:
+        raise _channel.ConnectError("refused")
+
+    monkeypatch.setattr(_channel.ChannelPool, "acquire", fail)
+    reply, _ = ask(site, first, "/pay/x")
+    assert reply.status == 503
+    assert links.verdicts_awaited == 2
+
+
 # A stream that a caller took up went to an engine of another version.
 def test_a_stream_is_taken_up_through_a_peer_at_its_version(
     site: standins.Site,
