Decide on lost paths by concurrent evidence only

Cause: while nobody reached a service, instances took their own paths for lost in 3 of 5 runs of test_no_links_are_lost (the cases in which nobody reaches anything, or a target refuses everyone): the first bytes on a connection that was opened before counted as a new connection, and a peer that was first after the links had healed as one during the cut.

Change: an own attempt has to fail beside the connection of a peer, bytes prove the time at which their connection was opened, and two peers have to miss a target before it counts as being at fault itself. A service whose targets are all silent is probed at three of them.

--- a/agatewing/decisions/_link_evidence.py
+++ b/agatewing/decisions/_link_evidence.py
@@ -19,10 +19,6 @@
 
 #: Age up to which a peer's view of a target counts, in seconds.
 PEER_VIEW_S = 4.0
-#: Largest time between a connection of a peer that was accepted and a later
-#: start of an own attempt that failed, in seconds; a target that crashes and
-#: comes back is not accused of a lost path.
-CONCURRENT_S = 0.8
 
 _NEVER = float("-inf")
 
@@ -38,6 +34,16 @@
     RESET = "reset"
 
 
+#: Largest time between the start of an own attempt that failed and a later
+#: connection of a peer, in seconds: targets that come back, and links that
+#: heal for everyone, are often reached by a peer first.
+CONCURRENT_S = {
+    LinkFailure.TIMED_OUT: 0.1,
+    LinkFailure.REFUSED: 0.02,
+    LinkFailure.RESET: 0.02,
+}
+
+
 class LinkEvidence:
     """Attempts to connect to one target, and what was heard from it.
 
@@ -80,11 +86,15 @@
         self._failures.append((started_at, kind))
         del self._failures[:-MAX_FAILURES]
 
-    def record_heard(self, now: float, first: bool = False) -> None:
-        """Record bytes from the target; ``first`` on a new connection."""
+    def record_heard(self, now: float, opened_at: float = _NEVER) -> None:
+        """Record bytes from the target.
+
+        ``opened_at`` is the time at which a connection was opened that they
+        are the first on.
+        """
         self.heard_at = now
-        if first:
-            self._accept(now)
+        if opened_at > self.accepted_at:
+            self._accept(opened_at)
 
     def settle(self, now: float) -> None:
         """Count a connection as accepted if it has been open long enough."""
@@ -113,10 +123,15 @@
         """
         return min((at for at, _ in self._failures), default=float("inf"))
 
-    @property
-    def last_failed_at(self) -> float:
-        """Start of the last such attempt; negative infinity without one."""
-        return max((at for at, _ in self._failures), default=_NEVER)
+    def failed_beside(self, at: float) -> bool:
+        """Return whether an attempt failed that was in progress at a time.
+
+        One that was refused or reset was over at once.
+        """
+        return any(
+            started_at >= at - CONCURRENT_S[kind]
+            for started_at, kind in self._failures
+        )
 
     @property
     def kinds(self) -> set[LinkFailure]:
@@ -170,20 +185,26 @@
 
 def judge_links(
     links: collections.abc.Mapping[str, LinkEvidence],
-    peers_reached: collections.abc.Mapping[str, float],
+    peers_reached: collections.abc.Mapping[
+        str, collections.abc.Sequence[float]
+    ],
     now: float,
+    lost_before: collections.abc.Container[str] = (),
 ) -> LinkVerdict:
     """Return the verdict about a service.
 
-    ``links`` has the active targets by id, ``peers_reached`` the time at
-    which a peer last opened a connection to a target.
+    ``links`` has the active targets by id, ``peers_reached`` the times
+    at which peers opened connections to a target, ``lost_before`` the
+    targets that were lost by the verdict before.
     """
     since = unreached_since(list(links.values()))
     failures = {
         name: link.failures
         for name, link in links.items()
         if name in peers_reached
-        and _is_reached_by_peers(link, peers_reached[name], now)
+        and _is_reached_by_peers(
+            link, peers_reached[name], now, name in lost_before
+        )
     }
     total = sum(link.failures for link in links.values())
     # One lost packet is no lost path, but several targets that fail once prove
@@ -196,12 +217,15 @@
 
 
 def _is_reached_by_peers(
-    link: LinkEvidence, peer_reached_at: float, now: float
+    link: LinkEvidence,
+    reached_at: collections.abc.Sequence[float],
+    now: float,
+    lost_before: bool,
 ) -> bool:
     """Return whether a peer reached a target while attempts failed here."""
-    return (
-        link.failures > 0
-        and peer_reached_at >= link.failing_since
-        and link.last_failed_at >= peer_reached_at - CONCURRENT_S
-        and now - peer_reached_at <= PEER_VIEW_S
+    if not link.failures or now - max(reached_at) > PEER_VIEW_S:
+        return False
+    return lost_before or any(
+        at >= link.failing_since and link.failed_beside(at)
+        for at in reached_at
     )
--- a/agatewing/detour/_link_exchange.py
+++ b/agatewing/detour/_link_exchange.py
@@ -26,6 +26,8 @@
 LINK_STREAM = "gateway-links"
 #: Largest number of targets in one question.
 MAX_TARGETS = 4
+#: Number of connections of peers that are kept for each target.
+MAX_TIMES = 8
 #: Age up to which a connection of the past answers a question, in seconds.
 RECENT_S = 0.1
 #: Age up to which the answer of a peer counts, in seconds.
@@ -149,16 +151,16 @@
         self._targets_of = targets_of
         # Answers by name of the peer.
         self._views: dict[str, PeerView] = {}
-        # Monotonic time at which a peer last reached a target, in seconds, by
-        # its id.
-        self._reached_at: dict[str, float] = {}
+        # Monotonic times at which peers last reached a target, in seconds,
+        # by its id, oldest first.
+        self._reached_at: dict[str, list[float]] = {}
         #: Number of questions sent.
         self.questions = 0
 
     def reached_at(
         self, names: collections.abc.Iterable[str]
-    ) -> dict[str, float]:
-        """Return when a peer last reached targets, as monotonic times."""
+    ) -> dict[str, list[float]]:
+        """Return when peers reached targets, as monotonic times."""
         return {
             name: self._reached_at[name]
             for name in names
@@ -257,16 +259,18 @@
             view.reached.pop(question.service, None)
         for name, age_ms in answer.reached.items():
             at = now - age_ms / 1_000
-            self._reached_at[name] = max(at, self._reached_at.get(name, at))
+            times = self._reached_at.setdefault(name, [])
+            times.append(at)
+            del times[:-MAX_TIMES]
         return bool(answer.reached)
 
     def forget(self) -> None:
         """Drop what no longer counts."""
         valid_from = self._clock.monotonic() - ANSWER_VALID_S
         self._reached_at = {
-            name: at
-            for name, at in self._reached_at.items()
-            if at >= valid_from
+            name: times
+            for name, times in self._reached_at.items()
+            if max(times) >= valid_from
         }
         self._views = {
             name: view
--- a/agatewing/detour/_link_probe.py
+++ b/agatewing/detour/_link_probe.py
@@ -80,6 +80,13 @@
     try:
         return not sock.recv(1, socket.MSG_PEEK)
     except TimeoutError:
+        pass
+    except OSError:
+        return True
+    # After a standstill of the process, the timeout may come first.
+    try:
+        return not sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
         return False
     except OSError:
         return True
--- a/agatewing/detour/_link_recorder.py
+++ b/agatewing/detour/_link_recorder.py
@@ -71,6 +71,7 @@
         "_usual_s",
         "lost",
         "lost_until",
+        "unclear",
         "quiet_until",
     )
 
@@ -86,6 +87,8 @@
         self.lost = False
         #: Monotonic time of the end of the last such time, in seconds.
         self.lost_until = float("-inf")
+        #: Whether an attempt or a connection failed that no verdict explains.
+        self.unclear = False
         #: Monotonic time until which its failures call for no look, in
         #: seconds, as peers do not reach it either.
         self.quiet_until = float("-inf")
@@ -111,14 +114,18 @@
             self.silent_since = self._recorder.now()
             self._recorder.watch_silence(self)
 
-    def record_heard(self, first: bool) -> None:
-        """Record received bytes; ``first`` are those of a new connection."""
+    def record_heard(self, opened_at: float) -> None:
+        """Record received bytes.
+
+        ``opened_at`` is the time at which their connection was opened if they
+        are the first on it, and negative infinity otherwise.
+        """
         now = self._recorder.now()
         if self.silent_since != float("inf"):
             taken_s = now - self.silent_since
             self._usual_s += USUAL_ALPHA * (taken_s - self._usual_s)
             self._recorder.forget_silence(self)
-        self.evidence.record_heard(now, first)
+        self.evidence.record_heard(now, opened_at)
 
     @property
     def slow_at(self) -> float:
@@ -222,6 +229,7 @@
             self._report(attempt.link)
 
     def _report(self, link: TargetLink) -> None:
+        link.unclear = self.now() >= link.quiet_until and not link.lost
         self.broken[link] = None
         self.changed.set()
 
--- a/agatewing/detour/_link_watch.py
+++ b/agatewing/detour/_link_watch.py
@@ -41,6 +41,9 @@
 #: and others.
 FAILED_PROBES = 2
 OTHER_PROBES = 2
+#: Number of targets probed of a service whose targets are all silent; if all
+#: fail, the answers of peers decide.
+SILENT_PROBES = decisions.MIN_FAILURES + 1
 #: Largest number of targets probed at once when the first of a service is
 #: found lost, or is reached again.
 MAX_SWEEP = 64
@@ -82,8 +85,8 @@
     reported: set[_link_recorder.TargetLink] = dataclasses.field(
         default_factory=set
     )
-    #: Whether a peer that reaches the service answered in the last round, or
-    #: there is none to ask.
+    #: Whether enough peers that reach the service answered in the last round,
+    #: or there is none to ask.
     answered: bool = False
     #: Whether nothing more is to be found out.
     over: bool = False
@@ -168,23 +171,27 @@
         """Return names of peers that reach a service, latest answers first."""
         return self._exchange.reaching(service)
 
+    def unclear(self, service: str, name: str) -> bool:
+        """Return whether a verdict about the path to a target is awaited."""
+        target = self._targets_of(service).get(name)
+        return target is not None and target.link.unclear
+
     def await_verdict(self, service: str, name: str) -> bool:
         """Return whether the path to a target is lost.
 
-        Waits for a verdict if the last attempt to reach it failed,
-        ``VERDICT_S`` at most.
+        Waits for a verdict if one is awaited, ``VERDICT_S`` at most.
         """
         target = self._targets_of(service).get(name)
         if target is None:
             return False
         link = target.link
         give_up_at = self._clock.monotonic() + VERDICT_S
-        while link.evidence.failures and not link.lost:
-            now = self._clock.monotonic()
-            if now >= give_up_at or now < link.quiet_until:
+        while link.unclear:
+            left_s = give_up_at - self._clock.monotonic()
+            if left_s <= 0:
                 break
             self._judged.clear()
-            self._clock.wait(self._judged, give_up_at - now)
+            self._clock.wait(self._judged, left_s)
         return link.lost
 
     def reached_count(self, service: str) -> int:
@@ -224,6 +231,7 @@
         now = self._clock.monotonic()
         for link in self._recorder.take_broken():
             if now < link.quiet_until or link.lost:
+                link.unclear = False
                 continue
             service = link.service
             suspicion = self._suspicions.get(service)
@@ -252,7 +260,10 @@
         finally:
             del self._suspicions[service]
             now = self._clock.monotonic()
-            self._apply(self._targets_of(service), _NOTHING_LOST, now)
+            targets = self._targets_of(service)
+            self._apply(targets, _NOTHING_LOST, now)
+            for target in targets.values():
+                target.link.unclear = False
             self._judged.set()
 
     def _probe_silent(self, service: str, now: float) -> None:
@@ -265,7 +276,7 @@
             for link in links
         ):
             return
-        self._start_probes(targets, self._pick(targets, OTHER_PROBES))
+        self._start_probes(targets, self._pick(targets, SILENT_PROBES))
 
     def _active(self, service: str) -> dict[str, WatchedTarget]:
         return {
@@ -289,13 +300,18 @@
         for name in names:
             link = targets[name].link
             probe = self._probe.start(link, targets[name].address)
-            probes.append(gevent.spawn(self._follow, probe, link.service))
+            probes.append(gevent.spawn(self._follow, probe, link))
         return probes
 
-    def _follow(self, probe: gevent.Greenlet, service: str) -> None:
+    def _follow(
+        self, probe: gevent.Greenlet, link: _link_recorder.TargetLink
+    ) -> None:
         """Judge a service at once if a probe was accepted."""
-        if probe.get() and service in self._suspicions:
-            self._judge(service)
+        if not probe.get():
+            return
+        link.unclear = False
+        if link.service in self._suspicions:
+            self._judge(link.service)
 
     def _round(self, service: str, suspicion: _Suspicion) -> None:
         """Probe targets and ask peers; judge by what comes back in time."""
@@ -311,15 +327,16 @@
         count = self._count_to_ask(suspicion)
         questions = self._exchange.ask(service, asked, count)
         gevent.joinall(questions, timeout=ROUND_S)
-        suspicion.answered = not questions or any(
-            question.value for question in questions
-        )
+        answers = sum(bool(question.value) for question in questions)
+        # A single peer may have lost its own path to the same target.
+        suspicion.answered = answers >= min(2, len(questions))
         self._judge(service)
+        self._clear(suspicion, targets, asked)
         left_s = give_up_at - self._clock.monotonic()
         gevent.joinall(probes, timeout=max(0.0, left_s))
         self._judge(service)
         if not suspicion.verdict.lost:
-            self._settle(suspicion, targets, asked)
+            self._settle(suspicion, targets)
         self._exchange.forget()
 
     def _pause(self, suspicion: _Suspicion, began_at: float) -> None:
@@ -382,7 +399,7 @@
             for name, target in targets.items()
             if target.link.evidence.failures and name not in probed
         ]
-        others.sort(key=lambda name: known.get(name, float("-inf")))
+        others.sort(key=lambda name: max(known.get(name, [0.0])))
         return [*probed, *others][: _link_exchange.MAX_TARGETS]
 
     def _count_to_ask(self, suspicion: _Suspicion) -> int:
@@ -403,7 +420,7 @@
             link.settle(now)
         before = suspicion.verdict
         verdict = suspicion.verdict = decisions.judge_links(
-            links, self._exchange.reached_at(links), now
+            links, self._exchange.reached_at(links), now, before.lost
         )
         reached_again = self._apply(targets, verdict, now)
         if reached_again or (verdict.lost and not before.lost):
@@ -446,6 +463,7 @@
                 continue
             changed = True
             link.lost = lost
+            link.unclear = False
             if not lost:
                 link.lost_until = now
                 reached_again |= not link.evidence.failures
@@ -454,30 +472,45 @@
             self._changed.set()
         return reached_again
 
-    def _settle(
+    def _clear(
         self,
         suspicion: _Suspicion,
         targets: collections.abc.Mapping[str, WatchedTarget],
-        asked: collections.abc.Container[str],
+        asked: collections.abc.Collection[str],
     ) -> None:
-        """End a suspicion if nothing more is to be found out.
+        """Let targets be that peers, which were asked, do not reach either."""
+        if not suspicion.answered:
+            return
+        now = self._clock.monotonic()
+        reached_at = self._exchange.reached_at(asked)
+        for name in asked:
+            link = targets[name].link
+            if now - max(reached_at.get(name, [float("-inf")])) <= QUIET_S:
+                continue
+            if link.evidence.failures and not link.lost:
+                link.quiet_until = now + QUIET_S
+                link.unclear = False
+        self._judged.set()
 
-        Targets for which peers were ``asked``, and that these do not reach
-        either, are at fault themselves.
-        """
+    def _settle(
+        self,
+        suspicion: _Suspicion,
+        targets: collections.abc.Mapping[str, WatchedTarget],
+    ) -> None:
+        """End a suspicion if nothing more is to be found out."""
         now = self._clock.monotonic()
         given_up = suspicion.rounds >= MAX_ROUNDS
         suspicion.over = True
-        for name, target in targets.items():
+        for target in targets.values():
             link = target.link
             if not link.evidence.failures or now < link.quiet_until:
                 continue
-            confirmed = link.evidence.failures >= decisions.MIN_FAILURES
-            at_fault = confirmed and suspicion.answered and name in asked
-            if at_fault or given_up:
+            if given_up:
                 link.quiet_until = now + QUIET_S
+                link.unclear = False
             else:
                 suspicion.over = False
+        self._judged.set()
 
     def _log_reach(self, service: str) -> None:
         """Log whether a target of a service is reached, if that changed."""
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -318,7 +318,8 @@
             raise BrokenError(f"{self.address}: closed without an answer")
         if data:
             self._last_byte_at = self._clock.monotonic()
-            self._link.record_heard(first=not self._heard)
+            new = not self._heard
+            self._link.record_heard(self._opened_at if new else float("-inf"))
             self._heard = True
         self._parser.receive_data(data)
 
