Blame no target for an instance's own lost paths

Cause: connections that failed because of a cut of the instance's own made it avoid each target for up to 4 s, reduced their shares, counted as evidence that targets crash (which peers hear of), and spent the shared retry budget.

Evidence of crashes and of failed trials waits for the verdict, 0.7 s at most. What was paid for a send that reached no target pays for the next one.

The whole suite was not run on this change.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -417,7 +417,9 @@
         raise give_up_error(job, reason)
     if others:
         raise give_up_error(job, f"{reason}; another target is awaited")
-    if not spend_retry(ctx, job):
+    # What was paid for a send that reached no target pays for the next one.
+    free = step is decisions.NextStep.ANOTHER_FREE
+    if not free and not spend_retry(ctx, job):
         raise give_up_error(job, f"{reason}; no retry is left")
     job.retry_paid = job.reached_target
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -114,6 +114,7 @@
             decisions.CrashSuspects(rng.random()),
             decisions.CrashSuspects(rng.random(), decisions.WholeRequests()),
             self.registry.changed,
+            self.links,
         )
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -95,7 +95,7 @@
         self._phase = _Phase.PROCESSED
         expected_s = self.expected_s / self._slowness
         ratio = (now - self._sent_at) / max(MIN_EXPECTED_S, expected_s)
-        self._tracked.slowness.observe(ratio, now)
+        self._tracked.record_slowness(ratio)
 
     def end(self) -> None:
         """Stop counting the request, which has ended."""
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -281,7 +281,7 @@
         now = self._ctx.clock.monotonic()
         duration_s = now - started_at
         objective = self._job.route.objective_s
-        tracked.slowness.observe(duration_s / max(objective, 1e-3), now)
+        tracked.record_slowness(duration_s / max(objective, 1e-3))
         tracked.record_answer()
 
 
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -45,6 +45,7 @@
         "_pool",
         "_profile",
         "_check",
+        "_not_sent",
         "unfetched_cache",
         "engine_id",
     )
@@ -62,6 +63,8 @@
         self._profile = profile
         # Check of the last failure: whether it crashed its engine.
         self._check: gevent.Greenlet | None = None
+        # Whether the last failure reached no engine.
+        self._not_sent = False
         #: KV cache that no engine has fetched yet; ``None`` if there is none.
         self.unfetched_cache: _messages.CacheHandle | None = None
         #: Id of the engine that processed the prompt; empty if none did.
@@ -164,6 +167,7 @@
             target=tracked.target.id,
             outcome=str(outcome),
         )
+        self._not_sent = isinstance(outcome, _messages.NotSent)
         match outcome:
             case _messages.NotSent():
                 job.unreached.add(tracked.target.id)
@@ -187,7 +191,8 @@
             raise _context.give_up_error(job, f"{reason}; no time is left")
         if others:
             raise _context.give_up_error(job, f"{reason}; another is awaited")
-        if not _context.spend_retry(self._ctx, job):
+        # What was paid for a send that reached no engine pays for the next.
+        if not self._not_sent and not _context.spend_retry(self._ctx, job):
             raise _context.give_up_error(job, f"{reason}; no retry is left")
         check, self._check = self._check, None
         _context.await_check(self._ctx, job, check)
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -62,6 +62,16 @@
 Held: typing.TypeAlias = HeldBlock | HeldRequest
 
 
+class Links(typing.Protocol):
+    """What this instance knows of its own paths to targets."""
+
+    def unclear(self, service: str, name: str) -> bool:
+        """Return whether a verdict about the path to a target is awaited."""
+
+    def await_verdict(self, service: str, name: str) -> bool:
+        """Return whether the path to a target is lost, once that is known."""
+
+
 class Quarantine:
     """What is kept from targets, by this instance's view."""
 
@@ -70,6 +80,7 @@
         "_blocks",
         "_requests",
         "_changed",
+        "_links",
         "_checks",
         "_crashed",
         "crashes",
@@ -81,8 +92,10 @@
         blocks: decisions.CrashSuspects,
         requests: decisions.CrashSuspects,
         changed: gevent.event.Event,
+        links: Links,
     ) -> None:
         self._clock = clock
+        self._links = links
         self._blocks = blocks
         self._requests = requests
         # Set when there is something new to report.
@@ -178,7 +191,10 @@
         Returns ``None`` if the request is not the cause.
         """
         now = self._clock.monotonic()
-        self._end_trial(req, target, outcome, events)
+        if self._links.unclear(target.service, target.id):
+            gevent.spawn(self._end_trial, req, target, outcome, events)
+        else:
+            self._end_trial(req, target, outcome, events)
         if not isinstance(outcome, _messages.Unknown) or events > MAX_EVENTS:
             return None
         if target.state is not _types.TargetState.ACTIVE:
@@ -200,13 +216,13 @@
         """Record the end of a trial that brought no answer.
 
         It has failed even if no crash is proved: a target that crashes may
-        fall silent.
+        fall silent. A lost path to the target proves nothing.
         """
         match outcome:
             case _messages.NotSent() | _messages.NotRun():
                 failed = False
             case _:
-                failed = events <= MAX_EVENTS
+                failed = events <= MAX_EVENTS and not self._path_lost(target)
         now = self._clock.monotonic()
         for key in req.fingerprints:
             self._requests.end_trial(key, target.key, failed, now)
@@ -240,7 +256,7 @@
                 self._checks[engine] = check
             crashed = check.get()
             self._checks.pop(engine, None)
-            if not crashed:
+            if not crashed or self._path_lost(target):
                 return
             self._record_crashed(engine, target)
         now = self._clock.monotonic()
@@ -253,6 +269,9 @@
         )
         self._changed.set()
 
+    def _path_lost(self, target: _contracts.Target) -> bool:
+        return self._links.await_verdict(target.service, target.id)
+
     def _record_crashed(self, engine: int, target: _contracts.Target) -> None:
         if engine in self._crashed:
             return
--- a/agatewing/gateway/_tracked_target.py
+++ b/agatewing/gateway/_tracked_target.py
@@ -35,6 +35,9 @@
 NO_PREFILL_S = 1.0
 #: Consecutive failed fetches of KV caches after which that time begins.
 MAX_FAILED_FETCHES = 3
+#: Time after the end of a lost path to a target in which failures of requests
+#: that were under way do not count, in seconds; callers wait about as long.
+FORGIVEN_S = 3.0
 #: Weight of a new measurement in a target's smoothed slowness and losses: five
 #: slow answers, which an engine gives within a second or two, reduce its
 #: traffic share.
@@ -212,8 +215,23 @@
         self.target = dataclasses.replace(self.target, state=withdrawn)
         self.channels.close()
 
+    @property
+    def _blameless(self) -> bool:
+        """Whether what fails now may be due to a lost path to the target.
+
+        Requests that were under way at the end of such a time end later.
+        """
+        link = self.link
+        now = self._clock.monotonic()
+        return link.lost or now - link.lost_until < FORGIVEN_S
+
     def record_failure(self) -> None:
-        """Back off from a target that cannot be reached; longer each time."""
+        """Back off from a target that cannot be reached; longer each time.
+
+        Unless this instance lost its path to the target.
+        """
+        if self._blameless:
+            return
         self.failures += 1
         backoff_s = AVOID_FIRST_S * 2 ** min(self.failures - 1, 10)
         now = self._clock.monotonic()
@@ -225,14 +243,25 @@
         A lost answer counts like a very slow one: a target that loses many
         answers gets fewer requests, one that loses a few recovers with its
         next answers. The target's other requests take no longer because of
-        it, so the slowness is not changed.
+        it, so the slowness is not changed. An answer that may be lost due to
+        a lost path to the target does not count.
         """
+        if self._blameless:
+            return
         self.failures += 1
         now = self._clock.monotonic()
         self.loss_ratio.observe(RATIO_LIMIT, now)
         if self.failures >= MAX_CONSECUTIVE_LOSSES:
             self.avoid_until = max(self.avoid_until, now + AVOID_FIRST_S)
 
+    def record_slowness(self, ratio: float) -> None:
+        """Record the ratio of a measured to the expected duration.
+
+        Unless a lost path to the target may have caused it.
+        """
+        if not self._blameless:
+            self.slowness.observe(ratio, self._clock.monotonic())
+
     def record_busy(self) -> None:
         """Send nothing for ``BUSY_BACKOFF_S`` after a rejected request."""
         until = self._clock.monotonic() + BUSY_BACKOFF_S
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -71,11 +71,22 @@
             decisions.CrashSuspects(),
             decisions.CrashSuspects(0.0, decisions.WholeRequests()),
             registry.changed,
+            SoundLinks(),
         ),
         "z",
     )
 
 
+class SoundLinks:
+    """An instance that reaches all targets."""
+
+    def unclear(self, service: str, name: str) -> bool:
+        return False
+
+    def await_verdict(self, service: str, name: str) -> bool:
+        return False
+
+
 def report(sender: str, sequence: int, tokens: int) -> wire.WorkNote:
     load = wire.EngineWork(
         engine="e1",
