--- a/agatewing/platform/standins/_dialing.py
+++ b/agatewing/platform/standins/_dialing.py
@@ -9,19 +9,38 @@
 import functools
 import typing
 import unittest.mock
+import weakref
 
 import gevent
 import gevent.baseserver
 import gevent.socket
 
+from agatewing.platform.standins import _loopback
+
 _KEY = "dialer"
 
 Address: typing.TypeAlias = tuple[str, int]
-#: Returns the address that is connected to in place of another one.
-Dialer: typing.TypeAlias = collections.abc.Callable[[Address], Address]
 _T = typing.TypeVar("_T")
 
 
+class Dialer:
+    """Diverts the connections of one instance, and knows them all."""
+
+    def __init__(
+        self, divert: collections.abc.Callable[[Address], Address]
+    ) -> None:
+        #: Returns the address that is connected to in place of another one.
+        self.divert = divert
+        #: Connections that it opened or accepted.
+        self.sockets: weakref.WeakSet[gevent.socket.socket] = weakref.WeakSet()
+
+    def reset_all(self) -> None:
+        """Reset all connections that are open."""
+        for sock in list(self.sockets):
+            _loopback.reset(sock)
+        self.sockets.clear()
+
+
 def run_with(dialer: Dialer, make: collections.abc.Callable[[], _T]) -> _T:
     """Return the result of a function that starts greenlets and servers.
 
@@ -47,7 +66,10 @@
         sock: gevent.socket.socket, address: Address
     ) -> None:
         dialer = _current()
-        connect(sock, address if dialer is None else dialer(address))
+        if dialer is not None:
+            address = dialer.divert(address)
+            dialer.sockets.add(sock)
+        connect(sock, address)
 
     def set_spawn_with_dialer(
         server: gevent.baseserver.BaseServer, spawn: object
@@ -68,9 +90,18 @@
         yield
 
 
-def _spawn_with(dialer: Dialer, *args: typing.Any) -> gevent.Greenlet:
-    """Spawn a greenlet from the hub, on behalf of a server."""
-    spawned = gevent.Greenlet(*args)
+def _spawn_with(
+    dialer: Dialer,
+    run: collections.abc.Callable[..., None],
+    handle: object,
+    close: object,
+    args: tuple[typing.Any, ...],
+) -> gevent.Greenlet:
+    """Spawn the greenlet of what a server has accepted."""
+    if isinstance(args[0], gevent.socket.socket):
+        dialer.sockets.add(args[0])
+    spawned = gevent.Greenlet(run, handle, close, args)
+    # The hub spawns it, not a greenlet of the instance.
     spawned.spawn_tree_locals = {_KEY: dialer}
     spawned.start()
     return spawned
--- a/agatewing/platform/standins/_linked_site.py
+++ b/agatewing/platform/standins/_linked_site.py
@@ -28,6 +28,7 @@
         # the first connection, or cut.
         self._links: dict[tuple[str, str], _link.Link] = {}
         self._zones: dict[str, str] = {}
+        self._dialers: dict[str, _dialing.Dialer] = {}
         self._diverted = _dialing.diverted()
 
     def __enter__(self) -> "LinkedSite":
@@ -54,15 +55,28 @@
     ) -> gateway.GatewayInstance:
         """Start an instance; it may not be ready yet when this returns."""
         self._zones[name] = zone
+        self._dialers.pop(name, None)
         return self.act_as(name, functools.partial(super().start, name))
 
     def act_as(
         self, instance: str, function: collections.abc.Callable[[], _T]
     ) -> _T:
         """Return the result of a function that uses an instance's links."""
-        return _dialing.run_with(
-            functools.partial(self._dial, instance), function
+        dialer = self._dialers.setdefault(
+            instance,
+            _dialing.Dialer(functools.partial(self._dial, instance)),
         )
+        return _dialing.run_with(dialer, function)
+
+    def kill(self, instance: gateway.GatewayInstance) -> None:
+        """End an instance as if its process were killed.
+
+        Its greenlets may still run, but reach nobody any more.
+        """
+        instance.kill()
+        dialer = self._dialers[instance.settings.instance]
+        dialer.divert = lambda _: self._dead_ends.refusing
+        dialer.reset_all()
 
     def link(self, instance: str, target: str) -> _link.Link:
         """Return the link of an instance to a target."""
