Let the ports of links ignore or refuse connects themselves

Cause: connects of a cut instance were diverted to other addresses, which only works where the instance shares its process with the test.

Change: the port of a link accepts, refuses or ignores connects. Connections that hang may open after the healing, as those of a kernel that tries again; those that the kernel had opened before a cut are kept.

--- a/agatewing/platform/standins/_link.py
+++ b/agatewing/platform/standins/_link.py
@@ -9,11 +9,11 @@
 
 import gevent
 import gevent.event
-import gevent.server
 import gevent.socket
 
 from agatewing import net
 from agatewing.platform.standins import _loopback
+from agatewing.platform.standins import _port
 
 #: Largest block copied at once, in bytes.
 BLOCK_BYTES = 65_536
@@ -53,7 +53,7 @@
         self.request, self.sent, self.answered = request, 0, 0
 
 
-class Link(_loopback.Loopback):
+class Link:
     """Forwards the connections of one instance to one target."""
 
     def __init__(self, target: str, port: int) -> None:
@@ -69,17 +69,19 @@
         ] = {}
         self._flowing = gevent.event.Event()
         self._flowing.set()
-        # Its own connections are no longer those of the instance.
-        server = gevent.server.StreamServer(
-            ("127.0.0.1", port), self._serve, spawn=gevent.spawn
-        )
-        super().__init__(server)
+        self._target_down = False
+        self._port = _port.Port(port, self._serve)
+
+    @property
+    def address(self) -> str:
+        """Address at which the instance reaches the target."""
+        return self._port.address
 
     def stop(self) -> None:
         """Close the port and reset all connections."""
-        super().stop()
-        self._reset_all()
         self.heal()
+        self._port.refuse()
+        self._reset_all()
 
     def cut(self, picture: Picture) -> list[Flight]:
         """Cut the link; return what its connections had in flight."""
@@ -92,12 +94,30 @@
                 self._flowing.clear()
             case Picture.RESET:
                 self._reset_all()
+        self._set_port()
         return flights
 
     def heal(self) -> None:
         """End the cut; connections that hang go on with the exact rest."""
         self.picture = None
         self._flowing.set()
+        self._set_port()
+
+    def set_target_down(self, down: bool) -> None:
+        """Refuse connections as long as the target does so."""
+        self._target_down = down
+        self._set_port()
+
+    def _set_port(self) -> None:
+        match self.picture:
+            case Picture.HANG:
+                self._port.ignore()
+            case Picture.RESET | Picture.LIVE_ON:
+                self._port.refuse()
+            case None if self._target_down:
+                self._port.refuse()
+            case None:
+                self._port.accept()
 
     def _reset_all(self) -> None:
         for sock, (_, upstream) in list(self._flights.items()):
@@ -105,7 +125,7 @@
             _loopback.reset(upstream)
         self._flights.clear()
 
-    def _serve(self, sock: gevent.socket.socket, _: object) -> None:
+    def _serve(self, sock: gevent.socket.socket) -> None:
         self._flowing.wait()
         try:
             upstream = gevent.socket.create_connection(self._target)
--- a/agatewing/platform/standins/_linked_site.py
+++ b/agatewing/platform/standins/_linked_site.py
@@ -6,7 +6,6 @@
 
 from agatewing import gateway
 from agatewing import net
-from agatewing.platform.standins import _dead_ends
 from agatewing.platform.standins import _dialing
 from agatewing.platform.standins import _link
 from agatewing.platform.standins import _site
@@ -23,7 +22,6 @@
 
     def __init__(self, settings: dict[str, typing.Any] | None = None) -> None:
         super().__init__(settings)
-        self._dead_ends = _dead_ends.DeadEnds()
         # Links by name of the instance and id of the target; each is made for
         # the first connection, or cut.
         self._links: dict[tuple[str, str], _link.Link] = {}
@@ -41,7 +39,6 @@
             super().__exit__(*args)
             for link in self._links.values():
                 link.stop()
-            self._dead_ends.close()
         finally:
             self._diverted.__exit__(None, None, None)
 
@@ -75,7 +72,9 @@
         """
         instance.kill()
         dialer = self._dialers[instance.settings.instance]
-        dialer.divert = lambda _: self._dead_ends.refusing
+        # Nobody listens there.
+        [port] = self.ports.take(1)
+        dialer.divert = lambda _: ("127.0.0.1", port)
         dialer.reset_all()
 
     def link(self, instance: str, target: str) -> _link.Link:
@@ -126,11 +125,5 @@
         """Return where an instance gets that connects to an address."""
         for name, target in self.targets.items():
             if net.split_address(target.address) == address:
-                link = self.link(instance, name)
-                match link.picture:
-                    case _link.Picture.HANG:
-                        return self._dead_ends.silent
-                    case _link.Picture.RESET | _link.Picture.LIVE_ON:
-                        return self._dead_ends.refusing
-                return net.split_address(link.address)
+                return net.split_address(self.link(instance, name).address)
         return address
