Cut links of instances in the soak

Change: each instance of an episode reaches each target over a link of its own, in front of the target's proxy; its process connects to the link in place of the target's address. One or two instances are cut from all targets, or from those of one service, in the three pictures, for 4.5 s or longer; at least one instance keeps its links. A link refuses connections while its target does.

Checks: RECOVER is the users' rule, from 3 s after a cut on, for instances with a peer that could serve the request. WHOLE demands that a stream goes on beside a cut, unless it may not go on elsewhere, or no peer could serve it, or the instance that carried it was disturbed. The link tells which instance sent a request to a target, so that DRAIN, BUDGET and CRASHED count what a peer sends as its own. Tables show what each check finds and what it does not.

--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -4,7 +4,9 @@
 import collections.abc
 import contextlib
 import dataclasses
+import time
 
+from agatewing.platform.soak import _cuts
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _notices
 from agatewing.platform import standins
@@ -60,6 +62,13 @@
         self.disturbances = _disturbances.Disturbances()
         #: Times in which instances did not run or were to end.
         self.absences = _disturbances.Disturbances()
+        #: Times in which instances reached no target of some services.
+        self.cuts = _cuts.Cuts()
+        #: Returns the instances that sent a request to a target, by their
+        #: ids.
+        self.carriers: collections.abc.Callable[[str, str], list[str]] = (
+            lambda request, target: []
+        )
         #: Number of replies by status; 0 for connections without a reply.
         self.statuses: collections.Counter[int] = collections.Counter()
 
@@ -94,6 +103,29 @@
         for disturbance in begun:
             disturbance.end()
 
+    @contextlib.contextmanager
+    def cut(
+        self,
+        instance: str,
+        services: frozenset[str],
+        targets: collections.abc.Iterable[str],
+        picture: standins.Picture,
+    ) -> collections.abc.Iterator[None]:
+        """Record that an instance does not reach targets meanwhile.
+
+        They are all targets of the services.
+        """
+        ends_open = picture is not standins.Picture.LIVE_ON
+        cut = self.cuts.begin(instance, services, ends_open)
+        links = [
+            self.disturbances.begin(_disturbances.link(target, instance))
+            for target in targets
+        ]
+        yield
+        cut.until = time.monotonic()
+        for link in links:
+            link.end()
+
     def failed(self) -> list[str]:
         """Return attempts without a complete 200 reply, with their status."""
         return [
@@ -112,7 +144,7 @@
         quarantine, WHOLE for one that had no complete answer though no fault
         ended it, CRASHED for one on which targets crash that was not kept
         from them, DRAIN and BUDGET for one that reached a target that left
-        or backed off.
+        or backed off, RECOVER if instances without links served too few.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -145,6 +177,7 @@
         violations += self._unfinished(engines)
         violations += self._late_sends(engines)
         violations += self._unwanted_sends(engines)
+        violations += self.cuts.unequal(self._first_tries(), self.absences)
         return violations + self._mixed_versions()
 
     def _unfinished(self, engines: list[standins.EngineStandin]) -> list[str]:
@@ -172,6 +205,8 @@
                 for where in (attempt.instance, attempt.service)
             ):
                 continue
+            if self._ended_by_cut(attempt, reached[name]):
+                continue
             found.append(
                 f"WHOLE: {name} ended after {until - since:.2f} s with status "
                 f"{reply.status} and events {event_ids(reply.body)}; "
@@ -179,6 +214,64 @@
             )
         return found
 
+    def _ended_by_cut(self, attempt: Attempt, targets: list[str]) -> bool:
+        """Return whether a cut leaves a stream no way to go on.
+
+        It may not go on at another target, no peer could serve it, or that
+        which did was disturbed.
+        """
+        if not attempt.events:
+            return False
+        tried = self._tried(attempt)
+        span = tried.since, tried.until
+        carriers = {
+            name
+            for target in targets
+            for name in self.carriers(attempt.id, target)
+        }
+        ended = self.cuts.ended_connections(
+            carriers | {attempt.instance}, *span
+        )
+        if ended and not attempt.idempotent:
+            return True
+        if not self.cuts.overlap(attempt.instance, attempt.service, *span):
+            return False
+        return any(
+            self.disturbances.overlap(name, *span) for name in carriers
+        ) or not self.cuts.sound_peer(tried, self._instances(), self.absences)
+
+    def _instances(self) -> set[str]:
+        return {attempt.instance for attempt in self._attempts.values()}
+
+    def _tried(self, attempt: Attempt) -> _cuts.Tried:
+        reply = self._replies[attempt.id]
+        return _cuts.Tried(
+            attempt.instance,
+            attempt.service,
+            attempt.sent_at,
+            self._ended_at[attempt.id],
+            reply.status == 200 and reply.complete,
+        )
+
+    def _first_tries(self) -> list[_cuts.Tried]:
+        """Return the first tries of sound requests."""
+        return [
+            self._tried(self._attempts[name])
+            for name in self._replies
+            if not self._attempts[name].resumes
+            and not self._attempts[name].crashing
+        ]
+
+    def _sender(self, attempt: Attempt, target: str) -> str:
+        """Return the instance that sent an attempt to a target.
+
+        It is a peer's if that served it alone.
+        """
+        carriers = self.carriers(attempt.id, target)
+        if carriers and attempt.instance not in carriers:
+            return carriers[0]
+        return attempt.instance
+
     def _late_sends(self, engines: list[standins.EngineStandin]) -> list[str]:
         """Return the requests that went on reaching targets that crash.
 
@@ -193,7 +286,8 @@
             for run in (*engine.prefills, *engine.runs):
                 attempt = self._attempts.get(run.id)
                 if attempt is not None and attempt.crashing:
-                    sends[attempt.crashing].append((run.at, attempt.instance))
+                    sender = self._sender(attempt, engine.name)
+                    sends[attempt.crashing].append((run.at, sender))
             # It crashes once; a target that is back is another stand-in.
             for run in engine.runs:
                 attempt = self._attempts.get(run.id)
@@ -222,13 +316,9 @@
         self, engines: list[standins.EngineStandin]
     ) -> list[str]:
         """Return the requests that reached targets which wanted none."""
-        sends = {
-            name: _notices.Send(attempt.instance, attempt.sent_at)
-            for name, attempt in self._attempts.items()
-        }
         passed_on = {
             name: _notices.PassedOn(
-                sends[name].instance,
+                self._attempts[name].instance,
                 self._ended_at[name],
                 reply.headers.get("x-server-stamp", ""),
             )
@@ -237,6 +327,14 @@
         }
         found = []
         for engine in engines:
+            reached = {run.id for run in engine.requests}
+            sends = {
+                name: _notices.Send(
+                    self._sender(self._attempts[name], engine.name),
+                    self._attempts[name].sent_at,
+                )
+                for name in reached & self._attempts.keys()
+            }
             found += _notices.sent_to_leaving(
                 engine, sends, passed_on, self.absences
             )
--- a/agatewing/platform/soak/_disturbances.py
+++ b/agatewing/platform/soak/_disturbances.py
@@ -4,9 +4,14 @@
 import time
 
 
-def link(target: str) -> str:
-    """Return the place of faults on the link to one target."""
-    return f"link to {target}"
+def link(target: str, instance: str = "") -> str:
+    """Return the place of faults on the link to one target.
+
+    It is that of one instance, or of all of them if empty.
+    """
+    return (
+        f"link of {instance} to {target}" if instance else f"link to {target}"
+    )
 
 
 class Disturbance:
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -20,6 +20,7 @@
 from agatewing import net
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
+from agatewing.platform.soak import _links
 from agatewing.platform.soak import _log_restore
 from agatewing.platform.soak import _proxy
 from agatewing.platform.soak import _targets
@@ -132,6 +133,11 @@
             f"i{n}": site.settings(f"i{n}", self._log_proxy.address)
             for n in range(INSTANCES)
         }
+        self._links = _links.Links(
+            self._settings, self._targets.addresses, site.ports, self._records
+        )
+        self._targets.on_down = self._links.set_target_down
+        self._records.carriers = self._links.carriers
         for name in self._settings:
             self._start(name)
         site.wait(lambda: all(map(self._is_ready, self._settings)))
@@ -174,10 +180,12 @@
     def _start(self, name: str) -> None:
         path = self._settings_folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(self._settings[name]))
+        links = self._settings_folder / f"{name}-links.json"
+        links.write_bytes(msgspec.json.encode(self._links.addresses(name)))
         process = harness.Process(
             name,
-            "agatewing.gatewayd",
-            ["--settings", str(path)],
+            "agatewing.platform.soak._linked_gatewayd",
+            [str(links), "--settings", str(path)],
             self._log_folder or self._settings_folder,
         )
         process.start()
@@ -282,6 +290,27 @@
                 functools.partial(self._log_restore.run, copy_age_s),
             )
 
+        yield from self._possible_cuts()
+
+    def _possible_cuts(self) -> collections.abc.Iterator[_Fault]:
+        """Yield the cuts of one or two instances, from all or one service."""
+        names = list(self._settings)
+        services = _targets.BY_SERVICE
+        for picture in standins.Picture:
+            for group in (*((name,) for name in names), tuple(names[:2])):
+                cut = functools.partial(
+                    self._links.cut, group, services, picture
+                )
+                yield f"cut of {', '.join(group)} ({picture})", cut
+            for service, targets in services.items():
+                cut = functools.partial(
+                    self._links.cut,
+                    (names[-1],),
+                    {service: targets},
+                    picture,
+                )
+                yield f"cut of {names[-1]} from {service} ({picture})", cut
+
     def _pause(self, name: str, fault_s: float) -> None:
         process = self._processes[name]
         with self._records.absent(name, ends_requests=True):
@@ -350,3 +379,4 @@
             process.kill()
         self._log_proxy.stop()
         self._log_restore.stop()
+        self._links.stop()
--- a/agatewing/platform/soak/_notices.py
+++ b/agatewing/platform/soak/_notices.py
@@ -21,9 +21,9 @@
 class Send:
     """A request as its caller sent it."""
 
-    #: Name of the instance.
+    #: Name of the instance that sent it to the target.
     instance: str
-    #: Monotonic time, in seconds.
+    #: Monotonic time at which the caller sent it, in seconds.
     at: float
 
 
@@ -88,9 +88,12 @@
     for run in engine.requests:
         if run.id in sends:
             by_instance[sends[run.id].instance].append(run)
-    link = _disturbances.link(engine.name)
     found = []
     for instance, runs in by_instance.items():
+        places = (
+            _disturbances.link(engine.name),
+            _disturbances.link(engine.name, instance),
+        )
         worst = 0
         for name, at in engine.turned_away.items():
             if name not in sends or sends[name].instance != instance:
@@ -99,7 +102,7 @@
             late = [r for r in runs if at + BACK_OFF_FROM_S < r.at < until]
             if late and not (
                 absences.overlap(instance, at, late[-1].at)
-                or links.overlap(link, at, late[-1].at)
+                or any(links.overlap(p, at, late[-1].at) for p in places)
             ):
                 worst = max(worst, len(late))
         if worst > MAX_IN_BACK_OFF:
--- a/agatewing/platform/soak/_targets.py
+++ b/agatewing/platform/soak/_targets.py
@@ -1,5 +1,6 @@
 """Targets of an episode, each behind a proxy, and their faults."""
 
+import collections.abc
 import dataclasses
 import functools
 import random
@@ -50,6 +51,13 @@
     "e3": TargetSpec(STREAMS, "decode", "v2"),
     "p1": TargetSpec(STREAMS, "prefill", "v2"),
 }
+#: Ids of the targets by service.
+BY_SERVICE = {
+    service: tuple(
+        name for name, spec in TARGETS.items() if spec.service == service
+    )
+    for service in (PLAIN, STREAMS)
+}
 #: Targets that fall silent together, besides single ones.
 GROUPS = (
     ("t1", "t2"),
@@ -77,6 +85,11 @@
         self._ports = dict(
             zip(TARGETS, site.ports.take(len(TARGETS)), strict=True)
         )
+        #: Called with the id of a target that begins or ends to refuse
+        #: connections.
+        self.on_down: collections.abc.Callable[[str, bool], None] = (
+            lambda name, down: None
+        )
         # Unix time of the start of each target, in milliseconds.
         self._born: dict[str, int] = {}
         # State and sequence of the last entry of each target.
@@ -112,6 +125,7 @@
         engine.on_crash = functools.partial(self._replace_crashed, name)
         self.engines.append(engine)
         self._proxies[name] = _proxy.Proxy(engine.address, self._ports[name])
+        self.on_down(name, False)
         self._born[name] = int(time.time() * 1_000)
         self._announce(name, "ready", 1)
 
@@ -130,6 +144,13 @@
             seq=sequence,
         )
 
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses of the targets, by id; they keep them."""
+        return {
+            name: f"127.0.0.1:{port}" for name, port in self._ports.items()
+        }
+
     def announce_again(self) -> None:
         """Write the entries of all targets that have not crashed."""
         for name in TARGETS:
@@ -141,6 +162,7 @@
         if name in self._crashed:
             return
         self._crashed.add(name)
+        self.on_down(name, True)
         self._proxies[name].stop()
         service = TARGETS[name].service
         disturbance = self._disturbances.begin(service)
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -180,6 +180,135 @@
     assert _checks.event_ids(answer.body) == list(range(1, 41))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenCase:
+    # Whether the stream may go on at another target.
+    idempotent: bool
+    found: bool
+    # Picture of the cut of its instance.
+    picture: standins.Picture = standins.Picture.RESET
+    # Instance that sent it to the target.
+    carrier: str = "i0"
+    # Instances that were cut, and one that was disturbed, meanwhile.
+    cut: tuple[str, ...] = ("i0",)
+    disturbed: str = ""
+
+
+BROKEN_CASES = {
+    "may not go on": BrokenCase(False, False),
+    "may not go on, but lives on": BrokenCase(
+        False, True, standins.Picture.LIVE_ON
+    ),
+    "may go on at a peer": BrokenCase(True, True),
+    "may go on, but at no peer": BrokenCase(True, False, cut=("i0", "i1")),
+    "its peer was disturbed": BrokenCase(
+        True, False, carrier="i1", disturbed="i1"
+    ),
+    "another peer was disturbed": BrokenCase(
+        True, True, carrier="i0", disturbed="i1"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN_CASES)
+def test_a_stream_that_a_cut_need_not_end_is_found(name: str) -> None:
+    case = BROKEN_CASES[name]
+    records = soak.CallerRecords()
+    records.carriers = lambda request, target: [case.carrier]
+    begun_at = time.monotonic()
+    # Shows that there is a peer.
+    records.record_attempt(dataclasses.replace(REPEATABLE, instance="i1"))
+    sent = dataclasses.replace(
+        STREAM, id="a2", idempotent=case.idempotent, sent_at=begun_at
+    )
+    records.record_attempt(sent)
+    for instance in case.cut:
+        services = frozenset(("chat",))
+        with records.cut(instance, services, ("e1",), case.picture):
+            pass
+    if case.disturbed:
+        records.disturbances.begin(case.disturbed).end()
+    broken = reply(200, EVENTS[:9], False)
+    records.record_reply("a2", broken, time.monotonic() + 0.1)
+    engine = standins.EngineStandin("e1")
+    engine.stop()
+    engine.runs = [standins.Run("a2", "", {}, b"")]
+    violations = records.violations([engine])
+    assert [v.split(":")[0] for v in violations] == ["WHOLE"] * case.found
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoverCase:
+    # Requests at the cut instance and at its peer: sent, and served of them.
+    at_cut: tuple[int, int]
+    at_peer: tuple[int, int]
+    found: bool
+    # Time after the cut at which they are sent, in seconds.
+    at_s: float = 3.5
+    # Instance that is absent.
+    absent: str = ""
+    service: str = "chat"
+
+
+RECOVER_CASES = {
+    "as often": RecoverCase((40, 30), (40, 40), False),
+    "too seldom": RecoverCase((40, 20), (40, 40), True),
+    "too seldom, like the others": RecoverCase((40, 20), (40, 25), False),
+    "few failures": RecoverCase((12, 2), (40, 40), False),
+    "too early": RecoverCase((40, 0), (40, 40), False, 2.5),
+    "after the cut": RecoverCase((40, 0), (40, 40), False, 5.5),
+    "absent": RecoverCase((40, 0), (40, 40), False, absent="i0"),
+    "no peer": RecoverCase((40, 0), (40, 40), False, absent="i1"),
+    "another service": RecoverCase((40, 0), (40, 40), False, service="ledger"),
+}
+
+
+@pytest.mark.parametrize("name", RECOVER_CASES)
+def test_an_instance_that_serves_too_few_without_links_is_found(
+    name: str,
+) -> None:
+    case = RECOVER_CASES[name]
+    records = soak.CallerRecords()
+    cut = records.cuts.begin("i0", frozenset(("chat",)), ends_open=True)
+    cut.until = cut.since + 5.0
+    sent_at = cut.since + case.at_s
+    if case.absent:
+        absence = records.absences.begin(case.absent)
+        absence.since = absence.until = sent_at
+    for instance, (sent, served) in (
+        ("i0", case.at_cut),
+        ("i1", case.at_peer),
+    ):
+        for number in range(sent):
+            tried = dataclasses.replace(
+                REPEATABLE,
+                id=f"{instance}-{number}",
+                instance=instance,
+                service=case.service,
+                sent_at=sent_at,
+            )
+            records.record_attempt(tried)
+            body = f"body of {tried.id}".encode()
+            answer = reply(200, body) if number < served else reply(503)
+            records.record_reply(tried.id, answer, sent_at + 0.1)
+    violations = records.violations([])
+    assert [v.split(":")[0] for v in violations] == ["RECOVER"] * case.found
+
+
+# A request that a peer served was counted as sent by its own instance.
+@pytest.mark.parametrize(("carrier", "found"), [("i0", True), ("i1", False)])
+def test_only_the_instance_that_sends_to_a_leaving_target_counts(
+    carrier: str, found: bool
+) -> None:
+    headers = {"server-leaving": "1", "x-server-stamp": "e1"}
+    answer = standins.Reply(200, headers, b"body of x-0", True)
+    case = NoticeCase((2.1,), [])
+    records, engine = sent_after_an_answer(case, answer)
+    records.carriers = lambda request, target: [carrier]
+    violations = records.violations([engine])
+    assert [v.split(":")[0] for v in violations] == ["DRAIN"] * found
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashCase:
     # Times of the sends that reach a target each, in seconds; a target
@@ -387,6 +516,7 @@
         pytest.param("leaving", 11, 8.0, id="leaving targets"),
         pytest.param("back-off", 11, 8.0, id="targets that back off"),
         pytest.param("restore", 11, 8.0, id="restored log"),
+        pytest.param("cut of", 11, 8.0, id="lost links"),
     ],
 )
 def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
