Let callers of streams wait for 3 s in test_lost_links

Change: streams have the limit of their route, 3 s; plain requests keep 2 s. The report says when requests that failed were sent.

--- a/agatewing/platform/tests/_link_checks.py
+++ b/agatewing/platform/tests/_link_checks.py
@@ -14,6 +14,8 @@
 #: Least share of requests served at instances that are cut, of that at the
 #: others.
 SHARE = 0.95
+#: Largest number of kinds of failures in a report.
+MAX_LINES = 20
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -78,7 +80,7 @@
         if reply is None:
             return f"{self.kind.name}: no reply, {self.error}"
         cut_off = "" if reply.complete else ", cut off"
-        text = "" if reply.status == 200 else reply.body[:80].decode().strip()
+        text = "" if reply.status == 200 else reply.body[:90].decode().strip()
         return f"{self.kind.name}: {reply.status}{cut_off} {text}"
 
 
@@ -191,14 +193,28 @@
         met = [a for a in self.attempts if self.history.met_cut(a)]
         count = Count(sum(a.served for a in met), len(met))
         lines.append(f"under way at the cut: cut {count} served")
-        failed = collections.Counter(
-            ("cut " if a.instance in self.history.cut else "other ") + str(a)
-            for a in self.attempts
-            if not a.served
-        )
-        lines += [f"{n} x {text}" for text, n in failed.most_common(20)]
+        lines += self._failures()
         return "\n".join(lines)
 
+    def _failures(self) -> list[str]:
+        """Return what requests got that were not served, most of them first.
+
+        Times are those of their begin after the cut, in seconds.
+        """
+        begun = collections.defaultdict(list)
+        for attempt in self.attempts:
+            if not attempt.served:
+                where = (
+                    "cut" if attempt.instance in self.history.cut else "other"
+                )
+                at_s = attempt.sent_at - self.history.cut_at
+                begun[f"{where} {attempt}"].append(at_s)
+        ordered = sorted(begun.items(), key=lambda found: -len(found[1]))
+        return [
+            f"{len(at)} x from {min(at):.2f} to {max(at):.2f} s: {text}"
+            for text, at in ordered[:MAX_LINES]
+        ]
+
     def _times(self) -> dict[str, tuple[float, float]]:
         """Return begin and end of the times that are told apart."""
         cut_at, healed_at = self.history.cut_at, self.history.healed_at
--- a/agatewing/platform/tests/_lost_links.py
+++ b/agatewing/platform/tests/_lost_links.py
@@ -18,7 +18,8 @@
 Attempt = _link_checks.Attempt
 Event = _cut_events.Event
 Kind = _link_checks.Kind
-#: Time limit of the routes, and of the callers, in milliseconds.
+#: Time limit of the routes, and that of callers of plain ones, in
+#: milliseconds.
 TIMEOUT_MS = 3_000
 PATIENCE_MS = 2_000
 #: Events of each stream, and the pause before each and before a plain answer,
@@ -247,8 +248,9 @@
 
 
 def _headers(kind: Kind) -> dict[str, str]:
-    headers = {"X-Deadline-Ms": str(PATIENCE_MS)}
-    return headers | PROMPT_HEADERS if kind.events else headers
+    if kind.events:
+        return {"X-Deadline-Ms": str(TIMEOUT_MS), **PROMPT_HEADERS}
+    return {"X-Deadline-Ms": str(PATIENCE_MS)}
 
 
 def play(case: Case) -> _link_checks.Findings:
