Ask first the peers that reached a service while links are lost

What was seen: with all instances of a zone cut, 'own paths restored' was logged 2.7 to 5 s into the cut and callers got 'no target takes new work': 37 of 78 served from 3 s on (all of a zone, reset). With a peer killed and another one cut, no peer was known to reach the service. Cause: while paths were lost, one peer was asked every other round, and a single one was always of the own zone; all of these had lost their links too, so the views of the others grew older than 4 s. Change: half of those asked are peers that reached the service last, in turn; two are asked instead of one. Result: test_lost_links (6 cases) and test_own_links pass, 35 in all, at a load average of 12; two of the 6 had failed before.

--- a/agatewing/detour/_link_exchange.py
+++ b/agatewing/detour/_link_exchange.py
@@ -195,14 +195,15 @@
         question = LinkQuestion(service, list(targets[:MAX_TARGETS]))
         return [
             gevent.spawn(self._ask, name, question)
-            for name in self._choose(count)
+            for name in self._choose(service, count)
         ]
 
-    def _choose(self, count: int) -> list[str]:
-        """Return peers to ask: one half in the own zone.
+    def _choose(self, service: str, count: int) -> list[str]:
+        """Return peers to ask, those that were asked longest ago first.
 
-        Those of the own zone may have lost the same paths; those of other
-        zones cost more. The ones that were asked longest ago come first.
+        One half are peers that reached the service when last asked: all of
+        the own zone may have lost the same paths. Of the others, one half are
+        of the own zone, as those of other zones cost more.
         """
         now = self._clock.monotonic()
         free = [
@@ -212,10 +213,13 @@
         ]
         self._random.shuffle(free)
         free.sort(key=lambda name: self._view(name).answered_at)
-        near = [n for n in free if self._peers.known[n].zone == self._zone]
-        far = [n for n in free if self._peers.known[n].zone != self._zone]
-        near_count = max((count + 1) // 2, count - len(far))
-        chosen = near[:near_count]
+        reaching = [n for n in free if service in self._view(n).reached]
+        chosen = reaching[: (count + 1) // 2]
+        others = [name for name in free if name not in chosen]
+        near = [n for n in others if self._peers.known[n].zone == self._zone]
+        far = [n for n in others if self._peers.known[n].zone != self._zone]
+        left = count - len(chosen)
+        chosen += near[: max(left // 2, left - len(far))]
         return chosen + far[: count - len(chosen)]
 
     def _view(self, name: str) -> PeerView:
--- a/agatewing/detour/_link_watch.py
+++ b/agatewing/detour/_link_watch.py
@@ -54,7 +54,7 @@
 #: it, and while paths are lost, then in every second round.
 ASKED_FIRST = 3
 ASKED_THEN = 6
-ASKED_LATER = 1
+ASKED_LATER = 2
 #: Longest wait for a verdict, in seconds.
 VERDICT_S = 0.7
 
