Take a stream up only at a version that is proved

Cause: an instance that knew no stream took it to be of the only version that all who answered had seen. After a kill of all, everybody's view is younger than the stream, so a version that had left passed for never having been.

Instances now keep in the log what must outlive all of them. One record names the versions that may have begun recent streams, with the era of the log; a restarted instance proves a version from it alone, or from a view of its own of 30 s. While a service has several versions, the streams themselves are recorded in batches, so that those of a version that still serves go on after the kill. A record of an older era proves nothing, nor does the absence of a record, except at the first start of all.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -88,8 +88,14 @@
 from agatewing.decisions._shared_limits import SharedLimits
 from agatewing.decisions._stall import MIN_STALL_S
 from agatewing.decisions._stall import stall_timeout_s
+from agatewing.decisions._stream_versions import KEEP_S as STREAM_KEEP_S
+from agatewing.decisions._stream_versions import proved_version
 from agatewing.decisions._stream_versions import StreamOrigin
 from agatewing.decisions._stream_versions import StreamOrigins
 from agatewing.decisions._stream_versions import VersionHistory
+from agatewing.decisions._stream_versions import VersionView
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
+from agatewing.decisions._version_record import unknown_versions
+from agatewing.decisions._version_record import version_record
+from agatewing.decisions._version_record import VersionRecord
--- a/agatewing/decisions/_stream_versions.py
+++ b/agatewing/decisions/_stream_versions.py
@@ -4,7 +4,8 @@
 caller may take a stream up at any instance, which therefore has to know the
 version that began it. Instances remember recent streams and tell each other.
 While a service has had engines of one version only, nothing needs to be
-remembered. The memory is bounded and lost with a restart.
+remembered. The memory is bounded and lost with a restart; what must outlive
+one is recorded outside of the instances and restored from there.
 """
 
 import collections
@@ -69,13 +70,39 @@
             del self._origins[origin.attempt]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionView:
+    """Software versions that may have begun the recent streams of a service.
+
+    Recent streams are those of the last ``KEEP_S``, at any instance.
+    """
+
+    #: Versions that are known.
+    versions: frozenset[str]
+    #: Whether no other version can have begun a recent stream.
+    complete: bool
+
+
+def proved_version(views: collections.abc.Iterable[VersionView]) -> str | None:
+    """Return the version that began every recent stream, by several views.
+
+    Views of the present alone prove nothing, however many agree: one has to
+    be complete. Returns ``None`` if none is, or if there may be two versions.
+    """
+    views = list(views)
+    versions = frozenset().union(*(view.versions for view in views))
+    if len(versions) != 1 or not any(view.complete for view in views):
+        return None
+    return next(iter(versions))
+
+
 class VersionHistory:
     """Software versions that the engines of one service have had lately."""
 
     __slots__ = ("_since", "_present", "_gone_at")
 
     def __init__(self) -> None:
-        # Monotonic time of the first observation.
+        # Monotonic time since which no version has been missed.
         self._since: float | None = None
         self._present: frozenset[str] = frozenset()
         # Monotonic time at which each version left.
@@ -96,16 +123,39 @@
             if now - at < KEEP_S and version not in versions
         }
 
+    def begin(self, since: float) -> None:
+        """Set the time since which no version was missed, if none is set.
+
+        For a service that had no engines until now.
+        """
+        if self._since is None:
+            self._since = since
+
+    def restore(
+        self, versions: collections.abc.Set[str], complete: bool, now: float
+    ) -> None:
+        """Add versions that are recorded of the time before.
+
+        They may have begun streams until now. ``complete`` says that no other
+        has.
+        """
+        for version in versions - self._present:
+            self._gone_at[version] = now
+        if complete:
+            self._since = float("-inf")
+
+    def view(self, now: float) -> VersionView:
+        """Return what is known of the last ``KEEP_S``."""
+        since = now if self._since is None else self._since
+        return VersionView(self.lately(now), now - since >= KEEP_S)
+
     def only(self, now: float) -> str | None:
         """Return the version that began every stream of the last time.
 
         That is ``KEEP_S``. Returns ``None`` if there may have been several,
         also while the observation is shorter than that.
         """
-        if self._since is None or now - self._since < KEEP_S:
-            return None
-        versions = self.lately(now)
-        return next(iter(versions)) if len(versions) == 1 else None
+        return proved_version([self.view(now)])
 
     def lately(self, now: float) -> frozenset[str]:
         """Return all versions observed in the last ``KEEP_S``."""
--- a/agatewing/gateway/_claims.py
+++ b/agatewing/gateway/_claims.py
@@ -45,8 +45,6 @@
 #: Bits of a fencing token below the era of the log; enough for a claim each
 #: second in a century.
 OFFSET_BITS = 32
-#: Era of a log that was never restored.
-FIRST_ERA = 1
 
 
 class ClaimRecord(msgspec.Struct, frozen=True):
@@ -193,7 +191,7 @@
                 if not newest:
                     return None
                 record = _newest_record(records)
-                if record is None and (era or 0) > FIRST_ERA:
+                if record is None and (era or 0) > _eras.FIRST_ERA:
                     # A restored log may lack all claims.
                     record = UNKNOWN_HOLDER
                 now = self._clock.monotonic()
--- a/agatewing/gateway/_eras.py
+++ b/agatewing/gateway/_eras.py
@@ -6,6 +6,9 @@
 
 _log = logging.getLogger("agatewing.era")
 
+#: Era of a log that was never restored.
+FIRST_ERA = 1
+
 
 class LogEra:
     """The newest era of the log that this instance knows of.
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -30,6 +30,7 @@
 from agatewing.gateway import _server
 from agatewing.gateway import _settings
 from agatewing.gateway import _stream_directory
+from agatewing.gateway import _stream_record
 from agatewing.gateway import _target_registry
 from agatewing import net
 from agatewing import wire
@@ -138,6 +139,15 @@
             lambda: self.peers.known,
             settings.zone,
         )
+        self.stream_record = _stream_record.StreamRecord(
+            platform.log,
+            clock,
+            self.log_era,
+            self.streams,
+            settings.instance,
+            self.load_reports.alive,
+            lambda: len(self.peers.known) + 1,
+        )
         self.own_entry = self._build_own_entry()
         self.metrics = _metrics.Metrics()
         self.handler_context = self._build_handler_context(rng, index)
@@ -211,7 +221,10 @@
     def _build_own_entry(self) -> _own_entry.OwnEntry:
         settings = self.settings
         entry = _peers.PeerEntry(
-            settings.peer_address, settings.zone, takes_requests=True
+            settings.peer_address,
+            settings.zone,
+            takes_requests=True,
+            records_streams=True,
         )
         record = _ports.KeyedRecord(
             settings.instance, msgspec.json.encode(entry)
@@ -302,7 +315,7 @@
             )
             self._loops.append(gevent.spawn(follower.run))
         self._loops.append(gevent.spawn(self.dispatcher.run))
-        self._loops.append(gevent.spawn(self.own_entry.run))
+        self._loops.append(gevent.spawn(self._run_records))
         if self.settings.roles.decode_share:
             self._loops.append(gevent.spawn(self.role_loop.run))
         _log.info(
@@ -310,6 +323,15 @@
             extra={"address": self.settings.caller_address},
         )
 
+    def _run_records(self) -> None:
+        """Write the own entry, and keep the record of streams.
+
+        Whether an earlier release left the own entry has to be read before.
+        """
+        self.stream_record.load()
+        self._loops.append(gevent.spawn(self.own_entry.run))
+        self.stream_record.run()
+
     def _replace_instances(
         self, records: tuple[_ports.KeyedRecord, ...], offset: int
     ) -> None:
@@ -464,6 +486,12 @@
             "how",
             self.streams.take_ups,
         )
+        metrics.counters(
+            "agatewing_stream_records_total",
+            "Records of software versions and of streams written to the log",
+            "topic",
+            self.stream_record.writes,
+        )
         metrics.counter(
             "agatewing_sends_to_limited_total",
             "Requests sent to targets while they named a limit",
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -64,6 +64,9 @@
     zone: str
     # Whether its release takes requests of peers.
     takes_requests: bool = False
+    # Whether it records software versions and streams in the log; earlier
+    # releases do not.
+    records_streams: bool = False
 
 
 class Peers:
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -20,6 +20,10 @@
     INSTANCES = "instances"
     #: Claims of the right to give orders to engines.
     ORDERS = "orders"
+    #: Software versions that may have begun recent streams.
+    VERSIONS = "versions"
+    #: Streams that began while a service had several software versions.
+    STREAMS = "streams"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -4,14 +4,13 @@
 import dataclasses
 import logging
 
-import xxhash
-
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
 from agatewing.gateway import _channel
 from agatewing.gateway import _claims
 from agatewing.gateway import _ports
+from agatewing.gateway import _ranks
 from agatewing.gateway import _sender
 from agatewing.gateway import _target_registry
 from agatewing.gateway import _tracked_target
@@ -191,10 +190,7 @@
 
         The instance of rank 0 is the first to give orders.
         """
-        own = _rank_key(self._context.name)
-        return sum(
-            _rank_key(name) < own for name in self._context.live_peers()
-        )
+        return _ranks.rank(self._context.name, self._context.live_peers())
 
     def _order(
         self,
@@ -276,11 +272,3 @@
             done = tracked is None or tracked.target.role is sent.role
             if done or now - sent.at >= ORDER_PENDING_S:
                 del self._pending_orders[name]
-
-
-def _rank_key(name: str) -> int:
-    """Return the sort key of an instance for the ranks.
-
-    It is a hash of the name, so that all instances compute the same order.
-    """
-    return xxhash.xxh64_intdigest(name.encode())
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -3,6 +3,8 @@
 Instances tell each other of new streams with their load reports while the
 engines of a service are, or may have been, of several software versions. An
 instance that does not know a stream which a caller takes up asks its peers.
+What it has to know of the time before its start comes from the log
+(``StreamRecord``).
 """
 
 import collections
@@ -10,6 +12,7 @@
 import logging
 
 import gevent
+import gevent.event
 import msgspec
 import result
 import xxhash
@@ -31,6 +34,12 @@
 MAX_BEGUN = 6
 #: Largest number of streams that wait for a report; the oldest are dropped.
 MAX_UNPUBLISHED = 4_096
+#: Time for which a stream waits to be recorded by another instance, in
+#: seconds: longer than it takes until one that died counts as dead.
+MAX_UNRECORDED_S = 3.0
+#: Longest wait of a take-up for what the log has of the time before the start,
+#: in seconds: the time limit for an answer of the log.
+RESTORE_WAIT_S = 0.6
 #: Age of the view of the log above which a version may have been missed, in
 #: seconds: a read of the log takes up to 4.6 s, and half a second to spare.
 MAX_VIEW_AGE_S = 5.1
@@ -45,6 +54,9 @@
     current: bool
     # Origin of the stream; ``None`` if the peer does not know it.
     origin: decisions.StreamOrigin | None = None
+    # Whether no other version can have begun a recent stream. Earlier releases
+    # do not tell.
+    complete: bool = False
 
 
 class StreamDirectory:
@@ -56,7 +68,10 @@
         "_view_age_s",
         "_origins",
         "_histories",
+        "_since",
         "_unpublished",
+        "_unrecorded",
+        "_restored",
         "take_ups",
     )
 
@@ -75,9 +90,18 @@
         self._histories: collections.defaultdict[
             str, decisions.VersionHistory
         ] = collections.defaultdict(decisions.VersionHistory)
+        # Monotonic time since which no version of any service was missed.
+        self._since: float | None = None
         self._unpublished: collections.deque[decisions.StreamOrigin] = (
             collections.deque(maxlen=MAX_UNPUBLISHED)
         )
+        # Streams that are not in the log, with the monotonic times at which
+        # they were recorded here.
+        self._unrecorded: collections.deque[
+            tuple[float, decisions.StreamOrigin]
+        ] = collections.deque(maxlen=MAX_UNPUBLISHED)
+        # Set when the log has told of the time before the start.
+        self._restored = gevent.event.Event()
         #: Number of streams that callers took up, by how their version was
         #: found.
         self.take_ups: collections.Counter[str] = collections.Counter()
@@ -90,23 +114,82 @@
         If a service had one version before, its recent streams are published.
         """
         now = self._clock.monotonic()
-        for name, pool in pools.items():
+        versions = {name: pool.versions() for name, pool in pools.items()}
+        if self._since is None and any(versions.values()):
+            self._since = now
+        for name, present in versions.items():
             history = self._histories[name]
+            if self._since is not None:
+                history.begin(self._since)
             before = history.only(now)
-            history.observe(pool.versions(), now)
+            history.observe(present, now)
             if before is not None and history.only(now) is None:
-                self._unpublished.extend(
-                    origin
-                    for origin in self._origins.recent(now)
-                    if origin.service == name
-                )
+                for origin in self._origins.recent(now):
+                    if origin.service == name:
+                        self._publish(origin, now)
+
+    def restore(
+        self,
+        versions: collections.abc.Mapping[str, frozenset[str]],
+        complete: bool,
+        origins: collections.abc.Iterable[decisions.StreamOrigin],
+    ) -> None:
+        """Add what the log has of the time before this instance started.
+
+        ``complete`` says that ``versions``, by service, are all that may have
+        begun recent streams.
+        """
+        now = self._clock.monotonic()
+        for origin in origins:
+            self._origins.record(origin, now)
+        if complete:
+            self._since = float("-inf")
+        for name in self._histories.keys() | versions.keys():
+            known = versions.get(name, frozenset())
+            self._histories[name].restore(known, complete, now)
+        self._restored.set()
+
+    def remember(
+        self, versions: collections.abc.Mapping[str, frozenset[str]]
+    ) -> None:
+        """Add versions, by service, that another instance has seen lately."""
+        now = self._clock.monotonic()
+        for name, seen in versions.items():
+            self._histories[name].restore(seen, False, now)
+
+    def views(self) -> dict[str, decisions.VersionView]:
+        """Return what is known of the versions, by service."""
+        now = self._clock.monotonic()
+        return {name: self._view(name, now) for name in self._histories}
 
     def record_begin(self, origin: decisions.StreamOrigin) -> None:
         """Record a stream whose first event is about to be forwarded."""
         now = self._clock.monotonic()
         self._origins.record(origin, now)
         if self._only_version(origin.service, now) is None:
-            self._unpublished.append(origin)
+            self._publish(origin, now)
+
+    def _publish(self, origin: decisions.StreamOrigin, now: float) -> None:
+        self._unpublished.append(origin)
+        self._unrecorded.append((now, origin))
+
+    def take_unrecorded(self, count: int) -> list[decisions.StreamOrigin]:
+        """Remove and return up to ``count`` streams for the log."""
+        count = min(count, len(self._unrecorded))
+        return [self._unrecorded.popleft()[1] for _ in range(count)]
+
+    def return_unrecorded(
+        self, origins: collections.abc.Iterable[decisions.StreamOrigin]
+    ) -> None:
+        """Put streams back that could not be written to the log."""
+        now = self._clock.monotonic()
+        self._unrecorded.extend((now, origin) for origin in origins)
+
+    def drop_unrecorded(self) -> None:
+        """Drop the streams that another instance has recorded by now."""
+        oldest = self._clock.monotonic() - MAX_UNRECORDED_S
+        while self._unrecorded and self._unrecorded[0][0] < oldest:
+            self._unrecorded.popleft()
 
     def take_unpublished(self) -> list[wire.StreamBegin]:
         """Remove and return the streams for the next report."""
@@ -125,12 +208,17 @@
         """Record streams that began at another instance."""
         now = self._clock.monotonic()
         for begin in begun:
-            self._origins.record(
-                decisions.StreamOrigin(
-                    begin.attempt, begin.service_name, begin.software
-                ),
-                now,
+            origin = decisions.StreamOrigin(
+                begin.attempt, begin.service_name, begin.software
             )
+            self._origins.record(origin, now)
+            if self.shared_by_all:
+                self._unrecorded.append((now, origin))
+
+    @property
+    def shared_by_all(self) -> bool:
+        """Whether all instances learn of each stream."""
+        return len(self._peers.known) <= _peers.FANOUT
 
     def keepers(self, attempt: str) -> list[str]:
         """Return the addresses of the peers that learn of a stream.
@@ -140,7 +228,7 @@
         """
         known = self._peers.known
         names = sorted(known)
-        if len(names) > _peers.FANOUT:
+        if not self.shared_by_all:
             names.sort(
                 key=lambda name: xxhash.xxh64_intdigest(
                     f"{name}/{attempt}".encode()
@@ -156,19 +244,29 @@
 
         ``attempt`` is empty if the caller did not name it. Asks the peers if
         this instance does not know. If nobody does, the stream began at the
-        only version that anybody has seen lately; returns ``None`` if there
-        are several, or if this instance may have missed one.
+        only version that can have begun a recent stream; returns ``None`` if
+        there may have been several.
         """
+        self._restored.wait(RESTORE_WAIT_S)
         now = self._clock.monotonic()
         only = self._only_version(service, now)
         origin = self._origins.find(attempt, now)
         how = "known"
         if origin is None and only is not None:
             origin = decisions.StreamOrigin(attempt, service, only)
+            how = "only"
         if origin is None:
             origin = self._ask_peers(attempt, service)
             how = "peer" if origin is not None else "unknown"
         self.take_ups[how] += 1
+        _log.info(
+            "streams: taken up",
+            extra={
+                "resumes": attempt,
+                "how": how,
+                "software": origin.software if origin is not None else "",
+            },
+        )
         return origin
 
     def _only_version(self, service: str, now: float) -> str | None:
@@ -176,9 +274,13 @@
 
         ``None`` if there may have been several.
         """
-        if not self._view_is_current:
-            return None
-        return self._histories[service].only(now)
+        return decisions.proved_version([self._view(service, now)])
+
+    def _view(self, service: str, now: float) -> decisions.VersionView:
+        view = self._histories[service].view(now)
+        return decisions.VersionView(
+            view.versions, view.complete and self._view_is_current
+        )
 
     @property
     def _view_is_current(self) -> bool:
@@ -187,8 +289,7 @@
     def _ask_peers(
         self, attempt: str, service: str
     ) -> decisions.StreamOrigin | None:
-        versions = self._histories[service].lately(self._clock.monotonic())
-        current = self._view_is_current
+        views = [self._view(service, self._clock.monotonic())]
         requests = [
             gevent.spawn(self._ask, address, attempt, service)
             for address in self.keepers(attempt)
@@ -199,11 +300,15 @@
                 continue
             if reply.origin is not None:
                 return reply.origin
-            versions |= reply.versions
-            current |= reply.current
-        if len(versions) != 1 or not current:
+            views.append(
+                decisions.VersionView(
+                    reply.versions, reply.complete and reply.current
+                )
+            )
+        software = decisions.proved_version(views)
+        if software is None:
             return None
-        return decisions.StreamOrigin(attempt, service, *versions)
+        return decisions.StreamOrigin(attempt, service, software)
 
     def _ask(self, address: str, attempt: str, service: str) -> _Reply | None:
         key = f"{service}/{attempt}"
@@ -231,8 +336,10 @@
         service, _, attempt = key.partition("/")
         now = self._clock.monotonic()
         origin = self._origins.find(attempt, now)
-        versions = self._histories[service].lately(now)
-        known = _Reply(versions, self._view_is_current, origin)
+        view = self._histories[service].view(now)
+        known = _Reply(
+            view.versions, self._view_is_current, origin, view.complete
+        )
         return wire.StateReply(
             known=origin is not None,
             through=0,
--- /dev/null
+++ b/agatewing/gateway/_stream_record.py
@@ -0,0 +1,324 @@
+"""Records in the log what a loss of all instances must not lose.
+
+Instances remember which software version began which stream. If all of them
+are killed at once, only the log can tell it: the versions that may have begun
+recent streams of each service and, while those are several, the streams.
+
+The versions are written when they change, by the instance of the lowest rank
+or, if it has not done so in time, by the next. Streams are written in batches:
+in small fleets by the instance of rank 0, as it learns of all; in larger ones
+by the instances that began them, less often.
+"""
+
+import collections
+import collections.abc
+import logging
+import math
+
+import msgspec
+
+from agatewing import _clock
+from agatewing import decisions
+from agatewing.gateway import _eras
+from agatewing.gateway import _peers
+from agatewing.gateway import _ports
+from agatewing.gateway import _ranks
+from agatewing.gateway import _stream_directory
+
+_log = logging.getLogger("agatewing.streams")
+
+#: Key of the record of all versions.
+VERSIONS_KEY = "services"
+#: Least time between two batches of streams, in seconds.
+PERIOD_S = 0.25
+#: Instances that write a batch each period, at most; if there are more, each
+#: of them writes less often.
+WRITERS = 9
+#: Number of streams in a batch, so that it stays below 16 kB.
+MAX_STREAMS = 512
+#: Number of instances, by rank, that may write the versions, and the delay of
+#: each behind the one before, in seconds.
+WRITING_INSTANCES = 3
+RANK_DELAY_S = 1.0
+#: Pause after a call to which the log gave no usable answer, in seconds.
+RETRY_S = 0.5
+#: Era of a record that cannot be decoded; no log names it.
+NO_ERA = -1
+
+
+class _Versions(msgspec.Struct, frozen=True):
+    # Software versions that may have begun recent streams, by service.
+    services: dict[str, frozenset[str]]
+    # Era of the log in which it was written.
+    era: int
+
+
+class _Batch(msgspec.Struct, frozen=True):
+    # Unix time of its writing, in seconds.
+    at: float
+    # Attempts that brought first events, by service and software version.
+    begun: dict[str, dict[str, list[str]]]
+
+
+class StreamRecord:
+    """Reads the record at the start of an instance, then keeps it."""
+
+    __slots__ = (
+        "_log",
+        "_clock",
+        "_era",
+        "_streams",
+        "_name",
+        "_live_peers",
+        "_instance_count",
+        "_known",
+        "_due_since",
+        "_retry_at",
+        "_batch_at",
+        "_batches",
+        "writes",
+    )
+
+    def __init__(
+        self,
+        log: _ports.FleetLog,
+        clock: _clock.Clock,
+        era: _eras.LogEra,
+        streams: _stream_directory.StreamDirectory,
+        name: str,
+        live_peers: collections.abc.Callable[[], list[str]],
+        instance_count: collections.abc.Callable[[], int],
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._era = era
+        self._streams = streams
+        self._name = name
+        # Returns the names of the other instances that are alive.
+        self._live_peers = live_peers
+        # Returns the number of instances, this one included.
+        self._instance_count = instance_count
+        # The record of versions, as it was last read or written.
+        self._known: decisions.VersionRecord | None = None
+        # Monotonic time since which it has to be written.
+        self._due_since: float | None = None
+        # Monotonic times before which nothing, and no batch, is written.
+        self._retry_at = float("-inf")
+        self._batch_at = float("-inf")
+        # Number of batches written.
+        self._batches = 0
+        #: Number of writes, by topic.
+        self.writes: collections.Counter[str] = collections.Counter()
+
+    def load(self) -> None:
+        """Read the record; tries until the log answers."""
+        while not self._load():
+            self._clock.sleep(RETRY_S)
+
+    def run(self) -> None:
+        """Keep the record, forever; :meth:`load` has to be done before."""
+        while True:
+            self._clock.sleep(PERIOD_S)
+            self.step()
+
+    def _load(self) -> bool:
+        listed = self._read_versions()
+        if listed is None:
+            return False
+        record, _ = listed
+        begun = self._log.read_newest(_ports.Topic.STREAMS)
+        if not self._era.observe(begun.era):
+            return False
+        if not isinstance(begun, _ports.Page):
+            return False
+        complete = self._is_complete(record)
+        if complete is None:
+            return False
+        self._known = record
+        services = record.services if record is not None else {}
+        self._streams.restore(services, complete, _origins(begun.records))
+        _log.info(
+            "streams: record read",
+            extra={
+                "complete": complete,
+                "versions": {n: sorted(v) for n, v in services.items()},
+            },
+        )
+        return True
+
+    def _is_complete(
+        self, record: decisions.VersionRecord | None
+    ) -> bool | None:
+        """Return whether a record names all versions of recent streams.
+
+        Without a record, that is at the first start of all. ``None`` if the
+        log gave no usable answer.
+        """
+        if record is not None:
+            # A restored log lacks what was written since the copy.
+            return record.era == (self._era.current or 0)
+        answer = self._log.read_newest(_ports.Topic.INSTANCES)
+        if not self._era.observe(answer.era):
+            return None
+        if not isinstance(answer, _ports.Page):
+            return None
+        if (self._era.current or 0) > _eras.FIRST_ERA:
+            return False
+        # Instances of earlier releases begin streams without a record.
+        return all(_records_streams(entry) for entry in answer.records)
+
+    def _read_versions(
+        self,
+    ) -> tuple[decisions.VersionRecord | None, int] | None:
+        """Return the record of versions and the end of its topic.
+
+        ``None`` if the log gave no usable answer.
+        """
+        answer = self._log.read_newest(_ports.Topic.VERSIONS)
+        if not self._era.observe(answer.era):
+            return None
+        match answer:
+            case _ports.LogUnavailable(reason=reason):
+                _log.info("streams: record not read", extra={"reason": reason})
+                return None
+            case _ports.Page(records=records, next_offset=end):
+                pass
+        for record in records:
+            if record.key == VERSIONS_KEY and record.value:
+                return _decode_versions(record.value), end
+        return None, end
+
+    def step(self) -> None:
+        """Write what is due."""
+        now = self._clock.monotonic()
+        if now < self._retry_at:
+            return
+        rank = _ranks.rank(self._name, self._live_peers())
+        answered = True
+        if self._versions_due(now, rank):
+            answered = self._write_versions()
+        if self._streams.shared_by_all and rank:
+            self._streams.drop_unrecorded()
+        elif answered and now >= self._batch_at:
+            self._batch_at = now + self._batch_period_s()
+            answered = self._write_batch()
+        if not answered:
+            self._retry_at = now + RETRY_S
+
+    def _batch_period_s(self) -> float:
+        return PERIOD_S * max(1.0, self._instance_count() / WRITERS)
+
+    def _own_record(self) -> decisions.VersionRecord | None:
+        return decisions.version_record(
+            self._streams.views(), self._era.current or 0
+        )
+
+    def _versions_due(self, now: float, rank: int) -> bool:
+        """Return whether this instance has to write the versions now."""
+        own = self._own_record()
+        if own is None or own == self._known:
+            self._due_since = None
+            return False
+        if self._due_since is None:
+            self._due_since = now
+        if rank >= WRITING_INSTANCES:
+            return False
+        return now - self._due_since >= rank * RANK_DELAY_S
+
+    def _write_versions(self) -> bool:
+        """Write the versions if they still differ; return whether it is done.
+
+        The write is conditional, so that none which arrives late undoes
+        another.
+        """
+        listed = self._read_versions()
+        if listed is None:
+            return False
+        recorded, end = listed
+        self._streams.remember(
+            decisions.unknown_versions(recorded, self._known)
+        )
+        self._known = recorded
+        own = self._own_record()
+        if own is None or own == recorded:
+            return True
+        value = msgspec.json.encode(_Versions(own.services, own.era))
+        written = self._log.put_if_end(
+            _ports.Topic.VERSIONS, VERSIONS_KEY, value, end
+        )
+        self._era.observe(written.era)
+        if not isinstance(written, _ports.Written):
+            return False
+        self.writes[str(_ports.Topic.VERSIONS)] += 1
+        if own.era == (self._era.current or 0):
+            self._known = own
+        return True
+
+    def _write_batch(self) -> bool:
+        """Write streams that are due; return whether the log took them."""
+        origins = self._streams.take_unrecorded(MAX_STREAMS)
+        if not origins:
+            return True
+        begun: dict[str, dict[str, list[str]]] = {}
+        for origin in origins:
+            by_version = begun.setdefault(origin.service, {})
+            by_version.setdefault(origin.software, []).append(origin.attempt)
+        batch = msgspec.json.encode(_Batch(self._clock.wall(), begun))
+        # Keys are used again when their streams are no longer remembered.
+        keys = math.ceil(decisions.STREAM_KEEP_S / self._batch_period_s()) + 1
+        key = f"{self._name}/{self._batches % keys}"
+        self._batches += 1
+        stored = self._log.put(_ports.Topic.STREAMS, key, batch)
+        self._era.observe(stored.era)
+        if not isinstance(stored, _ports.Stored):
+            self._streams.return_unrecorded(origins)
+            return False
+        self.writes[str(_ports.Topic.STREAMS)] += 1
+        return True
+
+
+def _decode_versions(raw: bytes) -> decisions.VersionRecord:
+    """Decode a record; one that cannot be decoded is of no era."""
+    try:
+        versions = msgspec.json.decode(raw, type=_Versions)
+    except msgspec.MsgspecError as exc:
+        _log.warning(
+            "streams: record ignored, it cannot be decoded",
+            extra={"reason": str(exc)},
+        )
+        return decisions.VersionRecord({}, NO_ERA)
+    return decisions.VersionRecord(versions.services, versions.era)
+
+
+def _records_streams(record: _ports.KeyedRecord) -> bool:
+    """Return whether an instance's entry says that it records streams."""
+    try:
+        entry = msgspec.json.decode(record.value or b"", type=_peers.PeerEntry)
+    except msgspec.MsgspecError:
+        return False
+    return entry.records_streams
+
+
+def _origins(
+    records: collections.abc.Iterable[_ports.KeyedRecord],
+) -> list[decisions.StreamOrigin]:
+    """Return the streams of all batches, those of the oldest batch first."""
+    batches = []
+    for record in records:
+        try:
+            batch = msgspec.json.decode(record.value or b"", type=_Batch)
+        except msgspec.MsgspecError as exc:
+            _log.warning(
+                "streams: batch ignored, it cannot be decoded",
+                extra={"key": record.key, "reason": str(exc)},
+            )
+            continue
+        batches.append(batch)
+    batches.sort(key=lambda batch: batch.at)
+    return [
+        decisions.StreamOrigin(attempt, service, software)
+        for batch in batches
+        for service, by_version in batch.begun.items()
+        for software, attempts in by_version.items()
+        for attempt in attempts
+    ]
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -27,6 +27,9 @@
     gateway.Topic.INSTANCES: 20_000,
     # Read only before an order is sent; never polled.
     gateway.Topic.ORDERS: 0,
+    # Read only at the start, and before a write of VERSIONS.
+    gateway.Topic.VERSIONS: 0,
+    gateway.Topic.STREAMS: 0,
 }
 #: Time limit for an answer of the log beyond the long-poll time, in seconds;
 #: under normal load it answers in 4 ms.
@@ -54,6 +57,8 @@
     gateway.Topic.TARGETS: _names.TOPIC_TARGETS,
     gateway.Topic.INSTANCES: _names.TOPIC_INSTANCES,
     gateway.Topic.ORDERS: _names.TOPIC_ORDERS,
+    gateway.Topic.VERSIONS: _names.TOPIC_VERSIONS,
+    gateway.Topic.STREAMS: _names.TOPIC_STREAMS,
 }
 
 
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -96,5 +96,7 @@
 TOPIC_TARGETS = "keyed.servers"
 TOPIC_INSTANCES = "keyed.instances"
 TOPIC_ORDERS = "keyed.orders"
+TOPIC_VERSIONS = "keyed.versions"
+TOPIC_STREAMS = "keyed.streams"
 #: Key of the configuration in TOPIC_CONFIGURATION.
 CONFIGURATION_KEY = "config"
--- a/agatewing/platform/tests/test_joined_streams.py
+++ b/agatewing/platform/tests/test_joined_streams.py
@@ -119,20 +119,21 @@
     def _start(self, names: tuple[str, ...]) -> None:
         for name in names:
             self.running[name] = self.site.start(name)
-        for made in self.running.values():
-            self.site.wait(lambda made=made: made.lifecycle.ready)
-            self.site.wait(lambda made=made: made.peers.known)
+        running = self.running.values()
+        self.site.wait(lambda: all(i.lifecycle.ready for i in running))
+        self.site.wait(lambda: all(i.peers.known for i in running))
         self._wait_for_view()
 
     def _wait_for_view(self) -> None:
         """Wait until all instances see the engines that are announced."""
-        for made in self.running.values():
-            self.site.wait(
-                lambda made=made: (
-                    made.catalog.age_s() < 1.0
-                    and made.catalog.targets.keys() == self._versions.keys()
-                )
+        running = self.running.values()
+        names = self._versions.keys()
+        self.site.wait(
+            lambda: all(
+                i.catalog.age_s() < 1.0 and i.catalog.targets.keys() == names
+                for i in running
             )
+        )
 
     def _begin(self, first: str) -> None:
         instance = self.running["i1"]
