Bind a stream to its version if its handle names none

What callers could see: an event id that names no software version, because the engine had announced none when it began the stream, let any engine go on, also one that announces a version since. The text could be joined from two.

Cause: an empty version in the handle was read as "any version". A handle outlives the instances, so this was the only place of the product's own interface that knew less than the stream.

The case "no version was announced, one is now" of test_a_taken_up_stream_goes_on_where_its_handle_allows failed before.

--- a/agatewing/entry/__init__.py
+++ b/agatewing/entry/__init__.py
@@ -14,6 +14,7 @@
 from agatewing.entry._relay import Relay
 from agatewing.entry._relay_types import GenerateCall
 from agatewing.entry._relay_types import RelayDependencies
+from agatewing.entry._resume import bind_to_version
 from agatewing.entry._resume import HandleCodec
 from agatewing.entry._resume import StreamHandle
 from agatewing.entry._services import Services
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -1,7 +1,6 @@
 """Answers /v1/completions and /v1/chat/completions."""
 
 import collections.abc
-import dataclasses
 import random
 
 import msgspec
@@ -170,9 +169,7 @@
         digest = _resume.body_digest(req.body)
         _resume.check_resume(handle, req.identity.name, digest)
         call = _engine_call(handle.stream, body, handle.seed, handle.created)
-        profile = dataclasses.replace(
-            profile, software=handle.software or None
-        )
+        profile = _resume.bind_to_version(profile, handle)
         relay = _relay.Relay(
             self._deps,
             pool,
--- a/agatewing/entry/_resume.py
+++ b/agatewing/entry/_resume.py
@@ -1,6 +1,7 @@
 """Event ids with which any instance can resume a stream."""
 
 import base64
+import dataclasses
 import hashlib
 import hmac
 
@@ -8,6 +9,7 @@
 
 from agatewing import _exceptions
 from agatewing import _types
+from agatewing import decisions
 
 #: Length of the signature, a keyed digest before the encoded handle, in bytes.
 SIGNATURE_BYTES = 10
@@ -35,6 +37,17 @@
     software: str = ""
 
 
+def bind_to_version(
+    profile: decisions.RequestProfile, handle: StreamHandle
+) -> decisions.RequestProfile:
+    """Return the profile of a request that takes a stream up.
+
+    A handle without a version is of engines that announced none; it says
+    nothing of those that do.
+    """
+    return dataclasses.replace(profile, software=handle.software)
+
+
 def body_digest(raw: bytes) -> bytes:
     """Return the digest of a request body.
 
--- a/agatewing/entry/tests/test_relay_versions.py
+++ b/agatewing/entry/tests/test_relay_versions.py
@@ -56,7 +56,10 @@
 
 
 def make_relay(
-    versions: dict[str, str], software: str | None, position: int
+    versions: dict[str, str],
+    software: str | None,
+    position: int,
+    handle: entry.StreamHandle | None = None,
 ) -> tuple[entry.Relay, fleet.Pool]:
     clock = _clock.SystemClock()
     made = fleet.Fleet(
@@ -84,6 +87,8 @@
         entry.CrashGuard(clock, decisions.CrashSuspects()),
     )
     profile = decisions.RequestProfile(9, 9, "z", software=software)
+    if handle is not None:
+        profile = entry.bind_to_version(profile, handle)
     deadline = clock.monotonic() + 10.0
     relay = entry.Relay(deps, pool, CALL, profile, deadline, position)
     return relay, pool
@@ -144,3 +149,31 @@
     codec = entry.HandleCodec("s" * 16)
     handle = entry.StreamHandle("c", "e1", "s1", 5, 7, b"12345678", "v1")
     assert codec.decode(codec.encode(handle) + ".1") == (handle, 1)
+
+
+HANDLE_CASES = {
+    "the version serves": ("v1", {"e1": "v1", "e2": "v2", "e3": "v1"}, "e3"),
+    "only another version is left": ("v1", {"e1": "v2", "e2": "v2"}, ""),
+    "no version was announced, as now": ("", {"e1": "", "e2": ""}, "e2"),
+    "no version was announced, one is now": ("", {"e1": "", "e2": "v2"}, ""),
+}
+
+
+# A handle that named no version let a stream go on at any. An instance that
+# has just started has nothing but the handle.
+@pytest.mark.parametrize("name", HANDLE_CASES)
+def test_a_taken_up_stream_goes_on_where_its_handle_allows(name: str) -> None:
+    software, versions, goes_on = HANDLE_CASES[name]
+    handle = entry.StreamHandle("c", "e1", "s1", 5, 7, b"12345678", software)
+    relay, pool = make_relay(versions, None, 1, handle)
+    # The engine that began the stream is gone.
+    typing.cast(Client, pool.engines["e1"].client).calls = 1
+    try:
+        relay.resume("e1")
+        received = b"".join(relay.blocks())
+    except _exceptions.RefusedError as exc:
+        assert exc.refusal.kind is _types.RefusalKind.STREAM_LOST
+        received = b""
+    assert received == (EVENTS[1] if goes_on else b"")
+    others = {n: c for n, c in calls(pool).items() if n != "e1"}
+    assert others == {n: int(n == goes_on) for n in others}
