Expect only the rest of a stream that is taken up

What callers saw: streams that they took up were refused because the answer could not be whole before their deadline, though most of it had been delivered.

Cause: the estimate took the whole answer of a take-up as still to come. The id of the last event, where it is a number, and the tokens of an event, from the engines' data sheet, tell what has been delivered; an engine reads that like the prompt.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -16,6 +16,7 @@
 from agatewing.decisions._costs import prefill_cost_tokens
 from agatewing.decisions._costs import prefill_s
 from agatewing.decisions._costs import priority_class
+from agatewing.decisions._costs import remaining_profile
 from agatewing.decisions._costs import RequestProfile
 from agatewing.decisions._costs import single_engine_s
 from agatewing.decisions._costs import ZONE_ROUND_TRIP_S
--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -72,6 +72,21 @@
         return self.prompt_tokens + self.fetched_tokens + self.output_tokens
 
 
+def remaining_profile(
+    profile: RequestProfile, delivered_tokens: int
+) -> RequestProfile:
+    """Return the profile of an answer of which some tokens were delivered.
+
+    An engine that continues it reads them like the prompt.
+    """
+    delivered = min(max(0, delivered_tokens), profile.output_tokens - 1)
+    return dataclasses.replace(
+        profile,
+        prompt_tokens=profile.prompt_tokens + delivered,
+        output_tokens=profile.output_tokens - delivered,
+    )
+
+
 def priority_class(tokens: int) -> int:
     """Return the priority class of a prompt length in tokens, from 0.
 
--- a/agatewing/decisions/tests/test_decisions.py
+++ b/agatewing/decisions/tests/test_decisions.py
@@ -317,3 +317,19 @@
     index.remove("a", (2,))
     assert index.match((1, 2, 3), 64, 1.0) == {"a": 64, "b": 128}
     assert index.match((1, 2, 3), 64, 1e6) == {}
+
+
+# A stream that a caller took up was refused as if its whole answer were still
+# to come.
+@pytest.mark.parametrize(
+    ("delivered", "prompt", "output"),
+    [(0, 100, 50), (30, 130, 20), (50, 149, 1), (900, 149, 1), (-1, 100, 50)],
+)
+def test_delivered_tokens_are_no_longer_to_come(
+    delivered: int, prompt: int, output: int
+) -> None:
+    whole = decisions.RequestProfile(100, 50, "z", software="v1")
+    left = decisions.remaining_profile(whole, delivered)
+    assert (left.prompt_tokens, left.output_tokens) == (prompt, output)
+    assert left.kv_tokens == whole.kv_tokens
+    assert left.software == "v1"
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -77,6 +77,8 @@
     framings: collections.Counter[str]
     #: Histograms of answer times.
     metrics: _metrics.Metrics
+    #: Tokens in one event of a stream.
+    tokens_per_event: int
 
 
 class AnswerConn(typing.Protocol):
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -194,6 +194,7 @@
             collections.Counter(),
             collections.Counter(),
             self.metrics,
+            self.settings.engines.tokens_per_event,
         )
 
     def _build_links(self, rng: random.Random) -> detour.LinkWatch:
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -72,6 +72,8 @@
 
     #: Id of the attempt that brought the first event; empty if not stated.
     first_attempt: str
+    #: Number of events that the caller has received; 0 if it is not known.
+    events: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -41,6 +41,8 @@
     # share of ``chunk_tokens`` in a step while sequences decode.
     beside_rate_share: Positive = 0.5
     beside_chunk_share: Positive = 0.25
+    # Tokens in one event of a stream.
+    tokens_per_event: typing.Annotated[int, msgspec.Meta(ge=1)] = 1
     # Attention time per million pairs of a prompt's tokens, in milliseconds.
     attention_ms_per_m_pairs: Millis = 0.647
 
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -189,7 +189,7 @@
         # The last block belongs to this request alone, so it is not shared.
         self._add_preferred_engine(pool, blocks[:-1], cached)
         source = self._fetch_source(pool, ready)
-        return decisions.RequestProfile(
+        profile = decisions.RequestProfile(
             prompt.tokens,
             max(1, prompt.max_output_tokens),
             self._ctx.zone,
@@ -199,6 +199,12 @@
             cross_zone_s=decisions.ZONE_ROUND_TRIP_S
             + len(job.req.body) * CROSS_ZONE_S_PER_BYTE,
         )
+        take_up = job.req.take_up
+        if take_up is None or not job.attempts.idempotent:
+            return profile
+        return decisions.remaining_profile(
+            profile, take_up.events * self._ctx.tokens_per_event
+        )
 
     def _add_preferred_engine(
         self,
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -237,10 +237,13 @@
 
 def _parse_take_up(values: dict[bytes, bytes]) -> gateway.TakeUp | None:
     """Return the stream to continue; ``None`` without an event id."""
-    if not values.get(_names.LAST_EVENT_ID, b"").strip():
+    last_event_id = values.get(_names.LAST_EVENT_ID, b"").strip()
+    if not last_event_id:
         return None
     first_attempt = values.get(_names.RESUMES, b"").strip()
-    return gateway.TakeUp(first_attempt.decode("latin-1"))
+    # Ids that are numbers count the events.
+    events = _parse_count(last_event_id)
+    return gateway.TakeUp(first_attempt.decode("latin-1"), events)
 
 
 def _parse_prompt(values: dict[bytes, bytes]) -> gateway.Prompt | None:
