--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -30,7 +30,7 @@
 #: Key of the record of all versions.
 VERSIONS_KEY = "services"
 #: Least time between two batches of streams, in seconds.
-PERIOD_S = 0.25
+PERIOD_S = 0.1
 #: Instances that write a batch each period, at most; if there are more, each
 #: of them writes less often.
 WRITERS = 9
