--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -16,6 +16,10 @@
 #: its answer, which counts like 40 ms of its 800 ms.
 CROSS_ZONE_S_PER_BYTE = 3.3e-6
 
+#: Weight of the account of streams that callers take up, against 1 of a
+#: route's new ones: they have less time left, and a part of them is delivered.
+TAKE_UP_WEIGHT = 4.0
+
 
 class RouteAccount:
     """Account of a route in the fair queue, so that no route starves."""
@@ -63,17 +67,18 @@
             # those that are handed on.
             _stream.Stream(self._ctx, job, pool, profile).run(None)
             return
-        account = job.route.name
+        name, weight = job.route.name, 1.0
         if software is not None:
             # Engines of one version may be full while others have room.
-            account = f"{account} of {software}"
+            name, weight = f"{name} of {software}", TAKE_UP_WEIGHT
         if profile.avoid:
-            account = f"{account}, sent before"
+            name = f"{name}, sent before"
+        account = RouteAccount(name, weight)
         job.queued = True
         try:
             route = self._ctx.dispatcher.wait_for_route(
                 pool,
-                RouteAccount(account),
+                account,
                 profile,
                 self._queue_deadline(job, pool),
             )
