--- a/agatewing/platform/tests/test_joined_streams.py
+++ b/agatewing/platform/tests/test_joined_streams.py
@@ -3,11 +3,13 @@
 import collections.abc
 import dataclasses
 import itertools
+import json
 
 import gevent
 import pytest
 
 from agatewing import gateway
+from agatewing.gateway import _peers
 from agatewing.platform import standins
 
 PROMPT_HEADERS = {"X-Token-Count": "1200,20", "X-Prefix-Hash": "aa:800,bb:400"}
@@ -336,3 +338,35 @@
         scenario.carry_out(step)
     goes_on = case.named if resumes else case.unnamed
     check_take_up(scenario, resumes, case.version, goes_on)
+
+
+# In a fleet in which not all instances learn of all streams, those that began
+# a stream record it.
+def test_a_large_fleet_records_its_streams_too(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_peers, "FANOUT", 0)
+    for step in (*BESIDE, Kill(), Return()):
+        scenario.carry_out(step)
+    check_take_up(scenario, "s1", "v1", True)
+
+
+def test_the_record_in_the_log_has_versions_and_streams(
+    scenario: Scenario,
+) -> None:
+    for step in (*BESIDE, Kill(("i2",))):
+        scenario.carry_out(step)
+    store = scenario.site.store
+    [(_, raw)] = store.topic("keyed.versions").newest.values()
+    versions = json.loads(raw)
+    assert versions["era"] == 1
+    assert sorted(versions["services"]["chat"]) == ["v1", "v2"]
+    batches = store.topic("keyed.streams").newest
+    assert {name.partition("/")[0] for name in batches} <= set(NAMES)
+    begun = [json.loads(raw)["begun"] for _, raw in batches.values()]
+    assert begun == [{"chat": {"v1": ["s1"]}}]
+    text = "".join(
+        made.render_metrics()[0].decode() for made in scenario.site.instances
+    )
+    assert 'agatewing_stream_records_total{topic="streams"} 1' in text
+    assert 'agatewing_stream_records_total{topic="versions"}' in text
