--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -83,7 +83,7 @@
                 pool,
                 account,
                 profile,
-                self._queue_deadline(job, pool) + self._slack_s(job, pool),
+                self._queue_deadline(job, pool),
             )
             job.queued = False
         except _exceptions.RefusedError as exc:
@@ -118,13 +118,15 @@
     ) -> float:
         """Return the monotonic time until which a request may be queued.
 
-        While engines limit the requests of all instances, a queue holds more
+        It is beyond the deadline by as much as the time of the request may
+        be overestimated. While engines limit the requests of all instances, a queue holds more
         than they take; callers that would give up are refused at once.
         """
+        deadline = job.deadline + self._slack_s(job, pool)
         if not pool.limited:
-            return job.deadline
+            return deadline
         give_up_at = job.req.arrived_at + job.route.patience_s
-        return min(job.deadline, give_up_at - _context.ANSWER_MARGIN_S)
+        return min(deadline, give_up_at - _context.ANSWER_MARGIN_S)
 
     def _slack_s(
         self, job: _context.Job, pool: _target_registry.Pool
@@ -136,7 +138,7 @@
         a new one would be later still.
         """
         engines = pool.routable()
-        if job.req.take_up is None or not engines:
+        if not _takes_up(job) or not engines:
             return 0.0
         expected = self._request_profile(job, pool)
         short = self._request_profile(job, pool, SHORT_ANSWER_SHARE)
@@ -158,7 +160,7 @@
         if handed_on is not None:
             return handed_on.software
         take_up = job.req.take_up
-        if take_up is None or not job.attempts.idempotent:
+        if take_up is None or not _takes_up(job):
             return None
         origin = self._ctx.streams.find(take_up.first_attempt, job.service)
         if origin is None:
@@ -235,7 +237,7 @@
             + len(job.req.body) * CROSS_ZONE_S_PER_BYTE,
         )
         take_up = job.req.take_up
-        if take_up is None or not job.attempts.idempotent:
+        if take_up is None or not _takes_up(job):
             return profile
         return decisions.remaining_profile(
             profile, take_up.events * self._ctx.tokens_per_event
@@ -285,3 +287,8 @@
             ),
             default=None,
         )
+
+
+def _takes_up(job: _context.Job) -> bool:
+    """Return whether a request continues a stream of an earlier attempt."""
+    return job.req.take_up is not None and job.attempts.idempotent
