--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -119,8 +119,9 @@
         """Return the monotonic time until which a request may be queued.
 
         It is beyond the deadline by as much as the time of the request may
-        be overestimated. While engines limit the requests of all instances, a queue holds more
-        than they take; callers that would give up are refused at once.
+        be overestimated. While engines limit the requests of all instances,
+        a queue holds more than they take; callers that would give up are
+        refused at once.
         """
         deadline = job.deadline + self._slack_s(job, pool)
         if not pool.limited:
