Let only the time limit in force end requests in the matrix

Cause: the matrix took every time limit that had been lowered to be in force for good, and allowed 504 at any time beside such a change.

Change: a lowered limit counts from its publication until two seconds after it was raised again, for requests that the instance may have accepted then; 504, like a cut, is allowed only once that time has passed. Combinations of time limits go on until the longer ones are in force again. The share of 97% of the limit becomes the margin of the instance.

--- a/agatewing/platform/tests/_change_matrix.py
+++ b/agatewing/platform/tests/_change_matrix.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import pathlib
 import random
 import tempfile
@@ -42,8 +43,11 @@
 #: Time after SIGTERM up to which a request may outlast the process, in
 #: seconds.
 LATEST_SEND_S = 3.0
-#: Part of the time limit of a route after which a request may be cut off.
-USED_UP = 0.97
+#: Time before the time limit of a route from which a request may be ended by
+#: it, in seconds: the margin of the instance, and some milliseconds more.
+LIMIT_MARGIN_S = 0.02
+#: Longest time until an instance that runs accepts a request, in seconds.
+ACCEPT_S = 0.1
 #: Longest time from the publication of a configuration until it is in force,
 #: in seconds.
 APPLY_S = 2.0
@@ -150,8 +154,8 @@
         self._case = combination
         self._seed = seed
         self._rng = random.Random(f"{seed}/{combination}")
-        # Monotonic times at which shorter time limits may be in force.
-        self._short: list[float] = []
+        # From and until when shorter time limits may be in force, monotonic.
+        self._short: list[tuple[float, float]] = []
         self._stopped_at: float | None = None
 
     def run(self) -> Result:
@@ -253,7 +257,8 @@
             gevent.spawn_later(max(0.0, lead_s), self._change),
         ]
         gevent.joinall(parts, raise_error=True)
-        gevent.sleep(AFTER_S)
+        # Until the longer limits are in force again, if they were lowered.
+        gevent.sleep(AFTER_S + (APPLY_S if self._short else 0.0))
         self._callers.stop()
 
     def _fall_silent(self) -> None:
@@ -296,10 +301,18 @@
                     name, service, role, state="draining", seq=2, slots=32
                 )
         else:
-            if change is Change.TIMEOUTS_LOWER and changed:
-                self._short.append(time.monotonic())
+            if change is Change.TIMEOUTS_LOWER:
+                self.note_limits(changed, time.monotonic())
             self._configurations.publish(change if changed else Change.NONE)
 
+    def note_limits(self, lowered: bool, at: float) -> None:
+        """Note when time limits are lowered, or raised again."""
+        if lowered:
+            self._short.append((at, math.inf))
+        else:
+            begun, _ = self._short.pop()
+            self._short.append((begun, at + APPLY_S))
+
     def _result(self) -> Result:
         outcomes: collections.Counter[str] = collections.Counter()
         failures = []
@@ -307,7 +320,7 @@
             run.id for e in self._site.targets.values() for run in e.runs
         )
         for sent in self._callers.sent:
-            outcome = self._outcome(sent)
+            outcome = self.outcome(sent)
             outcomes[outcome.text] += 1
             if outcome.failed:
                 failures.append(self._describe(sent, outcome, runs[sent.id]))
@@ -316,7 +329,8 @@
         found_closed = self._callers.found_closed
         return Result(self._case, self._seed, outcomes, found_closed, failures)
 
-    def _outcome(self, sent: Sent) -> Outcome:
+    def outcome(self, sent: Sent) -> Outcome:
+        """Return what became of a request, and whether that was allowed."""
         reply = sent.reply
         if reply is None:
             return Outcome("no answer in time", True)
@@ -337,6 +351,8 @@
         allowed = _changes.allowed_statuses(self._case.change)
         if reply.status not in allowed:
             return Outcome(f"answered {reply.status}", True)
+        if reply.status == 504 and not self._used_up(sent):
+            return Outcome("answered 504 before its time limit", True)
         if reply.status == 200 and reply.body != _body(sent):
             return Outcome("answered with a wrong body", True)
         return Outcome(f"answered {reply.status}", False)
@@ -346,10 +362,16 @@
         limit_ms = _changes.PLAIN_TIMEOUT_MS
         if sent.kind.streams:
             limit_ms = _changes.STREAM_TIMEOUT_MS
-        if any(sent.sent_at >= at for at in self._short):
+        accepted_by = max(sent.sent_at, sent.turn_at) + ACCEPT_S
+        if self._case.silent is Silent.INSTANCE:
+            accepted_by += self._case.silence_s
+        if any(
+            begin <= accepted_by and sent.turn_at < end
+            for begin, end in self._short
+        ):
             limit_ms = _changes.SHORT_TIMEOUT_MS
-        taken_s = sent.ended_at - sent.sent_at
-        return taken_s >= limit_ms / 1_000 * USED_UP
+        taken_s = sent.ended_at - sent.turn_at
+        return taken_s >= limit_ms / 1_000 - LIMIT_MARGIN_S
 
     def _outlasts_stop(self, sent: Sent) -> bool:
         """Return whether a target had the request up to the stop limit."""
--- a/agatewing/platform/tests/_steady_callers.py
+++ b/agatewing/platform/tests/_steady_callers.py
@@ -65,6 +65,9 @@
     id: str
     kind: Kind
     style: Style
+    #: Monotonic time from which the instance may begin with it, in seconds:
+    #: that of its first byte, or of the end of the answer before it.
+    turn_at: float = 0.0
     #: Monotonic time at which its last byte was sent, in seconds.
     sent_at: float = 0.0
     #: Whether all of it was sent.
@@ -167,6 +170,7 @@
         for sent in batch:
             sent.first = not link.used
         link.used = True
+        turn_at = time.monotonic()
         try:
             self._write(link, batch)
         except OSError:
@@ -174,13 +178,13 @@
             pass
         told = False
         for sent in batch:
-            sent.told = told
+            sent.told, sent.turn_at = told, turn_at
             try:
                 sent.reply = link.replies.read(REPLY_TIMEOUT_S)
             except AssertionError:
                 return False
             finally:
-                sent.ended_at = time.monotonic()
+                sent.ended_at = turn_at = time.monotonic()
             told = told or sent.reply.headers.get("connection") == "close"
         return not told and all(s.reply and s.reply.complete for s in batch)
 
