End the probes of an instance with its stop

Cause: Links.start starts two loops that nothing ends; Instance.stop left them to the end of the process. In a process of tests, a stopped instance probes its peers' addresses, and answers at its own, after they have been leased to others. The class is that of the polls of engines: a loop that starts others does not end them.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -52,9 +52,12 @@
     def stop(self) -> None:
         """Send a last round of probes; stop serving state requests.
 
-        Over a real network, periodic probes go on until the process ends.
+        Over a real network, periodic probes go on until :meth:`kill`.
         """
 
+    def kill(self) -> None:
+        """End all sending and receiving at once."""
+
     def fetch_state(
         self, address: str, stream: str, key: str = ""
     ) -> "result.Result[wire.StateReply, _exceptions.AgatewingError]":
@@ -462,6 +465,7 @@
         self.clock.sleep(LEAVE_NOTICE_S)
         for server in self._servers:
             server.stop(timeout=1.0)
+        self.links.kill()
         gevent.killall(self._tasks, block=False)
         self.events.add(timeline.EventKind.STOPPED)
         _log.info("instance: %s stopped", self.author)
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -42,6 +42,7 @@
         "_state_source",
         "_udp",
         "_tcp",
+        "_loops",
         "sent_bytes",
         "received_bytes",
         "malformed",
@@ -68,6 +69,7 @@
         self._udp = gevent.socket.socket(family, socket.SOCK_DGRAM)
         self._udp.bind((host, port))
         self._tcp = gevent.server.StreamServer((host, port), self._serve)
+        self._loops: list[gevent.Greenlet] = []
         #: Bytes sent in datagrams.
         self.sent_bytes = 0
         #: Bytes received in datagrams.
@@ -78,21 +80,29 @@
     def start(self) -> None:
         """Serve state requests; start receiving and probing."""
         self._tcp.start()
-        gevent.spawn(self._run_receive)
-        gevent.spawn(self._run_probes)
+        self._loops = [
+            gevent.spawn(self._run_receive),
+            gevent.spawn(self._run_probes),
+        ]
 
     def stop(self) -> None:
         """Send one more round of probes and stop serving state requests.
 
         The probes report the status ``LEFT`` if
         ``Detector.announce_departure`` was called before. The loops that
-        receive and probe keep running.
+        receive and probe run until :meth:`kill`.
         """
         self._send(
             self._detector.tick(self._clock.monotonic(), self._sender_state())
         )
         self._tcp.stop()
 
+    def kill(self) -> None:
+        """End all loops and close both ports, without sending anything."""
+        gevent.killall(self._loops)
+        self._tcp.stop(timeout=0)
+        self._udp.close()
+
     def fetch_state(
         self, address: str, stream: str, key: str = ""
     ) -> result.Result[wire.StateReply, _exceptions.AgatewingError]:
