Answer a request of the own interface that met an unexpected error

What callers saw: an exception of a socket that a handler let through (ECONNRESET, EPIPE) ended the connection of a whole request without an answer; any other defect gave the plain 500 of the WSGI server, which says nothing of the outcome. Cause: EntryApp caught its own kinds of errors only, and pywsgi takes errors of sockets for those of the caller's connection. Change: every exception is logged and refused as internal, outcome unknown, as in the gateway. No code path that lets one through is known.

Result: the three new cases fail before (no answer, no answer, plain 500) and pass now.

--- a/agatewing/entry/_app.py
+++ b/agatewing/entry/_app.py
@@ -73,7 +73,8 @@
         except _exceptions.RefusedError as exc:
             self.open_requests -= 1
             return self._refuse(exc.refusal, start_response)
-        except _exceptions.AgatewingError as exc:
+        except Exception as exc:
+            # The server would close the connection on some errors of sockets.
             self.open_requests -= 1
             _log.exception("entry: request failed: %s", exc)
             return self._refuse(_internal_error(), start_response)
