Tell callers of the own interface the outcome at the drain limit

What callers saw: a request that outlasted drain_limit_s was answered by the plain 500 of the WSGI server, which has neither kind nor outcome. Cause: Instance.stop ends handlers with GreenletExit, for which the server's own error page is sent. Change: the HTTP server sends a problem document instead, outcome unknown. Answers that have begun are cut off as before.

--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -118,6 +118,20 @@
         status, raw = _problem.raw_response(refusal)
         return status, raw
 
+    def _send_error_response_if_possible(self, error_code: int) -> None:
+        """Send the problem document of a request that was not finished."""
+        if error_code != 500:
+            super()._send_error_response_if_possible(error_code)
+            return
+        self.close_connection = True
+        if self.response_length:
+            return
+        _, raw = _problem.raw_response(_problem.NOT_FINISHED)
+        try:
+            self._sendall(raw)
+        except OSError as exc:
+            _log.debug("net: caller disconnected: %s", exc)
+
     def log_request(self) -> None:
         """Log nothing; the application logs requests."""
 
--- a/agatewing/net/_problem.py
+++ b/agatewing/net/_problem.py
@@ -45,6 +45,12 @@
     "send the head in one piece",
     retry_after_s=1.0,
 )
+NOT_FINISHED = _exceptions.Refusal(
+    _types.RefusalKind.INTERNAL,
+    "the instance stopped, or failed, before it had an answer",
+    "ask for the outcome before you send the request again",
+    _types.Outcome.UNKNOWN,
+)
 
 
 class Problem(msgspec.Struct, omit_defaults=True):
