Require that the matrix has some requests of each kind served

Cause: 503 is allowed beside every change, so a product that refuses every request passed the matrix. Change: a combination fails unless a request of each kind is answered 200.

--- a/agatewing/platform/tests/_change_matrix.py
+++ b/agatewing/platform/tests/_change_matrix.py
@@ -326,6 +326,16 @@
                 failures.append(self._describe(sent, outcome, runs[sent.id]))
             if not sent.kind.repeatable and runs[sent.id] > 1:
                 failures.append(f"{sent.id} ran {runs[sent.id]} times")
+        served = {
+            sent.kind
+            for sent in self._callers.sent
+            if sent.reply is not None and sent.reply.status == 200
+        }
+        failures += [
+            f"no request of {kind.name} was served"
+            for kind in Kind
+            if kind not in served
+        ]
         found_closed = self._callers.found_closed
         return Result(self._case, self._seed, outcomes, found_closed, failures)
 
