Let silences of the matrix cover the stop limit

Cause: no combination had requests without an answer at the stop limit but by chance. Change: SIGTERM is also played beside silences of 2.2 s that begin 2.0 to 2.3 s after it.

--- a/agatewing/platform/tests/_change_matrix.py
+++ b/agatewing/platform/tests/_change_matrix.py
@@ -46,6 +46,10 @@
 #: Time before the time limit of a route from which a request may be ended by
 #: it, in seconds: the margin of the instance, and some milliseconds more.
 LIMIT_MARGIN_S = 0.02
+#: Length of the silences that cover the stop limit, and the earliest and the
+#: latest time from SIGTERM to their begin, in seconds.
+LAST_SILENCE_S = 2.2
+LAST_SILENCE_FROM_S, LAST_SILENCE_UNTIL_S = 2.0, 2.3
 #: Longest time until an instance that runs accepts a request, in seconds.
 ACCEPT_S = 0.1
 #: Longest time from the publication of a configuration until it is in force,
@@ -114,6 +118,9 @@
             else Series
         )
         for silence in SILENCES
+    ] + [
+        Combination(Change.STOP, Series.ONCE, silent, LAST_SILENCE_S)
+        for silent in (Silent.ONE, Silent.ALL)
     ]
 
 
@@ -252,6 +259,10 @@
         if case.change is Change.STOP:
             # Also beside the stop limit.
             lead_s = self._rng.uniform(-STOP_LIMIT_S, case.silence_s)
+        if case.silence_s == LAST_SILENCE_S:
+            lead_s = -self._rng.uniform(
+                LAST_SILENCE_FROM_S, LAST_SILENCE_UNTIL_S
+            )
         parts = [
             gevent.spawn_later(max(0.0, -lead_s), self._fall_silent),
             gevent.spawn_later(max(0.0, lead_s), self._change),
