Try another peer if one has no target to use

Cause: a peer that has just lost its links, and has no verdict yet, refuses with 'no-target', and the instance passed that on though other peers reach the targets. Change: the peer says of such a refusal, if nothing has run, that it has not taken the request, so another peer is tried; each one once.

--- a/agatewing/gateway/_hop_conn.py
+++ b/agatewing/gateway/_hop_conn.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from agatewing import _types
 from agatewing import detour
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _context
@@ -165,10 +166,15 @@
                 "the connection cannot carry another answer"
             )
         job = self.job
+        # Another peer may have targets where this one, which may not know yet
+        # that its links are lost, has none to use.
         not_taken = refusal.status == 503 and (
             job is None
             or not job.attempts.maybe_ran
-            and self._ctx.links.lost(job.service)
+            and (
+                refusal.kind is _types.RefusalKind.NO_TARGET
+                or self._ctx.links.lost(job.service)
+            )
         )
         self._send_refusal(
             refusal, not_taken, job.attempts.targets if job is not None else 0
--- a/agatewing/platform/tests/test_detours.py
+++ b/agatewing/platform/tests/test_detours.py
@@ -872,6 +872,23 @@
         assert reply.status in (200, 504)
 
 
+# A peer that had lost its links, but did not know it yet, or had other reasons
+# to use no target, made the instance refuse what a second peer could serve.
+@pytest.mark.parametrize("path", ["/look/x", "/pay/x", "/draft/x"])
+def test_another_peer_is_tried_if_one_has_no_usable_target(
+    site: standins.Site, path: str
+) -> None:
+    first, second, _ = _every_route.start_ready(site, "i1", "i2", "i3")
+    cut(first, "i2", "i3")
+    for tracked in second.registry.by_id.values():
+        tracked.avoid_until = float("inf")
+    for _ in range(8):
+        reply, request_id = ask(site, first, path)
+        assert (reply.status, reply.complete) == (200, True)
+        assert runs(site, request_id) == 1
+    assert second.server.hops_served["refused"]
+
+
 # A request on a route that a peer has not heard of was refused with 404.
 def test_a_peer_that_is_behind_does_not_take_a_request(
     site: standins.Site,
