Decide in one place whether a stream may go on and who may send it

Cause: the path through a peer repeated what the direct path had: the id of the last event, whether it allows another answer, and whether a path may pass its turn on. The id had two versions, of which one knew of requests that a peer has handed on; the race had a third copy of the second check. Change: EventRelay knows the id and whether the stream may resume, SendTurn keeps a turn whose request must not run again. No test was changed.

--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -7,6 +7,7 @@
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
 from agatewing.gateway import _plain_forwarder
+from agatewing.gateway import _ports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,10 +32,11 @@
     __slots__ = (
         "_job",
         "_clock",
+        "_dialect",
         "_on_begin",
         "_last_event_at",
+        "_last_event",
         "event_count",
-        "last_event",
         "first_event_at",
         "longest_pause_s",
     )
@@ -43,17 +45,19 @@
         self,
         job: _context.Job,
         clock: _clock.Clock,
+        dialect: _ports.Dialect,
         on_begin: collections.abc.Callable[[_messages.AnswerSource], None],
     ) -> None:
         # Called with the source of the first event before it is forwarded.
         self._on_begin = on_begin
         self._job = job
         self._clock = clock
+        self._dialect = dialect
         self._last_event_at = 0.0
+        # Last complete event.
+        self._last_event = b""
         #: Number of complete events forwarded.
         self.event_count = 0
-        #: Last complete event.
-        self.last_event = b""
         #: Monotonic time of the first event, in seconds; 0 before it.
         self.first_event_at = 0.0
         #: Longest time between two events, in seconds.
@@ -64,6 +68,22 @@
         """Whether the caller has the head of an answer."""
         return self._job.conn.started
 
+    @property
+    def last_event_id(self) -> bytes | None:
+        """Id of the last event that the caller has.
+
+        ``None`` if it has no id, or no event was forwarded.
+        """
+        if self.event_count:
+            return self._dialect.last_event_id(self._last_event)
+        handed_on = self._job.req.handed_on
+        return handed_on.last_event_id if handed_on is not None else None
+
+    @property
+    def may_resume(self) -> bool:
+        """Whether another answer may go on with the stream."""
+        return not self.event_count or self.last_event_id is not None
+
     def forward(self, source: _messages.AnswerSource, piece: Piece) -> None:
         """Send the next part of the stream to the caller."""
         conn = self._job.conn
@@ -100,5 +120,5 @@
             self.first_event_at = now
         self._last_event_at = now
         self.event_count += piece.events
-        self.last_event = piece.last_event
+        self._last_event = piece.last_event
         self._job.events = self.event_count
--- a/agatewing/gateway/_send_turn.py
+++ b/agatewing/gateway/_send_turn.py
@@ -2,6 +2,8 @@
 
 import gevent.event
 
+from agatewing import decisions
+
 
 class SendTurn:
     """Lets one path at a time await the answer to the request itself.
@@ -10,9 +12,10 @@
     the number of engines that run the request stays within its limits.
     """
 
-    __slots__ = ("_holder", "_freed", "_waiting")
+    __slots__ = ("_attempts", "_holder", "_freed", "_waiting")
 
-    def __init__(self) -> None:
+    def __init__(self, attempts: decisions.Attempts) -> None:
+        self._attempts = attempts
         self._holder: object | None = None
         self._freed = gevent.event.Event()
         self._waiting = 0
@@ -43,7 +46,13 @@
         self._holder = path
 
     def release(self, path: object) -> None:
-        """Let another path send the request, if ``path`` had the turn."""
+        """Let another path send the request, if ``path`` had the turn.
+
+        Keeps the turn if the request may have run and must not run again.
+        """
+        attempts = self._attempts
+        if attempts.maybe_ran and not attempts.idempotent:
+            return
         if self._holder is path:
             self._holder = None
             self._freed.set()
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -37,8 +37,10 @@
         self._ctx = ctx
         self._job = job
         self._engines = _stream_engines.StreamEngines(ctx, job, pool, profile)
-        self._relay = _relay.EventRelay(job, ctx.clock, self._record_begin)
-        self._turn = _send_turn.SendTurn()
+        self._relay = _relay.EventRelay(
+            job, ctx.clock, ctx.dialect, self._record_begin
+        )
+        self._turn = _send_turn.SendTurn(job.attempts)
         # Paths that are followed while none of them delivers.
         self._race: _race.Race[_stream_path.StreamWay] | None = None
 
@@ -147,15 +149,7 @@
             return self._new_path(None) if failed.links_back else None
         if not _context.may_go_on_at_peer(self._ctx, self._job):
             return None
-        return self._new_detour() if self._may_resume() else None
-
-    def _may_resume(self) -> bool:
-        """Return whether another answer may go on with the stream."""
-        relay = self._relay
-        if not relay.event_count:
-            return True
-        last_event_id = self._ctx.dialect.last_event_id
-        return last_event_id(relay.last_event) is not None
+        return self._new_detour() if self._relay.may_resume else None
 
     def _add(self, path: _stream_path.StreamWay) -> None:
         path.race = self._race
@@ -186,7 +180,7 @@
     def _may_hedge(self, silent: list[_stream_path.StreamWay]) -> bool:
         if not self._job.attempts.idempotent and self._turn.taken:
             return False
-        if not self._may_resume():
+        if not self._relay.may_resume:
             return False
         uncounted = sum(path.uncounted_targets for path in silent)
         return _context.may_hedge(self._ctx, self._job, uncounted)
--- a/agatewing/gateway/_stream_detour.py
+++ b/agatewing/gateway/_stream_detour.py
@@ -156,13 +156,7 @@
 
     def _resume_point(self) -> _detour.ResumePoint:
         software = self._engines.profile.software
-        return _detour.ResumePoint(software, self._last_event_id())
-
-    def _last_event_id(self) -> bytes | None:
-        """Return the id of the last forwarded event; ``None`` if none."""
-        if not self._relay.event_count:
-            return None
-        return self._ctx.dialect.last_event_id(self._relay.last_event)
+        return _detour.ResumePoint(software, self._relay.last_event_id)
 
     def _read_failure(self, begun: _detour.Begun) -> _relay.Piece | None:
         """Return a target's error answer, unless the stream may go on."""
@@ -193,8 +187,8 @@
         self._close_channel()
         self._expect(_race.NEVER)
         self._detour.fail(outcome)
-        self._release_turn()
-        if self._relay.event_count and self._last_event_id() is None:
+        self._turn.release(self)
+        if not self._relay.may_resume:
             raise _context.give_up_error(
                 self._job, "the last event has no id to resume after"
             )
@@ -214,16 +208,10 @@
         """Return whether another path may still deliver."""
         return self.race is not None and self.race.others(self)
 
-    def _release_turn(self) -> None:
-        """Let another path send, unless the request must not run again."""
-        attempts = self._job.attempts
-        if attempts.idempotent or not attempts.maybe_ran:
-            self._turn.release(self)
-
     def mark_silent(self) -> None:
         """Let another path try while this one is silent."""
         self._detour.mark_silent()
-        self._release_turn()
+        self._turn.release(self)
 
     def record_loss(self) -> None:
         """Do nothing: a peer that is slow is no worse for other requests."""
@@ -240,4 +228,4 @@
         self._close_channel()
         self._detour.close()
         self._expect(_race.NEVER)
-        self._release_turn()
+        self._turn.release(self)
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -354,7 +354,9 @@
         result = sender.send_request(
             tracked,
             job.req,
-            self.prefill.send_options(tracked, False, self._last_event_id()),
+            self.prefill.send_options(
+                tracked, False, self._relay.last_event_id
+            ),
             job.deadline,
             sender.max_idle_s(job.attempts.idempotent),
         )
@@ -412,16 +414,6 @@
             return None
         return _relay.Piece(outcome.head, outcome.body, ended=True)
 
-    def _last_event_id(self) -> bytes | None:
-        """Return the id of the last event that the caller has.
-
-        ``None`` if it has no id, or no event was forwarded.
-        """
-        if self._relay.event_count:
-            return self._ctx.dialect.last_event_id(self._relay.last_event)
-        handed_on = self._job.req.handed_on
-        return handed_on.last_event_id if handed_on is not None else None
-
     def _handle_failure(self) -> None:
         """Record the failure and prepare the next send.
 
@@ -462,9 +454,9 @@
             software=tracked.target.software,
         )
         self._paid_targets = self._job.attempts.targets
-        self._release_turn()
+        self._turn.release(self)
         _context.await_check(self._ctx, self._job, check)
-        if self._relay.event_count and self._last_event_id() is None:
+        if not self._relay.may_resume:
             raise _context.give_up_error(
                 self._job, "the last event has no id to resume after"
             )
@@ -477,12 +469,6 @@
             meter.end()
         self._expect(_race.NEVER)
 
-    def _release_turn(self) -> None:
-        """Let another path send, unless the request must not run again."""
-        attempts = self._job.attempts
-        if attempts.idempotent or not attempts.maybe_ran:
-            self._turn.release(self)
-
     @property
     def sending(self) -> bool:
         """Whether the answer to the request itself is awaited."""
@@ -518,7 +504,7 @@
         if self.sending:
             self._counted = self._job.sent = True
             self._job.attempts.record_silence()
-            self._release_turn()
+            self._turn.release(self)
 
     def record_loss(self) -> None:
         """Count a silent engine's answer as lost: another one was faster."""
@@ -544,5 +530,5 @@
             self._job.attempts.record_silence()
             self._counted = True
         self._end_send()
-        self._release_turn()
+        self._turn.release(self)
         self.prefill.release()
