Plan roles from the demand and from learned speeds

Change: decisions/ learns prefill rate and step time of each pool from the answers that an instance sees, keeps the demand of streams over a few seconds and splits the engines by both; the planned batch does not collapse on a single learned step, and a claim's ordered split is where who starts goes on.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -30,6 +30,16 @@
 from agatewing.decisions._crash_suspects import CrashSuspects
 from agatewing.decisions._credits import credits
 from agatewing.decisions._credits import own_share
+from agatewing.decisions._decode_plan import ChangeSplit
+from agatewing.decisions._decode_plan import DecodePlanner
+from agatewing.decisions._decode_plan import EngineClass
+from agatewing.decisions._decode_plan import FULL_VIEW_BOUNDS
+from agatewing.decisions._decode_plan import KeepSplit
+from agatewing.decisions._decode_plan import PARTIAL_VIEW_BOUNDS
+from agatewing.decisions._decode_plan import PlanBounds
+from agatewing.decisions._decode_plan import role_needs
+from agatewing.decisions._decode_plan import ROLE_SWITCH_S
+from agatewing.decisions._decode_plan import RoleNeeds
 from agatewing.decisions._engines import EngineLoad
 from agatewing.decisions._engines import Speed
 from agatewing.decisions._fair_queue import Entry
@@ -45,6 +55,11 @@
 from agatewing.decisions._hedging import RaceStep
 from agatewing.decisions._hedging import Take
 from agatewing.decisions._hedging import Wait
+from agatewing.decisions._learned_speed import FitPolicy
+from agatewing.decisions._learned_speed import FULL_VIEW_FIT
+from agatewing.decisions._learned_speed import LearnedSpeed
+from agatewing.decisions._learned_speed import MeasuredTime
+from agatewing.decisions._learned_speed import PARTIAL_VIEW_FIT
 from agatewing.decisions._link_evidence import HOLD_S
 from agatewing.decisions._link_evidence import judge_links
 from agatewing.decisions._link_evidence import LinkEvidence
@@ -64,6 +79,7 @@
 from agatewing.decisions._placement_index import PrefixBlocks
 from agatewing.decisions._prefix_index import PrefixIndex
 from agatewing.decisions._retry_budget import RetryBudget
+from agatewing.decisions._role_plan import MIN_DECODE_ENGINES
 from agatewing.decisions._role_plan import plan_roles
 from agatewing.decisions._role_plan import RoleMove
 from agatewing.decisions._role_plan import RolePlanEngine
@@ -82,6 +98,7 @@
 from agatewing.decisions._routing import Router
 from agatewing.decisions._routing import Single
 from agatewing.decisions._routing import Split
+from agatewing.decisions._routing import SPLIT_MIN_TOKENS
 from agatewing.decisions._service_rate import ServiceRate
 from agatewing.decisions._shared_budget import BudgetBound
 from agatewing.decisions._shared_budget import SharedRetryBudget
@@ -89,6 +106,10 @@
 from agatewing.decisions._shared_limits import SharedLimits
 from agatewing.decisions._stall import MIN_STALL_S
 from agatewing.decisions._stall import stall_timeout_s
+from agatewing.decisions._stream_demand import fleet_demand
+from agatewing.decisions._stream_demand import PrefillPlace
+from agatewing.decisions._stream_demand import StreamDemand
+from agatewing.decisions._stream_demand import StreamDemandMeter
 from agatewing.decisions._stream_versions import KEEP_S as STREAM_KEEP_S
 from agatewing.decisions._stream_versions import proved_version
 from agatewing.decisions._stream_versions import StreamOrigin
--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -147,7 +147,8 @@
     own_tokens = prefill_cost_tokens(profile, engine)
     tokens = _tokens_ahead(own_tokens, engine) + own_tokens
     rate = prefill_rate(engine)
-    seconds = (tokens / rate + speed.step_base_s) * engine.slowness
+    seconds = tokens / rate + speed.step_base_s + speed.prefill_base_s
+    seconds *= engine.slowness
     fetched = fetchable_tokens(profile, engine) + profile.fetched_tokens
     seconds += fetch_s(fetched, profile, engine)
     if engine.zone != profile.zone:
@@ -177,9 +178,7 @@
     if engine.role is _types.Role.DECODE and speed.decode_prefill_share < 1:
         return _decode_engine_prefill_rate(engine)
     if engine.role is _types.Role.PREFILL or not engine.sequences:
-        chunk = speed.full_chunk_tokens
-        step = speed.step_base_s + chunk / speed.prefill_tokens_per_s
-        return chunk / step
+        return speed.full_chunk_rate()
     step = speed.step_s(min(engine.sequences, speed.slots))
     chunk = speed.chunk_tokens
     return chunk / (step + chunk / speed.prefill_tokens_per_s)
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -21,6 +21,8 @@
 
     #: Prefill rate when nothing else runs, in prompt tokens per second.
     prefill_tokens_per_s: float = 8_000.0
+    #: Time that every prefill takes beside that of its tokens, in seconds.
+    prefill_base_s: float = 0.0
     #: Time of an empty step, in seconds.
     step_base_s: float = 0.018
     #: Time that one decoding sequence adds to a step, in seconds.
@@ -51,6 +53,14 @@
         pairs = new * (cached + new / 2)
         return round(new + pairs / 1e6 * self.attention_tokens_per_m_pairs)
 
+    def full_chunk_rate(self) -> float:
+        """Return the prefill rate with nothing else, in tokens/s.
+
+        Unlike ``prefill_tokens_per_s``, it has the fixed time of the steps.
+        """
+        chunk = self.full_chunk_tokens
+        return chunk / (self.step_base_s + chunk / self.prefill_tokens_per_s)
+
     def step_s(self, sequences: float) -> float:
         """Return the time of a step that decodes ``sequences``, in seconds."""
         return self.step_base_s + self.step_per_sequence_s * sequences
--- a/agatewing/decisions/_role_plan.py
+++ b/agatewing/decisions/_role_plan.py
@@ -1,14 +1,9 @@
-"""Role plan with a fixed share of decode engines; the others prefill.
+"""Which engines change their roles, so that enough of them decode.
 
-This suits load whose bottleneck is prompts, with short answers. A prefill
-engine processes prompts twice as fast as a decode engine and delays no
-stream, and one engine decodes for a dozen callers at once. So the share of
-decode engines can be small. Of three or more engines at least two decode, to
-bear the loss of one. The plan is made again whenever engines are added or
-lost.
-
-gateway/ uses this plan; control/ uses the plan by demand, see
-:mod:`agatewing.decisions._roles`.
+How many are to decode is planned by demand, see
+:mod:`agatewing.decisions._decode_plan`; that plan is for gateway/, where an
+engine prefills or decodes. control/ plans roles one engine at a time, mixed
+ones included, see :mod:`agatewing.decisions._roles`.
 """
 
 import collections
@@ -49,21 +44,10 @@
     role: _types.Role
 
 
-def wanted_decode_engines(engines: int, decode_share: float) -> int:
-    """Return the number of engines that are to decode.
-
-    ``engines`` is the number of all engines.
-    """
-    if engines < 2:
-        return engines
-    by_share = int(engines * decode_share + 0.5)
-    return min(engines - 1, max(MIN_DECODE_ENGINES, by_share))
-
-
 def plan_roles(
-    engines: collections.abc.Sequence[RolePlanEngine], decode_share: float
+    engines: collections.abc.Sequence[RolePlanEngine], wanted: int
 ) -> tuple[RoleMove, ...]:
-    """Return the role changes that lead to the wanted share.
+    """Return the role changes after which ``wanted`` engines decode.
 
     Only engines of role prefill or decode are counted and changed. Streams
     cannot go on at an engine of another software version, so a version that
@@ -71,7 +55,6 @@
     """
     decode = [e for e in engines if e.role is _types.Role.DECODE]
     prefill = [e for e in engines if e.role is _types.Role.PREFILL]
-    wanted = wanted_decode_engines(len(decode) + len(prefill), decode_share)
     if len(decode) > wanted:
         if _awaits_replacement(decode):
             return ()
--- a/agatewing/decisions/tests/test_role_plan.py
+++ b/agatewing/decisions/tests/test_role_plan.py
@@ -22,6 +22,17 @@
     ]
 
 
+def plan(
+    present: list[decisions.RolePlanEngine], share: float
+) -> tuple[decisions.RoleMove, ...]:
+    """Return the plan by which a share of the engines decodes."""
+    count = len(present)
+    wanted = max(decisions.MIN_DECODE_ENGINES, int(count * share + 0.5))
+    if count > 1:
+        wanted = min(wanted, count - 1)
+    return decisions.plan_roles(present, min(wanted, count))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
     roles: tuple[_types.Role, ...]
@@ -51,21 +62,21 @@
 @pytest.mark.parametrize("name", CASES)
 def test_moves(name: str) -> None:
     case = CASES[name]
-    moves = decisions.plan_roles(engines(*case.roles), SHARE)
+    moves = plan(engines(*case.roles), SHARE)
     assert {m.engine: m.role for m in moves} == case.moves
 
 
 def test_an_engine_with_an_outstanding_order_is_chosen_again() -> None:
     present = engines(P, P, D, D, D)
     present[4] = dataclasses.replace(present[4], ordered=True)
-    (move,) = decisions.plan_roles(present, SHARE)
+    (move,) = plan(present, SHARE)
     assert move.engine == "e4"
 
 
 def test_an_idle_engine_changes_before_a_busy_one() -> None:
     present = engines(P, P, D, D, D)
     present[2] = dataclasses.replace(present[2], sequences=9)
-    (move,) = decisions.plan_roles(present, SHARE)
+    (move,) = plan(present, SHARE)
     assert move.engine == "e4"
 
 
@@ -77,11 +88,11 @@
     roles: list[_types.Role], share: float
 ) -> None:
     present = {e.name: e for e in engines(*roles)}
-    for move in decisions.plan_roles(list(present.values()), share):
+    for move in plan(list(present.values()), share):
         old = present[move.engine]
         assert old.role is not move.role
         present[move.engine] = dataclasses.replace(old, role=move.role)
-    assert decisions.plan_roles(list(present.values()), share) == ()
+    assert plan(list(present.values()), share) == ()
     if len(present) > 1:
         assert {e.role for e in present.values()} == {P, D}
 
@@ -103,7 +114,7 @@
     present: list[decisions.RolePlanEngine],
 ) -> list[decisions.RolePlanEngine]:
     """Return the engines after one plan was carried out."""
-    moves = {m.engine: m.role for m in decisions.plan_roles(present, SHARE)}
+    moves = {m.engine: m.role for m in plan(present, SHARE)}
     return [
         dataclasses.replace(e, role=moves.get(e.name, e.role)) for e in present
     ]
@@ -146,8 +157,8 @@
 ) -> None:
     present = versions("a:D a:D b:D a:P b:P")
     present[1] = dataclasses.replace(present[1], ordered=ordered)
-    plan = decisions.plan_roles(present, SHARE)
-    assert [move.engine for move in plan] == moves
+    moves_planned = plan(present, SHARE)
+    assert [move.engine for move in moves_planned] == moves
 
 
 @hypothesis.given(
@@ -165,5 +176,5 @@
     present = versions(" ".join(":".join(pair) for pair in drawn))
     for _ in range(len(present) + 2):
         present = carry_out(present)
-    assert decisions.plan_roles(present, SHARE) == ()
+    assert plan(present, SHARE) == ()
     assert {e.role for e in present} == {P, D}
