Compare failures of one's own with bounds of when a peer connected

Three errors met: (1) the time of a peer's connection is known only with the delay of its answer, so one from before a crash counted as later; (2) a connection that was reset counted as failing from its opening on, though it was sound until then; (3) an attempt that was refused up to 20 ms before a peer's connection counted as beside it, which a healing for all does.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -66,6 +66,7 @@
 from agatewing.decisions._link_evidence import LinkFailure
 from agatewing.decisions._link_evidence import LinkVerdict
 from agatewing.decisions._link_evidence import MIN_FAILURES
+from agatewing.decisions._link_evidence import PeerConnection
 from agatewing.decisions._link_evidence import unreached_since
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
--- a/agatewing/decisions/_link_evidence.py
+++ b/agatewing/decisions/_link_evidence.py
@@ -36,14 +36,45 @@
 
 #: Largest time between the start of an own attempt that failed and a later
 #: connection of a peer, in seconds: targets that come back, and links that
-#: heal for everyone, are often reached by a peer first.
+#: heal for everyone, are often reached by a peer first. An attempt that was
+#: refused or reset was over before.
 CONCURRENT_S = {
     LinkFailure.TIMED_OUT: 0.1,
-    LinkFailure.REFUSED: 0.02,
-    LinkFailure.RESET: 0.02,
+    LinkFailure.REFUSED: 0.0,
+    LinkFailure.RESET: 0.0,
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerConnection:
+    """A connection that a peer opened to a target.
+
+    Its time is known from the answer of the peer, whose way takes time.
+    """
+
+    #: Bounds of its monotonic time, in seconds.
+    earliest: float
+    latest: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FailedAttempt:
+    """An attempt that failed; monotonic times, in seconds."""
+
+    started_at: float
+    ended_at: float
+    kind: LinkFailure
+
+    @property
+    def shown_at(self) -> float:
+        """Time from which on it shows that the target is not reached.
+
+        A connection that is reset may have been open until then.
+        """
+        is_reset = self.kind is LinkFailure.RESET
+        return self.ended_at if is_reset else self.started_at
+
+
 class LinkEvidence:
     """Attempts to connect to one target, and what was heard from it.
 
@@ -61,9 +92,9 @@
         self.heard_at = _NEVER
         # Time of the last connection that proves nothing yet.
         self._connected_at = _NEVER
-        # Start and kind of the attempts that failed since the last one that
-        # was accepted, oldest first.
-        self._failures: list[tuple[float, LinkFailure]] = []
+        # Attempts that failed since the last one that was accepted, oldest
+        # first.
+        self._failures: list[_FailedAttempt] = []
 
     def record_connected(self, now: float) -> None:
         """Record a new connection; it proves the path after ``HOLD_S``."""
@@ -83,7 +114,7 @@
             self._connected_at = _NEVER
         if started_at <= self.accepted_at:
             return
-        self._failures.append((started_at, kind))
+        self._failures.append(_FailedAttempt(started_at, now, kind))
         del self._failures[:-MAX_FAILURES]
 
     def record_heard(self, now: float, opened_at: float = _NEVER) -> None:
@@ -107,7 +138,7 @@
         self._failures = [
             failure
             for failure in self._failures
-            if failure[0] > self.accepted_at
+            if failure.started_at > self.accepted_at
         ]
 
     @property
@@ -121,22 +152,30 @@
 
         Infinite if none did.
         """
-        return min((at for at, _ in self._failures), default=float("inf"))
+        return min(
+            (failure.started_at for failure in self._failures),
+            default=float("inf"),
+        )
 
-    def failed_beside(self, at: float) -> bool:
-        """Return whether an attempt failed that was in progress at a time.
+    def failed_beside(self, connection: PeerConnection) -> bool:
+        """Return whether a path of one's own failed while a peer's worked.
 
-        One that was refused or reset was over at once.
+        An attempt has to fail before the connection of the peer, and another
+        one during or after it.
         """
         return any(
-            started_at >= at - CONCURRENT_S[kind]
-            for started_at, kind in self._failures
+            failure.shown_at <= connection.earliest
+            for failure in self._failures
+        ) and any(
+            failure.started_at
+            >= connection.latest - CONCURRENT_S[failure.kind]
+            for failure in self._failures
         )
 
     @property
     def kinds(self) -> set[LinkFailure]:
         """How the attempts failed since the last accepted one."""
-        return {kind for _, kind in self._failures}
+        return {failure.kind for failure in self._failures}
 
     @property
     def reached(self) -> bool:
@@ -186,16 +225,16 @@
 def judge_links(
     links: collections.abc.Mapping[str, LinkEvidence],
     peers_reached: collections.abc.Mapping[
-        str, collections.abc.Sequence[float]
+        str, collections.abc.Sequence[PeerConnection]
     ],
     now: float,
     lost_before: collections.abc.Container[str] = (),
 ) -> LinkVerdict:
     """Return the verdict about a service.
 
-    ``links`` has the active targets by id, ``peers_reached`` the times
-    at which peers opened connections to a target, ``lost_before`` the
-    targets that were lost by the verdict before.
+    ``links`` has the active targets by id, ``peers_reached`` the connections
+    that peers opened to a target, ``lost_before`` the targets that were lost
+    by the verdict before.
     """
     since = unreached_since(list(links.values()))
     failures = {
@@ -218,14 +257,12 @@
 
 def _is_reached_by_peers(
     link: LinkEvidence,
-    reached_at: collections.abc.Sequence[float],
+    connections: collections.abc.Sequence[PeerConnection],
     now: float,
     lost_before: bool,
 ) -> bool:
     """Return whether a peer reached a target while attempts failed here."""
-    if not link.failures or now - max(reached_at) > PEER_VIEW_S:
+    reached_at = max(connection.latest for connection in connections)
+    if not link.failures or now - reached_at > PEER_VIEW_S:
         return False
-    return lost_before or any(
-        at >= link.failing_since and link.failed_beside(at)
-        for at in reached_at
-    )
+    return lost_before or any(map(link.failed_beside, connections))
--- a/agatewing/decisions/tests/test_link_evidence.py
+++ b/agatewing/decisions/tests/test_link_evidence.py
@@ -70,7 +70,7 @@
                 case "heard":
                     links[name].record_heard(NOW + at)
     peers = {
-        name: [NOW - seen.peer]
+        name: [decisions.PeerConnection(NOW - seen.peer, NOW - seen.peer)]
         for name, seen in targets.items()
         if seen.peer is not None
     }
@@ -171,6 +171,13 @@
         },
         NEVER,
     ),
+    "a peer came just after links healed for all": (
+        {
+            "a": refuses(0.3, 0.12, 0.01, peer=0.0),
+            "b": refuses(0.3, 0.12, 0.01, peer=0.0),
+        },
+        NEVER,
+    ),
     "one lost SYN": (
         {"a": hangs(0.3, peer=0.2), "b": reached()},
         NEVER,
@@ -215,6 +222,32 @@
     assert judge(targets) == verdict
 
 
+# A target crashed: an idle connection from before was reset, the next attempt
+# was refused, and peers named connections from just before the crash. It was
+# taken for a lost path.
+@pytest.mark.parametrize(
+    ("peer", "is_lost"),
+    [
+        pytest.param((0.4, 0.4), False, id="between opening and reset"),
+        pytest.param((0.4, 0.2), False, id="maybe before the reset"),
+        pytest.param((0.25, 0.2), True, id="after the reset"),
+        pytest.param((0.25, 0.05), False, id="maybe after the last attempt"),
+    ],
+)
+def test_a_peer_has_to_come_between_two_failures(
+    peer: tuple[float, float], is_lost: bool
+) -> None:
+    link = decisions.LinkEvidence()
+    link.record_failure(NOW - 0.5, Failure.RESET, NOW - 0.3)
+    link.record_failure(NOW - 0.1, Failure.REFUSED, NOW - 0.1)
+    earliest_age_s, latest_age_s = peer
+    connection = decisions.PeerConnection(
+        NOW - earliest_age_s, NOW - latest_age_s
+    )
+    verdict = decisions.judge_links({"a": link}, {"a": [connection]}, NOW)
+    assert verdict.all_lost == is_lost
+
+
 # What refuses connections on the way may accept them first, and a reset then
 # counted as a path that works.
 @pytest.mark.parametrize(
--- a/agatewing/detour/_link_exchange.py
+++ b/agatewing/detour/_link_exchange.py
@@ -15,6 +15,7 @@
 import result
 
 from agatewing import _clock
+from agatewing import decisions
 from agatewing.detour import _link_probe
 from agatewing.detour import _link_recorder
 from agatewing import wire
@@ -27,7 +28,7 @@
 #: Largest number of targets in one question.
 MAX_TARGETS = 4
 #: Number of connections of peers that are kept for each target.
-MAX_TIMES = 8
+MAX_CONNECTIONS = 8
 #: Age up to which a connection of the past answers a question, in seconds.
 RECENT_S = 0.1
 #: Age up to which the answer of a peer counts, in seconds.
@@ -101,6 +102,9 @@
     # Milliseconds since it opened a connection to a target, by its id. If it
     # reaches none of those in question, another one may be named.
     reached: dict[str, int]
+    # Milliseconds from the question to this answer; earlier releases do not
+    # tell.
+    took_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,7 +132,7 @@
         "_probe",
         "_targets_of",
         "_views",
-        "_reached_at",
+        "_reached_by",
         "questions",
     )
 
@@ -151,22 +155,29 @@
         self._targets_of = targets_of
         # Answers by name of the peer.
         self._views: dict[str, PeerView] = {}
-        # Monotonic times at which peers last reached a target, in seconds,
-        # by its id, oldest first.
-        self._reached_at: dict[str, list[float]] = {}
+        # Last connections of peers to a target, by its id, oldest first.
+        self._reached_by: dict[str, list[decisions.PeerConnection]] = {}
         #: Number of questions sent.
         self.questions = 0
 
-    def reached_at(
+    def reached_by(
         self, names: collections.abc.Iterable[str]
-    ) -> dict[str, list[float]]:
-        """Return when peers reached targets, as monotonic times."""
+    ) -> dict[str, list[decisions.PeerConnection]]:
+        """Return the last connections of peers to targets, by target."""
         return {
-            name: self._reached_at[name]
+            name: self._reached_by[name]
             for name in names
-            if name in self._reached_at
+            if name in self._reached_by
         }
 
+    def reached_at(self, name: str) -> float:
+        """Return when a peer last reached a target, as a monotonic time.
+
+        Negative infinity if none did.
+        """
+        connections = self._reached_by.get(name, [])
+        return max((c.latest for c in connections), default=_NEVER)
+
     def reaching(self, service: str) -> list[str]:
         """Return the peers that reach a service, latest answers first."""
         valid_from = self._clock.monotonic() - ANSWER_VALID_S
@@ -233,9 +244,10 @@
         view = self._view(name)
         key = msgspec.json.encode(question).decode()
         request = wire.StateRequest(stream=LINK_STREAM, key=key)
+        asked_at = self._clock.monotonic()
         match self._ask_peer(entry.address, request):
             case result.Ok(reply):
-                return self._merge(view, question, reply.state)
+                return self._merge(view, question, reply.state, asked_at)
             case result.Err(reason):
                 pass
         view.reached.clear()
@@ -247,7 +259,11 @@
         return None
 
     def _merge(
-        self, view: PeerView, question: LinkQuestion, raw: bytes
+        self,
+        view: PeerView,
+        question: LinkQuestion,
+        raw: bytes,
+        asked_at: float,
     ) -> bool | None:
         now = self._clock.monotonic()
         try:
@@ -262,19 +278,21 @@
         else:
             view.reached.pop(question.service, None)
         for name, age_ms in answer.reached.items():
-            at = now - age_ms / 1_000
-            times = self._reached_at.setdefault(name, [])
-            times.append(at)
-            del times[:-MAX_TIMES]
+            # Both are rounded down.
+            earliest = asked_at + (answer.took_ms - age_ms - 1) / 1_000
+            latest = now - age_ms / 1_000
+            connections = self._reached_by.setdefault(name, [])
+            connections.append(decisions.PeerConnection(earliest, latest))
+            del connections[:-MAX_CONNECTIONS]
         return bool(answer.reached)
 
     def forget(self) -> None:
         """Drop what no longer counts."""
         valid_from = self._clock.monotonic() - ANSWER_VALID_S
-        self._reached_at = {
-            name: times
-            for name, times in self._reached_at.items()
-            if max(times) >= valid_from
+        self._reached_by = {
+            name: connections
+            for name, connections in self._reached_by.items()
+            if self.reached_at(name) >= valid_from
         }
         self._views = {
             name: view
@@ -285,6 +303,7 @@
     def reply(self, key: str) -> wire.StateReply:
         """Return the reply to a peer's question."""
         reached: dict[str, int] = {}
+        began_at = self._clock.monotonic()
         try:
             question = msgspec.json.decode(key, type=LinkQuestion)
         except msgspec.MsgspecError as exc:
@@ -295,10 +314,11 @@
         else:
             names = question.targets[:MAX_TARGETS]
             reached = self._look(question.service, names)
+        took_ms = int((self._clock.monotonic() - began_at) * 1_000)
         return wire.StateReply(
             known=True,
             through=0,
-            state=msgspec.json.encode(LinkAnswer(reached)),
+            state=msgspec.json.encode(LinkAnswer(reached, took_ms)),
         )
 
     def _look(
--- a/agatewing/detour/_link_probe.py
+++ b/agatewing/detour/_link_probe.py
@@ -15,13 +15,17 @@
 
 
 class LinkProbe:
-    """Probes paths to targets; one probe of a path at a time."""
+    """Probes paths to targets."""
 
     __slots__ = ("_clock", "_running", "count")
 
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
-        self._running: dict[_link_recorder.TargetLink, gevent.Greenlet] = {}
+        # Last probe of each path, and its start as a monotonic time, in
+        # seconds.
+        self._running: dict[
+            _link_recorder.TargetLink, tuple[gevent.Greenlet, float]
+        ] = {}
         #: Number of probes so far.
         self.count = 0
 
@@ -30,17 +34,19 @@
         link: _link_recorder.TargetLink,
         address: str,
         for_peer: bool = False,
+        since: float = float("-inf"),
     ) -> gevent.Greenlet:
         """Return the probe of a path in progress, or start one.
 
-        ``for_peer`` says that a peer asked for it. The value says whether a
-        connection was accepted and stayed open.
+        ``for_peer`` says that a peer asked for it; one that began before
+        ``since``, a monotonic time in seconds, does not do. The value says
+        whether a connection was accepted and stayed open.
         """
-        running = self._running.get(link)
-        if running is None:
+        running, started_at = self._running.get(link, (None, float("-inf")))
+        if running is None or started_at < since:
             self.count += 1
             running = gevent.spawn(self._run, link, address, for_peer)
-            self._running[link] = running
+            self._running[link] = running, self._clock.monotonic()
         return running
 
     def _run(
@@ -49,7 +55,9 @@
         try:
             return self._connect(link, address, for_peer)
         finally:
-            del self._running[link]
+            running, _ = self._running.get(link, (None, 0.0))
+            if running is gevent.getcurrent():
+                del self._running[link]
 
     def _connect(
         self, link: _link_recorder.TargetLink, address: str, for_peer: bool
--- a/agatewing/detour/_link_watch.py
+++ b/agatewing/detour/_link_watch.py
@@ -34,6 +34,10 @@
 #: Time for which failures of a target that peers do not reach either, or of
 #: one without a verdict, call for no further round, in seconds.
 QUIET_S = 1.0
+#: Time after a suspicion without a verdict until failures that remain are
+#: looked at again, and the longest such time, in seconds; it doubles.
+LOOK_AGAIN_S = QUIET_S
+MAX_LOOK_AGAIN_S = 16.0
 #: Age of the last accepted connection up to which a silent target is not
 #: probed, in seconds; targets may take seconds to answer.
 SILENT_PROBE_S = 0.5
@@ -100,6 +104,16 @@
     lost_at: float = float("inf")
 
 
+@dataclasses.dataclass(slots=True)
+class _NextLook:
+    """When failures that had no verdict are looked at again."""
+
+    #: Monotonic time, in seconds.
+    at: float
+    #: Time from the end of the last suspicion until then, in seconds.
+    after_s: float
+
+
 class LinkWatch:
     """What this instance knows of its own paths to targets."""
 
@@ -113,6 +127,7 @@
         "_changed",
         "_suspicions",
         "_unreached",
+        "_next_looks",
         "_judged",
         "_rounds",
         "_loop",
@@ -141,6 +156,8 @@
         # Monotonic time since which no target was reached, in seconds, by
         # service.
         self._unreached: dict[str, float] = {}
+        # Services with failures that had no verdict.
+        self._next_looks: dict[str, _NextLook] = {}
         # Set after each judgement.
         self._judged = gevent.event.Event()
         self._rounds = gevent.pool.Group()
@@ -220,9 +237,13 @@
     def _run(self) -> None:
         while True:
             wait_s = ROUND_S if self._unreached else IDLE_S
+            now = self._clock.monotonic()
+            dues = [look.at - now for look in self._next_looks.values()]
+            wait_s = max(0.0, min([wait_s, *dues]))
             self._clock.wait(self._recorder.changed, wait_s)
             self._recorder.changed.clear()
             self._suspect()
+            self._look_again()
             for service in set(self._unreached) - set(self._suspicions):
                 self._log_reach(service)
 
@@ -233,14 +254,7 @@
             if now < link.quiet_until or link.lost:
                 link.unclear = False
                 continue
-            service = link.service
-            suspicion = self._suspicions.get(service)
-            if suspicion is None:
-                suspicion = self._suspicions[service] = _Suspicion(now)
-                self._rounds.start(
-                    gevent.Greenlet(self._investigate, service, suspicion)
-                )
-            suspicion.reported.add(link)
+            self._open(link.service, now).reported.add(link)
         silent = {link.service for link in self._recorder.take_silent()}
         for service in silent - set(self._suspicions):
             self._probe_silent(service, now)
@@ -250,6 +264,53 @@
                 names = [n for n, t in targets.items() if t.link is link]
                 self._start_probes(targets, names)
 
+    def _open(self, service: str, now: float) -> _Suspicion:
+        """Return the suspicion of a service; begin one if there is none."""
+        suspicion = self._suspicions.get(service)
+        if suspicion is None:
+            suspicion = self._suspicions[service] = _Suspicion(now)
+            self._rounds.start(
+                gevent.Greenlet(self._investigate, service, suspicion)
+            )
+        return suspicion
+
+    def _look_again(self) -> None:
+        """Suspect the services whose failures had no verdict, if it is time.
+
+        Their targets may get no requests that would show it: they count as
+        failed.
+        """
+        now = self._clock.monotonic()
+        for service, look in list(self._next_looks.items()):
+            if look.at > now:
+                continue
+            look.at = float("inf")
+            failing = self._failing(service)
+            if failing:
+                self._open(service, now).reported.update(failing)
+            elif service not in self._suspicions:
+                del self._next_looks[service]
+
+    def _failing(self, service: str) -> list[_link_recorder.TargetLink]:
+        return [
+            target.link
+            for target in self._active(service).values()
+            if target.link.evidence.failures
+        ]
+
+    def _plan_look(self, service: str) -> None:
+        """Look again some time after a suspicion that left failures."""
+        if not self._failing(service):
+            self._next_looks.pop(service, None)
+            return
+        after_s = LOOK_AGAIN_S
+        before = self._next_looks.get(service)
+        if before is not None:
+            after_s = min(2 * before.after_s, MAX_LOOK_AGAIN_S)
+        at = self._clock.monotonic() + after_s
+        self._next_looks[service] = _NextLook(at, after_s)
+        self._recorder.changed.set()
+
     def _investigate(self, service: str, suspicion: _Suspicion) -> None:
         """Hold rounds until a suspicion is over."""
         try:
@@ -265,6 +326,7 @@
             for target in targets.values():
                 target.link.unclear = False
             self._judged.set()
+            self._plan_look(service)
 
     def _probe_silent(self, service: str, now: float) -> None:
         """Probe a service whose targets are all silent."""
@@ -329,9 +391,13 @@
         gevent.joinall(questions, timeout=ROUND_S)
         answers = sum(bool(question.value) for question in questions)
         # A single peer may have lost its own path to the same target.
-        suspicion.answered = answers >= min(2, len(questions))
+        suspicion.answered = count > 0 and answers >= min(2, len(questions))
         self._judge(service)
         self._clear(suspicion, targets, asked)
+        again = self._probe_again(suspicion, targets, asked)
+        if again:
+            gevent.joinall(again, timeout=_link_probe.PROBE_S)
+            self._judge(service)
         left_s = give_up_at - self._clock.monotonic()
         gevent.joinall(probes, timeout=max(0.0, left_s))
         self._judge(service)
@@ -339,6 +405,27 @@
             self._settle(suspicion, targets)
         self._exchange.forget()
 
+    def _probe_again(
+        self,
+        suspicion: _Suspicion,
+        targets: collections.abc.Mapping[str, WatchedTarget],
+        asked: collections.abc.Iterable[str],
+    ) -> list[gevent.Greenlet]:
+        """Probe targets that a peer has reached since they were last tried."""
+        if suspicion.verdict.lost:
+            return []
+        probes = []
+        for name in asked:
+            link = targets[name].link
+            reached_at = self._exchange.reached_at(name)
+            if link.evidence.failures and link.tried_at < reached_at:
+                probes.append(
+                    self._probe.start(
+                        link, targets[name].address, since=reached_at
+                    )
+                )
+        return probes
+
     def _pause(self, suspicion: _Suspicion, began_at: float) -> None:
         """Wait until the next round is due; the second one follows at once."""
         if suspicion.over or suspicion.rounds == 1:
@@ -393,13 +480,12 @@
         probed: collections.abc.Sequence[str],
     ) -> list[str]:
         """Return the targets that peers are asked for: those probed first."""
-        known = self._exchange.reached_at(targets)
         others = [
             name
             for name, target in targets.items()
             if target.link.evidence.failures and name not in probed
         ]
-        others.sort(key=lambda name: max(known.get(name, [0.0])))
+        others.sort(key=self._exchange.reached_at)
         return [*probed, *others][: _link_exchange.MAX_TARGETS]
 
     def _count_to_ask(self, suspicion: _Suspicion) -> int:
@@ -420,7 +506,7 @@
             link.settle(now)
         before = suspicion.verdict
         verdict = suspicion.verdict = decisions.judge_links(
-            links, self._exchange.reached_at(links), now, before.lost
+            links, self._exchange.reached_by(links), now, before.lost
         )
         reached_again = self._apply(targets, verdict, now)
         if reached_again or (verdict.lost and not before.lost):
@@ -482,10 +568,9 @@
         if not suspicion.answered:
             return
         now = self._clock.monotonic()
-        reached_at = self._exchange.reached_at(asked)
         for name in asked:
             link = targets[name].link
-            if now - max(reached_at.get(name, [float("-inf")])) <= QUIET_S:
+            if now - self._exchange.reached_at(name) <= QUIET_S:
                 continue
             if link.evidence.failures and not link.lost:
                 link.quiet_until = now + QUIET_S
--- a/agatewing/platform/tests/test_own_links.py
+++ b/agatewing/platform/tests/test_own_links.py
@@ -14,6 +14,7 @@
 
 import gevent
 import pytest
+import result
 
 from agatewing import detour
 from agatewing import gateway
@@ -347,6 +348,35 @@
         assert not probes and not questions
 
 
+# Peers were slow when a cut was looked into. It was given up, and as the
+# targets got no requests for being faulty, nobody looked again.
+def test_a_cut_is_found_when_peers_answer_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with standins.LinkedSite() as site:
+        build(site)
+        instances = start(site, 3)
+        cut = instances["i0"]
+        site.cut(["i0"], Picture.RESET, names_of("ledger"))
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                cut.links._exchange,
+                "_ask_peer",
+                lambda address, request: result.Err("no answer"),
+            )
+            headers = {"X-Deadline-Ms": "1500"}
+            site.ask(cut, "/ledger/x", "q1", headers)
+            gevent.sleep(1.5)
+            assert not lost_targets(cut)
+        known_s = time_until(lambda: lost(cut) == {"ledger"})
+        probes = cut.links.probes
+        site.heal(["i0"])
+        time_until(lambda: not lost_targets(cut))
+        gevent.sleep(0.5)
+        assert not cut.links._next_looks
+    print(f"known {known_s:.2f} s, {probes} probes")
+
+
 # An instance without requests opened connections all the same.
 def test_nothing_is_probed_without_a_suspicion() -> None:
     with standins.LinkedSite() as site:
--- a/agatewing/platform/tests/test_partial_views.py
+++ b/agatewing/platform/tests/test_partial_views.py
@@ -40,6 +40,8 @@
     site: standins.Site, full_view: bool
 ) -> tuple[gateway.GatewayInstance, _target_registry.Pool]:
     [instance] = _every_route.start_ready(site, "i1")
+    # The first listing of the instances sets what is set below.
+    site.wait(lambda: instance.peers.listed)
     pool = instance.registry.pools["split"]
     instance.registry.full_view = pool.full_view = full_view
     return instance, pool
