Refuse a prompt that what is queued would make late

Change: a stream that has not begun is refused at once, with the time to come back, if its first event is expected after 1.5 objectives; any prompt may wait for half of that, so that the largest tenth is not starved. Begun and handed-on streams keep the patience of their callers as the only bound.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -8,6 +8,7 @@
 from agatewing.decisions._admission import QueueFull
 from agatewing.decisions._admission import QueueState
 from agatewing.decisions._admission import retry_delay_if_late
+from agatewing.decisions._admission import retry_delay_if_overdue
 from agatewing.decisions._admission import TooLate
 from agatewing.decisions._attempts import Attempts
 from agatewing.decisions._attempts import Failure
@@ -19,6 +20,7 @@
 from agatewing.decisions._costs import remaining_profile
 from agatewing.decisions._costs import RequestProfile
 from agatewing.decisions._costs import single_engine_s
+from agatewing.decisions._costs import unqueued_prefill_s
 from agatewing.decisions._costs import ZONE_ROUND_TRIP_S
 from agatewing.decisions._crash_evidence import CLAIM_S
 from agatewing.decisions._crash_evidence import PromptBlocks
--- a/agatewing/decisions/_admission.py
+++ b/agatewing/decisions/_admission.py
@@ -10,6 +10,9 @@
 #: its caller's patience. Above 1, because the estimate is too high whenever
 #: the measured slowness of the engines is.
 PATIENCE_FACTOR = 1.2
+#: The same for the objective of a stream that has not begun. The estimate of
+#: an engine's queue is too high by up to half.
+ON_TIME_FACTOR = 1.5
 #: Bounds of the retry delay that a refusal names, in seconds.
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 60.0
@@ -110,6 +113,25 @@
     return _bounded_retry_s(first_event_s - patience_s)
 
 
+def retry_delay_if_overdue(
+    first_event_s: float, alone_s: float, objective_s: float
+) -> float | None:
+    """Return the retry delay in seconds if a queue makes a prompt late.
+
+    Its first event is expected ``first_event_s`` seconds after the request
+    arrived, with an engine of its own after ``alone_s``, and is on time within
+    ``objective_s``. Without refusals, a surge makes all prompts late that come
+    during it and until the queue has been worked off. Any prompt may wait for
+    half of the time within which a short one is let in: otherwise the largest
+    ones, which take most of it by themselves, are hardly served.
+    """
+    limit_s = ON_TIME_FACTOR * objective_s
+    limit_s = max(limit_s, alone_s + limit_s / 2)
+    if first_event_s <= limit_s:
+        return None
+    return _bounded_retry_s(first_event_s - limit_s)
+
+
 def can_meet_deadline(service_s: float, remaining_s: float) -> bool:
     """Return whether a queued request can still meet its deadline.
 
--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -143,9 +143,20 @@
 
 def prefill_s(profile: RequestProfile, engine: EngineLoad) -> float:
     """Return the expected time until the prompt is processed, in seconds."""
-    speed = engine.speed
     own_tokens = prefill_cost_tokens(profile, engine)
-    tokens = _tokens_ahead(own_tokens, engine) + own_tokens
+    return _prefill_s(profile, engine, _tokens_ahead(own_tokens, engine))
+
+
+def unqueued_prefill_s(profile: RequestProfile, engine: EngineLoad) -> float:
+    """Return that time if no other prompt waits at the engine, in seconds."""
+    return _prefill_s(profile, engine, 0.0)
+
+
+def _prefill_s(
+    profile: RequestProfile, engine: EngineLoad, tokens_ahead: float
+) -> float:
+    speed = engine.speed
+    tokens = tokens_ahead + prefill_cost_tokens(profile, engine)
     rate = prefill_rate(engine)
     seconds = tokens / rate + speed.step_base_s + speed.prefill_base_s
     seconds *= engine.slowness
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -196,9 +196,10 @@
         profile: decisions.RequestProfile,
         route: decisions.Route,
     ) -> None:
-        """Refuse a request if its caller would give up too early.
+        """Refuse a request whose prompt would wait too long at its engine.
 
-        That is, before the prompt is prefilled and the first event is sent.
+        That is, if its caller would give up before the first event, or if a
+        queue makes a stream late that is neither begun nor handed on.
         """
         match route:
             case decisions.Single(engine=name):
@@ -211,6 +212,13 @@
         patience_s = job.route.patience_s - waited_s
         expected_s = decisions.prefill_s(profile, tracked.load)
         after_s = decisions.retry_delay_if_late(expected_s, patience_s)
+        begun = profile.software is not None or job.req.handed_on is not None
+        if after_s is None and not begun:
+            after_s = decisions.retry_delay_if_overdue(
+                waited_s + expected_s,
+                decisions.unqueued_prefill_s(profile, tracked.load),
+                job.route.objective_s,
+            )
         if after_s is not None:
             raise _refusals.GatewayRefusedError(
                 _refusals.overloaded(
