Write load reports in a module of its own

_load_reports had 609 lines and did two jobs: what a report says, and who gets it and what is done with those of others. ReportWriter has the first, with the sequence number and the limits of a datagram. Behaviour is the same; the tests name the new module, their assertions are as they were.

--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -32,6 +32,7 @@
 from agatewing.gateway import _peers
 from agatewing.gateway import _quarantine
 from agatewing.gateway import _report_fields
+from agatewing.gateway import _report_writer
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import net
@@ -65,14 +66,6 @@
 EXPIRY_PERIOD_S = 0.2
 #: Time after which an unchanged report is sent again, in seconds.
 UNCHANGED_PERIOD_S = 0.4
-#: Largest datagram, in bytes; a report is shortened to fit.
-DATAGRAM_BYTES = 1_400
-#: Largest number of engines in one report, so that it fits into a datagram.
-MAX_ENGINES = 30
-#: Largest numbers of prefix cache placements and of engines that change
-#: roles in one report, for the same reason.
-MAX_PLACEMENTS = 12
-MAX_ROLE_CHANGES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +86,6 @@
     """Sends this instance's load reports and merges those of others."""
 
     __slots__ = (
-        "_name",
         "_address",
         "_clock",
         "_peers",
@@ -107,7 +99,6 @@
         "_random",
         "_socket",
         "_loops",
-        "_sequence",
         "_last_reports",
         "_summary_sequences",
         "_merge_needed",
@@ -117,6 +108,7 @@
         "_far_sent_at",
         "_sums_up",
         "summaries",
+        "writer",
         "sent_bytes",
         "malformed",
     )
@@ -140,7 +132,6 @@
         self._quarantine = quarantine
         self._streams = streams
         self._index = index
-        self._name = name
         self._address = address
         self._clock = clock
         self._peers = peers
@@ -150,9 +141,6 @@
         self._random = rng
         self._socket: gevent.socket.socket | None = None
         self._loops: list[gevent.Greenlet] = []
-        # Wall time, so that numbers of a new incarnation are higher than those
-        # of the earlier ones.
-        self._sequence = int(clock.wall() * 1_000)
         self._last_reports: dict[str, LastReport] = {}
         # Sequence number of the last summary, by collector.
         self._summary_sequences: dict[str, int] = {}
@@ -171,6 +159,17 @@
         self.summaries = _load_summaries.LoadSummaries(
             name, zone, clock, lambda: peers.known, self.zone_peers
         )
+        #: Writes the reports.
+        self.writer = _report_writer.ReportWriter(
+            name,
+            clock,
+            catalog,
+            registry,
+            codec,
+            index,
+            quarantine,
+            self.summaries,
+        )
         #: Number of bytes sent.
         self.sent_bytes = 0
         #: Number of datagrams that failed to decode.
@@ -197,7 +196,7 @@
         while True:
             self._registry.changed.wait(UNCHANGED_PERIOD_S)
             self._registry.changed.clear()
-            self._send(sock, self._own_load())
+            self._send(sock, self.writer.own_load())
             self._clock.sleep(MIN_SEND_PERIOD_S)
 
     def _summarize_forever(self, sock: gevent.socket.socket) -> None:
@@ -224,8 +223,8 @@
             and self.summaries.in_zone(name)
         ]
         own = _load_sums.InstanceReport(
-            _report_fields.decode_loads(self._own_load()),
-            self._own_demand(),
+            _report_fields.decode_loads(self.writer.own_load()),
+            self.writer.own_demand(),
         )
         engines = [
             name
@@ -240,7 +239,9 @@
             (far, self.summaries.far_addresses() if far else []),
         ):
             for summary in summaries:
-                self._send_to(sock, self._encode_summary(summary), addresses)
+                self._send_to(
+                    sock, self.writer.encode_summary(summary), addresses
+                )
 
     def _take_summary(self, now: float) -> None:
         """Have the loads merged; begin to measure the demand that it has."""
@@ -263,29 +264,11 @@
                 continue
             self.sent_bytes += len(data)
 
-    def _own_load(self) -> list[wire.EngineWork]:
-        # In the gateway, ``reported_`` fields hold the load of other instances
-        # and ``unreported_`` fields the whole load of this one.
-        loads = []
-        for name, tracked in self._registry.by_id.items():
-            load = tracked.load
-            if load.own_sequences and tracked.target.role is not None:
-                loads.append(
-                    wire.EngineWork(
-                        engine=name,
-                        tokens=max(0, int(load.unreported_tokens)),
-                        sequences=load.own_sequences,
-                        long_tokens=max(0, int(load.unreported_long_tokens)),
-                        kv_tokens=load.own_kv_tokens,
-                    )
-                )
-        return loads[:MAX_ENGINES]
-
     def _send(
         self, sock: gevent.socket.socket, loads: list[wire.EngineWork]
     ) -> None:
         begun = self._streams.take_unpublished()
-        data = self._encode(loads, begun)
+        data = self.writer.encode(loads, begun)
         now = self._clock.monotonic()
         far = now - self._far_sent_at >= OTHER_ZONE_PERIOD_S
         if far:
@@ -300,80 +283,6 @@
         addresses.update(self.summaries.receivers(own))
         self._send_to(sock, data, addresses)
 
-    def _encode(
-        self,
-        loads: list[wire.EngineWork],
-        begun: list[wire.StreamBegin],
-    ) -> bytes:
-        """Return the next report, shortened if it exceeds a datagram."""
-        record = self._report(loads)
-        record.changing = self._registry.own_role_changes()[:MAX_ROLE_CHANGES]
-        record.held = self._placements()
-        record.begun = begun
-        record.suspects = self._quarantine.take_suspects()
-        record.served = self._quarantine.take_served()
-        record.limits = self._registry.limits.take_reports()
-        record.requests = self._quarantine.take_requests()
-        record.served_requests = self._quarantine.take_served_requests()
-        record.leaving = self._registry.departures.take_reports()
-        record.demand = _report_fields.encode_demand(self._own_demand())
-        record.measured = self._own_measured()
-        data = self._codec.encode(record)
-        while len(data) > DATAGRAM_BYTES and _shorten(record):
-            data = self._codec.encode(record)
-        return data
-
-    def _report(self, loads: list[wire.EngineWork]) -> wire.WorkNote:
-        """Return the next report, with what was read of the log."""
-        self._sequence += 1
-        state = self._catalog.read_state()
-        return wire.WorkNote(
-            instance=self._name,
-            sequence=self._sequence,
-            work=loads,
-            config_version=state.config_version,
-            through=state.position[1],
-            changing=[],
-            held=[],
-            era=state.position[0],
-            config_age_ms=_report_fields.encode_age(state.config_age_s),
-            targets_age_ms=_report_fields.encode_age(state.targets_age_s),
-        )
-
-    def _encode_summary(self, summary: _load_sums.Summary) -> bytes:
-        """Return a part of a summary as a report.
-
-        Load must not be left out: engines that are missing have none.
-        """
-        record = self._report([])
-        record.held = _report_fields.encode_placements(summary.placements)
-        record.summary = _report_fields.encode_summary(summary)
-        data = self._codec.encode(record)
-        while len(data) > DATAGRAM_BYTES and record.held:
-            record.held = record.held[: len(record.held) // 2]
-            data = self._codec.encode(record)
-        return data
-
-    def _own_demand(self) -> dict[str, decisions.StreamDemand]:
-        now = self._clock.monotonic()
-        demands = {
-            name: pool.stream_demand.demand(now)
-            for name, pool in self._registry.pools.items()
-        }
-        return {name: d for name, d in demands.items() if d is not None}
-
-    def _own_measured(self) -> list[wire.MeasuredTime]:
-        return [
-            wire.MeasuredTime(
-                service_name=name,
-                quantity=int(measured.quantity),
-                time_us=int(measured.seconds * 1e6),
-                tokens_per_event=measured.tokens_per_event,
-            )
-            for name, pool in self._registry.pools.items()
-            for measured in pool.learned.take_unshared(pool.fit_policy)
-        ]
-
     def _merge_measured(
         self, received: list[wire.MeasuredTime], now: float
     ) -> None:
@@ -410,12 +319,6 @@
             1 if _peers.full_view(known + 1) else known + 1,
         )
 
-    def _placements(self) -> list[wire.PartsHeld]:
-        now = self._clock.monotonic()
-        placements = self._index.take_unpublished(now, MAX_PLACEMENTS)
-        self.summaries.record_placements(self._name, placements)
-        return _report_fields.encode_placements(placements)
-
     def receivers(self, far: bool = True) -> list[str]:
         """Return the addresses of the peers that get the next report.
 
@@ -441,7 +344,7 @@
     def _receive_forever(self, sock: gevent.socket.socket) -> None:
         while True:
             try:
-                data, _ = sock.recvfrom(DATAGRAM_BYTES)
+                data, _ = sock.recvfrom(_report_writer.DATAGRAM_BYTES)
             except OSError as exc:
                 _log.debug("work: receiving a report failed: %s", exc)
                 continue
@@ -593,17 +496,3 @@
                 target.load.reported_long_tokens += load.long_tokens
                 target.load.reported_sequences += load.sequences
                 target.load.reported_kv_tokens += load.kv_tokens
-
-
-def _shorten(record: wire.WorkNote) -> bool:
-    """Shorten a report that exceeds a datagram; return whether it could be.
-
-    Evidence of crashes is cut last; it is repeated.
-    """
-    for group in (("measured",), ("work", "held"), ("suspects", "requests")):
-        if any(getattr(record, name) for name in group):
-            for name in group:
-                items = getattr(record, name)
-                setattr(record, name, items[: len(items) // 2])
-            return True
-    return False
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -16,6 +16,7 @@
 from agatewing.gateway import _load_sums
 from agatewing.gateway import _peers
 from agatewing.gateway import _quarantine
+from agatewing.gateway import _report_writer
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
 from agatewing import wire
@@ -229,14 +230,14 @@
         attempt = f"{number}".ljust(name_length, "x")
         streams.record_begin(decisions.StreamOrigin(attempt, "chat", "v1.2"))
     begun = streams.take_unpublished()
-    data = reports._encode(reports._own_load(), begun)
-    assert len(data) <= _load_reports.DATAGRAM_BYTES
+    data = reports.writer.encode(reports.writer.own_load(), begun)
+    assert len(data) <= _report_writer.DATAGRAM_BYTES
     decoded = wire.Codec("a secret of the tests").decode(wire.WorkNote, data)
     read = decoded.unwrap()
     assert read.work
     assert read.held
     assert len(read.begun) == _stream_directory.MAX_BEGUN
-    assert len(read.changing) == _load_reports.MAX_ROLE_CHANGES
+    assert len(read.changing) == _report_writer.MAX_ROLE_CHANGES
 
 
 def test_streams_of_a_late_report_are_remembered(
@@ -298,7 +299,7 @@
             1_000, decisions.PrefillPlace.EITHER, 1_000, 40, clock.monotonic()
         )
         clock.advance(0.1)
-    data = reports._encode([], [])
+    data = reports.writer.encode([], [])
     decoded = wire.Codec("a secret of the tests").decode(wire.WorkNote, data)
     (demand,) = decoded.unwrap().demand
     assert demand.service_name == "chat"
@@ -316,7 +317,7 @@
     learned.record_prefill(4_000, 0, 0.25, clock.monotonic())
     learned.record_stream(3, 11, 80, 0.5, clock.monotonic())
     sent = [
-        codec.decode(wire.WorkNote, reports._encode([], [])).unwrap()
+        codec.decode(wire.WorkNote, reports.writer.encode([], [])).unwrap()
         for _ in range(2)
     ]
     prompt, stream = sent[0].measured
@@ -378,13 +379,13 @@
     clock: _clock.ManualClock, reports: _load_reports.LoadReports
 ) -> None:
     codec = wire.Codec("a secret of the tests")
-    sent = codec.decode(wire.WorkNote, reports._encode([], [])).unwrap()
+    sent = codec.decode(wire.WorkNote, reports.writer.encode([], [])).unwrap()
     assert (sent.targets_age_ms, sent.config_age_ms) == (None, None)
     reports._catalog.record_read()
     clock.advance(0.5)
     reports._catalog.record_config_read()
     clock.advance(0.25)
-    sent = codec.decode(wire.WorkNote, reports._encode([], [])).unwrap()
+    sent = codec.decode(wire.WorkNote, reports.writer.encode([], [])).unwrap()
     assert (sent.targets_age_ms, sent.config_age_ms) == (750, 250)
 
 
@@ -458,11 +459,11 @@
     fill(reports, 60)
     tracked = registry.by_id["e1"]
     tracked.record_sent(500)
-    reports._send(SentDatagrams(), reports._own_load())
+    reports._send(SentDatagrams(), reports.writer.own_load())
     clock.advance(0.05)
     # The total was made before this one was reported.
     tracked.record_sent(500)
-    reports._send(SentDatagrams(), reports._own_load())
+    reports._send(SentDatagrams(), reports.writer.own_load())
     reports.handle(summary(1, 9))
     (load,) = registry.pools["chat"].loads()
     assert (load.sequences, load.prefill_backlog) == (8 + 2, 4_000 + 1_000)
@@ -509,8 +510,8 @@
     total, _ = reports.summaries.summarize(names, [other], other)
     read = []
     for part in total:
-        data = reports._encode_summary(part)
-        assert len(data) <= _load_reports.DATAGRAM_BYTES
+        data = reports.writer.encode_summary(part)
+        assert len(data) <= _report_writer.DATAGRAM_BYTES
         decoded = reports._codec.decode(wire.WorkNote, data).unwrap()
         read += decoded.summary.engines
         # An earlier release would take these for the sender's own.
