--- a/agatewing/detour/_link_watch.py
+++ b/agatewing/detour/_link_watch.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import dataclasses
-import logging
 import random
 import typing
 
@@ -18,10 +17,11 @@
 from agatewing import _clock
 from agatewing import decisions
 from agatewing.detour import _link_exchange
+from agatewing.detour import _link_log
 from agatewing.detour import _link_probe
 from agatewing.detour import _link_recorder
+from agatewing.detour import _next_looks
 
-_log = logging.getLogger("agatewing.links")
 _NOTHING_LOST = decisions.LinkVerdict()
 
 #: Least time between the beginnings of two rounds, and the longest time of
@@ -34,10 +34,6 @@
 #: Time for which failures of a target that peers do not reach either, or of
 #: one without a verdict, call for no further round, in seconds.
 QUIET_S = 1.0
-#: Time after a suspicion without a verdict until failures that remain are
-#: looked at again, and the longest such time, in seconds; it doubles.
-LOOK_AGAIN_S = QUIET_S
-MAX_LOOK_AGAIN_S = 16.0
 #: Age of the last accepted connection up to which a silent target is not
 #: probed, in seconds; targets may take seconds to answer.
 SILENT_PROBE_S = 0.5
@@ -104,16 +100,6 @@
     lost_at: float = float("inf")
 
 
-@dataclasses.dataclass(slots=True)
-class _NextLook:
-    """When failures that had no verdict are looked at again."""
-
-    #: Monotonic time, in seconds.
-    at: float
-    #: Time from the end of the last suspicion until then, in seconds.
-    after_s: float
-
-
 class LinkWatch:
     """What this instance knows of its own paths to targets."""
 
@@ -126,7 +112,7 @@
         "_targets_of",
         "_changed",
         "_suspicions",
-        "_unreached",
+        "_reach_log",
         "_next_looks",
         "_judged",
         "_rounds",
@@ -153,11 +139,9 @@
         self._changed = changed
         # Suspicions by service.
         self._suspicions: dict[str, _Suspicion] = {}
-        # Monotonic time since which no target was reached, in seconds, by
-        # service.
-        self._unreached: dict[str, float] = {}
-        # Services with failures that had no verdict.
-        self._next_looks: dict[str, _NextLook] = {}
+        self._reach_log = _link_log.ReachLog()
+        # When failures that had no verdict are looked at again.
+        self._next_looks = _next_looks.NextLooks()
         # Set after each judgement.
         self._judged = gevent.event.Event()
         self._rounds = gevent.pool.Group()
@@ -236,15 +220,16 @@
 
     def _run(self) -> None:
         while True:
-            wait_s = ROUND_S if self._unreached else IDLE_S
+            wait_s = ROUND_S if self._reach_log.unreached else IDLE_S
             now = self._clock.monotonic()
-            dues = [look.at - now for look in self._next_looks.values()]
-            wait_s = max(0.0, min([wait_s, *dues]))
+            wait_s = max(0.0, min(wait_s, self._next_looks.due_at - now))
             self._clock.wait(self._recorder.changed, wait_s)
             self._recorder.changed.clear()
             self._suspect()
             self._look_again()
-            for service in set(self._unreached) - set(self._suspicions):
+            for service in set(self._reach_log.unreached) - set(
+                self._suspicions
+            ):
                 self._log_reach(service)
 
     def _suspect(self) -> None:
@@ -281,15 +266,12 @@
         failed.
         """
         now = self._clock.monotonic()
-        for service, look in list(self._next_looks.items()):
-            if look.at > now:
-                continue
-            look.at = float("inf")
+        for service in self._next_looks.take_due(now):
             failing = self._failing(service)
             if failing:
                 self._open(service, now).reported.update(failing)
             elif service not in self._suspicions:
-                del self._next_looks[service]
+                self._next_looks.forget(service)
 
     def _failing(self, service: str) -> list[_link_recorder.TargetLink]:
         return [
@@ -300,16 +282,11 @@
 
     def _plan_look(self, service: str) -> None:
         """Look again some time after a suspicion that left failures."""
-        if not self._failing(service):
-            self._next_looks.pop(service, None)
-            return
-        after_s = LOOK_AGAIN_S
-        before = self._next_looks.get(service)
-        if before is not None:
-            after_s = min(2 * before.after_s, MAX_LOOK_AGAIN_S)
-        at = self._clock.monotonic() + after_s
-        self._next_looks[service] = _NextLook(at, after_s)
-        self._recorder.changed.set()
+        if self._failing(service):
+            self._next_looks.plan(service, self._clock.monotonic())
+            self._recorder.changed.set()
+        else:
+            self._next_looks.forget(service)
 
     def _investigate(self, service: str, suspicion: _Suspicion) -> None:
         """Hold rounds until a suspicion is over."""
@@ -515,7 +492,17 @@
             for other in self._suspicions.values():
                 other.hurry.set()
         self._log_reach(service)
-        self._log_verdict(service, suspicion, before, len(targets))
+        if verdict.lost and not before.lost:
+            suspicion.lost_at = now
+        _link_log.log_verdict(
+            service,
+            before,
+            verdict,
+            len(targets),
+            self.reaching(service),
+            now - suspicion.since,
+            now - suspicion.lost_at,
+        )
         self._judged.set()
 
     def _sweep(
@@ -599,75 +586,8 @@
 
     def _log_reach(self, service: str) -> None:
         """Log whether a target of a service is reached, if that changed."""
-        links = {
-            name: target.link.evidence
-            for name, target in self._active(service).items()
-        }
-        since = decisions.unreached_since(list(links.values()))
-        before = self._unreached.pop(service, None)
-        if since is not None:
-            self._unreached[service] = since
-        if (since is None) == (before is None):
-            return
-        # From now on, the loop looks whether that changes.
-        self._recorder.changed.set()
+        links = [t.link.evidence for t in self._active(service).values()]
         now = self._clock.monotonic()
-        if since is None:
-            _log.info(
-                "links: targets reached again",
-                extra={
-                    "service": service,
-                    "after_s": round(now - typing.cast(float, before), 3),
-                },
-            )
-            return
-        kinds = {kind for link in links.values() for kind in link.kinds}
-        heard_at = max(link.heard_at for link in links.values())
-        _log.warning(
-            "links: targets not reached",
-            extra={
-                "service": service,
-                "targets": len(links),
-                "failing": sum(link.failures > 0 for link in links.values()),
-                "since_s": round(now - since, 3),
-                "picture": ",".join(sorted(kinds)),
-                "heard_s": round(min(now - heard_at, 1e9), 3),
-                "peers": ",".join(self.reaching(service)),
-            },
-        )
-
-    def _log_verdict(
-        self,
-        service: str,
-        suspicion: _Suspicion,
-        before: decisions.LinkVerdict,
-        targets: int,
-    ) -> None:
-        """Log the beginning and the end of lost paths to a service."""
-        now = self._clock.monotonic()
-        verdict = suspicion.verdict
-        if verdict.lost and not before.lost:
-            suspicion.lost_at = now
-        if verdict.all_lost == before.all_lost and (
-            bool(verdict.lost) == bool(before.lost)
-        ):
-            return
-        if verdict.lost:
-            _log.warning(
-                "links: own paths lost",
-                extra={
-                    "service": service,
-                    "lost": targets if verdict.all_lost else len(verdict.lost),
-                    "targets": targets,
-                    "peers": ",".join(self.reaching(service)),
-                    "decided_s": round(now - suspicion.since, 3),
-                },
-            )
-        else:
-            _log.info(
-                "links: own paths restored",
-                extra={
-                    "service": service,
-                    "after_s": round(now - suspicion.lost_at, 3),
-                },
-            )
+        if self._reach_log.record(service, links, self.reaching(service), now):
+            # From now on, the loop looks whether that changes.
+            self._recorder.changed.set()
--- a/agatewing/platform/tests/test_own_links.py
+++ b/agatewing/platform/tests/test_own_links.py
@@ -373,7 +373,7 @@
         site.heal(["i0"])
         time_until(lambda: not lost_targets(cut))
         gevent.sleep(0.5)
-        assert not cut.links._next_looks
+        assert not len(cut.links._next_looks)
     print(f"known {known_s:.2f} s, {probes} probes")
 
 
