Compute the cost of a prompt once for an estimate, and of a stream in one place

prefill_s() computed the prompt's cost to find what is ahead of it, and _prefill_s() once more; it runs for each engine at each choice. What a stream adds to a step stood in planned_batch() and in role_needs(). Behaviour is the same; no test was changed.

--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -144,19 +144,23 @@
 def prefill_s(profile: RequestProfile, engine: EngineLoad) -> float:
     """Return the expected time until the prompt is processed, in seconds."""
     own_tokens = prefill_cost_tokens(profile, engine)
-    return _prefill_s(profile, engine, _tokens_ahead(own_tokens, engine))
+    tokens = _tokens_ahead(own_tokens, engine) + own_tokens
+    return _prefill_s(profile, engine, tokens)
 
 
 def unqueued_prefill_s(profile: RequestProfile, engine: EngineLoad) -> float:
     """Return that time if no other prompt waits at the engine, in seconds."""
-    return _prefill_s(profile, engine, 0.0)
+    return _prefill_s(profile, engine, prefill_cost_tokens(profile, engine))
 
 
 def _prefill_s(
-    profile: RequestProfile, engine: EngineLoad, tokens_ahead: float
+    profile: RequestProfile, engine: EngineLoad, tokens: float
 ) -> float:
+    """Return the time until the last of ``tokens`` is processed, in seconds.
+
+    They are those of the prompt and what is ahead of it.
+    """
     speed = engine.speed
-    tokens = tokens_ahead + prefill_cost_tokens(profile, engine)
     rate = prefill_rate(engine)
     seconds = tokens / rate + speed.step_base_s + speed.prefill_base_s
     seconds *= engine.slowness
--- a/agatewing/decisions/_decode_plan.py
+++ b/agatewing/decisions/_decode_plan.py
@@ -98,6 +98,14 @@
         )
 
 
+def _per_stream_s(speed: _engines.Speed, context_tokens: float) -> float:
+    """Return what a stream with so much context adds to a step, in seconds."""
+    return (
+        speed.step_per_sequence_s
+        + speed.step_per_k_context_s * context_tokens / 1_000
+    )
+
+
 def planned_batch(
     demand: _stream_demand.StreamDemand, engines: EngineClass
 ) -> float:
@@ -108,10 +116,7 @@
     if engines.kv_limit and context:
         memory = _engines.KV_FILL_SHARE * engines.kv_limit
         batch = min(batch, memory / context)
-    per_stream_s = (
-        speed.step_per_sequence_s
-        + speed.step_per_k_context_s * context / 1_000
-    )
+    per_stream_s = _per_stream_s(speed, context)
     if engines.gap_s and per_stream_s:
         step_s = PLANNED_GAP_SHARE * engines.gap_s / engines.tokens_per_event
         on_time = (step_s - speed.step_base_s) / per_stream_s
@@ -128,10 +133,8 @@
     """Return how many engines of each role the demand keeps busy."""
     speed = engines.speed
     batch = planned_batch(demand, engines)
-    step_s = speed.step_base_s + batch * (
-        speed.step_per_sequence_s
-        + speed.step_per_k_context_s * demand.context_tokens / 1_000
-    )
+    per_stream_s = _per_stream_s(speed, demand.context_tokens)
+    step_s = speed.step_base_s + batch * per_stream_s
     apart_rate = speed.full_chunk_rate()
     beside_rate = speed.prefill_tokens_per_s * speed.decode_prefill_share
     return RoleNeeds(
