Send both kinds of summaries by one period, and look placements up once less

FAR_PERIOD_S and the time of the last summary for other zones always equalled those of the own zone, so the second check never failed; the loop also looked for receivers when no summary was due. The demand of each request looked its placements up a third time, though _locate() had the same answer. Behaviour is the same; test_load_summaries names the one period (0.2 s as before) in the same assertions.

--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -201,7 +201,7 @@
 
     def _summarize_forever(self, sock: gevent.socket.socket) -> None:
         while True:
-            self._clock.sleep(_load_summaries.ZONE_PERIOD_S)
+            self._clock.sleep(_load_summaries.PERIOD_S)
             self._send_summaries(sock)
 
     def _send_summaries(self, sock: gevent.socket.socket) -> None:
@@ -232,11 +232,12 @@
             if tracked.target.role is not None
         ]
         total, far = self.summaries.summarize(engines, reports, own)
-        if total:
-            self._take_summary(now)
+        if not total:
+            return
+        self._take_summary(now)
         for summaries, addresses in (
             (total, self.summaries.zone_addresses()),
-            (far, self.summaries.far_addresses() if far else []),
+            (far, self.summaries.far_addresses()),
         ):
             for summary in summaries:
                 self._send_to(
--- a/agatewing/gateway/_load_summaries.py
+++ b/agatewing/gateway/_load_summaries.py
@@ -27,13 +27,10 @@
 
 #: Collectors of a zone: the one that sums up, and one that takes over.
 COLLECTORS = 2
-#: Time between two summaries for the own zone, in seconds: an engine processes
-#: a long prompt within that time, and each instance decodes all of them.
-ZONE_PERIOD_S = 0.2
-#: Time between two summaries for the other zones, in seconds: an engine
-#: processes a long prompt within that time, and traffic between zones is
-#: billed.
-FAR_PERIOD_S = 0.2
+#: Time between two summaries, in seconds: an engine processes a long prompt
+#: within that time, each instance of the zone decodes all of them, and those
+#: for other zones are billed.
+PERIOD_S = 0.2
 #: Time between two rankings of the instances, in seconds.
 RANK_PERIOD_S = 0.2
 #: Reports that a collector gets in a second at most: it may have half of a
@@ -76,7 +73,6 @@
         "_reported_at",
         "_own_reports",
         "_summed_at",
-        "_far_sent_at",
         "_tried",
         "_near_waiting",
         "_far_waiting",
@@ -119,7 +115,6 @@
             tuple[float, _load_sums.Loads]
         ] = collections.deque(maxlen=MAX_OWN_REPORTS)
         self._summed_at = -math.inf
-        self._far_sent_at = -math.inf
         # Number of tries to reach zones that are not heard of.
         self._tried: dict[str, int] = {}
         # Placements to be passed on, by the monotonic time at which they came.
@@ -279,10 +274,10 @@
         """Sum up; return the total, and the sums for the other zones.
 
         ``reports`` are the last ones of the other instances of the zone.
-        Either is empty while it is not due.
+        Both are empty while they are not due.
         """
         now = self._clock.monotonic()
-        if now - self._summed_at < ZONE_PERIOD_S or not self.sums_up():
+        if now - self._summed_at < PERIOD_S or not self.sums_up():
             return [], []
         self._summed_at = now
         self._own_reports.append((now, own.loads))
@@ -305,9 +300,6 @@
         )
         for summary in total:
             self.receive(summary)
-        if now - self._far_sent_at < FAR_PERIOD_S:
-            return total, []
-        self._far_sent_at = now
         scope = _load_sums.Scope(self._zone, len(zone), 0, parts)
         return total, self._split(scope, loads, demand, self._far_waiting)
 
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -58,13 +58,13 @@
         _context.check_back_offs(self._ctx, job, software)
         now = self._ctx.clock.monotonic()
         pool.refresh(now)
-        located = self._locate(job, pool)
+        located, known_tokens = self._locate(job, pool)
         profile = dataclasses.replace(
             _with_length(located, job, pool, 1.0),
             software=software,
             avoid=self._avoided(job, pool, software),
         )
-        self._record_demand(job, pool, profile)
+        self._record_demand(job, pool, profile, known_tokens)
         handed_on = job.req.handed_on
         resumes = handed_on is not None and not handed_on.begins
         if resumes or _context.needs_detour(self._ctx, job):
@@ -99,23 +99,21 @@
         job: _context.Job,
         pool: _target_registry.Pool,
         profile: decisions.RequestProfile,
+        known_tokens: int,
     ) -> None:
         """Count a caller's request, also one that will be refused.
 
-        A prefix counts as cached if some engine is known to have it; the
-        preferred engine still has to read it. But in fleets in which an
-        instance hears of a part of the placements only, other instances have
-        had most prefixes read there.
+        Of the prompt, the ``known_tokens`` that some engine is known to have
+        count as cached; the preferred engine still has to read them. But in
+        fleets in which an instance hears of a part of the placements only,
+        other instances have had most prefixes read there.
         """
         prompt, engines = job.req.prompt, pool.engine_class()
         if prompt is None or engines is None or job.req.handed_on:
             return
-        now = self._ctx.clock.monotonic()
-        placed = profile.cached
-        if self._ctx.registry.full_view:
-            known = self._ctx.index.match(prompt.sized_blocks, now)
-            placed = {n: t for n, t in known.items() if n in pool.engines}
-        cached = max(placed.values(), default=0)
+        cached = known_tokens
+        if not self._ctx.registry.full_view:
+            cached = max(profile.cached.values(), default=0)
         cost = engines.speed.prefill_cost_tokens(
             profile.prompt_tokens, min(cached, profile.prompt_tokens)
         )
@@ -124,7 +122,7 @@
             _prefill_place(cost),
             profile.prompt_tokens,
             profile.output_tokens,
-            now,
+            self._ctx.clock.monotonic(),
         )
 
     def _avoided(
@@ -228,20 +226,25 @@
 
     def _locate(
         self, job: _context.Job, pool: _target_registry.Pool
-    ) -> decisions.RequestProfile:
-        """Return the size of the prompt and where its prefix is cached."""
+    ) -> tuple[decisions.RequestProfile, int]:
+        """Return the size of the prompt and where its prefix is cached.
+
+        Also returns how many of its tokens some engine is known to have, the
+        preferred engine left aside.
+        """
         prompt = job.req.prompt
         if prompt is None:
-            return decisions.RequestProfile(0, 1, self._ctx.zone)
+            return decisions.RequestProfile(0, 1, self._ctx.zone), 0
         blocks = prompt.sized_blocks
         now = self._ctx.clock.monotonic()
         cached = self._ctx.index.match(blocks, now)
         cached = {n: t for n, t in cached.items() if n in pool.engines}
         ready = self._ctx.index.match(blocks, now, ready=True)
+        known_tokens = max(cached.values(), default=0)
         # The last block belongs to this request alone, so it is not shared.
         self._add_preferred_engine(pool, blocks[:-1], cached)
         source = self._fetch_source(pool, ready)
-        return decisions.RequestProfile(
+        profile = decisions.RequestProfile(
             prompt.tokens,
             1,
             self._ctx.zone,
@@ -251,6 +254,7 @@
             cross_zone_s=decisions.ZONE_ROUND_TRIP_S
             + len(job.req.body) * CROSS_ZONE_S_PER_BYTE,
         )
+        return profile, known_tokens
 
     def _add_preferred_engine(
         self,
--- a/agatewing/gateway/tests/test_load_summaries.py
+++ b/agatewing/gateway/tests/test_load_summaries.py
@@ -161,7 +161,7 @@
     truth = fleet.truth()
     assert [m.error(truth) for m in fleet.members] == [0] * instances
     oldest_s = max(m.summaries.age_s() for m in fleet.members)
-    assert oldest_s <= _load_summaries.ZONE_PERIOD_S + STEP_S
+    assert oldest_s <= _load_summaries.PERIOD_S + STEP_S
 
 
 def test_an_end_is_known_as_soon_as_a_begin() -> None:
@@ -182,8 +182,8 @@
     fleet.place(4)
     fleet.run(3.0)
     parts = 3
-    period_s = _load_summaries.ZONE_PERIOD_S
-    far = (ZONES - 1) * parts / _load_summaries.FAR_PERIOD_S
+    period_s = _load_summaries.PERIOD_S
+    far = (ZONES - 1) * parts / _load_summaries.PERIOD_S
     limit = parts / period_s + far + _load_summaries.REPORTS_PER_S
     for member in fleet.members:
         busy = any(member in fleet.collectors(f"z{n}") for n in range(ZONES))
