Ask which peers reach a service only when a line is logged

Since the log lines are in a module of their own, the peers were sorted at every judgement and every look, and used only when something had changed. LinkLog is told how to ask and does so for the line. Behaviour is the same; no test was changed.

--- a/agatewing/detour/_link_watch.py
+++ b/agatewing/detour/_link_watch.py
@@ -112,7 +112,7 @@
         "_targets_of",
         "_changed",
         "_suspicions",
-        "_reach_log",
+        "_log",
         "_next_looks",
         "_judged",
         "_rounds",
@@ -139,7 +139,7 @@
         self._changed = changed
         # Suspicions by service.
         self._suspicions: dict[str, _Suspicion] = {}
-        self._reach_log = _link_log.ReachLog()
+        self._log = _link_log.LinkLog(exchange.reaching)
         # When failures that had no verdict are looked at again.
         self._next_looks = _next_looks.NextLooks()
         # Set after each judgement.
@@ -220,16 +220,14 @@
 
     def _run(self) -> None:
         while True:
-            wait_s = ROUND_S if self._reach_log.unreached else IDLE_S
+            wait_s = ROUND_S if self._log.unreached else IDLE_S
             now = self._clock.monotonic()
             wait_s = max(0.0, min(wait_s, self._next_looks.due_at - now))
             self._clock.wait(self._recorder.changed, wait_s)
             self._recorder.changed.clear()
             self._suspect()
             self._look_again()
-            for service in set(self._reach_log.unreached) - set(
-                self._suspicions
-            ):
+            for service in set(self._log.unreached) - set(self._suspicions):
                 self._log_reach(service)
 
     def _suspect(self) -> None:
@@ -494,12 +492,11 @@
         self._log_reach(service)
         if verdict.lost and not before.lost:
             suspicion.lost_at = now
-        _link_log.log_verdict(
+        self._log.record_verdict(
             service,
             before,
             verdict,
             len(targets),
-            self.reaching(service),
             now - suspicion.since,
             now - suspicion.lost_at,
         )
@@ -588,6 +585,6 @@
         """Log whether a target of a service is reached, if that changed."""
         links = [t.link.evidence for t in self._active(service).values()]
         now = self._clock.monotonic()
-        if self._reach_log.record(service, links, self.reaching(service), now):
+        if self._log.record_reach(service, links, now):
             # From now on, the loop looks whether that changes.
             self._recorder.changed.set()
