Log how long the log gave no answer, and how old the view behind a refusal is

Cause: a 404 of an instance that had just read the configuration looked like one of an instance that had read nothing for seconds, and a read that failed did not say how long it had kept its topic unread. So a read that stays pending on a dead connection (H1), a backoff that is too long (H2) and a peer's statement that is believed too long (H3) could not be told apart.

Change: 'follow: log gives no answer' has waited_s, 'follow: log is back' has away_s, 'server: refused' has config and config_age_s for all refusals. No logic changes.

Measured: the two new tests failed before (the fields were missing) and pass now; 25 tests of test_follow and test_request_logs pass.

--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -104,6 +104,8 @@
         "_era",
         "_offset_era",
         "_reads",
+        "_read_since",
+        "_failing_since",
         "_random",
         "failed_reads",
     )
@@ -121,6 +123,9 @@
         self._random = rng or random.Random()
         # Number of reads that the log has answered.
         self._reads = 0
+        # Monotonic times of the begin of the present read, and of the first
+        # of the consecutive ones that have failed, in seconds.
+        self._read_since = self._failing_since = clock.monotonic()
         self._era = era or _eras.LogEra()
         # Era in which the offset is valid; ``None`` if the log named none.
         self._offset_era: int | None = None
@@ -187,6 +192,7 @@
 
     def step(self) -> bool:
         """Read the log once; return whether it answered."""
+        self._read_since = self._clock.monotonic()
         if self._offset is None or self._restored:
             return self._read_newest()
         answer = self._read_unless_restored(self._offset)
@@ -273,7 +279,11 @@
         if self.failed_reads:
             _log.info(
                 "follow: log is back",
-                extra={"topic": str(self._topic), "tries": self.failed_reads},
+                extra={
+                    "topic": str(self._topic),
+                    "tries": self.failed_reads,
+                    "away_s": self._seconds_since(self._failing_since),
+                },
             )
         self.failed_reads = 0
 
@@ -281,11 +291,19 @@
         self.failed_reads += 1
         self._sink.on_read_failed()
         if self.failed_reads == 1:
+            self._failing_since = self._read_since
             _log.warning(
                 "follow: log gives no answer",
-                extra={"topic": str(self._topic), "reason": reason},
+                extra={
+                    "topic": str(self._topic),
+                    "reason": reason,
+                    "waited_s": self._seconds_since(self._read_since),
+                },
             )
 
+    def _seconds_since(self, at: float) -> float:
+        return round(self._clock.monotonic() - at, 3)
+
 
 def configuration_sink(
     catalog: _catalog.Catalog, decoder: _ports.Decoder
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -33,8 +33,8 @@
 #: Largest number of connections that linger after their last answer; further
 #: ones are closed at once.
 MAX_LINGERING = 256
-
-
+#: Age in log lines of a configuration that was never read, in seconds.
+UNKNOWN_AGE_S = 1e9
 #: Margin between the deadlines of a request at two instances, in seconds:
 #: twice the network delay between them and a wake-up of the event loop.
 HOP_MARGIN_S = 0.01
@@ -406,10 +406,15 @@
         job: _context.Job | None = None,
     ) -> None:
         self.refusals[str(refusal.kind)] += 1
-        fields: dict[str, object] = {}
+        catalog = self._ctx.catalog
+        age_s = catalog.config_age_s()
+        fields: dict[str, object] = {
+            "config": catalog.config_version,
+            "config_age_s": round(min(age_s, UNKNOWN_AGE_S), 3),
+        }
         if job is not None:
             left_s = job.deadline - self._ctx.clock.monotonic()
-            fields = {"left_s": round(left_s, 3), **self._configs(job)}
+            fields |= {"left_s": round(left_s, 3), **self._configs(job)}
         _log.info(
             "server: refused",
             extra={
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -1,6 +1,7 @@
 """How long reads of the log wait."""
 
 import dataclasses
+import logging
 
 import pytest
 
@@ -67,3 +68,35 @@
     for _ in answers:
         follower.step()
     assert log.waits == waits
+
+
+# Nothing said for how long a read that failed had kept its topic unread.
+def test_lines_say_how_long_a_read_waited_and_the_log_was_away(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    clock = _clock.ManualClock()
+
+    class SlowLog(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            clock.advance(wait_s + 0.5)
+            return super().read(topic, offset, wait_s)
+
+    follower = _follow.Follower(
+        SlowLog([PAGE, AWAY, AWAY, PAGE]),  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.TARGETS,
+        _follow.Sink(
+            lambda records, offset: None,
+            lambda record: None,
+            lambda offset: None,
+        ),
+    )
+    with caplog.at_level(logging.INFO, logger="agatewing.follow"):
+        for _ in range(4):
+            follower.step()
+    assert [
+        (getattr(line, "waited_s", None), getattr(line, "away_s", None))
+        for line in caplog.records
+    ] == [(LONG_S + 0.5, None), (None, LONG_S + 0.5 + 0.5 + 0.5)]
--- a/agatewing/platform/tests/test_request_logs.py
+++ b/agatewing/platform/tests/test_request_logs.py
@@ -284,6 +284,23 @@
     )
 
 
+# Nothing told a 404 of a configuration that had just been read from one of an
+# instance that had not read the log for seconds.
+def test_a_refusal_without_a_route_names_the_age_of_the_configuration(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    site.logs["i1"].disconnected = True
+    site.wait(lambda: instance.catalog.log_unavailable)
+    site.clock.advance(7.0)
+    with caplog.at_level(logging.INFO, logger="agatewing.server"):
+        assert site.ask(instance, "/none/x", "n1").status == 404
+    (line,) = lines_of(caplog, "server: refused")
+    assert getattr(line, "config") == site.version
+    assert 7.0 <= getattr(line, "config_age_s") <= 7.0 + WAIT_S
+
+
 # A connection that the instance closed while it was idle left no line.
 @pytest.mark.parametrize("reason", ["the idle limit", "the instance stops"])
 def test_an_idle_connection_that_is_closed_leaves_a_line(
