Notice and repeat reads of the log that are never answered in time

Cause: each topic is followed by one long poll on one connection of its own. Evidence: waited_s 4.60 s on all six instances, next answer 0.11 s later.

Change: the time within which a change has to be followed comes from the settings (freshness); a read waits for so much less than that, that one which is never answered is noticed and repeated within it, in large fleets so that peers still learn of it. The first failed read of a topic has the pending reads of the others repeated without a wait. Instances that are no readers repeat their first failed read at once, too.

Why it works: between a silence and the next read that is answered there is no longer any path that lasts longer than the bound.

test_a_small_fleet_reads_by_itself named the wait of 4 s; it now names the bound less the time of a repeat.

--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -3,9 +3,11 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 import random
 
 import gevent
+import gevent.event
 
 from agatewing import _clock
 from agatewing.gateway import _catalog
@@ -72,7 +74,28 @@
 
 def _single_instance() -> _log_turns.LogTurns:
     """Default of ``ReadLimits.turns``."""
-    return _log_turns.LogTurns("", random.Random(0), lambda: 1, tuple, {})
+    return _log_turns.LogTurns(
+        "", random.Random(0), lambda: 1, tuple, {}, math.inf
+    )
+
+
+class FailedReads:
+    """Tells the followers of one log of each other's failed reads.
+
+    After one, the connections of the others may be dead as well.
+    """
+
+    __slots__ = ("failed",)
+
+    def __init__(self) -> None:
+        #: Set when the first read of a topic in a row has failed, then
+        #: replaced by a new event.
+        self.failed = gevent.event.Event()
+
+    def record(self) -> None:
+        """Record that a read has failed."""
+        failed, self.failed = self.failed, gevent.event.Event()
+        failed.set()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +108,8 @@
     turns: _log_turns.LogTurns = dataclasses.field(
         default_factory=_single_instance
     )
+    #: Failed reads of all topics.
+    failed_reads: FailedReads = dataclasses.field(default_factory=FailedReads)
 
 
 class Follower:
@@ -178,7 +203,9 @@
         Followers of other topics than ``PROBE_TOPIC`` wait until that one
         has found the log available.
         """
-        if self._limits.turns.is_reader:
+        turns = self._limits.turns
+        if turns.is_reader or self.failed_reads == 1:
+            # At first, only the connection may have been dead.
             limit = BACKOFF_LIMIT_S * (
                 MANY_INSTANCES_FACTOR if self._many else 1
             )
@@ -231,17 +258,30 @@
     ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
         """Read from an offset; ``None`` as soon as that has become worthless.
 
-        Another topic may show first that the log was restored.
+        Another topic may show first that the log was restored, or that its
+        connections are dead; then the read is repeated without a wait.
         """
         risen = self._era.risen
         # A read that was begun during an outage is not answered after it, so
         # none waits long until the log has answered.
-        wait_s = 0.0
         if not self.failed_reads:
             wait_s = self._limits.turns.wait_s(self._topic)
+            failed = self._limits.failed_reads.failed
+            answer = self._read_until(offset, wait_s, [risen, failed])
+            if answer is not None or risen.is_set():
+                return answer
+        return self._read_until(offset, 0.0, [risen])
+
+    def _read_until(
+        self,
+        offset: int,
+        wait_s: float,
+        events: list[gevent.event.Event],
+    ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
+        """Read from an offset; ``None`` if one of the events is set first."""
         reading = gevent.spawn(self._log.read, self._topic, offset, wait_s)
         try:
-            gevent.wait([reading, risen], count=1)
+            gevent.wait([reading, *events], count=1)
             return reading.get() if reading.ready() else None
         finally:
             reading.kill()
@@ -292,6 +332,7 @@
         self._sink.on_read_failed()
         if self.failed_reads == 1:
             self._failing_since = self._read_since
+            self._limits.failed_reads.record()
             _log.warning(
                 "follow: log gives no answer",
                 extra={
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -144,6 +144,7 @@
                 _ports.Topic.CONFIGURATION: self.catalog.config_age_s,
                 _ports.Topic.TARGETS: self.catalog.age_s,
             },
+            settings.freshness.limit_s,
         )
         self.detours = detour.Detours(
             clock,
--- a/agatewing/gateway/_log_turns.py
+++ b/agatewing/gateway/_log_turns.py
@@ -18,23 +18,29 @@
 MANY_INSTANCES = 10
 #: Readers in a zone: a second one, so that the loss of one delays nothing.
 READERS_PER_ZONE = 2
-#: Age of what is known of the log at which an instance reads it itself, in
-#: seconds. A configuration has to be in force 3 s after its acknowledgement in
-#: fleets of that size, and a target that left unused.
+#: Time from the end of a wait that the log does not answer to the answer of
+#: the next read, in seconds: the time limit of an answer, the first backoff,
+#: and a connection with its answer.
+REPEAT_S = 0.8
+#: Time in which peers learn of what an instance has read, in seconds: the
+#: longest period of reports, and the request of a snapshot.
+TELL_S = 0.6
+#: Longest age of what is known of the log at which an instance that is no
+#: reader reads it itself, in seconds.
 MAX_AGE_S = 1.6
-#: Time for which a read waits for new records, in seconds: each call is
-#: charged for. An instance counts as connected 3 s after an outage of the log,
-#: and has up to 2 s more to put a configuration in force, so a read that the
-#: log accepted before the outage and never answers must end before.
+#: Longest time for which a read waits for new records, in seconds; each call
+#: is charged for.
 WAIT_S: dict[_ports.Topic, float] = {
     _ports.Topic.CONFIGURATION: 4.0,
     _ports.Topic.TARGETS: 4.0,
     _ports.Topic.INSTANCES: 20.0,
 }
-#: Range of that time for the readers of a large fleet, in seconds. A change
-#: ends the reads of all at once; unlike times spread them again, so that one
-#: of them has always just read up to the end.
-READER_WAIT_S = (0.8, 1.6)
+#: Shortest time for which a read waits, however strict a site is, in seconds.
+LEAST_WAIT_S = 0.2
+#: Shortest wait of a reader of a large fleet, as a share of the longest. A
+#: change ends the reads of all at once; unlike times spread them again, so that
+#: one of them has always just read up to the end.
+READER_WAIT_SHARE = 0.5
 #: Time between two reads of the entries of instances by those that are no
 #: readers, in seconds: at first, as all instances start together, and at most.
 FIRST_PAUSE_S = 2.0
@@ -51,7 +57,14 @@
 class LogTurns:
     """The turns of this instance at reading the log."""
 
-    __slots__ = ("_name", "_rng", "_instances", "_zone_peers", "_ages")
+    __slots__ = (
+        "_name",
+        "_rng",
+        "_instances",
+        "_zone_peers",
+        "_ages",
+        "_limit_s",
+    )
 
     def __init__(
         self,
@@ -64,7 +77,13 @@
         ages: collections.abc.Mapping[
             _ports.Topic, collections.abc.Callable[[], float]
         ],
+        limit_s: float,
     ) -> None:
+        """Create the turns of one instance.
+
+        ``limit_s`` is the time within which an instance has to follow a
+        change, whatever becomes of one connection, in seconds.
+        """
         self._name = name
         self._rng = rng
         # Returns the number of instances.
@@ -73,6 +92,16 @@
         self._zone_peers = zone_peers
         # Return the age of what is known of a topic, in seconds.
         self._ages = ages
+        self._limit_s = limit_s
+
+    @property
+    def max_age_s(self) -> float:
+        """Age of its view at which an instance that is no reader reads.
+
+        Of what it can know only from a peer, the peer needs to be told first.
+        """
+        left_s = self._limit_s - REPEAT_S - TELL_S
+        return max(LEAST_WAIT_S, min(MAX_AGE_S, left_s))
 
     @property
     def many(self) -> bool:
@@ -98,14 +127,22 @@
         if age_s is None:
             doublings = min(reads, MAX_DOUBLINGS)
             return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
-        return max(0.0, MAX_AGE_S - age_s())
+        return max(0.0, self.max_age_s - age_s())
 
     def wait_s(self, topic: _ports.Topic) -> float:
-        """Return for how long a read waits for new records, in seconds."""
+        """Return for how long a read waits for new records, in seconds.
+
+        A read that the log never answers, as its connection is dead or the
+        log has forgotten it, has to be noticed and repeated in time.
+        """
         if not self.many:
-            return WAIT_S[topic]
+            if topic not in self._ages:
+                return WAIT_S[topic]
+            left_s = self._limit_s - REPEAT_S
+            return max(LEAST_WAIT_S, min(WAIT_S[topic], left_s))
         if not self.is_reader:
             return 0.0
         if topic in self._ages:
-            return self._rng.uniform(*READER_WAIT_S)
+            longest_s = self.max_age_s
+            return self._rng.uniform(READER_WAIT_SHARE * longest_s, longest_s)
         return WAIT_S[topic]
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -62,6 +62,22 @@
     holder_gap_ms: Positive = 3_000
 
 
+class Freshness(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How soon every instance has to follow what the log holds."""
+
+    # Time from the acknowledgement of a configuration to the moment from
+    # which it has to be in force, in milliseconds.
+    apply_ms: Positive = 2_000
+    # Time from the acknowledgement that a target drains to the moment from
+    # which it gets no requests, in milliseconds.
+    drain_ms: Positive = 2_000
+
+    @property
+    def limit_s(self) -> float:
+        """The shorter of the two times, in seconds."""
+        return min(self.apply_ms, self.drain_ms) / 1_000
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one instance."""
 
@@ -90,6 +106,8 @@
     stop_limit_s: Positive = 8
     # Time for which engines keep a prefix block cached, in seconds.
     cache_keep_s: Positive = 10
+    # How soon changes in the log have to be followed.
+    freshness: Freshness = Freshness()
     # Limit on retries.
     retries: RetryBound = RetryBound()
     # Assumed speed of engines.
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import logging
+import random
 
+import gevent
 import pytest
 
 from agatewing import _clock
@@ -100,3 +102,44 @@
         (getattr(line, "waited_s", None), getattr(line, "away_s", None))
         for line in caplog.records
     ] == [(LONG_S + 0.5, None), (None, LONG_S + 0.5 + 0.5 + 0.5)]
+
+
+# The entries of instances are awaited for 20 s, while other reads had shown
+# that no connection to the log carried anything.
+def test_a_failed_read_of_one_topic_repeats_those_of_the_others() -> None:
+    clock = _clock.ManualClock()
+    waits: list[float] = []
+
+    class HangingLog(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            waits.append(wait_s)
+            clock.sleep(wait_s + 0.6)
+            return AWAY if len(waits) == 1 else PAGE
+
+    limits = _follow.ReadLimits()
+    follower = _follow.Follower(
+        HangingLog([PAGE]),  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.INSTANCES,
+        _follow.Sink(
+            lambda records, offset: None,
+            lambda record: None,
+            lambda offset: None,
+        ),
+        limits,
+        rng=random.Random(1),
+    )
+    reading = gevent.spawn(follower.run)
+    try:
+        for _ in range(30):
+            clock.advance(0.1)
+        assert waits == [20.0]
+        limits.failed_reads.record()
+        for _ in range(8):
+            clock.advance(0.1)
+        assert waits[:2] == [20.0, 0.0]
+        assert follower.failed_reads == 0
+    finally:
+        reading.kill()
--- a/agatewing/gateway/tests/test_log_turns.py
+++ b/agatewing/gateway/tests/test_log_turns.py
@@ -87,6 +87,7 @@
             lambda: count,
             lambda: self._zone_peers(name, zone),
             {TOPIC: catalog.age_s},
+            APPLY_S,
         )
         return Instance(name, zone, catalog, turns)
 
@@ -282,7 +283,7 @@
     fleet = Fleet(8, 1)
     assert len(fleet.readers()) == 8
     wait_s = fleet.instances[0].turns.wait_s(TOPIC)
-    assert wait_s == _log_turns.WAIT_S[TOPIC]
+    assert wait_s == APPLY_S - _log_turns.REPEAT_S
 
 
 # After 1,024 reads, a power of two ended the loop that reads the entries.
@@ -299,6 +300,7 @@
         # Two of them come before this instance.
         lambda: [f"i{number}" for number in range(60)],
         {},
+        APPLY_S,
     )
     assert not turns.is_reader
     assert turns.pause_s(gateway.Topic.INSTANCES, reads) == pause_s
--- a/agatewing/gateway/tests/test_silent_reads.py
+++ b/agatewing/gateway/tests/test_silent_reads.py
@@ -132,13 +132,15 @@
 class Fleet:
     """Instances that follow one log, and their reports to each other."""
 
-    def __init__(self, count: int, seed: int) -> None:
+    def __init__(self, count: int, seed: int, apply_s: float) -> None:
         self.clock = _clock.ManualClock()
         self.versions = [1]
         #: Monotonic time of the acknowledgement of each version.
         self.acknowledged = [self.clock.monotonic()]
         self.rng = random.Random(seed)
-        self.instances = [self._instance(n, count) for n in range(count)]
+        self.instances = [
+            self._instance(n, count, apply_s) for n in range(count)
+        ]
         self._loops = [
             gevent.spawn(follower.run)
             for instance in self.instances
@@ -152,7 +154,7 @@
     def __exit__(self, *args: object) -> None:
         gevent.killall(self._loops)
 
-    def _instance(self, number: int, count: int) -> Instance:
+    def _instance(self, number: int, count: int, apply_s: float) -> Instance:
         name, zone = f"i{number}", number // ZONE_SIZE
         catalog = _catalog.Catalog(self.clock, lambda: None)
         log = SimulatedLog(self.clock, self.versions)
@@ -170,17 +172,18 @@
                 Topic.CONFIGURATION: catalog.config_age_s,
                 Topic.TARGETS: catalog.age_s,
             },
+            apply_s,
         )
         limits = _follow.ReadLimits(lambda: catalog.log_unavailable, turns)
         decoder = VersionDecoder()
         sinks = {
             Topic.CONFIGURATION: _follow.configuration_sink(
                 catalog,
-                decoder,  # type: ignore[arg-type]
+                decoder,
             ),
             Topic.TARGETS: _follow.target_sink(
                 catalog,
-                decoder,  # type: ignore[arg-type]
+                decoder,
             ),
         }
         followers = [
@@ -246,12 +249,16 @@
 
 
 SMALL, LARGE = Bounds(3.0, 2.0), Bounds(4.0, 3.0)
+STRICT, HUGE = Bounds(1.5, 1.5), Bounds(5.0, 4.0)
 SIZES = {
     "one": (1, SMALL),
     "6": (6, SMALL),
     "10, the largest that all read": (10, SMALL),
     "11, the smallest with readers": (11, LARGE),
     "30": (30, LARGE),
+    "6 of a strict site": (6, STRICT),
+    "30 of a site as strict as a small one": (30, SMALL),
+    "30 of a large site": (30, HUGE),
 }
 
 
@@ -266,7 +273,7 @@
 ) -> None:
     count, bounds = SIZES[size]
     for quiet_s in (0.1, 0.8, 1.5, 2.3, 3.1, 3.9):
-        with Fleet(count, seed=39) as fleet:
+        with Fleet(count, 39, bounds.apply_s) as fleet:
             fleet.run(3.0)
             fleet.publish()
             # For so long, nothing changes and reads wait.
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -27,6 +27,8 @@
     "{{bounds.budget_slack|json}}": "52",
     "{{bounds.budget_window_s|json}}": "10",
     "{{bounds.lease_ms|json}}": "3000",
+    "{{bounds.config_apply_ms|json}}": "2500",
+    "{{bounds.drain_ms|json}}": "2000",
 }
 
 
@@ -50,6 +52,7 @@
     loaded = gateway.load_gateway_settings(path)
     assert isinstance(loaded, result.Ok), loaded
     assert loaded.ok_value.peer_address == "10.0.0.1:7380"
+    assert loaded.ok_value.freshness.limit_s == 2.0
 
 
 def test_the_role_runs_the_daemon_with_its_template() -> None:
