Ignore odd entries of targets, however they are odd, and go on following

What callers would see: nothing any more. A key with a line break would have become a header of requests.

Cause: JSON of others was decoded in a dozen places, each of which named the errors that it expected; nesting raises RecursionError, which is none of them. The types of the entry had no ranges.

Change: decode_json is the one place that decodes JSON of others on the platform path and returns a Result; entries have ranges, keys and addresses are checked by patterns; so is the handle in the answer of a prefill. The clients of the own interface treat nesting as unreadable too. Followers treat an unexpected error as a failed read and list again.

--- a/agatewing/_crash_exchange.py
+++ b/agatewing/_crash_exchange.py
@@ -76,5 +76,5 @@
     def _merge(self, evidence: bytes | str) -> None:
         try:
             self._guard.merge_evidence(evidence)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             _log.info("crashes: evidence ignored, not decoded: %s", exc)
--- a/agatewing/detour/_link_exchange.py
+++ b/agatewing/detour/_link_exchange.py
@@ -15,6 +15,7 @@
 import result
 
 from agatewing import _clock
+from agatewing import _decoding
 from agatewing import decisions
 from agatewing.detour import _link_probe
 from agatewing.detour import _link_recorder
@@ -266,12 +267,13 @@
         asked_at: float,
     ) -> bool | None:
         now = self._clock.monotonic()
-        try:
-            answer = msgspec.json.decode(raw, type=LinkAnswer)
-        except msgspec.MsgspecError:
-            # Peers of earlier releases answer with something else.
-            view.quiet_until = now + EARLIER_RELEASE_S
-            return None
+        match _decoding.decode_json(raw, LinkAnswer):
+            case result.Err():
+                # Peers of earlier releases answer with something else.
+                view.quiet_until = now + EARLIER_RELEASE_S
+                return None
+            case result.Ok(answer):
+                pass
         view.answered_at = now
         if answer.reached:
             view.reached[question.service] = now
@@ -304,16 +306,15 @@
         """Return the reply to a peer's question."""
         reached: dict[str, int] = {}
         began_at = self._clock.monotonic()
-        try:
-            question = msgspec.json.decode(key, type=LinkQuestion)
-        except msgspec.MsgspecError as exc:
-            _log.warning(
-                "links: question ignored, it cannot be decoded",
-                extra={"reason": str(exc)},
-            )
-        else:
-            names = question.targets[:MAX_TARGETS]
-            reached = self._look(question.service, names)
+        match _decoding.decode_json(key, LinkQuestion):
+            case result.Err(reason):
+                _log.warning(
+                    "links: question ignored, it cannot be decoded",
+                    extra={"reason": reason},
+                )
+            case result.Ok(question):
+                names = question.targets[:MAX_TARGETS]
+                reached = self._look(question.service, names)
         took_ms = int((self._clock.monotonic() - began_at) * 1_000)
         return wire.StateReply(
             known=True,
--- a/agatewing/entry/_crashes.py
+++ b/agatewing/entry/_crashes.py
@@ -115,7 +115,8 @@
     def merge_evidence(self, data: bytes | str) -> None:
         """Add the evidence of another instance.
 
-        Raises ``msgspec.MsgspecError`` if it cannot be decoded.
+        Raises ``msgspec.MsgspecError`` or ``RecursionError`` if it cannot be
+        decoded.
         """
         evidence = _evidence_decoder.decode(data)
         now = self._clock.monotonic()
--- a/agatewing/entry/_resume.py
+++ b/agatewing/entry/_resume.py
@@ -85,7 +85,7 @@
             if not hmac.compare_digest(signature, self._sign(payload)):
                 raise _exceptions.RefusedError(_bad_id("it is not ours"))
             handle = msgspec.msgpack.decode(payload, type=StreamHandle)
-        except (ValueError, msgspec.MsgspecError) as exc:
+        except (ValueError, msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.RefusedError(_bad_id("it is malformed")) from exc
         # The assembler accepts positions of at most 12 digits.
         return handle, int(position[:12])
--- a/agatewing/fleet/_poller.py
+++ b/agatewing/fleet/_poller.py
@@ -129,7 +129,7 @@
             )
         try:
             report = _report_decoder.decode(answer.body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.ProtocolError(engine.name, str(exc)) from exc
         engine.handle_load_report(report, self._clock.monotonic())
 
@@ -146,7 +146,7 @@
             return
         try:
             page = _cache_decoder.decode(answer.body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.ProtocolError(engine.name, str(exc)) from exc
         pool = self._fleet.pool_of(engine.spec.service)
         if pool is None:
--- a/agatewing/gateway/_claims.py
+++ b/agatewing/gateway/_claims.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from agatewing import _clock
+from agatewing import _decoding
 from agatewing.gateway import _eras
 from agatewing.gateway import _ports
 
@@ -277,10 +278,8 @@
     for record in records:
         if record.key != CLAIM_KEY or record.value is None:
             continue
-        try:
-            return msgspec.json.decode(record.value, type=ClaimRecord)
-        except msgspec.MsgspecError:
-            # A record that fails to decode still counts as a claim of
-            # another instance.
-            return UNKNOWN_HOLDER
+        # A record that fails to decode still counts as a claim of another
+        # instance.
+        decoded = _decoding.decode_json(record.value, ClaimRecord)
+        return decoded.unwrap_or(UNKNOWN_HOLDER)
     return None
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -168,7 +168,7 @@
         while True:
             self._await_turn()
             started = self._clock.monotonic()
-            if self.step():
+            if self._step_or_fail():
                 self._reads += 1
                 elapsed = self._clock.monotonic() - started
                 pause = self._min_period_s() - elapsed
@@ -177,6 +177,17 @@
             else:
                 self._back_off()
 
+    def _step_or_fail(self) -> bool:
+        """Read the log once; an unexpected error counts as a failed read."""
+        try:
+            return self.step()
+        except Exception as exc:
+            _log.exception("follow: unexpected error")
+            # The records up to the error may not all have been applied.
+            self._offset = None
+            self._record_failure(repr(exc))
+            return False
+
     def _await_turn(self) -> None:
         """Wait until a read is due; a listing always is."""
         turns, since = self._limits.turns, self._clock.monotonic()
--- a/agatewing/gateway/_log_turns.py
+++ b/agatewing/gateway/_log_turns.py
@@ -38,8 +38,8 @@
 #: Shortest time for which a read waits, however strict a site is, in seconds.
 LEAST_WAIT_S = 0.2
 #: Shortest wait of a reader of a large fleet, as a share of the longest. A
-#: change ends the reads of all at once; unlike times spread them again, so that
-#: one of them has always just read up to the end.
+#: change ends the reads of all at once; unlike times spread them again, so
+#: that one of them has always just read up to the end.
 READER_WAIT_SHARE = 0.5
 #: Time between two reads of the entries of instances by those that are no
 #: readers, in seconds: at first, as all instances start together, and at most.
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -19,6 +19,7 @@
 import result
 
 from agatewing import _clock
+from agatewing import _decoding
 from agatewing import _exceptions
 from agatewing import detour
 from agatewing.gateway import _catalog
@@ -154,15 +155,14 @@
         if not record.value:
             self.known.pop(record.key, None)
             return
-        try:
-            entry = msgspec.json.decode(record.value, type=PeerEntry)
-        except msgspec.MsgspecError as exc:
-            _log.warning(
-                "peers: entry cannot be read",
-                extra={"instance": record.key, "reason": str(exc)},
-            )
-            return
-        self.known[record.key] = entry
+        match _decoding.decode_json(record.value, PeerEntry):
+            case result.Err(reason):
+                _log.warning(
+                    "peers: entry cannot be read",
+                    extra={"instance": record.key, "reason": reason},
+                )
+            case result.Ok(entry):
+                self.known[record.key] = entry
 
     def begin_era(self, era: int) -> None:
         """Record that the next listing is the first of a restored log."""
@@ -253,12 +253,7 @@
                 return failure
             case result.Ok(reply):
                 pass
-        try:
-            return result.Ok(
-                msgspec.json.decode(reply.state, type=_contracts.Snapshot)
-            )
-        except msgspec.MsgspecError as exc:
-            return result.Err(str(exc))
+        return _decoding.decode_json(reply.state, _contracts.Snapshot)
 
     def _serve(
         self, sock: gevent.socket.socket, address: tuple[str, int]
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from agatewing import _clock
+from agatewing import _decoding
 from agatewing import decisions
 from agatewing.gateway import _peers
 from agatewing.gateway import _target_registry
@@ -322,14 +323,15 @@
                     extra={"instance": address, "reason": reason},
                 )
                 return None
-        try:
-            return msgspec.json.decode(answer.state, type=_Reply)
-        except msgspec.MsgspecError as exc:
-            _log.info(
-                "streams: reply of a peer ignored, it cannot be decoded",
-                extra={"instance": address, "reason": str(exc)},
-            )
-            return None
+        match _decoding.decode_json(answer.state, _Reply):
+            case result.Ok(reply):
+                return reply
+            case result.Err(reason):
+                _log.info(
+                    "streams: reply of a peer ignored, it cannot be decoded",
+                    extra={"instance": address, "reason": reason},
+                )
+        return None
 
     def reply(self, key: str) -> wire.StateReply:
         """Return the reply to a peer that asks for a stream's origin."""
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -16,8 +16,10 @@
 import math
 
 import msgspec
+import result
 
 from agatewing import _clock
+from agatewing import _decoding
 from agatewing import decisions
 from agatewing.gateway import _eras
 from agatewing.gateway import _peers
@@ -279,24 +281,23 @@
 
 def _decode_versions(raw: bytes) -> decisions.VersionRecord:
     """Decode a record; one that cannot be decoded is of no era."""
-    try:
-        versions = msgspec.json.decode(raw, type=_Versions)
-    except msgspec.MsgspecError as exc:
-        _log.warning(
-            "streams: record ignored, it cannot be decoded",
-            extra={"reason": str(exc)},
-        )
-        return decisions.VersionRecord({}, NO_ERA)
-    return decisions.VersionRecord(versions.services, versions.era)
+    match _decoding.decode_json(raw, _Versions):
+        case result.Ok(versions):
+            return decisions.VersionRecord(versions.services, versions.era)
+        case result.Err(reason):
+            _log.warning(
+                "streams: record ignored, it cannot be decoded",
+                extra={"reason": reason},
+            )
+    return decisions.VersionRecord({}, NO_ERA)
 
 
 def _records_streams(record: _ports.KeyedRecord) -> bool:
     """Return whether an instance's entry says that it records streams."""
-    try:
-        entry = msgspec.json.decode(record.value or b"", type=_peers.PeerEntry)
-    except msgspec.MsgspecError:
-        return False
-    return entry.records_streams
+    match _decoding.decode_json(record.value or b"", _peers.PeerEntry):
+        case result.Ok(entry):
+            return entry.records_streams
+    return False
 
 
 def _origins(
@@ -305,15 +306,14 @@
     """Return the streams of all batches, those of the oldest batch first."""
     batches = []
     for record in records:
-        try:
-            batch = msgspec.json.decode(record.value or b"", type=_Batch)
-        except msgspec.MsgspecError as exc:
-            _log.warning(
-                "streams: batch ignored, it cannot be decoded",
-                extra={"key": record.key, "reason": str(exc)},
-            )
-            continue
-        batches.append(batch)
+        match _decoding.decode_json(record.value or b"", _Batch):
+            case result.Ok(batch):
+                batches.append(batch)
+            case result.Err(reason):
+                _log.warning(
+                    "streams: batch ignored, it cannot be decoded",
+                    extra={"key": record.key, "reason": reason},
+                )
     batches.sort(key=lambda batch: batch.at)
     return [
         decisions.StreamOrigin(attempt, service, software)
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -143,3 +143,45 @@
         assert follower.failed_reads == 0
     finally:
         reading.kill()
+
+
+# An error in what uses the records ended the loop, and the topic was followed
+# no more.
+def test_an_unexpected_error_does_not_end_the_loop() -> None:
+    clock = _clock.ManualClock()
+    applied: list[str] = []
+
+    def apply(record: gateway.KeyedRecord) -> None:
+        applied.append(record.key)
+        if len(applied) == 1:
+            raise ZeroDivisionError
+
+    page = gateway.Page((gateway.KeyedRecord("k", b"v"),), 3)
+    listed: list[int] = []
+
+    class SlowLog(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            clock.sleep(0.1)
+            return super().read(topic, offset, wait_s)
+
+    log = SlowLog([PAGE, page, PAGE, page])
+    follower = _follow.Follower(
+        log,  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.TARGETS,
+        _follow.Sink(
+            lambda records, offset: listed.append(offset),
+            apply,
+            lambda offset: None,
+        ),
+    )
+    reading = gevent.spawn(follower.run)
+    try:
+        for _ in range(20):
+            clock.advance(0.1)
+        assert listed == [3, 3]
+        assert applied == ["k", "k"]
+    finally:
+        reading.kill()
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -473,7 +473,8 @@
         return False
     try:
         msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
+        # One that is nested too deeply to be checked does not pass for whole.
         return True
     return False
 
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -2,9 +2,12 @@
 
 import math
 import re
+import typing
 
 import msgspec
+import result
 
+from agatewing import _decoding
 from agatewing import _types
 from agatewing import gateway
 from agatewing.platform import _names
@@ -19,12 +22,15 @@
 
 #: Largest number of digits in a header's number; longer ones are unreadable.
 _MAX_DIGITS = 15
+#: A handle: visible characters of ASCII.
+_HANDLE = r"^[!-~]{1,512}\Z"
 _SECONDS = re.compile(rb"[0-9]+([.][0-9]+)?")
 
 
 class _PrefillAnswer(msgspec.Struct, frozen=True):
-    # Handle of the KV cache, unique at the engine that answered.
-    transfer_handle: str
+    # Handle of the KV cache, unique at the engine that answered; it becomes
+    # a part of paths and headers.
+    transfer_handle: typing.Annotated[str, msgspec.Meta(pattern=_HANDLE)]
 
 
 class _RoleOrder(msgspec.Struct, frozen=True):
@@ -158,11 +164,10 @@
         ``address`` is that of the engine that answered. Returns ``None``
         if the body cannot be decoded.
         """
-        try:
-            raw = msgspec.json.decode(body, type=_PrefillAnswer)
-        except msgspec.MsgspecError:
-            return None
-        return gateway.CacheHandle(address, raw.transfer_handle)
+        match _decoding.decode_json(body, _PrefillAnswer):
+            case result.Ok(raw):
+                return gateway.CacheHandle(address, raw.transfer_handle)
+        return None
 
     def release_request(self, handle: gateway.CacheHandle) -> gateway.Outgoing:
         """Return the request that frees a KV cache at its engine."""
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -7,7 +7,9 @@
 import urllib.parse
 
 import msgspec
+import result
 
+from agatewing import _decoding
 from agatewing import _exceptions
 from agatewing import gateway
 from agatewing import net
@@ -172,10 +174,12 @@
                 return error.failure
             case _Body(raw=raw, era=era):
                 pass
-        try:
-            return msgspec.json.decode(raw, type=_NewestPage), era
-        except msgspec.MsgspecError as exc:
-            return gateway.LogUnavailable(f"unreadable: {exc}", era)
+        match _decoding.decode_json(raw, _NewestPage):
+            case result.Ok(page):
+                return page, era
+            case result.Err(reason):
+                pass
+        return gateway.LogUnavailable(f"unreadable: {reason}", era)
 
     def read(
         self, topic: gateway.Topic, offset: int, wait_s: float
@@ -233,11 +237,12 @@
                 return failure
             case _Body(raw=raw, era=era):
                 pass
-        try:
-            written = msgspec.json.decode(raw, type=_AppendAnswer)
-        except msgspec.MsgspecError as exc:
-            return gateway.LogUnavailable(f"unreadable: {exc}", era)
-        return gateway.Written(written.offset, era)
+        match _decoding.decode_json(raw, _AppendAnswer):
+            case result.Ok(written):
+                return gateway.Written(written.offset, era)
+            case result.Err(reason):
+                pass
+        return gateway.LogUnavailable(f"unreadable: {reason}", era)
 
     def _append(
         self,
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -2,9 +2,13 @@
 
 import ipaddress
 import logging
+import re
+import typing
 
 import msgspec
+import result
 
+from agatewing import _decoding
 from agatewing import _types
 from agatewing import gateway
 from agatewing.platform import _names
@@ -12,6 +16,23 @@
 _log = logging.getLogger("agatewing.platform")
 
 BITS_PER_BYTE = 8
+#: Longest text in a target's entry, in characters; names and versions go into
+#: messages between instances, of which some are datagrams.
+MAX_NAME_LENGTH = 255
+#: Largest number of requests that a target may process at once.
+MAX_SLOTS = 1_000_000
+#: Largest sequence number, as messages between instances have 64 bits.
+MAX_SEQUENCE = 2**63 - 1
+#: Longest time for which a target may stay slow after its start: one day, in
+#: milliseconds.
+MAX_COLD_MS = 86_400_000
+#: Latest start of a target, the end of the year 2099, in Unix milliseconds.
+MAX_BORN_MS = 4_102_444_799_999
+
+#: Key of a target's entry, which becomes a header: visible ASCII.
+_KEY = re.compile(r"[!-~]{1,255}")
+_PORT = re.compile(r"[0-9]{1,5}")
+_Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
 class _ServiceShare(msgspec.Struct, frozen=True):
@@ -77,21 +98,23 @@
 
 
 class _TargetEntry(msgspec.Struct, frozen=True):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    service: _Name
+    address: _Name
+    zone: _Name
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: _Name
     # Sequence number of the entry since the target's start, no log offset.
-    seq: int = 0
+    seq: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)] = 0
     # Time for which the target stays slow after its start, in milliseconds.
-    cold_left_ms: float = 0
+    cold_left_ms: typing.Annotated[
+        float, msgspec.Meta(ge=0, le=MAX_COLD_MS)
+    ] = 0
     # Role of an engine; ``None`` for targets of plain services.
-    stage: str | None = None
+    stage: _Name | None = None
     # Start of the target, in Unix milliseconds.
-    born: int = 0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
     # Version of the target's software, not of the entry.
-    version: str = ""
+    version: _Name = ""
 
 
 class RecordDecoder:
@@ -105,15 +128,16 @@
         """Return the configuration; ``None`` for other or invalid records."""
         if record.key != _names.CONFIGURATION_KEY or not record.value:
             return None
-        try:
-            raw = msgspec.json.decode(record.value, type=_Config)
-        except msgspec.MsgspecError as exc:
-            _log.error(
-                "platform: configuration cannot be decoded, kept the last one",
-                extra={"reason": str(exc)},
-            )
-            return None
-        limits = raw.limits
+        match _decoding.decode_json(record.value, _Config):
+            case result.Err(reason):
+                _log.error(
+                    "platform: configuration cannot be decoded, kept the last "
+                    "one",
+                    extra={"reason": reason},
+                )
+                return None
+            case result.Ok(raw):
+                limits = raw.limits
         return gateway.Configuration(
             raw.version,
             tuple(_convert_route(route) for route in raw.routes),
@@ -133,14 +157,15 @@
         """Return the target; ``None`` if it was removed or is invalid."""
         if not record.value:
             return None
-        try:
-            raw = msgspec.json.decode(record.value, type=_TargetEntry)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            _log.warning(
-                "platform: target entry ignored, it cannot be decoded",
-                extra={"target": record.key, "reason": str(exc)},
-            )
-            return None
+        match _decode_target(record.key, record.value):
+            case result.Err(reason):
+                _log.warning(
+                    "platform: target entry ignored, it cannot be decoded",
+                    extra={"target": record.key, "reason": reason},
+                )
+                return None
+            case result.Ok(raw):
+                pass
         state = _STATES.get(raw.state)
         role = _ROLES.get(raw.stage or "")
         if state is None or (raw.stage and role is None):
@@ -184,6 +209,13 @@
 }
 
 
+def _decode_target(key: str, value: bytes) -> result.Result[_TargetEntry, str]:
+    """Decode an entry; an error is the reason why it names no target."""
+    if not _KEY.fullmatch(key):
+        return result.Err("its key is no id")
+    return _decoding.decode_json(value, _TargetEntry)
+
+
 def _convert_route(raw: _Route) -> gateway.Route:
     """Convert a route; the path prefix stays, the host becomes lower case."""
     shares = tuple(
@@ -236,10 +268,10 @@
 
 
 def _is_address(address: str) -> bool:
-    """Return whether a text is ``IP:PORT``."""
+    """Return whether a text is ``IP:PORT``, with an address of IPv4."""
     host, _, port = address.rpartition(":")
     try:
-        ipaddress.ip_address(host)
+        ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) < 65_536
+    return bool(_PORT.fullmatch(port)) and 0 < int(port) < 65_536
--- a/agatewing/platform_services/_instance_list.py
+++ b/agatewing/platform_services/_instance_list.py
@@ -56,7 +56,7 @@
             )
         try:
             return _decoder.decode(answer.body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.ProtocolError("instance list", str(exc)) from exc
 
     def close(self) -> None:
--- a/agatewing/platform_services/_log_client.py
+++ b/agatewing/platform_services/_log_client.py
@@ -80,7 +80,7 @@
             )
         try:
             return _append_decoder.decode(answer.body).offset
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.LogUnavailableError(stream, str(exc)) from exc
 
     def read(self, stream: str, start: int, wait_s: float) -> LogPage:
@@ -103,7 +103,7 @@
             )
         try:
             return _page_decoder.decode(answer.body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise _exceptions.LogUnavailableError(stream, str(exc)) from exc
 
     def close(self) -> None:
--- a/agatewing/timeline/_log_lines.py
+++ b/agatewing/timeline/_log_lines.py
@@ -64,7 +64,7 @@
     try:
         data = msgspec.json.decode(raw[start:], type=dict[str, object])
         at = msgspec.convert(data["at"], float)
-    except (msgspec.MsgspecError, KeyError):
+    except (msgspec.MsgspecError, KeyError, RecursionError):
         return None
     fields = {k: v for k, v in data.items() if k not in COMMON_FIELDS}
     return LogLine(
