Prove the only version of a service by a read since the stream was taken up

Cause: an instance that had one version in its view took that for the only one while its view was up to 5.1 s old, and said so to peers that asked. The class is that of the late configurations: a view of some seconds ago passes for the present one. Two further ways to the same end: an engine that announced itself and left between two changes that the listener was told of was never seen, nor one whose entries the log had forgotten when it was listed again.

Change: a take-up, and a peer's question about one, has the targets read anew (Follower.confirm), unless reads are failing; only what was applied by a read that began since then proves that there is one version. Replies of earlier releases, which do not say that they confirmed, prove nothing. Versions of all entries read are remembered, and a listing after more than two seconds without a read begins the history anew.

--- a/agatewing/decisions/_stream_versions.py
+++ b/agatewing/decisions/_stream_versions.py
@@ -131,6 +131,11 @@
         if self._since is None:
             self._since = since
 
+    def record_missed(self, now: float) -> None:
+        """Record that a version may have come and gone unseen until now."""
+        if self._since is not None:
+            self._since = now
+
     def restore(
         self, versions: collections.abc.Set[str], complete: bool, now: float
     ) -> None:
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -33,6 +33,10 @@
 #: platform promises that the entries of live targets are back within about
 #: two seconds.
 RETURN_HOLD_S = 2.0
+#: Time without a read after which a target may have joined and left unseen, in
+#: seconds: one that leaves drains first, and the entry of one that crashes
+#: expires later.
+MISSED_AFTER_S = 2.0
 #: Number of batches of changes that are kept for peers that lack them.
 MAX_BATCHES = 64
 
@@ -57,6 +61,9 @@
         "_log_back_at",
         "_changed",
         "_batches",
+        "_versions_seen",
+        "_unread_s",
+        "_targets_missed",
         "log_unavailable",
         "read_failed",
         "_failed_at",
@@ -101,6 +108,12 @@
         self._batches: collections.deque[tuple[int, frozenset[str]]] = (
             collections.deque(maxlen=MAX_BATCHES)
         )
+        # Software versions of engines in the entries read, by service.
+        self._versions_seen: dict[str, set[str]] = {}
+        # Time between the last two reads up to the end of the log, in seconds.
+        self._unread_s = float("inf")
+        # Whether targets may have joined and left unseen.
+        self._targets_missed = False
         #: Whether the log is unavailable, or was not read yet.
         self.log_unavailable = True
         #: Whether a read of the log failed and none has succeeded since.
@@ -127,6 +140,7 @@
         if self.log_unavailable:
             self._log_back_at = now
         self.log_unavailable = self.read_failed = False
+        self._unread_s = now - self._read_at
         self._read_at = now
 
     def record_config_read(self) -> None:
@@ -220,7 +234,12 @@
         targets: collections.abc.Mapping[str, _contracts.Target],
         through: int,
     ) -> None:
-        """Replace all targets; those that are not given count as missing."""
+        """Replace all targets; those that are not given count as missing.
+
+        Unlike changes, they do not show what has joined and left meanwhile.
+        """
+        if MISSED_AFTER_S < self._unread_s < math.inf:
+            self._targets_missed = True
         for name in list(self.targets):
             if name not in targets:
                 self._mark_missing(name)
@@ -257,9 +276,26 @@
             return
         self._drop_at.pop(name, None)
         self.targets[name] = target
+        if target.role is not None:
+            seen = self._versions_seen.setdefault(target.service, set())
+            seen.add(target.software)
         if known is None or known.state is not target.state:
             self._log_change(target, target.state)
 
+    def take_versions_seen(self) -> dict[str, frozenset[str]]:
+        """Return and forget the software versions of the engines read.
+
+        Among them are those of engines that have joined and left between two
+        changes that the listener was told of.
+        """
+        seen, self._versions_seen = self._versions_seen, {}
+        return {name: frozenset(found) for name, found in seen.items()}
+
+    def take_targets_missed(self) -> bool:
+        """Return and forget whether targets may have come and gone unseen."""
+        missed, self._targets_missed = self._targets_missed, False
+        return missed
+
     def _mark_missing(self, name: str) -> None:
         """Drop a target whose entry is gone.
 
@@ -369,6 +405,7 @@
         if snapshot.era != self.era:
             self.begin_era(snapshot.era)
         if not changes:
+            self._unread_s = self.age_s()
             self.replace_targets(
                 {target.id: target for target in snapshot.targets},
                 snapshot.through,
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -41,6 +41,8 @@
 #: Range of the time until an instance of a large fleet that is no reader tries
 #: again after a failed read, in seconds; readers tell when the log is back.
 NO_READER_BACKOFF_S = (1.0, 2.0)
+#: Least time between two reads that confirm what was read, in seconds.
+CONFIRM_PERIOD_S = 0.05
 #: Longest time between two looks whether a read is due, in seconds.
 LOOK_PERIOD_S = 0.2
 
@@ -131,6 +133,10 @@
         "_reads",
         "_read_since",
         "_failing_since",
+        "_begun_at",
+        "_proved_at",
+        "_wanted",
+        "_answered",
         "_random",
         "failed_reads",
     )
@@ -151,6 +157,13 @@
         # Monotonic times of the begin of the present read, and of the first
         # of the consecutive ones that have failed, in seconds.
         self._read_since = self._failing_since = clock.monotonic()
+        # Monotonic times of the begin of the present call to the log, and of
+        # the one that was answered and applied last, in seconds.
+        self._begun_at = self._proved_at = float("-inf")
+        # Set while a read without a wait is wanted.
+        self._wanted = gevent.event.Event()
+        # Set when the log has answered, then replaced by a new event.
+        self._answered = gevent.event.Event()
         self._era = era or _eras.LogEra()
         # Era in which the offset is valid; ``None`` if the log named none.
         self._offset_era: int | None = None
@@ -170,13 +183,32 @@
             started = self._clock.monotonic()
             if self._step_or_fail():
                 self._reads += 1
-                elapsed = self._clock.monotonic() - started
-                pause = self._min_period_s() - elapsed
-                if pause > 0:
-                    self._clock.sleep(pause)
+                self._pause(started)
             else:
                 self._back_off()
 
+    def confirm(self, limit_s: float) -> bool:
+        """Read the topic anew; return whether that is done within a time.
+
+        What was applied then is not older than this call.
+        """
+        asked_at = self._clock.monotonic()
+        while self._proved_at < asked_at:
+            left_s = asked_at + limit_s - self._clock.monotonic()
+            if self.failed_reads or left_s <= 0:
+                return False
+            self._wanted.set()
+            self._clock.wait(self._answered, left_s)
+        return True
+
+    def _pause(self, started: float) -> None:
+        """Wait for the time between two reads, the last of which began."""
+        elapsed_s = self._clock.monotonic() - started
+        self._clock.wait(self._wanted, self._min_period_s() - elapsed_s)
+        elapsed_s = self._clock.monotonic() - started
+        if elapsed_s < CONFIRM_PERIOD_S:
+            self._clock.sleep(CONFIRM_PERIOD_S - elapsed_s)
+
     def _step_or_fail(self) -> bool:
         """Read the log once; an unexpected error counts as a failed read."""
         try:
@@ -196,9 +228,9 @@
             left_s = turns.pause_s(self._topic, self._reads)
             if self._topic not in TOLD_BY_PEERS:
                 left_s -= waited_s
-            if left_s <= 0:
+            if left_s <= 0 or self._wanted.is_set():
                 return
-            self._clock.sleep(min(left_s, LOOK_PERIOD_S))
+            self._clock.wait(self._wanted, min(left_s, LOOK_PERIOD_S))
 
     def _min_period_s(self) -> float:
         least = MIN_READ_PERIOD_S[self._topic]
@@ -247,6 +279,7 @@
                 self._offset = offset
                 self._record_success()
                 self._sink.end_batch(offset)
+                self._record_proof()
                 return True
             case _ports.HistoryLost():
                 _log.warning(
@@ -270,15 +303,16 @@
         """Read from an offset; ``None`` as soon as that has become worthless.
 
         Another topic may show first that the log was restored, or that its
-        connections are dead; then the read is repeated without a wait.
+        connections are dead; then the read is repeated without a wait, as it
+        is to confirm what was read.
         """
         risen = self._era.risen
         # A read that was begun during an outage is not answered after it, so
         # none waits long until the log has answered.
-        if not self.failed_reads:
+        if not self.failed_reads and not self._wanted.is_set():
             wait_s = self._limits.turns.wait_s(self._topic)
-            failed = self._limits.failed_reads.failed
-            answer = self._read_until(offset, wait_s, [risen, failed])
+            events = [risen, self._limits.failed_reads.failed, self._wanted]
+            answer = self._read_until(offset, wait_s, events)
             if answer is not None or risen.is_set():
                 return answer
         return self._read_until(offset, 0.0, [risen])
@@ -290,6 +324,7 @@
         events: list[gevent.event.Event],
     ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
         """Read from an offset; ``None`` if one of the events is set first."""
+        self._begin_call(wait_s)
         reading = gevent.spawn(self._log.read, self._topic, offset, wait_s)
         try:
             gevent.wait([reading, *events], count=1)
@@ -297,8 +332,21 @@
         finally:
             reading.kill()
 
+    def _begin_call(self, wait_s: float) -> None:
+        """Record that the log is called; one without a wait confirms."""
+        self._begun_at = self._clock.monotonic()
+        if not wait_s:
+            self._wanted.clear()
+
+    def _record_proof(self) -> None:
+        """Record that the answer to the present call was applied."""
+        self._proved_at = self._begun_at
+        answered, self._answered = self._answered, gevent.event.Event()
+        answered.set()
+
     def _read_newest(self) -> bool:
         self._offset = None
+        self._begin_call(0.0)
         known_era = self._era.current
         answer = self._log.read_newest(self._topic)
         if not self._era.observe(answer.era):
@@ -309,6 +357,7 @@
                 self._begin_era(known_era if era is None else era)
                 self._offset = offset
                 self._sink.replace_all(records, offset)
+                self._record_proof()
                 return True
             case _ports.LogUnavailable(reason=reason):
                 self._record_failure(reason)
@@ -340,6 +389,7 @@
 
     def _record_failure(self, reason: str) -> None:
         self.failed_reads += 1
+        self._answered.set()
         self._sink.on_read_failed()
         if self.failed_reads == 1:
             self._failing_since = self._read_since
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -109,7 +109,7 @@
         self.links = self._build_links(rng)
         index = decisions.PlacementIndex(settings.cache_keep_s)
         self.streams = _stream_directory.StreamDirectory(
-            clock, self.peers, self.catalog.age_s
+            clock, self.peers, self.catalog.age_s, self._confirm_targets
         )
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
@@ -164,6 +164,7 @@
             lambda: len(self.peers.known) + 1,
         )
         self.own_entry = self._build_own_entry()
+        self.followers = self._build_followers()
         self.metrics = _metrics.Metrics()
         self.handler_context = self._build_handler_context(rng, index)
         self.role_loop = self._build_role_loop()
@@ -233,6 +234,40 @@
             self.registry.changed,
         )
 
+    def _build_followers(self) -> dict[_ports.Topic, _follow.Follower]:
+        decoder = self.platform.decoder
+        sinks = {
+            _ports.Topic.CONFIGURATION: _follow.configuration_sink(
+                self.catalog, decoder
+            ),
+            _ports.Topic.TARGETS: _follow.target_sink(self.catalog, decoder),
+            _ports.Topic.INSTANCES: _follow.Sink(
+                self._replace_instances,
+                self.peers.update_entry,
+                self._instances_changed,
+                begin_era=self.peers.begin_era,
+            ),
+        }
+        limits = _follow.ReadLimits(
+            lambda: self.catalog.log_unavailable, self.log_turns
+        )
+        return {
+            topic: _follow.Follower(
+                self.platform.log,
+                self.clock,
+                topic,
+                sink,
+                limits,
+                self.log_era,
+                self._random,
+            )
+            for topic, sink in sinks.items()
+        }
+
+    def _confirm_targets(self, limit_s: float) -> bool:
+        """Read the targets anew; return whether that is done in time."""
+        return self.followers[_ports.Topic.TARGETS].confirm(limit_s)
+
     def _build_own_entry(self) -> _own_entry.OwnEntry:
         settings = self.settings
         entry = _peers.PeerEntry(
@@ -294,7 +329,10 @@
             self.peers.known,
             [tracked.target for tracked in self.registry.by_id.values()],
         )
+        if self.catalog.take_targets_missed():
+            self.streams.record_missed()
         self.streams.observe(self.registry.pools)
+        self.streams.remember(self.catalog.take_versions_seen())
         self.handler_context.index.retain_engines(self.registry.by_id)
         self.registry.changed.set()
 
@@ -319,32 +357,7 @@
         self.peers.start()
         self.load_reports.start()
         self.links.start()
-        decoder = self.platform.decoder
-        sinks = {
-            _ports.Topic.CONFIGURATION: _follow.configuration_sink(
-                self.catalog, decoder
-            ),
-            _ports.Topic.TARGETS: _follow.target_sink(self.catalog, decoder),
-            _ports.Topic.INSTANCES: _follow.Sink(
-                self._replace_instances,
-                self.peers.update_entry,
-                self._instances_changed,
-                begin_era=self.peers.begin_era,
-            ),
-        }
-        limits = _follow.ReadLimits(
-            lambda: self.catalog.log_unavailable, self.log_turns
-        )
-        for topic, sink in sinks.items():
-            follower = _follow.Follower(
-                self.platform.log,
-                self.clock,
-                topic,
-                sink,
-                limits,
-                self.log_era,
-                self._random,
-            )
+        for follower in self.followers.values():
             self._loops.append(gevent.spawn(follower.run))
         self._loops.append(gevent.spawn(self.dispatcher.run))
         self._loops.append(gevent.spawn(self._run_records))
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -41,6 +41,9 @@
 #: Longest wait of a take-up for what the log has of the time before the start,
 #: in seconds: the time limit for an answer of the log.
 RESTORE_WAIT_S = 0.6
+#: Longest time of a read that confirms the versions, in seconds; less than an
+#: exchange with a peer takes, as peers confirm theirs during one.
+CONFIRM_S = 0.4
 #: Age of the view of the log above which a version may have been missed, in
 #: seconds: a read of the log takes up to 4.6 s, and half a second to spare.
 MAX_VIEW_AGE_S = 5.1
@@ -51,13 +54,17 @@
 
     # Software versions that the engines of the service have had lately.
     versions: frozenset[str]
-    # Whether the peer has read the log so recently that it missed none.
+    # Whether the peer has read the log so recently that it missed none, by the
+    # standard of its release.
     current: bool
     # Origin of the stream; ``None`` if the peer does not know it.
     origin: decisions.StreamOrigin | None = None
     # Whether no other version can have begun a recent stream. Earlier releases
     # do not tell.
     complete: bool = False
+    # Whether the peer has read the log since it was asked. Earlier releases do
+    # not, and take a view of some seconds ago for current.
+    confirmed: bool = False
 
 
 class StreamDirectory:
@@ -67,6 +74,7 @@
         "_clock",
         "_peers",
         "_view_age_s",
+        "_confirm_view",
         "_origins",
         "_histories",
         "_since",
@@ -81,11 +89,15 @@
         clock: _clock.Clock,
         peers: _peers.Peers,
         view_age_s: collections.abc.Callable[[], float],
+        confirm_view: collections.abc.Callable[[float], bool],
     ) -> None:
         self._clock = clock
         self._peers = peers
         # Returns the age of this instance's view of the targets, in seconds.
         self._view_age_s = view_age_s
+        # Reads the targets anew; returns whether that was done within a time,
+        # in seconds.
+        self._confirm_view = confirm_view
         self._origins = decisions.StreamOrigins()
         # Versions by service.
         self._histories: collections.defaultdict[
@@ -150,6 +162,12 @@
             self._histories[name].restore(known, complete, now)
         self._restored.set()
 
+    def record_missed(self) -> None:
+        """Record that engines of any version may have joined and left."""
+        self._since = self._clock.monotonic()
+        for history in self._histories.values():
+            history.record_missed(self._since)
+
     def remember(
         self, versions: collections.abc.Mapping[str, frozenset[str]]
     ) -> None:
@@ -249,15 +267,16 @@
         there may have been several.
         """
         self._restored.wait(RESTORE_WAIT_S)
-        now = self._clock.monotonic()
-        only = self._only_version(service, now)
-        origin = self._origins.find(attempt, now)
+        origin = self._origins.find(attempt, self._clock.monotonic())
         how = "known"
-        if origin is None and only is not None:
-            origin = decisions.StreamOrigin(attempt, service, only)
-            how = "only"
         if origin is None:
-            origin = self._ask_peers(attempt, service)
+            view = self._confirmed_view(service)
+            only = decisions.proved_version([view])
+            if only is not None:
+                origin = decisions.StreamOrigin(attempt, service, only)
+                how = "only"
+        if origin is None:
+            origin = self._ask_peers(attempt, service, view)
             how = "peer" if origin is not None else "unknown"
         self.take_ups[how] += 1
         _log.info(
@@ -283,14 +302,29 @@
             view.versions, view.complete and self._view_is_current
         )
 
+    def _confirmed_view(self, service: str) -> decisions.VersionView:
+        """Return a view that is complete only if it is of now.
+
+        A stream that is taken up may have begun, elsewhere, at an engine that
+        joined a moment ago.
+        """
+        view = self._histories[service].view(self._clock.monotonic())
+        if decisions.proved_version([view]) is None:
+            return decisions.VersionView(view.versions, False)
+        confirmed = self._confirm_view(CONFIRM_S)
+        view = self._histories[service].view(self._clock.monotonic())
+        return decisions.VersionView(
+            view.versions, view.complete and confirmed
+        )
+
     @property
     def _view_is_current(self) -> bool:
         return self._view_age_s() <= MAX_VIEW_AGE_S
 
     def _ask_peers(
-        self, attempt: str, service: str
+        self, attempt: str, service: str, own: decisions.VersionView
     ) -> decisions.StreamOrigin | None:
-        views = [self._view(service, self._clock.monotonic())]
+        views = [own]
         requests = [
             gevent.spawn(self._ask, address, attempt, service)
             for address in self.keepers(attempt)
@@ -303,7 +337,7 @@
                 return reply.origin
             views.append(
                 decisions.VersionView(
-                    reply.versions, reply.complete and reply.current
+                    reply.versions, reply.complete and reply.confirmed
                 )
             )
         software = decisions.proved_version(views)
@@ -336,11 +370,10 @@
     def reply(self, key: str) -> wire.StateReply:
         """Return the reply to a peer that asks for a stream's origin."""
         service, _, attempt = key.partition("/")
-        now = self._clock.monotonic()
-        origin = self._origins.find(attempt, now)
-        view = self._histories[service].view(now)
+        origin = self._origins.find(attempt, self._clock.monotonic())
+        view = self._confirmed_view(service)
         known = _Reply(
-            view.versions, self._view_is_current, origin, view.complete
+            view.versions, view.complete, origin, view.complete, view.complete
         )
         return wire.StateReply(
             known=origin is not None,
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -185,3 +185,72 @@
         assert applied == ["k", "k"]
     finally:
         reading.kill()
+
+
+class ChangingLog(WaitingLog):
+    """A log that answers after its wait, on a clock."""
+
+    def __init__(self, clock: _clock.ManualClock, answer_s: float) -> None:
+        super().__init__([])
+        self.answer: Answer = PAGE
+        self._clock = clock
+        self._answer_s = answer_s
+
+    def read_newest(self, topic: gateway.Topic) -> Answer:
+        return PAGE
+
+    def read(self, topic: gateway.Topic, offset: int, wait_s: float) -> Answer:
+        self.waits.append(wait_s)
+        self._clock.sleep(wait_s + self._answer_s)
+        return self.answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirm:
+    #: Time of an answer, in seconds.
+    answer_s: float
+    #: Whether the log answers.
+    answers: bool
+    confirmed: bool
+    #: Waits of the reads since, at least.
+    waits: tuple[float, ...]
+
+
+CONFIRMS = {
+    "in time": Confirm(0.1, True, True, (0.0,)),
+    "too late": Confirm(0.7, True, False, (0.0,)),
+    "no answer": Confirm(0.1, False, False, (0.0,)),
+}
+
+
+# A view that was read before the question passed for that of now.
+@pytest.mark.parametrize("name", CONFIRMS)
+def test_only_a_read_since_the_question_confirms(name: str) -> None:
+    case = CONFIRMS[name]
+    clock = _clock.ManualClock()
+    log = ChangingLog(clock, case.answer_s)
+    follower = _follow.Follower(
+        log,  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.TARGETS,
+        _follow.Sink(
+            lambda records, offset: None,
+            lambda record: None,
+            lambda offset: None,
+        ),
+    )
+    reading = gevent.spawn(follower.run)
+    try:
+        for _ in range(10):
+            clock.advance(0.1)
+        assert log.waits == [LONG_S]
+        if not case.answers:
+            log.answer = AWAY
+        # Both are answered by one read.
+        asked = [gevent.spawn(follower.confirm, 0.4) for _ in range(2)]
+        for _ in range(10):
+            clock.advance(0.1)
+        assert [question.get() for question in asked] == [case.confirmed] * 2
+        assert tuple(log.waits[1:2]) == case.waits
+    finally:
+        reading.kill()
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -68,7 +68,9 @@
         codec,
         rng,
         decisions.PlacementIndex(10.0),
-        _stream_directory.StreamDirectory(clock, peers, catalog.age_s),
+        _stream_directory.StreamDirectory(
+            clock, peers, catalog.age_s, lambda limit_s: True
+        ),
         _quarantine.Quarantine(
             clock,
             decisions.CrashSuspects(),
