Do not take a stand-still of the instance for a queue of the engines

What callers saw: 503 'the engines have too much to read' for a stream of a calm service.

Cause: a stream is refused if the queue of its engine makes it late. The time since its request had arrived was added to the estimate, so that an instance which had waited for a processor for 0.56 s of the 0.75 s that a short prompt may take refused it, though nothing waited at the engine.

Change: only the engine's queue counts. The time that has passed still counts for what the caller would wait.

--- a/agatewing/decisions/_admission.py
+++ b/agatewing/decisions/_admission.py
@@ -118,12 +118,12 @@
 ) -> float | None:
     """Return the retry delay in seconds if a queue makes a prompt late.
 
-    Its first event is expected ``first_event_s`` seconds after the request
-    arrived, with an engine of its own after ``alone_s``, and is on time within
-    ``objective_s``. Without refusals, a surge makes all prompts late that come
-    during it and until the queue has been worked off. Any prompt may wait for
-    half of the time within which a short one is let in: otherwise the largest
-    ones, which take most of it by themselves, are hardly served.
+    Its first event is expected in ``first_event_s`` seconds, with an engine of
+    its own in ``alone_s``, and is on time within ``objective_s``. Without
+    refusals, a surge makes all prompts late that come during it and until the
+    queue has been worked off. Any prompt may wait for half of the time within
+    which a short one is let in: otherwise the largest ones, which take most of
+    it by themselves, are hardly served.
     """
     limit_s = ON_TIME_FACTOR * objective_s
     limit_s = max(limit_s, alone_s + limit_s / 2)
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -196,8 +196,9 @@
     ) -> None:
         """Refuse a request whose prompt would wait too long at its engine.
 
-        That is, if its caller would give up before the first event, or if a
-        queue makes a stream late that is neither begun nor handed on.
+        That is, if its caller would give up before the first event, or if the
+        engine's queue makes a stream late that is neither begun nor handed on.
+        Time that has passed since the request came is none of that queue.
         """
         match route:
             case decisions.Single(engine=name):
@@ -213,7 +214,7 @@
         begun = profile.software is not None or job.req.handed_on is not None
         if after_s is None and not begun:
             after_s = decisions.retry_delay_if_overdue(
-                waited_s + expected_s,
+                expected_s,
                 decisions.unqueued_prefill_s(profile, tracked.load),
                 job.route.objective_s,
             )
--- a/agatewing/platform/tests/test_log_answers.py
+++ b/agatewing/platform/tests/test_log_answers.py
@@ -56,8 +56,8 @@
     assert len(connections) == 2
 
 
-# A connection that fell silent within the body of an answer was noticed only at
-# the time limit of the whole body, which is long as bodies are large.
+# A connection that fell silent within the body of an answer was noticed only
+# at the time limit of the whole body, which is long as bodies are large.
 @pytest.mark.parametrize("call", ["read", "read_newest"])
 def test_a_silence_within_a_body_is_noticed_before_its_time_limit(
     call: str, monkeypatch: pytest.MonkeyPatch
--- a/agatewing/platform/tests/test_queued_requests.py
+++ b/agatewing/platform/tests/test_queued_requests.py
@@ -1,12 +1,14 @@
 """Queued requests beside changes of the configuration and of engines."""
 
 import collections.abc
+import typing
 
 import gevent
 import pytest
 
 from agatewing import gateway
 from agatewing.gateway import _catalog
+from agatewing.gateway import _stream_forwarder
 from agatewing.platform import standins
 
 PROMPT = {"X-Token-Count": "10,3", "X-Prefix-Hash": "aa:5,bb:5"}
@@ -119,3 +121,29 @@
         assert float(reply.headers["retry-after"]) > 0
         assert instance.clock.monotonic() - began_at < 1.0
         assert not site.targets["e1"].runs
+
+
+# An instance that had stood still refused streams as if the engine's queue
+# made them late, though little or nothing waited there.
+@pytest.mark.parametrize("queued_tokens", [0, 1_000])
+def test_a_stand_still_of_the_instance_is_no_queue(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    monkeypatch: pytest.MonkeyPatch,
+    queued_tokens: int,
+) -> None:
+    choose = _stream_forwarder.StreamForwarder._check_patience
+
+    def stand_still(
+        forwarder: _stream_forwarder.StreamForwarder, *args: typing.Any
+    ) -> None:
+        site.clock.advance(0.7)
+        choose(forwarder, *args)
+
+    monkeypatch.setattr(
+        _stream_forwarder.StreamForwarder, "_check_patience", stand_still
+    )
+    instance.registry.by_id["e1"].record_sent(queued_tokens)
+    headers = {"X-Token-Count": "4000,3", "X-Prefix-Hash": "aa:2000,bb:2000"}
+    reply = site.ask(instance, "/draft/x", "s1", headers)
+    assert (reply.status, reply.complete) == (200, True)
