Play silent connections to the log in the soak, and look for late configurations

Why the tests and the soak missed the late configurations: the stand-in log ends every wait after 0.3 s, nothing silenced an idle connection to it, and the soak looked for instances that do not follow the log only 4 s after its last fault.

Change: the fault 'log connections fall silent' has all open connections to the log carry nothing any more, without a reset, while configurations change every 0.7 s. Instances are asked four times a second for the version in force; one that is older than the users' rule allows, 2 s after its acknowledgement and 3 s after faults of the instance or the log, is LATE.

--- a/agatewing/platform/soak/__main__.py
+++ b/agatewing/platform/soak/__main__.py
@@ -39,14 +39,15 @@
         verdict = _episode.Episode(
             seed, args.episode, args.logs, tuple(args.only)
         ).run()
-        state = "broken" if verdict.violations else "held"
+        broken = (*verdict.violations, *verdict.late)
+        state = "broken" if broken else "held"
         print(f"seed {seed}: {state}; replies {verdict.statuses}", flush=True)
         if args.logs is not None:
             for line in (*verdict.faults, *verdict.failed):
                 print(f"  {line}")
-        if verdict.violations:
+        if broken:
             failed += 1
-            for line in (*verdict.faults, *verdict.violations):
+            for line in (*verdict.faults, *broken):
                 print(f"  {line}")
             print(f"  again: make soak-processes SEED={seed} DURATION=1")
         seed += 1
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -24,6 +24,7 @@
 from agatewing.platform.soak import _log_restore
 from agatewing.platform.soak import _proxy
 from agatewing.platform.soak import _targets
+from agatewing.platform.soak import _versions
 from agatewing.platform import standins
 
 Behaviour = standins.Behaviour
@@ -43,6 +44,11 @@
 #: Longest time after it until all instances follow the log, in seconds: reads
 #: that the log lost end after 4.6 s.
 FOLLOW_LIMIT_S = 3.0
+#: Time between two looks at the versions in force, in seconds.
+LOOK_PERIOD_S = 0.25
+#: Time between two configurations after the connections to the log have fallen
+#: silent, in seconds.
+CHANGE_PERIOD_S = 0.7
 
 
 PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
@@ -63,6 +69,9 @@
     faults: tuple[str, ...]
     #: Broken promises, one line each; empty if all held.
     violations: tuple[str, ...]
+    #: Configurations that came into force too late, one line each. An instance
+    #: that waits for a processor for seconds is late, too.
+    late: tuple[str, ...]
     #: Attempts without a complete 200 reply, each with its status.
     failed: tuple[str, ...]
 
@@ -84,6 +93,7 @@
         self._duration_s = duration_s
         self._random = random.Random(seed)
         self._records = _checks.CallerRecords()
+        self._versions = _versions.VersionRecords(self._records.absences)
         self._faults: list[str] = []
         self._processes: dict[str, harness.Process] = {}
         self._settings_folder = pathlib.Path()
@@ -103,14 +113,17 @@
             )
             stack.callback(self._targets.stop)
             self._start_site()
+            watch = gevent.spawn(self._watch_versions)
+            stack.callback(watch.kill)
             self._inject_faults()
             gevent.sleep(FAULT_FREE_S)
-            late = self._instances_behind()
+            behind = self._instances_behind()
             return Verdict(
                 self._seed,
                 dict(sorted(self._records.statuses.items())),
                 tuple(self._faults),
-                (*self._records.violations(self._targets.engines), *late),
+                (*self._records.violations(self._targets.engines), *behind),
+                tuple(self._versions.late),
                 tuple(self._records.failed()),
             )
 
@@ -125,7 +138,7 @@
         add_route("/chat/", "streaming", STREAMS, sticky=True, resumable=True)
         self._targets.start()
         self._log_proxy = _proxy.Proxy(site.store.address)
-        site.publish()
+        self._publish()
         self._log_restore = _log_restore.LogRestores(
             site.store, self._write_again, self._seed
         )
@@ -158,15 +171,10 @@
 
     def _behind(self, name: str) -> list[str]:
         """Return what an instance has not followed, by its metrics."""
-        address = str(self._settings[name]["ready_address"])
         try:
-            metrics = net.HttpClient(address).call("GET", "/metrics")
+            values = self._metrics(name)
         except _exceptions.AgatewingError as exc:
             return [f"BEHIND: {name} shows no metrics: {exc}"]
-        values = dict(
-            line.rpartition(" ")[::2]
-            for line in metrics.body.decode().splitlines()
-        )
         newest = {
             "agatewing_log_era": self._site.store.era,
             "agatewing_config_version": self._site.version,
@@ -177,6 +185,36 @@
             if float(values.get(metric, "nan")) != value
         ]
 
+    def _metrics(self, name: str) -> dict[str, str]:
+        """Return the metrics of an instance by name.
+
+        Raises ``AgatewingError`` if it gives none.
+        """
+        address = str(self._settings[name]["ready_address"])
+        metrics = net.HttpClient(address).call("GET", "/metrics")
+        return dict(
+            line.rpartition(" ")[::2]
+            for line in metrics.body.decode().splitlines()
+        )
+
+    def _watch_versions(self) -> None:
+        """Record which versions the instances have in force, forever."""
+        while True:
+            gevent.sleep(LOOK_PERIOD_S)
+            gevent.joinall(
+                [gevent.spawn(self._look, name) for name in self._settings]
+            )
+
+    def _look(self, name: str) -> None:
+        asked_at = time.monotonic()
+        try:
+            values = self._metrics(name)
+        except _exceptions.AgatewingError:
+            # One that does not run has nothing in force.
+            return
+        version = int(float(values["agatewing_config_version"]))
+        self._versions.record_in_force(name, version, asked_at)
+
     def _start(self, name: str) -> None:
         path = self._settings_folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(self._settings[name]))
@@ -287,10 +325,11 @@
         for copy_age_s in _log_restore.COPY_AGES_S:
             yield (
                 f"restore of the log from {copy_age_s} s before",
-                functools.partial(self._log_restore.run, copy_age_s),
+                functools.partial(self._restore_log, copy_age_s),
             )
 
         yield from self._possible_cuts()
+        yield "log connections fall silent", self._silence_log_connections
 
     def _possible_cuts(self) -> collections.abc.Iterator[_Fault]:
         """Yield the cuts of one or two instances, from all or one service."""
@@ -344,9 +383,23 @@
         self._processes[name].send(signal.SIGHUP)
 
     def _degrade_log(self, mode: standins.StoreMode, fault_s: float) -> None:
+        disturbance = self._records.absences.begin(_versions.LOG)
         self._site.store.mode = mode
         gevent.sleep(fault_s)
         self._site.store.mode = standins.StoreMode.FINE
+        disturbance.end()
+
+    def _silence_log_connections(self, fault_s: float) -> None:
+        """Have all connections to the log carry nothing any more.
+
+        Then configurations change for a while.
+        """
+        self._records.absences.begin(_versions.LOG).end()
+        self._log_proxy.silence_open()
+        until = time.monotonic() + fault_s + _versions.SETTLE_S
+        while time.monotonic() < until:
+            self._change_configuration(0.0)
+            gevent.sleep(CHANGE_PERIOD_S)
 
     def _send_crashing(self, path: str, fault_s: float) -> None:
         """Send a request on which targets crash until the episode ends."""
@@ -365,7 +418,15 @@
     def _change_configuration(self, fault_s: float) -> None:
         self._added_routes += 1
         self._site.route(f"/new{self._added_routes}/", "safe", PLAIN)
-        self._site.publish()
+        self._publish()
+
+    def _publish(self) -> None:
+        self._versions.record_published(self._site.publish())
+
+    def _restore_log(self, copy_age_s: float, fault_s: float) -> None:
+        disturbance = self._records.absences.begin(_versions.LOG)
+        self._log_restore.run(copy_age_s, fault_s)
+        disturbance.end()
 
     def _write_again(self) -> None:
         """Write what the operator and the targets wrote last."""
--- a/agatewing/platform/soak/_proxy.py
+++ b/agatewing/platform/soak/_proxy.py
@@ -45,6 +45,8 @@
         self._silent_until = 0.0
         self._random = random.Random(self._target[1])
         self._sockets: set[gevent.socket.socket] = set()
+        # Those that carry nothing any more.
+        self._dead: set[gevent.socket.socket] = set()
         super().__init__(
             gevent.server.StreamServer(("127.0.0.1", port), self._serve)
         )
@@ -60,6 +62,13 @@
             standins.reset(sock)
         self._sockets.clear()
 
+    def silence_open(self) -> None:
+        """Have all open connections carry nothing any more, without a reset.
+
+        New ones work.
+        """
+        self._dead |= self._sockets
+
     def fall_silent(self, length_s: float) -> None:
         """Let the target fall silent; it goes on with the exact rest.
 
@@ -84,6 +93,7 @@
         backward = gevent.spawn(self._copy, upstream, sock, True)
         gevent.joinall([forward, backward])
         self._sockets -= {sock, upstream}
+        self._dead -= {sock, upstream}
 
     def _copy(
         self,
@@ -98,6 +108,8 @@
         """
         try:
             while data := source.recv(BLOCK_BYTES):
+                if source in self._dead:
+                    continue
                 self._delay(is_answer)
                 if is_answer:
                     data = self._hold_rest(sink, data)
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -15,6 +15,7 @@
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _proxy
 from agatewing.platform.soak import _targets
+from agatewing.platform.soak import _versions
 from agatewing.platform import standins
 
 
@@ -120,6 +121,37 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("version", "at", "fault", "late"),
+    [
+        (2, 9.9, None, False),
+        (1, 9.9, None, False),
+        (1, 10.0, None, True),
+        (2, 12.0, None, False),
+        (1, 10.0, ("i0", 6.0, 6.9), True),
+        (1, 10.0, ("i0", 6.0, 7.1), False),
+        (1, 10.0, ("i1", 6.0, 9.0), True),
+        (1, 10.0, (_versions.LOG, 7.5, 7.5), False),
+        (1, 10.6, (_versions.LOG, 7.5, 7.5), True),
+    ],
+)
+def test_a_late_configuration_is_found(
+    version: int,
+    at: float,
+    fault: tuple[str, float, float] | None,
+    late: bool,
+) -> None:
+    disturbances = _disturbances.Disturbances()
+    if fault is not None:
+        disturbance = disturbances.begin(fault[0])
+        disturbance.since, disturbance.until = fault[1:]
+    records = _versions.VersionRecords(disturbances)
+    records.record_published(1, 0.0)
+    records.record_published(2, 8.0)
+    records.record_in_force("i0", version, at)
+    assert bool(records.late) == late
+
+
 @pytest.mark.parametrize(("version", "found"), [("v1", 0), ("v2", 1)])
 def test_events_of_two_versions_are_found(version: str, found: int) -> None:
     began = _checks.Attempt("a0", True, 2)
@@ -517,6 +549,7 @@
         pytest.param("back-off", 11, 8.0, id="targets that back off"),
         pytest.param("restore", 11, 8.0, id="restored log"),
         pytest.param("cut of", 11, 8.0, id="lost links"),
+        pytest.param("log connections", 11, 8.0, id="silent log connections"),
     ],
 )
 def test_a_short_soak_of_one_kind_of_fault_breaks_no_promise(
