Keep silences of the log's connections in the soak apart

Cause: the fault was drawn again within a second, so that no instance was ever far enough from one to be looked at: the soak held on code without the fix.

Change: six seconds at least between two such silences.

--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -49,6 +49,9 @@
 #: Time between two configurations after the connections to the log have fallen
 #: silent, in seconds.
 CHANGE_PERIOD_S = 0.7
+#: Least time between two such silences, in seconds: a read that waits for 4 s
+#: is noticed as lost before.
+LOG_SILENCE_PERIOD_S = 6.0
 
 
 PLAIN, STREAMS = _callers.PLAIN_SERVICE, _callers.STREAM_SERVICE
@@ -98,6 +101,8 @@
         self._processes: dict[str, harness.Process] = {}
         self._settings_folder = pathlib.Path()
         self._added_routes = 0
+        # Monotonic time at which connections to the log last fell silent.
+        self._log_silent_at = float("-inf")
         # Services with a request on which targets crash.
         self._crashing: set[str] = set()
 
@@ -392,8 +397,13 @@
     def _silence_log_connections(self, fault_s: float) -> None:
         """Have all connections to the log carry nothing any more.
 
-        Then configurations change for a while.
+        Then configurations change for a while. Does nothing if that was so
+        shortly before: only some time later it shows who noticed.
         """
+        now = time.monotonic()
+        if now < self._log_silent_at + LOG_SILENCE_PERIOD_S:
+            return
+        self._log_silent_at = now
         self._records.absences.begin(_versions.LOG).end()
         self._log_proxy.silence_open()
         until = time.monotonic() + fault_s + _versions.SETTLE_S
