--- a/agatewing/platform/soak/_versions.py
+++ b/agatewing/platform/soak/_versions.py
@@ -33,7 +33,12 @@
     def record_in_force(
         self, instance: str, version: int, asked_at: float
     ) -> None:
-        """Record the version in force at an instance, at a time or later."""
+        """Record the version in force at an instance, at a time or later.
+
+        One that has just started has none, and refuses all requests.
+        """
+        if not version:
+            return
         for place in (instance, LOG):
             since = asked_at - SETTLE_S
             if self._disturbances.overlap(place, since, asked_at):
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -127,6 +127,7 @@
         (2, 9.9, None, False),
         (1, 9.9, None, False),
         (1, 10.0, None, True),
+        (0, 10.0, None, False),
         (2, 12.0, None, False),
         (1, 10.0, ("i0", 6.0, 6.9), True),
         (1, 10.0, ("i0", 6.0, 7.1), False),
