--- a/agatewing/platform/tests/test_out_of_step.py
+++ b/agatewing/platform/tests/test_out_of_step.py
@@ -8,6 +8,7 @@
 from agatewing import gateway
 from agatewing.platform import standins
 from agatewing.platform.tests import test_stream_versions as _versions
+from agatewing import wire
 
 Behaviour = standins.Behaviour
 
@@ -113,3 +114,42 @@
         for reply in replies[:-1] if case.goes_on else replies:
             assert reply.status == 503
             assert reply.body.startswith(b"stream-lost")
+
+
+#: Replies about an unknown stream, by what a release says of its view.
+REPLIES = {
+    "a view of some seconds ago": b'"current":true,"complete":true',
+    "a view that is not current": b'"current":false,"complete":true',
+    "less": b'"current":true',
+    "confirmed": b'"current":true,"complete":true,"confirmed":true',
+}
+
+
+# Peers of the release before this one say that their view is current when it
+# is some seconds old: what they do not say must not be believed.
+@pytest.mark.parametrize("name", REPLIES)
+def test_a_reply_that_does_not_say_that_it_was_confirmed_proves_nothing(
+    name: str,
+) -> None:
+    with standins.Site() as site:
+        site.route(
+            "/chat/",
+            "streaming",
+            sticky=True,
+            resumable=True,
+            timeout_ms=9_000,
+        )
+        site.publish()
+        site.add_target("e0", version="v1")
+        first, second = _versions.start_pair(site)
+        site.clock.advance(40.0)
+        site.wait(lambda: second.catalog.age_s() < 1.0)
+        raw = b'{"versions":["v1"],%s}' % REPLIES[name]
+        first.peers.replies["gateway-stream-origins"] = lambda key: (
+            wire.StateReply(known=False, through=0, state=raw)
+        )
+        site.logs["i2"].disconnected = True
+        site.wait(lambda: second.catalog.read_failed)
+        reply = _versions.take_up(site, second, "unknown")
+        expected = 200 if name == "confirmed" else 503
+        assert reply.status == expected
