Restore from the log which versions there were in a time without sight

Cause: began the history of versions anew after a listing that may hide engines which joined and left, so that streams that nobody knows were refused for half a minute, also where one version had been there all along. A log that forgets its history does that to all instances at once.

Change: the record of versions in the log, which the other instances keep, is read again then, as at a start. A peer's reply that knows the stream no longer has the log read. Names: ReadFailures, and one way to end the waits of those that confirm.

--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -81,7 +81,7 @@
     )
 
 
-class FailedReads:
+class ReadFailures:
     """Tells the followers of one log of each other's failed reads.
 
     After one, the connections of the others may be dead as well.
@@ -110,8 +110,8 @@
     turns: _log_turns.LogTurns = dataclasses.field(
         default_factory=_single_instance
     )
-    #: Failed reads of all topics.
-    failed_reads: FailedReads = dataclasses.field(default_factory=FailedReads)
+    #: Failures of the reads of all topics.
+    failures: ReadFailures = dataclasses.field(default_factory=ReadFailures)
 
 
 class Follower:
@@ -136,7 +136,7 @@
         "_begun_at",
         "_proved_at",
         "_wanted",
-        "_answered",
+        "_ended",
         "_random",
         "failed_reads",
     )
@@ -162,8 +162,8 @@
         self._begun_at = self._proved_at = float("-inf")
         # Set while a read without a wait is wanted.
         self._wanted = gevent.event.Event()
-        # Set when the log has answered, then replaced by a new event.
-        self._answered = gevent.event.Event()
+        # Set when a read has ended, then replaced by a new event.
+        self._ended = gevent.event.Event()
         self._era = era or _eras.LogEra()
         # Era in which the offset is valid; ``None`` if the log named none.
         self._offset_era: int | None = None
@@ -198,11 +198,11 @@
             if self.failed_reads or left_s <= 0:
                 return False
             self._wanted.set()
-            self._clock.wait(self._answered, left_s)
+            self._clock.wait(self._ended, left_s)
         return True
 
     def _pause(self, started: float) -> None:
-        """Wait for the time between two reads, the last of which began."""
+        """Wait until another read may begin, the last one at ``started``."""
         elapsed_s = self._clock.monotonic() - started
         self._clock.wait(self._wanted, self._min_period_s() - elapsed_s)
         elapsed_s = self._clock.monotonic() - started
@@ -311,7 +311,7 @@
         # none waits long until the log has answered.
         if not self.failed_reads and not self._wanted.is_set():
             wait_s = self._limits.turns.wait_s(self._topic)
-            events = [risen, self._limits.failed_reads.failed, self._wanted]
+            events = [risen, self._limits.failures.failed, self._wanted]
             answer = self._read_until(offset, wait_s, events)
             if answer is not None or risen.is_set():
                 return answer
@@ -341,8 +341,12 @@
     def _record_proof(self) -> None:
         """Record that the answer to the present call was applied."""
         self._proved_at = self._begun_at
-        answered, self._answered = self._answered, gevent.event.Event()
-        answered.set()
+        self._end_waits()
+
+    def _end_waits(self) -> None:
+        """Have those that confirm see what became of the read."""
+        ended, self._ended = self._ended, gevent.event.Event()
+        ended.set()
 
     def _read_newest(self) -> bool:
         self._offset = None
@@ -389,11 +393,11 @@
 
     def _record_failure(self, reason: str) -> None:
         self.failed_reads += 1
-        self._answered.set()
+        self._end_waits()
         self._sink.on_read_failed()
         if self.failed_reads == 1:
             self._failing_since = self._read_since
-            self._limits.failed_reads.record()
+            self._limits.failures.record()
             _log.warning(
                 "follow: log gives no answer",
                 extra={
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -81,6 +81,7 @@
         "_unpublished",
         "_unrecorded",
         "_restored",
+        "sight_lost",
         "take_ups",
     )
 
@@ -115,6 +116,9 @@
         ] = collections.deque(maxlen=MAX_UNPUBLISHED)
         # Set when the log has told of the time before the start.
         self._restored = gevent.event.Event()
+        #: Whether engines of any version may have joined and left unseen, and
+        #: the log has not told of them yet.
+        self.sight_lost = False
         #: Number of streams that callers took up, by how their version was
         #: found.
         self.take_ups: collections.Counter[str] = collections.Counter()
@@ -147,12 +151,13 @@
         complete: bool,
         origins: collections.abc.Iterable[decisions.StreamOrigin],
     ) -> None:
-        """Add what the log has of the time before this instance started.
+        """Add what the log has of a time that this instance did not see.
 
         ``complete`` says that ``versions``, by service, are all that may have
         begun recent streams.
         """
         now = self._clock.monotonic()
+        self.sight_lost = False
         for origin in origins:
             self._origins.record(origin, now)
         if complete:
@@ -163,7 +168,11 @@
         self._restored.set()
 
     def record_missed(self) -> None:
-        """Record that engines of any version may have joined and left."""
+        """Record that engines of any version may have joined and left.
+
+        What the log has of that time is to be restored again.
+        """
+        self.sight_lost = True
         self._since = self._clock.monotonic()
         for history in self._histories.values():
             history.record_missed(self._since)
@@ -371,10 +380,11 @@
         """Return the reply to a peer that asks for a stream's origin."""
         service, _, attempt = key.partition("/")
         origin = self._origins.find(attempt, self._clock.monotonic())
-        view = self._confirmed_view(service)
-        known = _Reply(
-            view.versions, view.complete, origin, view.complete, view.complete
-        )
+        known = _Reply(frozenset(), False, origin)
+        if origin is None:
+            view = self._confirmed_view(service)
+            proved = view.complete
+            known = _Reply(view.versions, proved, None, proved, proved)
         return wire.StateReply(
             known=origin is not None,
             through=0,
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -63,7 +63,10 @@
 
 
 class StreamRecord:
-    """Reads the record at the start of an instance, then keeps it."""
+    """Reads the record at the start of an instance, then keeps it.
+
+    It is read again after a time that the instance did not see.
+    """
 
     __slots__ = (
         "_log",
@@ -197,7 +200,9 @@
             return
         rank = _ranks.rank(self._name, self._live_peers())
         answered = True
-        if self._versions_due(now, rank):
+        if self._streams.sight_lost:
+            answered = self._load()
+        if answered and self._versions_due(now, rank):
             answered = self._write_versions()
         if self._streams.shared_by_all and rank:
             self._streams.drop_unrecorded()
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -136,7 +136,7 @@
         for _ in range(30):
             clock.advance(0.1)
         assert waits == [20.0]
-        limits.failed_reads.record()
+        limits.failures.record()
         for _ in range(8):
             clock.advance(0.1)
         assert waits[:2] == [20.0, 0.0]
