--- a/review/common.py
+++ b/review/common.py
@@ -41,6 +41,10 @@
     def now(self) -> float:
         return time.monotonic() - self._began_at
 
+    def since(self, at: float) -> float:
+        """Return a monotonic time as one of the record."""
+        return at - self._began_at
+
     def write(self, text: str) -> None:
         self._file.write(f"{self.now():9.3f} {text}\n")
         self._file.flush()
@@ -50,6 +54,12 @@
         print(text, flush=True)
 
 
+def last(run: typing.Any) -> str:
+    """Return where a run of a stream goes on, as text."""
+    after = run.headers.get("last-event-id")
+    return f", after event {after}" if after else ""
+
+
 class Instance:
     """One instance, as a process."""
 
@@ -131,6 +141,8 @@
         self.record = record
         self.site = standins.Site()
         self.instances: dict[str, Instance] = {}
+        #: Engines and plain targets that others have taken the place of.
+        self.past_targets: list[standins.EngineStandin] = []
         self._folder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._folder.name)
 
@@ -140,9 +152,28 @@
     def __exit__(self, *args: object) -> None:
         for instance in self.instances.values():
             instance.kill()
+        self._write_runs()
         self.site.__exit__(None, None, None)
         self._folder.cleanup()
 
+    def _write_runs(self) -> None:
+        """Write what ran at the targets, in order of arrival."""
+        targets = (*self.past_targets, *self.site.targets.values())
+        runs = sorted(
+            (run.at, kind, run.id, target.name, last(run))
+            for target in targets
+            for kind, arrived in (
+                ("ran", target.runs),
+                ("prefilled", target.prefills),
+            )
+            for run in arrived
+        )
+        for at, kind, request_id, name, after in runs:
+            self.record.write(
+                f"{kind} {request_id} at target {name} "
+                f"from {self.record.since(at):.3f}{after}"
+            )
+
     def add_instance(self, name: str, zone: str = "z1") -> Instance:
         """Make an instance with the settings of the template; not started."""
         site = self.site
@@ -189,8 +220,9 @@
         body: bytes = b"",
     ) -> standins.Reply:
         """Send a request as a caller, on a new connection."""
+        self.record.write(f"sent {request_id} to {instance.name}, {path}")
         try:
-            return self.site.ask_at(
+            reply = self.site.ask_at(
                 instance.caller_address,
                 path,
                 request_id,
@@ -199,8 +231,13 @@
                 body,
             )
         except (OSError, AssertionError) as exc:
-            self.record.write(f"request {request_id}: no answer ({exc})")
+            self.record.write(f"answered {request_id}: nothing ({exc})")
             return standins.Reply(0, {}, b"", False)
+        self.record.write(
+            f"answered {request_id}: {reply.status}, {len(reply.body)} bytes"
+            f"{'' if reply.complete else ', cut off'}"
+        )
+        return reply
 
 
 def _stop(number: int, frame: object) -> None:
