Read connections in turns, so that none keeps the process from others

What callers saw: one engine answered one stream with small chunks without end.

Cause: the bytes of one connection were processed for as long as more of them were there. A read of 64 kB holds 5,000 chunks of 8 bytes; the parser hands them out one by one without a switch to another greenlet, and a receive that finds bytes does not switch either. All requests and timers of the process wait, those that would end the answer included.

Turns hold where connections are read: answers of targets, requests of callers (also those sent without awaiting answers), frames and datagrams of peers, the log, and the product's own interface.

--- a/agatewing/detour/_session.py
+++ b/agatewing/detour/_session.py
@@ -12,6 +12,7 @@
 import gevent.socket
 import result
 
+from agatewing import net
 from agatewing import wire
 
 #: Name of the state in the first request on a connection.
@@ -22,6 +23,8 @@
 PART_BYTES = 262_144
 #: Largest frame, in bytes: a piece of a body, or a head with its headers.
 MAX_FRAME_BYTES = PART_BYTES + 65_536
+#: Steps of a turn that one frame takes; its signature is checked.
+FRAME_STEPS = 2
 #: Largest number of bytes read from a connection at once.
 READ_BYTES = 65_536
 #: Time after which data that is not acknowledged, or that the other side does
@@ -47,6 +50,7 @@
         "_sent",
         "_received",
         "_unread",
+        "_turn",
     )
 
     def __init__(
@@ -66,6 +70,7 @@
         # Bytes of a frame that has not arrived whole. They are kept here, as
         # a timeout may end a wait for the rest.
         self._unread = bytearray()
+        self._turn = net.Turn()
 
     def send(self, **members: object) -> None:
         """Send a frame with the given members.
@@ -87,6 +92,7 @@
         Raises :class:`BrokenError` if there is none or it is not valid. A
         wait that is interrupted may go on with another call.
         """
+        self._turn.spend(FRAME_STEPS)
         data = self._receive_frame()
         match self._codec.decode(wire.HopFrame, data):
             case result.Ok(frame):
@@ -119,6 +125,7 @@
             if not data:
                 raise BrokenError("the connection ended")
             self._unread += data
+            self._turn.spend(0, len(data))
 
     @property
     def open_and_drained(self) -> bool:
--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -29,6 +29,9 @@
 #: callers wait for a connection, and as much as most bodies may have.
 LINGER_S = 1.0
 LINGER_BYTES = 4_000_000
+#: Steps of a turn that one request takes besides those of its body; so many
+#: requests may follow each other without a wait.
+REQUEST_STEPS = 8
 #: Timeout for a whole body, as a multiple of the timeout for a head.
 BODY_TIMEOUT_FACTOR = 4
 
@@ -61,6 +64,7 @@
         "_dialect",
         "_limits",
         "_parser",
+        "_turn",
         "_input",
         "_handler_greenlet",
         "_unparsed",
@@ -86,6 +90,7 @@
         self._dialect = dialect
         self._limits = limits
         self._parser = self._new_parser()
+        self._turn = net.Turn()
         self._unparsed = b""
         self._handler_greenlet: gevent.Greenlet = gevent.getcurrent()
         #: Whether a request is in flight.
@@ -122,6 +127,7 @@
         malformed or slow request and :class:`CallerGoneError` if the
         connection ends inside a body.
         """
+        self._turn.spend(REQUEST_STEPS)
         if not self._read_head():
             return None
         self.busy = True
@@ -214,6 +220,8 @@
         chunks: list[bytes] = []
         size = 0
         while True:
+            if self._turn.spend() and self._clock.monotonic() >= until:
+                raise _late_body()
             event = self._next_event()
             if event is h11.NEED_DATA:
                 self._receive_body_bytes(until)
@@ -238,7 +246,7 @@
         remaining_s = until - self._clock.monotonic()
         data = self._input.take(max(0.0, remaining_s))
         if data is None:
-            raise _refused("the body did not arrive in time", 408)
+            raise _late_body()
         if not data:
             raise CallerGoneError("the connection ended inside a body")
         self._parser.receive_data(data)
@@ -408,6 +416,11 @@
     return _refusals.GatewayRefusedError(_refusals.bad_request(detail, status))
 
 
+def _late_body() -> _refusals.GatewayRefusedError:
+    """Return the error for a body that takes too long."""
+    return _refused("the body did not arrive in time", 408)
+
+
 def _too_large(limit: int) -> _refusals.GatewayRefusedError:
     """Return the error for a body over the limit."""
     return _refusals.GatewayRefusedError(_refusals.too_large(limit))
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -82,6 +82,7 @@
         "_clock",
         "_sock",
         "_parser",
+        "_turn",
         "_send_greenlet",
         "_request",
         "_body_bytes",
@@ -113,6 +114,7 @@
         self._heard = False
         self._sock: gevent.socket.socket | None = None
         self._parser = _new_parser()
+        self._turn = net.Turn()
         self._send_greenlet: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         # Number of bytes of the present answer's body that were read.
@@ -301,8 +303,13 @@
             self._parser.receive_data(unread)
 
     def _next_event(self, deadline: float) -> typing.Any:
-        """Return the parser's next event, receiving bytes as needed."""
+        """Return the parser's next event, receiving bytes as needed.
+
+        Other greenlets run between two events if many follow each other.
+        """
         while True:
+            if self._turn.spend():
+                self._remaining_s(deadline)
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
@@ -313,12 +320,10 @@
 
     def _receive(self, deadline: float) -> None:
         sock = self._connected_socket()
-        remaining_s = deadline - self._clock.monotonic()
-        if remaining_s <= 0:
-            raise DeadlineExceededError(f"{self.address}: no answer in time")
         try:
             with gevent.Timeout(
-                remaining_s, DeadlineExceededError("no answer in time")
+                self._remaining_s(deadline),
+                DeadlineExceededError("no answer in time"),
             ):
                 data = sock.recv(READ_BYTES)
         except OSError as exc:
@@ -332,8 +337,19 @@
             new = not self._heard
             self._link.record_heard(self._opened_at if new else float("-inf"))
             self._heard = True
+        self._turn.spend(0, len(data))
         self._parser.receive_data(data)
 
+    def _remaining_s(self, deadline: float) -> float:
+        """Return the time that is left, in seconds.
+
+        Raises :class:`DeadlineExceededError` if there is none.
+        """
+        remaining_s = deadline - self._clock.monotonic()
+        if remaining_s <= 0:
+            raise DeadlineExceededError(f"{self.address}: no answer in time")
+        return remaining_s
+
     @property
     def silent_s(self) -> float:
         """Time since the last byte from the target, in seconds.
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -343,7 +343,9 @@
         return chosen
 
     def _receive_forever(self, sock: gevent.socket.socket) -> None:
+        turn = net.Turn()
         while True:
+            turn.spend()
             try:
                 data, _ = sock.recvfrom(_report_writer.DATAGRAM_BYTES)
             except OSError as exc:
--- a/agatewing/membership/_links.py
+++ b/agatewing/membership/_links.py
@@ -154,7 +154,9 @@
             sock.close()
 
     def _run_receive(self) -> None:
+        turn = net.Turn()
         while True:
+            turn.spend()
             data, source = self._udp.recvfrom(MAX_READ_BYTES)
             self.received_bytes += len(data)
             match self._codec.decode(wire.Message, data):
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -15,9 +15,12 @@
 
 from agatewing import _exceptions
 from agatewing.net import _address
+from agatewing.net import _turns
 
 #: Maximum size of one read from a connection, in bytes.
 READ_BLOCK_BYTES = 65_536
+#: Steps of a turn that one read takes; it may hold thousands of chunks.
+READ_STEPS = 16
 #: Default limit of connections of one client.
 MAX_CONNECTIONS = 4_096
 #: Maximum number of bytes that are read before the head of an answer is
@@ -162,7 +165,7 @@
 class StreamAnswer:
     """An HTTP answer whose body is read as it arrives."""
 
-    __slots__ = ("_response", "_address", "_timeout_s")
+    __slots__ = ("_response", "_address", "_timeout_s", "_turn")
 
     def __init__(
         self,
@@ -174,6 +177,7 @@
         self._address = address
         # Time in which the next byte of the body must arrive, in seconds.
         self._timeout_s = timeout_s
+        self._turn = _turns.Turn()
 
     @property
     def status(self) -> int:
@@ -236,6 +240,7 @@
             ) from exc
         data = bytes(buffer)
         del buffer[:]
+        self._turn.spend(READ_STEPS, len(data))
         return data
 
     def _receive(self) -> None:
--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from agatewing.net import _problem
+from agatewing.net import _turns
 
 Environ: typing.TypeAlias = dict[str, typing.Any]
 StartResponse: typing.TypeAlias = collections.abc.Callable[
@@ -43,6 +44,37 @@
     return [raw]
 
 
+class _PacedReader:
+    """Reads from a connection in turns with the others."""
+
+    __slots__ = ("_file", "_turn")
+
+    def __init__(self, file: typing.Any) -> None:
+        self._file = file
+        self._turn = _turns.Turn()
+
+    def read(self, size: int = -1) -> bytes:
+        """Return up to ``size`` bytes; empty bytes at the end."""
+        data: bytes = self._file.read(size)
+        self._turn.spend(1, len(data))
+        return data
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line; empty bytes at the end."""
+        line: bytes = self._file.readline(size)
+        self._turn.spend(1, len(line))
+        return line
+
+    @property
+    def closed(self) -> bool:
+        """Whether the file was closed."""
+        return bool(self._file.closed)
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
 class _BoundedReader:
     """Reads the lines of one header block up to a limit in bytes."""
 
@@ -77,6 +109,7 @@
     ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server, rfile)
+        self.rfile = _PacedReader(self.rfile)
 
     def read_requestline(self) -> str:
         """Return the next request line.
