Search the bytes of an incomplete event once

An engine that sends one long event in small pieces kept its instance busy.

Cause: each piece was joined with all bytes of the incomplete event, and all of them were searched for its end again, so the cost of an event grew with the square of its length, up to the limit of 1 MB.

Change: the incomplete event is extended in place, and the search begins at most three bytes before the new piece, as an end of an event may be split there.

--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -8,6 +8,8 @@
 MAX_EVENT_BYTES = 1_000_000
 #: Empty line that ends an event, with either kind of line end.
 _END = re.compile(rb"\r?\n\r?\n")
+#: Largest part of that empty line that does not end an event, in bytes.
+_END_PART_BYTES = 3
 
 
 class EventTooLargeError(_channel.BrokenError):
@@ -20,7 +22,7 @@
     __slots__ = ("_partial", "events", "last")
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         #: Number of complete events returned by ``feed``, without comments.
         self.events = 0
         #: The last complete event.
@@ -31,18 +33,21 @@
 
         Raises ``EventTooLargeError`` if the partial event is too large.
         """
-        data = self._partial + data if self._partial else data
+        # The rest was searched when it came.
+        searched = max(0, len(self._partial) - _END_PART_BYTES)
+        self._partial += data
         end = 0
-        for match in _END.finditer(data):
+        for match in _END.finditer(self._partial, searched):
             start, end = end, match.end()
-            event = data[start:end]
+            event = bytes(self._partial[start:end])
             if not _is_comment(event):
                 self.events += 1
                 self.last = event
-        self._partial = data[end:]
-        if len(self._partial) > MAX_EVENT_BYTES:
+        if len(self._partial) - end > MAX_EVENT_BYTES:
             raise EventTooLargeError
-        return data[:end]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        return complete
 
     @property
     def in_event(self) -> bool:
@@ -51,7 +56,8 @@
 
     def rest(self) -> bytes:
         """Return the bytes after the last complete event and clear them."""
-        rest, self._partial = self._partial, b""
+        rest = bytes(self._partial)
+        self._partial.clear()
         return rest
 
 
