Refuse late requests in a stop that might not end before it

What callers saw: in a planned stop, in calm, streams that were sent later than 3 s after SIGTERM got a 200 and were cut off at the end of the grace; calls that must not be repeated got 502 "may have run" there.

Reproduced first, by test_late_requests: an answer whose head was written before the stop announces no end of its connection, so its caller sends another request on it, also after the time in which idle connections are kept; a body may also end as late. Both were passed on.

Cause: the only guard was an estimate of the duration, for streams only. A request that takes longer than expected passes it, and calls had none.

Change: after the time in which connections are kept, a request is accepted only if its own deadline (its caller's or its route's timeout) ends it before the stop limit, whatever its target does. Otherwise it is refused at once as not run, with Connection: close and the time to come back, and another instance serves it. What has been passed on keeps all of the time. The check is made where the state of a request is set up, so it holds for streams that are taken up and for requests of peers, whose body may come late: the peer gets a refusal and asks another one (the last test; it passes before as well if the body comes in time). Ruled out: SIGHUP cuts nothing, a configuration that shortens a timeout does not touch requests under way, and the product's own interface refuses new work as soon as it leaves.

--- a/agatewing/gateway/_lifecycle.py
+++ b/agatewing/gateway/_lifecycle.py
@@ -84,6 +84,15 @@
             < ACCEPT_AFTER_STOP_S
         )
 
+    def may_begin(self, deadline: float) -> bool:
+        """Return whether a request that has just been read is accepted.
+
+        ``deadline`` is the monotonic time by which it ends. After the time in
+        which callers may not know of the stop, only those are accepted that
+        end before the stop limit, however long their targets take.
+        """
+        return self.keeps_idle_connections or deadline <= self.stop_at
+
     @property
     def stop_at(self) -> float:
         """Monotonic time at which requests under way are given up.
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -380,6 +380,10 @@
         )
         if req.handed_on is not None:
             self._bind_to_sender(job, req.handed_on)
+        if not self._lifecycle.may_begin(job.deadline):
+            raise _refusals.GatewayRefusedError(
+                _refusals.leaving(self._ctx.rng)
+            )
         if isinstance(conn, _hop_conn.HopConn):
             conn.job = job
         return job
