Count the turns that end with more input at hand

The new counter agatewing_turns_ended_total rises all the time while a target or a caller sends small pieces without end.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -546,6 +546,11 @@
             "Bytes of notes sent to other instances",
             self.load_reports.sent_bytes,
         )
+        metrics.counter(
+            "agatewing_turns_ended_total",
+            "Times that a connection with more input let others go on",
+            net.turns_ended(),
+        )
         metrics.counters(
             "agatewing_take_ups_total",
             "Streams that callers took up, by how their version was found",
--- a/agatewing/gateway/tests/test_turns.py
+++ b/agatewing/gateway/tests/test_turns.py
@@ -136,6 +136,12 @@
     return made
 
 
+def turns_ended(instance: gateway.GatewayInstance) -> int:
+    lines = instance.render_metrics()[0].decode().splitlines()
+    name = "agatewing_turns_ended_total "
+    return next(int(x.split()[1]) for x in lines if x.startswith(name))
+
+
 # So did a caller with a body in small chunks, even if no target was involved.
 def test_a_body_of_a_caller_is_read_in_turns(
     site: standins.Site,
@@ -148,9 +154,11 @@
     )
     with site.connect(instance) as sock:
         sock.sendall(head.encode() + chunk(b"x") * 20_000 + b"0\r\n\r\n")
+        ended_before = turns_ended(instance)
         assert standins.read_reply(sock).status == 200
     assert parts.total() > 20_000
     assert max(parts.values()) <= MOST_PARTS
+    assert turns_ended(instance) - ended_before >= 20_000 / MOST_PARTS
 
 
 # So did requests that were sent without waiting for their answers.
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -21,3 +21,4 @@
 from agatewing.net._sockets import peer_address
 from agatewing.net._sockets import reset_on_close
 from agatewing.net._turns import Turn
+from agatewing.net._turns import turns_ended
--- a/agatewing/net/_turns.py
+++ b/agatewing/net/_turns.py
@@ -18,9 +18,11 @@
     However many they are, all other work waits for one turn at most.
     """
 
-    __slots__ = ("_waiting", "_greenlet")
+    __slots__ = ("_waiting", "_greenlet", "ended")
 
     def __init__(self) -> None:
+        #: Number of turns that have ended.
+        self.ended = 0
         self._waiting: collections.deque[gevent.event.Event] = (
             collections.deque()
         )
@@ -28,6 +30,7 @@
 
     def wait(self) -> None:
         """Wait behind the others for another turn."""
+        self.ended += 1
         turn = gevent.event.Event()
         self._waiting.append(turn)
         if not self._greenlet:
@@ -54,6 +57,11 @@
 _queue = _TurnQueue()
 
 
+def turns_ended() -> int:
+    """Return how often a connection with more input has let others go on."""
+    return _queue.ended
+
+
 class Turn:
     """Counts the steps of one connection; ends its turn after the last.
 
