Count steps where an interruption of the wait loses nothing

Found on reading the change: a wait for another turn stood between a receive and the parser (targets) or its reader (the log), so a timeout or a kill there would have lost bytes of a connection that goes on; and a request in a row waited before it counted as begun, so that a stop could have taken its connection for an idle one. Steps are counted now after the bytes are stored, and once the request has begun.

The tests of gateway, net, stops and late requests pass (-n 3, once).

--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -127,12 +127,12 @@
         malformed or slow request and :class:`CallerGoneError` if the
         connection ends inside a body.
         """
-        self._turn.spend(REQUEST_STEPS)
         if not self._read_head():
             return None
         self.busy = True
         self._started = False
         arrived_at = self._clock.monotonic()
+        self._turn.spend(REQUEST_STEPS)
         event = self._next_event()
         if not isinstance(event, h11.Request):
             raise CallerGoneError("the connection ended inside a head")
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -306,6 +306,7 @@
         """Return the parser's next event, receiving bytes as needed.
 
         Other greenlets run between two events if many follow each other.
+        Raises :class:`DeadlineExceededError` if the deadline passes meanwhile.
         """
         while True:
             if self._turn.spend():
@@ -337,8 +338,8 @@
             new = not self._heard
             self._link.record_heard(self._opened_at if new else float("-inf"))
             self._heard = True
-        self._turn.spend(0, len(data))
         self._parser.receive_data(data)
+        self._turn.spend(0, len(data))
 
     def _remaining_s(self, deadline: float) -> float:
         """Return the time that is left, in seconds.
--- a/agatewing/gateway/_lifecycle.py
+++ b/agatewing/gateway/_lifecycle.py
@@ -87,9 +87,9 @@
     def may_begin(self, deadline: float) -> bool:
         """Return whether a request that has just been read is accepted.
 
-        ``deadline`` is the monotonic time by which it ends. After the time in
-        which callers may not know of the stop, only those are accepted that
-        end before the stop limit, however long their targets take.
+        ``deadline`` is the monotonic time by which it ends. Once idle
+        connections are closed, only a request that ends before the stop limit
+        is accepted, however long its target takes.
         """
         return self.keeps_idle_connections or deadline <= self.stop_at
 
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -238,9 +238,10 @@
             raise _exceptions.TargetSilentError(
                 self._address, str(exc)
             ) from exc
+        # Before the bytes are taken, as a timeout may end the wait.
+        self._turn.spend(READ_STEPS, len(buffer))
         data = bytes(buffer)
         del buffer[:]
-        self._turn.spend(READ_STEPS, len(data))
         return data
 
     def _receive(self) -> None:
