Begin refusals before the stop limit, by the number of requests

What callers saw: at the end of a planned stop, some of many calls in flight lost their connections without an answer.

Cause: the process left 0.3 s for all refusals, whatever their number and its share of a processor. One takes 0.45 ms of processor time (135 ms for 300, measured in one process with the stand-ins), so on an eighth of a core the time is enough for 80. All others are lost with the process, also calls that must not be repeated.

Change: requests without an answer are refused 4 ms each before the stop limit, a second at most, and the process waits for them until it has to end instead of for 0.3 s. Answers that have begun keep all of the time. A connection is given up once only.

Test: refusals of 3.5 ms each for 120 calls; failed before with 20 left.

--- a/agatewing/gateway/_lifecycle.py
+++ b/agatewing/gateway/_lifecycle.py
@@ -14,6 +14,12 @@
 #: Part of the shutdown time that is reserved for the process to exit, in
 #: seconds.
 EXIT_RESERVE_S = 0.4
+#: Time for one refusal, in seconds: 0.45 ms of processor time on a machine
+#: with an eighth of a core.
+REFUSAL_S = 0.004
+#: Longest time before the stop limit at which refusals begin, in seconds: an
+#: eighth of the shutdown time of the users' sites.
+MAX_REFUSALS_S = 1.0
 
 
 class Phase(enum.StrEnum):
@@ -103,6 +109,19 @@
             return math.inf
         return self._stopping_since + self.stop_limit_s - EXIT_RESERVE_S
 
+    def refuse_at(self, count: int) -> float:
+        """Return when ``count`` requests without an answer are refused.
+
+        A monotonic time, so long before the stop limit that all of them have
+        their refusals then.
+        """
+        return self.stop_at - min(MAX_REFUSALS_S, count * REFUSAL_S)
+
+    @property
+    def ends_at(self) -> float:
+        """Monotonic time at which the process has to end."""
+        return self.stop_at + EXIT_RESERVE_S
+
     @property
     def time_is_up(self) -> bool:
         """Whether requests under way are given up now."""
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -27,9 +27,9 @@
 BACKLOG = 1_024
 #: Interval at which a stopping process checks whether it may end, in seconds.
 STOP_POLL_S = 0.05
-#: Longest time for the refusals at the stop limit, in seconds; the rest of
-#: ``EXIT_RESERVE_S`` is left for the process to exit.
-REFUSE_LIMIT_S = 0.3
+#: Longest wait for connections that linger after the stop limit, in seconds;
+#: the rest of ``EXIT_RESERVE_S`` is left for the process to exit.
+LINGER_LIMIT_S = 0.3
 #: Largest number of connections that linger after their last answer; further
 #: ones are closed at once.
 MAX_LINGERING = 256
@@ -52,6 +52,7 @@
         "_streams",
         "_server",
         "_conns",
+        "_stopped",
         "_hop_room",
         "lingering",
         "refusals",
@@ -72,6 +73,8 @@
             address, self._serve, backlog=BACKLOG
         )
         self._conns: set[_Conn] = set()
+        # Those whose requests were given up.
+        self._stopped: set[_Conn] = set()
         # Requests of peers that are served now.
         self._hop_room = detour.Room()
         #: Number of connections that linger after their last answer.
@@ -107,9 +110,17 @@
             conn.end_idle()
 
     @property
-    def open_count(self) -> int:
-        """Number of connections, without those that linger."""
-        return len(self._conns)
+    def unanswered_count(self) -> int:
+        """Number of requests whose answers have not begun."""
+        return len(self._unanswered())
+
+    def _unanswered(self) -> list[_Conn]:
+        return [c for c in self._conns if c.busy and not c.started]
+
+    @property
+    def stopped_count(self) -> int:
+        """Number of connections whose requests were given up."""
+        return len(self._stopped)
 
     @property
     def hop_count(self) -> int:
@@ -121,10 +132,19 @@
         """Whether any connection is open, those that linger included."""
         return bool(self._conns) or self.lingering > 0
 
+    def refuse_unanswered(self) -> None:
+        """Refuse all requests whose answers have not begun."""
+        self._stop(self._unanswered())
+
     def stop_requests(self) -> None:
         """Refuse all requests without an answer and cut off the others."""
-        for conn in list(self._conns):
-            conn.stop()
+        self._stop(list(self._conns))
+
+    def _stop(self, conns: list[_Conn]) -> None:
+        for conn in conns:
+            if conn not in self._stopped:
+                self._stopped.add(conn)
+                conn.stop()
 
     def _log_cut_off(self, job: _context.Job, reason: str) -> None:
         _log.info(
@@ -438,10 +458,10 @@
 ) -> int:
     """Drain the server; return the number of connections given up.
 
-    At the stop limit, requests without an answer are refused and other
-    answers cut off. Connections that linger are waited for as well: their
-    callers may not have read the last answer, which the end of the process
-    would take from them.
+    Shortly before the stop limit, requests without an answer are refused; at
+    the limit, other answers are cut off. Connections that linger are waited
+    for as well: their callers may not have read the last answer, which the end
+    of the process would take from them.
     """
     lifecycle.begin_drain()
     server.begin_drain()
@@ -452,10 +472,15 @@
     clock.sleep(STOP_POLL_S)
     while server.in_use and not lifecycle.time_is_up:
         server.close_idle()
+        count = server.unanswered_count
+        if clock.monotonic() >= lifecycle.refuse_at(count):
+            server.refuse_unanswered()
         clock.sleep(STOP_POLL_S)
-    given_up = server.open_count
     server.stop_requests()
-    refuse_until = clock.monotonic() + REFUSE_LIMIT_S
-    while server.in_use and clock.monotonic() < refuse_until:
+    given_up = server.stopped_count
+    linger_until = clock.monotonic() + LINGER_LIMIT_S
+    while server.in_use and clock.monotonic() < lifecycle.ends_at:
+        if not lifecycle.in_flight and clock.monotonic() >= linger_until:
+            break
         clock.sleep(STOP_POLL_S)
     return given_up
--- a/agatewing/platform/tests/test_late_requests.py
+++ b/agatewing/platform/tests/test_late_requests.py
@@ -2,13 +2,16 @@
 
 import collections.abc
 import dataclasses
+import time
 
 import gevent
 import pytest
 
 from agatewing import detour
 from agatewing import gateway
+from agatewing.gateway import _caller_conn
 from agatewing.gateway import _lifecycle
+from agatewing.gateway import _refusals
 from agatewing.platform import standins
 from agatewing.platform.tests import _standin_peer
 from agatewing import wire
@@ -157,6 +160,40 @@
     assert stopping.value
 
 
+#: Time of one refusal on a small machine, in seconds.
+REFUSAL_S = 0.0035
+REFUSED = 120
+
+
+# The time for the refusals at the stop limit was the same for any number of
+# requests, so that a small machine ended with some of them unanswered.
+def test_a_slow_machine_refuses_all_before_it_ends(
+    site: standins.Site,
+    instance: gateway.GatewayInstance,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    refuse = _caller_conn.CallerConn.refuse
+
+    def refuse_slowly(
+        conn: _caller_conn.CallerConn, refusal: _refusals.GatewayRefusal
+    ) -> None:
+        time.sleep(REFUSAL_S)
+        refuse(conn, refusal)
+
+    monkeypatch.setattr(_caller_conn.CallerConn, "refuse", refuse_slowly)
+    site.targets["t1"].script.extend([standins.Behaviour.HANG] * REFUSED)
+    callers = [site.connect(instance) for _ in range(REFUSED)]
+    for sock in callers:
+        sock.sendall(request("/pay/x"))
+    site.wait(lambda: instance.lifecycle.in_flight == REFUSED)
+    assert not instance.stop()
+    # Whatever is left is lost with the process.
+    assert instance.lifecycle.in_flight == 0
+    for sock in callers:
+        assert standins.read_reply(sock).status == 502
+        sock.close()
+
+
 # So was one of a peer whose body had not come before the stop.
 def test_a_late_request_of_a_peer_is_left_to_another(
     site: standins.Site, instance: gateway.GatewayInstance
