Refuse at the end of a stop also if the process stood still

Found on reading: its wait for refusals ended at a fixed time after the stop signal. A process that had not run until then, as it was frozen or had no processor, ended at once; its callers got no answer.

The wait lasts until the process has to end, or 0.3 s, whichever is later.

--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -479,7 +479,9 @@
     server.stop_requests()
     given_up = server.stopped_count
     linger_until = clock.monotonic() + LINGER_LIMIT_S
-    while server.in_use and clock.monotonic() < lifecycle.ends_at:
+    # A process that stood still may be past its end.
+    refuse_until = max(lifecycle.ends_at, linger_until)
+    while server.in_use and clock.monotonic() < refuse_until:
         if not lifecycle.in_flight and clock.monotonic() >= linger_until:
             break
         clock.sleep(STOP_POLL_S)
--- a/agatewing/platform/tests/test_late_requests.py
+++ b/agatewing/platform/tests/test_late_requests.py
@@ -194,6 +194,23 @@
         sock.close()
 
 
+# A process that had not run until after its limit ended without a refusal.
+def test_a_process_that_stood_still_refuses_before_it_ends(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    site.targets["t1"].script.append(standins.Behaviour.HANG)
+    with site.connect(instance) as sock:
+        sock.sendall(request("/pay/x"))
+        site.wait(lambda: site.targets["t1"].runs)
+        # Blocks the loop of this process, which is the instance's too.
+        standstill_s = STOP_LIMIT_S + _lifecycle.EXIT_RESERVE_S
+        gevent.spawn_later(1.5 * ACCEPT_S, time.sleep, standstill_s)
+        assert not instance.stop()
+        # Whatever is left is lost with the process.
+        assert instance.lifecycle.in_flight == 0
+        assert standins.read_reply(sock).status == 502
+
+
 # So was one of a peer whose body had not come before the stop.
 def test_a_late_request_of_a_peer_is_left_to_another(
     site: standins.Site, instance: gateway.GatewayInstance
