Move the log's interface to fleetlog/ and claims to duties/

Cause: the parts that come next (usage, capacity) hold claims as role orders do; in gateway/ they could only be reached by importing its modules. No logic is changed.

--- a/agatewing/gateway/_claims.py
+++ b/agatewing/duties/_claims.py
@@ -26,8 +26,7 @@
 
 from agatewing import _clock
 from agatewing import _decoding
-from agatewing.gateway import _eras
-from agatewing.gateway import _ports
+from agatewing import fleetlog
 
 _log = logging.getLogger("agatewing.orders")
 
@@ -117,17 +116,17 @@
 
     def __init__(
         self,
-        log: _ports.FleetLog,
+        log: fleetlog.FleetLog,
         clock: _clock.Clock,
         own_record: ClaimRecord,
         gap_s: float,
-        era: _eras.LogEra | None = None,
+        era: fleetlog.LogEra | None = None,
     ) -> None:
         """Store the log, the clock and the own record.
 
         Orders of two holders are at least ``gap_s`` seconds apart.
         """
-        self._era = era or _eras.LogEra()
+        self._era = era or fleetlog.LogEra()
         self._rises_seen = self._era.rises
         # Monotonic time until which claims that a restored log lacks may be
         # in use, in seconds.
@@ -208,20 +207,20 @@
         return self._clock.monotonic() - known.at >= self._wait_s
 
     def _read(self) -> _LastClaim | None:
-        answer = self._log.read_newest(_ports.Topic.ORDERS)
+        answer = self._log.read_newest(fleetlog.Topic.ORDERS)
         newest = self._era.observe(answer.era)
         self._drop_older()
         match answer:
-            case _ports.Page(records=records, next_offset=end, era=era):
+            case fleetlog.Page(records=records, next_offset=end, era=era):
                 if not newest:
                     return None
                 record = _newest_record(records)
-                if record is None and (era or 0) > _eras.FIRST_ERA:
+                if record is None and (era or 0) > fleetlog.FIRST_ERA:
                     # A restored log may lack all claims.
                     record = UNKNOWN_HOLDER
                 now = self._clock.monotonic()
                 return _LastClaim(record, end, now, self._era.current)
-            case _ports.LogUnavailable(reason=reason):
+            case fleetlog.LogUnavailable(reason=reason):
                 _log.info(
                     "orders: log gives no answer", extra={"reason": reason}
                 )
@@ -235,21 +234,21 @@
         record = msgspec.structs.replace(self._own_record, split=split)
         value = msgspec.json.encode(record)
         written = self._log.put_if_end(
-            _ports.Topic.ORDERS, CLAIM_KEY, value, known.end
+            fleetlog.Topic.ORDERS, CLAIM_KEY, value, known.end
         )
         self._era.observe(written.era)
         self._drop_older()
         match written:
-            case _ports.Written(offset=offset, era=era):
+            case fleetlog.Written(offset=offset, era=era):
                 if known.era == self._era.current and era in (None, known.era):
                     return self._begin(offset, since, wall)
                 _log.warning(
                     "orders: claim void, the log was restored meanwhile",
                     extra={"era": self._era.current},
                 )
-            case _ports.EndMismatch():
+            case fleetlog.EndMismatch():
                 _log.info("orders: another instance claimed")
-            case _ports.LogUnavailable(reason=reason):
+            case fleetlog.LogUnavailable(reason=reason):
                 # The append may still be carried out, so the last claim is
                 # read again before the next attempt.
                 _log.info("orders: claim lost", extra={"reason": reason})
@@ -272,7 +271,7 @@
 
 
 def _newest_record(
-    records: tuple[_ports.KeyedRecord, ...],
+    records: tuple[fleetlog.KeyedRecord, ...],
 ) -> ClaimRecord | None:
     """Return the last claim among the newest records."""
     for record in records:
--- a/agatewing/gateway/tests/test_fuzz_claims.py
+++ b/agatewing/duties/tests/test_fuzz_claims.py
@@ -9,9 +9,8 @@
 import pytest
 
 from agatewing import _clock
-from agatewing.gateway import _claims
-from agatewing.gateway import _eras
-from agatewing.gateway import _ports
+from agatewing import duties
+from agatewing import fleetlog
 
 GAP_S = 3.0
 HOLDERS = 2
@@ -30,28 +29,30 @@
         self.delayed: list[tuple[bytes, int]] = []
 
     def read_newest(
-        self, topic: _ports.Topic
-    ) -> _ports.Page | _ports.LogUnavailable:
+        self, topic: fleetlog.Topic
+    ) -> fleetlog.Page | fleetlog.LogUnavailable:
         if self.down:
-            return _ports.LogUnavailable("down")
+            return fleetlog.LogUnavailable("down")
         last = self.records[-1:]
-        records = tuple(_ports.KeyedRecord(_claims.CLAIM_KEY, r) for r in last)
-        return _ports.Page(records, len(self.records), self.era)
+        records = tuple(
+            fleetlog.KeyedRecord(duties.CLAIM_KEY, r) for r in last
+        )
+        return fleetlog.Page(records, len(self.records), self.era)
 
     def put_if_end(
-        self, topic: _ports.Topic, key: str, value: bytes, end: int
-    ) -> _ports.Written | _ports.EndMismatch | _ports.LogUnavailable:
+        self, topic: fleetlog.Topic, key: str, value: bytes, end: int
+    ) -> fleetlog.Written | fleetlog.EndMismatch | fleetlog.LogUnavailable:
         if self.down:
-            return _ports.LogUnavailable("down")
+            return fleetlog.LogUnavailable("down")
         if self.late:
             self.delayed.append((value, end))
-            return _ports.LogUnavailable("no answer")
+            return fleetlog.LogUnavailable("no answer")
         if end != len(self.records):
-            return _ports.EndMismatch(self.era)
+            return fleetlog.EndMismatch(self.era)
         self.records.append(value)
         if self.lose_answer:
-            return _ports.LogUnavailable("no answer")
-        return _ports.Written(end, self.era)
+            return fleetlog.LogUnavailable("no answer")
+        return fleetlog.Written(end, self.era)
 
     def restore(self, lost: int) -> None:
         """Lose the last records, as a copy does that is some seconds old."""
@@ -65,13 +66,13 @@
         self.delayed.clear()
 
     def read(
-        self, topic: _ports.Topic, offset: int, wait_s: float
-    ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable:
+        self, topic: fleetlog.Topic, offset: int, wait_s: float
+    ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable:
         raise AssertionError("claims are not followed")
 
     def put(
-        self, topic: _ports.Topic, key: str, value: bytes
-    ) -> _ports.Stored | _ports.LogUnavailable:
+        self, topic: fleetlog.Topic, key: str, value: bytes
+    ) -> fleetlog.Stored | fleetlog.LogUnavailable:
         raise AssertionError("a claim is written under a condition")
 
 
@@ -101,15 +102,15 @@
         self.log = FakeLog(era=1)
         self.now = 0.0
         self.clocks = [StoppedClock() for _ in range(HOLDERS)]
-        self.eras = [_eras.LogEra() for _ in range(HOLDERS)]
+        self.eras = [fleetlog.LogEra() for _ in range(HOLDERS)]
         self.claims = [self._claims(i) for i in range(HOLDERS)]
-        self.held: list[_claims.Claim | None] = [None] * HOLDERS
+        self.held: list[duties.Claim | None] = [None] * HOLDERS
         self.orders: list[Order] = []
 
-    def _claims(self, index: int) -> _claims.Claims:
-        me = _claims.ClaimRecord(f"i{index}", str(self.now))
-        self.eras[index] = _eras.LogEra()
-        return _claims.Claims(
+    def _claims(self, index: int) -> duties.Claims:
+        me = duties.ClaimRecord(f"i{index}", str(self.now))
+        self.eras[index] = fleetlog.LogEra()
+        return duties.Claims(
             self.log,
             self.clocks[index],
             me,
@@ -207,14 +208,14 @@
     log = FakeLog()
     log.records.append(b"no claim")
     clock = _clock.ManualClock()
-    me = _claims.ClaimRecord("i1", "1")
-    claims = _claims.Claims(log, clock, me, GAP_S)
+    me = duties.ClaimRecord("i1", "1")
+    claims = duties.Claims(log, clock, me, GAP_S)
     assert claims.acquire() is None
     clock.advance(10.0)
     claim = claims.acquire()
     assert claim is not None
     assert claim.token == 2
-    stored = msgspec.json.decode(log.records[-1], type=_claims.ClaimRecord)
+    stored = msgspec.json.decode(log.records[-1], type=duties.ClaimRecord)
     assert stored == me
 
 
@@ -222,15 +223,15 @@
     log = FakeLog()
     clock = _clock.ManualClock()
     first, second = (
-        _claims.Claims(log, clock, _claims.ClaimRecord(name, "1"), GAP_S)
+        duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
         for name in ("i1", "i2")
     )
     claim = first.acquire()
     assert claim is not None
     assert second.acquire() is None
-    clock.advance(_claims.CLAIM_VALID_S - 0.01)
+    clock.advance(duties.CLAIM_VALID_S - 0.01)
     assert first.valid(claim)
-    last_arrival = clock.monotonic() + _claims.ORDER_TIMEOUT_S
+    last_arrival = clock.monotonic() + duties.ORDER_TIMEOUT_S
     while second.acquire() is None:
         clock.advance(0.1)
     assert clock.monotonic() - last_arrival >= GAP_S
@@ -245,7 +246,7 @@
     log = FakeLog()
     clock = _clock.ManualClock()
     first, second = (
-        _claims.Claims(log, clock, _claims.ClaimRecord(name, "1"), GAP_S)
+        duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
         for name in ("i1", "i2")
     )
     assert first.acquire() is not None
@@ -284,9 +285,9 @@
     case = RESTORES[name]
     log = FakeLog(era=1)
     clock = _clock.ManualClock()
-    eras = [_eras.LogEra(), _eras.LogEra()]
+    eras = [fleetlog.LogEra(), fleetlog.LogEra()]
     first, second = (
-        _claims.Claims(log, clock, _claims.ClaimRecord(f"i{n}", "1"), GAP_S, e)
+        duties.Claims(log, clock, duties.ClaimRecord(f"i{n}", "1"), GAP_S, e)
         for n, e in enumerate(eras)
     )
     second.prepare()
@@ -300,10 +301,10 @@
         assert not first.valid(claim)
     claimant = first if case.same else second
     if not case.same or not case.seen:
-        clock.advance(_claims.CLAIM_VALID_S)
+        clock.advance(duties.CLAIM_VALID_S)
     while (claimed := claimant.acquire()) is None:
         clock.advance(0.1)
-    last_order_s = _claims.CLAIM_VALID_S + _claims.ORDER_TIMEOUT_S
+    last_order_s = duties.CLAIM_VALID_S + duties.ORDER_TIMEOUT_S
     assert clock.monotonic() - restored_at >= last_order_s + GAP_S
     assert claimed.token > claim.token
 
@@ -312,14 +313,14 @@
 def test_a_claim_answered_in_a_newer_era_is_void(era: int) -> None:
     class Log(FakeLog):
         def put_if_end(
-            self, topic: _ports.Topic, key: str, value: bytes, end: int
-        ) -> _ports.Written | _ports.EndMismatch | _ports.LogUnavailable:
+            self, topic: fleetlog.Topic, key: str, value: bytes, end: int
+        ) -> fleetlog.Written | fleetlog.EndMismatch | fleetlog.LogUnavailable:
             self.era = era
             return super().put_if_end(topic, key, value, end)
 
     log = Log(era=1)
-    claims = _claims.Claims(
-        log, _clock.ManualClock(), _claims.ClaimRecord("i1", "1"), GAP_S
+    claims = duties.Claims(
+        log, _clock.ManualClock(), duties.ClaimRecord("i1", "1"), GAP_S
     )
     assert (claims.acquire() is not None) == (era == 1)
     assert len(log.records) == 1
@@ -330,8 +331,8 @@
     era: int, waits: bool
 ) -> None:
     clock = _clock.ManualClock()
-    claims = _claims.Claims(
-        FakeLog(era), clock, _claims.ClaimRecord("i1", "1"), GAP_S
+    claims = duties.Claims(
+        FakeLog(era), clock, duties.ClaimRecord("i1", "1"), GAP_S
     )
     assert (claims.acquire() is None) == waits
     clock.advance(10.0)
@@ -342,7 +343,7 @@
     log = FakeLog()
     clock = _clock.ManualClock()
     first, second = (
-        _claims.Claims(log, clock, _claims.ClaimRecord(name, "1"), GAP_S)
+        duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
         for name in ("i1", "i2")
     )
     assert first.acquire({"chat": 0.25}) is not None
@@ -359,7 +360,7 @@
 def test_a_claim_without_a_split_tells_none(record: bytes) -> None:
     log = FakeLog()
     log.records.append(record)
-    me = _claims.ClaimRecord("i2", "1")
-    claims = _claims.Claims(log, _clock.ManualClock(), me, GAP_S)
+    me = duties.ClaimRecord("i2", "1")
+    claims = duties.Claims(log, _clock.ManualClock(), me, GAP_S)
     claims.prepare()
     assert claims.ordered_split() == {}
--- a/agatewing/gateway/tests/test_eras.py
+++ b/agatewing/fleetlog/tests/test_eras.py
@@ -10,10 +10,10 @@
 
 from agatewing import _clock
 from agatewing import _types
+from agatewing import fleetlog
 from agatewing import gateway
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
-from agatewing.gateway import _eras
 from agatewing.gateway import _follow
 from agatewing.gateway import _gone_targets
 
@@ -106,7 +106,7 @@
         received.append,
     )
     log = ScriptedLog(list(case.answers))
-    era = _eras.LogEra()
+    era = fleetlog.LogEra()
     follower = _follow.Follower(
         log,  # type: ignore[arg-type]
         _clock.ManualClock(),
@@ -131,7 +131,7 @@
             return gateway.HistoryLost()
 
     log = Log([START, gateway.Page((OTHER,), 3, 2)])
-    era = _eras.LogEra()
+    era = fleetlog.LogEra()
     listings: list[int] = []
     sink = _follow.Sink(
         lambda records, offset: listings.append(offset),
@@ -281,7 +281,7 @@
         #: Answer of an older era that arrives at the next read.
         self.late: Answer | None = None
         self.seen: dict[str, bytes] = {}
-        self.era = _eras.LogEra()
+        self.era = fleetlog.LogEra()
         sink = _follow.Sink(
             self._replace_all, self._apply, lambda offset: None
         )
--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -1,5 +1,13 @@
 """Platform-independent core that forwards requests byte for byte."""
 
+from agatewing.fleetlog import EndMismatch
+from agatewing.fleetlog import HistoryLost
+from agatewing.fleetlog import KeyedRecord
+from agatewing.fleetlog import LogUnavailable
+from agatewing.fleetlog import Page
+from agatewing.fleetlog import Stored
+from agatewing.fleetlog import Topic
+from agatewing.fleetlog import Written
 from agatewing.gateway._channel import CONNECTION_HEADERS
 from agatewing.gateway._contracts import CallerLimits
 from agatewing.gateway._contracts import Configuration
@@ -23,13 +31,5 @@
 from agatewing.gateway._messages import Prompt
 from agatewing.gateway._messages import SendOptions
 from agatewing.gateway._messages import TakeUp
-from agatewing.gateway._ports import EndMismatch
-from agatewing.gateway._ports import HistoryLost
-from agatewing.gateway._ports import KeyedRecord
-from agatewing.gateway._ports import LogUnavailable
-from agatewing.gateway._ports import Page
-from agatewing.gateway._ports import Stored
-from agatewing.gateway._ports import Topic
-from agatewing.gateway._ports import Written
 from agatewing.gateway._settings import GatewaySettings
 from agatewing.gateway._settings import load_gateway_settings
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -15,9 +15,9 @@
 
 from agatewing import _clock
 from agatewing import _types
+from agatewing import fleetlog
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _contracts
-from agatewing.gateway import _eras
 from agatewing.gateway import _gone_targets
 from agatewing.gateway import _routes
 
@@ -73,10 +73,10 @@
         self,
         clock: _clock.Clock,
         on_change: collections.abc.Callable[[], None],
-        log_era: _eras.LogEra | None = None,
+        log_era: fleetlog.LogEra | None = None,
     ) -> None:
         #: Newest era of the log that is known.
-        self.log_era = log_era or _eras.LogEra()
+        self.log_era = log_era or fleetlog.LogEra()
         self._gone_targets = _gone_targets.GoneTargets(clock)
         self._clock = clock
         self._on_change = on_change
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -10,9 +10,9 @@
 import gevent.event
 
 from agatewing import _clock
+from agatewing import fleetlog
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
-from agatewing.gateway import _eras
 from agatewing.gateway import _log_turns
 from agatewing.gateway import _ports
 
@@ -25,17 +25,19 @@
 BACKOFF_LIMIT_S = 0.5
 #: Least time between two reads of a topic, in seconds: entries of targets
 #: change many times a second, and every read is billed.
-MIN_READ_PERIOD_S: dict[_ports.Topic, float] = {
-    _ports.Topic.CONFIGURATION: 0.05,
-    _ports.Topic.TARGETS: 0.4,
-    _ports.Topic.INSTANCES: 1.0,
+MIN_READ_PERIOD_S: dict[fleetlog.Topic, float] = {
+    fleetlog.Topic.CONFIGURATION: 0.05,
+    fleetlog.Topic.TARGETS: 0.4,
+    fleetlog.Topic.INSTANCES: 1.0,
 }
 
 #: Topics of which peers tell what they have read.
-TOLD_BY_PEERS = frozenset((_ports.Topic.CONFIGURATION, _ports.Topic.TARGETS))
+TOLD_BY_PEERS = frozenset(
+    (fleetlog.Topic.CONFIGURATION, fleetlog.Topic.TARGETS)
+)
 #: The only topic that is read while the log is unavailable, to detect its
 #: return; calls that the log refuses are billed too.
-PROBE_TOPIC = _ports.Topic.TARGETS
+PROBE_TOPIC = fleetlog.Topic.TARGETS
 #: Factor on read periods and on the longest backoff in large fleets.
 MANY_INSTANCES_FACTOR = 2
 #: Range of the time until an instance of a large fleet that is no reader tries
@@ -46,9 +48,9 @@
 #: Longest time between two looks whether a read is due, in seconds.
 LOOK_PERIOD_S = 0.2
 
-OnRecord = collections.abc.Callable[[_ports.KeyedRecord], None]
+OnRecord = collections.abc.Callable[[fleetlog.KeyedRecord], None]
 OnAllRecords = collections.abc.Callable[
-    [tuple[_ports.KeyedRecord, ...], int], None
+    [tuple[fleetlog.KeyedRecord, ...], int], None
 ]
 
 
@@ -143,12 +145,12 @@
 
     def __init__(
         self,
-        log: _ports.FleetLog,
+        log: fleetlog.FleetLog,
         clock: _clock.Clock,
-        topic: _ports.Topic,
+        topic: fleetlog.Topic,
         sink: Sink,
         limits: ReadLimits | None = None,
-        era: _eras.LogEra | None = None,
+        era: fleetlog.LogEra | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self._random = rng or random.Random()
@@ -164,7 +166,7 @@
         self._wanted = gevent.event.Event()
         # Set when a read has ended, then replaced by a new event.
         self._ended = gevent.event.Event()
-        self._era = era or _eras.LogEra()
+        self._era = era or fleetlog.LogEra()
         # Era in which the offset is valid; ``None`` if the log named none.
         self._offset_era: int | None = None
         self._limits = limits or ReadLimits()
@@ -273,7 +275,7 @@
         if self._restored:
             return self._read_newest()
         match answer:
-            case _ports.Page(records=records, next_offset=offset):
+            case fleetlog.Page(records=records, next_offset=offset):
                 for record in records:
                     self._sink.apply(record)
                 self._offset = offset
@@ -281,14 +283,14 @@
                 self._sink.end_batch(offset)
                 self._record_proof()
                 return True
-            case _ports.HistoryLost():
+            case fleetlog.HistoryLost():
                 _log.warning(
                     "follow: history lost, reading newest values",
                     extra={"topic": str(self._topic)},
                 )
                 self._offset = None
                 return True
-            case _ports.LogUnavailable(reason=reason):
+            case fleetlog.LogUnavailable(reason=reason):
                 self._record_failure(reason)
         return False
 
@@ -299,7 +301,7 @@
 
     def _read_unless_restored(
         self, offset: int
-    ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
+    ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable | None:
         """Read from an offset; ``None`` as soon as that has become worthless.
 
         Another topic may show first that the log was restored, or that its
@@ -322,7 +324,7 @@
         offset: int,
         wait_s: float,
         events: list[gevent.event.Event],
-    ) -> _ports.Page | _ports.HistoryLost | _ports.LogUnavailable | None:
+    ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable | None:
         """Read from an offset; ``None`` if one of the events is set first."""
         self._begin_call(wait_s)
         reading = gevent.spawn(self._log.read, self._topic, offset, wait_s)
@@ -356,14 +358,14 @@
         if not self._era.observe(answer.era):
             return self._reject_older(answer.era)
         match answer:
-            case _ports.Page(records=records, next_offset=offset, era=era):
+            case fleetlog.Page(records=records, next_offset=offset, era=era):
                 self._record_success()
                 self._begin_era(known_era if era is None else era)
                 self._offset = offset
                 self._sink.replace_all(records, offset)
                 self._record_proof()
                 return True
-            case _ports.LogUnavailable(reason=reason):
+            case fleetlog.LogUnavailable(reason=reason):
                 self._record_failure(reason)
         return False
 
@@ -416,13 +418,13 @@
 ) -> Sink:
     """Return a sink that puts configurations in force."""
 
-    def apply(record: _ports.KeyedRecord) -> None:
+    def apply(record: fleetlog.KeyedRecord) -> None:
         configuration = decoder.configuration(record)
         if configuration is not None:
             catalog.apply_configuration(configuration, "log")
 
     def replace_all(
-        records: tuple[_ports.KeyedRecord, ...], offset: int
+        records: tuple[fleetlog.KeyedRecord, ...], offset: int
     ) -> None:
         for record in records:
             apply(record)
@@ -437,7 +439,7 @@
 def target_sink(catalog: _catalog.Catalog, decoder: _ports.Decoder) -> Sink:
     """Return a sink that applies the entries of targets."""
 
-    def apply(record: _ports.KeyedRecord) -> None:
+    def apply(record: fleetlog.KeyedRecord) -> None:
         if record.value is None:
             catalog.update_target(record.key, None)
             return
@@ -446,7 +448,7 @@
             catalog.update_target(record.key, target)
 
     def replace_all(
-        records: tuple[_ports.KeyedRecord, ...], offset: int
+        records: tuple[fleetlog.KeyedRecord, ...], offset: int
     ) -> None:
         catalog.record_read()
         targets: dict[str, _contracts.Target] = {}
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -14,11 +14,11 @@
 from agatewing import decisions
 from agatewing import detour
 from agatewing import dispatch
+from agatewing import duties
+from agatewing import fleetlog
 from agatewing.gateway import _catalog
-from agatewing.gateway import _claims
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
-from agatewing.gateway import _eras
 from agatewing.gateway import _follow
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _load_reports
@@ -52,7 +52,7 @@
     """Adapters to the platform that an instance runs on."""
 
     #: The platform's log.
-    log: _ports.FleetLog
+    log: fleetlog.FleetLog
     #: Decodes records of the log.
     decoder: _ports.Decoder
     #: Reads and writes the headers of requests and answers.
@@ -75,7 +75,7 @@
         self.clock = clock
         self.platform = platform
         self._random = rng
-        self.log_era = _eras.LogEra()
+        self.log_era = fleetlog.LogEra()
         self.catalog = _catalog.Catalog(
             clock, self._apply_changes, self.log_era
         )
@@ -141,8 +141,8 @@
             lambda: len(self.peers.known) + 1,
             self.load_reports.zone_peers,
             {
-                _ports.Topic.CONFIGURATION: self.catalog.config_age_s,
-                _ports.Topic.TARGETS: self.catalog.age_s,
+                fleetlog.Topic.CONFIGURATION: self.catalog.config_age_s,
+                fleetlog.Topic.TARGETS: self.catalog.age_s,
             },
             settings.freshness.limit_s,
         )
@@ -234,14 +234,14 @@
             self.registry.changed,
         )
 
-    def _build_followers(self) -> dict[_ports.Topic, _follow.Follower]:
+    def _build_followers(self) -> dict[fleetlog.Topic, _follow.Follower]:
         decoder = self.platform.decoder
         sinks = {
-            _ports.Topic.CONFIGURATION: _follow.configuration_sink(
+            fleetlog.Topic.CONFIGURATION: _follow.configuration_sink(
                 self.catalog, decoder
             ),
-            _ports.Topic.TARGETS: _follow.target_sink(self.catalog, decoder),
-            _ports.Topic.INSTANCES: _follow.Sink(
+            fleetlog.Topic.TARGETS: _follow.target_sink(self.catalog, decoder),
+            fleetlog.Topic.INSTANCES: _follow.Sink(
                 self._replace_instances,
                 self.peers.update_entry,
                 self._instances_changed,
@@ -266,7 +266,7 @@
 
     def _confirm_targets(self, limit_s: float) -> bool:
         """Read the targets anew; return whether that is done in time."""
-        return self.followers[_ports.Topic.TARGETS].confirm(limit_s)
+        return self.followers[fleetlog.Topic.TARGETS].confirm(limit_s)
 
     def _build_own_entry(self) -> _own_entry.OwnEntry:
         settings = self.settings
@@ -276,7 +276,7 @@
             takes_requests=True,
             records_streams=True,
         )
-        record = _ports.KeyedRecord(
+        record = fleetlog.KeyedRecord(
             settings.instance, msgspec.json.encode(entry)
         )
         return _own_entry.OwnEntry(
@@ -285,10 +285,10 @@
 
     def _build_role_loop(self) -> _role_loop.RoleLoop:
         settings = self.settings
-        own_record = _claims.ClaimRecord(
+        own_record = duties.ClaimRecord(
             settings.instance, f"{self.clock.wall():.3f}"
         )
-        claims = _claims.Claims(
+        claims = duties.Claims(
             self.platform.log,
             self.clock,
             own_record,
@@ -378,7 +378,7 @@
         self.stream_record.run()
 
     def _replace_instances(
-        self, records: tuple[_ports.KeyedRecord, ...], offset: int
+        self, records: tuple[fleetlog.KeyedRecord, ...], offset: int
     ) -> None:
         self.peers.replace_entries(records, offset)
         self.own_entry.check(records)
--- a/agatewing/gateway/_log_turns.py
+++ b/agatewing/gateway/_log_turns.py
@@ -11,7 +11,7 @@
 import collections.abc
 import random
 
-from agatewing.gateway import _ports
+from agatewing import fleetlog
 from agatewing.gateway import _ranks
 
 #: Number of instances above which only some of them read the log all the time.
@@ -30,10 +30,10 @@
 MAX_AGE_S = 1.6
 #: Longest time for which a read waits for new records, in seconds; each call
 #: is charged for.
-WAIT_S: dict[_ports.Topic, float] = {
-    _ports.Topic.CONFIGURATION: 4.0,
-    _ports.Topic.TARGETS: 4.0,
-    _ports.Topic.INSTANCES: 20.0,
+WAIT_S: dict[fleetlog.Topic, float] = {
+    fleetlog.Topic.CONFIGURATION: 4.0,
+    fleetlog.Topic.TARGETS: 4.0,
+    fleetlog.Topic.INSTANCES: 20.0,
 }
 #: Shortest time for which a read waits, however strict a site is, in seconds.
 LEAST_WAIT_S = 0.2
@@ -75,7 +75,7 @@
             [], collections.abc.Iterable[str]
         ],
         ages: collections.abc.Mapping[
-            _ports.Topic, collections.abc.Callable[[], float]
+            fleetlog.Topic, collections.abc.Callable[[], float]
         ],
         limit_s: float,
     ) -> None:
@@ -115,7 +115,7 @@
             return True
         return _ranks.rank(self._name, self._zone_peers()) < READERS_PER_ZONE
 
-    def pause_s(self, topic: _ports.Topic, reads: int) -> float:
+    def pause_s(self, topic: fleetlog.Topic, reads: int) -> float:
         """Return the time until the next read of a topic, in seconds.
 
         ``reads`` is the number of reads so far. What peers tell meanwhile may
@@ -129,7 +129,7 @@
             return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
         return max(0.0, self.max_age_s - age_s())
 
-    def wait_s(self, topic: _ports.Topic) -> float:
+    def wait_s(self, topic: fleetlog.Topic) -> float:
         """Return for how long a read waits for new records, in seconds.
 
         A read that the log never answers, as its connection is dead or the
--- a/agatewing/gateway/_own_entry.py
+++ b/agatewing/gateway/_own_entry.py
@@ -5,8 +5,7 @@
 import gevent.event
 
 from agatewing import _clock
-from agatewing.gateway import _eras
-from agatewing.gateway import _ports
+from agatewing import fleetlog
 
 _log = logging.getLogger("agatewing.instance")
 
@@ -29,10 +28,10 @@
 
     def __init__(
         self,
-        log: _ports.FleetLog,
+        log: fleetlog.FleetLog,
         clock: _clock.Clock,
-        era: _eras.LogEra,
-        record: _ports.KeyedRecord,
+        era: fleetlog.LogEra,
+        record: fleetlog.KeyedRecord,
     ) -> None:
         self._log = log
         self._clock = clock
@@ -53,7 +52,7 @@
             if not self.step():
                 self._clock.sleep(RETRY_S)
 
-    def check(self, records: tuple[_ports.KeyedRecord, ...]) -> None:
+    def check(self, records: tuple[fleetlog.KeyedRecord, ...]) -> None:
         """Have the entry written again unless a listing contains it.
 
         A restored log may lack it, or have that of an earlier start. A
@@ -79,16 +78,18 @@
         """
         before = self._era.current
         match self._log.put(
-            _ports.Topic.INSTANCES, self._record.key, self._record.value or b""
+            fleetlog.Topic.INSTANCES,
+            self._record.key,
+            self._record.value or b"",
         ):
-            case _ports.LogUnavailable(reason=reason, era=era):
+            case fleetlog.LogUnavailable(reason=reason, era=era):
                 self._era.observe(era)
                 _log.warning(
                     "instance: own entry not written; retrying",
                     extra={"reason": reason},
                 )
                 return False
-            case _ports.Stored(era=era):
+            case fleetlog.Stored(era=era):
                 newest = self._era.observe(era)
         if newest and before in (None, self._era.current):
             self._wanted.clear()
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -22,9 +22,9 @@
 from agatewing import _decoding
 from agatewing import _exceptions
 from agatewing import detour
+from agatewing import fleetlog
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
-from agatewing.gateway import _ports
 from agatewing import net
 from agatewing import wire
 
@@ -148,7 +148,7 @@
             self._loop.kill()
         self._server.stop(timeout=0)
 
-    def update_entry(self, record: _ports.KeyedRecord) -> None:
+    def update_entry(self, record: fleetlog.KeyedRecord) -> None:
         """Apply the new entry of an instance, or its removal."""
         if record.key == self._name:
             return
@@ -169,7 +169,7 @@
         self._restored = True
 
     def replace_entries(
-        self, records: tuple[_ports.KeyedRecord, ...], offset: int
+        self, records: tuple[fleetlog.KeyedRecord, ...], offset: int
     ) -> None:
         """Replace all entries.
 
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -7,8 +7,8 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
+from agatewing import duties
 from agatewing.gateway import _channel
-from agatewing.gateway import _claims
 from agatewing.gateway import _ports
 from agatewing.gateway import _ranks
 from agatewing.gateway import _sender
@@ -85,7 +85,7 @@
     #: Builds orders in the platform's format.
     dialect: _ports.Dialect
     #: Acquires the right to give orders.
-    claims: _claims.Claims
+    claims: duties.Claims
     #: Name of the instance.
     name: str
     #: Returns the names of the other instances that are alive.
@@ -294,7 +294,7 @@
         self,
         tracked: _tracked_target.TrackedTarget,
         role: _types.Role,
-        claim: _claims.Claim,
+        claim: duties.Claim,
     ) -> None:
         """Send one order.
 
@@ -312,7 +312,7 @@
             status = self._context.sender.send_command(
                 tracked,
                 outgoing,
-                _claims.ORDER_TIMEOUT_S,
+                duties.ORDER_TIMEOUT_S,
                 lambda: self._context.claims.valid(claim),
             )
         except (
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -21,9 +21,8 @@
 from agatewing import _clock
 from agatewing import _decoding
 from agatewing import decisions
-from agatewing.gateway import _eras
+from agatewing import fleetlog
 from agatewing.gateway import _peers
-from agatewing.gateway import _ports
 from agatewing.gateway import _ranks
 from agatewing.gateway import _stream_directory
 
@@ -86,9 +85,9 @@
 
     def __init__(
         self,
-        log: _ports.FleetLog,
+        log: fleetlog.FleetLog,
         clock: _clock.Clock,
-        era: _eras.LogEra,
+        era: fleetlog.LogEra,
         streams: _stream_directory.StreamDirectory,
         name: str,
         live_peers: collections.abc.Callable[[], list[str]],
@@ -131,10 +130,10 @@
         if listed is None:
             return False
         record, _ = listed
-        begun = self._log.read_newest(_ports.Topic.STREAMS)
+        begun = self._log.read_newest(fleetlog.Topic.STREAMS)
         if not self._era.observe(begun.era):
             return False
-        if not isinstance(begun, _ports.Page):
+        if not isinstance(begun, fleetlog.Page):
             return False
         complete = self._is_complete(record)
         if complete is None:
@@ -162,12 +161,12 @@
         if record is not None:
             # A restored log lacks what was written since the copy.
             return record.era == (self._era.current or 0)
-        answer = self._log.read_newest(_ports.Topic.INSTANCES)
+        answer = self._log.read_newest(fleetlog.Topic.INSTANCES)
         if not self._era.observe(answer.era):
             return None
-        if not isinstance(answer, _ports.Page):
+        if not isinstance(answer, fleetlog.Page):
             return None
-        if (self._era.current or 0) > _eras.FIRST_ERA:
+        if (self._era.current or 0) > fleetlog.FIRST_ERA:
             return False
         # Instances of earlier releases begin streams without a record.
         return all(_records_streams(entry) for entry in answer.records)
@@ -179,14 +178,14 @@
 
         ``None`` if the log gave no usable answer.
         """
-        answer = self._log.read_newest(_ports.Topic.VERSIONS)
+        answer = self._log.read_newest(fleetlog.Topic.VERSIONS)
         if not self._era.observe(answer.era):
             return None
         match answer:
-            case _ports.LogUnavailable(reason=reason):
+            case fleetlog.LogUnavailable(reason=reason):
                 _log.info("streams: record not read", extra={"reason": reason})
                 return None
-            case _ports.Page(records=records, next_offset=end):
+            case fleetlog.Page(records=records, next_offset=end):
                 pass
         for record in records:
             if record.key == VERSIONS_KEY and record.value:
@@ -251,12 +250,12 @@
             return True
         value = msgspec.json.encode(_Versions(own.services, own.era))
         written = self._log.put_if_end(
-            _ports.Topic.VERSIONS, VERSIONS_KEY, value, end
+            fleetlog.Topic.VERSIONS, VERSIONS_KEY, value, end
         )
         self._era.observe(written.era)
-        if not isinstance(written, _ports.Written):
+        if not isinstance(written, fleetlog.Written):
             return False
-        self.writes[str(_ports.Topic.VERSIONS)] += 1
+        self.writes[str(fleetlog.Topic.VERSIONS)] += 1
         if own.era == (self._era.current or 0):
             self._known = own
         return True
@@ -275,12 +274,12 @@
         keys = math.ceil(decisions.STREAM_KEEP_S / self._batch_period_s()) + 1
         key = f"{self._name}/{self._batches % keys}"
         self._batches += 1
-        stored = self._log.put(_ports.Topic.STREAMS, key, batch)
+        stored = self._log.put(fleetlog.Topic.STREAMS, key, batch)
         self._era.observe(stored.era)
-        if not isinstance(stored, _ports.Stored):
+        if not isinstance(stored, fleetlog.Stored):
             self._streams.return_unrecorded(origins)
             return False
-        self.writes[str(_ports.Topic.STREAMS)] += 1
+        self.writes[str(fleetlog.Topic.STREAMS)] += 1
         return True
 
 
@@ -297,7 +296,7 @@
     return decisions.VersionRecord({}, NO_ERA)
 
 
-def _records_streams(record: _ports.KeyedRecord) -> bool:
+def _records_streams(record: fleetlog.KeyedRecord) -> bool:
     """Return whether an instance's entry says that it records streams."""
     match _decoding.decode_json(record.value or b"", _peers.PeerEntry):
         case result.Ok(entry):
@@ -306,7 +305,7 @@
 
 
 def _origins(
-    records: collections.abc.Iterable[_ports.KeyedRecord],
+    records: collections.abc.Iterable[fleetlog.KeyedRecord],
 ) -> list[decisions.StreamOrigin]:
     """Return the streams of all batches, those of the oldest batch first."""
     batches = []
--- a/agatewing/gateway/tests/test_own_entry.py
+++ b/agatewing/gateway/tests/test_own_entry.py
@@ -5,8 +5,8 @@
 import pytest
 
 from agatewing import _clock
+from agatewing import fleetlog
 from agatewing import gateway
-from agatewing.gateway import _eras
 from agatewing.gateway import _own_entry
 
 OWN = gateway.KeyedRecord("i1", b"here")
@@ -56,7 +56,7 @@
     entry = _own_entry.OwnEntry(
         log,  # type: ignore[arg-type]
         _clock.ManualClock(),
-        _eras.LogEra(),
+        fleetlog.LogEra(),
         OWN,
     )
     while log.answers:
@@ -72,7 +72,7 @@
 def test_an_entry_is_written_again_only_if_the_log_lacks_it(
     listing: tuple[gateway.KeyedRecord, ...], rewrites: int
 ) -> None:
-    era = _eras.LogEra()
+    era = fleetlog.LogEra()
     entry = _own_entry.OwnEntry(
         Log([gateway.Stored(1)]),  # type: ignore[arg-type]
         _clock.ManualClock(),
--- a/agatewing/gateway/tests/test_role_loop.py
+++ b/agatewing/gateway/tests/test_role_loop.py
@@ -14,8 +14,8 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import decisions
+from agatewing import duties
 from agatewing import gateway
-from agatewing.gateway import _claims
 from agatewing.gateway import _contracts
 from agatewing.gateway import _ranks
 from agatewing.gateway import _role_loop
@@ -40,11 +40,11 @@
     def ordered_split(self) -> dict[str, float]:
         return self._ordered
 
-    def acquire(self, split: dict[str, float]) -> _claims.Claim:
+    def acquire(self, split: dict[str, float]) -> duties.Claim:
         self.splits.append(split)
-        return _claims.Claim(1, 0.0, 0.0, None)
+        return duties.Claim(1, 0.0, 0.0, None)
 
-    def valid(self, claim: _claims.Claim) -> bool:
+    def valid(self, claim: duties.Claim) -> bool:
         return True
 
 
