Identify client accounts by the keys of requests

Releases that know no accounts get no request of one, and their configurations are not put in force where there are accounts.

--- a/agatewing/_types.py
+++ b/agatewing/_types.py
@@ -32,6 +32,7 @@
     BAD_REQUEST = "bad-request"
     BAD_TOKEN = "bad-token"
     FORBIDDEN = "forbidden"
+    UNKNOWN_KEY = "unknown-key"
     NOT_FOUND = "not-found"
     UNKNOWN_MODEL = "unknown-model"
     TOO_LARGE = "too-large"
@@ -63,6 +64,7 @@
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.BAD_TOKEN: 401,
     RefusalKind.FORBIDDEN: 403,
+    RefusalKind.UNKNOWN_KEY: 401,
     RefusalKind.NOT_FOUND: 404,
     RefusalKind.UNKNOWN_MODEL: 404,
     RefusalKind.TOO_LARGE: 413,
--- a/agatewing/detour/_detours.py
+++ b/agatewing/detour/_detours.py
@@ -69,6 +69,10 @@
     def takes_requests(self) -> bool:
         """Whether its release takes requests of peers."""
 
+    @property
+    def identifies_accounts(self) -> bool:
+        """Whether its release identifies the accounts of requests."""
+
 
 class NoPeerError(Exception):
     """No peer may be given the request now."""
@@ -131,10 +135,12 @@
         service: str,
         body_bytes: int,
         tried: collections.abc.Container[str] = (),
+        of_account: bool = False,
     ) -> str:
         """Return the name of the peer to which a request is handed on.
 
-        ``tried`` are peers that it is not handed on to again. Raises
+        ``tried`` are peers that it is not handed on to again; ``of_account``
+        says whether the peer has to identify its account. Raises
         :class:`NoPeerError` if there is none.
         """
         used = self._body_bytes
@@ -155,6 +161,7 @@
             if name in known
             and known[name].takes_requests
             and name not in tried
+            and (known[name].identifies_accounts or not of_account)
         ]
         now = self._clock.monotonic()
         chosen = decisions.choose_peer(loads, now, self._rng)
--- a/agatewing/duties/_claims.py
+++ b/agatewing/duties/_claims.py
@@ -103,6 +103,7 @@
 
     __slots__ = (
         "_log",
+        "_topic",
         "_clock",
         "_own_record",
         "_wait_s",
@@ -121,8 +122,9 @@
         own_record: ClaimRecord,
         gap_s: float,
         era: fleetlog.LogEra | None = None,
+        topic: fleetlog.Topic = fleetlog.Topic.ORDERS,
     ) -> None:
-        """Store the log, the clock and the own record.
+        """Store the log, the clock, the own record and the subject's topic.
 
         Orders of two holders are at least ``gap_s`` seconds apart.
         """
@@ -132,6 +134,7 @@
         # in use, in seconds.
         self._not_before = float("-inf")
         self._log = log
+        self._topic = topic
         self._clock = clock
         self._own_record = own_record
         self._wait_s = gap_s + CLAIM_VALID_S + ORDER_TIMEOUT_S + DRIFT_MARGIN_S
@@ -207,7 +210,7 @@
         return self._clock.monotonic() - known.at >= self._wait_s
 
     def _read(self) -> _LastClaim | None:
-        answer = self._log.read_newest(fleetlog.Topic.ORDERS)
+        answer = self._log.read_newest(self._topic)
         newest = self._era.observe(answer.era)
         self._drop_older()
         match answer:
@@ -234,7 +237,7 @@
         record = msgspec.structs.replace(self._own_record, split=split)
         value = msgspec.json.encode(record)
         written = self._log.put_if_end(
-            fleetlog.Topic.ORDERS, CLAIM_KEY, value, known.end
+            self._topic, CLAIM_KEY, value, known.end
         )
         self._era.observe(written.era)
         self._drop_older()
--- a/agatewing/fleetlog/_ports.py
+++ b/agatewing/fleetlog/_ports.py
@@ -16,6 +16,10 @@
     INSTANCES = "instances"
     #: Claims of the right to give orders to engines.
     ORDERS = "orders"
+    #: Claims and reports of usage.
+    USAGE = "usage"
+    #: Claims of the right to order numbers of engines.
+    CAPACITY = "capacity"
     #: Software versions that may have begun recent streams.
     VERSIONS = "versions"
     #: Streams that began while a service had several software versions.
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -15,6 +15,7 @@
 
 from agatewing import _clock
 from agatewing import _types
+from agatewing import accounts
 from agatewing import fleetlog
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _contracts
@@ -50,6 +51,7 @@
         "configuration",
         "caller_limits",
         "routes",
+        "accounts",
         "targets",
         "through",
         "era",
@@ -86,6 +88,8 @@
         self.caller_limits = _caller_limits.CallerLimitsInForce(clock)
         #: Routes of that configuration.
         self.routes = _routes.RouteTable(())
+        #: Client accounts of that configuration.
+        self.accounts = accounts.AccountTable(None)
         #: Targets by id.
         self.targets: dict[str, _contracts.Target] = {}
         #: Era of the log from which the entries of targets were read, 0 if
@@ -218,6 +222,7 @@
         self.configuration = configuration
         self.caller_limits.apply(configuration.limits)
         self.routes = _routes.RouteTable(configuration.routes)
+        self.accounts = accounts.AccountTable(configuration.client_accounts)
         _log.info(
             "catalogue: configuration in force",
             extra={
@@ -390,8 +395,9 @@
         Targets are replaced only if the peer's log offset is higher than
         the own one, or of a newer era.
         """
-        if snapshot.configuration is not None:
-            self.apply_configuration(snapshot.configuration, peer)
+        configuration = snapshot.configuration
+        if configuration is not None and self._is_whole(configuration):
+            self.apply_configuration(configuration, peer)
         self.log_era.observe(snapshot.era or None)
         if (snapshot.era, snapshot.through) <= self.position:
             return
@@ -417,6 +423,19 @@
             self.update_target(name, None)
         self.end_batch(snapshot.through)
 
+    def _is_whole(self, received: _contracts.Configuration) -> bool:
+        """Return whether a peer's configuration may be put in force.
+
+        Releases that know no accounts leave them out. That they left out
+        nothing is believed only if there are no accounts here.
+        """
+        present = self.configuration
+        return received.accounts_known or (
+            present is not None
+            and present.accounts_known
+            and present.client_accounts is None
+        )
+
     def _log_change(
         self, target: _contracts.Target, state: _types.TargetState
     ) -> None:
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -12,9 +12,11 @@
 from agatewing import _clock
 from agatewing import _exceptions
 from agatewing import _metrics
+from agatewing import accounts
 from agatewing import decisions
 from agatewing import detour
 from agatewing import dispatch
+from agatewing.gateway import _account_use
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
 from agatewing.gateway import _messages
@@ -77,6 +79,8 @@
     framings: collections.Counter[str]
     #: Histograms of answer times.
     metrics: _metrics.Metrics
+    #: Counts requests by account, and those that begin.
+    account_use: _account_use.AccountUse
 
 
 class AnswerConn(typing.Protocol):
@@ -148,12 +152,33 @@
     detours_over: bool = False
     #: Whether it was kept though no target was reached.
     kept: bool = False
+    #: Who it counts as.
+    identity: accounts.Identity = accounts.Unidentified()
+    #: Whether a target was seen to have begun it.
+    begun: bool = False
 
     @property
     def maybe_ran(self) -> bool:
         """Whether it may have run; a send that is under way counts."""
         return self.attempts.maybe_ran or not self.queued
 
+    @property
+    def account(self) -> accounts.Account | None:
+        """Account that it counts for; ``None`` if for none."""
+        identity = self.identity
+        return identity if isinstance(identity, accounts.Account) else None
+
+    @property
+    def priority(self) -> int:
+        """Rank among all requests; 0 is the most urgent.
+
+        That of its account, or of its route if the account has none.
+        """
+        account = self.account
+        if account is None or account.priority is None:
+            return self.route.rank
+        return account.priority
+
     def forget_unreached(self) -> None:
         """Allow another try at targets and peers that were not reached."""
         self.excluded -= self.unreached
@@ -171,11 +196,72 @@
             "request": job.req.id,
             "route": job.route.name,
             "service": job.service,
+            **account_field(job),
             **fields,
         },
     )
 
 
+def account_field(job: Job) -> dict[str, str]:
+    """Return the field of log lines that names a request's account."""
+    account = job.account
+    return {"account": account.name} if account is not None else {}
+
+
+def identify(
+    ctx: HandlerContext, req: _messages.CallerRequest, public: bool
+) -> accounts.Identity:
+    """Return who a request counts as; raise if its key is of no account."""
+    identity = ctx.catalog.accounts.identify(req.account_key, public)
+    if not isinstance(identity, accounts.Rejected):
+        return identity
+    handed_on = req.handed_on
+    if (
+        handed_on is not None
+        and handed_on.config_version > ctx.catalog.config_version
+    ):
+        # The key may have been added in a version that is not read yet.
+        raise _refusals.GatewayRefusedError(
+            _refusals.not_ready(ctx.catalog.read_failed, ctx.rng)
+        )
+    ctx.account_use.rejected += 1
+    raise _refusals.GatewayRefusedError(_refusals.unknown_key())
+
+
+def check_account(ctx: HandlerContext, job: Job) -> None:
+    """Raise if the key of a request was taken away before it was sent.
+
+    Called before each send: the account may also have another name now. A
+    stream that has begun goes on, as the configuration allowed it when it was
+    sent.
+    """
+    if job.begun or job.conn.started:
+        return
+    identity = ctx.catalog.accounts.identify(
+        job.req.account_key, job.route.public
+    )
+    match identity:
+        case accounts.Rejected() if job.attempts.maybe_ran:
+            raise give_up_error(job, "the key was taken away")
+        case accounts.Rejected():
+            ctx.account_use.rejected += 1
+            raise _refusals.GatewayRefusedError(_refusals.unknown_key())
+        case _:
+            job.identity = identity
+
+
+def record_begun(ctx: HandlerContext, job: Job) -> None:
+    """Count a request that a target has begun to run, once.
+
+    One that a peer has handed on counts there.
+    """
+    if job.begun:
+        return
+    job.begun = True
+    if job.req.handed_on is None:
+        ctx.account_use.record_begun(job.account)
+
+
 def record_answer(
     ctx: HandlerContext,
     job: Job,
@@ -245,6 +331,8 @@
     before a wait, then with ``sending`` ``False``. A trial waits here until
     the other instances have heard of it.
     """
+    if sending:
+        check_account(ctx, job)
     held = ctx.quarantine.find(job.req, job.on_trial)
     if held is None and sending and not job.on_trial:
         wait_s = ctx.quarantine.claim_trial(job.req)
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -5,6 +5,7 @@
 import math
 
 from agatewing import _types
+from agatewing import accounts
 from agatewing import decisions
 
 #: Callers abandon a silent stream after the longest of three times: a fixed
@@ -75,6 +76,8 @@
     #: Longest pause between events that counts as on time, in seconds; 0 if
     #: the route states none.
     gap_s: float = 0.0
+    #: Whether requests need no key of an account.
+    public: bool = False
 
     @property
     def patience_s(self) -> float:
@@ -141,6 +144,11 @@
     services: dict[str, Service]
     #: Limits on callers.
     limits: CallerLimits
+    #: Client accounts; ``None`` if there are none, so that keys mean nothing.
+    client_accounts: tuple[accounts.Account, ...] | None = None
+    #: Whether ``client_accounts`` says so. Releases that know no accounts leave it
+    #: out of what they tell their peers.
+    accounts_known: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_detour.py
+++ b/agatewing/gateway/_detour.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from agatewing import _types
+from agatewing import accounts
 from agatewing import decisions
 from agatewing import detour
 from agatewing.gateway import _channel
@@ -154,7 +155,10 @@
         job = self._job
         try:
             return self._ctx.detours.choose(
-                job.service, len(job.req.body), self._tried
+                job.service,
+                len(job.req.body),
+                self._tried,
+                not isinstance(job.identity, accounts.Unidentified),
             )
         except detour.NoPeerError as exc:
             self.links_back = not self._ctx.links.lost(job.service)
@@ -182,7 +186,7 @@
             target=job.req.target,
             headers=[
                 wire.HopField(name=name, value=value)
-                for name, value in job.req.headers
+                for name, value in self._headers()
             ],
             body_bytes=len(job.req.body),
             service_name=job.service,
@@ -194,8 +198,16 @@
             config_version=job.config_version,
             software=resume.software,
             last_event_id=resume.last_event_id,
+            account_key=job.req.account_key or None,
         )
 
+    def _headers(self) -> _messages.Headers:
+        """Return the headers for the peer, without a key of an account."""
+        headers = self._job.req.headers
+        if isinstance(self._job.identity, accounts.Unidentified):
+            return headers
+        return self._ctx.dialect.without_key(headers)
+
     def _exchange(self, hop: detour.Hop, peer: str) -> Begun | None:
         """Send the request; return its answer once the head has come.
 
--- a/agatewing/gateway/_hop_conn.py
+++ b/agatewing/gateway/_hop_conn.py
@@ -80,7 +80,11 @@
             self._ctx.clock.monotonic() - waited_s,
         )
         return (
-            dataclasses.replace(req, handed_on=_handed_on(offered)),
+            dataclasses.replace(
+                req,
+                handed_on=_handed_on(offered),
+                account_key=offered.account_key or req.account_key,
+            ),
             offered.body_bytes,
         )
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -16,6 +16,7 @@
 from agatewing import dispatch
 from agatewing import duties
 from agatewing import fleetlog
+from agatewing.gateway import _account_use
 from agatewing.gateway import _catalog
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
@@ -166,6 +167,7 @@
         self.own_entry = self._build_own_entry()
         self.followers = self._build_followers()
         self.metrics = _metrics.Metrics()
+        self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
         self.role_loop = self._build_role_loop()
         self.server = _server.CallerServer(
@@ -210,6 +212,7 @@
             collections.Counter(),
             collections.Counter(),
             self.metrics,
+            self.account_use,
         )
 
     def _build_links(self, rng: random.Random) -> detour.LinkWatch:
@@ -275,6 +278,7 @@
             settings.zone,
             takes_requests=True,
             records_streams=True,
+            identifies_accounts=True,
         )
         record = fleetlog.KeyedRecord(
             settings.instance, msgspec.json.encode(entry)
@@ -325,6 +329,7 @@
         self.registry.full_view = self.peers.full_view
         self.registry.apply(configuration.services, self.catalog.targets)
         self._apply_gaps(configuration)
+        self.account_use.retain(self.catalog.accounts.names)
         self.registry.limits.set_members(
             self.peers.known,
             [tracked.target for tracked in self.registry.by_id.values()],
@@ -481,6 +486,29 @@
             "kind",
             self.server.refusals,
         )
+        metrics.counters(
+            "agatewing_account_requests_total",
+            "Requests accepted, by client account; empty on public routes",
+            "account",
+            self.account_use.asked,
+        )
+        metrics.counters(
+            "agatewing_account_begun_total",
+            "Requests that targets began to run, by client account",
+            "account",
+            self.account_use.begun,
+        )
+        metrics.counters(
+            "agatewing_account_refused_total",
+            "Requests refused, by client account",
+            "account",
+            self.account_use.refused,
+        )
+        metrics.counter(
+            "agatewing_unknown_keys_total",
+            "Requests refused as they bear no key of an account",
+            self.account_use.rejected,
+        )
         metrics.counter(
             "agatewing_sends_total",
             "Requests sent to targets",
--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -5,6 +5,7 @@
 import enum
 import typing
 
+from agatewing import accounts
 from agatewing import decisions
 from agatewing.gateway import _routes
 
@@ -13,7 +14,7 @@
 
 #: Headers by which a caller is identified, in lower case. Others, such as ids
 #: and deadlines, differ each time that it sends a request.
-_CALLER_HEADERS = frozenset((b"authorization", b"cookie", b"x-api-key"))
+_CALLER_HEADERS = frozenset((b"authorization", b"cookie"))
 
 
 def hex_key(key: int) -> str:
@@ -129,6 +130,9 @@
     take_up: TakeUp | None = None
     #: Set if it came from another instance; ``None`` if from its caller.
     handed_on: HandedOn | None = None
+    #: Digest of its key, see ``accounts.key_digest``; empty without exactly
+    #: one usable key.
+    account_key: str = ""
     # Fingerprints once they were computed.
     _fingerprints: tuple[int, ...] | None = dataclasses.field(
         default=None, init=False, repr=False, compare=False
@@ -170,6 +174,7 @@
             if name.lower() in _CALLER_HEADERS:
                 yield name.lower()
                 yield value
+        yield self.account_key.encode()
         if self.prompt is not None:
             prompt = self.prompt
             yield f"{prompt.model},{prompt.tokens}".encode()
@@ -226,6 +231,8 @@
     #: Id of the last event forwarded to the caller, to resume a stream
     #: after it.
     last_event_id: bytes | None = None
+    #: Who the request counts as.
+    identity: accounts.Identity = accounts.Unidentified()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -76,6 +76,8 @@
     # Whether it records software versions and streams in the log; earlier
     # releases do not.
     records_streams: bool = False
+    # Whether it identifies the accounts of requests that it takes.
+    identifies_accounts: bool = False
 
 
 class Peers:
--- a/agatewing/gateway/_plain_detour.py
+++ b/agatewing/gateway/_plain_detour.py
@@ -76,6 +76,7 @@
                 self._detour.fail(outcome)
                 continue
             begun.channel.release()
+            _context.record_begun(self._ctx, job)
             delivery = _plain_path.Delivery(outcome, begun.source)
             if outcome.head.status < 500:
                 return delivery
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -210,7 +210,9 @@
         job, sender = self._job, self._ctx.sender
         now = self._ctx.clock.monotonic()
         left_s = job.deadline - now
-        options = _messages.SendOptions(tracked.target.id, left_s)
+        options = _messages.SendOptions(
+            tracked.target.id, left_s, identity=job.identity
+        )
         tracked.in_flight += 1
         self._tracked = tracked
         if job.attempts.idempotent:
@@ -233,6 +235,8 @@
             self._tracked, self._silent = None, False
         self._expect(_race.NEVER)
         self._record_duration(tracked, outcome, now)
+        if isinstance(outcome, _messages.Answered):
+            _context.record_begun(self._ctx, job)
         return outcome
 
     def _expect(self, silent_at: float) -> None:
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -38,6 +38,9 @@
     ) -> _messages.Outgoing:
         """Return a request as it is sent to a target."""
 
+    def without_key(self, headers: _messages.Headers) -> _messages.Headers:
+        """Return headers without the key of an account."""
+
     def proves_not_run(self, head: _messages.AnswerHead) -> bool:
         """Return whether an answer proves that the request did not run."""
 
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -249,6 +249,7 @@
             None if prefill_only else self.unfetched_cache,
             self._fetch_from(tracked, prefill_only),
             last_event_id,
+            self._job.identity,
         )
 
     def _fetch_from(
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -79,6 +79,16 @@
     )
 
 
+def unknown_key() -> GatewayRefusal:
+    """Return the refusal of a request without a key of an account."""
+    return GatewayRefusal(
+        401,
+        _types.RefusalKind.UNKNOWN_KEY,
+        "the request names no account; send exactly one key that the "
+        "operators have given out",
+    )
+
+
 def bad_request(detail: str, status: int = 400) -> GatewayRefusal:
     """Return the refusal of a malformed request."""
     return GatewayRefusal(status, _types.RefusalKind.BAD_REQUEST, detail)
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -397,7 +397,10 @@
             deadline,
             decisions.Attempts(route.kind.idempotent, route.max_targets),
             config_version=self._ctx.catalog.config_version,
+            identity=_context.identify(self._ctx, req, route.public),
         )
+        if req.handed_on is None:
+            self._ctx.account_use.record_asked(job.identity)
         if req.handed_on is not None:
             self._bind_to_sender(job, req.handed_on)
         if not self._lifecycle.may_begin(job.deadline):
@@ -438,7 +441,12 @@
         }
         if job is not None:
             left_s = job.deadline - self._ctx.clock.monotonic()
-            fields |= {"left_s": round(left_s, 3), **self._configs(job)}
+            fields |= {
+                "left_s": round(left_s, 3),
+                **self._configs(job),
+                **_context.account_field(job),
+            }
+            self._ctx.account_use.record_refused(job.account)
         _log.info(
             "server: refused",
             extra={
--- a/agatewing/gateway/_stream_detour.py
+++ b/agatewing/gateway/_stream_detour.py
@@ -126,6 +126,7 @@
                 return None
             case _relay.Piece() as piece:
                 if piece.events:
+                    _context.record_begun(self._ctx, self._job)
                     self._expect(_race.NEVER)
                 return piece
             case failure:
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -231,6 +231,7 @@
     def _record_events(self, count: int) -> None:
         self._events += count
         self._silent = False
+        _context.record_begun(self._ctx, self._job)
         self._expect(_race.NEVER)
         if self._meter is not None:
             self._meter.mark_prompt_processed(self._ctx.clock.monotonic())
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -9,6 +9,7 @@
 
 from agatewing import _decoding
 from agatewing import _types
+from agatewing import accounts
 from agatewing import gateway
 from agatewing.platform import _names
 
@@ -75,6 +76,7 @@
             _ms_to_seconds(values.get(_names.DEADLINE)),
             _parse_prompt(values),
             _parse_take_up(values),
+            account_key=_account_key(headers),
         )
 
     def target_request(
@@ -92,6 +94,8 @@
         )
         if options.last_event_id is not None:
             dropped = dropped | {_names.LAST_EVENT_ID}
+        if not isinstance(options.identity, accounts.Unidentified):
+            dropped = dropped | _names.ACCOUNT_HEADERS
         fields = [
             (name, value)
             for name, value in req.headers
@@ -111,10 +115,20 @@
             fields.append((b"Kv-Fetch", options.fetch_from.encode()))
         if options.last_event_id is not None:
             fields.append((b"Last-Event-Id", options.last_event_id))
+        if isinstance(options.identity, accounts.Account):
+            fields.append((b"X-Tenant", options.identity.name.encode()))
         return gateway.Outgoing(
             req.method, req.target, tuple(fields), req.body
         )
 
+    def without_key(self, headers: gateway.Headers) -> gateway.Headers:
+        """Return headers without the key of an account."""
+        return tuple(
+            (name, value)
+            for name, value in headers
+            if name.lower() != _names.ACCOUNT_KEY
+        )
+
     def proves_not_run(self, head: gateway.AnswerHead) -> bool:
         """Return whether an answer proves that the request did not run."""
         if head.status == _names.MOVED_STATUS:
@@ -205,6 +219,12 @@
         return None
 
 
+def _account_key(headers: gateway.Headers) -> str:
+    """Return the digest of a request's key; empty without exactly one."""
+    keys = [v for name, v in headers if name.lower() == _names.ACCOUNT_KEY]
+    return accounts.key_digest(keys[0].strip()) if len(keys) == 1 else ""
+
+
 def _request_limit(head: gateway.AnswerHead) -> float | None:
     """Return the requests a second that a target takes from all."""
     raw = gateway.header(head.headers, _names.REQUEST_LIMIT)
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -45,6 +45,8 @@
     gateway.Topic.TARGETS: _names.TOPIC_TARGETS,
     gateway.Topic.INSTANCES: _names.TOPIC_INSTANCES,
     gateway.Topic.ORDERS: _names.TOPIC_ORDERS,
+    gateway.Topic.USAGE: _names.TOPIC_USAGE,
+    gateway.Topic.CAPACITY: _names.TOPIC_CAPACITY,
     gateway.Topic.VERSIONS: _names.TOPIC_VERSIONS,
     gateway.Topic.STREAMS: _names.TOPIC_STREAMS,
 }
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -49,6 +49,13 @@
 #: this attempt takes up.
 RESUMES = b"resumes"
 
+#: Key of a client account. It is never passed on.
+ACCOUNT_KEY = b"x-api-key"
+#: Name of the client account, the platform's tenant.
+ACCOUNT = b"x-tenant"
+#: Headers that are replaced where the configuration names accounts.
+ACCOUNT_HEADERS = frozenset((ACCOUNT_KEY, ACCOUNT))
+
 #: Headers that only the system may set on a request to a target; those that
 #: a caller sent are removed.
 SYSTEM_HEADERS = frozenset(
@@ -96,6 +103,8 @@
 TOPIC_TARGETS = "keyed.servers"
 TOPIC_INSTANCES = "keyed.instances"
 TOPIC_ORDERS = "keyed.orders"
+TOPIC_USAGE = "keyed.usage"
+TOPIC_CAPACITY = "keyed.capacity"
 TOPIC_VERSIONS = "keyed.versions"
 TOPIC_STREAMS = "keyed.streams"
 #: Key of the configuration in TOPIC_CONFIGURATION.
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -10,6 +10,7 @@
 
 from agatewing import _decoding
 from agatewing import _types
+from agatewing import accounts
 from agatewing import gateway
 from agatewing.platform import _names
 
@@ -31,6 +32,8 @@
 
 #: Key of a target's entry, which becomes a header: visible ASCII.
 _KEY = re.compile(r"[!-~]{1,255}")
+#: Visible ASCII, as the whole value of a header.
+_VISIBLE = r"^[!-~]{1,255}\Z"
 _PORT = re.compile(r"[0-9]{1,5}")
 _Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
@@ -63,6 +66,8 @@
     # Longest pause between events, not between streams, that is on time, in
     # milliseconds.
     target_gap_ms: float = 0
+    # Whether requests need no key.
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -90,11 +95,21 @@
     idle_timeout_ms: float = 15_000
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    # Name of a client account, which becomes a header.
+    name: typing.Annotated[str, msgspec.Meta(pattern=_VISIBLE)]
+    api_keys: tuple[str, ...] = ()
+    # Rank of its requests, before that of their routes; 0 is first.
+    priority: int | None = None
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    # Client accounts; no keys are needed without the field.
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _TargetEntry(msgspec.Struct, frozen=True):
@@ -151,6 +166,8 @@
                 limits.header_timeout_ms / 1_000,
                 limits.idle_timeout_ms / 1_000,
             ),
+            _convert_accounts(raw.tenants),
+            accounts_known=True,
         )
 
     def target(self, record: gateway.KeyedRecord) -> gateway.Target | None:
@@ -236,6 +253,27 @@
         max(1, raw.max_attempts),
         raw.sticky,
         raw.target_gap_ms / 1_000,
+        raw.public,
+    )
+
+
+def _convert_accounts(
+    raw: tuple[_Tenant, ...] | None,
+) -> tuple[accounts.Account, ...] | None:
+    """Convert the client accounts; their keys become digests."""
+    if raw is None:
+        return None
+    return tuple(
+        accounts.Account(
+            tenant.name,
+            tenant.priority,
+            tuple(
+                digest
+                for key in tenant.api_keys
+                if (digest := accounts.key_digest(key.encode()))
+            ),
+        )
+        for tenant in raw
     )
 
 
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -2471,6 +2471,7 @@
      - config_version
      - software
      - last_event_id
+     - account_key
 
     """
 
@@ -2487,10 +2488,11 @@
         'config_version',
         'software',
         'last_event_id',
+        'account_key',
     )
 
 
-    def __init__(self, method=None, target=None, headers=None, body_bytes=None, service_name=None, waited_ms=None, left_ms=None, targets_left=None, excluded=None, config_version=None, software=None, last_event_id=None,):
+    def __init__(self, method=None, target=None, headers=None, body_bytes=None, service_name=None, waited_ms=None, left_ms=None, targets_left=None, excluded=None, config_version=None, software=None, last_event_id=None, account_key=None,):
         self.method = method
         self.target = target
         self.headers = headers
@@ -2503,6 +2505,7 @@
         self.config_version = config_version
         self.software = software
         self.last_event_id = last_event_id
+        self.account_key = account_key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2584,6 +2587,11 @@
                     self.last_event_id = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.account_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2648,6 +2656,10 @@
             oprot.writeFieldBegin('last_event_id', TType.STRING, 12)
             oprot.writeBinary(self.last_event_id)
             oprot.writeFieldEnd()
+        if self.account_key is not None:
+            oprot.writeFieldBegin('account_key', TType.STRING, 13)
+            oprot.writeString(self.account_key.encode('utf-8') if sys.version_info[0] == 2 else self.account_key)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3342,6 +3354,7 @@
     (10, TType.I64, 'config_version', None, None, ),  # 10
     (11, TType.STRING, 'software', 'UTF8', None, ),  # 11
     (12, TType.STRING, 'last_event_id', 'BINARY', None, ),  # 12
+    (13, TType.STRING, 'account_key', 'UTF8', None, ),  # 13
 )
 all_structs.append(HopHead)
 HopHead.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -262,6 +262,8 @@
   // Id of the event after which the stream goes on; absent if the sender has
   // forwarded none.
   12: optional binary last_event_id,
+  // Digest of the key of its account; absent without one.
+  13: optional string account_key,
 }
 
 // Head of an answer.
