Test client accounts over real connections

Change: tests of the table of accounts and of the platform's program: targets get the account and no key, 401 for odd keys, public routes, open connections after a key was taken away, a second send, peers, older releases, unreadable accounts, and that no key is logged, counted or written.

--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -431,9 +431,7 @@
         """
         present = self.configuration
         return received.accounts_known or (
-            present is not None
-            and present.accounts_known
-            and present.client_accounts is None
+            present is not None and present.client_accounts is None
         )
 
     def _log_change(
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -132,6 +132,9 @@
         self.crash_requests: set[_engine.CrashRequest] = set()
         #: Names of the engines that crashed, in that order.
         self.crashed: list[str] = []
+        #: Client accounts of the next configuration, as the platform writes
+        #: them; ``None`` for a configuration without accounts.
+        self.tenants: list[dict[str, typing.Any]] | None = None
         #: Connections that one target accepts, of every service.
         self.max_conns = 64
 
@@ -270,6 +273,8 @@
             "services": services,
             "limits": limits,
         }
+        if self.tenants is not None:
+            document["tenants"] = list(self.tenants)
         self._published = document
         self.publish_again()
         return self._version
