Let client accounts change their keys in the soak of processes

Cause: the soak sent no keys, so that a request that runs for another account, or with a key that was taken away, would not be seen. ACCOUNT and REVOKED are new kinds of violations, with a table of cases for the check itself.

--- a/agatewing/platform/soak/_callers.py
+++ b/agatewing/platform/soak/_callers.py
@@ -8,6 +8,7 @@
 import gevent.socket
 
 from agatewing import net
+from agatewing.platform.soak import _accounts
 from agatewing.platform.soak import _checks
 from agatewing.platform import standins
 
@@ -72,7 +73,9 @@
         seed: int,
         records: _checks.CallerRecords,
         addresses: dict[str, str],
+        accounts: _accounts.Accounts,
     ) -> None:
+        self._accounts = accounts
         self._seed = seed
         self._records = records
         # Address for callers, by name of the instance.
@@ -111,14 +114,17 @@
             if link is None:
                 continue
             req = self._new_request(rng, caller, f"c{caller}-{number}")
-            attempt = _new_attempt(f"c{caller}-{number}", req, link)
+            attempt = dataclasses.replace(
+                _new_attempt(f"c{caller}-{number}", req, link),
+                credential=self._accounts.draw(caller),
+            )
             reply = self._send(link, req, attempt)
             keep_alive = reply.headers.get("connection") != "close"
             if not reply.complete or not keep_alive:
                 link.sock.close()
                 link = None
             if req.path == "/chat/x" and not reply.complete:
-                self._take_up(req, attempt, reply, rng)
+                self._take_up(req, attempt, reply, rng, caller)
 
     def send_crashing(self, req: Request, until: float) -> None:
         """Send one request on which targets crash again and again.
@@ -133,9 +139,10 @@
             link = self._connect(rng.choice(list(self._addresses)))
             if link is not None:
                 attempt = _new_attempt(f"{name}-{number}", req, link)
-                self._send(
-                    link, req, dataclasses.replace(attempt, crashing=name)
+                attempt = dataclasses.replace(
+                    attempt, crashing=name, credential=self._accounts.draw(0)
                 )
+                self._send(link, req, attempt)
                 link.sock.close()
             gevent.sleep(rng.uniform(*CRASHING_PERIOD_S))
 
@@ -156,6 +163,7 @@
         began: _checks.Attempt,
         reply: standins.Reply,
         rng: random.Random,
+        caller: int,
     ) -> None:
         """Take a stream that broke off up once, at any instance."""
         ids = _checks.event_ids(reply.body.rpartition(b"\n\n")[0])
@@ -171,6 +179,7 @@
             after=ids[-1],
             instance=link.instance,
             sent_at=time.monotonic(),
+            credential=self._accounts.draw(caller),
         )
         self._send(link, req, attempt)
         link.sock.close()
@@ -194,6 +203,8 @@
         """
         fields = f"Host: {standins.HOST}\r\nX-Request-Id: {attempt.id}\r\n"
         fields += f"Authorization: {req.caller}\r\n"
+        if attempt.credential is not None:
+            fields += f"X-Api-Key: {attempt.credential.key}\r\n"
         if attempt.events:
             fields += f"X-Token-Count: {req.tokens},20\r\n"
             fields += f"X-Prefix-Hash: aa:200,{req.block}:200\r\n"
--- a/agatewing/platform/soak/_checks.py
+++ b/agatewing/platform/soak/_checks.py
@@ -6,6 +6,7 @@
 import dataclasses
 import time
 
+from agatewing.platform.soak import _accounts
 from agatewing.platform.soak import _cuts
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _notices
@@ -49,6 +50,8 @@
     #: Request on which targets crash, by a name that its sends share; empty
     #: for a sound one.
     crashing: str = ""
+    #: Key that it is sent with; ``None`` for none.
+    credential: _accounts.Credential | None = None
 
 
 class CallerRecords:
@@ -69,6 +72,8 @@
         self.carriers: collections.abc.Callable[[str, str], list[str]] = (
             lambda request, target: []
         )
+        #: Client accounts; ``None`` if there are none.
+        self.accounts: _accounts.Accounts | None = None
         #: Number of replies by status; 0 for connections without a reply.
         self.statuses: collections.Counter[int] = collections.Counter()
 
@@ -143,8 +148,10 @@
         a wrong body, STOPPED for a sound request that was put under
         quarantine, WHOLE for one that had no complete answer though no fault
         ended it, CRASHED for one on which targets crash that was not kept
-        from them, DRAIN and BUDGET for one that reached a target that left
-        or backed off, RECOVER if instances without links served too few.
+        from them, ACCOUNT and REVOKED for one that ran for another account or
+        long after its key was taken away, DRAIN and BUDGET for one that
+        reached a target that left or backed off, RECOVER if instances
+        without links served too few.
         """
         runs = collections.Counter(
             run.id for engine in engines for run in engine.runs
@@ -175,11 +182,36 @@
             if quarantined and not attempt.crashing:
                 violations.append(f"STOPPED: {name} got {reply.status}")
         violations += self._unfinished(engines)
+        violations += self._wrong_accounts(engines)
         violations += self._late_sends(engines)
         violations += self._unwanted_sends(engines)
         violations += self.cuts.unequal(self._first_tries(), self.absences)
         return violations + self._mixed_versions()
 
+    def _wrong_accounts(
+        self, engines: list[standins.EngineStandin]
+    ) -> list[str]:
+        """Return the runs for another account, or with a removed key."""
+        if self.accounts is None:
+            return []
+        found: list[str] = []
+        for engine in engines:
+            for run in (*engine.prefills, *engine.runs):
+                attempt = self._attempts.get(run.id)
+                if attempt is None or attempt.credential is None:
+                    continue
+                through = {
+                    attempt.instance,
+                    self._sender(attempt, engine.name),
+                }
+                sent = _accounts.Sent(
+                    attempt.credential, attempt.sent_at, frozenset(through)
+                )
+                found += self.accounts.violations(
+                    attempt.id, sent, run, self.absences
+                )
+        return found
+
     def _unfinished(self, engines: list[standins.EngineStandin]) -> list[str]:
         """Return the attempts whose reply ended early without a cause.
 
--- a/agatewing/platform/soak/_episode.py
+++ b/agatewing/platform/soak/_episode.py
@@ -18,6 +18,7 @@
 from agatewing import _exceptions
 from agatewing import harness
 from agatewing import net
+from agatewing.platform.soak import _accounts
 from agatewing.platform.soak import _callers
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _links
@@ -95,6 +96,8 @@
         self._duration_s = duration_s
         self._random = random.Random(seed)
         self._records = _checks.CallerRecords()
+        self._accounts = _accounts.Accounts(seed)
+        self._records.accounts = self._accounts
         self._versions = _versions.VersionRecords(self._records.absences)
         self._faults: list[str] = []
         self._processes: dict[str, harness.Process] = {}
@@ -119,6 +122,8 @@
             self._start_site()
             watch = gevent.spawn(self._watch_versions)
             stack.callback(watch.kill)
+            change = gevent.spawn(self._change_keys)
+            stack.callback(change.kill)
             self._inject_faults()
             gevent.sleep(FAULT_FREE_S)
             behind = self._instances_behind()
@@ -254,6 +259,7 @@
                 name: str(settings["caller_address"])
                 for name, settings in self._settings.items()
             },
+            self._accounts,
         )
         self._callers.start()
         self._deadline = begun_at + self._duration_s
@@ -428,7 +434,14 @@
         self._site.route(f"/new{self._added_routes}/", "safe", PLAIN)
         self._publish()
 
+    def _change_keys(self) -> None:
+        """Change the keys of client accounts periodically, forever."""
+        while True:
+            gevent.sleep(_accounts.CHANGE_PERIOD_S)
+            self._accounts.change(self._publish)
+
     def _publish(self) -> None:
+        self._site.tenants = self._accounts.tenants()
         self._versions.record_published(self._site.publish())
 
     def _restore_log(self, copy_age_s: float, fault_s: float) -> None:
--- a/agatewing/platform/tests/test_soak.py
+++ b/agatewing/platform/tests/test_soak.py
@@ -11,6 +11,7 @@
 from agatewing.harness import _ports
 from agatewing import net
 from agatewing.platform import soak
+from agatewing.platform.soak import _accounts
 from agatewing.platform.soak import _checks
 from agatewing.platform.soak import _disturbances
 from agatewing.platform.soak import _proxy
@@ -564,3 +565,47 @@
 def test_an_unknown_kind_of_fault_is_refused() -> None:
     with pytest.raises(ValueError, match="silence of t1; "):
         soak.Episode(3, 0.1, only=("nothing",)).run()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountCase:
+    headers: dict[str, str]
+    kinds: list[str]
+    # Time from the removal of its key to its send, in seconds; ``None`` if
+    # its key was not taken away.
+    removed_s: float | None = None
+    # Whether the instance was disturbed shortly before.
+    disturbed: bool = False
+
+
+ACCOUNT = {"x-tenant": "account-0"}
+ACCOUNT_CASES = {
+    "its account": AccountCase(ACCOUNT, []),
+    "no account": AccountCase({}, ["ACCOUNT"]),
+    "another account": AccountCase({"x-tenant": "account-1"}, ["ACCOUNT"]),
+    "with the key": AccountCase({**ACCOUNT, "x-api-key": "k"}, ["ACCOUNT"]),
+    "removed just before": AccountCase(ACCOUNT, [], 1.9),
+    "removed long before": AccountCase(ACCOUNT, ["REVOKED"], 2.2),
+    "at a disturbed instance": AccountCase(ACCOUNT, [], 2.2, True),
+}
+
+
+@pytest.mark.parametrize("name", ACCOUNT_CASES)
+def test_runs_for_another_account_or_a_removed_key_are_found(
+    name: str,
+) -> None:
+    case = ACCOUNT_CASES[name]
+    kept = _accounts.Accounts(1)
+    credential = kept.draw(0)
+    kept.change(lambda: None)
+    sent_at = time.monotonic() + (case.removed_s or 0.0)
+    if case.removed_s is None:
+        credential = kept.draw(0)
+        sent_at = 0.0
+    disturbances = _disturbances.Disturbances()
+    if case.disturbed:
+        disturbances.begin("i0")
+    run = standins.Run("a1", "POST /pay/x", case.headers, b"", sent_at)
+    sent = _accounts.Sent(credential, sent_at, frozenset(("i0",)))
+    found = kept.violations("a1", sent, run, disturbances)
+    assert [line.partition(":")[0] for line in found] == case.kinds
