Let the peer in the tests of eras say that there are no accounts

Cause: an instance without a configuration does not believe one that leaves out whether there are accounts; the tests' peer left it out, as a release before accounts would, and five cases found no configuration. Change: the peer of these tests says so; that an older one is not believed has a test of its own (test_client_accounts). Result: the cases pass again.

--- a/agatewing/fleetlog/tests/test_eras.py
+++ b/agatewing/fleetlog/tests/test_eras.py
@@ -257,7 +257,10 @@
     catalog.begin_era(case.own[0])
     catalog.log_era.observe(case.own[0])
     catalog.replace_targets({}, case.own[1])
-    config = gateway.Configuration(7, (), {}, gateway.CallerLimits())
+    # The peer is of a release that says whether there are accounts.
+    config = gateway.Configuration(
+        7, (), {}, gateway.CallerLimits(), accounts_known=True
+    )
     era, through = case.peer
     catalog.merge_snapshot(
         _contracts.Snapshot(config, (target("p"),), through, 0.1, era), "peer"
