Add settings for calls that one instance makes for all

The platform of some deployments takes calls of a duty's holder at an address of its own. The section is empty, and the template leaves it out, where it names no such address.

Tests: the template renders with and without the section.

--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -78,6 +78,26 @@
         return min(self.apply_ms, self.drain_ms) / 1_000
 
 
+class Duties(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls to the platform that one instance makes for all."""
+
+    # IP address and port that takes these calls; empty if the platform has
+    # none.
+    address: str = ""
+    # Duties that the system has, as the platform names them.
+    kinds: tuple[str, ...] = ()
+    # Calls a second that the address takes from all instances together.
+    calls_per_s: Positive = 10
+    # Least time between calls of two instances for one subject, in
+    # milliseconds; the platform requires it.
+    holder_gap_ms: Positive = 3_000
+    # Length of a window of usage, in seconds.
+    usage_window_s: Positive = 60
+    # Time from the end of a window within which its report is due, in
+    # seconds.
+    usage_late_s: Positive = 10
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one instance."""
 
@@ -114,6 +134,8 @@
     engines: EngineSpeed = EngineSpeed()
     # Plan of engines' roles.
     roles: Roles = Roles()
+    # Calls to the platform that one instance makes for all.
+    duties: Duties = Duties()
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
@@ -137,6 +159,8 @@
         addresses[f"seeds[{index}]"] = seed
     if settings.metrics_address:
         addresses["metrics_address"] = settings.metrics_address
+    if settings.duties.address:
+        addresses["duties.address"] = settings.duties.address
     faults = [
         config.Fault(str(path), field, "is no address", "write it as IP:PORT")
         for field, address in addresses.items()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -4,6 +4,7 @@
 import re
 import tomllib
 
+import pytest
 import result
 
 from agatewing import gateway
@@ -31,6 +32,18 @@
     "{{bounds.drain_ms|json}}": "2000",
 }
 
+#: Those of what only some platforms have, by the section that holds it.
+DUTIES = {
+    "{{cloud.address|json}}": '"10.0.0.9:85"',
+    "{{cloud.duties|json}}": '["a","b"]',
+    "{{cloud.duties_per_s|json}}": "50.0",
+    "{{bounds.usage_window_s|json}}": "5",
+    "{{bounds.usage_late_s|json}}": "10",
+}
+SECTION = re.compile(
+    r"\{\{#(cloud|bounds)\.(\w+)\}\}(.*)\{\{/\1\.\2\}\}", re.DOTALL
+)
+
 
 def test_the_build_installs_what_the_project_declares() -> None:
     pyproject = tomllib.loads((ROOT / "pyproject.toml").read_text())
@@ -39,20 +52,35 @@
     assert installed == declared
 
 
-def test_the_template_renders_into_settings_without_faults(
-    tmp_path: pathlib.Path,
-) -> None:
+def _render(sections: bool) -> str:
+    """Return the template as the platform fills it in."""
     text = (ROOT / "deploy" / "settings.jsonc").read_text()
-    for placeholder, value in PLACEHOLDERS.items():
+    values = dict(PLACEHOLDERS)
+    if sections:
+        values |= DUTIES
+    while SECTION.search(text):
+        text = SECTION.sub(r"\3" if sections else "", text)
+    for placeholder, value in values.items():
         assert placeholder in text
         text = text.replace(placeholder, value)
     assert not re.search(r"\{\{", text)
+    return text
+
+
+@pytest.mark.parametrize("duties", (False, True))
+def test_the_template_renders_into_settings_without_faults(
+    tmp_path: pathlib.Path, duties: bool
+) -> None:
     path = tmp_path / "settings.jsonc"
-    path.write_text(text)
+    path.write_text(_render(duties))
     loaded = gateway.load_gateway_settings(path)
     assert isinstance(loaded, result.Ok), loaded
     assert loaded.ok_value.peer_address == "10.0.0.1:7380"
     assert loaded.ok_value.freshness.limit_s == 2.0
+    named = loaded.ok_value.duties
+    assert (named.address, named.kinds, named.usage_window_s) == (
+        ("10.0.0.9:85", ("a", "b"), 5) if duties else ("", (), 60)
+    )
 
 
 def test_the_role_runs_the_daemon_with_its_template() -> None:
