Count and report usage: first whole path, untested

Counts by incarnation and window, datagrams to the keepers of a zone, one question to each zone a window, figures decided by the record of a claim before they are sent. Off without an address for duties.

Not measured yet; tests follow.

--- a/agatewing/duties/_claims.py
+++ b/agatewing/duties/_claims.py
@@ -1,4 +1,4 @@
-"""The right to give orders to engines, claimed by one instance at a time.
+"""The right to act for all, claimed by one instance at a time.
 
 A claim is a record that is appended to the log only if the log ends at the
 expected offset, so only one of two concurrent claims succeeds. A claim is
@@ -12,13 +12,16 @@
 
 A claim's record also holds the split of the engines that its orders bring
 about. An instance that starts begins with that one: engines keep their roles
-when all instances are replaced.
+when all instances are replaced. Likewise, the record of a claim to report
+usage holds the figures that it decides on, see
+:mod:`agatewing.duties._usage_ledger`.
 
 The log may be restored from an older copy, which lacks the last claims. Then
 all claims are void, and none is made for as long as after the claim of another
 instance. The era of the log makes tokens grow nevertheless.
 """
 
+import collections.abc
 import dataclasses
 import logging
 
@@ -26,6 +29,7 @@
 
 from agatewing import _clock
 from agatewing import _decoding
+from agatewing.duties import _usage_ledger
 from agatewing import fleetlog
 
 _log = logging.getLogger("agatewing.orders")
@@ -51,7 +55,7 @@
 OFFSET_BITS = 32
 
 
-class ClaimRecord(msgspec.Struct, frozen=True):
+class ClaimRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Record of a claim in the log."""
 
     # Name of the instance that may give orders.
@@ -60,6 +64,8 @@
     start: str
     # Share of the engines that its orders let decode, by service.
     split: dict[str, float] = {}
+    # Reports of usage that are decided; absent in claims of other topics.
+    usage: _usage_ledger.UsageLedger | None = None
 
     def same_holder(self, other: "ClaimRecord") -> bool:
         """Return whether both are records of one incarnation."""
@@ -106,7 +112,7 @@
         "_topic",
         "_clock",
         "_own_record",
-        "_wait_s",
+        "wait_s",
         "_last_claim",
         "_own_claim",
         "_read_after",
@@ -137,7 +143,9 @@
         self._topic = topic
         self._clock = clock
         self._own_record = own_record
-        self._wait_s = gap_s + CLAIM_VALID_S + ORDER_TIMEOUT_S + DRIFT_MARGIN_S
+        #: Time for which the last claim of another instance has to be known
+        #: before a new one is made, in seconds.
+        self.wait_s = gap_s + CLAIM_VALID_S + ORDER_TIMEOUT_S + DRIFT_MARGIN_S
         self._last_claim: _LastClaim | None = None
         self._own_claim: Claim | None = None
         self._read_after = float("-inf")
@@ -175,6 +183,87 @@
             return {}
         return known.record.split
 
+    def refresh(self) -> None:
+        """Read the last claim anew if another instance made it.
+
+        One that is still the last one counts as known since before.
+        """
+        known = self._last_claim
+        if known is None or self.own_last:
+            self.prepare()
+            return
+        now = self._clock.monotonic()
+        if now < self._read_after:
+            return
+        self._read_after = now + READ_PERIOD_S
+        read = self._read()
+        if read is None:
+            return
+        if (read.end, read.era) == (known.end, known.era):
+            read = dataclasses.replace(read, at=known.at)
+        self._last_claim = read
+
+    @property
+    def known(self) -> bool:
+        """Whether the last claim, or that there was none, is known."""
+        return self._last_claim is not None
+
+    @property
+    def own_last(self) -> bool:
+        """Whether this incarnation made the last claim, as far as known."""
+        known = self._last_claim
+        return (
+            known is not None
+            and known.record is not None
+            and known.record.same_holder(self._own_record)
+        )
+
+    @property
+    def usage(
+        self,
+    ) -> _usage_ledger.UsageLedger | _usage_ledger.Unreadable | None:
+        """What the last claim decided of reports of usage.
+
+        ``None`` if there was never a claim, or none is known.
+        """
+        known = self._last_claim
+        if known is None or known.record is None:
+            return None
+        if known.record.usage is None:
+            return _usage_ledger.Unreadable()
+        return known.record.usage
+
+    @property
+    def free(self) -> bool:
+        """Whether a claim may be made now, as far as known."""
+        known = self._last_claim
+        return known is not None and self._last_holder_done(known)
+
+    def acquire_deciding(
+        self,
+        decide: collections.abc.Callable[
+            [_usage_ledger.UsageLedger | _usage_ledger.Unreadable | None],
+            _usage_ledger.UsageLedger | None,
+        ],
+    ) -> Claim | None:
+        """Return a new claim that decides on reports of usage.
+
+        ``decide`` is given what the last claim decided, and returns what the
+        new one is to hold; ``None`` if nothing is to be claimed. The claim
+        fails if the last one is another one by then. Returns ``None`` if no
+        claim can be had now. Calls the log at most twice.
+        """
+        self.prepare()
+        known = self._last_claim
+        if known is None or not self._last_holder_done(known):
+            return None
+        usage = decide(self.usage)
+        if usage is None:
+            return None
+        return self._append(
+            known, msgspec.structs.replace(self._own_record, usage=usage)
+        )
+
     def acquire(self, split: dict[str, float] | None = None) -> Claim | None:
         """Return a valid claim, or ``None`` if none can be had now.
 
@@ -188,7 +277,9 @@
         known = self._last_claim
         if known is None or not self._last_holder_done(known):
             return None
-        return self._append(known, split or {})
+        return self._append(
+            known, msgspec.structs.replace(self._own_record, split=split or {})
+        )
 
     def _drop_older(self) -> None:
         """Drop what is known of the claims of an older era."""
@@ -199,7 +290,7 @@
         self._rises_seen = self._era.rises
         self._last_claim = self._own_claim = None
         self._read_after = float("-inf")
-        self._not_before = self._clock.monotonic() + self._wait_s
+        self._not_before = self._clock.monotonic() + self.wait_s
 
     def _last_holder_done(self, known: _LastClaim) -> bool:
         """Return whether no order of the last holder can still arrive."""
@@ -207,7 +298,7 @@
             return False
         if known.record is None or known.record.same_holder(self._own_record):
             return True
-        return self._clock.monotonic() - known.at >= self._wait_s
+        return self._clock.monotonic() - known.at >= self.wait_s
 
     def _read(self) -> _LastClaim | None:
         answer = self._log.read_newest(self._topic)
@@ -229,12 +320,9 @@
                 )
         return None
 
-    def _append(
-        self, known: _LastClaim, split: dict[str, float]
-    ) -> Claim | None:
+    def _append(self, known: _LastClaim, record: ClaimRecord) -> Claim | None:
         since = self._clock.monotonic()
         wall = self._clock.wall()
-        record = msgspec.structs.replace(self._own_record, split=split)
         value = msgspec.json.encode(record)
         written = self._log.put_if_end(
             self._topic, CLAIM_KEY, value, known.end
@@ -244,7 +332,7 @@
         match written:
             case fleetlog.Written(offset=offset, era=era):
                 if known.era == self._era.current and era in (None, known.era):
-                    return self._begin(offset, since, wall)
+                    return self._begin(record, offset, since, wall)
                 _log.warning(
                     "orders: claim void, the log was restored meanwhile",
                     extra={"era": self._era.current},
@@ -258,11 +346,13 @@
         self._last_claim = None
         return None
 
-    def _begin(self, offset: int, since: float, wall: float) -> Claim:
+    def _begin(
+        self, record: ClaimRecord, offset: int, since: float, wall: float
+    ) -> Claim:
         """Return the claim whose record has an offset in the present era."""
         era = self._era.current
         token = _token(era, offset)
-        self._last_claim = _LastClaim(self._own_record, offset + 1, since, era)
+        self._last_claim = _LastClaim(record, offset + 1, since, era)
         self._own_claim = Claim(token, since, wall, era)
         _log.info("orders: claimed", extra={"token": token})
         return self._own_claim
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -35,6 +35,7 @@
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
 from agatewing.gateway import _target_registry
+from agatewing.gateway import _usage_parts
 from agatewing import net
 from agatewing import wire
 
@@ -60,6 +61,10 @@
     dialect: _ports.Dialect
     #: Path that the balancer requests to check readiness.
     ready_path: str
+    #: Address for duties; ``None`` if the platform has none.
+    duty_port: duties.DutyPort | None = None
+    #: Duties that the system has.
+    duty_kinds: frozenset[duties.Duty] = frozenset()
 
 
 class GatewayInstance:
@@ -170,6 +175,7 @@
         self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
         self.role_loop = self._build_role_loop()
+        self.usage = self._build_usage()
         self.server = _server.CallerServer(
             net.split_address(settings.caller_address),
             self.handler_context,
@@ -308,15 +314,36 @@
                 claims,
                 settings.instance,
                 self.load_reports.alive,
-                lambda: (
-                    not self.catalog.log_unavailable
-                    and self.lifecycle.ready
-                    and self.peers.listed
-                ),
+                self._view_current,
                 self.load_reports.demand_of,
             )
         )
 
+    def _build_usage(self) -> duties.UsageReports | None:
+        """Return what reports usage; ``None`` if the platform wants none."""
+        port = self.platform.duty_port
+        if port is None or duties.Duty.USAGE not in self.platform.duty_kinds:
+            return None
+        return _usage_parts.build(
+            self.settings,
+            self.clock,
+            self.platform.log,
+            self.log_era,
+            port,
+            self.peers,
+            self.load_reports,
+            self.account_use,
+            self._view_current,
+        )
+
+    def _view_current(self) -> bool:
+        """Return whether this instance serves and reads the log."""
+        return (
+            not self.catalog.log_unavailable
+            and self.lifecycle.ready
+            and self.peers.listed
+        )
+
     def _apply_changes(self) -> None:
         """Apply a change of configuration, targets or instances."""
         configuration = self.catalog.configuration
@@ -368,6 +395,9 @@
         self._loops.append(gevent.spawn(self._run_records))
         if self.settings.roles.follow_demand:
             self._loops.append(gevent.spawn(self.role_loop.run))
+        if self.usage is not None:
+            self._loops.append(gevent.spawn(self.usage.push_forever))
+            self._loops.append(gevent.spawn(self.usage.run))
         _log.info(
             "instance: started",
             extra={"address": self.settings.caller_address},
@@ -416,6 +446,8 @@
         """Drain and stop; return whether every answer was finished."""
         _log.info("instance: stopping", extra={"under_way": self._in_flight})
         given_up = _server.drain(self.clock, self.server, self.lifecycle)
+        if self.usage is not None:
+            self.usage.push()
         _log.info("instance: stopped", extra={"cut_off": given_up})
         return given_up == 0
 
@@ -509,6 +541,8 @@
             "Requests refused as they bear no key of an account",
             self.account_use.rejected,
         )
+        if self.usage is not None:
+            self.usage.collect(metrics)
         metrics.counter(
             "agatewing_sends_total",
             "Requests sent to targets",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -111,6 +111,8 @@
         "writer",
         "sent_bytes",
         "malformed",
+        "take_other",
+        "hear_wall",
     )
 
     def __init__(
@@ -174,6 +176,11 @@
         self.sent_bytes = 0
         #: Number of datagrams that failed to decode.
         self.malformed = 0
+        #: Takes a datagram that is no report; returns whether it could.
+        self.take_other: collections.abc.Callable[[bytes], bool] = _reject
+        #: Called with the name and the wall time in seconds of an instance
+        #: whose report tells it.
+        self.hear_wall: collections.abc.Callable[[str, float], None] = _ignore
 
     def start(self) -> None:
         """Open the port and start to send and receive reports."""
@@ -251,6 +258,11 @@
             if self.summaries.demand(pool.name) is not None:
                 pool.stream_demand.start(now)
 
+    def send(self, data: bytes, addresses: list[str]) -> None:
+        """Send a datagram to other instances; none before the start."""
+        if self._socket is not None:
+            self._send_to(self._socket, data, addresses)
+
     def _send_to(
         self,
         sock: gevent.socket.socket,
@@ -358,7 +370,7 @@
         match self._codec.decode(wire.WorkNote, data):
             case result.Ok(record):
                 self.handle(record)
-            case result.Err():
+            case result.Err() if not self.take_other(data):
                 self.malformed += 1
 
     def handle(self, record: wire.WorkNote) -> None:
@@ -377,6 +389,8 @@
         if last is not None and record.sequence <= last.sequence:
             return
         self._merge_read_state(record)
+        if record.wall_ms is not None:
+            self.hear_wall(record.instance, record.wall_ms / 1_000)
         self._registry.limits.merge(record.instance, record.limits or ())
         now = self._clock.monotonic()
         self._last_reports[record.instance] = LastReport(
@@ -499,3 +513,12 @@
                 target.load.reported_long_tokens += load.long_tokens
                 target.load.reported_sequences += load.sequences
                 target.load.reported_kv_tokens += load.kv_tokens
+
+
+def _reject(data: bytes) -> bool:
+    """Take no datagram."""
+    return False
+
+
+def _ignore(instance: str, wall_s: float) -> None:
+    """Do nothing."""
--- a/agatewing/gateway/_report_writer.py
+++ b/agatewing/gateway/_report_writer.py
@@ -36,6 +36,7 @@
         "_quarantine",
         "_summaries",
         "_sequence",
+        "tells_wall",
     )
 
     def __init__(
@@ -57,6 +58,8 @@
         self._index = index
         self._quarantine = quarantine
         self._summaries = summaries
+        #: Whether reports carry the wall time of this instance.
+        self.tells_wall = False
         # Wall time, so that numbers of a new incarnation are higher than those
         # of the earlier ones.
         self._sequence = int(clock.wall() * 1_000)
@@ -97,6 +100,8 @@
         record.leaving = self._registry.departures.take_reports()
         record.demand = _report_fields.encode_demand(self.own_demand())
         record.measured = self._own_measured()
+        if self.tells_wall:
+            record.wall_ms = int(self._clock.wall() * 1_000)
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and _shorten(record):
             data = self._codec.encode(record)
--- a/agatewing/gatewayd.py
+++ b/agatewing/gatewayd.py
@@ -68,7 +68,11 @@
         instance = gateway.GatewayInstance(
             settings,
             clock,
-            platform.connect(settings.log_address),
+            platform.connect(
+                settings.log_address,
+                settings.duties.address,
+                settings.duties.kinds,
+            ),
             random.Random(),
         )
         gevent.signal_handler(signal.SIGHUP, _reload, instance, path)
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -1,6 +1,7 @@
 """HTTP clients that detect silent connections and never retry a call."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import errno
 import socket
@@ -15,6 +16,7 @@
 
 from agatewing import _exceptions
 from agatewing.net import _address
+from agatewing.net import _sockets
 from agatewing.net import _turns
 
 #: Maximum size of one read from a connection, in bytes.
@@ -100,6 +102,8 @@
 
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(*args, **options)
+        #: Whether connections that are closed are reset.
+        self.resets = False
         # Time from which a pooled connection is idle, by its ``id``.
         self._idle: dict[int, float] = {}
         # Connection that a greenlet took for a call without a head yet.
@@ -148,6 +152,9 @@
     def release_socket(self, sock: gevent.socket.socket) -> None:
         """Close the connection and leave its place in the pool."""
         self._forget_opening(sock)
+        if self.resets:
+            with contextlib.suppress(OSError):
+                _sockets.reset_on_close(sock)
         super().release_socket(sock)
 
     def _is_socket_alive(self, sock: gevent.socket.socket | None) -> bool:
@@ -307,6 +314,7 @@
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         resend: bool = False,
         piece_timeout_s: float | None = None,
+        reset: bool = False,
     ) -> None:
         """Create a client of one address.
 
@@ -315,6 +323,8 @@
         ``resend`` says whether a call of an idempotent method is sent again
         if its connection closes before the head. A call that may end the
         process that it reaches must not be.
+        ``reset`` says whether the connection of a call that fails is reset,
+        so that no byte of the call arrives later.
         """
         #: IP number and port.
         self.address = address
@@ -346,6 +356,7 @@
             network_timeout=silence_timeout_s,
         )
         self._client._connection_pool = self._pool
+        self._pool.resets = reset
         if not resend:
             # The library sends such a call again ``size + 1`` times.
             self._pool.size = -1
--- a/agatewing/platform/__init__.py
+++ b/agatewing/platform/__init__.py
@@ -3,8 +3,12 @@
 Holds no routing or scheduling logic; that is in ``agatewing.gateway``.
 """
 
+import collections.abc
+
 from agatewing import gateway
 from agatewing.platform._dialect import PlatformDialect
+from agatewing.platform._duties import decode_kinds
+from agatewing.platform._duties import PlatformDuties
 from agatewing.platform._log import decode_era
 from agatewing.platform._log import decode_read
 from agatewing.platform._log import PlatformLog
@@ -12,14 +16,22 @@
 from agatewing.platform._records import RecordDecoder
 
 
-def connect(log_address: str) -> gateway.Platform:
+def connect(
+    log_address: str,
+    duty_address: str = "",
+    duty_kinds: collections.abc.Iterable[str] = (),
+) -> gateway.Platform:
     """Return the platform adapter for the log at ``HOST:PORT``.
 
-    Opens no connection; the log is called when an instance starts.
+    ``duty_address`` takes the calls of the duties that ``duty_kinds`` names;
+    empty if the platform has none. Opens no connection; the log is called
+    when an instance starts.
     """
     return gateway.Platform(
         PlatformLog(log_address),
         RecordDecoder(),
         PlatformDialect(),
         READY_PATH,
+        PlatformDuties(duty_address) if duty_address else None,
+        decode_kinds(duty_kinds),
     )
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -109,3 +109,8 @@
 TOPIC_STREAMS = "keyed.streams"
 #: Key of the configuration in TOPIC_CONFIGURATION.
 CONFIGURATION_KEY = "config"
+
+#: Duties, as the settings name them, and the path of reports of usage.
+DUTY_USAGE = "usage_report"
+DUTY_CAPACITY = "autoscale"
+USAGE_PATH = "/usage"
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -26,5 +26,6 @@
 from agatewing.wire.gen.peer.ttypes import StreamBegin
 from agatewing.wire.gen.peer.ttypes import StreamDemand
 from agatewing.wire.gen.peer.ttypes import TargetLimit
+from agatewing.wire.gen.peer.ttypes import UsageNote
 from agatewing.wire.gen.peer.ttypes import Vouch
 from agatewing.wire.gen.peer.ttypes import WorkNote
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1978,6 +1978,7 @@
      - config_age_ms
      - targets_age_ms
      - summary
+     - wall_ms
 
     """
 
@@ -2002,10 +2003,11 @@
         'config_age_ms',
         'targets_age_ms',
         'summary',
+        'wall_ms',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None, era=None, demand=None, measured=None, config_age_ms=None, targets_age_ms=None, summary=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None, era=None, demand=None, measured=None, config_age_ms=None, targets_age_ms=None, summary=None, wall_ms=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -2026,6 +2028,7 @@
         self.config_age_ms = config_age_ms
         self.targets_age_ms = targets_age_ms
         self.summary = summary
+        self.wall_ms = wall_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2207,6 +2210,11 @@
                     self.summary.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.wall_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2333,6 +2341,10 @@
             oprot.writeFieldBegin('summary', TType.STRUCT, 20)
             self.summary.write(oprot)
             oprot.writeFieldEnd()
+        if self.wall_ms is not None:
+            oprot.writeFieldBegin('wall_ms', TType.I64, 21)
+            oprot.writeI64(self.wall_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2372,6 +2384,148 @@
         return not (self == other)
 
 
+class UsageNote(object):
+    """
+    Attributes:
+     - instance
+     - start_ms
+     - window
+     - accounts
+     - counts
+
+    """
+
+    __slots__ = (
+        'instance',
+        'start_ms',
+        'window',
+        'accounts',
+        'counts',
+    )
+
+
+    def __init__(self, instance=None, start_ms=None, window=None, accounts=None, counts=None,):
+        self.instance = instance
+        self.start_ms = start_ms
+        self.window = window
+        self.accounts = accounts
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 101:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 102:
+                if ftype == TType.I64:
+                    self.start_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 103:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 104:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accounts.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 105:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readI64()
+                        self.counts.append(_elem172)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageNote')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 101)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.start_ms is not None:
+            oprot.writeFieldBegin('start_ms', TType.I64, 102)
+            oprot.writeI64(self.start_ms)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 103)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 104)
+            oprot.writeListBegin(TType.STRING, len(self.accounts))
+            for iter173 in self.accounts:
+                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 105)
+            oprot.writeListBegin(TType.I64, len(self.counts))
+            for iter174 in self.counts:
+                oprot.writeI64(iter174)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.start_ms is None:
+            raise TProtocolException(message='Required field start_ms is unset!')
+        if self.window is None:
+            raise TProtocolException(message='Required field window is unset!')
+        if self.accounts is None:
+            raise TProtocolException(message='Required field accounts is unset!')
+        if self.counts is None:
+            raise TProtocolException(message='Required field counts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HopField(object):
     """
     Attributes:
@@ -2529,11 +2683,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = HopField()
-                        _elem166.read(iprot)
-                        self.headers.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = HopField()
+                        _elem180.read(iprot)
+                        self.headers.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2565,10 +2719,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2613,8 +2767,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter173 in self.headers:
-                iter173.write(oprot)
+            for iter187 in self.headers:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body_bytes is not None:
@@ -2640,8 +2794,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter174 in self.excluded:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter188 in self.excluded:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2749,11 +2903,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = HopField()
-                        _elem180.read(iprot)
-                        self.headers.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = HopField()
+                        _elem194.read(iprot)
+                        self.headers.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2770,10 +2924,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem186)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2794,8 +2948,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter187 in self.headers:
-                iter187.write(oprot)
+            for iter201 in self.headers:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.target is not None:
@@ -2809,8 +2963,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter188 in self.excluded:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter202 in self.excluded:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2926,10 +3080,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem194)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2975,8 +3129,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter195 in self.excluded:
-                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
+            for iter209 in self.excluded:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.may_go_on is not None:
@@ -3332,6 +3486,116 @@
     (18, TType.I32, 'config_age_ms', None, None, ),  # 18
     (19, TType.I32, 'targets_age_ms', None, None, ),  # 19
     (20, TType.STRUCT, 'summary', [LoadSummary, None], None, ),  # 20
+    (21, TType.I64, 'wall_ms', None, None, ),  # 21
+)
+all_structs.append(UsageNote)
+UsageNote.thrift_spec = (
+    None,  # 0
+    None,  # 1
+    None,  # 2
+    None,  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    None,  # 70
+    None,  # 71
+    None,  # 72
+    None,  # 73
+    None,  # 74
+    None,  # 75
+    None,  # 76
+    None,  # 77
+    None,  # 78
+    None,  # 79
+    None,  # 80
+    None,  # 81
+    None,  # 82
+    None,  # 83
+    None,  # 84
+    None,  # 85
+    None,  # 86
+    None,  # 87
+    None,  # 88
+    None,  # 89
+    None,  # 90
+    None,  # 91
+    None,  # 92
+    None,  # 93
+    None,  # 94
+    None,  # 95
+    None,  # 96
+    None,  # 97
+    None,  # 98
+    None,  # 99
+    None,  # 100
+    (101, TType.STRING, 'instance', 'UTF8', None, ),  # 101
+    (102, TType.I64, 'start_ms', None, None, ),  # 102
+    (103, TType.I64, 'window', None, None, ),  # 103
+    (104, TType.LIST, 'accounts', (TType.STRING, 'UTF8', False), None, ),  # 104
+    (105, TType.LIST, 'counts', (TType.I64, None, False), None, ),  # 105
 )
 all_structs.append(HopField)
 HopField.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -230,6 +230,22 @@
   // placements, which are of these instances, and what was read of the log
   // count.
   20: optional LoadSummary summary,
+  // Wall time at the sender, in milliseconds since 1970; only where instances
+  // count by windows of the wall clock.
+  21: optional i64 wall_ms,
+}
+
+// Requests that targets began to run, as one instance counted them in one
+// window of the wall clock. In a datagram of its own, beside load reports; its
+// fields have numbers of their own, so that neither is taken for the other.
+struct UsageNote {
+  101: required string instance,
+  // Wall time at which the instance started, in milliseconds since 1970.
+  102: required i64 start_ms,
+  103: required i64 window,
+  // Accounts with their numbers of requests, in columns. The numbers only grow.
+  104: required list<string> accounts,
+  105: required list<i64> counts,
 }
 
 // Header of a request or an answer that is handed on.
