--- a/agatewing/duties/tests/test_usage_reports.py
+++ b/agatewing/duties/tests/test_usage_reports.py
@@ -1,5 +1,6 @@
 """One report for each window, whatever fails between count and answer."""
 
+import msgspec
 import pytest
 
 from agatewing import duties
@@ -70,6 +71,19 @@
     assert all(_lateness(fleet, w) <= 2.5 for w in reported)
 
 
+def test_the_record_holds_only_what_may_not_be_accepted(
+    fleet: _fakes.Fleet,
+) -> None:
+    for _ in range(4):
+        _count(fleet)
+        fleet.advance(_fakes.WINDOW_S)
+    record = msgspec.json.decode(
+        fleet.log.records[-1], type=duties.ClaimRecord
+    )
+    assert record.usage is not None
+    assert len(record.usage.open) == 1
+
+
 def test_nothing_is_claimed_before_any_request_began() -> None:
     fleet = _fakes.Fleet(ZONES)
     fleet.advance(12.0)
