Test the address for duties and messages of usage; split long notes

A datagram with long account names could exceed 1,400 bytes, which is as much as a receiver reads; found by reading. Counts are now halved until they fit, and a test holds each datagram to that size. The stand-ins connect instances to an address for duties if their settings name one.

--- a/agatewing/duties/_usage_exchange.py
+++ b/agatewing/duties/_usage_exchange.py
@@ -25,8 +25,8 @@
 #: Instances of a zone that keep the counts of all of it. With a third of all
 #: instances lost at once, all three are in one case of 27.
 KEEPERS = 3
-#: Accounts in one datagram, so that it fits into a packet.
-ACCOUNTS_PER_NOTE = 48
+#: Largest size of a datagram, in bytes, so that it fits into a packet.
+NOTE_BYTES = 1_400
 #: Name of the counts in a request to a peer.
 USAGE_STREAM = "usage-counts"
 #: Answers that are wanted of a zone: one keeper may have started lately, or
@@ -132,17 +132,23 @@
     def _encode(
         self, part: _usage_counts.WindowCounts
     ) -> collections.abc.Iterator[bytes]:
+        """Encode counts, in halves if they exceed a datagram."""
+        note = wire.UsageNote(
+            instance=part.lifetime.instance,
+            start_ms=part.lifetime.start_ms,
+            window=part.window,
+            accounts=list(part.counts),
+            counts=list(part.counts.values()),
+        )
+        data = self._context.codec.encode(note)
+        if len(data) <= NOTE_BYTES or len(part.counts) == 1:
+            yield data
+            return
         names = sorted(part.counts)
-        for begin in range(0, len(names), ACCOUNTS_PER_NOTE):
-            accounts = names[begin : begin + ACCOUNTS_PER_NOTE]
-            note = wire.UsageNote(
-                instance=part.lifetime.instance,
-                start_ms=part.lifetime.start_ms,
-                window=part.window,
-                accounts=accounts,
-                counts=[part.counts[name] for name in accounts],
-            )
-            yield self._context.codec.encode(note)
+        middle = len(names) // 2
+        for half in (names[:middle], names[middle:]):
+            counts = {name: part.counts[name] for name in half}
+            yield from self._encode(dataclasses.replace(part, counts=counts))
 
     def receive(self, data: bytes) -> bool:
         """Take a datagram; return whether it holds counts."""
--- a/agatewing/duties/tests/_fakes.py
+++ b/agatewing/duties/tests/_fakes.py
@@ -157,6 +157,10 @@
         self.instances: dict[str, Instance] = {}
         #: Names of instances that nobody reaches.
         self.cut: set[str] = set()
+        #: Datagrams that were sent.
+        self.datagrams: list[bytes] = []
+        #: What instances answer instead of their counts.
+        self.answers: dict[str, wire.StateReply] = {}
         for name in zones:
             self.start(name)
 
@@ -254,6 +258,7 @@
         )
 
     def _send(self, data: bytes, addresses: list[str]) -> None:
+        self.fleet.datagrams.append(data)
         for address in addresses:
             if self._reaches(address):
                 self.fleet.instances[address].exchange.receive(data)
@@ -263,5 +268,7 @@
     ) -> result.Result[wire.StateReply, str]:
         if not self._reaches(address):
             return result.Err("no connection")
+        if address in self.fleet.answers:
+            return result.Ok(self.fleet.answers[address])
         exchange = self.fleet.instances[address].exchange
         return result.Ok(exchange.reply(request.key or ""))
--- a/agatewing/gateway/__init__.py
+++ b/agatewing/gateway/__init__.py
@@ -31,5 +31,6 @@
 from agatewing.gateway._messages import Prompt
 from agatewing.gateway._messages import SendOptions
 from agatewing.gateway._messages import TakeUp
+from agatewing.gateway._settings import Duties
 from agatewing.gateway._settings import GatewaySettings
 from agatewing.gateway._settings import load_gateway_settings
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -303,9 +303,12 @@
         """Start an instance; it may not be ready yet when this returns."""
         raw = self.settings(name, self.store.address)
         self.logs[name] = DisconnectableLog(self.store.address)
-        adapter = platform.connect(self.store.address)
+        settings = gateway.GatewaySettings(**raw)
+        adapter = platform.connect(
+            self.store.address, settings.duties.address, settings.duties.kinds
+        )
         instance = gateway.GatewayInstance(
-            gateway.GatewaySettings(**raw),
+            settings,
             self.clock,
             dataclasses.replace(adapter, log=self.logs[name]),
             random.Random(name),
