Count runs whose answers are lost before any of them came

The platform holds each request to have begun that an engine began, also if its answer is lost and another engine runs it again. Counted were only those of which an event or answer came.

--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -39,6 +39,10 @@
 #: Time after which no further verdict on the links is awaited before a request
 #: is refused, in seconds.
 VERDICT_WAIT_S = 0.5
+#: Least time from a send to its failure after which a target counts as having
+#: run it, in seconds: a step of an engine and the way there and back.
+#: Connections that were closed while they were idle break sooner.
+LEAST_RUN_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -262,6 +266,20 @@
         ctx.account_use.record_begun(job.account)
 
 
+def record_lost(
+    ctx: HandlerContext, job: Job, outcome: _messages.Outcome
+) -> None:
+    """Count a run whose answer was lost before any of it came.
+
+    That a target runs such a request is likely, though not certain. Each such
+    run counts, besides the one that brings the answer.
+    """
+    match outcome:
+        case _messages.Unknown(silent_s=run_s) if run_s >= LEAST_RUN_S:
+            if job.req.handed_on is None:
+                ctx.account_use.on_begun(job.account)
+
+
 def record_answer(
     ctx: HandlerContext,
     job: Job,
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -237,6 +237,8 @@
         self._record_duration(tracked, outcome, now)
         if isinstance(outcome, _messages.Answered):
             _context.record_begun(self._ctx, job)
+        else:
+            _context.record_lost(self._ctx, job, outcome)
         return outcome
 
     def _expect(self, silent_at: float) -> None:
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -427,6 +427,8 @@
             raise AssertionError("only a send that was made can fail")
         used_cache, counted = self._used_cache, self._counted
         self._end_send()
+        if not self._events:
+            _context.record_lost(self._ctx, self._job, outcome)
         check = self._ctx.quarantine.check_break(
             self._job.req, tracked.target, outcome, self._events
         )
