One fake log for the tests of duties; windows in a module of their own

The tests of claims use the fake that those of reports need as well; their checks are unchanged. A test that repeated a row of the table of clocks (two peers that agree against the own clock) is gone; what else it checked, the error of the own clock, is checked for each row now.

--- a/agatewing/duties/__init__.py
+++ b/agatewing/duties/__init__.py
@@ -26,4 +26,4 @@
 from agatewing.duties._usage_ledger import UsageLedger
 from agatewing.duties._usage_reports import ReportsContext
 from agatewing.duties._usage_reports import UsageReports
-from agatewing.duties._usage_reports import Windows
+from agatewing.duties._usage_windows import Windows
--- a/agatewing/duties/_usage_reports.py
+++ b/agatewing/duties/_usage_reports.py
@@ -12,7 +12,6 @@
 import collections.abc
 import dataclasses
 import logging
-import math
 
 from agatewing import _clock
 from agatewing import _metrics
@@ -22,6 +21,7 @@
 from agatewing.duties import _usage_counts
 from agatewing.duties import _usage_exchange
 from agatewing.duties import _usage_ledger
+from agatewing.duties import _usage_windows
 from agatewing import fleetlog
 
 _log = logging.getLogger("agatewing.usage")
@@ -56,28 +56,6 @@
 REST_S = 12.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Windows:
-    """Windows of the wall clock."""
-
-    #: Length of a window, in seconds.
-    length_s: float
-    #: Time from its end within which its report is due, in seconds.
-    late_s: float
-
-    def at(self, wall_s: float) -> int:
-        """Return the window of a time, in seconds since 1970."""
-        return math.floor(wall_s / self.length_s)
-
-    def begin_s(self, window: int) -> float:
-        """Return when a window begins, in seconds since 1970."""
-        return window * self.length_s
-
-    def end_s(self, window: int) -> float:
-        """Return when a window ends, in seconds since 1970."""
-        return self.begin_s(window + 1)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportsContext:
     """What the reports need of the instance."""
@@ -89,7 +67,7 @@
     #: Name of the instance.
     name: str
     #: Windows of the reports.
-    windows: Windows
+    windows: _usage_windows.Windows
     #: Counts of this instance and of others.
     counts: _usage_counts.UsageCounts
     #: Exchange of counts with other instances.
--- a/agatewing/duties/tests/_fakes.py
+++ b/agatewing/duties/tests/_fakes.py
@@ -44,19 +44,18 @@
 class FakeLog:
     """One topic, whose answers may be lost, and writes late."""
 
-    def __init__(self) -> None:
+    def __init__(self, era: int | None = None) -> None:
         self.records: list[bytes] = []
-        self.era: int | None = None
+        self.era = era
         self.down = False
         self.lose_answer = False
         self.late = False
+        #: Delayed writes, with the end offset that they require.
         self.delayed: list[tuple[bytes, int]] = []
-        self.calls = 0
 
     def read_newest(
         self, topic: fleetlog.Topic
     ) -> fleetlog.Page | fleetlog.LogUnavailable:
-        self.calls += 1
         if self.down:
             return fleetlog.LogUnavailable("down")
         records = tuple(
@@ -68,7 +67,6 @@
     def put_if_end(
         self, topic: fleetlog.Topic, key: str, value: bytes, end: int
     ) -> fleetlog.Written | fleetlog.EndMismatch | fleetlog.LogUnavailable:
-        self.calls += 1
         if self.down:
             return fleetlog.LogUnavailable("down")
         if self.late:
@@ -88,7 +86,7 @@
         self.delayed.clear()
 
     def restore(self, lost: int) -> None:
-        """Begin a new era without the last records."""
+        """Lose the last records, as a copy does that is some seconds old."""
         del self.records[max(0, len(self.records) - lost) :]
         self.era = (self.era or 1) + 1
 
--- a/agatewing/duties/tests/test_fuzz_claims.py
+++ b/agatewing/duties/tests/test_fuzz_claims.py
@@ -10,72 +10,13 @@
 
 from agatewing import _clock
 from agatewing import duties
+from agatewing.duties.tests import _fakes
 from agatewing import fleetlog
 
 GAP_S = 3.0
 HOLDERS = 2
 
 
-class FakeLog:
-    """The topic of claims, which may lose answers or delay writes."""
-
-    def __init__(self, era: int = 0) -> None:
-        self.records: list[bytes] = []
-        self.era = era
-        self.lose_answer = False
-        self.late = False
-        self.down = False
-        #: Delayed writes, with the end offset that they require.
-        self.delayed: list[tuple[bytes, int]] = []
-
-    def read_newest(
-        self, topic: fleetlog.Topic
-    ) -> fleetlog.Page | fleetlog.LogUnavailable:
-        if self.down:
-            return fleetlog.LogUnavailable("down")
-        last = self.records[-1:]
-        records = tuple(
-            fleetlog.KeyedRecord(duties.CLAIM_KEY, r) for r in last
-        )
-        return fleetlog.Page(records, len(self.records), self.era)
-
-    def put_if_end(
-        self, topic: fleetlog.Topic, key: str, value: bytes, end: int
-    ) -> fleetlog.Written | fleetlog.EndMismatch | fleetlog.LogUnavailable:
-        if self.down:
-            return fleetlog.LogUnavailable("down")
-        if self.late:
-            self.delayed.append((value, end))
-            return fleetlog.LogUnavailable("no answer")
-        if end != len(self.records):
-            return fleetlog.EndMismatch(self.era)
-        self.records.append(value)
-        if self.lose_answer:
-            return fleetlog.LogUnavailable("no answer")
-        return fleetlog.Written(end, self.era)
-
-    def restore(self, lost: int) -> None:
-        """Lose the last records, as a copy does that is some seconds old."""
-        del self.records[max(0, len(self.records) - lost) :]
-        self.era += 1
-
-    def apply_delayed_writes(self) -> None:
-        for value, end in self.delayed:
-            if end == len(self.records):
-                self.records.append(value)
-        self.delayed.clear()
-
-    def read(
-        self, topic: fleetlog.Topic, offset: int, wait_s: float
-    ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable:
-        raise AssertionError("claims are not followed")
-
-    def put(
-        self, topic: fleetlog.Topic, key: str, value: bytes
-    ) -> fleetlog.Stored | fleetlog.LogUnavailable:
-        raise AssertionError("a claim is written under a condition")
-
-
 class StoppedClock(_clock.ManualClock):
     """A clock whose monotonic time stops during a suspension."""
 
@@ -99,7 +40,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.log = FakeLog(era=1)
+        self.log = _fakes.FakeLog(era=1)
         self.now = 0.0
         self.clocks = [StoppedClock() for _ in range(HOLDERS)]
         self.eras = [fleetlog.LogEra() for _ in range(HOLDERS)]
@@ -186,7 +127,7 @@
 
     @stateful.rule()
     def late_writes(self) -> None:
-        self.log.apply_delayed_writes()
+        self.log.apply_delayed()
 
     @stateful.invariant()
     def one_holder(self) -> None:
@@ -205,7 +146,7 @@
 
 
 def test_a_record_that_fails_to_decode_counts_as_a_claim() -> None:
-    log = FakeLog()
+    log = _fakes.FakeLog(era=0)
     log.records.append(b"no claim")
     clock = _clock.ManualClock()
     me = duties.ClaimRecord("i1", "1")
@@ -220,7 +161,7 @@
 
 
 def test_the_next_holder_waits_for_the_last_order_and_the_gap() -> None:
-    log = FakeLog()
+    log = _fakes.FakeLog(era=0)
     clock = _clock.ManualClock()
     first, second = (
         duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
@@ -243,7 +184,7 @@
 
     Seen on abastecer-rede, trouble-2.
     """
-    log = FakeLog()
+    log = _fakes.FakeLog(era=0)
     clock = _clock.ManualClock()
     first, second = (
         duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
@@ -283,7 +224,7 @@
 @pytest.mark.parametrize("name", RESTORES)
 def test_claims_of_a_restored_log_begin_anew(name: str) -> None:
     case = RESTORES[name]
-    log = FakeLog(era=1)
+    log = _fakes.FakeLog(era=1)
     clock = _clock.ManualClock()
     eras = [fleetlog.LogEra(), fleetlog.LogEra()]
     first, second = (
@@ -311,7 +252,7 @@
 
 @pytest.mark.parametrize("era", [1, 2])
 def test_a_claim_answered_in_a_newer_era_is_void(era: int) -> None:
-    class Log(FakeLog):
+    class Log(_fakes.FakeLog):
         def put_if_end(
             self, topic: fleetlog.Topic, key: str, value: bytes, end: int
         ) -> fleetlog.Written | fleetlog.EndMismatch | fleetlog.LogUnavailable:
@@ -332,7 +273,7 @@
 ) -> None:
     clock = _clock.ManualClock()
     claims = duties.Claims(
-        FakeLog(era), clock, duties.ClaimRecord("i1", "1"), GAP_S
+        _fakes.FakeLog(era), clock, duties.ClaimRecord("i1", "1"), GAP_S
     )
     assert (claims.acquire() is None) == waits
     clock.advance(10.0)
@@ -340,7 +281,7 @@
 
 
 def test_a_claim_tells_the_next_instance_the_split_of_its_orders() -> None:
-    log = FakeLog()
+    log = _fakes.FakeLog(era=0)
     clock = _clock.ManualClock()
     first, second = (
         duties.Claims(log, clock, duties.ClaimRecord(name, "1"), GAP_S)
@@ -358,7 +299,7 @@
     [b"", b"no claim", b'{"holder": "i1", "start": "1"}', b'{"split": 3}'],
 )
 def test_a_claim_without_a_split_tells_none(record: bytes) -> None:
-    log = FakeLog()
+    log = _fakes.FakeLog(era=0)
     log.records.append(record)
     me = duties.ClaimRecord("i2", "1")
     claims = duties.Claims(log, _clock.ManualClock(), me, GAP_S)
--- a/agatewing/duties/tests/test_usage_counts.py
+++ b/agatewing/duties/tests/test_usage_counts.py
@@ -91,3 +91,4 @@
         time.hear(peer, clock.wall() + offset - 0.5)
     time.update()
     assert time.now() - clock.wall() == pytest.approx(now)
+    assert time.own_error_s == pytest.approx(-now)
--- a/agatewing/duties/tests/test_usage_reports.py
+++ b/agatewing/duties/tests/test_usage_reports.py
@@ -256,16 +256,3 @@
     fleet.log.restore(lost=1)
     fleet.advance(25.0)
     assert max(fleet.reported()) > max(before) + 1
-
-
-def test_a_clock_that_is_off_counts_by_those_of_the_others(
-    fleet: _fakes.Fleet,
-) -> None:
-    clock = _fakes.SteppedClock(fleet.clock.monotonic())
-    time = duties.FleetTime(clock)
-    clock.off_s = 6.0
-    for peer in ("p", "q", "r"):
-        time.hear(peer, fleet.clock.wall())
-    time.update()
-    assert time.now() == pytest.approx(fleet.clock.wall())
-    assert time.own_error_s == pytest.approx(clock.wall() - fleet.clock.wall())
