Plan how many engines of which kind run where, and order them

The plan keeps lasting engines for the urgent requests and spreads reclaimable ones over the zones; one holder at a time orders them.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -13,6 +13,17 @@
 from agatewing.decisions._attempts import Attempts
 from agatewing.decisions._attempts import Failure
 from agatewing.decisions._attempts import NextStep
+from agatewing.decisions._capacity_plan import CapacityPlanner
+from agatewing.decisions._capacity_size import engines_for
+from agatewing.decisions._capacity_size import FleetSize
+from agatewing.decisions._capacity_size import GROW_UTILIZATION
+from agatewing.decisions._capacity_types import CapacityPlan
+from agatewing.decisions._capacity_types import CapacityView
+from agatewing.decisions._capacity_types import EngineKind
+from agatewing.decisions._capacity_types import EngineOrder
+from agatewing.decisions._capacity_types import Place
+from agatewing.decisions._capacity_types import Scaling
+from agatewing.decisions._capacity_types import ZoneEngines
 from agatewing.decisions._costs import fetchable_tokens
 from agatewing.decisions._costs import prefill_cost_tokens
 from agatewing.decisions._costs import prefill_s
--- /dev/null
+++ b/agatewing/decisions/_capacity_size.py
@@ -0,0 +1,180 @@
+"""How many engines the demand for a service asks for."""
+
+import collections
+import dataclasses
+import math
+
+from agatewing.decisions import _decode_plan
+from agatewing.decisions import _role_plan
+
+#: Utilization of the busier role with the planned engines: callers come at
+#: twice their mean for seconds, which has to be borne until more engines
+#: serve.
+ROOM_UTILIZATION = 0.5
+#: Utilization from which more engines are ordered. Between the two, a burst of
+#: a few seconds moves the average of the demand, but not the plan.
+GROW_UTILIZATION = 0.65
+#: Utilization of the lasting engines by urgent requests alone, at which a
+#: prompt waits for about as long as it takes; objectives leave room for that.
+URGENT_UTILIZATION = 0.8
+#: Share of the demand that counts as urgent. Reports of demand do not tell
+#: classes apart.
+URGENT_SHARE = 0.5
+#: Share of the engines that are lasting until the demand is known.
+UNKNOWN_LASTING_SHARE = 1 / 3
+#: Time over which the largest demand counts before fewer engines are planned,
+#: in seconds: a mix of requests turns over within half a minute.
+HOLD_S = 30.0
+#: Time for which the demand must be known before fewer are planned, in
+#: seconds: the average of the demand is complete by then.
+SETTLED_S = 10.0
+#: Largest share of the planned number that a lower one may have.
+SHRINK_SHARE = 0.85
+#: Share of the time in which engines start for which a rise must last.
+RISE_SHARE = 0.5
+#: Least number of engines of each software version: decode engines, so that
+#: the loss of one leaves another, and one that prefills.
+FLOOR = _role_plan.MIN_DECODE_ENGINES + 1
+#: Largest number of engines that is considered.
+MOST = 4_096
+
+
+def engines_for(
+    needs: _decode_plan.RoleNeeds, utilization: float, floor: int
+) -> int:
+    """Return the least number of engines with at most a utilization."""
+    low, high = floor, floor
+    while high < MOST and _utilization(needs, high) > utilization:
+        low, high = high + 1, high * 2
+    while low < high:
+        middle = (low + high) // 2
+        if _utilization(needs, middle) > utilization:
+            low = middle + 1
+        else:
+            high = middle
+    return low
+
+
+def _utilization(needs: _decode_plan.RoleNeeds, engines: int) -> float:
+    split = needs.best_split(engines, _role_plan.MIN_DECODE_ENGINES)
+    return needs.utilization(engines, split)
+
+
+def _urgent(needs: _decode_plan.RoleNeeds) -> _decode_plan.RoleNeeds:
+    """Return the part of the needs that urgent requests cause."""
+    return dataclasses.replace(
+        needs,
+        prefill=needs.prefill * URGENT_SHARE,
+        decode=needs.decode * URGENT_SHARE,
+        either=needs.either * URGENT_SHARE,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSize:
+    """Number of engines of a service."""
+
+    #: Number of all engines.
+    total: int
+    #: Number of those that are lasting.
+    lasting: int
+
+
+class SizePlanner:
+    """Plans the number of engines by the demand, without haste downwards."""
+
+    __slots__ = ("_size", "_known_since", "_rise_since", "_asked")
+
+    def __init__(self, engines: int) -> None:
+        """Begin with a number of engines, for want of knowledge."""
+        lasting = math.ceil(engines * UNKNOWN_LASTING_SHARE)
+        self._size = FleetSize(engines, lasting)
+        # Monotonic times, in seconds, since when the demand is known, and
+        # since when it has asked for more engines.
+        self._known_since: float | None = None
+        self._rise_since: float | None = None
+        # Time, and sizes that the demand asked for.
+        self._asked: collections.deque[tuple[float, FleetSize]] = (
+            collections.deque()
+        )
+
+    @property
+    def size(self) -> FleetSize:
+        """The planned size."""
+        return self._size
+
+    def adopt(self, size: FleetSize) -> None:
+        """Go on with the size that another instance planned."""
+        self._size = size
+
+    def settled(self, now: float) -> bool:
+        """Return whether the demand is known well enough to plan fewer."""
+        known = self._known_since
+        return known is not None and now - known >= SETTLED_S
+
+    def follow(
+        self,
+        needs: _decode_plan.RoleNeeds | None,
+        versions: int,
+        boot_s: float,
+        now: float,
+    ) -> FleetSize:
+        """Return the size at a monotonic time; ``needs`` if they are known.
+
+        Times are in seconds. Where they are not known, the size stays.
+        """
+        if needs is None:
+            self._known_since = self._rise_since = None
+            self._asked.clear()
+            return self._size
+        if self._known_since is None:
+            self._known_since = now
+        floor = FLOOR * max(1, versions)
+        asked = FleetSize(
+            engines_for(needs, ROOM_UTILIZATION, floor),
+            engines_for(_urgent(needs), URGENT_UTILIZATION, floor),
+        )
+        self._asked.append((now, asked))
+        while now - self._asked[0][0] > HOLD_S:
+            self._asked.popleft()
+        self._grow(needs, asked, floor, boot_s, now)
+        if self.settled(now):
+            self._shrink()
+        return self._size
+
+    def _grow(
+        self,
+        needs: _decode_plan.RoleNeeds,
+        asked: FleetSize,
+        floor: int,
+        boot_s: float,
+        now: float,
+    ) -> None:
+        """Plan more engines once a rise has lasted."""
+        size = self._size
+        least = FleetSize(
+            engines_for(needs, GROW_UTILIZATION, floor),
+            math.ceil(asked.lasting * SHRINK_SHARE),
+        )
+        if least.total <= size.total and least.lasting <= size.lasting:
+            self._rise_since = None
+            return
+        if self._rise_since is None:
+            self._rise_since = now
+        if now - self._rise_since < RISE_SHARE * boot_s:
+            return
+        self._size = FleetSize(
+            max(size.total, asked.total), max(size.lasting, asked.lasting)
+        )
+        self._rise_since = None
+
+    def _shrink(self) -> None:
+        """Plan fewer engines where the last half minute needed fewer."""
+        total = max(size.total for _, size in self._asked)
+        lasting = max(size.lasting for _, size in self._asked)
+        size = self._size
+        if total > SHRINK_SHARE * size.total:
+            total = size.total
+        if lasting > SHRINK_SHARE * size.lasting:
+            lasting = size.lasting
+        self._size = FleetSize(total, min(lasting, total))
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -116,6 +116,9 @@
     max_connections: int
     #: Properties of its engines; ``None`` for plain services.
     engines: EngineProperties | None = None
+    #: What operators allow of its number of engines; ``None`` if it is not
+    #: ordered.
+    scaling: decisions.Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,6 +181,16 @@
     #: Version of its software, not of its models' weights; empty if not
     #: announced.
     software: str = ""
+    #: Whether it may be taken away, with all others like it in its zone.
+    reclaimable: bool = False
+    #: Time from the announcement of a draining target until it is gone, in
+    #: seconds; ``None`` if it did not say.
+    leaves_in_s: float | None = None
+
+    @property
+    def active(self) -> bool:
+        """Whether it accepts new requests."""
+        return self.state is _types.TargetState.ACTIVE
 
     @property
     def key(self) -> int:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -1,6 +1,7 @@
 """One gateway instance on a platform, assembled from its components."""
 
 import collections
+import collections.abc
 import dataclasses
 import functools
 import logging
@@ -17,6 +18,7 @@
 from agatewing import duties
 from agatewing import fleetlog
 from agatewing.gateway import _account_use
+from agatewing.gateway import _capacity_view
 from agatewing.gateway import _catalog
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
@@ -28,6 +30,7 @@
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
+from agatewing.gateway import _ranks
 from agatewing.gateway import _role_loop
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
@@ -45,7 +48,9 @@
 MAX_QUEUE = 2_048
 
 #: Settings that take effect without a restart.
-RELOADABLE = frozenset(("retries", "stop_limit_s", "log_level"))
+RELOADABLE = frozenset(
+    ("retries", "stop_limit_s", "log_level", "hold_engines")
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +65,11 @@
     dialect: _ports.Dialect
     #: Path that the balancer requests to check readiness.
     ready_path: str
+    #: Returns what orders engines at an address with the named duties, or
+    #: ``None`` if it takes no such orders.
+    connect_capacity: collections.abc.Callable[
+        [str, tuple[str, ...]], duties.CapacityPort | None
+    ] = lambda address, kinds: None
 
 
 class GatewayInstance:
@@ -169,6 +179,7 @@
         self.metrics = _metrics.Metrics()
         self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
+        self.capacity_loop = self._build_capacity_loop()
         self.role_loop = self._build_role_loop()
         self.server = _server.CallerServer(
             net.split_address(settings.caller_address),
@@ -178,6 +189,8 @@
         self.peers.hop_server = detour.HopServer(
             self.peers.codec, self.server.serve_hops
         )
+        # Whether the numbers of engines stay where they are.
+        self._engines_held = settings.hold_engines
         self._loops: list[gevent.Greenlet] = []
         addresses = (settings.ready_address, settings.metrics_address)
         self._probe_servers = [
@@ -289,15 +302,8 @@
 
     def _build_role_loop(self) -> _role_loop.RoleLoop:
         settings = self.settings
-        own_record = duties.ClaimRecord(
-            settings.instance, f"{self.clock.wall():.3f}"
-        )
-        claims = duties.Claims(
-            self.platform.log,
-            self.clock,
-            own_record,
-            settings.roles.holder_gap_ms / 1_000,
-            self.log_era,
+        claims = self._claims(
+            fleetlog.Topic.ORDERS, settings.roles.holder_gap_ms
         )
         return _role_loop.RoleLoop(
             _role_loop.RoleLoopContext(
@@ -308,15 +314,68 @@
                 claims,
                 settings.instance,
                 self.load_reports.alive,
+                self._view_current,
+                self.load_reports.demand_of,
+                self.capacity_loop.is_changing
+                if self.capacity_loop is not None
+                else lambda service: False,
+            )
+        )
+
+    def _build_capacity_loop(self) -> duties.CapacityLoop | None:
+        """Build what orders engines; ``None`` if the platform takes none."""
+        named = self.settings.duties
+        port = self.platform.connect_capacity(named.address, named.kinds)
+        if port is None:
+            return None
+        claims = self._claims(fleetlog.Topic.CAPACITY, named.holder_gap_ms)
+        return duties.CapacityLoop(
+            duties.CapacityContext(
+                self.clock,
+                port,
+                claims,
+                self.settings.instance,
+                lambda: _ranks.rank(
+                    self.settings.instance, self.load_reports.alive()
+                ),
+                # An instance that hears of no other knows no demand.
                 lambda: (
-                    not self.catalog.log_unavailable
-                    and self.lifecycle.ready
-                    and self.peers.listed
+                    self._view_current()
+                    and (
+                        not self.peers.known or bool(self.load_reports.alive())
+                    )
                 ),
-                self.load_reports.demand_of,
+                lambda: _capacity_view.capacity_views(
+                    list(self.registry.pools.values()),
+                    self.load_reports.demand_of,
+                ),
+                lambda: self._engines_held,
+                named.calls_per_s,
             )
         )
 
+    def _claims(self, topic: fleetlog.Topic, gap_ms: float) -> duties.Claims:
+        """Return what acquires the right to act for a topic's subject."""
+        own_record = duties.ClaimRecord(
+            self.settings.instance, f"{self.clock.wall():.3f}"
+        )
+        return duties.Claims(
+            self.platform.log,
+            self.clock,
+            own_record,
+            gap_ms / 1_000,
+            self.log_era,
+            topic,
+        )
+
+    def _view_current(self) -> bool:
+        """Return whether the instance's view of the engines is current."""
+        return (
+            not self.catalog.log_unavailable
+            and self.lifecycle.ready
+            and self.peers.listed
+        )
+
     def _apply_changes(self) -> None:
         """Apply a change of configuration, targets or instances."""
         configuration = self.catalog.configuration
@@ -368,6 +427,8 @@
         self._loops.append(gevent.spawn(self._run_records))
         if self.settings.roles.follow_demand:
             self._loops.append(gevent.spawn(self.role_loop.run))
+        if self.capacity_loop is not None:
+            self._loops.append(gevent.spawn(self.capacity_loop.run))
         _log.info(
             "instance: started",
             extra={"address": self.settings.caller_address},
@@ -400,6 +461,7 @@
             settings.retries.window_s,
         )
         self.lifecycle.stop_limit_s = settings.stop_limit_s
+        self._engines_held = settings.hold_engines
         logging.getLogger().setLevel(settings.log_level)
         fixed = [
             name
@@ -712,6 +774,8 @@
             "Orders to engines to take a role",
             self.role_loop.orders,
         )
+        if self.capacity_loop is not None:
+            self.capacity_loop.collect(metrics)
         metrics.counter(
             "agatewing_connections_opened_total",
             "Connections opened to targets that are known now",
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -96,6 +96,8 @@
     demand_of: collections.abc.Callable[
         [_target_registry.Pool], decisions.StreamDemand | None
     ]
+    #: Returns whether engines of a service come or leave within seconds.
+    is_changing: collections.abc.Callable[[str], bool] = lambda service: False
 
 
 class RoleLoop:
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -136,6 +136,9 @@
     roles: Roles = Roles()
     # Calls to the platform that one instance makes for all.
     duties: Duties = Duties()
+    # Whether numbers of engines stay where they are, for the time of an
+    # intervention.
+    hold_engines: bool = False
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -82,6 +82,10 @@
 PREFILL = "prefill"
 DECODE = "decode"
 
+#: Duty to order numbers of engines, as the settings name it, and its path.
+DUTY_CAPACITY = "autoscale"
+CAPACITY_PATH = "/scale"
+
 #: Values of the field ``state`` of a target's entry.
 READY = "ready"
 DRAINING = "draining"
--- a/agatewing/platform/_records.py
+++ b/agatewing/platform/_records.py
@@ -11,6 +11,7 @@
 from agatewing import _decoding
 from agatewing import _types
 from agatewing import accounts
+from agatewing import decisions
 from agatewing import gateway
 from agatewing.platform import _names
 
@@ -22,6 +23,8 @@
 MAX_NAME_LENGTH = 255
 #: Largest number of requests that a target may process at once.
 MAX_SLOTS = 1_000_000
+#: Largest number of engines in one zone.
+MAX_ENGINES = 10_000
 #: Largest sequence number, as messages between instances have 64 bits.
 MAX_SEQUENCE = 2**63 - 1
 #: Longest time for which a target may stay slow after its start: one day, in
@@ -81,11 +84,24 @@
     link_mbps: float
 
 
+class _Scaling(msgspec.Struct, frozen=True):
+    # Bounds of the number of engines in a zone, of both kinds together.
+    min: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ENGINES)]
+    max: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ENGINES)]
+    # Time from an order until new engines serve, in seconds.
+    boot_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 0
+    # Price of an engine that may be reclaimed, in prices of the others.
+    spot_price: float | None = None
+    # Price of an engine by zone.
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct, frozen=True):
     name: str
     # Limit of connections that one target accepts.
     max_conns: int = 64
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -130,6 +146,12 @@
     born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
     # Version of the target's software, not of the entry.
     version: _Name = ""
+    # Whether the target may be reclaimed.
+    spot: bool = False
+    # Time until a draining target is gone, in milliseconds.
+    leaves_ms: (
+        typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] | None
+    ) = None
 
 
 class RecordDecoder:
@@ -213,6 +235,8 @@
             raw.born,
             raw.seq,
             raw.version,
+            raw.spot,
+            None if raw.leaves_ms is None else raw.leaves_ms / 1_000,
         )
 
 
@@ -302,7 +326,20 @@
             engine.token_kv_bytes,
             engine.link_mbps * 1e6 / BITS_PER_BYTE,
         )
-    return gateway.Service(raw.name, raw.max_conns, engine_properties)
+    return gateway.Service(
+        raw.name,
+        raw.max_conns,
+        engine_properties,
+        _convert_scaling(raw.scaling),
+    )
+
+
+def _convert_scaling(raw: _Scaling | None) -> decisions.Scaling | None:
+    if raw is None:
+        return None
+    return decisions.Scaling(
+        raw.min, raw.max, raw.boot_s, raw.spot_price, dict(raw.zone_prices)
+    )
 
 
 def _is_address(address: str) -> bool:
