Keep roles while ordered engines come or leave

A number of engines that holds for seconds had the roles of others changed at once, and changed back later. A new split by demand does not wait.

--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -105,12 +105,12 @@
         self._barren_until[order.place] = now + BARREN_STARTS * boot_s
         self._given.pop(order.place, None)
 
-    def coming(self, view: _View, now: float) -> int:
-        """Return how many ordered engines are still to come."""
-        return sum(
-            self._coming(view, _Place(zone, kind), now)
-            for zone in view.zones
-            for kind in _capacity_types.EngineKind
+    def is_changing(self, view: _View, now: float) -> bool:
+        """Return whether ordered engines are still to come or to leave."""
+        late_s = view.scaling.boot_s + LATE_S
+        return any(
+            given.count != _active(view, place) and now - given.at < late_s
+            for place, given in self._given.items()
         )
 
     def plan(self, view: _View, now: float) -> _capacity_types.CapacityPlan:
@@ -180,14 +180,6 @@
                 self._barren_until[place] = now + boots_s
                 del self._given[place]
 
-    def _coming(self, view: _View, place: _Place, now: float) -> int:
-        """Return how many engines ordered for a place are still to come."""
-        given = self._given.get(place)
-        late_s = view.scaling.boot_s + LATE_S
-        if given is None or now - given.at >= late_s:
-            return 0
-        return max(0, given.count - _active(view, place))
-
     def _is_barren(self, place: _Place, now: float) -> bool:
         return now < self._barren_until.get(place, float("-inf"))
 
--- a/agatewing/duties/_capacity_loop.py
+++ b/agatewing/duties/_capacity_loop.py
@@ -141,10 +141,7 @@
         planner = self._planners.get(service)
         if view is None or planner is None:
             return False
-        if any(zone.leaving for zone in view.zones.values()):
-            return True
-        now = self._context.clock.monotonic()
-        return planner.coming(view, now) > 0
+        return planner.is_changing(view, self._context.clock.monotonic())
 
     def collect(self, metrics: _metrics.Metrics) -> None:
         """Set the metrics of wanted, present and reclaimed engines."""
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -113,6 +113,7 @@
         "_planned_moves",
         "_planners",
         "_adopted_split",
+        "_held_share",
         "orders",
         "decode_planned",
     )
@@ -124,6 +125,8 @@
         self._planners: dict[str, decisions.DecodePlanner] = {}
         # Split of the last claim of another instance, by service.
         self._adopted_split: dict[str, float] = {}
+        # Planned split when the number of engines began to change, by pool.
+        self._held_share: dict[str, float] = {}
         #: Number of engines that are to decode, by pool.
         self.decode_planned: dict[str, int] = {}
         #: Number of orders that were answered.
@@ -201,9 +204,31 @@
             names, roles, since, joined_at, wanted
         )
         settled = now - joined_at >= SETTLE_S
+        if self._awaits_engines(pool, engines):
+            return
         if moves and settled and now - since >= _required_age_s(moves, rank):
             self._order(pool, moves)
 
+    def _awaits_engines(
+        self,
+        pool: _target_registry.Pool,
+        engines: list[decisions.RolePlanEngine],
+    ) -> bool:
+        """Return whether roles wait until ordered engines came or left.
+
+        Moves for a number of engines that holds for seconds would have to be
+        undone. Those for a new split by demand do not wait.
+        """
+        if not self._context.is_changing(pool.name):
+            self._held_share.pop(pool.name, None)
+            return False
+        share = self._planner_of(pool.name).share
+        if share != self._held_share.setdefault(pool.name, share):
+            return False
+        decode = sum(e.role is _types.Role.DECODE for e in engines)
+        enough = decode >= decisions.MIN_DECODE_ENGINES
+        return enough and decode < len(engines)
+
     def _plan_decode_engines(
         self,
         pool: _target_registry.Pool,
--- a/agatewing/gateway/tests/test_role_loop.py
+++ b/agatewing/gateway/tests/test_role_loop.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -108,6 +109,7 @@
     has_demand: collections.abc.Callable[[], bool] = lambda: True,
     granted: Claims | None = None,
     peers: collections.abc.Iterable[str] = (),
+    is_changing: collections.abc.Callable[[str], bool] = lambda service: False,
 ) -> _role_loop.RoleLoop:
     dialect: typing.Any = Dialect()
     claims: typing.Any = granted or Claims({})
@@ -122,6 +124,7 @@
             lambda: peers,
             view_current,
             lambda pool: LONG_PROMPTS if has_demand() else None,
+            is_changing,
         )
     )
 
@@ -214,3 +217,28 @@
     run(clock, loop, registry, 30.0)
     assert not sender.ordered
     assert loop.decode_planned == {"chat": 2}
+
+
+def test_roles_wait_for_ordered_engines_but_not_with_a_new_split(
+    clock: _clock.ManualClock,
+    registry: _target_registry.TargetRegistry,
+) -> None:
+    """Two engines came that decode; others were ordered away."""
+    for name in ("e4", "e5"):
+        tracked = registry.by_id[name]
+        decode = _types.Role.DECODE
+        tracked.update(dataclasses.replace(tracked.target, role=decode))
+    sender = Sender()
+    asked: list[bool] = []
+    loop = loop_of(
+        clock,
+        registry,
+        sender,
+        has_demand=lambda: bool(asked),
+        is_changing=lambda service: True,
+    )
+    run(clock, loop, registry, 5.0)
+    assert not sender.ordered
+    asked.append(True)
+    run(clock, loop, registry, 10.0)
+    assert sender.ordered
