--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -16,9 +16,9 @@
 #: Time without any demand from which a service is idle, in seconds; where it
 #: has callers, all instances hear of a request within a second.
 IDLE_S = 2.0
-#: Time from the first plan within which entries of engines may still come, in
-#: seconds: a heartbeat of 1.2 s, and the delay of the log.
-ORIENT_S = 1.5
+#: Time without another engine after which all count as known, in seconds: two
+#: heartbeats of 1.2 s.
+ORIENT_S = 2.4
 #: Time beyond that of a start after which ordered engines are overdue, in
 #: seconds: two heartbeats of 1.2 s and the delays of order and log.
 LATE_S = 4.0
@@ -65,8 +65,8 @@
 
     def __init__(self) -> None:
         self._sizes: _capacity_size.SizePlanner | None = None
-        # Monotonic times, in seconds, of the first plan, and since when there
-        # is no demand.
+        # Monotonic times, in seconds, at which the last engine was found that
+        # had not been ordered, and since when there is no demand.
         self._began_at = float("inf")
         self._idle_since: float | None = None
         # Size that another instance planned.
@@ -105,14 +105,6 @@
         self._barren_until[order.place] = now + BARREN_STARTS * boot_s
         self._given.pop(order.place, None)
 
-    def is_changing(self, view: _View, now: float) -> bool:
-        """Return whether ordered engines are still to come or to leave."""
-        late_s = view.scaling.boot_s + LATE_S
-        return any(
-            given.count != _active(view, place) and now - given.at < late_s
-            for place, given in self._given.items()
-        )
-
     def plan(self, view: _View, now: float) -> _capacity_types.CapacityPlan:
         """Return what is wanted and due at a monotonic time, in seconds."""
         sizes = self._orient(view, now)
@@ -131,17 +123,32 @@
         return _capacity_types.CapacityPlan(wanted, tuple(orders))
 
     def _orient(self, view: _View, now: float) -> _capacity_size.SizePlanner:
-        """Return the planner of the size; it begins with what there is."""
+        """Return the planner of the size; it begins with what there is.
+
+        Engines that were not ordered by this plan count until the demand is
+        known well: entries come one after the other when all begin.
+        """
+        present = self._not_ordered(view)
         if self._sizes is None:
-            self._sizes = _capacity_size.SizePlanner(view.active)
+            self._sizes = _capacity_size.SizePlanner(present)
             self._began_at = now
             if self._adopted is not None:
                 self._sizes.adopt(self._adopted)
-        elif now - self._began_at < ORIENT_S and self._adopted is None:
-            if view.active > self._sizes.size.total:
-                self._sizes = _capacity_size.SizePlanner(view.active)
+        elif self._adopted is None and not self._sizes.settled(now):
+            if self._sizes.raise_to(present):
+                self._began_at = now
         return self._sizes
 
+    def _not_ordered(self, view: _View) -> int:
+        """Return the number of engines without those that were ordered."""
+        ordered = sum(
+            given.count
+            for place, given in self._given.items()
+            if place.kind is _RECLAIMABLE
+        )
+        lasting = sum(zone.lasting for zone in view.zones.values())
+        return lasting + max(0, view.active - lasting - ordered)
+
     def _is_idle(self, view: _View, now: float) -> bool:
         """Return whether there is certainly no demand.
 
--- a/agatewing/decisions/_capacity_size.py
+++ b/agatewing/decisions/_capacity_size.py
@@ -107,6 +107,15 @@
         """Go on with the size that another instance planned."""
         self._size = size
 
+    def raise_to(self, engines: int) -> bool:
+        """Plan at least as many engines; return whether that are more."""
+        size = self._size
+        if engines <= size.total:
+            return False
+        lasting = math.ceil(engines * UNKNOWN_LASTING_SHARE)
+        self._size = FleetSize(engines, max(size.lasting, lasting))
+        return True
+
     def settled(self, now: float) -> bool:
         """Return whether the demand is known well enough to plan fewer."""
         known = self._known_since
--- a/agatewing/decisions/_capacity_types.py
+++ b/agatewing/decisions/_capacity_types.py
@@ -116,3 +116,10 @@
     wanted: collections.abc.Mapping[Place, int]
     #: Orders that are due now.
     orders: tuple[EngineOrder, ...] = ()
+
+    def fits(self, view: CapacityView) -> bool:
+        """Return whether the engines are those that are wanted."""
+        return all(
+            view.zones[place.zone].active(place.kind) == count
+            for place, count in self.wanted.items()
+        )
--- a/agatewing/decisions/tests/test_capacity_plan.py
+++ b/agatewing/decisions/tests/test_capacity_plan.py
@@ -163,6 +163,17 @@
     assert site.count(LASTING) == 10
 
 
+def test_engines_that_are_found_one_after_the_other_all_count() -> None:
+    site = Site(lambda now: None, lasting=1)
+    for second in range(8):
+        site.run(second)
+        for zone in ZONES:
+            site.active[decisions.Place(zone, LASTING)] += 1
+    assert not site.orders
+    site.run(40)
+    assert site.total == 27
+
+
 def test_kinds_are_not_exchanged_before_the_demand_is_known_well() -> None:
     assert not Site(lambda now: 8.0).run(9.5).orders
 
--- a/agatewing/duties/_capacity_loop.py
+++ b/agatewing/duties/_capacity_loop.py
@@ -33,6 +33,9 @@
 #: First and longest pause after a call that was not taken, in seconds.
 FIRST_PAUSE_S = 1.0
 LONGEST_PAUSE_S = 8.0
+#: Longest time for which engines that come or leave keep roles as they are, in
+#: seconds: a start and the departure of others.
+CHANGE_LIMIT_S = 10.0
 #: Figures in the record of a claim, behind the name of the service.
 TOTAL = " total"
 LASTING = " lasting"
@@ -77,6 +80,7 @@
         "_wanted",
         "_reclaims",
         "_was_leaving",
+        "_differs_since",
         "outcomes",
     )
 
@@ -100,6 +104,9 @@
             collections.Counter()
         )
         self._was_leaving: dict[tuple[str, str], int] = {}
+        # Monotonic time, in seconds, since when the engines are not those that
+        # are wanted, by service.
+        self._differs_since: dict[str, float] = {}
         #: Number of orders by their outcome.
         self.outcomes: collections.Counter[str] = collections.Counter()
 
@@ -120,6 +127,7 @@
         if rank >= ORDERING_INSTANCES:
             self._planners.clear()
             self._wanted.clear()
+            self._differs_since.clear()
             self._due_since = None
             return
         context.claims.prepare()
@@ -136,12 +144,14 @@
         self._send(orders)
 
     def is_changing(self, service: str) -> bool:
-        """Return whether engines of a service come or leave soon."""
-        view = self._views.get(service)
-        planner = self._planners.get(service)
-        if view is None or planner is None:
-            return False
-        return planner.is_changing(view, self._context.clock.monotonic())
+        """Return whether engines of a service come or leave soon.
+
+        As the plan has it, also where another instance sends the orders; for
+        ``CHANGE_LIMIT_S`` at most.
+        """
+        since = self._differs_since.get(service)
+        now = self._context.clock.monotonic()
+        return since is not None and now - since < CHANGE_LIMIT_S
 
     def collect(self, metrics: _metrics.Metrics) -> None:
         """Set the metrics of wanted, present and reclaimed engines."""
@@ -199,6 +209,10 @@
                 _adopt(planner, view.service, adopted)
             plan = planner.plan(view, now)
             self._wanted[view.service] = plan.wanted
+            if plan.fits(view):
+                self._differs_since.pop(view.service, None)
+            else:
+                self._differs_since.setdefault(view.service, now)
             orders.extend(plan.orders)
         return orders
 
