--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -1,7 +1,6 @@
 """One gateway instance on a platform, assembled from its components."""
 
 import collections
-import collections.abc
 import dataclasses
 import functools
 import logging
@@ -18,7 +17,7 @@
 from agatewing import duties
 from agatewing import fleetlog
 from agatewing.gateway import _account_use
-from agatewing.gateway import _capacity_view
+from agatewing.gateway import _capacity_parts
 from agatewing.gateway import _catalog
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
@@ -30,7 +29,6 @@
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
-from agatewing.gateway import _ranks
 from agatewing.gateway import _role_loop
 from agatewing.gateway import _sender
 from agatewing.gateway import _server
@@ -38,6 +36,7 @@
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
 from agatewing.gateway import _target_registry
+from agatewing.gateway import _usage_parts
 from agatewing import net
 from agatewing import wire
 
@@ -65,11 +64,12 @@
     dialect: _ports.Dialect
     #: Path that the balancer requests to check readiness.
     ready_path: str
-    #: Returns what orders engines at an address with the named duties, or
-    #: ``None`` if it takes no such orders.
-    connect_capacity: collections.abc.Callable[
-        [str, tuple[str, ...]], duties.CapacityPort | None
-    ] = lambda address, kinds: None
+    #: Address for duties; ``None`` if the platform has none.
+    duty_port: duties.DutyPort | None = None
+    #: Duties that the system has.
+    duty_kinds: frozenset[duties.Duty] = frozenset()
+    #: What orders engines; ``None`` if the platform takes no such orders.
+    capacity_port: duties.CapacityPort | None = None
 
 
 class GatewayInstance:
@@ -181,6 +181,7 @@
         self.handler_context = self._build_handler_context(rng, index)
         self.capacity_loop = self._build_capacity_loop()
         self.role_loop = self._build_role_loop()
+        self.usage = self._build_usage()
         self.server = _server.CallerServer(
             net.split_address(settings.caller_address),
             self.handler_context,
@@ -302,8 +303,15 @@
 
     def _build_role_loop(self) -> _role_loop.RoleLoop:
         settings = self.settings
-        claims = self._claims(
-            fleetlog.Topic.ORDERS, settings.roles.holder_gap_ms
+        own_record = duties.ClaimRecord(
+            settings.instance, f"{self.clock.wall():.3f}"
+        )
+        claims = duties.Claims(
+            self.platform.log,
+            self.clock,
+            own_record,
+            settings.roles.holder_gap_ms / 1_000,
+            self.log_era,
         )
         return _role_loop.RoleLoop(
             _role_loop.RoleLoopContext(
@@ -323,53 +331,41 @@
         )
 
     def _build_capacity_loop(self) -> duties.CapacityLoop | None:
-        """Build what orders engines; ``None`` if the platform takes none."""
-        named = self.settings.duties
-        port = self.platform.connect_capacity(named.address, named.kinds)
-        if port is None:
+        """Return what orders engines; ``None`` if the platform takes none."""
+        if self.platform.capacity_port is None:
             return None
-        claims = self._claims(fleetlog.Topic.CAPACITY, named.holder_gap_ms)
-        return duties.CapacityLoop(
-            duties.CapacityContext(
-                self.clock,
-                port,
-                claims,
-                self.settings.instance,
-                lambda: _ranks.rank(
-                    self.settings.instance, self.load_reports.alive()
-                ),
-                # An instance that hears of no other knows no demand.
-                lambda: (
-                    self._view_current()
-                    and (
-                        not self.peers.known or bool(self.load_reports.alive())
-                    )
-                ),
-                lambda: _capacity_view.capacity_views(
-                    list(self.registry.pools.values()),
-                    self.load_reports.demand_of,
-                ),
-                lambda: self._engines_held,
-                named.calls_per_s,
-            )
+        return _capacity_parts.build(
+            self.settings,
+            self.clock,
+            self.platform.log,
+            self.log_era,
+            self.platform.capacity_port,
+            self.peers,
+            self.load_reports,
+            self.registry,
+            self._view_current,
+            lambda: self._engines_held,
         )
 
-    def _claims(self, topic: fleetlog.Topic, gap_ms: float) -> duties.Claims:
-        """Return what acquires the right to act for a topic's subject."""
-        own_record = duties.ClaimRecord(
-            self.settings.instance, f"{self.clock.wall():.3f}"
-        )
-        return duties.Claims(
-            self.platform.log,
+    def _build_usage(self) -> duties.UsageReports | None:
+        """Return what reports usage; ``None`` if the platform wants none."""
+        port = self.platform.duty_port
+        if port is None or duties.Duty.USAGE not in self.platform.duty_kinds:
+            return None
+        return _usage_parts.build(
+            self.settings,
             self.clock,
-            own_record,
-            gap_ms / 1_000,
+            self.platform.log,
             self.log_era,
-            topic,
+            port,
+            self.peers,
+            self.load_reports,
+            self.account_use,
+            self._view_current,
         )
 
     def _view_current(self) -> bool:
-        """Return whether the instance's view of the engines is current."""
+        """Return whether this instance serves and reads the log."""
         return (
             not self.catalog.log_unavailable
             and self.lifecycle.ready
@@ -429,6 +425,9 @@
             self._loops.append(gevent.spawn(self.role_loop.run))
         if self.capacity_loop is not None:
             self._loops.append(gevent.spawn(self.capacity_loop.run))
+        if self.usage is not None:
+            self._loops.append(gevent.spawn(self.usage.push_forever))
+            self._loops.append(gevent.spawn(self.usage.run))
         _log.info(
             "instance: started",
             extra={"address": self.settings.caller_address},
@@ -478,6 +477,8 @@
         """Drain and stop; return whether every answer was finished."""
         _log.info("instance: stopping", extra={"under_way": self._in_flight})
         given_up = _server.drain(self.clock, self.server, self.lifecycle)
+        if self.usage is not None:
+            self.usage.push()
         _log.info("instance: stopped", extra={"cut_off": given_up})
         return given_up == 0
 
@@ -571,6 +572,8 @@
             "Requests refused as they bear no key of an account",
             self.account_use.rejected,
         )
+        if self.usage is not None:
+            self.usage.collect(metrics)
         metrics.counter(
             "agatewing_sends_total",
             "Requests sent to targets",
--- a/agatewing/platform/_capacity_calls.py
+++ b/agatewing/platform/_capacity_calls.py
@@ -39,6 +39,7 @@
             connections=1,
             body_timeout_s=duties.ORDER_TIMEOUT_S,
             max_answer_bytes=MAX_ANSWER_BYTES,
+            reset=True,
         )
 
     def order_engines(
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -82,8 +82,7 @@
 PREFILL = "prefill"
 DECODE = "decode"
 
-#: Duty to order numbers of engines, as the settings name it, and its path.
-DUTY_CAPACITY = "autoscale"
+#: Path of orders for numbers of engines.
 CAPACITY_PATH = "/scale"
 
 #: Values of the field ``state`` of a target's entry.
@@ -113,3 +112,8 @@
 TOPIC_STREAMS = "keyed.streams"
 #: Key of the configuration in TOPIC_CONFIGURATION.
 CONFIGURATION_KEY = "config"
+
+#: Duties, as the settings name them, and the path of reports of usage.
+DUTY_USAGE = "usage_report"
+DUTY_CAPACITY = "autoscale"
+USAGE_PATH = "/usage"
--- a/agatewing/platform/tests/test_capacity_calls.py
+++ b/agatewing/platform/tests/test_capacity_calls.py
@@ -121,6 +121,5 @@
 def test_engines_are_ordered_only_where_the_settings_say_so(
     address: str, kinds: tuple[str, ...], connected: bool
 ) -> None:
-    adapter = platform.connect("10.0.0.2:80")
-    port = adapter.connect_capacity(address, kinds)
-    assert (port is not None) == connected
+    adapter = platform.connect("10.0.0.2:80", address, kinds)
+    assert (adapter.capacity_port is not None) == connected
