--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -27,9 +27,9 @@
 #: Time for which nothing is ordered in a barren zone, in starts of an engine:
 #: the next look should not cost more than a start elsewhere.
 BARREN_STARTS = 2.5
-#: Least time between two orders of fewer engines, in seconds: the streams of
-#: the first ones have gone on elsewhere by then.
-FEWER_PERIOD_S = 2.0
+#: Least time between two orders of fewer engines, in seconds: the entries of
+#: the first ones show that they leave.
+FEWER_PERIOD_S = 1.0
 
 _LASTING = _capacity_types.EngineKind.LASTING
 _RECLAIMABLE = _capacity_types.EngineKind.RECLAIMABLE
