Change roles for the demand only where numbers of engines are ordered

Lasting engines now are those that are needed if two zones are reclaimed: 20 of 62 were more than half of the price. Reclaimable ones are ordered as soon as an engine is found.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -17,6 +17,7 @@
 from agatewing.decisions._capacity_size import engines_for
 from agatewing.decisions._capacity_size import FleetSize
 from agatewing.decisions._capacity_size import GROW_UTILIZATION
+from agatewing.decisions._capacity_size import lasting_for
 from agatewing.decisions._capacity_types import CapacityPlan
 from agatewing.decisions._capacity_types import CapacityView
 from agatewing.decisions._capacity_types import EngineKind
--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -114,11 +114,15 @@
             view.needs, view.versions, view.scaling.boot_s, now
         )
         may_exchange = self._is_idle(view, now) or sizes.settled(now)
-        if now - self._began_at < ORIENT_S:
-            return _capacity_types.CapacityPlan({})
         wanted = self._wanted(view, size, may_exchange, now)
-        orders = self._more(view, wanted, now)
-        if not orders and may_exchange:
+        oriented = now - self._began_at >= ORIENT_S
+        orders = [
+            order
+            for order in self._more(view, wanted, now)
+            # Others that are lasting may be there and not be known yet.
+            if oriented or order.place.kind is _RECLAIMABLE
+        ]
+        if not orders and may_exchange and oriented:
             orders = self._fewer(view, wanted, size.total, now)
         return _capacity_types.CapacityPlan(wanted, tuple(orders))
 
@@ -130,7 +134,7 @@
         """
         present = self._not_ordered(view)
         if self._sizes is None:
-            self._sizes = _capacity_size.SizePlanner(present)
+            self._sizes = _capacity_size.SizePlanner(present, len(view.zones))
             self._began_at = now
             if self._adopted is not None:
                 self._sizes.adopt(self._adopted)
--- a/agatewing/decisions/_capacity_size.py
+++ b/agatewing/decisions/_capacity_size.py
@@ -14,14 +14,15 @@
 #: Utilization from which more engines are ordered. Between the two, a burst of
 #: a few seconds moves the average of the demand, but not the plan.
 GROW_UTILIZATION = 0.65
-#: Utilization of the lasting engines by urgent requests alone, at which a
+#: Utilization by urgent requests alone of what two zones leave, at which a
 #: prompt waits for about as long as it takes; objectives leave room for that.
 URGENT_UTILIZATION = 0.8
+#: Number of zones whose reclaimable engines may be taken away before others
+#: serve: a second one within the time of a start, or none to be had at once.
+LOST_ZONES = 2
 #: Share of the demand that counts as urgent. Reports of demand do not tell
 #: classes apart.
 URGENT_SHARE = 0.5
-#: Share of the engines that are lasting until the demand is known.
-UNKNOWN_LASTING_SHARE = 1 / 3
 #: Time over which the largest demand counts before fewer engines are planned,
 #: in seconds: a mix of requests turns over within half a minute.
 HOLD_S = 30.0
@@ -80,15 +81,29 @@
     lasting: int
 
 
+def lasting_for(total: int, urgent: int, zones: int, floor: int) -> int:
+    """Return how many of ``total`` engines have to be lasting.
+
+    So that ``urgent`` ones are left when the reclaimable engines of
+    ``LOST_ZONES`` of ``zones`` are taken away.
+    """
+    kept = max(0, zones - LOST_ZONES) / max(1, zones)
+    lasting = math.ceil((urgent - kept * total) / (1 - kept))
+    return min(total, max(floor, lasting))
+
+
 class SizePlanner:
     """Plans the number of engines by the demand, without haste downwards."""
 
-    __slots__ = ("_size", "_known_since", "_rise_since", "_asked")
+    __slots__ = ("_size", "_zones", "_known_since", "_rise_since", "_asked")
 
-    def __init__(self, engines: int) -> None:
-        """Begin with a number of engines, for want of knowledge."""
-        lasting = math.ceil(engines * UNKNOWN_LASTING_SHARE)
-        self._size = FleetSize(engines, lasting)
+    def __init__(self, engines: int, zones: int) -> None:
+        """Begin with a number of engines in a number of zones.
+
+        For want of knowledge, all of them count as needed.
+        """
+        self._zones = zones
+        self._size = FleetSize(0, 0)
         # Monotonic times, in seconds, since when the demand is known, and
         # since when it has asked for more engines.
         self._known_since: float | None = None
@@ -97,6 +112,7 @@
         self._asked: collections.deque[tuple[float, FleetSize]] = (
             collections.deque()
         )
+        self.raise_to(engines)
 
     @property
     def size(self) -> FleetSize:
@@ -112,7 +128,8 @@
         size = self._size
         if engines <= size.total:
             return False
-        lasting = math.ceil(engines * UNKNOWN_LASTING_SHARE)
+        urgent = math.ceil(URGENT_SHARE * engines)
+        lasting = lasting_for(engines, urgent, self._zones, FLOOR)
         self._size = FleetSize(engines, max(size.lasting, lasting))
         return True
 
@@ -139,9 +156,10 @@
         if self._known_since is None:
             self._known_since = now
         floor = FLOOR * max(1, versions)
+        total = engines_for(needs, ROOM_UTILIZATION, floor)
+        urgent = engines_for(_urgent(needs), URGENT_UTILIZATION, floor)
         asked = FleetSize(
-            engines_for(needs, ROOM_UTILIZATION, floor),
-            engines_for(_urgent(needs), URGENT_UTILIZATION, floor),
+            total, lasting_for(total, urgent, self._zones, floor)
         )
         self._asked.append((now, asked))
         while now - self._asked[0][0] > HOLD_S:
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -113,7 +113,7 @@
         "_planned_moves",
         "_planners",
         "_adopted_split",
-        "_held_share",
+        "_decided_at",
         "orders",
         "decode_planned",
     )
@@ -125,8 +125,8 @@
         self._planners: dict[str, decisions.DecodePlanner] = {}
         # Split of the last claim of another instance, by service.
         self._adopted_split: dict[str, float] = {}
-        # Planned split when the number of engines began to change, by pool.
-        self._held_share: dict[str, float] = {}
+        # Monotonic time of the last new split by demand, in seconds, by pool.
+        self._decided_at: dict[str, float] = {}
         #: Number of engines that are to decode, by pool.
         self.decode_planned: dict[str, int] = {}
         #: Number of orders that were answered.
@@ -153,6 +153,7 @@
             self._adopt_split()
         for pool in list(self._context.registry.pools.values()):
             engines = self._engines(pool)
+            self._keep_present_split(pool, engines, now)
             wanted = self._plan_decode_engines(pool, engines, now)
             if may_order:
                 self._check_pool(pool, engines, wanted, rank, now)
@@ -204,30 +205,44 @@
             names, roles, since, joined_at, wanted
         )
         settled = now - joined_at >= SETTLE_S
-        if self._awaits_engines(pool, engines):
+        if (
+            self._context.is_changing(pool.name)
+            and not self._decided_lately(pool, now)
+            and _has_both_roles(engines)
+        ):
+            # Moves for a number that holds for seconds would be undone.
             return
         if moves and settled and now - since >= _required_age_s(moves, rank):
             self._order(pool, moves)
 
-    def _awaits_engines(
+    def _keep_present_split(
         self,
         pool: _target_registry.Pool,
         engines: list[decisions.RolePlanEngine],
-    ) -> bool:
-        """Return whether roles wait until ordered engines came or left.
+        now: float,
+    ) -> None:
+        """Have the planner go on with the split that came about.
 
-        Moves for a number of engines that holds for seconds would have to be
-        undone. Those for a new split by demand do not wait.
+        Where the number of engines is ordered, they come with any role and
+        leave with any. Each change of a role has callers refused, so only the
+        demand for one is a reason. Without demand, the planned split holds.
         """
-        if not self._context.is_changing(pool.name):
-            self._held_share.pop(pool.name, None)
-            return False
-        share = self._planner_of(pool.name).share
-        if share != self._held_share.setdefault(pool.name, share):
-            return False
+        if pool.service.scaling is None or self._decided_lately(pool, now):
+            return
+        if self._context.demand_of(pool) is None:
+            return
+        if not _has_both_roles(engines):
+            return
+        count = len(engines)
         decode = sum(e.role is _types.Role.DECODE for e in engines)
-        enough = decode >= decisions.MIN_DECODE_ENGINES
-        return enough and decode < len(engines)
+        planner = self._planner_of(pool.name)
+        if decode != int(count * planner.share + 0.5):
+            planner.adopt(decode / count)
+
+    def _decided_lately(self, pool: _target_registry.Pool, now: float) -> bool:
+        """Return whether orders for a new split may still be due."""
+        decided_at = self._decided_at.get(pool.name, float("-inf"))
+        return now - decided_at < ORDER_PENDING_S
 
     def _plan_decode_engines(
         self,
@@ -247,6 +262,7 @@
             bounds = decisions.FULL_VIEW_BOUNDS
         decision = planner.plan(len(engines), needs, now, bounds)
         if isinstance(decision, decisions.ChangeSplit):
+            self._decided_at[pool.name] = now
             _log.info(
                 "orders: split of the engines changed",
                 extra={
@@ -384,3 +400,8 @@
     adds_decode = moves[0].role is _types.Role.DECODE
     base = DECODE_SHORTAGE_S if adds_decode else SETTLE_S
     return base + NEXT_RANK_DELAY_S * rank
+
+
+def _has_both_roles(engines: list[decisions.RolePlanEngine]) -> bool:
+    decode = sum(e.role is _types.Role.DECODE for e in engines)
+    return decisions.MIN_DECODE_ENGINES <= decode < len(engines)
