--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -46,7 +46,7 @@
     count: int
     #: Monotonic time, in seconds.
     at: float
-    #: Number of times that it was sent.
+    #: Number of times that it was sent since its engines were last there.
     tries: int
 
 
@@ -184,9 +184,11 @@
         """Treat a place as barren if repeated orders bring no engine."""
         late_s = view.scaling.boot_s + LATE_S
         for place, given in list(self._given.items()):
-            missing = given.count > _active(view, place)
             overdue = now - given.at >= late_s
-            if missing and overdue and given.tries >= ORDER_TRIES:
+            if given.count <= _active(view, place):
+                # They came; what is missing later was lost.
+                self._given[place] = dataclasses.replace(given, tries=1)
+            elif overdue and given.tries >= ORDER_TRIES:
                 boots_s = BARREN_STARTS * view.scaling.boot_s
                 self._barren_until[place] = now + boots_s
                 del self._given[place]
@@ -296,8 +298,11 @@
         for place in by_price:
             active = _active(view, place)
             left = max(wanted[place], active - max(0, spare))
-            in_zone = view.zones[place.zone]
-            others = in_zone.lasting + in_zone.reclaimable - active
+            others = sum(
+                min(count, _active(view, other))
+                for other, count in wanted.items()
+                if other.zone == place.zone and other.kind is not place.kind
+            )
             left = max(left, view.scaling.least - others)
             if left < active:
                 spare -= active - left
--- a/agatewing/decisions/tests/test_capacity_plan.py
+++ b/agatewing/decisions/tests/test_capacity_plan.py
@@ -247,6 +247,11 @@
     site.active[decisions.Place("west", RECLAIMABLE)] -= 2
     site.run(100)
     assert site.total == 16
+    # The next loss, in another zone, is not taken for the same one.
+    site.lost.clear()
+    site.active[decisions.Place("east", RECLAIMABLE)] -= 1
+    site.run(101)
+    assert [o.place.zone for o in site.since(100)] == ["east"]
 
 
 def test_bounds_hold_for_both_kinds_together() -> None:
--- a/agatewing/gateway/_capacity_view.py
+++ b/agatewing/gateway/_capacity_view.py
@@ -16,12 +16,13 @@
     views = []
     for pool in pools:
         scaling = pool.service.scaling
-        engines = pool.engine_class()
-        if scaling is None or engines is None:
+        if scaling is None or pool.service.engines is None:
+            # The demand for plain services is not known.
             continue
+        engines = pool.engine_class()
         demand = demand_of(pool)
         needs = None
-        if demand is not None:
+        if demand is not None and engines is not None:
             needs = decisions.role_needs(demand, engines)
         views.append(
             decisions.CapacityView(
