Keep numbers of engines for a minute after the demand has fallen

A mix takes half a minute to turn over, and as long to turn back.

Tests: the pattern of a night runs for half a minute longer, as the numbers fall half a minute later.

--- a/agatewing/decisions/_capacity_size.py
+++ b/agatewing/decisions/_capacity_size.py
@@ -24,8 +24,9 @@
 #: classes apart.
 URGENT_SHARE = 0.5
 #: Time over which the largest demand counts before fewer engines are planned,
-#: in seconds: a mix of requests turns over within half a minute.
-HOLD_S = 30.0
+#: in seconds: a mix of requests turns over within half a minute, and back in
+#: as long.
+HOLD_S = 60.0
 #: Time for which the demand must be known before fewer are planned, in
 #: seconds: the average of the demand is complete by then.
 SETTLED_S = 10.0
@@ -196,7 +197,7 @@
         self._rise_since = None
 
     def _shrink(self) -> None:
-        """Plan fewer engines where the last half minute needed fewer."""
+        """Plan fewer engines where the last minute needed fewer."""
         total = max(size.total for _, size in self._asked)
         lasting = max(size.lasting for _, size in self._asked)
         size = self._size
--- a/agatewing/duties/_capacity_loop.py
+++ b/agatewing/duties/_capacity_loop.py
@@ -1,7 +1,7 @@
 """Orders numbers of engines as the capacity plan asks.
 
 Every instance of a low rank plans, so that it knows the demand of the last
-half minute when it takes over; one of them sends, under a claim. The claim's
+minute when it takes over; one of them sends, under a claim. The claim's
 record holds the planned numbers, with which the next holder goes on.
 """
 
