--- a/agatewing/duties/_capacity_loop.py
+++ b/agatewing/duties/_capacity_loop.py
@@ -130,9 +130,12 @@
             self._differs_since.clear()
             self._due_since = None
             return
+        views = context.views()
+        if not views:
+            return
         context.claims.prepare()
         now = context.clock.monotonic()
-        orders = self._plan(now)
+        orders = self._plan(views, now)
         if not orders or context.held():
             self._due_since = None
             return
@@ -190,13 +193,14 @@
             self.outcomes,
         )
 
-    def _plan(self, now: float) -> list[decisions.EngineOrder]:
+    def _plan(
+        self, views: list[decisions.CapacityView], now: float
+    ) -> list[decisions.EngineOrder]:
         """Return the orders that are due for all services."""
         adopted = self._context.claims.ordered_split()
         is_new = adopted != self._adopted
         self._adopted = adopted
         orders: list[decisions.EngineOrder] = []
-        views = self._context.views()
         self._views = {view.service: view for view in views}
         for view in views:
             self._count_reclaims(view)
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -190,8 +190,8 @@
         self.peers.hop_server = detour.HopServer(
             self.peers.codec, self.server.serve_hops
         )
-        # Whether the numbers of engines stay where they are.
-        self._engines_held = settings.hold_engines
+        #: Whether the numbers of engines stay where they are.
+        self.engines_held = settings.hold_engines
         self._loops: list[gevent.Greenlet] = []
         addresses = (settings.ready_address, settings.metrics_address)
         self._probe_servers = [
@@ -344,7 +344,7 @@
             self.load_reports,
             self.registry,
             self._view_current,
-            lambda: self._engines_held,
+            lambda: self.engines_held,
         )
 
     def _build_usage(self) -> duties.UsageReports | None:
@@ -460,7 +460,7 @@
             settings.retries.window_s,
         )
         self.lifecycle.stop_limit_s = settings.stop_limit_s
-        self._engines_held = settings.hold_engines
+        self.engines_held = settings.hold_engines
         logging.getLogger().setLevel(settings.log_level)
         fixed = [
             name
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import msgspec
 import pytest
 import result
 
@@ -33,6 +34,18 @@
     loaded = gateway.load_gateway_settings(path)
     assert isinstance(loaded, result.Ok)
     assert loaded.ok_value.retries.ratio == 0.2
+    assert not loaded.ok_value.hold_engines
+
+
+def test_numbers_of_engines_can_be_held_without_a_restart() -> None:
+    with standins.Site() as site:
+        site.publish()
+        instance = site.start()
+        held = msgspec.structs.replace(instance.settings, hold_engines=True)
+        instance.reload(held)
+        assert instance.engines_held
+        instance.reload(instance.settings)
+        assert not instance.engines_held
 
 
 @pytest.mark.parametrize("name", FAULTS)
