--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -17,6 +17,7 @@
 from agatewing import duties
 from agatewing import fleetlog
 from agatewing.gateway import _account_use
+from agatewing.gateway import _capacity_parts
 from agatewing.gateway import _catalog
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
@@ -46,7 +47,9 @@
 MAX_QUEUE = 2_048
 
 #: Settings that take effect without a restart.
-RELOADABLE = frozenset(("retries", "stop_limit_s", "log_level"))
+RELOADABLE = frozenset(
+    ("retries", "stop_limit_s", "log_level", "hold_engines")
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +68,8 @@
     duty_port: duties.DutyPort | None = None
     #: Duties that the system has.
     duty_kinds: frozenset[duties.Duty] = frozenset()
+    #: What orders engines; ``None`` if the platform takes no such orders.
+    capacity_port: duties.CapacityPort | None = None
 
 
 class GatewayInstance:
@@ -174,6 +179,7 @@
         self.metrics = _metrics.Metrics()
         self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
+        self.capacity_loop = self._build_capacity_loop()
         self.role_loop = self._build_role_loop()
         self.usage = self._build_usage()
         self.server = _server.CallerServer(
@@ -184,6 +190,8 @@
         self.peers.hop_server = detour.HopServer(
             self.peers.codec, self.server.serve_hops
         )
+        #: Whether the numbers of engines stay where they are.
+        self.engines_held = settings.hold_engines
         self._loops: list[gevent.Greenlet] = []
         addresses = (settings.ready_address, settings.metrics_address)
         self._probe_servers = [
@@ -316,9 +324,29 @@
                 self.load_reports.alive,
                 self._view_current,
                 self.load_reports.demand_of,
+                self.capacity_loop.is_changing
+                if self.capacity_loop is not None
+                else lambda service: False,
             )
         )
 
+    def _build_capacity_loop(self) -> duties.CapacityLoop | None:
+        """Return what orders engines; ``None`` if the platform takes none."""
+        if self.platform.capacity_port is None:
+            return None
+        return _capacity_parts.build(
+            self.settings,
+            self.clock,
+            self.platform.log,
+            self.log_era,
+            self.platform.capacity_port,
+            self.peers,
+            self.load_reports,
+            self.registry,
+            self._view_current,
+            lambda: self.engines_held,
+        )
+
     def _build_usage(self) -> duties.UsageReports | None:
         """Return what reports usage; ``None`` if the platform wants none."""
         port = self.platform.duty_port
@@ -395,6 +423,8 @@
         self._loops.append(gevent.spawn(self._run_records))
         if self.settings.roles.follow_demand:
             self._loops.append(gevent.spawn(self.role_loop.run))
+        if self.capacity_loop is not None:
+            self._loops.append(gevent.spawn(self.capacity_loop.run))
         if self.usage is not None:
             self._loops.append(gevent.spawn(self.usage.push_forever))
             self._loops.append(gevent.spawn(self.usage.run))
@@ -430,6 +460,7 @@
             settings.retries.window_s,
         )
         self.lifecycle.stop_limit_s = settings.stop_limit_s
+        self.engines_held = settings.hold_engines
         logging.getLogger().setLevel(settings.log_level)
         fixed = [
             name
@@ -746,6 +777,8 @@
             "Orders to engines to take a role",
             self.role_loop.orders,
         )
+        if self.capacity_loop is not None:
+            self.capacity_loop.collect(metrics)
         metrics.counter(
             "agatewing_connections_opened_total",
             "Connections opened to targets that are known now",
--- a/agatewing/gateway/_role_loop.py
+++ b/agatewing/gateway/_role_loop.py
@@ -96,6 +96,8 @@
     demand_of: collections.abc.Callable[
         [_target_registry.Pool], decisions.StreamDemand | None
     ]
+    #: Returns whether engines of a service come or leave within seconds.
+    is_changing: collections.abc.Callable[[str], bool] = lambda service: False
 
 
 class RoleLoop:
@@ -111,6 +113,7 @@
         "_planned_moves",
         "_planners",
         "_adopted_split",
+        "_decided_at",
         "orders",
         "decode_planned",
     )
@@ -122,6 +125,8 @@
         self._planners: dict[str, decisions.DecodePlanner] = {}
         # Split of the last claim of another instance, by service.
         self._adopted_split: dict[str, float] = {}
+        # Monotonic time of the last new split by demand, in seconds, by pool.
+        self._decided_at: dict[str, float] = {}
         #: Number of engines that are to decode, by pool.
         self.decode_planned: dict[str, int] = {}
         #: Number of orders that were answered.
@@ -148,6 +153,7 @@
             self._adopt_split()
         for pool in list(self._context.registry.pools.values()):
             engines = self._engines(pool)
+            self._keep_present_split(pool, engines, now)
             wanted = self._plan_decode_engines(pool, engines, now)
             if may_order:
                 self._check_pool(pool, engines, wanted, rank, now)
@@ -199,9 +205,45 @@
             names, roles, since, joined_at, wanted
         )
         settled = now - joined_at >= SETTLE_S
+        if (
+            self._context.is_changing(pool.name)
+            and not self._decided_lately(pool, now)
+            and _has_both_roles(engines)
+        ):
+            # Moves for a number that holds for seconds would be undone.
+            return
         if moves and settled and now - since >= _required_age_s(moves, rank):
             self._order(pool, moves)
 
+    def _keep_present_split(
+        self,
+        pool: _target_registry.Pool,
+        engines: list[decisions.RolePlanEngine],
+        now: float,
+    ) -> None:
+        """Have the planner go on with the split that came about.
+
+        Where the number of engines is ordered, they come with any role and
+        leave with any. Each change of a role has callers refused, so only the
+        demand for one is a reason. Without demand, the planned split holds.
+        """
+        if pool.service.scaling is None or self._decided_lately(pool, now):
+            return
+        if self._context.demand_of(pool) is None:
+            return
+        if not _has_both_roles(engines):
+            return
+        count = len(engines)
+        decode = sum(e.role is _types.Role.DECODE for e in engines)
+        planner = self._planner_of(pool.name)
+        if decode != int(count * planner.share + 0.5):
+            planner.adopt(decode / count)
+
+    def _decided_lately(self, pool: _target_registry.Pool, now: float) -> bool:
+        """Return whether orders for a new split may still be due."""
+        decided_at = self._decided_at.get(pool.name, float("-inf"))
+        return now - decided_at < ORDER_PENDING_S
+
     def _plan_decode_engines(
         self,
         pool: _target_registry.Pool,
@@ -220,6 +262,7 @@
             bounds = decisions.FULL_VIEW_BOUNDS
         decision = planner.plan(len(engines), needs, now, bounds)
         if isinstance(decision, decisions.ChangeSplit):
+            self._decided_at[pool.name] = now
             _log.info(
                 "orders: split of the engines changed",
                 extra={
@@ -357,3 +400,8 @@
     adds_decode = moves[0].role is _types.Role.DECODE
     base = DECODE_SHORTAGE_S if adds_decode else SETTLE_S
     return base + NEXT_RANK_DELAY_S * rank
+
+
+def _has_both_roles(engines: list[decisions.RolePlanEngine]) -> bool:
+    decode = sum(e.role is _types.Role.DECODE for e in engines)
+    return decisions.MIN_DECODE_ENGINES <= decode < len(engines)
--- a/agatewing/platform/_names.py
+++ b/agatewing/platform/_names.py
@@ -82,6 +82,9 @@
 PREFILL = "prefill"
 DECODE = "decode"
 
+#: Path of orders for numbers of engines.
+CAPACITY_PATH = "/scale"
+
 #: Values of the field ``state`` of a target's entry.
 READY = "ready"
 DRAINING = "draining"
