Bound what callers and peers can make a process hold

Cause: bodies lay in lists of byte strings without a bound for all of them; answers that nobody read were copied twice and counted no more; a connection read 64 kB ahead; nothing bounded connections, and 64 silent ones kept the port for readiness from answering.

Change: package callers/. A plan divides the machine's memory and descriptors (new settings `memory`). A body is one buffer that grows by what arrived and takes room from all bodies together; without room it waits unread for a second and gets a true 503. Small announced bodies have room beside the others, and one body at a time goes on to its end. A body that stands still while others wait gets 408. An answer keeps its room until its caller has read it, and is cut off if it stands still while others wait. At the bound of connections the one that is idle for longest ends, then one that still sends; whole requests stay. Peers' bodies share the room, their connections and frames have bounds. The server of readiness ends its oldest idle connection at its bound.

Tests: a constructor's new argument in test_slow_callers; the crowds now run with the limits of a machine of 160 MB and 400 descriptors.

--- a/agatewing/detour/_hop_server.py
+++ b/agatewing/detour/_hop_server.py
@@ -62,7 +62,7 @@
         Raises :class:`BrokenError` if none comes.
         """
         with _timeout(IDLE_TIMEOUT_S, "idle for too long"):
-            frame = self._session.receive()
+            frame = self._session.receive(_session.HEAD_FRAME_BYTES)
         if frame.request is None:
             raise _session.BrokenError("a frame belongs to no request")
         if frame.request.body_bytes < 0:
--- a/agatewing/detour/_session.py
+++ b/agatewing/detour/_session.py
@@ -21,8 +21,10 @@
 NONCE_BYTES = 16
 #: Largest piece of a body in one frame, in bytes.
 PART_BYTES = 262_144
-#: Largest frame, in bytes: a piece of a body, or a head with its headers.
-MAX_FRAME_BYTES = PART_BYTES + 65_536
+#: Largest frame without a piece of a body, in bytes: a head with its headers.
+HEAD_FRAME_BYTES = 65_536
+#: Largest frame, in bytes.
+MAX_FRAME_BYTES = PART_BYTES + HEAD_FRAME_BYTES
 #: Steps of a turn that one frame takes; its signature is checked.
 FRAME_STEPS = 2
 #: Largest number of bytes read from a connection at once.
@@ -86,14 +88,15 @@
         except OSError as exc:
             raise BrokenError(str(exc)) from exc
 
-    def receive(self) -> wire.HopFrame:
+    def receive(self, limit: int = MAX_FRAME_BYTES) -> wire.HopFrame:
         """Return the next frame of the other side.
 
-        Raises :class:`BrokenError` if there is none or it is not valid. A
-        wait that is interrupted may go on with another call.
+        ``limit`` is the largest one that may come, in bytes. Raises
+        :class:`BrokenError` if there is none or it is not valid. A wait that
+        is interrupted may go on with another call.
         """
         self._turn.spend(FRAME_STEPS)
-        data = self._receive_frame()
+        data = self._receive_frame(limit)
         match self._codec.decode(wire.HopFrame, data):
             case result.Ok(frame):
                 pass
@@ -104,11 +107,11 @@
             raise BrokenError("the frame belongs to another connection")
         return frame
 
-    def _receive_frame(self) -> bytes:
+    def _receive_frame(self, limit: int) -> bytes:
         head = wire.LENGTH_BYTES
         self._receive_up_to(head)
         length = int.from_bytes(self._unread[:head], "big")
-        if length > MAX_FRAME_BYTES:
+        if length > limit:
             raise BrokenError(f"a frame of {length} bytes is too long")
         self._receive_up_to(head + length)
         data = bytes(self._unread[head : head + length])
--- a/agatewing/gateway/_answer_room.py
+++ b/agatewing/gateway/_answer_room.py
@@ -5,6 +5,9 @@
 banker's algorithm).
 """
 
+import collections.abc
+import contextlib
+
 import gevent.event
 
 from agatewing import _clock
@@ -99,6 +102,25 @@
             if wait in self._waits:
                 self._waits.remove(wait)
 
+    @property
+    def pressed(self) -> bool:
+        """Whether any answer waits for room."""
+        return bool(self._waits)
+
+    @contextlib.contextmanager
+    def delivering(self, size: int) -> collections.abc.Iterator[None]:
+        """Hold room for a whole answer while its caller reads it.
+
+        It held the same room while it was read, so that nothing waits here.
+        """
+        share = Share(size)
+        self._shares.add(share)
+        self._give(share, size)
+        try:
+            yield
+        finally:
+            self.close(share)
+
     def close(self, share: Share) -> None:
         """Give all room of a share back."""
         self._shares.discard(share)
--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -10,6 +10,7 @@
 import h11
 
 from agatewing import _clock
+from agatewing import callers
 from agatewing.gateway import _caller_input
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _head_check
@@ -29,6 +30,9 @@
 #: callers wait for a connection, and as much as most bodies may have.
 LINGER_S = 1.0
 LINGER_BYTES = 4_000_000
+#: Largest answer that is sent together with its head, in bytes; a copy of a
+#: larger one would cost more than a second write.
+SMALL_ANSWER_BYTES = 65_536
 #: Steps of a turn that one request takes besides those of its body; so many
 #: requests may follow each other without a wait.
 REQUEST_STEPS = 8
@@ -63,6 +67,12 @@
         "_clock",
         "_dialect",
         "_limits",
+        "_room",
+        "_share",
+        "_answers_wait",
+        "_whole",
+        "_gives_way",
+        "_since",
         "_parser",
         "_turn",
         "_input",
@@ -83,12 +93,25 @@
         clock: _clock.Clock,
         dialect: _ports.Dialect,
         limits: _caller_limits.CallerLimitsInForce,
+        room: callers.BodyRoom,
+        answers_wait: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._clock = clock
         self._dialect = dialect
         self._limits = limits
+        self._room = room
+        # Whether other answers wait for the room of those not yet read.
+        self._answers_wait = answers_wait
+        # Whether the whole of a request has arrived.
+        self._whole = False
+        # Whether it ends for the sake of another connection.
+        self._gives_way = False
+        # Monotonic time since which it is idle, or a head or body arrives.
+        self._since = clock.monotonic()
+        # Share of the present body; ``None`` if it has none.
+        self._share: callers.BodyShare | None = None
         self._parser = self._new_parser()
         self._turn = net.Turn()
         self._unparsed = b""
@@ -138,6 +161,7 @@
             raise CallerGoneError("the connection ended inside a head")
         self._head_only = event.method == b"HEAD"
         body = self._read_body(event)
+        self._whole = True
         if self._input.closed_by_caller:
             # Nobody would notice the end of input any more.
             raise CallerClosedError("the caller closed its side")
@@ -157,9 +181,11 @@
         invalid or does not arrive in time.
         """
         raw = self._unparsed
-        self._idle_since = self._clock.monotonic()
+        self._idle_since = self._since = self._clock.monotonic()
         deadline: float | None = None
         while True:
+            if raw and not self._head_begun:
+                self._since = self._clock.monotonic()
             self._head_begun = bool(raw)
             if deadline is None:
                 limits = self._limits.present
@@ -182,6 +208,8 @@
                 continue
             if data is None:
                 self._idle_end = "the idle limit"
+            if not data and raw and self._gives_way:
+                raise _no_connection()
             if not data:
                 return False
             raw += data
@@ -214,43 +242,84 @@
         until = self._clock.monotonic() + (
             limits.head_timeout_s * BODY_TIMEOUT_FACTOR
         )
+        announced = None
         for name, value in head.headers:
-            if name == b"content-length" and int(value) > limit:
-                raise _too_large(limit)
-        chunks: list[bytes] = []
-        size = 0
+            if name == b"content-length":
+                announced = int(value)
+        if announced is not None and announced > limit:
+            raise _too_large(limit)
+        body = bytearray()
         while True:
             if self._turn.spend() and self._clock.monotonic() >= until:
                 raise _late_body()
             event = self._next_event()
             if event is h11.NEED_DATA:
-                self._receive_body_bytes(until)
+                self._receive_body_bytes(announced, len(body), until)
             elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-                size += len(event.data)
-                if size > limit:
+                body += event.data
+                if len(body) > limit:
                     raise _too_large(limit)
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return bytes(body)
             else:
                 raise CallerGoneError("the connection ended inside a body")
 
-    def _receive_body_bytes(self, until: float) -> None:
-        """Receive more bytes of a body and feed them to the parser."""
+    def _receive_body_bytes(
+        self, announced: int | None, received: int, until: float
+    ) -> None:
+        """Receive more bytes of a body and feed them to the parser.
+
+        ``announced`` is its length, if known, ``received`` what has arrived.
+        """
         if self._parser.they_are_waiting_for_100_continue:
             self._send(
                 self._parser.send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             )
-        remaining_s = until - self._clock.monotonic()
-        data = self._input.take(max(0.0, remaining_s))
-        if data is None:
-            raise _late_body()
-        if not data:
-            raise CallerGoneError("the connection ended inside a body")
+        # Without a length, later requests may arrive with the body.
+        most = _caller_input.READ_AHEAD_BYTES
+        if announced is not None:
+            most = min(_caller_input.READ_BYTES, announced - received)
+        if self._share is None:
+            self._share = self._room.open(announced)
+        share = self._share
+        if share.held > received:
+            # Bytes that only framed chunks.
+            self._room.shrink(share, share.held - received)
+        try:
+            self._room.grow(share, most, until)
+        except callers.NoRoomError as exc:
+            raise _no_room() from exc
+        data = self._take_body_bytes(share, most, until)
+        if len(data) < most:
+            self._room.shrink(share, most - len(data))
         self._parser.receive_data(data)
 
+    def _take_body_bytes(
+        self, share: callers.BodyShare, most: int, until: float
+    ) -> bytes:
+        """Return bytes of a body that has room, once some have arrived."""
+        while True:
+            left_s = max(0.0, until - self._clock.monotonic())
+            data = self._input.take(min(left_s, callers.STALL_S), most)
+            if data == b"" and self._gives_way:
+                raise _no_connection()
+            if data == b"":
+                raise CallerGoneError("the connection ended inside a body")
+            if data is None and left_s <= callers.STALL_S:
+                raise _late_body()
+            if not self._room.check_moving(share, len(data or b"")):
+                raise _stalled_body()
+            if data:
+                return data
+
+    def _leave_room(self) -> None:
+        """Give the room of the present body back."""
+        share, self._share = self._share, None
+        if share is not None:
+            self._room.close(share)
+
     @property
     def started(self) -> bool:
         """Whether the head of the current answer was sent."""
@@ -276,13 +345,17 @@
         headers: collections.abc.Iterable[typing.Any],
         body: bytes,
     ) -> None:
-        """Send a whole answer with one write to the socket."""
+        """Send a whole answer, a small one with one write to the socket."""
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
-        data = self._head(status, fields)
+        head, data = self._head(status, fields), b""
         if body and not self._head_only:
-            data += self._parser.send(h11.Data(data=body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
-        self._send(data)
+            data = self._parser.send(h11.Data(data=body)) or b""
+        self._parser.send(h11.EndOfMessage())
+        if len(data) <= SMALL_ANSWER_BYTES:
+            self._send(head + data)
+        else:
+            self._send(head)
+            self._send(data)
 
     def refuse(self, refusal: _refusals.GatewayRefusal) -> None:
         """Answer with a refusal.
@@ -311,20 +384,49 @@
         if not data:
             return
         try:
-            unsent = memoryview(data)
-            while unsent:
-                with gevent.Timeout(
-                    WRITE_TIMEOUT_S, TimeoutError("write timed out")
-                ):
-                    unsent = unsent[self._sock.send(unsent) :]
+            unsent = memoryview(data)[self._send_some(data) :]
+            if unsent:
+                self._send_rest(unsent)
         except TimeoutError as exc:
             raise CallerNotReadingError(str(exc)) from exc
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
 
+    def _send_some(self, data: bytes | memoryview) -> int:
+        """Send some bytes; return how many, 0 if none were taken in time."""
+        timeout = gevent.Timeout(min(WRITE_TIMEOUT_S, callers.STALL_S))
+        try:
+            with timeout:
+                return self._sock.send(data)
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+            return 0
+
+    def _send_rest(self, unsent: memoryview) -> None:
+        """Send bytes to a caller that does not take them at once.
+
+        Raises ``TimeoutError`` if it takes none for ``WRITE_TIMEOUT_S``, or
+        too few while other answers wait for the room of this one.
+        """
+        moved_at = self._clock.monotonic()
+        pace = callers.Pace(moved_at)
+        while unsent:
+            sent = self._send_some(unsent)
+            unsent = unsent[sent:]
+            now = self._clock.monotonic()
+            pace.record(sent)
+            if sent:
+                moved_at = now
+            elif now >= moved_at + WRITE_TIMEOUT_S:
+                raise TimeoutError("write timed out")
+            if pace.stands_still(now) and self._answers_wait():
+                raise TimeoutError("other answers wait for its room")
+
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
-        self.busy = self._head_begun = False
+        self.busy = self._head_begun = self._whole = False
+        self._leave_room()
         if self._parser.our_state is not h11.DONE:
             return False
         if self._parser.their_state is not h11.DONE:
@@ -339,6 +441,19 @@
         """Whether part of a request, or all of it, has arrived."""
         return self.busy or self._head_begun
 
+    @property
+    def held(self) -> "callers.Held[CallerConn]":
+        """The connection, for the choice of one that gives way."""
+        stays = self._whole or self._gives_way
+        return callers.Held(self, stays, self.reading, self._since)
+
+    def give_way(self) -> None:
+        """End the connection unless it has a whole request by then."""
+        self._gives_way = True
+        if not self.reading:
+            self._idle_end = "the bound of connections"
+        self._input.end()
+
     def end_idle(self) -> None:
         """End the connection as if by its caller, if nothing has arrived."""
         if not self.reading and not self._input.pending:
@@ -357,6 +472,7 @@
         """
         # The end of input no longer concerns a request.
         self.busy = False
+        self._leave_room()
         caller, unread = net.peer_address(self._sock), self._input.pending
         if self._ends_by_close:
             net.reset_on_close(self._sock)
@@ -421,6 +537,26 @@
     return _refused("the body did not arrive in time", 408)
 
 
+def _stalled_body() -> _refusals.GatewayRefusedError:
+    """Return the error for a body that stands still while others wait."""
+    return _refused("the body stood still while others waited for room", 408)
+
+
+def _no_room() -> _refusals.GatewayRefusedError:
+    """Return the error for a body that the others left no room for."""
+    return _refusals.GatewayRefusedError(
+        _refusals.overloaded(
+            "the bodies of other requests left no room for this one; come "
+            "back later, or ask another instance"
+        )
+    )
+
+
+def _no_connection() -> _refusals.GatewayRefusedError:
+    """Return the error for a request whose connection gives way."""
+    return _refusals.GatewayRefusedError(_refusals.too_many_connections())
+
+
 def _too_large(limit: int) -> _refusals.GatewayRefusedError:
     """Return the error for a body over the limit."""
     return _refusals.GatewayRefusedError(_refusals.too_large(limit))
--- a/agatewing/gateway/_caller_input.py
+++ b/agatewing/gateway/_caller_input.py
@@ -14,8 +14,9 @@
 
 #: Largest number of bytes read from a connection at once.
 READ_BYTES = 65_536
-#: Bytes of later requests that are buffered while one is in flight.
-READ_AHEAD_BYTES = 65_536
+#: Bytes that are received while nobody takes them: most requests as a whole,
+#: and the beginning of a later one while another is in flight.
+READ_AHEAD_BYTES = 16_384
 #: Time for the reader to receive bytes that have arrived, in seconds.
 READER_TURN_S = 0.1
 
@@ -26,8 +27,8 @@
     __slots__ = (
         "_sock",
         "_on_end",
-        "_chunks",
-        "_size",
+        "_data",
+        "_limit",
         "_data_arrived",
         "_space_freed",
         "_reader",
@@ -43,8 +44,10 @@
         self._sock = sock
         # Called once the caller has closed its side.
         self._on_end = on_end
-        self._chunks: list[bytes] = []
-        self._size = 0
+        # One buffer, in however small pieces they arrive.
+        self._data = bytearray()
+        # Number of bytes up to which it may grow.
+        self._limit = READ_AHEAD_BYTES
         self._data_arrived = gevent.event.Event()
         self._space_freed = gevent.event.Event()
         #: Whether the caller has closed its side.
@@ -56,11 +59,12 @@
     def _receive_loop(self) -> None:
         """Receive bytes until the caller closes the connection."""
         while True:
-            while self._size >= READ_AHEAD_BYTES:
+            while len(self._data) >= self._limit:
                 self._space_freed.clear()
                 self._space_freed.wait()
+            space = self._limit - len(self._data)
             try:
-                data = self._sock.recv(READ_BYTES)
+                data = self._sock.recv(min(READ_BYTES, space))
             except OSError as exc:
                 if exc.errno == errno.EBADF:
                     return
@@ -70,8 +74,7 @@
                 self.end()
                 self._on_end()
                 return
-            self._chunks.append(data)
-            self._size += len(data)
+            self._data += data
             self._data_arrived.set()
 
     def end(self) -> None:
@@ -82,7 +85,7 @@
     @property
     def pending(self) -> bool:
         """Whether bytes have arrived that were not taken yet."""
-        return bool(self._chunks) or self.unread
+        return bool(self._data) or self.unread
 
     @property
     def unread(self) -> bool:
@@ -113,26 +116,37 @@
         """Stop receiving."""
         self._reader.kill(block=False)
 
-    def take(self, timeout_s: float) -> bytes | None:
+    def take(
+        self, timeout_s: float, most: int = READ_AHEAD_BYTES
+    ) -> bytes | None:
         """Remove and return all bytes, waiting for some if there are none.
 
-        Returns ``b""`` at the end of input and ``None`` after the timeout,
-        unless bytes had arrived by then: the timeout of a process that did
-        not run for a while may be due before its reader.
+        At most ``most`` bytes are received meanwhile. Returns ``b""`` at the
+        end of input and ``None`` after the timeout, unless bytes had arrived
+        by then: the timeout of a process that did not run for a while may be
+        due before its reader.
         """
+        if most > len(self._data):
+            self._limit = most
+            self._space_freed.set()
+        try:
+            return self._take(timeout_s)
+        finally:
+            self._limit = READ_AHEAD_BYTES
+
+    def _take(self, timeout_s: float) -> bytes | None:
         reader_had_turn = False
-        while not self._chunks:
+        while not self._data:
             if self._ended:
                 return b""
             self._data_arrived.clear()
-            if self._data_arrived.wait(timeout_s) or self._chunks:
+            if self._data_arrived.wait(timeout_s) or self._data:
                 continue
             if not self.unread or reader_had_turn:
                 return None
             reader_had_turn = True
             timeout_s = READER_TURN_S
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._size = 0
+        data = bytes(self._data)
+        self._data.clear()
         self._space_freed.set()
         return data
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -11,6 +11,7 @@
 
 from agatewing import _clock
 from agatewing import _metrics
+from agatewing import callers
 from agatewing import decisions
 from agatewing import detour
 from agatewing import dispatch
@@ -76,6 +77,9 @@
         self.clock = clock
         self.platform = platform
         self._random = rng
+        self.memory_plan = callers.plan_memory(
+            settings.memory.process_mb, settings.memory.max_descriptors
+        )
         self.log_era = fleetlog.LogEra()
         self.catalog = _catalog.Catalog(
             clock, self._apply_changes, self.log_era
@@ -106,6 +110,7 @@
             wire.Codec(settings.peer_secret),
             rng,
             _settings.peer_seeds(settings),
+            self.memory_plan.peer_connections,
         )
         self.links = self._build_links(rng)
         index = decisions.PlacementIndex(settings.cache_keep_s)
@@ -174,6 +179,7 @@
             net.split_address(settings.caller_address),
             self.handler_context,
             self.lifecycle,
+            self.memory_plan,
         )
         self.peers.hop_server = detour.HopServer(
             self.peers.codec, self.server.serve_hops
@@ -200,7 +206,12 @@
             dialect,
             self.catalog,
             self.registry,
-            _sender.Sender(self.clock, dialect, self.registry.limits),
+            _sender.Sender(
+                self.clock,
+                dialect,
+                self.registry.limits,
+                self.memory_plan.answer_bytes,
+            ),
             self.budget,
             self.dispatcher,
             index,
@@ -509,6 +520,31 @@
             "Requests refused as they bear no key of an account",
             self.account_use.rejected,
         )
+        metrics.gauge(
+            "agatewing_caller_connections",
+            "Connections of callers, those that linger included",
+            self.server.caller_count,
+        )
+        metrics.counter(
+            "agatewing_connections_gave_way_total",
+            "Connections of callers ended or refused at their bound",
+            self.server.gave_way,
+        )
+        metrics.gauge(
+            "agatewing_body_bytes_held",
+            "Bytes of bodies that callers and peers have sent",
+            self.server.bodies.total_held,
+        )
+        metrics.counter(
+            "agatewing_bodies_without_room_total",
+            "Requests refused as other bodies left no room for theirs",
+            self.server.bodies.refused,
+        )
+        metrics.counter(
+            "agatewing_bodies_stalled_total",
+            "Requests refused as their bodies stood still while others waited",
+            self.server.bodies.stalled,
+        )
         metrics.counter(
             "agatewing_sends_total",
             "Requests sent to targets",
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -13,6 +13,7 @@
 import typing
 
 import gevent
+import gevent.pool
 import gevent.server
 import gevent.socket
 import msgspec
@@ -42,6 +43,9 @@
 #: that it has read further, in seconds: ten times the latency of the log
 #: without load.
 REQUEST_DELAY_S = 0.04
+#: Largest number of connections of peers at a time, unless the process's
+#: settings leave less.
+MAX_CONNECTIONS = 1_024
 #: Largest number of peers that get one load report. With more peers, they
 #: are drawn at random, so that the traffic of one instance does not grow with
 #: the fleet.
@@ -110,6 +114,7 @@
         codec: wire.Codec,
         rng: random.Random,
         seeds: collections.abc.Sequence[str] = (),
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._name = name
         self._seeds = tuple(
@@ -120,7 +125,12 @@
         #: Codec of messages between instances.
         self.codec = codec
         self._random = rng
-        self._server = gevent.server.StreamServer(address, self._serve)
+        self._server = gevent.server.StreamServer(
+            address,
+            self._serve,
+            # Further ones wait to be accepted.
+            spawn=gevent.pool.Pool(max_connections),
+        )
         self._loop: gevent.Greenlet | None = None
         #: Entries of other instances by name.
         self.known: dict[str, PeerEntry] = {}
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -108,7 +108,8 @@
         answer = delivery.answer
         fields = without_content_length(answer.head.headers)
         self._job.source = delivery.source
-        self._job.conn.answer(answer.head.status, fields, answer.body)
+        with self._ctx.sender.delivering(len(answer.body)):
+            self._job.conn.answer(answer.head.status, fields, answer.body)
         _context.record_answer(
             self._ctx, self._job, delivery.source, answer.head
         )
--- a/agatewing/gateway/_refusals.py
+++ b/agatewing/gateway/_refusals.py
@@ -168,6 +168,14 @@
     )
 
 
+def too_many_connections() -> GatewayRefusal:
+    """Return the refusal at the bound of connections; nothing has run."""
+    return overloaded(
+        "this instance has too many connections; ask another one",
+        LEAVING_RETRY_S,
+    )
+
+
 def targets_back_off(
     service: str, left_s: float, rng: random.Random
 ) -> GatewayRefusal:
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -1,6 +1,7 @@
 """Sends a request to one target and classifies the outcome."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import typing
 
@@ -19,8 +20,8 @@
 #: Longest idle time of a connection for requests that may be retried, in
 #: seconds.
 RETRY_MAX_IDLE_S = 10.0
-#: Largest size of all answers together that are being read into memory, in
-#: bytes; the smallest instances have 200 MB.
+#: Largest size of all answers together that are held in memory, in bytes,
+#: however much memory the process has.
 MAX_BUFFERED_BYTES = 48_000_000
 #: Timeout for reading the rest of a rejection, in seconds.
 REJECTION_READ_S = 0.2
@@ -76,20 +77,35 @@
         clock: _clock.Clock,
         dialect: _ports.Dialect,
         limits: _request_limits.RequestLimits,
+        answer_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
         self._limits = limits
-        self._room = _answer_room.AnswerRoom(clock, MAX_BUFFERED_BYTES)
+        self._room = _answer_room.AnswerRoom(
+            clock, min(answer_bytes, MAX_BUFFERED_BYTES)
+        )
         #: Number of sends that ``send_request`` began on an open connection,
         #: failed ones included.
         self.request_count = 0
 
     @property
     def _buffered_bytes(self) -> int:
-        """Size of all answers that are being read into memory, in bytes."""
+        """Size of all answers that are held in memory, in bytes."""
         return self._room.held
 
+    @property
+    def answers_wait(self) -> bool:
+        """Whether an answer waits for room that others hold."""
+        return self._room.pressed
+
+    def delivering(self, size: int) -> contextlib.AbstractContextManager[None]:
+        """Hold room for an answer of ``size`` bytes while a caller reads it.
+
+        It has been read in whole, so that it needs no more.
+        """
+        return self._room.delivering(size)
+
     @staticmethod
     def max_idle_s(idempotent: bool) -> float:
         """Return the longest idle time of a connection for a request."""
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -2,13 +2,16 @@
 
 import collections
 import logging
+import socket
 import typing
 
 import gevent
+import gevent.pool
 import gevent.server
 import gevent.socket
 
 from agatewing import _clock
+from agatewing import callers
 from agatewing import decisions
 from agatewing import detour
 from agatewing.gateway import _caller_conn
@@ -25,6 +28,9 @@
 
 #: Largest number of connections that wait to be accepted.
 BACKLOG = 1_024
+#: Connections beyond their bound that are open while others end for them, or
+#: while they are refused; so many are accepted at once.
+SPARE_CONNECTIONS = 32
 #: Interval at which a stopping process checks whether it may end, in seconds.
 STOP_POLL_S = 0.05
 #: Longest wait for connections that linger after the stop limit, in seconds;
@@ -33,6 +39,8 @@
 #: Largest number of connections that linger after their last answer; further
 #: ones are closed at once.
 MAX_LINGERING = 256
+#: Least time between two log lines on too many connections, in seconds.
+GAVE_WAY_LOG_PERIOD_S = 1.0
 #: Age in log lines of a configuration that was never read, in seconds.
 UNKNOWN_AGE_S = 1e9
 #: Margin between the deadlines of a request at two instances, in seconds:
@@ -54,6 +62,11 @@
         "_conns",
         "_stopped",
         "_hop_room",
+        "_plan",
+        "_callers",
+        "_gave_way_logged_at",
+        "gave_way",
+        "bodies",
         "lingering",
         "refusals",
         "hops_served",
@@ -64,13 +77,28 @@
         address: tuple[str, int],
         ctx: _context.HandlerContext,
         lifecycle: _lifecycle.Lifecycle,
+        plan: callers.MemoryPlan,
     ) -> None:
         self._ctx = ctx
+        self._plan = plan
+        # Connections of callers, without those that linger.
+        self._callers: set[_caller_conn.CallerConn] = set()
+        # Monotonic time of the last log line on such a connection.
+        self._gave_way_logged_at = float("-inf")
+        #: Number of connections that ended for the sake of others.
+        self.gave_way = 0
+        #: Room for what callers and peers send.
+        self.bodies = callers.BodyRoom(
+            ctx.clock, plan.body_bytes, plan.small_bytes
+        )
         self._lifecycle = lifecycle
         self._plain = _plain_forwarder.PlainForwarder(ctx)
         self._streams = _stream_forwarder.StreamForwarder(ctx)
         self._server = gevent.server.StreamServer(
-            address, self._serve, backlog=BACKLOG
+            address,
+            self._serve,
+            backlog=BACKLOG,
+            spawn=gevent.pool.Pool(plan.connections + SPARE_CONNECTIONS),
         )
         self._conns: set[_Conn] = set()
         # Those whose requests were given up.
@@ -91,6 +119,11 @@
 
     def start(self) -> None:
         """Open the port."""
+        self._server.init_socket()
+        # Accepted connections inherit it.
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self._plan.unread_bytes
+        )
         self._server.start()
 
     def close_port(self) -> None:
@@ -177,9 +210,17 @@
             self._ctx.clock,
             self._ctx.dialect,
             self._ctx.catalog.caller_limits,
+            self.bodies,
+            lambda: self._ctx.sender.answers_wait,
         )
+        has_room = self._make_way()
         self._conns.add(conn)
+        self._callers.add(conn)
         try:
+            if not has_room:
+                conn.closing = True
+                self._refuse(conn, _refusals.too_many_connections(), "")
+                return
             conn.closing = self._lifecycle.closing
             while self._serve_one(conn):
                 conn.closing = self._lifecycle.closing
@@ -187,10 +228,44 @@
             _log.debug("server: caller disconnected: %s", exc)
         finally:
             self._conns.discard(conn)
+            self._callers.discard(conn)
             self._close(conn)
 
+    @property
+    def caller_count(self) -> int:
+        """Number of connections of callers, those that linger included."""
+        return len(self._callers) + self.lingering
+
+    def _make_way(self) -> bool:
+        """Return whether another connection has room.
+
+        At the bound of connections, another one ends for it.
+        """
+        if self.caller_count < self._plan.connections:
+            return True
+        victim = callers.choose_victim(c.held for c in self._callers)
+        self.gave_way += 1
+        now = self._ctx.clock.monotonic()
+        if now >= self._gave_way_logged_at + GAVE_WAY_LOG_PERIOD_S:
+            self._gave_way_logged_at = now
+            _log.warning(
+                "server: too many connections of callers",
+                extra={
+                    "limit": self._plan.connections,
+                    "ended": self.gave_way,
+                    "refused_newest": victim is None,
+                },
+            )
+        if victim is None:
+            return False
+        victim.give_way()
+        return True
+
     def _close(self, conn: _caller_conn.CallerConn) -> None:
-        linger = self.lingering < MAX_LINGERING
+        linger = (
+            self.lingering < MAX_LINGERING
+            and self.caller_count < self._plan.connections
+        )
         self.lingering += linger
         try:
             conn.close(linger)
@@ -249,12 +324,14 @@
         req, body_bytes = conn.next_offer()
         refusal = self._reason_to_decline(req, body_bytes)
         if refusal is not None:
-            self.hops_served["declined"] += 1
-            _log.info(
-                "server: request of a peer declined",
-                extra={"request": req.id, "detail": refusal.detail},
+            self._decline(conn, req, refusal)
+            return True
+        share = self.bodies.open(body_bytes)
+        if not self.bodies.try_grow(share, body_bytes):
+            refusal = _refusals.overloaded(
+                "the bodies of other requests leave no room for this one"
             )
-            conn.decline(refusal)
+            self._decline(conn, req, refusal)
             return True
         room = self._hop_room
         room.requests += 1
@@ -278,6 +355,20 @@
             self._conns.discard(conn)
             room.requests -= 1
             room.body_bytes -= body_bytes
+            self.bodies.close(share)
+
+    def _decline(
+        self,
+        conn: _hop_conn.HopConn,
+        req: _messages.CallerRequest,
+        refusal: _refusals.GatewayRefusal,
+    ) -> None:
+        self.hops_served["declined"] += 1
+        _log.info(
+            "server: request of a peer declined",
+            extra={"request": req.id, "detail": refusal.detail},
+        )
+        conn.decline(refusal)
 
     def _reason_to_decline(
         self, req: _messages.CallerRequest, body_bytes: int
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -78,6 +78,18 @@
         return min(self.apply_ms, self.drain_ms) / 1_000
 
 
+class Memory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the process may take; what callers may hold follows from it.
+
+    The defaults are those of the smallest machines.
+    """
+
+    # Memory above which the process would be ended, in megabytes.
+    process_mb: typing.Annotated[int, msgspec.Meta(ge=128)] = 160
+    # Descriptors that it may open, those for files included.
+    max_descriptors: typing.Annotated[int, msgspec.Meta(ge=300)] = 1_638
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one instance."""
 
@@ -114,6 +126,8 @@
     engines: EngineSpeed = EngineSpeed()
     # Plan of engines' roles.
     roles: Roles = Roles()
+    # Memory and descriptors of the process.
+    memory: Memory = Memory()
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
--- a/agatewing/gateway/tests/test_slow_callers.py
+++ b/agatewing/gateway/tests/test_slow_callers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from agatewing import _clock
+from agatewing import callers
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _caller_limits
 from agatewing import platform
@@ -42,6 +43,7 @@
         clock,
         platform.connect("127.0.0.1:1").dialect,
         _caller_limits.CallerLimitsInForce(clock),
+        callers.BodyRoom(clock, 1_000_000, 0),
     )
 
     def read() -> bytes:
--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -29,6 +29,9 @@
 
 #: Time an idle keep-alive connection stays open, in seconds.
 KEEP_ALIVE_S = 75.0
+#: Connections beyond the bound that are open while others end for them; so
+#: many are accepted at once.
+SPARE_CONNECTIONS = 16
 
 
 def reply_json(
@@ -99,6 +102,8 @@
     """Handles the requests of one connection."""
 
     rfile: typing.Any
+    #: Whether no whole head has arrived.
+    waiting = True
 
     def __init__(
         self,
@@ -116,6 +121,7 @@
 
         Returns an empty text if none arrives within ``KEEP_ALIVE_S``.
         """
+        self.waiting = True
         with gevent.Timeout(KEEP_ALIVE_S, False):
             return super().read_requestline()
         return ""
@@ -132,7 +138,9 @@
         bounded = _BoundedReader(unbounded, server.max_header_bytes)
         self.rfile = bounded
         try:
-            return super().read_request(raw_requestline)
+            has_head = super().read_request(raw_requestline)
+            self.waiting = False
+            return has_head
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
@@ -165,6 +173,13 @@
         except OSError as exc:
             _log.debug("net: caller disconnected: %s", exc)
 
+    def give_way(self) -> None:
+        """End the connection, on which no whole head has arrived."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError as exc:
+            _log.debug("net: connection was already closed: %s", exc)
+
     def log_request(self) -> None:
         """Log nothing; the application logs requests."""
 
@@ -193,15 +208,41 @@
     ) -> None:
         self.max_header_bytes = max_header_bytes
         self.head_timeout_s = head_timeout_s
+        self._max_connections = max_connections
+        # In the order in which they were accepted.
+        self._handlers: dict[Handler, None] = {}
+        #: Number of connections that ended for the sake of others.
+        self.gave_way = 0
         super().__init__(
             (host, port),
             application,
-            spawn=gevent.pool.Pool(max_connections),
+            spawn=gevent.pool.Pool(max_connections + SPARE_CONNECTIONS),
             log=None,
             error_log=_log,
             backlog=1_024,
         )
 
+    def handle(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        """Serve a connection; at their bound, the oldest idle one ends."""
+        if len(self._handlers) >= self._max_connections:
+            self._make_way()
+        handler = self.handler_class(sock, address, self)
+        self._handlers[handler] = None
+        try:
+            handler.handle()
+        finally:
+            self._handlers.pop(handler, None)
+
+    def _make_way(self) -> None:
+        for handler in self._handlers:
+            if handler.waiting:
+                del self._handlers[handler]
+                self.gave_way += 1
+                handler.give_way()
+                return
+
     @property
     def port(self) -> int:
         """Port the server listens on."""
--- a/agatewing/platform/tests/test_hostile_callers.py
+++ b/agatewing/platform/tests/test_hostile_callers.py
@@ -24,7 +24,9 @@
 MEMORY_MB = 100
 DESCRIPTORS = 400
 #: Limits of the process's own settings.
-SETTINGS: dict[str, typing.Any] = {}
+SETTINGS: dict[str, typing.Any] = {
+    "memory": {"process_mb": 160, "max_descriptors": DESCRIPTORS}
+}
 #: Longest wait for the answer of an ordinary request, tries and all, in
 #: seconds.
 ANSWER_S = 30.0
