--- a/agatewing/callers/__init__.py
+++ b/agatewing/callers/__init__.py
@@ -11,6 +11,7 @@
 from agatewing.callers._pace import STALL_S
 from agatewing.callers._plan import MemoryPlan
 from agatewing.callers._plan import plan_memory
+from agatewing.callers._plan import UNREAD_BYTES
 
 __all__ = [
     "BodyRoom",
@@ -23,5 +24,6 @@
     "plan_memory",
     "SMALL_BYTES",
     "STALL_S",
+    "UNREAD_BYTES",
     "WAIT_S",
 ]
--- a/agatewing/callers/_plan.py
+++ b/agatewing/callers/_plan.py
@@ -8,11 +8,13 @@
 BASE_MB = 64
 #: Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
-#: Least and most bytes that the kernel may hold unread for a connection: the
-#: least fills a link of 100 ms with 0.3 MB/s, so that the largest body comes
-#: within its time; the most is what kernels begin with.
-MIN_UNREAD_BYTES = 32_768
-MAX_UNREAD_BYTES = 131_072
+#: Bytes that the kernel may hold unread for a connection: over a link of 100
+#: ms it still carries 0.3 MB/s, so that the largest body comes in its time.
+UNREAD_BYTES = 32_768
+#: Most memory of a connection besides bodies and answers, in bytes: 20 kB
+#: measured for a silent one, 16 kB that it reads ahead, a head of 16 kB, and
+#: what the kernel holds.
+CONNECTION_BYTES = 20_000 + 2 * 16_384 + UNREAD_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,28 +31,22 @@
     connections: int
     #: Connections of peers.
     peer_connections: int
-    #: Bytes that the kernel may hold unread for a caller's connection.
-    unread_bytes: int
 
 
 def plan_memory(process_mb: int, max_descriptors: int) -> MemoryPlan:
     """Divide the memory of a process, in megabytes, and its descriptors.
 
-    Of the memory beyond its own, bodies get a sixth, answers a quarter and
-    unread bytes a quarter; of the descriptors that are not for files, callers
-    get two thirds, peers a twelfth, and targets and the log the rest.
+    Of the memory beyond its own, bodies get a sixth, small ones a 48th,
+    answers a quarter and connections half; of the descriptors that are not for
+    files, callers get two thirds at most, peers a twelfth, and targets and the
+    log the rest.
     """
     spare = (process_mb - BASE_MB) * 1_000_000
     sockets = max_descriptors - FILE_DESCRIPTORS
-    connections = sockets * 2 // 3
     return MemoryPlan(
         body_bytes=spare // 6,
         small_bytes=spare // 48,
         answer_bytes=spare // 4,
-        connections=connections,
+        connections=min(sockets * 2 // 3, spare // 2 // CONNECTION_BYTES),
         peer_connections=sockets // 12,
-        unread_bytes=min(
-            MAX_UNREAD_BYTES,
-            max(MIN_UNREAD_BYTES, spare // 4 // connections),
-        ),
     )
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -122,7 +122,7 @@
         self._server.init_socket()
         # Accepted connections inherit it.
         self._server.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, self._plan.unread_bytes
+            socket.SOL_SOCKET, socket.SO_RCVBUF, callers.UNREAD_BYTES
         )
         self._server.start()
 
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -23,6 +23,16 @@
     "unknown field": ('"zone"', '"zoen"', "zoen"),
     "wrong type": ('"z1"', "7", "zone"),
     "short secret": ('"sixteen letters or more"', '"short"', "peer_secret"),
+    "too little memory": (
+        '"zone"',
+        '"memory": {"process_mb": 100}, "zone"',
+        "process_mb",
+    ),
+    "too few descriptors": (
+        '"zone"',
+        '"memory": {"max_descriptors": 250}, "zone"',
+        "max_descriptors",
+    ),
     "no JSON": ("{", "[", "JSON"),
 }
 
