Keep less for each connection during a request

Cause: 400 callers who stop short of 4 MB took 102 MB of a process with descriptors for all of them; the bound is 100.

Change: an eighth instead of a sixth of the spare memory for bodies; 4 kB instead of 16 are read ahead while a request is in flight; the parser of a connection that only lingers is dropped.

--- a/agatewing/callers/_plan.py
+++ b/agatewing/callers/_plan.py
@@ -36,7 +36,7 @@
 def plan_memory(process_mb: int, max_descriptors: int) -> MemoryPlan:
     """Divide the memory of a process, in megabytes, and its descriptors.
 
-    Of the memory beyond its own, bodies get a sixth, small ones a 48th,
+    Of the memory beyond its own, bodies get an eighth, small ones a 48th,
     answers a quarter and connections half; of the descriptors that are not for
     files, callers get two thirds at most, peers a twelfth, and targets and the
     log the rest.
@@ -44,7 +44,7 @@
     spare = (process_mb - BASE_MB) * 1_000_000
     sockets = max_descriptors - FILE_DESCRIPTORS
     return MemoryPlan(
-        body_bytes=spare // 6,
+        body_bytes=spare // 8,
         small_bytes=spare // 48,
         answer_bytes=spare // 4,
         connections=min(sockets * 2 // 3, spare // 2 // CONNECTION_BYTES),
--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -153,6 +153,7 @@
         if not self._read_head():
             return None
         self.busy = True
+        self._input.ahead = _caller_input.BUSY_AHEAD_BYTES
         self._started = False
         arrived_at = self._clock.monotonic()
         self._turn.spend(REQUEST_STEPS)
@@ -427,6 +428,7 @@
         """Prepare for the next request; return whether one may follow."""
         self.busy = self._head_begun = self._whole = False
         self._leave_room()
+        self._input.ahead = _caller_input.READ_AHEAD_BYTES
         if self._parser.our_state is not h11.DONE:
             return False
         if self._parser.their_state is not h11.DONE:
@@ -479,6 +481,8 @@
         else:
             self._close_write_side()
             if linger and self._answered:
+                # What it holds of the request is not needed any more.
+                self._parser = self._new_parser()
                 self._input.discard(LINGER_S, LINGER_BYTES)
         self._input.stop()
         self._sock.close()
--- a/agatewing/gateway/_caller_input.py
+++ b/agatewing/gateway/_caller_input.py
@@ -14,9 +14,12 @@
 
 #: Largest number of bytes read from a connection at once.
 READ_BYTES = 65_536
-#: Bytes that are received while nobody takes them: most requests as a whole,
-#: and the beginning of a later one while another is in flight.
+#: Bytes that are received at once of a head and what follows it: most
+#: requests as a whole.
 READ_AHEAD_BYTES = 16_384
+#: Bytes that are received while nobody takes them and a request is in flight,
+#: so that the end of input is noticed.
+BUSY_AHEAD_BYTES = 4_096
 #: Time for the reader to receive bytes that have arrived, in seconds.
 READER_TURN_S = 0.1
 
@@ -29,6 +32,7 @@
         "_on_end",
         "_data",
         "_limit",
+        "ahead",
         "_data_arrived",
         "_space_freed",
         "_reader",
@@ -46,8 +50,10 @@
         self._on_end = on_end
         # One buffer, in however small pieces they arrive.
         self._data = bytearray()
-        # Number of bytes up to which it may grow.
-        self._limit = READ_AHEAD_BYTES
+        #: Number of bytes up to which it may grow while nobody takes them.
+        self.ahead = READ_AHEAD_BYTES
+        # The same at present.
+        self._limit = self.ahead
         self._data_arrived = gevent.event.Event()
         self._space_freed = gevent.event.Event()
         #: Whether the caller has closed its side.
@@ -132,7 +138,7 @@
         try:
             return self._take(timeout_s)
         finally:
-            self._limit = READ_AHEAD_BYTES
+            self._limit = self.ahead
 
     def _take(self, timeout_s: float) -> bytes | None:
         reader_had_turn = False
