Bound the bodies of all requests at the product's own port

Cause: each body at the port of the product's own interface was bounded, their sum was not, and a body in chunks of 1 byte lay in a list.

Change: bodies are read in pieces of 16 kB into one buffer and share room (`limits.max_bodies_bytes`, 256 MB) until their requests end; one without room for a second gets 503 `overloaded`, whose outcome is unknown if it bears an idempotency key. A body that stands still is still bounded only by `request_read_s` there.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -359,6 +359,7 @@
             self.services,
             self.events,
             limits,
+            self.clock,
         )
         #: Polls the load reports and cache events of engines.
         self.poller = fleet.Poller(
--- a/agatewing/config/_settings.py
+++ b/agatewing/config/_settings.py
@@ -39,6 +39,11 @@
 
     # Maximum size of a request body, in bytes.
     max_body_bytes: int = 4_000_000
+    # Maximum size of all request bodies together that the process holds, in
+    # bytes; one more may go on beyond it, so that some body can always end.
+    max_bodies_bytes: typing.Annotated[int, msgspec.Meta(ge=1_000_000)] = (
+        256_000_000
+    )
     # Maximum size of the header block of a request, in bytes.
     max_header_bytes: int = 32_768
     # Time limit for a caller to send the head of a request, and again for
--- a/agatewing/entry/_app.py
+++ b/agatewing/entry/_app.py
@@ -5,9 +5,10 @@
 import dataclasses
 import logging
 
-
+from agatewing import _clock
 from agatewing import _exceptions
 from agatewing import _types
+from agatewing import callers
 from agatewing import config
 from agatewing.entry import _context
 from agatewing.entry import _gate
@@ -31,6 +32,7 @@
         "_services",
         "_events",
         "_limits",
+        "_bodies",
         "_directory",
         "_directory_document",
         "open_requests",
@@ -46,6 +48,7 @@
         services: _services.Services,
         events: timeline.EventRecorder,
         limits: config.Limits,
+        clock: _clock.Clock,
     ) -> None:
         self._fleet = target_fleet
         self._gate = gate
@@ -53,6 +56,10 @@
         self._services = services
         self._events = events
         self._limits = limits
+        # Small bodies have a sixteenth beside the others.
+        self._bodies = callers.BodyRoom(
+            clock, limits.max_bodies_bytes, limits.max_bodies_bytes // 16
+        )
         self._directory: _identity.CallerDirectory | None = None
         self._directory_document: config.Document | None = None
         #: Number of requests in flight, including those for /healthz.
@@ -68,23 +75,32 @@
     ) -> collections.abc.Iterable[bytes]:
         """Answer one request (PEP 3333)."""
         self.open_requests += 1
+        share = self._bodies.open(_context.body_length(environ))
         try:
-            answer = self._route(environ, start_response)
+            answer = self._route(environ, start_response, share)
         except _exceptions.RefusedError as exc:
-            self.open_requests -= 1
+            self.end_request(share)
             return self._refuse(exc.refusal, start_response)
         except Exception as exc:
             # The server would close the connection on some errors of sockets.
-            self.open_requests -= 1
+            self.end_request(share)
             _log.exception("entry: request failed: %s", exc)
             return self._refuse(_internal_error(), start_response)
         except BaseException:
-            self.open_requests -= 1
+            self.end_request(share)
             raise
-        return _CountedBody(answer, self)
+        return _CountedBody(answer, self, share)
+
+    def end_request(self, share: callers.BodyShare) -> None:
+        """Record the end of a request, whose body had a share of room."""
+        self.open_requests -= 1
+        self._bodies.close(share)
 
     def _route(
-        self, environ: net.Environ, start_response: net.StartResponse
+        self,
+        environ: net.Environ,
+        start_response: net.StartResponse,
+        share: callers.BodyShare,
     ) -> collections.abc.Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         match [method, *path.strip("/").split("/")]:
@@ -95,31 +111,35 @@
             case ["GET", "v1", "models"]:
                 return self._models(environ, start_response)
             case ["POST", "v1", "completions"]:
-                req = self._read_request(environ)
+                req = self._read_request(environ, share)
                 self._gate.check()
                 return self._generation.handle(
                     "completions", req, start_response
                 )
             case ["POST", "v1", "chat", "completions"]:
-                req = self._read_request(environ)
+                req = self._read_request(environ, share)
                 self._gate.check()
                 return self._generation.handle("chat", req, start_response)
             case [_, "services", name, *_]:
                 service_path = (
                     path.split("/", 3)[3] if path.count("/") > 2 else ""
                 )
-                req = self._read_request(environ)
+                req = self._read_request(environ, share)
                 return self._services.handle(
                     name, f"/{service_path}", req, start_response
                 )
         raise _exceptions.RefusedError(_unknown_path(method, path))
 
-    def _read_request(self, environ: net.Environ) -> _context.CallerRequest:
+    def _read_request(
+        self, environ: net.Environ, share: callers.BodyShare
+    ) -> _context.CallerRequest:
         req = _context.read_request(
             environ,
             self._identify(environ),
             self._limits.max_body_bytes,
             self._limits.request_read_s,
+            self._bodies,
+            share,
         )
         self._events.add(
             timeline.EventKind.REQUEST_ACCEPTED,
@@ -199,11 +219,15 @@
     flight until the body is closed.
     """
 
-    __slots__ = ("_blocks", "_app", "_open")
+    __slots__ = ("_blocks", "_app", "_share", "_open")
 
     def __init__(
-        self, blocks: collections.abc.Iterable[bytes], app: EntryApp
+        self,
+        blocks: collections.abc.Iterable[bytes],
+        app: EntryApp,
+        share: callers.BodyShare,
     ) -> None:
+        self._share = share
         self._blocks = blocks
         self._app = app
         self._open = True
@@ -216,7 +240,7 @@
         """Release the resources of the answer; the server calls it once."""
         if self._open:
             self._open = False
-            self._app.open_requests -= 1
+            self._app.end_request(self._share)
         close = getattr(self._blocks, "close", None)
         if close is not None:
             close()
--- a/agatewing/entry/_context.py
+++ b/agatewing/entry/_context.py
@@ -7,10 +7,13 @@
 
 from agatewing import _exceptions
 from agatewing import _types
+from agatewing import callers
 from agatewing.entry import _crashes
 from agatewing.entry import _identity
 from agatewing import net
 
+#: Bytes of a body that are read at once, and for which it needs room.
+PIECE_BYTES = 16_384
 #: WSGI name of the header with the caller's timeout, in seconds.
 DEADLINE_HEADER = "HTTP_AGATEWING_DEADLINE"
 
@@ -64,12 +67,17 @@
     identity: _identity.Identity,
     max_body_bytes: int,
     read_timeout_s: float,
+    room: callers.BodyRoom,
+    share: callers.BodyShare,
 ) -> CallerRequest:
     """Read the header fields and the body of a request.
 
+    The body takes its share of a room; the caller of this function gives it
+    back.
+
     Raises ``RefusedError`` if the body is larger than ``max_body_bytes``,
-    does not arrive within ``read_timeout_s`` seconds or is truncated, or if
-    the timeout header is malformed.
+    finds no room, does not arrive within ``read_timeout_s`` seconds or is
+    truncated, or if the timeout header is malformed.
     """
     return CallerRequest(
         uuid.uuid4().hex[:16],
@@ -77,7 +85,7 @@
         environ["PATH_INFO"],
         environ.get("QUERY_STRING", ""),
         environ.get("CONTENT_TYPE", "") or "application/json",
-        _read_body(environ, max_body_bytes, read_timeout_s),
+        _read_body(environ, max_body_bytes, read_timeout_s, room, share),
         identity,
         _parse_timeout(environ.get(DEADLINE_HEADER, "")),
         environ.get("HTTP_IDEMPOTENCY_KEY", "").strip(),
@@ -107,17 +115,27 @@
     return seconds
 
 
+def body_length(environ: net.Environ) -> int | None:
+    """Return the announced length of a body; ``None`` if it is not known."""
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length.isdecimal():
+        return int(length)
+    return None if environ.get("HTTP_TRANSFER_ENCODING") else 0
+
+
 def _read_body(
-    environ: net.Environ, limit: int, read_timeout_s: float
+    environ: net.Environ,
+    limit: int,
+    read_timeout_s: float,
+    room: callers.BodyRoom,
+    share: callers.BodyShare,
 ) -> bytes:
     """Return the body; refuse one that is too large, slow or truncated."""
     length = environ.get("CONTENT_LENGTH") or "0"
     if length.isdecimal() and int(length) > limit:
         raise _exceptions.RefusedError(_too_large(limit))
     with gevent.Timeout(read_timeout_s, False):
-        body: bytes = environ["wsgi.input"].read(limit + 1)
-        if len(body) > limit:
-            raise _exceptions.RefusedError(_too_large(limit))
+        body = _receive(environ, limit, room, share)
         if length.isdecimal() and 0 < len(body) < int(length):
             raise _exceptions.RefusedError(_truncated())
         return body
@@ -131,6 +149,43 @@
     )
 
 
+def _receive(
+    environ: net.Environ,
+    limit: int,
+    room: callers.BodyRoom,
+    share: callers.BodyShare,
+) -> bytes:
+    """Return a body that is read in pieces, each as there is room for it."""
+    body = bytearray()
+    while True:
+        try:
+            room.grow(share, PIECE_BYTES, float("inf"))
+        except callers.NoRoomError as exc:
+            raise _exceptions.RefusedError(_no_room(environ)) from exc
+        piece = environ["wsgi.input"].read(PIECE_BYTES)
+        room.shrink(share, PIECE_BYTES - len(piece))
+        body += piece
+        if len(body) > limit:
+            raise _exceptions.RefusedError(_too_large(limit))
+        if len(piece) < PIECE_BYTES:
+            return bytes(body)
+
+
+def _no_room(environ: net.Environ) -> _exceptions.Refusal:
+    """Return the refusal of a body that others left no room for.
+
+    An earlier try with the same idempotency key may have run.
+    """
+    keyed = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+    return _exceptions.Refusal(
+        _types.RefusalKind.OVERLOADED,
+        "the bodies of other requests left no room for this one",
+        "come back later, or ask another instance",
+        _types.Outcome.UNKNOWN if keyed else _types.Outcome.NOT_RUN,
+        retry_after_s=1.0,
+    )
+
+
 def _too_large(limit: int) -> _exceptions.Refusal:
     """Return the refusal of a body over the limit."""
     return _exceptions.Refusal(
