Count connections that gave way at the port for readiness

Cause: the bound there had no counter and no log line; the test of the template did not know the placeholders of the settings `memory`.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -530,6 +530,11 @@
             "Connections of callers ended or refused at their bound",
             self.server.gave_way,
         )
+        metrics.counter(
+            "agatewing_probe_connections_gave_way_total",
+            "Connections of checks and metrics ended at their bound",
+            sum(server.gave_way for server in self._probe_servers),
+        )
         metrics.gauge(
             "agatewing_body_bytes_held",
             "Bytes of bodies that callers and peers have sent",
--- a/agatewing/net/_http_server.py
+++ b/agatewing/net/_http_server.py
@@ -29,6 +29,8 @@
 
 #: Time an idle keep-alive connection stays open, in seconds.
 KEEP_ALIVE_S = 75.0
+#: Connections that end for the sake of others for one log line.
+LOG_EVERY = 1_000
 #: Connections beyond the bound that are open while others end for them; so
 #: many are accepted at once.
 SPARE_CONNECTIONS = 16
@@ -240,6 +242,12 @@
             if handler.waiting:
                 del self._handlers[handler]
                 self.gave_way += 1
+                if self.gave_way % LOG_EVERY == 1:
+                    _log.warning(
+                        "net: too many connections to port %d, %d ended",
+                        self.port,
+                        self.gave_way,
+                    )
                 handler.give_way()
                 return
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,6 +29,8 @@
     "{{bounds.lease_ms|json}}": "3000",
     "{{bounds.config_apply_ms|json}}": "2500",
     "{{bounds.drain_ms|json}}": "2000",
+    "{{limits.memory_mb|json}}": "160",
+    "{{limits.max_fds|json}}": "1638",
 }
 
 
