--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -149,8 +149,8 @@
     limits: CallerLimits
     #: Client accounts; ``None`` if there are none, so that keys mean nothing.
     client_accounts: tuple[accounts.Account, ...] | None = None
-    #: Whether ``client_accounts`` says so. Releases that know no accounts leave it
-    #: out of what they tell their peers.
+    #: Whether ``client_accounts`` says so. Releases that know no accounts
+    #: leave it out of what they tell their peers.
     accounts_known: bool = False
 
 
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -98,6 +98,18 @@
     usage_late_s: Positive = 10
 
 
+class Memory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the process may take; what callers may hold follows from it.
+
+    The defaults are those of the smallest machines.
+    """
+
+    # Memory above which the process would be ended, in megabytes.
+    process_mb: typing.Annotated[int, msgspec.Meta(ge=128)] = 160
+    # Descriptors that it may open, those for files included.
+    max_descriptors: typing.Annotated[int, msgspec.Meta(ge=300)] = 1_638
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one instance."""
 
@@ -139,6 +151,8 @@
     # Whether numbers of engines stay where they are, for the time of an
     # intervention.
     hold_engines: bool = False
+    # Memory and descriptors of the process.
+    memory: Memory = Memory()
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
