Fingerprint requests by their account, not by its key

Cause: a request on which targets crash is known by its fingerprint, which held the digest of the key: with another key of the same account it was another request. The short soak of crashing requests, whose callers change keys every 2.5 s, had 5 and 9 sends after it had to be known (3 are allowed). Change: once a request is identified, its fingerprint has the account's name.

--- a/agatewing/gateway/_messages.py
+++ b/agatewing/gateway/_messages.py
@@ -133,6 +133,8 @@
     #: Digest of its key, see ``accounts.key_digest``; empty without exactly
     #: one usable key.
     account_key: str = ""
+    #: Name of its account, once it was identified; empty without one.
+    account: str = ""
     # Fingerprints once they were computed.
     _fingerprints: tuple[int, ...] | None = dataclasses.field(
         default=None, init=False, repr=False, compare=False
@@ -174,7 +176,8 @@
             if name.lower() in _CALLER_HEADERS:
                 yield name.lower()
                 yield value
-        yield self.account_key.encode()
+        # An account may change its keys while a request is repeated.
+        yield (self.account or self.account_key).encode()
         if self.prompt is not None:
             prompt = self.prompt
             yield f"{prompt.model},{prompt.tokens}".encode()
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -1,6 +1,7 @@
 """Accepts callers' connections and serves the requests of each in order."""
 
 import collections
+import dataclasses
 import logging
 import socket
 import typing
@@ -9,6 +10,7 @@
 import gevent.socket
 
 from agatewing import _clock
+from agatewing import accounts
 from agatewing import callers
 from agatewing import decisions
 from agatewing import detour
@@ -478,6 +480,9 @@
         if req.caller_timeout_s is not None:
             timeout_s = min(timeout_s, req.caller_timeout_s)
         deadline = req.arrived_at + timeout_s - _context.ANSWER_MARGIN_S
+        identity = _context.identify(self._ctx, req, route.public)
+        if isinstance(identity, accounts.Account):
+            req = dataclasses.replace(req, account=identity.name)
         job = _context.Job(
             req,
             conn,
@@ -486,7 +491,7 @@
             deadline,
             decisions.Attempts(route.kind.idempotent, route.max_targets),
             config_version=self._ctx.catalog.config_version,
-            identity=_context.identify(self._ctx, req, route.public),
+            identity=identity,
         )
         if req.handed_on is None:
             self._ctx.account_use.record_asked(job.identity)
--- a/agatewing/platform/tests/test_client_accounts.py
+++ b/agatewing/platform/tests/test_client_accounts.py
@@ -16,6 +16,7 @@
 from agatewing import detour
 from agatewing import fleetlog
 from agatewing import gateway
+from agatewing.gateway import _context
 from agatewing.gateway import _contracts
 from agatewing.platform import standins
 from agatewing.platform.tests import _every_route
@@ -309,3 +310,28 @@
     page = site.logs["i1"].read_newest(topic)
     assert isinstance(page, fleetlog.Page)
     return [str(record) for record in page.records]
+
+
+def test_a_request_is_the_same_with_another_key_of_its_account(
+    site: standins.Site, instance: gateway.GatewayInstance
+) -> None:
+    """A request that crashes targets would be forgotten with each key."""
+    prints = []
+    handle = instance.server._handle
+
+    def record(job: _context.Job) -> None:
+        prints.append(job.req.fingerprint)
+        handle(job)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(type(instance.server), "_handle", record_of(record))
+        for key in ("key-of-shop", "second-key", "key-of-port"):
+            ask(site, instance, "/look/x", X_Api_Key=key)
+    assert prints[0] == prints[1] != prints[2]
+
+
+def record_of(
+    record: collections.abc.Callable[[_context.Job], None],
+) -> collections.abc.Callable[[object, _context.Job], None]:
+    """Return a method that calls a function."""
+    return lambda server, job: record(job)
