End requests at targets whose process has ended

Cause: a process that ends closes its connections, but where its machine loses power or the path drops the reset, a request under way waits until its deadline, though this instance or a peer already knows of the end.

Change: the sender knows the connections that carry a request, by incarnation of the target. A crash that the quarantine proved or a peer reported, a process that replaced the target, an expired entry and a refused connection are evidence; the last two are confirmed by another try to connect. A stream that its caller leaves is logged with its events and silence.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -95,6 +95,7 @@
         "fresh",
         "refused",
         "names_requests",
+        "__weakref__",
     )
 
     def __init__(
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -169,6 +169,7 @@
         self.metrics = _metrics.Metrics()
         self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
+        self._watch_ends(self.handler_context.sender)
         self.role_loop = self._build_role_loop()
         self.server = _server.CallerServer(
             net.split_address(settings.caller_address),
@@ -215,6 +216,13 @@
             self.account_use,
         )
 
+    def _watch_ends(self, sender: _sender.Sender) -> None:
+        """Tell the sender of targets whose process has ended."""
+        self.registry.on_gone = sender.record_gone
+        self.quarantine.on_crashed = functools.partial(
+            sender.ended_targets.record_end, evidence="it crashed"
+        )
+
     def _build_links(self, rng: random.Random) -> detour.LinkWatch:
         probe = detour.LinkProbe(self.clock)
         exchange = detour.LinkExchange(
@@ -514,6 +522,11 @@
             "Requests sent to targets",
             self.handler_context.sender.request_count,
         )
+        metrics.counter(
+            "agatewing_ended_requests_total",
+            "Requests given up as their target's process had ended",
+            self.handler_context.sender.ended_targets.ended,
+        )
         metrics.counter(
             "agatewing_retries_denied_total",
             "Repeats that the budget did not allow",
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -84,6 +84,7 @@
         "_checks",
         "_crashed",
         "crashes",
+        "on_crashed",
     )
 
     def __init__(
@@ -106,6 +107,9 @@
         self._crashed: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        #: Called with the incarnation of each target that is known to have
+        #: crashed, also if a peer reports it; may be called more than once.
+        self.on_crashed: collections.abc.Callable[[int], None] = _ignore
         #: Number of targets whose crash broke off a request of this instance
         #: that may have been the cause.
         self.crashes = 0
@@ -276,6 +280,7 @@
         if engine in self._crashed:
             return
         self.crashes += 1
+        self.on_crashed(engine)
         _log.warning(
             "quarantine: an engine crashed under a prompt",
             extra={"target": target.id},
@@ -365,6 +370,8 @@
             )
         found = []
         for report in reports:
+            for engine in report.engines:
+                self.on_crashed(engine)
             found += suspects.merge(_suspect_report(report), now)
         return found
 
@@ -383,6 +390,10 @@
             )
 
 
+def _ignore(engine: int) -> None:
+    """Default of ``Quarantine.on_crashed``."""
+
+
 def _block_keys(req: _messages.CallerRequest) -> list[int]:
     return [decisions.long_key(block) for block in req.shared_blocks]
 
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -7,6 +7,8 @@
 from agatewing import _clock
 from agatewing.gateway import _answer_room
 from agatewing.gateway import _channel
+from agatewing.gateway import _contracts
+from agatewing.gateway import _ended_targets
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
 from agatewing.gateway import _request_limits
@@ -68,6 +70,7 @@
         "_dialect",
         "_limits",
         "_room",
+        "ended_targets",
         "request_count",
     )
 
@@ -81,6 +84,8 @@
         self._dialect = dialect
         self._limits = limits
         self._room = _answer_room.AnswerRoom(clock, MAX_BUFFERED_BYTES)
+        #: Requests at targets whose process has ended.
+        self.ended_targets = _ended_targets.EndedTargets(clock)
         #: Number of sends that ``send_request`` began on an open connection,
         #: failed ones included.
         self.request_count = 0
@@ -117,6 +122,8 @@
             channel = tracked.channels.acquire(max_idle_s, remaining_s)
         except _channel.ConnectError as exc:
             tracked.record_failure()
+            if isinstance(exc, _channel.ConnectRefusedError):
+                self._record_refusal(tracked)
             return _messages.NotSent(str(exc), round(exc.awaited_s, 3))
         if not tracked.takes_requests(self._clock.monotonic()):
             # It said so while the connection was opened.
@@ -130,6 +137,43 @@
             channel.close()
             raise
 
+    def _record_refusal(self, tracked: _tracked_target.TrackedTarget) -> None:
+        """End the requests at a target that listens no more.
+
+        One that leaves may close its port before it has answered them, and a
+        lost path may look like a closed port.
+        """
+        if not tracked.active:
+            return
+        self.ended_targets.record_end(
+            tracked.target.key,
+            "it refuses connections",
+            lambda: (
+                tracked.active
+                and not tracked.link.lost
+                and _accepts_connections(tracked.address, self._clock) is False
+            ),
+        )
+
+    def record_gone(
+        self,
+        target: _contracts.Target,
+        successor: _contracts.Target | None,
+    ) -> None:
+        """End the requests at an active target that is gone.
+
+        Its entry has expired, or ``successor`` has replaced it. One that only
+        lost its way to the log still accepts connections.
+        """
+        if successor is not None and successor.born_ms > target.born_ms:
+            self.ended_targets.record_end(target.key, "it was replaced")
+            return
+        self.ended_targets.record_end(
+            target.key,
+            "its entry expired",
+            lambda: not _accepts_connections(target.address, self._clock),
+        )
+
     def _exchange(
         self,
         tracked: _tracked_target.TrackedTarget,
@@ -144,6 +188,7 @@
         self._limits.record_send(tracked.target)
         try:
             channel.send(outgoing, deadline)
+            self.ended_targets.add(tracked.target.key, channel)
             head = self._matching_head(channel, req, deadline)
         except _channel.BrokenError as exc:
             channel.close()
@@ -298,6 +343,7 @@
         self, tracked: _tracked_target.TrackedTarget, channel: _channel.Channel
     ) -> None:
         """Return a connection to its pool; its answer must be read in full."""
+        self.ended_targets.discard(tracked.target.key, channel)
         tracked.channels.release(channel)
 
     def call(
@@ -361,6 +407,22 @@
         return head.status
 
 
+def _accepts_connections(address: str, clock: _clock.Clock) -> bool | None:
+    """Return whether a process listens at an address.
+
+    ``None`` if nothing answers, so that the path may be lost.
+    """
+    channel = _channel.Channel(address, clock)
+    try:
+        channel.connect(_ended_targets.QUIET_S)
+    except _channel.ConnectRefusedError:
+        return False
+    except _channel.ConnectError:
+        return None
+    channel.close()
+    return True
+
+
 def _body_bytes(head: _messages.AnswerHead) -> int | None:
     """Return the length of an answer's body; ``None`` if it is not known."""
     if head.framing is not _messages.Framing.LENGTH:
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
+import gevent
+
 from agatewing import decisions
+from agatewing.gateway import _caller_conn
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
 from agatewing.gateway import _race
@@ -68,12 +71,32 @@
             if piece.head.status < 300:
                 self._record_speed(path)
             self._record_answer(path, piece.head)
+        except (_caller_conn.CallerGoneError, gevent.GreenletExit):
+            self._log_left()
+            raise
         finally:
             if self._race is not None:
                 self._race.close()
             if path is not None:
                 path.close()
 
+    def _log_left(self) -> None:
+        """Log that the caller left before the end of its stream."""
+        now, job = self._ctx.clock.monotonic(), self._job
+        relay = self._relay
+        since = relay.last_event_at or job.req.arrived_at
+        source = job.source
+        _context.log_event(
+            job,
+            "left by its caller",
+            target=source.target if source is not None else "",
+            events=relay.event_count,
+            silent_s=round(now - since, 3),
+            pause_s=round(relay.longest_pause_s, 4),
+            taken_s=round(now - job.req.arrived_at, 3),
+            left_s=round(job.deadline - now, 3),
+        )
+
     def _new_detour(self) -> _stream_detour.StreamDetour:
         return _stream_detour.StreamDetour(
             self._ctx, self._job, self._engines, self._relay, self._turn
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -313,6 +313,7 @@
         "back_offs",
         "links",
         "merge_reports",
+        "on_gone",
     )
 
     def __init__(
@@ -338,6 +339,11 @@
         self.full_view = True
         #: Merges the load reports of other instances into the loads.
         self.merge_reports: collections.abc.Callable[[], None] = _no_reports
+        #: Called with an active target whose entry has expired, or which
+        #: another process has replaced; that one is given too.
+        self.on_gone: collections.abc.Callable[
+            [_contracts.Target, _contracts.Target | None], None
+        ] = _ignore_gone
         #: Set whenever this instance's load at targets changes.
         self.changed = gevent.event.Event()
         #: Limits that targets name for the requests of all instances.
@@ -393,7 +399,7 @@
         """Apply changed services or targets; yield to no other greenlet."""
         for name in list(self.by_id):
             if name not in targets:
-                self.by_id.pop(name).withdraw()
+                self._withdraw(self.by_id.pop(name), None)
         self.departures.retain(targets.values())
         for name, target in targets.items():
             self._apply_target(name, target, services.get(target.service))
@@ -427,6 +433,16 @@
                 if tracked.target.service == name
             }
 
+    def _withdraw(
+        self,
+        tracked: _tracked_target.TrackedTarget,
+        successor: _contracts.Target | None,
+    ) -> None:
+        gone, was_active = tracked.target, tracked.active
+        tracked.withdraw()
+        if was_active:
+            self.on_gone(gone, successor)
+
     def _apply_target(
         self,
         name: str,
@@ -438,7 +454,7 @@
             tracked.update(target)
             return
         if tracked is not None:
-            tracked.withdraw()
+            self._withdraw(tracked, target)
         speed = speed_of(self._speed, target, service)
         properties = service.engines if service else None
         self.by_id[name] = _tracked_target.TrackedTarget(
@@ -463,6 +479,12 @@
     return any(abs(a - b) > LOGGED_CHANGE * b for a, b in pairs)
 
 
+def _ignore_gone(
+    target: _contracts.Target, successor: _contracts.Target | None
+) -> None:
+    """Default of ``TargetRegistry.on_gone``."""
+
+
 def _no_reports() -> None:
     """Default of ``TargetRegistry.merge_reports``, without load reports."""
 
