Let work that may wait yield to work that may not

Cause: the order at an engine followed the prompt's size only, and the queue of an instance the routes' equal shares: a label with an objective of two seconds went before a larger briefing with one of 0.6 s.

Change: where a service has a more urgent route (rank; the account's, if it has one) with at most half of the objective, requests with an objective of 1.5 s or more yield until 0.9 s before its end: their priority classes at engines are 6 to 9, after all others; in the queue they go after all others, take no room that one of these waits for, and are admitted by the whole backlog. A prompt that was processed elsewhere, a stream that has begun and one that was handed on yield to nothing. Estimates count yielding prompts like long ones: shorter ones go ahead. Where no route of a service has such an objective, nothing changes; engine_priority moved to decisions with its figures.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -13,6 +13,9 @@
 from agatewing.decisions._attempts import Attempts
 from agatewing.decisions._attempts import Failure
 from agatewing.decisions._attempts import NextStep
+from agatewing.decisions._contention import engine_class
+from agatewing.decisions._contention import Urgency
+from agatewing.decisions._contention import yielding_s
 from agatewing.decisions._costs import fetchable_tokens
 from agatewing.decisions._costs import prefill_cost_tokens
 from agatewing.decisions._costs import prefill_s
--- a/agatewing/decisions/_costs.py
+++ b/agatewing/decisions/_costs.py
@@ -65,6 +65,14 @@
     software: str | None = None
     #: Engines to which the request is not sent again.
     avoid: frozenset[str] = frozenset()
+    #: Monotonic time until which it yields to more urgent requests, in
+    #: seconds; 0 if it never does.
+    yields_until: float = 0.0
+
+    @property
+    def bound(self) -> bool:
+        """Whether only some engines may decode it."""
+        return self.software is not None or bool(self.avoid)
 
     @property
     def kv_tokens(self) -> int:
@@ -144,7 +152,10 @@
 def prefill_s(profile: RequestProfile, engine: EngineLoad) -> float:
     """Return the expected time until the prompt is processed, in seconds."""
     own_tokens = prefill_cost_tokens(profile, engine)
-    tokens = _tokens_ahead(own_tokens, engine) + own_tokens
+    ahead = engine.prefill_backlog
+    if not profile.yields_until:
+        ahead = _tokens_ahead(own_tokens, engine)
+    tokens = ahead + own_tokens
     return _prefill_s(profile, engine, tokens)
 
 
--- a/agatewing/dispatch/_dispatcher.py
+++ b/agatewing/dispatch/_dispatcher.py
@@ -299,11 +299,15 @@
         """Route or refuse one queued request; return whether one was.
 
         Tries the first request of each caller, so a long prompt that no
-        engine has room for does not block the requests of other callers.
+        engine has room for does not block the requests of other callers. It
+        blocks those that yield.
         """
         now = self._clock.monotonic()
         loads = pool.loads()
-        for entry in queue.fair_queue.heads():
+        heads = queue.fair_queue.heads()
+        heads.sort(key=lambda entry: now < entry.item.profile.yields_until)
+        held_back = False
+        for entry in heads:
             queued = entry.item
             if self._refuse_late(queue, queued, now):
                 queue.fair_queue.remove_head(entry)
@@ -312,10 +316,14 @@
                 queue.fair_queue.remove_head(entry)
                 queued.routing_result.set(_refusals.version_gone())
                 return True
+            if held_back and now < queued.profile.yields_until:
+                continue
             route = pool.router.choose(
                 queued.profile, loads, queued.profile.avoid
             )
             if route is None:
+                # What yields takes no room that others wait for.
+                held_back |= not queued.profile.bound
                 continue
             queue.fair_queue.remove_head(entry)
             queue.rate.record_sent(entry.cost, now)
@@ -385,7 +393,9 @@
             for engine in routable
         )
         queue = self.queue_of(pool)
-        queue_state = self._queue_state(queue, caller, len(routable), now)
+        queue_state = self._queue_state(
+            queue, caller, profile, len(routable), now
+        )
         ends_in_s = self._ends_at - now
         match decisions.admit(queue_state, service_s, ends_in_s):
             case decisions.TooLate():
@@ -407,18 +417,30 @@
         self,
         queue: PoolQueue,
         caller: Caller,
+        profile: decisions.RequestProfile,
         engine_count: int,
         now: float,
     ) -> decisions.QueueState:
+        """Return what is ahead of a request; all, if it yields."""
         fair_queue = queue.fair_queue
+        backlog = own_backlog = fair_queue.backlog
+        share = 1.0
+        if now >= profile.yields_until:
+            backlog -= sum(
+                entry.cost
+                for entry in fair_queue.entries()
+                if now < entry.item.profile.yields_until
+            )
+            own_backlog = fair_queue.backlog_of(caller.name)
+            share = fair_queue.share_of(caller.name, caller.weight)
         # Used until a rate is measured: one engine second per second and
         # engine, shared equally among the instances.
         planned_rate = engine_count / max(1, self.instances)
         capacity = queue.rate.measured_rate(planned_rate, now)
         return decisions.QueueState(
-            fair_queue.backlog_of(caller.name),
-            fair_queue.backlog,
-            fair_queue.share_of(caller.name, caller.weight),
+            own_backlog,
+            max(0.0, backlog),
+            share,
             capacity,
             len(fair_queue),
             self._max_queued,
--- a/agatewing/gateway/_meter.py
+++ b/agatewing/gateway/_meter.py
@@ -70,7 +70,8 @@
         self._phase = _Phase.WAITING
         self._kv_tokens = profile.kv_tokens
         # Decided once, as the learned speed may change meanwhile.
-        self._long = load.is_long(self._tokens)
+        # Shorter prompts go ahead of those that yield, as of long ones.
+        self._long = bool(profile.yields_until) or load.is_long(self._tokens)
         #: Whether the engine begins with the prompt at once, as it has no
         #: other request by what is known, and fetches nothing for it.
         self.unqueued = not (
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -19,23 +19,11 @@
 
 _log = logging.getLogger("agatewing.stream")
 
-#: Priority class of all prompts of 8,192 tokens and more at an engine. Engines
-#: run shorter prompts first, but prompts of this class in order of arrival.
-#: When the longest tenth of prompts had a class of its own, it waited until
-#: its callers gave up. If the class began at 4,096 tokens, the longest prompts
-#: of routes with little patience would wait behind those of routes with much
-#: patience.
-LAST_PRIORITY_CLASS = 5
 #: Timeout of the call that frees a KV cache which no engine fetched, in
 #: seconds.
 RELEASE_TIMEOUT_S = 1.0
 
 
-def engine_priority(tokens: int) -> int:
-    """Return the priority class of ``tokens`` to prefill; 0 runs first."""
-    return min(LAST_PRIORITY_CLASS, decisions.priority_class(tokens))
-
-
 class Prefill:
     """Prefill of one stream's prompt, and the KV cache that it makes."""
 
@@ -237,16 +225,21 @@
         last_event_id: bytes | None = None,
     ) -> _messages.SendOptions:
         """Return the values of the headers that the gateway adds to a send."""
-        remaining_s = self._job.deadline - self._ctx.clock.monotonic()
-        priority = engine_priority(
-            decisions.prefill_cost_tokens(self._profile, tracked.load)
+        now = self._ctx.clock.monotonic()
+        remaining_s = self._job.deadline - now
+        # A prompt that was processed elsewhere keeps memory there until this
+        # engine has fetched it, so it yields to nothing any more.
+        cache = None if prefill_only else self.unfetched_cache
+        priority = decisions.engine_class(
+            decisions.prefill_cost_tokens(self._profile, tracked.load),
+            cache is None and now < self._profile.yields_until,
         )
         return _messages.SendOptions(
             tracked.target.id,
             remaining_s,
             priority,
             prefill_only,
-            None if prefill_only else self.unfetched_cache,
+            cache,
             self._fetch_from(tracked, prefill_only),
             last_event_id,
             self._job.identity,
--- a/agatewing/gateway/_routes.py
+++ b/agatewing/gateway/_routes.py
@@ -2,18 +2,26 @@
 
 import random
 
+from agatewing import decisions
 from agatewing.gateway import _contracts
 
 
 class RouteTable:
     """The routes of one configuration, indexed by host."""
 
-    __slots__ = ("_by_host",)
+    __slots__ = ("_by_host", "urgencies")
 
     def __init__(self, routes: tuple[_contracts.Route, ...]) -> None:
         self._by_host: dict[str, list[_contracts.Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
+        by_service: dict[str, set[decisions.Urgency]] = {}
+        for route in routes:
+            urgency = decisions.Urgency(route.rank, route.objective_s)
+            for share in route.shares:
+                by_service.setdefault(share.service, set()).add(urgency)
+        #: What its routes ask of each service.
+        self.urgencies = by_service
         for rules in self._by_host.values():
             rules.sort(key=lambda route: -len(route.prefix))
 
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -63,6 +63,7 @@
             _with_length(located, job, pool, 1.0),
             software=software,
             avoid=self._avoided(job, pool, software),
+            yields_until=self._yields_until(job),
         )
         self._record_demand(job, pool, profile, known_tokens)
         handed_on = job.req.handed_on
@@ -78,6 +79,8 @@
             name, weight = f"{name} of {software}", TAKE_UP_WEIGHT
         if profile.avoid:
             name = f"{name}, sent before"
+        if now < profile.yields_until:
+            name = f"{name}, may wait"
         account = RouteAccount(name, weight)
         job.queued = True
         try:
@@ -94,6 +97,19 @@
         self._check_patience(job, pool, profile, route)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
+    def _yields_until(self, job: _context.Job) -> float:
+        """Return the monotonic time until which a request yields; 0 if not.
+
+        A stream that has begun yields to none.
+        """
+        if job.req.take_up is not None or job.req.handed_on is not None:
+            return 0.0
+        yields_s = decisions.yielding_s(
+            decisions.Urgency(job.priority, job.route.objective_s),
+            self._ctx.catalog.routes.urgencies.get(job.service, ()),
+        )
+        return job.req.arrived_at + yields_s if yields_s else 0.0
+
     def _record_demand(
         self,
         job: _context.Job,
--- a/agatewing/gateway/tests/test_priority_class.py
+++ b/agatewing/gateway/tests/test_priority_class.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from agatewing.gateway import _prefill
+from agatewing import decisions
 
 ORDER = {
     "a short question before a label": (800, 2_400),
@@ -22,10 +22,14 @@
 @pytest.mark.parametrize("name", ORDER)
 def test_the_shorter_prompt_has_a_lower_class(name: str) -> None:
     first, second = ORDER[name]
-    assert _prefill.engine_priority(first) < _prefill.engine_priority(second)
+    assert decisions.engine_class(first, False) < decisions.engine_class(
+        second, False
+    )
 
 
 @pytest.mark.parametrize("name", SAME)
 def test_long_prompts_share_a_class(name: str) -> None:
     first, second = SAME[name]
-    assert _prefill.engine_priority(first) == _prefill.engine_priority(second)
+    assert decisions.engine_class(first, False) == decisions.engine_class(
+        second, False
+    )
