--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -1,5 +1,11 @@
 """Decisions without I/O: queueing, admission, routing, retries, roles."""
 
+from agatewing.decisions._account_demand import AccountDemandMeter
+from agatewing.decisions._account_demand import AccountRates
+from agatewing.decisions._account_demand import add_up_accounts
+from agatewing.decisions._account_demand import bounded as bounded_accounts
+from agatewing.decisions._account_demand import excess_share
+from agatewing.decisions._account_demand import Rates as AccountRate
 from agatewing.decisions._admission import AdmissionDecision
 from agatewing.decisions._admission import admit
 from agatewing.decisions._admission import Admit
@@ -14,6 +20,7 @@
 from agatewing.decisions._attempts import Failure
 from agatewing.decisions._attempts import NextStep
 from agatewing.decisions._contention import engine_class
+from agatewing.decisions._contention import retry_after_s
 from agatewing.decisions._contention import Urgency
 from agatewing.decisions._contention import yielding_s
 from agatewing.decisions._costs import fetchable_tokens
--- a/agatewing/decisions/_contention.py
+++ b/agatewing/decisions/_contention.py
@@ -22,6 +22,11 @@
 #: First priority class of requests that yield, and the last class at engines.
 FIRST_YIELDING_CLASS = 6
 LAST_CLASS = 9
+#: Part of the time until there is room over which callers come back, and the
+#: least such time, in seconds: a fair queue works off a second of requests
+#: before the next ones come.
+RETURN_SPREAD = 0.5
+MIN_RETURN_S = 1.0
 #: Priority class of all prompts of 8,192 tokens and more at an engine. Engines
 #: run shorter prompts first, but prompts of this class in order of arrival.
 #: When the longest tenth of prompts had a class of its own, it waited until
@@ -67,3 +72,14 @@
     if not yields:
         return size
     return min(LAST_CLASS, FIRST_YIELDING_CLASS + size)
+
+
+def retry_after_s(room_s: float, yields: bool, draw: float) -> float:
+    """Return when a refused caller comes back, in seconds.
+
+    Room is expected in ``room_s``. Callers come back over half of that time,
+    by ``draw`` from 0 to 1, so that they do not meet each other; those whose
+    requests yield come in the half after it, when the others were served.
+    """
+    spread_s = RETURN_SPREAD * max(room_s, MIN_RETURN_S)
+    return room_s + spread_s * (draw + yields)
--- a/agatewing/gateway/_account_use.py
+++ b/agatewing/gateway/_account_use.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from agatewing import accounts
+from agatewing import decisions
 
 #: Label of requests that count for no account.
 NO_ACCOUNT = ""
@@ -15,7 +16,16 @@
     Nothing is counted while the configuration names no accounts.
     """
 
-    __slots__ = ("asked", "begun", "refused", "rejected", "on_begun")
+    __slots__ = (
+        "asked",
+        "begun",
+        "refused",
+        "over_share",
+        "rejected",
+        "on_begun",
+        "demand",
+        "rates",
+    )
 
     def __init__(self) -> None:
         #: Number of requests that were accepted, by account.
@@ -24,6 +34,13 @@
         self.begun: collections.Counter[str] = collections.Counter()
         #: Number of requests that this instance refused, by account.
         self.refused: collections.Counter[str] = collections.Counter()
+        #: Number of requests that exceeded the share of their account, so
+        #: that they yielded to others, by account.
+        self.over_share: collections.Counter[str] = collections.Counter()
+        #: Requests for engines of each account at this instance.
+        self.demand = decisions.AccountDemandMeter()
+        #: Returns those at all instances, as far as known.
+        self.rates: collections.abc.Callable[[], decisions.AccountRates] = dict
         #: Number of requests without a key of any account.
         self.rejected = 0
         #: Called with the account of each request that begins; ``None`` if
@@ -51,9 +68,25 @@
         if account is not None:
             self.refused[account.name] += 1
 
+    def excess_share(
+        self, account: accounts.Account, may_wait: bool, now: float
+    ) -> float:
+        """Count a request for engines; return the part beyond the share."""
+        key = decisions.short_key(account.name)
+        excess = decisions.excess_share(self.rates(), key)
+        self.demand.add(key, may_wait, now, excess)
+        return excess
+
     def retain(self, names: frozenset[str]) -> None:
         """Drop the counts of accounts that are not configured any more."""
-        for counter in (self.asked, self.begun, self.refused):
+        keys = {decisions.short_key(name) for name in names}
+        self.demand.retain(keys)
+        for counter in (
+            self.asked,
+            self.begun,
+            self.refused,
+            self.over_share,
+        ):
             for name in counter.keys() - names - {NO_ACCOUNT}:
                 del counter[name]
 
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -26,6 +26,7 @@
 from agatewing.gateway import _sender
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _target_registry
+from agatewing.gateway import _urgency_use
 
 _log = logging.getLogger("agatewing.request")
 
@@ -81,6 +82,8 @@
     metrics: _metrics.Metrics
     #: Counts requests by account, and those that begin.
     account_use: _account_use.AccountUse
+    #: Counts requests for engines by urgency.
+    urgency_use: _urgency_use.UrgencyUse
 
 
 class AnswerConn(typing.Protocol):
@@ -156,6 +159,10 @@
     identity: accounts.Identity = accounts.Unidentified()
     #: Whether a target was seen to have begun it.
     begun: bool = False
+    #: Whether it exceeded the share of its account.
+    over_share: bool = False
+    #: What decided that it was refused for want of room, for the log.
+    decided_by: dict[str, object] = dataclasses.field(default_factory=dict)
 
     @property
     def maybe_ran(self) -> bool:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -35,6 +35,7 @@
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
 from agatewing.gateway import _target_registry
+from agatewing.gateway import _urgency_use
 from agatewing import net
 from agatewing import wire
 
@@ -122,6 +123,8 @@
             self.registry.changed,
             self.links,
         )
+        self.account_use = _account_use.AccountUse()
+        self.urgency_use = _urgency_use.UrgencyUse()
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
             net.split_address(settings.peer_address),
@@ -135,7 +138,9 @@
             self.streams,
             self.quarantine,
             settings.zone,
+            self.account_use.demand,
         )
+        self.account_use.rates = self.load_reports.account_rates
         self.log_turns = _log_turns.LogTurns(
             settings.instance,
             rng,
@@ -167,7 +172,6 @@
         self.own_entry = self._build_own_entry()
         self.followers = self._build_followers()
         self.metrics = _metrics.Metrics()
-        self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
         self._watch_ends(self.handler_context.sender)
         self.role_loop = self._build_role_loop()
@@ -214,6 +218,7 @@
             collections.Counter(),
             self.metrics,
             self.account_use,
+            self.urgency_use,
         )
 
     def _watch_ends(self, sender: _sender.Sender) -> None:
@@ -512,6 +517,30 @@
             "account",
             self.account_use.refused,
         )
+        metrics.counters(
+            "agatewing_account_over_share_total",
+            "Requests beyond the share of their account, which yield",
+            "account",
+            self.account_use.over_share,
+        )
+        for name, counted in (
+            ("asked", self.urgency_use.asked),
+            ("yielded", self.urgency_use.yielded),
+            ("waited", self.urgency_use.waited),
+            ("sent", self.urgency_use.sent),
+        ):
+            metrics.counters(
+                f"agatewing_urgency_{name}_total",
+                f"Requests for engines by rank, 0 the most urgent: {name}",
+                "rank",
+                counted,
+            )
+        metrics.counters(
+            "agatewing_urgency_refused_total",
+            "Requests for engines that were refused, by rank and kind",
+            "rank_and_kind",
+            self.urgency_use.refused,
+        )
         metrics.counter(
             "agatewing_unknown_keys_total",
             "Requests refused as they bear no key of an account",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -80,6 +80,8 @@
     loads: _load_sums.Loads
     #: Demand of the sender's callers, by service.
     demand: dict[str, decisions.StreamDemand]
+    #: Requests of client accounts.
+    accounts: decisions.AccountRates
 
 
 class LoadReports:
@@ -127,6 +129,7 @@
         streams: _stream_directory.StreamDirectory,
         quarantine: _quarantine.Quarantine,
         zone: str,
+        accounts: decisions.AccountDemandMeter | None = None,
     ) -> None:
         self._zone = zone
         self._quarantine = quarantine
@@ -169,6 +172,7 @@
             index,
             quarantine,
             self.summaries,
+            accounts or decisions.AccountDemandMeter(),
         )
         #: Number of bytes sent.
         self.sent_bytes = 0
@@ -217,7 +221,9 @@
             return
         now = self._clock.monotonic()
         reports = [
-            _load_sums.InstanceReport(report.loads, report.demand)
+            _load_sums.InstanceReport(
+                report.loads, report.demand, report.accounts
+            )
             for name, report in self._last_reports.items()
             if now - report.at < EXPIRE_AFTER_S
             and self.summaries.in_zone(name)
@@ -225,6 +231,7 @@
         own = _load_sums.InstanceReport(
             _report_fields.decode_loads(self.writer.own_load()),
             self.writer.own_demand(),
+            self.writer.own_accounts(),
         )
         engines = [
             name
@@ -320,6 +327,28 @@
             1 if _peers.full_view(known + 1) else known + 1,
         )
 
+    def account_rates(self) -> decisions.AccountRates:
+        """Return the requests of client accounts at all instances.
+
+        In fleets in which a report reaches only some peers, they are those of
+        the last summary. Without one, they are those of this instance and of
+        the peers that it hears of, which is all that it decides by.
+        """
+        total = self.summaries.accounts()
+        if total is not None:
+            return total
+        now = self._clock.monotonic()
+        return decisions.add_up_accounts(
+            [
+                self.writer.own_accounts(),
+                *(
+                    report.accounts
+                    for report in self._last_reports.values()
+                    if now - report.at < DEMAND_KEEP_S
+                ),
+            ]
+        )
+
     def receivers(self, far: bool = True) -> list[str]:
         """Return the addresses of the peers that get the next report.
 
@@ -384,6 +413,7 @@
             record.sequence,
             _report_fields.decode_loads(record.work),
             _report_fields.decode_demand(record.demand or ()),
+            _report_fields.decode_accounts(record.accounts),
         )
         for demand in record.demand or ():
             pool = self._registry.pools.get(demand.service_name)
--- a/agatewing/gateway/_load_summaries.py
+++ b/agatewing/gateway/_load_summaries.py
@@ -265,6 +265,15 @@
         missing = (len(self._known()) + 1) / total.instances
         return demand.times(max(1.0, missing))
 
+    def accounts(self) -> decisions.AccountRates | None:
+        """Return the requests of client accounts at all instances.
+
+        ``None`` while no recent total has them.
+        """
+        if not self.used or self.age_s() >= EXPIRE_AFTER_S:
+            return None
+        return self._total.accounts
+
     def summarize(
         self,
         engines: collections.abc.Iterable[str],
@@ -290,24 +299,29 @@
         ]
         loads = _load_sums.add_up(report.loads for report in zone)
         demand = _load_sums.add_up_demand(report.demand for report in zone)
+        accounts = decisions.add_up_accounts(r.accounts for r in zone)
         total = self._split(
             _load_sums.Scope(
                 "", len(zone) + sum(s.instances for s in far), 0, parts
             ),
             _load_sums.add_up([loads, *(sums.loads() for sums in far)]),
             _load_sums.add_up_demand([demand, *(s.demand for s in far)]),
+            decisions.add_up_accounts([accounts, *(s.accounts for s in far)]),
             self._near_waiting,
         )
         for summary in total:
             self.receive(summary)
         scope = _load_sums.Scope(self._zone, len(zone), 0, parts)
-        return total, self._split(scope, loads, demand, self._far_waiting)
+        return total, self._split(
+            scope, loads, demand, accounts, self._far_waiting
+        )
 
     def _split(
         self,
         scope: _load_sums.Scope,
         loads: _load_sums.Loads,
         demand: _load_sums.Demand,
+        accounts: decisions.AccountRates,
         waiting: collections.deque[tuple[float, decisions.Placement]],
     ) -> list[_load_sums.Summary]:
         """Return the parts of a summary; take placements that wait."""
@@ -321,6 +335,7 @@
                 part_loads,
                 demand if part == 0 else {},
                 self._take(waiting),
+                accounts if part == 0 else {},
             )
             for part, part_loads in enumerate(by_part)
         ]
--- a/agatewing/gateway/_load_sums.py
+++ b/agatewing/gateway/_load_sums.py
@@ -68,6 +68,8 @@
     demand: Demand
     #: Placements that the instances published lately.
     placements: tuple[decisions.Placement, ...] = ()
+    #: Requests of client accounts; in the first part only.
+    accounts: decisions.AccountRates = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,12 +80,21 @@
     loads: Loads
     #: Demand of its callers, by service.
     demand: Demand
+    #: Requests of client accounts.
+    accounts: decisions.AccountRates = dataclasses.field(default_factory=dict)
 
 
 class Sums:
     """The parts of a summary that arrived last."""
 
-    __slots__ = ("collector", "instances", "demand", "_at", "_loads")
+    __slots__ = (
+        "collector",
+        "instances",
+        "demand",
+        "accounts",
+        "_at",
+        "_loads",
+    )
 
     def __init__(self) -> None:
         #: Instance that summed up; empty before the first part.
@@ -92,6 +103,8 @@
         self.instances = 0
         #: Demand by service.
         self.demand: Demand = {}
+        #: Requests of client accounts.
+        self.accounts: decisions.AccountRates = {}
         # Monotonic time at which each part arrived, in seconds, and its loads.
         self._at: list[float] = []
         self._loads: list[Loads] = []
@@ -118,6 +131,7 @@
         self._loads[scope.part] = summary.loads
         if scope.part == 0:
             self.demand = summary.demand
+            self.accounts = summary.accounts
 
     def loads(self) -> Loads:
         """Return the load of each engine that has any."""
--- a/agatewing/gateway/_report_fields.py
+++ b/agatewing/gateway/_report_fields.py
@@ -11,6 +11,8 @@
 MAX_AGE_S = 60.0
 #: Largest number of parts of a summary: two for each engine of a large fleet.
 MAX_PARTS = 256
+#: Largest rate in a report, in requests in a thousand seconds.
+MAX_RATE = 2**31 - 1
 
 
 def encode_demand(
@@ -46,6 +48,41 @@
     }
 
 
+def encode_accounts(
+    rates: decisions.AccountRates,
+) -> wire.AccountDemand | None:
+    """Return the rates of the largest accounts as they are in a report."""
+    rows = decisions.bounded_accounts(rates)
+    if not rows:
+        return None
+    return wire.AccountDemand(
+        accounts=[account for account, _ in rows],
+        may_wait=[may_wait for _, may_wait in rows],
+        recent=[_per_1000_s(rate.recent) for rate in rows.values()],
+        usual=[_per_1000_s(rate.usual) for rate in rows.values()],
+    )
+
+
+def _per_1000_s(rate: float) -> int:
+    return min(MAX_RATE, int(rate * 1_000))
+
+
+def decode_accounts(
+    received: wire.AccountDemand | None,
+) -> decisions.AccountRates:
+    """Return the rates in a report; none if its columns differ in length."""
+    if received is None:
+        return {}
+    keys = list(zip(received.accounts, received.may_wait))
+    columns = received.may_wait, received.recent, received.usual
+    if any(len(column) != len(keys) for column in columns):
+        return {}
+    return {
+        key: decisions.AccountRate(recent / 1_000, usual / 1_000)
+        for key, recent, usual in zip(keys, received.recent, received.usual)
+    }
+
+
 def encode_placements(
     placements: collections.abc.Iterable[decisions.Placement],
 ) -> list[wire.PartsHeld]:
@@ -96,6 +133,7 @@
         long_tokens=[load.long_tokens for load in loads],
         kv_tokens=[load.kv_tokens for load in loads],
         demand=encode_demand(summary.demand),
+        accounts=encode_accounts(summary.accounts),
     )
 
 
@@ -118,6 +156,7 @@
         dict(zip(sums.engines, loads)),
         decode_demand(sums.demand),
         decode_placements(record.held),
+        decode_accounts(sums.accounts),
     )
 
 
--- a/agatewing/gateway/_report_writer.py
+++ b/agatewing/gateway/_report_writer.py
@@ -35,6 +35,7 @@
         "_index",
         "_quarantine",
         "_summaries",
+        "_accounts",
         "_sequence",
     )
 
@@ -48,7 +49,9 @@
         index: decisions.PlacementIndex,
         quarantine: _quarantine.Quarantine,
         summaries: _load_summaries.LoadSummaries,
+        accounts: decisions.AccountDemandMeter,
     ) -> None:
+        self._accounts = accounts
         self._name = name
         self._clock = clock
         self._catalog = catalog
@@ -96,6 +99,7 @@
         record.served_requests = self._quarantine.take_served_requests()
         record.leaving = self._registry.departures.take_reports()
         record.demand = _report_fields.encode_demand(self.own_demand())
+        record.accounts = _report_fields.encode_accounts(self.own_accounts())
         record.measured = self._own_measured()
         data = self._codec.encode(record)
         while len(data) > DATAGRAM_BYTES and _shorten(record):
@@ -141,6 +145,9 @@
         }
         return {name: d for name, d in demands.items() if d is not None}
 
+    def own_accounts(self) -> decisions.AccountRates:
+        return self._accounts.rates(self._clock.monotonic())
+
     def _own_measured(self) -> list[wire.MeasuredTime]:
         return [
             wire.MeasuredTime(
@@ -163,8 +170,12 @@
 def _shorten(record: wire.WorkNote) -> bool:
     """Shorten a report that exceeds a datagram; return whether it could be.
 
-    Evidence of crashes is cut last; it is repeated.
+    Evidence of crashes is cut last; it is repeated. So is the demand of
+    accounts, which changes slowly.
     """
+    if not record.measured and record.accounts is not None:
+        record.accounts = None
+        return True
     for group in (("measured",), ("work", "held"), ("suspects", "requests")):
         if any(getattr(record, name) for name in group):
             for name in group:
--- a/agatewing/gateway/_server.py
+++ b/agatewing/gateway/_server.py
@@ -445,6 +445,7 @@
                 "left_s": round(left_s, 3),
                 **self._configs(job),
                 **_context.account_field(job),
+                **job.decided_by,
             }
             self._ctx.account_use.record_refused(job.account)
         _log.info(
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -19,6 +19,8 @@
 #: Weight of the account of streams that callers take up, against 1 of a
 #: route's new ones: they have less time left, and a part of them is delivered.
 TAKE_UP_WEIGHT = 4.0
+#: Refusals for want of room.
+FULL_KINDS = (_types.RefusalKind.OVERLOADED, _types.RefusalKind.DEADLINE)
 #: Least share of the length that callers expect which an answer may have:
 #: their hints are right at the median and off by up to two times.
 SHORT_ANSWER_SHARE = 0.5
@@ -65,6 +67,9 @@
             avoid=self._avoided(job, pool, software),
             yields_until=self._yields_until(job),
         )
+        yields = now < profile.yields_until
+        if job.req.handed_on is None:
+            self._ctx.urgency_use.record_asked(job.priority, yields)
         self._record_demand(job, pool, profile, known_tokens)
         handed_on = job.req.handed_on
         resumes = handed_on is not None and not handed_on.begins
@@ -79,7 +84,7 @@
             name, weight = f"{name} of {software}", TAKE_UP_WEIGHT
         if profile.avoid:
             name = f"{name}, sent before"
-        if now < profile.yields_until:
+        if yields:
             name = f"{name}, may wait"
         account = RouteAccount(name, weight)
         job.queued = True
@@ -93,23 +98,74 @@
             )
             job.queued = False
         except _exceptions.RefusedError as exc:
-            raise _context.dispatcher_refusal(exc) from exc
-        self._check_patience(job, pool, profile, route)
+            error = _context.dispatcher_refusal(exc)
+            raise self._in_order(job, pool, account, yields, error) from exc
+        waited_s = self._ctx.clock.monotonic() - now
+        try:
+            self._check_patience(job, pool, profile, route)
+        except _refusals.GatewayRefusedError as error:
+            raise self._in_order(job, pool, account, yields, error) from error
+        self._ctx.urgency_use.record_sent(job.priority, waited_s)
         _stream.Stream(self._ctx, job, pool, profile).run(route)
 
     def _yields_until(self, job: _context.Job) -> float:
         """Return the monotonic time until which a request yields; 0 if not.
 
-        A stream that has begun yields to none.
+        A stream that has begun yields to none. What exceeds the share of its
+        account yields as long as it may be served.
         """
         if job.req.take_up is not None or job.req.handed_on is not None:
             return 0.0
+        ctx = self._ctx
         yields_s = decisions.yielding_s(
             decisions.Urgency(job.priority, job.route.objective_s),
-            self._ctx.catalog.routes.urgencies.get(job.service, ()),
+            ctx.catalog.routes.urgencies.get(job.service, ()),
         )
+        if job.account is not None:
+            excess = ctx.account_use.excess_share(
+                job.account, bool(yields_s), ctx.clock.monotonic()
+            )
+            if excess and ctx.rng.random() < excess:
+                job.over_share = True
+                ctx.account_use.over_share[job.account.name] += 1
+                return job.deadline
         return job.req.arrived_at + yields_s if yields_s else 0.0
 
+    def _in_order(
+        self,
+        job: _context.Job,
+        pool: _target_registry.Pool,
+        account: RouteAccount,
+        yields: bool,
+        error: _refusals.GatewayRefusedError,
+    ) -> _refusals.GatewayRefusedError:
+        """Return a refusal with the time at which it is the caller's turn.
+
+        Counts it, and keeps what decided it for the log.
+        """
+        refusal = error.refusal
+        queue = self._ctx.dispatcher.queue_of(pool).fair_queue
+        job.decided_by = {
+            "rank": job.priority,
+            "yields": yields,
+            "over_share": job.over_share,
+            "objective_s": job.route.objective_s,
+            "queued": len(queue),
+            "queued_engine_s": round(queue.backlog, 3),
+            "share": round(queue.share_of(account.name, account.weight), 3),
+        }
+        self._ctx.urgency_use.record_refused(job.priority, str(refusal.kind))
+        room_s = refusal.retry_after_s
+        ordered = yields or job.account is not None
+        if refusal.kind not in FULL_KINDS or room_s is None or not ordered:
+            return error
+        after_s = decisions.retry_after_s(
+            room_s, yields, self._ctx.rng.random()
+        )
+        return _refusals.GatewayRefusedError(
+            dataclasses.replace(refusal, retry_after_s=after_s)
+        )
+
     def _record_demand(
         self,
         job: _context.Job,
--- a/agatewing/gateway/tests/test_ended_targets.py
+++ b/agatewing/gateway/tests/test_ended_targets.py
@@ -67,7 +67,7 @@
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
         made.route("/pay/", "unsafe", "ledger", timeout_ms=5_000)
-        made.route("/chat/", "stream", timeout_ms=5_000, resumable=False)
+        made.route("/chat/", "streaming", timeout_ms=5_000, resumable=False)
         made.add_target("t1", "ledger", None, born=1_000)
         made.publish()
         yield made
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -505,7 +505,9 @@
     registry.apply(services, targets)
     busy = _load_sums.Load(900_000, 99, 900_000, 900_000)
     loads = dict.fromkeys(names, busy)
-    other = _load_sums.InstanceReport(loads, {})
+    rate = decisions.AccountRate(2e6, 2e6)
+    accounts = {(n << 20, bool(n % 2)): rate for n in range(60)}
+    other = _load_sums.InstanceReport(loads, {}, accounts)
     for number in range(60):
         placement = decisions.Placement(names[0], number << 40, 0.5)
         reports.summaries.record_placements("me", [placement])
@@ -523,7 +525,9 @@
 
 # A report of which a part is missing ended the loop that receives them, or
 # failed each request that read the loads.
-@pytest.mark.parametrize("part", ["summary", "work", "demand", "held"])
+@pytest.mark.parametrize(
+    "part", ["summary", "work", "demand", "held", "accounts"]
+)
 def test_a_report_of_which_a_part_is_missing_is_ignored(
     clock: _clock.ManualClock,
     registry: _target_registry.TargetRegistry,
@@ -541,6 +545,8 @@
             broken.demand = [wire.StreamDemand(service_name="chat")]
         case "held":
             broken.held = [wire.PartsHeld(engine="e1")]
+        case "accounts":
+            broken.accounts = wire.AccountDemand(accounts=[1], may_wait=[True])
     reports.receive(reports._codec.encode(broken))
     reports.receive(reports._codec.encode(report("i2", 1, 1_000)))
     clock.advance(0.1)
@@ -548,3 +554,59 @@
     assert load.prefill_backlog == 1_000
     reports.demand_of(registry.pools["chat"])
     reports._send_summaries(SentDatagrams())
+
+
+def note_of_accounts(
+    sender: str, rates: dict[int, tuple[int, int]]
+) -> wire.WorkNote:
+    made = report(sender, 1, 0)
+    made.accounts = wire.AccountDemand(
+        accounts=list(rates),
+        may_wait=[False] * len(rates),
+        recent=[recent for recent, _ in rates.values()],
+        usual=[usual for _, usual in rates.values()],
+    )
+    return made
+
+
+def test_the_requests_of_accounts_are_summed_and_expire(
+    clock: _clock.ManualClock, reports: _load_reports.LoadReports
+) -> None:
+    reports.handle(note_of_accounts("i1", {1: (40_000, 4_000)}))
+    reports.handle(note_of_accounts("i2", {1: (20_000, 4_000), 2: (8, 8)}))
+    # One of an earlier release names no accounts.
+    reports.handle(report("i3", 1, 0))
+    rates = reports.account_rates()
+    assert rates[1, False] == decisions.AccountRate(60.0, 8.0)
+    assert decisions.excess_share(rates, 1) > 0.5
+    clock.advance(4.0)
+    # Cut off from all others, it decides by its own.
+    assert reports.account_rates() == {}
+
+
+def test_columns_of_different_lengths_are_ignored(
+    reports: _load_reports.LoadReports,
+) -> None:
+    broken = note_of_accounts("i1", {1: (40_000, 4_000)})
+    broken.accounts.usual = []
+    reports.receive(reports._codec.encode(broken))
+    assert reports.account_rates() == {}
+
+
+def test_accounts_of_all_zones_are_in_the_total(
+    clock: _clock.ManualClock, reports: _load_reports.LoadReports
+) -> None:
+    fill(reports, 60)
+    meter = reports.writer._accounts
+    for step in range(100):
+        clock.advance(0.1)
+        meter.add(7, True, clock.monotonic())
+    own = _load_sums.InstanceReport({}, {}, reports.writer.own_accounts())
+    total, far = reports.summaries.summarize(["e1"], [own], own)
+    for part in (*total, *far):
+        data = reports.writer.encode_summary(part)
+        decoded = reports._codec.decode(wire.WorkNote, data).unwrap()
+        (recent,) = decoded.summary.accounts.recent
+        assert recent == pytest.approx(20_000, rel=0.2)
+    rates = reports.account_rates()
+    assert rates[7, True].recent == pytest.approx(20.0, rel=0.2)
--- a/agatewing/wire/__init__.py
+++ b/agatewing/wire/__init__.py
@@ -5,6 +5,7 @@
 from agatewing.wire._frames import LENGTH_BYTES
 from agatewing.wire._frames import read_frame
 from agatewing.wire._frames import send_frame
+from agatewing.wire.gen.peer.ttypes import AccountDemand
 from agatewing.wire.gen.peer.ttypes import CrashSuspect
 from agatewing.wire.gen.peer.ttypes import Demand
 from agatewing.wire.gen.peer.ttypes import EngineWork
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1710,6 +1710,150 @@
         return not (self == other)
 
 
+class AccountDemand(object):
+    """
+    Attributes:
+     - accounts
+     - may_wait
+     - recent
+     - usual
+
+    """
+
+    __slots__ = (
+        'accounts',
+        'may_wait',
+        'recent',
+        'usual',
+    )
+
+
+    def __init__(self, accounts=None, may_wait=None, recent=None, usual=None,):
+        self.accounts = accounts
+        self.may_wait = may_wait
+        self.recent = recent
+        self.usual = usual
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI32()
+                        self.accounts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.may_wait = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readBool()
+                        self.may_wait.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.recent = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = iprot.readI32()
+                        self.recent.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.usual = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readI32()
+                        self.usual.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountDemand')
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.accounts))
+            for iter59 in self.accounts:
+                oprot.writeI32(iter59)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.may_wait is not None:
+            oprot.writeFieldBegin('may_wait', TType.LIST, 2)
+            oprot.writeListBegin(TType.BOOL, len(self.may_wait))
+            for iter60 in self.may_wait:
+                oprot.writeBool(iter60)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent is not None:
+            oprot.writeFieldBegin('recent', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.recent))
+            for iter61 in self.recent:
+                oprot.writeI32(iter61)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.usual is not None:
+            oprot.writeFieldBegin('usual', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.usual))
+            for iter62 in self.usual:
+                oprot.writeI32(iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.accounts is None:
+            raise TProtocolException(message='Required field accounts is unset!')
+        if self.may_wait is None:
+            raise TProtocolException(message='Required field may_wait is unset!')
+        if self.recent is None:
+            raise TProtocolException(message='Required field recent is unset!')
+        if self.usual is None:
+            raise TProtocolException(message='Required field usual is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadSummary(object):
     """
     Attributes:
@@ -1723,6 +1867,7 @@
      - long_tokens
      - kv_tokens
      - demand
+     - accounts
 
     """
 
@@ -1737,10 +1882,11 @@
         'long_tokens',
         'kv_tokens',
         'demand',
+        'accounts',
     )
 
 
-    def __init__(self, zone=None, instances=None, part=None, parts=None, engines=None, tokens=None, sequences=None, long_tokens=None, kv_tokens=None, demand=None,):
+    def __init__(self, zone=None, instances=None, part=None, parts=None, engines=None, tokens=None, sequences=None, long_tokens=None, kv_tokens=None, demand=None, accounts=None,):
         self.zone = zone
         self.instances = instances
         self.part = part
@@ -1751,6 +1897,7 @@
         self.long_tokens = long_tokens
         self.kv_tokens = kv_tokens
         self.demand = demand
+        self.accounts = accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1784,64 +1931,70 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.engines.append(_elem40)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.engines.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readI32()
-                        self.tokens.append(_elem46)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readI32()
+                        self.tokens.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.sequences = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readI32()
-                        self.sequences.append(_elem52)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readI32()
+                        self.sequences.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.long_tokens = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readI32()
-                        self.long_tokens.append(_elem58)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = iprot.readI32()
+                        self.long_tokens.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.kv_tokens = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = iprot.readI32()
-                        self.kv_tokens.append(_elem64)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readI32()
+                        self.kv_tokens.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = StreamDemand()
-                        _elem70.read(iprot)
-                        self.demand.append(_elem70)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = StreamDemand()
+                        _elem98.read(iprot)
+                        self.demand.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.accounts = AccountDemand()
+                    self.accounts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1871,45 +2024,49 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter71 in self.engines:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter99 in self.engines:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter72 in self.tokens:
-                oprot.writeI32(iter72)
+            for iter100 in self.tokens:
+                oprot.writeI32(iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequences is not None:
             oprot.writeFieldBegin('sequences', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.sequences))
-            for iter73 in self.sequences:
-                oprot.writeI32(iter73)
+            for iter101 in self.sequences:
+                oprot.writeI32(iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.long_tokens is not None:
             oprot.writeFieldBegin('long_tokens', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.long_tokens))
-            for iter74 in self.long_tokens:
-                oprot.writeI32(iter74)
+            for iter102 in self.long_tokens:
+                oprot.writeI32(iter102)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kv_tokens is not None:
             oprot.writeFieldBegin('kv_tokens', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.kv_tokens))
-            for iter75 in self.kv_tokens:
-                oprot.writeI32(iter75)
+            for iter103 in self.kv_tokens:
+                oprot.writeI32(iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter76 in self.demand:
-                iter76.write(oprot)
+            for iter104 in self.demand:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.STRUCT, 20)
+            self.accounts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1978,6 +2135,7 @@
      - config_age_ms
      - targets_age_ms
      - summary
+     - accounts
 
     """
 
@@ -2002,10 +2160,11 @@
         'config_age_ms',
         'targets_age_ms',
         'summary',
+        'accounts',
     )
 
 
-    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None, era=None, demand=None, measured=None, config_age_ms=None, targets_age_ms=None, summary=None,):
+    def __init__(self, instance=None, sequence=None, work=None, config_version=None, through=None, changing=None, held=None, begun=None, suspects=None, served=None, limits=None, requests=None, served_requests=None, leaving=None, era=None, demand=None, measured=None, config_age_ms=None, targets_age_ms=None, summary=None, accounts=None,):
         self.instance = instance
         self.sequence = sequence
         self.work = work
@@ -2026,6 +2185,7 @@
         self.config_age_ms = config_age_ms
         self.targets_age_ms = targets_age_ms
         self.summary = summary
+        self.accounts = accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2049,11 +2209,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = EngineWork()
-                        _elem82.read(iprot)
-                        self.work.append(_elem82)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = EngineWork()
+                        _elem110.read(iprot)
+                        self.work.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2070,97 +2230,97 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.changing = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.changing.append(_elem88)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.changing.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = PartsHeld()
-                        _elem94.read(iprot)
-                        self.held.append(_elem94)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PartsHeld()
+                        _elem122.read(iprot)
+                        self.held.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = StreamBegin()
-                        _elem100.read(iprot)
-                        self.begun.append(_elem100)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = StreamBegin()
+                        _elem128.read(iprot)
+                        self.begun.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = CrashSuspect()
-                        _elem106.read(iprot)
-                        self.suspects.append(_elem106)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = CrashSuspect()
+                        _elem134.read(iprot)
+                        self.suspects.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.served = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = ServedBlock()
-                        _elem112.read(iprot)
-                        self.served.append(_elem112)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = ServedBlock()
+                        _elem140.read(iprot)
+                        self.served.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = TargetLimit()
-                        _elem118.read(iprot)
-                        self.limits.append(_elem118)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = TargetLimit()
+                        _elem146.read(iprot)
+                        self.limits.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = CrashSuspect()
-                        _elem124.read(iprot)
-                        self.requests.append(_elem124)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = CrashSuspect()
+                        _elem152.read(iprot)
+                        self.requests.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.served_requests = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = ServedBlock()
-                        _elem130.read(iprot)
-                        self.served_requests.append(_elem130)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = ServedBlock()
+                        _elem158.read(iprot)
+                        self.served_requests.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = iprot.readI32()
-                        self.leaving.append(_elem136)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = iprot.readI32()
+                        self.leaving.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2172,22 +2332,22 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = StreamDemand()
-                        _elem142.read(iprot)
-                        self.demand.append(_elem142)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = StreamDemand()
+                        _elem170.read(iprot)
+                        self.demand.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.measured = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = MeasuredTime()
-                        _elem148.read(iprot)
-                        self.measured.append(_elem148)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = MeasuredTime()
+                        _elem176.read(iprot)
+                        self.measured.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2207,6 +2367,12 @@
                     self.summary.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.accounts = AccountDemand()
+                    self.accounts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2228,8 +2394,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter149 in self.work:
-                iter149.write(oprot)
+            for iter177 in self.work:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2243,64 +2409,64 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter150 in self.changing:
-                oprot.writeString(iter150.encode('utf-8') if sys.version_info[0] == 2 else iter150)
+            for iter178 in self.changing:
+                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter151 in self.held:
-                iter151.write(oprot)
+            for iter179 in self.held:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter152 in self.begun:
-                iter152.write(oprot)
+            for iter180 in self.begun:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter153 in self.suspects:
-                iter153.write(oprot)
+            for iter181 in self.suspects:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter154 in self.served:
-                iter154.write(oprot)
+            for iter182 in self.served:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter155 in self.limits:
-                iter155.write(oprot)
+            for iter183 in self.limits:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter156 in self.requests:
-                iter156.write(oprot)
+            for iter184 in self.requests:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_requests is not None:
             oprot.writeFieldBegin('served_requests', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.served_requests))
-            for iter157 in self.served_requests:
-                iter157.write(oprot)
+            for iter185 in self.served_requests:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.leaving))
-            for iter158 in self.leaving:
-                oprot.writeI32(iter158)
+            for iter186 in self.leaving:
+                oprot.writeI32(iter186)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2310,15 +2476,15 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter159 in self.demand:
-                iter159.write(oprot)
+            for iter187 in self.demand:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.measured is not None:
             oprot.writeFieldBegin('measured', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.measured))
-            for iter160 in self.measured:
-                iter160.write(oprot)
+            for iter188 in self.measured:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_age_ms is not None:
@@ -2333,6 +2499,10 @@
             oprot.writeFieldBegin('summary', TType.STRUCT, 20)
             self.summary.write(oprot)
             oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.STRUCT, 30)
+            self.accounts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2529,11 +2699,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = HopField()
-                        _elem166.read(iprot)
-                        self.headers.append(_elem166)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = HopField()
+                        _elem194.read(iprot)
+                        self.headers.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2565,10 +2735,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem172)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2613,8 +2783,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter173 in self.headers:
-                iter173.write(oprot)
+            for iter201 in self.headers:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body_bytes is not None:
@@ -2640,8 +2810,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter174 in self.excluded:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter202 in self.excluded:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2749,11 +2919,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = HopField()
-                        _elem180.read(iprot)
-                        self.headers.append(_elem180)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = HopField()
+                        _elem208.read(iprot)
+                        self.headers.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2770,10 +2940,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem186)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2794,8 +2964,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter187 in self.headers:
-                iter187.write(oprot)
+            for iter215 in self.headers:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.target is not None:
@@ -2809,8 +2979,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter188 in self.excluded:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter216 in self.excluded:
+                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2926,10 +3096,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem194)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2975,8 +3145,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter195 in self.excluded:
-                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
+            for iter223 in self.excluded:
+                oprot.writeString(iter223.encode('utf-8') if sys.version_info[0] == 2 else iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.may_go_on is not None:
@@ -3295,6 +3465,14 @@
     (3, TType.I32, 'time_us', None, None, ),  # 3
     (4, TType.DOUBLE, 'tokens_per_event', None, None, ),  # 4
 )
+all_structs.append(AccountDemand)
+AccountDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'accounts', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'may_wait', (TType.BOOL, None, False), None, ),  # 2
+    (3, TType.LIST, 'recent', (TType.I32, None, False), None, ),  # 3
+    (4, TType.LIST, 'usual', (TType.I32, None, False), None, ),  # 4
+)
 all_structs.append(LoadSummary)
 LoadSummary.thrift_spec = (
     None,  # 0
@@ -3308,6 +3486,16 @@
     (8, TType.LIST, 'long_tokens', (TType.I32, None, False), None, ),  # 8
     (9, TType.LIST, 'kv_tokens', (TType.I32, None, False), None, ),  # 9
     (10, TType.LIST, 'demand', (TType.STRUCT, [StreamDemand, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'accounts', [AccountDemand, None], None, ),  # 20
 )
 all_structs.append(WorkNote)
 WorkNote.thrift_spec = (
@@ -3332,6 +3520,16 @@
     (18, TType.I32, 'config_age_ms', None, None, ),  # 18
     (19, TType.I32, 'targets_age_ms', None, None, ),  # 19
     (20, TType.STRUCT, 'summary', [LoadSummary, None], None, ),  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.STRUCT, 'accounts', [AccountDemand, None], None, ),  # 30
 )
 all_structs.append(HopField)
 HopField.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -166,6 +166,18 @@
   4: optional double tokens_per_event,
 }
 
+// Requests a second of client accounts, those that were refused included, in
+// columns. The largest accounts are named, the rest are together.
+struct AccountDemand {
+  // Hash of the account's name; 0 for the rest.
+  1: required list<i32> accounts,
+  // Whether the requests of this row may wait.
+  2: required list<bool> may_wait,
+  // Requests in a thousand seconds: lately, and as usual.
+  3: required list<i32> recent,
+  4: required list<i32> usual,
+}
+
 // Sums of the reports of several instances, or a part of them. They have fields
 // of their own: an earlier release takes a report's work for its sender's.
 struct LoadSummary {
@@ -187,6 +199,8 @@
   9: required list<i32> kv_tokens,
   // Demand for engines, by service; in the first part only.
   10: required list<StreamDemand> demand,
+  // Demand of client accounts; in the first part only, absent without any.
+  20: optional AccountDemand accounts,
 }
 
 // Load report: load of one instance at all engines, in a separate datagram.
@@ -230,6 +244,8 @@
   // placements, which are of these instances, and what was read of the log
   // count.
   20: optional LoadSummary summary,
+  // Demand of client accounts at the sender; absent without any.
+  30: optional AccountDemand accounts,
 }
 
 // Header of a request or an answer that is handed on.
