Never exceed an engine's memory for a prefilled prompt

Cause: if no engine that decodes had its reserve of memory free, a prompt that was prefilled went to one regardless of its size. Some engines crash if the requests that they hold exceed their memory.

--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -148,6 +148,13 @@
             return True
         return self.kv_tokens + kv_tokens <= KV_FILL_SHARE * self.kv_limit
 
+    def fits(self, kv_tokens: int) -> bool:
+        """Return whether so many tokens of KV cache fit without any reserve.
+
+        Some engines crash if the requests that they hold exceed their memory.
+        """
+        return not self.kv_limit or self.kv_tokens + kv_tokens <= self.kv_limit
+
     @property
     def kv_tokens(self) -> int:
         """Estimated tokens of KV cache that sequences hold."""
--- a/agatewing/gateway/_stream_engines.py
+++ b/agatewing/gateway/_stream_engines.py
@@ -134,14 +134,18 @@
         ]
         decode_profile = self._decode_profile(prefill)
         avoid = self._avoided()
-        # If no engine has enough memory free for the KV cache, an engine is
-        # chosen regardless of its size: waiting would only keep memory
-        # occupied, as the prefill engine holds the cache until it is fetched.
-        for profile in (
-            decode_profile,
-            dataclasses.replace(decode_profile, fetched_tokens=0),
+        # If no engine has enough memory free for the KV cache, the reserve is
+        # used for it: waiting would only keep memory occupied, as the prefill
+        # engine holds the cache until it is fetched.
+        fitting = [
+            load for load in loads if load.fits(decode_profile.kv_tokens)
+        ]
+        unsized = dataclasses.replace(decode_profile, fetched_tokens=0)
+        for profile, candidates in (
+            (decode_profile, loads),
+            (unsized, fitting),
         ):
-            route = self.pool.router.choose(profile, loads, avoid)
+            route = self.pool.router.choose(profile, candidates, avoid)
             if isinstance(route, decisions.Single):
                 self._sent_back |= route.engine == self.broken_engine
                 return self.pool.engines[route.engine]
