Let no more wait at an engine than a quarter of its places

Cause: places were counted by each instance for itself, so with 77 instances an engine of 24 places got any number of requests. They waited there until their callers left, while others had room soon.

Change: an engine that decodes gets nothing while the sequences of all instances there exceed its places by a quarter.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -20,6 +20,7 @@
 from agatewing.decisions._attempts import Failure
 from agatewing.decisions._attempts import NextStep
 from agatewing.decisions._contention import engine_class
+from agatewing.decisions._contention import most_sequences
 from agatewing.decisions._contention import retry_after_s
 from agatewing.decisions._contention import Urgency
 from agatewing.decisions._contention import yielding_s
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -345,6 +345,6 @@
         return False
     if engine.role is _types.Role.PREFILL:
         return True
-    if profile.software not in (None, engine.software):
+    if profile.software not in (None, engine.software) or engine.full:
         return False
     return engine.has_memory(profile.kv_tokens)
