--- a/agatewing/decisions/tests/test_contention.py
+++ b/agatewing/decisions/tests/test_contention.py
@@ -150,7 +150,7 @@
     return made
 
 
-# With places that are counted by each instance for itself, 40 instances sent
+# With places that are counted by each instance for itself, 77 instances sent
 # requests to engines where they waited until their callers left.
 @pytest.mark.parametrize(
     ("own", "reported", "goes"),
