--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -37,6 +37,7 @@
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
 from agatewing.gateway import _target_registry
+from agatewing.gateway import _urgency_use
 from agatewing.gateway import _usage_parts
 from agatewing import net
 from agatewing import wire
@@ -137,6 +138,8 @@
             self.registry.changed,
             self.links,
         )
+        self.account_use = _account_use.AccountUse()
+        self.urgency_use = _urgency_use.UrgencyUse()
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
             net.split_address(settings.peer_address),
@@ -150,7 +153,9 @@
             self.streams,
             self.quarantine,
             settings.zone,
+            self.account_use.demand,
         )
+        self.account_use.rates = self.load_reports.account_rates
         self.log_turns = _log_turns.LogTurns(
             settings.instance,
             rng,
@@ -182,9 +187,9 @@
         self.own_entry = self._build_own_entry()
         self.followers = self._build_followers()
         self.metrics = _metrics.Metrics()
-        self.account_use = _account_use.AccountUse()
         self.handler_context = self._build_handler_context(rng, index)
         self.capacity_loop = self._build_capacity_loop()
+        self._watch_ends(self.handler_context.sender)
         self.role_loop = self._build_role_loop()
         self.usage = self._build_usage()
         self.server = _server.CallerServer(
@@ -238,6 +243,14 @@
             collections.Counter(),
             self.metrics,
             self.account_use,
+            self.urgency_use,
+        )
+
+    def _watch_ends(self, sender: _sender.Sender) -> None:
+        """Tell the sender of targets whose process has ended."""
+        self.registry.on_gone = sender.record_gone
+        self.quarantine.on_crashed = functools.partial(
+            sender.ended_targets.record_end, evidence="it crashed"
         )
 
     def _build_links(self, rng: random.Random) -> detour.LinkWatch:
@@ -578,6 +591,30 @@
             "account",
             self.account_use.refused,
         )
+        metrics.counters(
+            "agatewing_account_over_share_total",
+            "Requests beyond the share of their account, which yield",
+            "account",
+            self.account_use.over_share,
+        )
+        for name, counted in (
+            ("asked", self.urgency_use.asked),
+            ("yielded", self.urgency_use.yielded),
+            ("waited", self.urgency_use.waited),
+            ("sent", self.urgency_use.sent),
+        ):
+            metrics.counters(
+                f"agatewing_urgency_{name}_total",
+                f"Requests for engines by rank, 0 the most urgent: {name}",
+                "rank",
+                counted,
+            )
+        metrics.counters(
+            "agatewing_urgency_refused_total",
+            "Requests for engines that were refused, by rank and kind",
+            "rank_and_kind",
+            self.urgency_use.refused,
+        )
         metrics.counter(
             "agatewing_unknown_keys_total",
             "Requests refused as they bear no key of an account",
@@ -620,6 +657,11 @@
             "Requests sent to targets",
             self.handler_context.sender.request_count,
         )
+        metrics.counter(
+            "agatewing_ended_requests_total",
+            "Requests given up as their target's process had ended",
+            self.handler_context.sender.ended_targets.ended,
+        )
         metrics.counter(
             "agatewing_retries_denied_total",
             "Repeats that the budget did not allow",
