Use idle connections up to nearly the announced end

Targets announced 10 s and closed no idle connection before 10.07 s. A request that could not use an old connection closed it for all others, and expired ones filled the pool, so that 81 fresh ones were not kept.

Those that a request cannot use stay open for others. Connections opened are counted by reason.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -13,6 +13,12 @@
 from agatewing.decisions._attempts import Attempts
 from agatewing.decisions._attempts import Failure
 from agatewing.decisions._attempts import NextStep
+from agatewing.decisions._connection_plan import AnnouncedTimes
+from agatewing.decisions._connection_plan import candidates as idle_candidates
+from agatewing.decisions._connection_plan import idle_limit_s
+from agatewing.decisions._connection_plan import IdleConnection
+from agatewing.decisions._connection_plan import OpenReason
+from agatewing.decisions._connection_plan import Reuse
 from agatewing.decisions._costs import fetchable_tokens
 from agatewing.decisions._costs import prefill_cost_tokens
 from agatewing.decisions._costs import prefill_s
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -1,5 +1,6 @@
 """Connections to targets: send a request, read its answer."""
 
+import collections
 import socket
 import typing
 
@@ -170,16 +171,13 @@
         exc.awaited_s = self._clock.monotonic() - self._opened_at
         return exc
 
-    def usable(self, now: float, max_idle_s: float) -> bool:
-        """Return whether an idle connection may carry another request."""
-        idle = now - self.idle_since
-        if idle > max_idle_s:
-            return False
-        if self.keep_alive_s is not None and idle > self.keep_alive_s / 2:
-            return False
-        return self._open_and_drained()
+    def idle(self, now: float) -> decisions.IdleConnection:
+        """Return what decides whether it may carry another request."""
+        return decisions.IdleConnection(
+            now - self.idle_since, self.keep_alive_s
+        )
 
-    def _open_and_drained(self) -> bool:
+    def open_and_drained(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
         if self._sock is None or self._parser.trailing_data[0]:
             return False
@@ -393,7 +391,15 @@
 class ChannelPool:
     """Pool of idle connections to one target."""
 
-    __slots__ = ("_address", "_clock", "_link", "_idle", "max_idle", "opened")
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_link",
+        "_idle",
+        "_announced",
+        "max_idle",
+        "opened",
+    )
 
     def __init__(
         self,
@@ -404,11 +410,15 @@
         self._address = address
         self._clock = clock
         self._link = link
+        # Those that idled for longest are the first.
         self._idle: list[Channel] = []
+        self._announced = decisions.AnnouncedTimes()
         #: Largest number of idle connections that are kept.
         self.max_idle = 1
-        #: Number of connections opened so far.
-        self.opened = 0
+        #: Number of connections opened so far, by reason.
+        self.opened: collections.Counter[decisions.OpenReason] = (
+            collections.Counter()
+        )
 
     def close_refused(self, request_id: str) -> None:
         """Close idle connections on which this request was rejected.
@@ -420,30 +430,61 @@
                 channel.close()
         self._idle = [c for c in self._idle if request_id not in c.refused]
 
-    def acquire(self, max_idle_s: float, timeout_s: float) -> Channel:
+    def acquire(self, reuse: decisions.Reuse, timeout_s: float) -> Channel:
         """Return an idle connection, or open a new one.
 
-        A connection that idled for longer than ``max_idle_s`` is closed.
         Raises :class:`ConnectError`.
         """
         now = self._clock.monotonic()
-        while self._idle:
-            channel = self._idle.pop()
-            if channel.usable(now, max_idle_s):
+        expired = self._close_expired(now)
+        reason = decisions.OpenReason.NONE_IDLE
+        if reuse is decisions.Reuse.NEVER:
+            reason = decisions.OpenReason.OWN
+        elif self._idle or expired:
+            reason = decisions.OpenReason.IDLE_TOO_LONG
+        states = [channel.idle(now) for channel in self._idle]
+        idle = [
+            self._idle[index]
+            for index in decisions.idle_candidates(
+                states, reuse, self._announced.trusted(now)
+            )
+        ]
+        for channel in idle:
+            self._idle.remove(channel)
+            if channel.open_and_drained():
                 return channel
+            self._announced.record_closed(channel.idle(now), now)
             channel.close()
+            reason = decisions.OpenReason.CLOSED
         channel = Channel(self._address, self._clock, self._link)
         channel.connect(timeout_s)
-        self.opened += 1
+        self.opened[reason] += 1
         return channel
 
     def release(self, channel: Channel) -> None:
         """Keep a connection for reuse if it can be; close it otherwise."""
+        self._close_expired(self._clock.monotonic())
         if len(self._idle) < self.max_idle and channel.prepare_reuse():
             self._idle.append(channel)
         else:
             channel.close()
 
+    def _close_expired(self, now: float) -> int:
+        """Close connections that no request may use; return their number."""
+        trusted = self._announced.trusted(now)
+        kept = []
+        for channel in self._idle:
+            state = channel.idle(now)
+            if state.idle_s > decisions.idle_limit_s(
+                decisions.Reuse.AGAIN, state.announced_s, trusted
+            ):
+                channel.close()
+            else:
+                kept.append(channel)
+        expired = len(self._idle) - len(kept)
+        self._idle = kept
+        return expired
+
     def close(self) -> None:
         """Close all idle connections."""
         for channel in self._idle:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -712,13 +712,11 @@
             "Orders to engines to take a role",
             self.role_loop.orders,
         )
-        metrics.counter(
+        metrics.counters(
             "agatewing_connections_opened_total",
-            "Connections opened to targets that are known now",
-            sum(
-                tracked.channels.opened
-                for tracked in self.registry.by_id.values()
-            ),
+            "Connections opened to targets that are known now, by reason",
+            "reason",
+            self.registry.connections_opened(),
         )
 
 
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -223,7 +223,7 @@
                 job.req,
                 options,
                 job.deadline,
-                sender.max_idle_s(job.attempts.idempotent),
+                sender.reuse(job.attempts.idempotent),
             )
             outcome: _messages.Outcome
             if isinstance(result, _sender.AnswerStarted):
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -147,13 +147,13 @@
         self, tracked: _tracked_target.TrackedTarget
     ) -> _messages.Outcome:
         sender = self._ctx.sender
-        result = self._send_once(tracked, sender.max_idle_s(True))
+        result = self._send_once(tracked, sender.reuse(True))
         if isinstance(result, _messages.Unknown) and result.stale:
             # The target closed the connection while it was idle. Retrying is
             # safe, because a prompt may be processed twice.
             self._job.reached_target = True
             if _context.spend_retry(self._ctx, self._job):
-                result = self._send_once(tracked, 0.0)
+                result = self._send_once(tracked, decisions.Reuse.NEVER)
         if not isinstance(result, _sender.AnswerStarted):
             return result
         outcome = sender.read_body(result, tracked, self._job.deadline)
@@ -169,14 +169,14 @@
     def _send_once(
         self,
         tracked: _tracked_target.TrackedTarget,
-        max_idle_s: float,
+        reuse: decisions.Reuse,
     ) -> _sender.SendResult:
         return self._ctx.sender.send_request(
             tracked,
             self._job.req,
             self.send_options(tracked, prefill_only=True),
             self._job.deadline,
-            max_idle_s,
+            reuse,
         )
 
     def _record_failure(
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -5,6 +5,7 @@
 import typing
 
 from agatewing import _clock
+from agatewing import decisions
 from agatewing.gateway import _answer_room
 from agatewing.gateway import _channel
 from agatewing.gateway import _messages
@@ -12,13 +13,6 @@
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
-#: Longest idle time of a connection that may carry a request which must not
-#: run twice, in seconds. If the target closes the connection while it is idle,
-#: nothing proves that the request did not run.
-ONCE_MAX_IDLE_S = 0.5
-#: Longest idle time of a connection for requests that may be retried, in
-#: seconds.
-RETRY_MAX_IDLE_S = 10.0
 #: Largest size of all answers together that are being read into memory, in
 #: bytes; the smallest instances have 200 MB.
 MAX_BUFFERED_BYTES = 48_000_000
@@ -91,9 +85,9 @@
         return self._room.held
 
     @staticmethod
-    def max_idle_s(idempotent: bool) -> float:
-        """Return the longest idle time of a connection for a request."""
-        return RETRY_MAX_IDLE_S if idempotent else ONCE_MAX_IDLE_S
+    def reuse(idempotent: bool) -> decisions.Reuse:
+        """Return which idle connections may carry a request."""
+        return decisions.Reuse.AGAIN if idempotent else decisions.Reuse.ONCE
 
     def send_request(
         self,
@@ -101,11 +95,11 @@
         req: _messages.CallerRequest,
         options: _messages.SendOptions,
         deadline: float,
-        max_idle_s: float,
+        reuse: decisions.Reuse,
     ) -> SendResult:
         """Send a request and return once the head of its answer was read.
 
-        A connection that idled for longer than ``max_idle_s`` is not used.
+        ``reuse`` says which idle connections may carry it.
         """
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
@@ -114,7 +108,7 @@
             return _messages.NotSent(_NO_REQUESTS)
         try:
             tracked.channels.close_refused(req.id)
-            channel = tracked.channels.acquire(max_idle_s, remaining_s)
+            channel = tracked.channels.acquire(reuse, remaining_s)
         except _channel.ConnectError as exc:
             tracked.record_failure()
             return _messages.NotSent(str(exc), round(exc.awaited_s, 3))
@@ -314,7 +308,7 @@
         if now < tracked.back_off_until:
             raise _channel.BrokenError(_NO_REQUESTS)
         deadline = now + timeout_s
-        channel = tracked.channels.acquire(RETRY_MAX_IDLE_S, timeout_s)
+        channel = tracked.channels.acquire(decisions.Reuse.AGAIN, timeout_s)
         self._limits.record_send(tracked.target)
         sent_at = self._clock.monotonic()
         try:
@@ -342,7 +336,7 @@
         never delivered.
         """
         deadline = self._clock.monotonic() + timeout_s
-        channel = tracked.channels.acquire(0.0, timeout_s)
+        channel = tracked.channels.acquire(decisions.Reuse.NEVER, timeout_s)
         try:
             if not may_send():
                 raise _channel.BrokenError(
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -359,7 +359,7 @@
                 tracked, False, self._relay.last_event_id
             ),
             job.deadline,
-            sender.max_idle_s(job.attempts.idempotent),
+            sender.reuse(job.attempts.idempotent),
         )
         if not isinstance(result, _sender.AnswerStarted):
             self._failure = result
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -351,6 +351,14 @@
         #: What connections show of this instance's paths to targets.
         self.links = detour.LinkRecorder(clock)
 
+    def connections_opened(self) -> dict[str, int]:
+        """Return the connections opened to present targets, by reason."""
+        opened = dict.fromkeys(decisions.OpenReason, 0)
+        for tracked in self.by_id.values():
+            for reason, count in tracked.channels.opened.items():
+                opened[reason] += count
+        return {reason.value: count for reason, count in opened.items()}
+
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
         now = self._clock.monotonic()
--- a/agatewing/gateway/tests/test_large_answers.py
+++ b/agatewing/gateway/tests/test_large_answers.py
@@ -62,7 +62,7 @@
             )
             options = _messages.SendOptions("t1", 5.0)
             answer = sender.send_request(
-                tracked, request, options, deadline, 1.0
+                tracked, request, options, deadline, decisions.Reuse.AGAIN
             )
             assert isinstance(answer, _sender.AnswerStarted)
             return sender.read_body(answer, tracked, deadline)
