--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -17,8 +17,12 @@
 from agatewing.decisions._connection_plan import candidates as idle_candidates
 from agatewing.decisions._connection_plan import idle_limit_s
 from agatewing.decisions._connection_plan import IdleConnection
+from agatewing.decisions._connection_plan import KeepCandidate
+from agatewing.decisions._connection_plan import kept_count
+from agatewing.decisions._connection_plan import kept_targets
 from agatewing.decisions._connection_plan import OpenReason
 from agatewing.decisions._connection_plan import Reuse
+from agatewing.decisions._connection_plan import UseRate
 from agatewing.decisions._costs import fetchable_tokens
 from agatewing.decisions._costs import prefill_cost_tokens
 from agatewing.decisions._costs import prefill_s
--- a/agatewing/decisions/_connection_plan.py
+++ b/agatewing/decisions/_connection_plan.py
@@ -1,14 +1,18 @@
-"""Which idle connection to a target carries the next request.
+"""Which connections to targets an instance keeps, and which one it uses next.
 
 A new connection holds a slot of its target for a moment and takes another
 round trip. So a connection is used for as long as the target keeps it, less a
 margin for the time in which this instance cannot know yet that the target has
-closed it.
+closed it. Where an instance has too few requests to use a connection to each
+target within that time, it prefers some of the targets.
 """
 
 import collections.abc
 import dataclasses
 import enum
+import math
+
+import xxhash
 
 #: Longest idle time of a connection whose target announces no timeout, in
 #: seconds, for a request that must not run twice. If the target closes the
@@ -28,6 +32,21 @@
 #: had announced is not taken at its word, in seconds: three times the longest
 #: idle time that is used.
 DISTRUST_S = 30.0
+#: Mean number of uses of a connection within the time for which it may be
+#: idle, from which it stays open: a twentieth of the pauses are longer then.
+USES_WITHIN_IDLE_TIME = 3.0
+#: Least mean number of instances that prefer a target: the load of targets
+#: that few prefer would follow that of single instances.
+MIN_KEEPERS = 8
+#: Least number of targets that an instance prefers, so that the less loaded
+#: ones of several can be chosen.
+MIN_KEPT = 4
+#: Weight of a target of the own availability zone; traffic between zones is
+#: billed.
+OWN_ZONE_WEIGHT = 2.0
+#: Time constant of the average rate of requests, in seconds: longer than
+#: connections are idle, so that a pause does not change the choice.
+RATE_AVERAGE_S = 20.0
 
 
 class Reuse(enum.Enum):
@@ -126,3 +145,78 @@
     def trusted(self, now: float) -> bool:
         """Return whether announced times are used up to nearly their end."""
         return now >= self._distrusted_until
+
+
+class UseRate:
+    """Averages the rate at which connections to a target are asked for."""
+
+    __slots__ = ("_sum", "_at")
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        # Monotonic time of the last request, in seconds.
+        self._at = float("-inf")
+
+    def add(self, now: float) -> None:
+        """Add a request."""
+        self._sum = self._decayed(now) + 1 / RATE_AVERAGE_S
+        self._at = now
+
+    def _decayed(self, now: float) -> float:
+        return self._sum * math.exp((self._at - now) / RATE_AVERAGE_S)
+
+    def current(self, now: float) -> float:
+        """Return the requests a second."""
+        return self._decayed(now)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepCandidate:
+    """A target of which an instance may prefer to use the connections."""
+
+    #: Name of the target.
+    name: str
+    #: Whether it is in the availability zone of the instance.
+    same_zone: bool
+    #: Speed, as a multiple of that of the others.
+    speed: float = 1.0
+
+
+def kept_count(
+    targets: int, instances: int, rate: float, idle_s: float
+) -> int:
+    """Return how many of ``targets`` an instance prefers.
+
+    ``rate`` is the number of requests a second that it sends to all of them.
+    ``idle_s`` is the time for which a connection may be idle. The result is
+    ``targets`` if nothing is gained.
+    """
+    count = max(
+        MIN_KEPT,
+        math.ceil(rate * idle_s / USES_WITHIN_IDLE_TIME),
+        math.ceil(MIN_KEEPERS * targets / max(1, instances)),
+    )
+    return min(targets, count)
+
+
+def kept_targets(
+    instance: str,
+    targets: collections.abc.Sequence[KeepCandidate],
+    count: int,
+) -> frozenset[str]:
+    """Return the names of the targets that an instance prefers.
+
+    By rendezvous hashing, so that instances spread evenly over the targets,
+    in proportion to their speeds, and a target that comes or goes changes
+    the choice of few instances.
+    """
+    if count >= len(targets):
+        return frozenset(target.name for target in targets)
+
+    def score(target: KeepCandidate) -> float:
+        digest = xxhash.xxh64_intdigest(f"{instance}/{target.name}".encode())
+        weight = target.speed * (OWN_ZONE_WEIGHT if target.same_zone else 1)
+        return -weight / math.log((digest + 0.5) / 2**64)
+
+    ranked = sorted(targets, key=score, reverse=True)
+    return frozenset(target.name for target in ranked[:count])
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -122,6 +122,8 @@
     traffic_share: float = 1.0
     #: Version of its software.
     software: str = ""
+    #: Whether this instance prefers it, so that its connections stay in use.
+    kept: bool = True
 
     @property
     def sequences(self) -> int:
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -27,6 +27,13 @@
 #: that starts meanwhile tolerates the longer prefill, as its first event is
 #: due only after 250 ms or more.
 IDLE_DECODE_FACTOR = 3
+#: Further engines that are sampled among those that the instance does not
+#: prefer.
+OTHER_SAMPLES = 2
+#: Expected gain from which an engine is chosen that the instance does not
+#: prefer, in seconds: a twentieth of the shortest latency objective in use.
+#: What callers gain by less does not make up for a new connection.
+NOT_KEPT_PENALTY_S = 0.02
 
 EngineLoad = _engines.EngineLoad
 
@@ -196,11 +203,23 @@
         profile: _costs.RequestProfile,
         avoid: frozenset[str],
     ) -> list[EngineLoad]:
-        decode = self._draw(engines, profile, avoid, prefill=False)
-        prefill: list[EngineLoad] = []
+        kept = [e for e in engines if e.kept]
+        others = [e for e in engines if not e.kept]
+        roles = [False]
         if profile.prompt_tokens >= SPLIT_MIN_TOKENS:
-            prefill = self._draw(engines, profile, avoid, prefill=True)
-        chosen = {e.name: e for e in (*decode, *prefill)}
+            roles.append(True)
+        chosen: dict[str, EngineLoad] = {}
+        for prefill in roles:
+            drawn = self._draw(kept, profile, avoid, prefill, self._samples)
+            if others:
+                drawn += self._draw(
+                    others,
+                    profile,
+                    avoid,
+                    prefill,
+                    OTHER_SAMPLES if drawn else self._samples,
+                )
+            chosen.update((e.name, e) for e in drawn)
         if profile.cached:
             self._add_cached(engines, profile, avoid, chosen)
         return list(chosen.values())
@@ -211,15 +230,16 @@
         profile: _costs.RequestProfile,
         avoid: frozenset[str],
         prefill: bool,
+        samples: int,
     ) -> list[EngineLoad]:
-        """Draw usable engines at random, up to the size of the sample.
+        """Draw up to ``samples`` usable engines at random.
 
         ``prefill`` is whether to draw from the prefill engines or from all
         others. Engines with a reduced traffic share are drawn less often.
         """
         drawn: list[EngineLoad] = []
         count = len(engines)
-        tries = min(count, DRAWS_PER_SAMPLE * self._samples)
+        tries = min(count, DRAWS_PER_SAMPLE * samples)
         start = int(self._random.random() * count) if count else 0
         for turn in range(tries):
             index = start + turn
@@ -236,7 +256,7 @@
             ):
                 continue
             drawn.append(engine)
-            if len(drawn) == self._samples:
+            if len(drawn) == samples:
                 break
         return drawn
 
@@ -269,9 +289,11 @@
         chosen: EngineLoad | None = None
         least_s = float("inf")
         for engine in engines:
-            seconds = _costs.single_engine_s(
-                profile, engine
-            ) + self._recompute_cost_s(profile, engine)
+            seconds = (
+                _costs.single_engine_s(profile, engine)
+                + self._recompute_cost_s(profile, engine)
+                + _not_kept_s(engine)
+            )
             if self._decode_prefill_limit is not None:
                 seconds += _costs.stream_delay_s(profile, engine)
             if seconds < least_s:
@@ -303,18 +325,19 @@
             return None
 
         def prefill_cost_s(engine: EngineLoad) -> float:
-            return _costs.prefill_s(profile, engine) + self._recompute_cost_s(
-                profile, engine
+            return (
+                _costs.prefill_s(profile, engine)
+                + self._recompute_cost_s(profile, engine)
+                + _not_kept_s(engine)
             )
 
+        def decode_cost_s(engine: EngineLoad) -> float:
+            seconds = _costs.import_and_decode_s(profile, engine)
+            return seconds + _not_kept_s(engine)
+
         prefill = min(prefill_engines, key=prefill_cost_s)
-        decode = min(
-            decode_engines,
-            key=lambda e: _costs.import_and_decode_s(profile, e),
-        )
-        seconds = prefill_cost_s(prefill) + _costs.import_and_decode_s(
-            profile, decode
-        )
+        decode = min(decode_engines, key=decode_cost_s)
+        seconds = prefill_cost_s(prefill) + decode_cost_s(decode)
         return Split(prefill.name, decode.name, seconds)
 
 
@@ -332,6 +355,11 @@
     )
 
 
+def _not_kept_s(engine: EngineLoad) -> float:
+    """Return the penalty of an engine that the instance does not prefer."""
+    return 0.0 if engine.kept else NOT_KEPT_PENALTY_S
+
+
 def _usable(
     engine: EngineLoad, avoid: frozenset[str], profile: _costs.RequestProfile
 ) -> bool:
--- a/agatewing/decisions/tests/test_connection_plan.py
+++ b/agatewing/decisions/tests/test_connection_plan.py
@@ -1,5 +1,8 @@
 """Tests of which idle connection carries a request."""
 
+import random
+import typing
+
 import pytest
 
 from agatewing import decisions
@@ -55,3 +58,84 @@
     )
     assert times.trusted(101.0) is trusted
     assert times.trusted(131.0)
+
+
+@pytest.mark.parametrize(
+    ("targets", "instances", "rate", "count"),
+    [
+        (15, 58, 2.9, 8),
+        # Few instances, or many requests: each target is used often enough.
+        (15, 6, 2.9, 15),
+        (15, 58, 30.0, 15),
+        (15, 58, 0.0, 4),
+        (3, 58, 0.5, 3),
+    ],
+)
+def test_an_instance_prefers_as_many_targets_as_its_requests_fill(
+    targets: int, instances: int, rate: float, count: int
+) -> None:
+    """Each of 58 instances has a request for a target every six seconds."""
+    assert decisions.kept_count(targets, instances, rate, 8.0) == count
+
+
+def _kept(engines: list[str]) -> list[frozenset[str]]:
+    """Return the preferred ones of 58 instances; each third in a zone."""
+    return [
+        decisions.kept_targets(
+            f"instance-{instance}",
+            [
+                decisions.KeepCandidate(
+                    engine,
+                    index % 3 == instance % 3,
+                    1.7 if index % 3 == 2 else 0.7,
+                )
+                for index, engine in enumerate(engines)
+            ],
+            8,
+        )
+        for instance in range(58)
+    ]
+
+
+def test_instances_that_prefer_a_part_of_the_engines_load_all_alike() -> None:
+    """The busiest engine over the mean, in proportion to speeds.
+
+    If each request goes to the least loaded of the preferred ones, eight of
+    fifteen are as good as all.
+    """
+    engines = [f"engine-{index}" for index in range(15)]
+    speeds = {e: 1.7 if i % 3 == 2 else 0.7 for i, e in enumerate(engines)}
+    loads = dict.fromkeys(engines, 0.0)
+    for _ in range(50):
+        for kept in _kept(engines):
+            engine = min(sorted(kept), key=lambda e: loads[e] / speeds[e])
+            loads[engine] += 1
+    mean = sum(loads.values()) / sum(speeds.values())
+    assert max(loads[e] / speeds[e] for e in engines) / mean < 1.05
+
+
+def test_an_engine_that_leaves_changes_few_choices() -> None:
+    """All connections would be opened anew at each change."""
+    engines = [f"engine-{index}" for index in range(15)]
+    without = [e if i else "engine-new" for i, e in enumerate(engines)]
+    for before, after in zip(_kept(engines), _kept(without), strict=True):
+        assert len(before - after) <= 1
+
+
+def test_engines_that_are_not_preferred_take_over() -> None:
+    """The preferred ones have no room, are slow, or leave."""
+    router = decisions.Router(random.Random(1), 8)
+    profile = decisions.RequestProfile(100, 20, "a")
+
+    def choose(**changes: typing.Any) -> str:
+        preferred = decisions.EngineLoad("kept", "a", **changes)
+        other = decisions.EngineLoad("other", "a", kept=False)
+        other.reported_sequences = 2
+        route = router.choose(profile, [preferred, other])
+        assert isinstance(route, decisions.Single)
+        return route.engine
+
+    assert choose(reported_sequences=3) == "kept"
+    assert choose(reported_sequences=40) == "other"
+    assert choose(slowness=2.0) == "other"
+    assert choose(routable=False) == "other"
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -399,6 +399,8 @@
         "_announced",
         "max_idle",
         "opened",
+        "uses",
+        "announced_s",
     )
 
     def __init__(
@@ -419,6 +421,11 @@
         self.opened: collections.Counter[decisions.OpenReason] = (
             collections.Counter()
         )
+        #: Rate at which connections are asked for.
+        self.uses = decisions.UseRate()
+        #: Time for which the target keeps an idle connection, in seconds;
+        #: ``None`` until it says so.
+        self.announced_s: float | None = None
 
     def close_refused(self, request_id: str) -> None:
         """Close idle connections on which this request was rejected.
@@ -436,6 +443,7 @@
         Raises :class:`ConnectError`.
         """
         now = self._clock.monotonic()
+        self.uses.add(now)
         expired = self._close_expired(now)
         reason = decisions.OpenReason.NONE_IDLE
         if reuse is decisions.Reuse.NEVER:
@@ -464,6 +472,7 @@
     def release(self, channel: Channel) -> None:
         """Keep a connection for reuse if it can be; close it otherwise."""
         self._close_expired(self._clock.monotonic())
+        self.announced_s = channel.keep_alive_s
         if len(self._idle) < self.max_idle and channel.prepare_reuse():
             self._idle.append(channel)
         else:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -86,6 +86,7 @@
             _engine_speed(settings.engines),
             settings.instance,
             settings.engines.tokens_per_event,
+            settings.zone,
         )
         self.budget = decisions.SharedRetryBudget(
             decisions.BudgetBound(
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -15,6 +15,7 @@
 from agatewing.gateway import _back_offs
 from agatewing.gateway import _contracts
 from agatewing.gateway import _departures
+from agatewing.gateway import _kept_targets
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
@@ -71,6 +72,7 @@
         "_merge_reports",
         "_limits",
         "_any_held_back",
+        "_kept",
     )
 
     def __init__(
@@ -80,11 +82,14 @@
         merge_reports: collections.abc.Callable[[], None],
         limits: _request_limits.RequestLimits,
         learned: decisions.LearnedSpeed,
+        kept: _kept_targets.KeptTargets,
     ) -> None:
         self._merge_reports = merge_reports
         self._limits = limits
         # Whether an engine may still be marked as held back.
         self._any_held_back = False
+        # Marks the engines that this instance prefers.
+        self._kept = kept
         #: Name of the service.
         self.name = service.name
         #: Targets by id; named as ``dispatch.Pool`` requires.
@@ -129,6 +134,7 @@
     def refresh(self, now: float) -> None:
         """Update what routing decisions read of each target."""
         self._apply_learned_speed(now)
+        self._kept.refresh(self.engines.values(), self.instances, now)
         slownesses = {
             name: tracked.slowness for name, tracked in self.engines.items()
         }
@@ -300,6 +306,8 @@
 
     __slots__ = (
         "_clock",
+        "_name",
+        "_zone",
         "_random",
         "_speed",
         "_tokens_per_event",
@@ -322,8 +330,12 @@
         speed: decisions.Speed,
         name: str,
         tokens_per_event: float = 1.0,
+        zone: str = "",
     ) -> None:
         self._clock = clock
+        # Name and availability zone of this instance.
+        self._name = name
+        self._zone = zone
         self._random = rng
         # Speed of engines, and tokens in an event, until they are learned.
         self._speed = speed
@@ -423,6 +435,7 @@
                     decisions.LearnedSpeed(
                         self._speed, self._tokens_per_event
                     ),
+                    _kept_targets.KeptTargets(self._name, self._zone),
                 )
             pool.service = service
             pool.instances = self.instances
