--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -15,13 +15,16 @@
 from agatewing.decisions._attempts import NextStep
 from agatewing.decisions._connection_plan import AnnouncedTimes
 from agatewing.decisions._connection_plan import candidates as idle_candidates
+from agatewing.decisions._connection_plan import connection_cost_s
 from agatewing.decisions._connection_plan import idle_limit_s
 from agatewing.decisions._connection_plan import IdleConnection
 from agatewing.decisions._connection_plan import KeepCandidate
 from agatewing.decisions._connection_plan import kept_count
 from agatewing.decisions._connection_plan import kept_targets
+from agatewing.decisions._connection_plan import NEW_CONNECTION_S
 from agatewing.decisions._connection_plan import OpenReason
 from agatewing.decisions._connection_plan import Reuse
+from agatewing.decisions._connection_plan import scarce
 from agatewing.decisions._connection_plan import UseRate
 from agatewing.decisions._costs import fetchable_tokens
 from agatewing.decisions._costs import prefill_cost_tokens
--- a/agatewing/decisions/_connection_plan.py
+++ b/agatewing/decisions/_connection_plan.py
@@ -33,8 +33,18 @@
 #: idle time that is used.
 DISTRUST_S = 30.0
 #: Mean number of uses of a connection within the time for which it may be
-#: idle, from which it stays open: a twentieth of the pauses are longer then.
-USES_WITHIN_IDLE_TIME = 3.0
+#: idle, from which it stays open whatever target is chosen: a twentieth of
+#: the pauses are longer then.
+AMPLE_USES = 3.0
+#: The same if the connections that were idle for longest are preferred.
+SPARSE_USES = 1.5
+#: Expected gain from which a target is chosen although a new connection has
+#: to be opened, in seconds: a twentieth of the shortest latency objective in
+#: use. Callers whose answers are on time gain nothing by less.
+NEW_CONNECTION_S = 0.02
+#: The same for a connection that was just used, beside one that is about to
+#: end, in seconds.
+RECENT_CONNECTION_S = 0.01
 #: Least mean number of instances that prefer a target: the load of targets
 #: that few prefer would follow that of single instances.
 MIN_KEEPERS = 8
@@ -182,18 +192,37 @@
     speed: float = 1.0
 
 
+def scarce(targets: int, rate: float, idle_s: float) -> bool:
+    """Return whether connections end unless requests are led to them.
+
+    ``rate`` is the number of requests a second that an instance sends to all
+    of ``targets``. ``idle_s`` is the time for which a connection may be idle.
+    """
+    return rate * idle_s < AMPLE_USES * targets
+
+
+def connection_cost_s(idle_s: float | None, limit_s: float) -> float:
+    """Return what the connection to a target counts in its choice.
+
+    The unit is seconds. ``idle_s`` is the time for which the present one has
+    been idle, ``None`` if there is none; it may be so for ``limit_s``.
+    """
+    if idle_s is None or idle_s > limit_s:
+        return NEW_CONNECTION_S
+    return RECENT_CONNECTION_S * (1 - idle_s / max(1e-3, limit_s))
+
+
 def kept_count(
     targets: int, instances: int, rate: float, idle_s: float
 ) -> int:
     """Return how many of ``targets`` an instance prefers.
 
-    ``rate`` is the number of requests a second that it sends to all of them.
-    ``idle_s`` is the time for which a connection may be idle. The result is
+    ``rate`` and ``idle_s`` are those of :func:`scarce`. The result is
     ``targets`` if nothing is gained.
     """
     count = max(
         MIN_KEPT,
-        math.ceil(rate * idle_s / USES_WITHIN_IDLE_TIME),
+        math.ceil(rate * idle_s / SPARSE_USES),
         math.ceil(MIN_KEEPERS * targets / max(1, instances)),
     )
     return min(targets, count)
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -124,6 +124,9 @@
     software: str = ""
     #: Whether this instance prefers it, so that its connections stay in use.
     kept: bool = True
+    #: What the connection that a request to it would take counts in the
+    #: choice, in seconds; see :mod:`agatewing.decisions._connection_plan`.
+    connection_s: float = 0.0
 
     @property
     def sequences(self) -> int:
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -30,10 +30,6 @@
 #: Further engines that are sampled among those that the instance does not
 #: prefer.
 OTHER_SAMPLES = 2
-#: Expected gain from which an engine is chosen that the instance does not
-#: prefer, in seconds: a twentieth of the shortest latency objective in use.
-#: What callers gain by less does not make up for a new connection.
-NOT_KEPT_PENALTY_S = 0.02
 
 EngineLoad = _engines.EngineLoad
 
@@ -292,7 +288,7 @@
             seconds = (
                 _costs.single_engine_s(profile, engine)
                 + self._recompute_cost_s(profile, engine)
-                + _not_kept_s(engine)
+                + engine.connection_s
             )
             if self._decode_prefill_limit is not None:
                 seconds += _costs.stream_delay_s(profile, engine)
@@ -328,12 +324,12 @@
             return (
                 _costs.prefill_s(profile, engine)
                 + self._recompute_cost_s(profile, engine)
-                + _not_kept_s(engine)
+                + engine.connection_s
             )
 
         def decode_cost_s(engine: EngineLoad) -> float:
             seconds = _costs.import_and_decode_s(profile, engine)
-            return seconds + _not_kept_s(engine)
+            return seconds + engine.connection_s
 
         prefill = min(prefill_engines, key=prefill_cost_s)
         decode = min(decode_engines, key=decode_cost_s)
@@ -355,11 +351,6 @@
     )
 
 
-def _not_kept_s(engine: EngineLoad) -> float:
-    """Return the penalty of an engine that the instance does not prefer."""
-    return 0.0 if engine.kept else NOT_KEPT_PENALTY_S
-
-
 def _usable(
     engine: EngineLoad, avoid: frozenset[str], profile: _costs.RequestProfile
 ) -> bool:
--- a/agatewing/gateway/_kept_targets.py
+++ b/agatewing/gateway/_kept_targets.py
@@ -1,4 +1,4 @@
-"""Marks the engines of a service whose connections this instance keeps."""
+"""Leads requests to connections that would end unused, for one service."""
 
 import collections.abc
 import statistics
@@ -14,13 +14,15 @@
 class KeptTargets:
     """Chooses the engines that an instance prefers, for each role."""
 
-    __slots__ = ("_instance", "_zone", "_at", "counts")
+    __slots__ = ("_instance", "_zone", "_at", "_scarce", "counts")
 
     def __init__(self, instance: str, zone: str) -> None:
         self._instance = instance
         self._zone = zone
         # Monotonic time of the last choice, in seconds.
         self._at = float("-inf")
+        # Engines whose connections would end unless requests are led to them.
+        self._scarce: list[_tracked_target.TrackedTarget] = []
         #: Number of preferred engines by role.
         self.counts: dict[_types.Role, int] = {}
 
@@ -39,11 +41,23 @@
             if tracked.target.role is not None and tracked.active:
                 by_role.setdefault(tracked.load.role, []).append(tracked)
         self.counts = {}
+        self._scarce = []
         for role, engines in by_role.items():
             kept = self._choose(engines, instances, now)
             self.counts[role] = len(kept)
             for tracked in engines:
                 tracked.load.kept = tracked.load.name in kept
+                tracked.load.connection_s = 0.0
+
+    def update_costs(self) -> None:
+        """Update what connections count in the choice of an engine."""
+        for tracked in self._scarce:
+            # The answer to a prompt may be asked for again, that to a stream
+            # mostly may not.
+            prefills = tracked.load.role is _types.Role.PREFILL
+            tracked.load.connection_s = tracked.channels.cost_s(
+                decisions.Reuse.AGAIN if prefills else decisions.Reuse.ONCE
+            )
 
     def _choose(
         self,
@@ -62,14 +76,13 @@
         ]
         count = len(engines)
         if announced:
-            count = decisions.kept_count(
-                count,
-                instances,
-                sum(tracked.channels.uses.current(now) for tracked in engines),
-                decisions.idle_limit_s(
-                    decisions.Reuse.ONCE, statistics.median(announced)
-                ),
+            rate = sum(t.channels.uses.current(now) for t in engines)
+            idle_s = decisions.idle_limit_s(
+                decisions.Reuse.ONCE, statistics.median(announced)
             )
+            if decisions.scarce(count, rate, idle_s):
+                self._scarce += engines
+            count = decisions.kept_count(count, instances, rate, idle_s)
         return decisions.kept_targets(
             self._instance,
             [
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -222,6 +222,7 @@
         are read.
         """
         self._merge_reports()
+        self._kept.update_costs()
         active = self._limits.active
         if active or self._any_held_back:
             for tracked in self.engines.values():
