--- a/agatewing/_metrics.py
+++ b/agatewing/_metrics.py
@@ -67,6 +67,12 @@
             self._gauges[name] = metric
         metric.set(labels, value)
 
+    def clear_gauge(self, name: str) -> None:
+        """Remove all values of a gauge, as of targets that have gone."""
+        metric = self._gauges.get(name)
+        if metric is not None:
+            metric.values.clear()
+
     def counter(
         self, name: str, help_text: str, value: float, **labels: str
     ) -> None:
--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -132,6 +132,11 @@
 from agatewing.decisions._stream_versions import StreamOrigins
 from agatewing.decisions._stream_versions import VersionHistory
 from agatewing.decisions._stream_versions import VersionView
+from agatewing.decisions._target_speeds import AnswerKind
+from agatewing.decisions._target_speeds import AnswerTime
+from agatewing.decisions._target_speeds import mean_factors
+from agatewing.decisions._target_speeds import TargetSpeeds
+from agatewing.decisions._target_speeds import TimeFactors
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
 from agatewing.decisions._version_record import unknown_versions
--- a/agatewing/decisions/_learned_speed.py
+++ b/agatewing/decisions/_learned_speed.py
@@ -18,6 +18,7 @@
 import typing
 
 from agatewing.decisions import _engines
+from agatewing.decisions import _target_speeds
 
 #: Number of measurements that are kept of each kind, and their greatest age,
 #: in seconds: engines are replaced by faster ones within that time.
@@ -50,6 +51,8 @@
 MAX_FACTOR = 16.0
 #: Events of a stream from which its pace is measured.
 MIN_EVENTS = 5
+#: The same for comparing engines, which needs no exact pace.
+MIN_COMPARED_EVENTS = 3
 #: Batch sizes at which the prior of the step time is taken.
 PRIOR_BATCHES = (1.0, 16.0, 32.0)
 #: Costs of prompts at which the prior of the prefill time is taken, in tokens.
@@ -85,6 +88,10 @@
     seconds: float
     #: Tokens in one event; ``None`` for a prompt.
     tokens_per_event: float | None = None
+    #: Key of the engine's incarnation; ``None`` if the sender did not say.
+    target: int | None = None
+    #: Number of events of the stream; 0 if unknown, or for a prompt.
+    events: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,6 +224,7 @@
         "_step",
         "_ratios",
         "_unshared",
+        "targets",
     )
 
     def __init__(self, prior: _engines.Speed, tokens_per_event: float) -> None:
@@ -246,19 +254,26 @@
         self._unshared: collections.deque[tuple[MeasuredTime, int]] = (
             collections.deque(maxlen=MAX_SHARED)
         )
+        #: How the engines differ in speed.
+        self.targets = _target_speeds.TargetSpeeds()
 
     def record_prefill(
-        self, prompt_tokens: int, cached: int, seconds: float, now: float
+        self,
+        prompt_tokens: int,
+        cached: int,
+        seconds: float,
+        now: float,
+        target: int | None = None,
     ) -> None:
         """Add the time of a prompt that a prefill engine began at once.
 
         As far as is known: that nothing was before it, and that ``cached`` of
-        its tokens were.
+        its tokens were. ``target`` is the key of the engine's incarnation.
         """
         if seconds <= 0 or cached >= prompt_tokens:
             return
         cost = self._prior.prefill_cost_tokens(prompt_tokens, cached)
-        self._record_own(MeasuredTime(cost, seconds), now)
+        self._record_own(MeasuredTime(cost, seconds, target=target), now)
 
     def record_stream(
         self,
@@ -267,16 +282,22 @@
         expected_tokens: int,
         seconds: float,
         now: float,
+        target: int | None = None,
     ) -> None:
         """Add a complete stream of an engine that decoded ``batch`` streams.
 
         ``seconds`` is the time from its first to its last event.
         ``expected_tokens`` is its length as its caller estimated it.
+        ``target`` is the key of the engine's incarnation.
         """
-        if events < MIN_EVENTS or seconds <= 0:
+        if events < MIN_COMPARED_EVENTS or seconds <= 0:
             return
         measured = MeasuredTime(
-            batch, seconds / (events - 1), expected_tokens / events
+            batch,
+            seconds / (events - 1),
+            expected_tokens / events,
+            target,
+            events,
         )
         self._record_own(measured, now)
 
@@ -294,13 +315,25 @@
             return
         if ratio is not None and not 0 < ratio < math.inf:
             return
+        self._merge_target(measured, now)
         sample = _Sample(1.0, measured.quantity, measured.seconds, now)
         if ratio is None:
             self._prefill.add(sample)
             return
+        if 0 < measured.events < MIN_EVENTS:
+            return
         self._ratios.append(ratio)
         self._step.add(sample)
 
+    def _merge_target(self, measured: MeasuredTime, now: float) -> None:
+        if measured.target is None:
+            return
+        kind = _target_speeds.AnswerKind.DECODE
+        if measured.tokens_per_event is None:
+            kind = _target_speeds.AnswerKind.PREFILL
+        answer = _target_speeds.AnswerTime(measured.quantity, measured.seconds)
+        self.targets.add(measured.target, kind, answer, now)
+
     def take_unshared(
         self, policy: FitPolicy = FULL_VIEW_FIT
     ) -> list[MeasuredTime]:
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -34,6 +34,7 @@
 from agatewing.gateway import _settings
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
+from agatewing.gateway import _target_metrics
 from agatewing.gateway import _target_registry
 from agatewing import net
 from agatewing import wire
@@ -674,6 +675,7 @@
             self.server.hop_count,
         )
         now = self.clock.monotonic()
+        _target_metrics.clear(metrics)
         for service, pool in self.registry.pools.items():
             engines = pool.engine_class()
             if engines is None:
@@ -702,6 +704,7 @@
                 sum(pool.learned.samples(now)),
                 service=service,
             )
+            _target_metrics.write(metrics, pool, now)
             metrics.gauge(
                 "agatewing_decode_engines_planned",
                 "Engines that are to decode by the plan, by service",
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -291,7 +291,11 @@
             pool = self._registry.pools.get(item.service_name)
             if pool is not None:
                 measured = decisions.MeasuredTime(
-                    item.quantity, item.time_us / 1e6, item.tokens_per_event
+                    item.quantity,
+                    item.time_us / 1e6,
+                    item.tokens_per_event,
+                    item.target,
+                    item.events or 0,
                 )
                 pool.learned.merge(measured, now)
 
--- a/agatewing/gateway/_prefill.py
+++ b/agatewing/gateway/_prefill.py
@@ -105,7 +105,11 @@
                 meter.mark_prompt_processed(now)
                 if meter.unqueued and self._cached_is_known(cached):
                     self._pool.learned.record_prefill(
-                        self._profile.prompt_tokens, cached, now - sent_at, now
+                        self._profile.prompt_tokens,
+                        cached,
+                        now - sent_at,
+                        now,
+                        tracked.target.key,
                     )
         finally:
             meter.end()
--- a/agatewing/gateway/_report_writer.py
+++ b/agatewing/gateway/_report_writer.py
@@ -148,6 +148,8 @@
                 quantity=int(measured.quantity),
                 time_us=int(measured.seconds * 1e6),
                 tokens_per_event=measured.tokens_per_event,
+                target=measured.target,
+                events=measured.events or None,
             )
             for name, pool in self._registry.pools.items()
             for measured in pool.learned.take_unshared(pool.fit_policy)
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -243,6 +243,7 @@
             engines.profile.output_tokens,
             self._relay.events_s,
             self._ctx.clock.monotonic(),
+            tracked.target.key,
         )
 
     def _record_answer(
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -73,6 +73,8 @@
         "_limits",
         "_any_held_back",
         "_kept",
+        "_service_speed",
+        "time_factors",
     )
 
     def __init__(
@@ -90,6 +92,10 @@
         self._any_held_back = False
         # Marks the engines that this instance prefers.
         self._kept = kept
+        # Speed of the service's engines at the last estimate.
+        self._service_speed: decisions.Speed | None = None
+        #: How each engine differs from it, by key of its incarnation.
+        self.time_factors: dict[int, decisions.TimeFactors] = {}
         #: Name of the service.
         self.name = service.name
         #: Targets by id; named as ``dispatch.Pool`` requires.
@@ -119,18 +125,33 @@
     def engine_class(self) -> decisions.EngineClass | None:
         """Return what the role plan reads of the engines; ``None`` if none.
 
-        All engines of a pool count as alike.
+        It is as fast as all engines are on average.
         """
         for tracked in self.engines.values():
             if tracked.target.role is not None:
                 return decisions.EngineClass(
-                    tracked.load.speed,
+                    self._mean_speed(tracked.load.speed),
                     tracked.load.kv_limit,
                     self.gap_s,
                     self.learned.tokens_per_event(),
                 )
         return None
 
+    def _mean_speed(self, speed: decisions.Speed) -> decisions.Speed:
+        """Return the mean speed of all engines.
+
+        Slots and the import rate are those of ``speed``.
+        """
+        learned = self._service_speed
+        if learned is None or not self.time_factors:
+            return speed
+        mean = decisions.mean_factors(self.time_factors.values())
+        return dataclasses.replace(
+            mean.scaled(learned),
+            slots=speed.slots,
+            import_tokens_per_s=speed.import_tokens_per_s,
+        )
+
     def refresh(self, now: float) -> None:
         """Update what routing decisions read of each target."""
         self._apply_learned_speed(now)
@@ -172,7 +193,8 @@
     def _apply_learned_speed(self, now: float) -> None:
         """Give all engines the learned speed, from time to time.
 
-        Engines differ from each other by their ``slowness``.
+        Where engines differ for good, each gets its own. What comes and goes
+        is their ``slowness``.
         """
         if now - self._learned_at < LEARNING_PERIOD_S or not any(
             self.learned.samples(now)
@@ -180,11 +202,25 @@
             return
         self._learned_at = now
         learned = self.learned.speed(now, self.fit_policy)
+        self._service_speed = learned
+        keys = frozenset(
+            tracked.target.key
+            for tracked in self.engines.values()
+            if tracked.target.role is not None
+        )
+        self.learned.targets.retain(keys)
+        self.time_factors = self.learned.targets.factors(
+            keys,
+            learned,
+            self.learned.tokens_per_event(),
+            self.fit_policy.quantile,
+        )
         for tracked in self.engines.values():
             if tracked.target.role is not None:
+                factors = self.time_factors[tracked.target.key]
                 # Slots and the import rate are those of the configuration.
                 tracked.load.speed = dataclasses.replace(
-                    learned,
+                    factors.scaled(learned),
                     slots=tracked.load.speed.slots,
                     import_tokens_per_s=(
                         tracked.load.speed.import_tokens_per_s
--- a/agatewing/platform/tests/test_detours.py
+++ b/agatewing/platform/tests/test_detours.py
@@ -432,10 +432,10 @@
     acquire = _channel.ChannelPool.acquire
 
     def fail(
-        pool: _channel.ChannelPool, max_idle_s: float, timeout_s: float
+        pool: _channel.ChannelPool, reuse: decisions.Reuse, timeout_s: float
     ) -> _channel.Channel:
         if pool not in pools:
-            return acquire(pool, max_idle_s, timeout_s)
+            return acquire(pool, reuse, timeout_s)
         cut(second, "i3")
         cut(first, "i3")
         raise _channel.ConnectError("timed out")
@@ -734,10 +734,10 @@
     acquire = _channel.ChannelPool.acquire
 
     def fail(
-        pool: _channel.ChannelPool, max_idle_s: float, timeout_s: float
+        pool: _channel.ChannelPool, reuse: decisions.Reuse, timeout_s: float
     ) -> _channel.Channel:
         if pool not in pools:
-            return acquire(pool, max_idle_s, timeout_s)
+            return acquire(pool, reuse, timeout_s)
         if known_at_once:
             links.services.update(("ledger", "chat", "split"))
         raise _channel.ConnectError("timed out")
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -1607,6 +1607,8 @@
      - quantity
      - time_us
      - tokens_per_event
+     - target
+     - events
 
     """
 
@@ -1615,14 +1617,18 @@
         'quantity',
         'time_us',
         'tokens_per_event',
+        'target',
+        'events',
     )
 
 
-    def __init__(self, service_name=None, quantity=None, time_us=None, tokens_per_event=None,):
+    def __init__(self, service_name=None, quantity=None, time_us=None, tokens_per_event=None, target=None, events=None,):
         self.service_name = service_name
         self.quantity = quantity
         self.time_us = time_us
         self.tokens_per_event = tokens_per_event
+        self.target = target
+        self.events = events
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1653,6 +1659,16 @@
                     self.tokens_per_event = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1679,6 +1695,14 @@
             oprot.writeFieldBegin('tokens_per_event', TType.DOUBLE, 4)
             oprot.writeDouble(self.tokens_per_event)
             oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 5)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.I32, 6)
+            oprot.writeI32(self.events)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3294,6 +3318,8 @@
     (2, TType.I32, 'quantity', None, None, ),  # 2
     (3, TType.I32, 'time_us', None, None, ),  # 3
     (4, TType.DOUBLE, 'tokens_per_event', None, None, ),  # 4
+    (5, TType.I32, 'target', None, None, ),  # 5
+    (6, TType.I32, 'events', None, None, ),  # 6
 )
 all_structs.append(LoadSummary)
 LoadSummary.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -164,6 +164,11 @@
   3: required i32 time_us,
   // Tokens in one event; absent for a prompt.
   4: optional double tokens_per_event,
+  // Hash of the engine's incarnation; absent from earlier releases.
+  5: optional i32 target,
+  // Number of events of the stream; absent for a prompt, and from earlier
+  // releases, which share no streams of few events.
+  6: optional i32 events,
 }
 
 // Sums of the reports of several instances, or a part of them. They have fields
