--- a/agatewing/decisions/_connection_plan.py
+++ b/agatewing/decisions/_connection_plan.py
@@ -36,12 +36,14 @@
 #: idle, from which it stays open whatever target is chosen: a twentieth of
 #: the pauses are longer then.
 AMPLE_USES = 3.0
-#: The same if the connections that were idle for longest are preferred.
-SPARSE_USES = 1.5
+#: The same for targets that an instance prefers. An instance that has just
+#: started opens a connection to each of them, so they are fewer than those
+#: that it could keep open.
+KEPT_USES = 4.0
 #: Expected gain from which a target is chosen although a new connection has
-#: to be opened, in seconds: a twentieth of the shortest latency objective in
-#: use. Callers whose answers are on time gain nothing by less.
-NEW_CONNECTION_S = 0.02
+#: to be opened, in seconds: a tenth of the latency objectives in use. Callers
+#: whose answers are on time gain nothing by less.
+NEW_CONNECTION_S = 0.04
 #: The same for a connection that was just used, beside one that is about to
 #: end, in seconds.
 RECENT_CONNECTION_S = 0.01
@@ -158,26 +160,38 @@
 
 
 class UseRate:
-    """Averages the rate at which connections to a target are asked for."""
+    """Averages the rate at which connections are asked for.
 
-    __slots__ = ("_sum", "_at")
+    The average is complete from the first second on: it is divided by the
+    weight of the time that was observed.
+    """
+
+    __slots__ = ("_sum", "_at", "_started_at")
 
     def __init__(self) -> None:
         self._sum = 0.0
-        # Monotonic time of the last request, in seconds.
-        self._at = float("-inf")
-
-    def add(self, now: float) -> None:
-        """Add a request."""
-        self._sum = self._decayed(now) + 1 / RATE_AVERAGE_S
+        # Monotonic times of the last and of the first addition, in seconds.
+        self._at = math.inf
+        self._started_at = math.inf
+
+    def add(self, count: int, now: float) -> None:
+        """Add requests that came since the last addition."""
+        if not count and self._started_at > now:
+            return
+        self._started_at = min(self._started_at, now)
+        self._sum = self._decayed(now) + count / RATE_AVERAGE_S
         self._at = now
 
     def _decayed(self, now: float) -> float:
+        if self._at > now:
+            return self._sum
         return self._sum * math.exp((self._at - now) / RATE_AVERAGE_S)
 
     def current(self, now: float) -> float:
-        """Return the requests a second."""
-        return self._decayed(now)
+        """Return the requests a second; 0 before the first one."""
+        observed_s = max(1.0, now - self._started_at)
+        weight = -math.expm1(-observed_s / RATE_AVERAGE_S)
+        return self._decayed(now) / weight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +236,7 @@
     """
     count = max(
         MIN_KEPT,
-        math.ceil(rate * idle_s / SPARSE_USES),
+        math.ceil(rate * idle_s / KEPT_USES),
         math.ceil(MIN_KEEPERS * targets / max(1, instances)),
     )
     return min(targets, count)
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -400,6 +400,7 @@
         "max_idle",
         "opened",
         "uses",
+        "answered",
         "announced_s",
     )
 
@@ -421,8 +422,10 @@
         self.opened: collections.Counter[decisions.OpenReason] = (
             collections.Counter()
         )
-        #: Rate at which connections are asked for.
-        self.uses = decisions.UseRate()
+        #: Number of times that a connection was asked for.
+        self.uses = 0
+        #: Whether an answer was read in full.
+        self.answered = False
         #: Time for which the target keeps an idle connection, in seconds;
         #: ``None`` until it says so.
         self.announced_s: float | None = None
@@ -457,7 +460,7 @@
         Raises :class:`ConnectError`.
         """
         now = self._clock.monotonic()
-        self.uses.add(now)
+        self.uses += 1
         expired = self._close_expired(now)
         reason = decisions.OpenReason.NONE_IDLE
         if reuse is decisions.Reuse.NEVER:
@@ -486,6 +489,7 @@
     def release(self, channel: Channel) -> None:
         """Keep a connection for reuse if it can be; close it otherwise."""
         self._close_expired(self._clock.monotonic())
+        self.answered = True
         self.announced_s = channel.keep_alive_s
         if len(self._idle) < self.max_idle and channel.prepare_reuse():
             self._idle.append(channel)
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -704,7 +704,7 @@
                 sum(pool.learned.samples(now)),
                 service=service,
             )
-            _target_metrics.write(metrics, pool, now)
+            _target_metrics.write(metrics, pool)
             metrics.gauge(
                 "agatewing_decode_engines_planned",
                 "Engines that are to decode by the plan, by service",
--- a/agatewing/gateway/_kept_targets.py
+++ b/agatewing/gateway/_kept_targets.py
@@ -14,7 +14,15 @@
 class KeptTargets:
     """Chooses the engines that an instance prefers, for each role."""
 
-    __slots__ = ("_instance", "_zone", "_at", "_scarce", "counts")
+    __slots__ = (
+        "_instance",
+        "_zone",
+        "_at",
+        "_scarce",
+        "_rates",
+        "_uses",
+        "counts",
+    )
 
     def __init__(self, instance: str, zone: str) -> None:
         self._instance = instance
@@ -23,6 +31,10 @@
         self._at = float("-inf")
         # Engines whose connections would end unless requests are led to them.
         self._scarce: list[_tracked_target.TrackedTarget] = []
+        # Rate of requests by role, and the number of those to each engine at
+        # the last choice.
+        self._rates: dict[_types.Role, decisions.UseRate] = {}
+        self._uses: dict[str, int] = {}
         #: Number of preferred engines by role.
         self.counts: dict[_types.Role, int] = {}
 
@@ -48,6 +60,11 @@
             for tracked in engines:
                 tracked.load.kept = tracked.load.name in kept
                 tracked.load.connection_s = 0.0
+        self._uses = {
+            tracked.load.name: tracked.channels.uses
+            for engines in by_role.values()
+            for tracked in engines
+        }
 
     def update_costs(self) -> None:
         """Update what connections count in the choice of an engine."""
@@ -59,6 +76,21 @@
                 decisions.Reuse.AGAIN if prefills else decisions.Reuse.ONCE
             )
 
+    def _rate(
+        self, engines: list[_tracked_target.TrackedTarget], now: float
+    ) -> float:
+        """Return the requests a second to the engines of one role."""
+        role = engines[0].load.role
+        rate = self._rates.setdefault(role, decisions.UseRate())
+        rate.add(
+            sum(
+                tracked.channels.uses - self._uses.get(tracked.load.name, 0)
+                for tracked in engines
+            ),
+            now,
+        )
+        return rate.current(now)
+
     def _choose(
         self,
         engines: list[_tracked_target.TrackedTarget],
@@ -67,18 +99,22 @@
     ) -> frozenset[str]:
         """Return the names of the preferred engines of one role.
 
-        All of them while none has announced how long it keeps connections.
+        All of them if they announce no time for which they keep connections.
+        Until one has answered, they count as if they did: what an instance
+        opens when it starts is most of what it opens.
         """
+        answered = [t.channels for t in engines if t.channels.answered]
         announced = [
-            tracked.channels.announced_s
-            for tracked in engines
-            if tracked.channels.announced_s is not None
+            channels.announced_s
+            for channels in answered
+            if channels.announced_s is not None
         ]
         count = len(engines)
-        if announced:
-            rate = sum(t.channels.uses.current(now) for t in engines)
+        if announced or not answered:
+            rate = self._rate(engines, now)
             idle_s = decisions.idle_limit_s(
-                decisions.Reuse.ONCE, statistics.median(announced)
+                decisions.Reuse.ONCE,
+                statistics.median(announced) if announced else None,
             )
             if decisions.scarce(count, rate, idle_s):
                 self._scarce += engines
--- a/agatewing/gateway/_target_metrics.py
+++ b/agatewing/gateway/_target_metrics.py
@@ -7,7 +7,7 @@
 _PREFILL = "agatewing_target_prefill_speed_ratio"
 _DECODE = "agatewing_target_decode_speed_ratio"
 _ANSWERS = "agatewing_target_speed_answers"
-_SENDS = "agatewing_target_sends_per_second"
+_SENDS = "agatewing_target_sends"
 _KEPT = "agatewing_target_preferred"
 
 
@@ -17,10 +17,8 @@
         metrics.clear_gauge(name)
 
 
-def write(
-    metrics: _metrics.Metrics, pool: _target_registry.Pool, now: float
-) -> None:
-    """Write the values of a pool's engines; ``now`` is a monotonic time."""
+def write(metrics: _metrics.Metrics, pool: _target_registry.Pool) -> None:
+    """Write the values of a pool's engines."""
     alike = decisions.TimeFactors()
     for name, tracked in pool.engines.items():
         factors = pool.time_factors.get(tracked.target.key, alike)
@@ -43,8 +41,8 @@
             ),
             (
                 _SENDS,
-                "Recent rate of this instance's requests, by target",
-                tracked.channels.uses.current(now),
+                "Requests and prefills of this instance so far, by target",
+                tracked.channels.uses,
             ),
             (
                 _KEPT,
