--- a/agatewing/gateway/_kept_targets.py
+++ b/agatewing/gateway/_kept_targets.py
@@ -84,8 +84,8 @@
         rate = self._rates.setdefault(role, decisions.UseRate())
         rate.add(
             sum(
-                tracked.channels.uses - self._uses.get(tracked.load.name, 0)
-                for tracked in engines
+                max(0, t.channels.uses - self._uses.get(t.load.name, 0))
+                for t in engines
             ),
             now,
         )
