--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -334,6 +334,38 @@
     assert not learned.take_unshared()
 
 
+def test_measured_times_name_the_engine(
+    clock: _clock.ManualClock,
+    registry: _target_registry.TargetRegistry,
+    reports: _load_reports.LoadReports,
+) -> None:
+    """Those of an earlier release do not, and count for the service only."""
+    codec = wire.Codec("a secret of the tests")
+    pool = registry.pools["chat"]
+    key = registry.by_id["e1"].target.key
+    now = clock.monotonic()
+    pool.learned.record_stream(3, 4, 30, 0.5, now, key)
+    pool.learned.record_prefill(4_000, 0, 0.25, now, key)
+    note = codec.decode(wire.WorkNote, reports.writer.encode([], [])).unwrap()
+    assert [(m.target, m.events) for m in note.measured] == [
+        (key, 4),
+        (key, None),
+    ]
+    # A stream of few events does not show the pace of the service.
+    assert pool.learned.samples(now) == (1, 0)
+    earlier = report("other", 1, 0)
+    earlier.measured = [
+        wire.MeasuredTime(
+            service_name="chat",
+            quantity=3,
+            time_us=50_000,
+            tokens_per_event=8.0,
+        )
+    ]
+    reports.handle(earlier)
+    assert pool.learned.samples(now) == (1, 1)
+
+
 def fill(reports: _load_reports.LoadReports, instances: int) -> None:
     """Let there be so many instances."""
     for number in range(instances - 1):
