--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -430,10 +430,6 @@
         #: ``None`` until it says so.
         self.announced_s: float | None = None
 
-    def holds_open(self) -> bool:
-        """Return whether the target holds an idle connection open."""
-        return any(channel.open_and_drained() for channel in self._idle)
-
     def close_refused(self, request_id: str) -> None:
         """Close idle connections on which this request was rejected.
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -123,7 +123,6 @@
             decisions.CrashSuspects(rng.random(), decisions.WholeRequests()),
             self.registry.changed,
             self.links,
-            self.registry.holds_open,
         )
         self.load_reports = _load_reports.LoadReports(
             settings.instance,
--- a/agatewing/gateway/_quarantine.py
+++ b/agatewing/gateway/_quarantine.py
@@ -77,7 +77,6 @@
 
     __slots__ = (
         "_clock",
-        "_lives",
         "_blocks",
         "_requests",
         "_changed",
@@ -94,13 +93,8 @@
         requests: decisions.CrashSuspects,
         changed: gevent.event.Event,
         links: Links,
-        lives: collections.abc.Callable[
-            [_contracts.Target], bool
-        ] = lambda target: False,
     ) -> None:
         self._clock = clock
-        # Returns whether an open connection shows that a target goes on.
-        self._lives = lives
         self._links = links
         self._blocks = blocks
         self._requests = requests
@@ -258,7 +252,7 @@
         if engine not in self._crashed:
             check = self._checks.get(engine)
             if check is None:
-                check = gevent.spawn(self._refuses_connections, target)
+                check = gevent.spawn(self._refuses_connections, target.address)
                 self._checks[engine] = check
             crashed = check.get()
             self._checks.pop(engine, None)
@@ -290,12 +284,9 @@
         if len(self._crashed) > MAX_CRASHED:
             self._crashed.popitem(last=False)
 
-    def _refuses_connections(self, target: _contracts.Target) -> bool:
+    def _refuses_connections(self, address: str) -> bool:
         self._clock.sleep(SETTLE_S)
-        if self._lives(target):
-            # The end of its process would have closed all connections.
-            return False
-        channel = _channel.Channel(target.address, self._clock)
+        channel = _channel.Channel(address, self._clock)
         try:
             channel.connect(CONNECT_TIMEOUT_S)
         except _channel.ConnectRefusedError:
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -400,15 +400,6 @@
         #: What connections show of this instance's paths to targets.
         self.links = detour.LinkRecorder(clock)
 
-    def holds_open(self, target: _contracts.Target) -> bool:
-        """Return whether this incarnation holds an idle connection open."""
-        tracked = self.by_id.get(target.id)
-        return (
-            tracked is not None
-            and tracked.target.key == target.key
-            and tracked.channels.holds_open()
-        )
-
     def connections_opened(self) -> dict[str, int]:
         """Return the connections opened to present targets, by reason."""
         opened = dict.fromkeys(decisions.OpenReason, 0)
--- a/agatewing/gateway/tests/test_channel_pool.py
+++ b/agatewing/gateway/tests/test_channel_pool.py
@@ -100,10 +100,8 @@
     clock = _Clock()
     with _target(b"Keep-Alive: timeout=10\r\n", clock) as (pool, sockets):
         _use(pool, clock, ONCE)
-        assert pool.holds_open()
         sockets[0].close()
         gevent.sleep(0.01)
-        assert not pool.holds_open()
         _use(pool, clock, ONCE)
         clock.ahead_s += 1
         _use(pool, clock, ONCE)
