--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -62,6 +62,7 @@
     assert 'agatewing_answers_total{status="200"} 1' in text
     assert 'agatewing_framings_total{framing="length"} 1' in text
     assert 'agatewing_refused_total{kind="not-found"} 1' in text
+    assert 'agatewing_connections_opened_total{reason="none_idle"} 1' in text
     assert f"agatewing_config_version {version}" in text
     assert "agatewing_answer_seconds_bucket" in text
     assert "agatewing_config_age_seconds " in text
@@ -71,6 +72,29 @@
     assert "agatewing_load_collector 0" in text
 
 
+def test_metrics_show_the_speed_of_each_engine_and_its_sends() -> None:
+    """Values of engines that have gone are removed."""
+    with standins.Site() as site:
+        site.route("/chat/", "streaming", "chat", sticky=True)
+        site.add_target("e1", "chat", "decode")
+        site.publish()
+        instance = site.start()
+        site.wait(lambda: instance.lifecycle.ready)
+        before = instance.render_metrics()[0].decode()
+        instance.registry.pools["chat"].engines.clear()
+        after = instance.render_metrics()[0].decode()
+    for name, value in (
+        ("prefill_speed_ratio", 1.0),
+        ("decode_speed_ratio", 1.0),
+        ("speed_answers", 0.0),
+        ("sends", 0.0),
+        ("preferred", 1.0),
+    ):
+        line = f'agatewing_target_{name}{{service="chat",target="e1"}} {value}'
+        assert line in before
+        assert f"agatewing_target_{name}{{" not in after
+
+
 def test_metrics_say_how_many_targets_of_a_service_are_reached() -> None:
     with standins.Site() as site:
         site.route("/look/", "safe", "ledger")
