--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -31,6 +31,18 @@
 from agatewing.decisions._capacity_types import Place
 from agatewing.decisions._capacity_types import Scaling
 from agatewing.decisions._capacity_types import ZoneEngines
+from agatewing.decisions._connection_plan import AnnouncedTimes
+from agatewing.decisions._connection_plan import candidates as idle_candidates
+from agatewing.decisions._connection_plan import connection_cost_s
+from agatewing.decisions._connection_plan import idle_limit_s
+from agatewing.decisions._connection_plan import IdleConnection
+from agatewing.decisions._connection_plan import KeepCandidate
+from agatewing.decisions._connection_plan import kept_count
+from agatewing.decisions._connection_plan import kept_targets
+from agatewing.decisions._connection_plan import OpenReason
+from agatewing.decisions._connection_plan import Reuse
+from agatewing.decisions._connection_plan import scarce
+from agatewing.decisions._connection_plan import UseRate
 from agatewing.decisions._contention import engine_class
 from agatewing.decisions._contention import most_sequences
 from agatewing.decisions._contention import retry_after_s
@@ -142,6 +154,11 @@
 from agatewing.decisions._stream_versions import StreamOrigins
 from agatewing.decisions._stream_versions import VersionHistory
 from agatewing.decisions._stream_versions import VersionView
+from agatewing.decisions._target_speeds import AnswerKind
+from agatewing.decisions._target_speeds import AnswerTime
+from agatewing.decisions._target_speeds import mean_factors
+from agatewing.decisions._target_speeds import TargetSpeeds
+from agatewing.decisions._target_speeds import TimeFactors
 from agatewing.decisions._targets import choose_target
 from agatewing.decisions._targets import TargetLoad
 from agatewing.decisions._version_record import unknown_versions
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -36,6 +36,7 @@
 from agatewing.gateway import _settings
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
+from agatewing.gateway import _target_metrics
 from agatewing.gateway import _target_registry
 from agatewing.gateway import _urgency_use
 from agatewing.gateway import _usage_parts
@@ -101,6 +102,7 @@
             _engine_speed(settings.engines),
             settings.instance,
             settings.engines.tokens_per_event,
+            settings.zone,
         )
         self.budget = decisions.SharedRetryBudget(
             decisions.BudgetBound(
@@ -821,6 +823,7 @@
             self.server.hop_count,
         )
         now = self.clock.monotonic()
+        _target_metrics.clear(metrics)
         for service, pool in self.registry.pools.items():
             engines = pool.engine_class()
             if engines is None:
@@ -849,6 +852,7 @@
                 sum(pool.learned.samples(now)),
                 service=service,
             )
+            _target_metrics.write(metrics, pool)
             metrics.gauge(
                 "agatewing_decode_engines_planned",
                 "Engines that are to decode by the plan, by service",
@@ -862,13 +866,11 @@
         )
         if self.capacity_loop is not None:
             self.capacity_loop.collect(metrics)
-        metrics.counter(
+        metrics.counters(
             "agatewing_connections_opened_total",
-            "Connections opened to targets that are known now",
-            sum(
-                tracked.channels.opened
-                for tracked in self.registry.by_id.values()
-            ),
+            "Connections opened to targets that are known now, by reason",
+            "reason",
+            self.registry.connections_opened(),
         )
 
 
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -15,6 +15,7 @@
 from agatewing.gateway import _back_offs
 from agatewing.gateway import _contracts
 from agatewing.gateway import _departures
+from agatewing.gateway import _kept_targets
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
 
@@ -71,6 +72,9 @@
         "_merge_reports",
         "_limits",
         "_any_held_back",
+        "_kept",
+        "_service_speed",
+        "time_factors",
     )
 
     def __init__(
@@ -80,11 +84,18 @@
         merge_reports: collections.abc.Callable[[], None],
         limits: _request_limits.RequestLimits,
         learned: decisions.LearnedSpeed,
+        kept: _kept_targets.KeptTargets,
     ) -> None:
         self._merge_reports = merge_reports
         self._limits = limits
         # Whether an engine may still be marked as held back.
         self._any_held_back = False
+        # Marks the engines that this instance prefers.
+        self._kept = kept
+        # Speed of the service's engines at the last estimate.
+        self._service_speed: decisions.Speed | None = None
+        #: How each engine differs from it, by key of its incarnation.
+        self.time_factors: dict[int, decisions.TimeFactors] = {}
         #: Name of the service.
         self.name = service.name
         #: Targets by id; named as ``dispatch.Pool`` requires.
@@ -114,21 +125,37 @@
     def engine_class(self) -> decisions.EngineClass | None:
         """Return what the role plan reads of the engines; ``None`` if none.
 
-        All engines of a pool count as alike.
+        It is as fast as all engines are on average.
         """
         for tracked in self.engines.values():
             if tracked.target.role is not None:
                 return decisions.EngineClass(
-                    tracked.load.speed,
+                    self._mean_speed(tracked.load.speed),
                     tracked.load.kv_limit,
                     self.gap_s,
                     self.learned.tokens_per_event(),
                 )
         return None
 
+    def _mean_speed(self, speed: decisions.Speed) -> decisions.Speed:
+        """Return the mean speed of all engines.
+
+        Slots and the import rate are those of ``speed``.
+        """
+        learned = self._service_speed
+        if learned is None or not self.time_factors:
+            return speed
+        mean = decisions.mean_factors(self.time_factors.values())
+        return dataclasses.replace(
+            mean.scaled(learned),
+            slots=speed.slots,
+            import_tokens_per_s=speed.import_tokens_per_s,
+        )
+
     def refresh(self, now: float) -> None:
         """Update what routing decisions read of each target."""
         self._apply_learned_speed(now)
+        self._kept.refresh(self.engines.values(), self.instances, now)
         slownesses = {
             name: tracked.slowness for name, tracked in self.engines.items()
         }
@@ -167,7 +194,8 @@
     def _apply_learned_speed(self, now: float) -> None:
         """Give all engines the learned speed, from time to time.
 
-        Engines differ from each other by their ``slowness``.
+        Where engines differ for good, each gets its own. What comes and goes
+        is their ``slowness``.
         """
         if now - self._learned_at < LEARNING_PERIOD_S or not any(
             self.learned.samples(now)
@@ -175,11 +203,25 @@
             return
         self._learned_at = now
         learned = self.learned.speed(now, self.fit_policy)
+        self._service_speed = learned
+        keys = frozenset(
+            tracked.target.key
+            for tracked in self.engines.values()
+            if tracked.target.role is not None
+        )
+        self.learned.targets.retain(keys)
+        self.time_factors = self.learned.targets.factors(
+            keys,
+            learned,
+            self.learned.tokens_per_event(),
+            self.fit_policy.quantile,
+        )
         for tracked in self.engines.values():
             if tracked.target.role is not None:
+                factors = self.time_factors[tracked.target.key]
                 # Slots and the import rate are those of the configuration.
                 tracked.load.speed = dataclasses.replace(
-                    learned,
+                    factors.scaled(learned),
                     slots=tracked.load.speed.slots,
                     import_tokens_per_s=(
                         tracked.load.speed.import_tokens_per_s
@@ -217,6 +259,7 @@
         are read.
         """
         self._merge_reports()
+        self._kept.update_costs()
         active = self._limits.active
         if active or self._any_held_back:
             for tracked in self.engines.values():
@@ -301,6 +344,8 @@
 
     __slots__ = (
         "_clock",
+        "_name",
+        "_zone",
         "_random",
         "_speed",
         "_tokens_per_event",
@@ -324,8 +369,12 @@
         speed: decisions.Speed,
         name: str,
         tokens_per_event: float = 1.0,
+        zone: str = "",
     ) -> None:
         self._clock = clock
+        # Name and availability zone of this instance.
+        self._name = name
+        self._zone = zone
         self._random = rng
         # Speed of engines, and tokens in an event, until they are learned.
         self._speed = speed
@@ -358,6 +407,14 @@
         #: What connections show of this instance's paths to targets.
         self.links = detour.LinkRecorder(clock)
 
+    def connections_opened(self) -> dict[str, int]:
+        """Return the connections opened to present targets, by reason."""
+        opened = dict.fromkeys(decisions.OpenReason, 0)
+        for tracked in self.by_id.values():
+            for reason, count in tracked.channels.opened.items():
+                opened[reason] += count
+        return {reason.value: count for reason, count in opened.items()}
+
     def own_role_changes(self) -> list[str]:
         """Return ids of engines that change roles by this instance's order."""
         now = self._clock.monotonic()
@@ -422,6 +479,7 @@
                     decisions.LearnedSpeed(
                         self._speed, self._tokens_per_event
                     ),
+                    _kept_targets.KeptTargets(self._name, self._zone),
                 )
             pool.service = service
             pool.instances = self.instances
