--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -21,6 +21,7 @@
 from agatewing.decisions._connection_plan import KeepCandidate
 from agatewing.decisions._connection_plan import kept_count
 from agatewing.decisions._connection_plan import kept_targets
+from agatewing.decisions._connection_plan import NEW_CONNECTION_S
 from agatewing.decisions._connection_plan import OpenReason
 from agatewing.decisions._connection_plan import Reuse
 from agatewing.decisions._connection_plan import scarce
--- a/agatewing/decisions/_connection_plan.py
+++ b/agatewing/decisions/_connection_plan.py
@@ -44,9 +44,6 @@
 #: to be opened, in seconds: a tenth of the latency objectives in use. Callers
 #: whose answers are on time gain nothing by less.
 NEW_CONNECTION_S = 0.04
-#: The same for a target that the instance does not prefer, in seconds: a
-#: quarter of those objectives. The preferred ones are short of room then.
-FURTHER_CONNECTION_S = 0.1
 #: The same for a connection that was just used, beside one that is about to
 #: end, in seconds.
 RECENT_CONNECTION_S = 0.01
@@ -218,17 +215,14 @@
     return rate * idle_s < AMPLE_USES * targets
 
 
-def connection_cost_s(
-    idle_s: float | None, limit_s: float, kept: bool = True
-) -> float:
+def connection_cost_s(idle_s: float | None, limit_s: float) -> float:
     """Return what the connection to a target counts in its choice.
 
     The unit is seconds. ``idle_s`` is the time for which the present one has
     been idle, ``None`` if there is none; it may be so for ``limit_s``.
-    ``kept`` says whether the instance prefers the target.
     """
     if idle_s is None or idle_s > limit_s:
-        return NEW_CONNECTION_S if kept else FURTHER_CONNECTION_S
+        return NEW_CONNECTION_S
     return RECENT_CONNECTION_S * (1 - idle_s / max(1e-3, limit_s))
 
 
--- a/agatewing/decisions/tests/test_connection_plan.py
+++ b/agatewing/decisions/tests/test_connection_plan.py
@@ -131,7 +131,7 @@
     def choose(**changes: typing.Any) -> str:
         preferred = decisions.EngineLoad("kept", "a", **changes)
         other = decisions.EngineLoad("other", "a", kept=False)
-        other.connection_s = decisions.connection_cost_s(None, 8.0, False)
+        other.connection_s = decisions.NEW_CONNECTION_S
         other.reported_sequences = 2
         route = router.choose(profile, [preferred, other])
         assert isinstance(route, decisions.Single)
@@ -147,8 +147,6 @@
     """Used at random, one of five ends although there are requests enough."""
     cost = decisions.connection_cost_s
     assert cost(7.5, 8.0) < cost(0.1, 8.0) < cost(None, 8.0) == cost(9.0, 8.0)
-    assert cost(None, 8.0) < cost(None, 8.0, kept=False)
-    assert cost(0.1, 8.0) == cost(0.1, 8.0, kept=False)
     assert decisions.scarce(targets=15, rate=2.9, idle_s=8.0)
     assert not decisions.scarce(targets=15, rate=30.0, idle_s=8.0)
 
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -440,19 +440,19 @@
                 channel.close()
         self._idle = [c for c in self._idle if request_id not in c.refused]
 
-    def cost_s(self, reuse: decisions.Reuse, kept: bool) -> float:
+    def cost_s(self, reuse: decisions.Reuse) -> float:
         """Return what the next connection counts in the choice of a target.
 
-        The unit is seconds. ``kept`` says whether the instance prefers it.
+        The unit is seconds.
         """
         if not self._idle:
-            return decisions.connection_cost_s(None, 0.0, kept)
+            return decisions.NEW_CONNECTION_S
         now = self._clock.monotonic()
         state = self._idle[-1].idle(now)
         limit_s = decisions.idle_limit_s(
             reuse, state.announced_s, self._announced.trusted(now)
         )
-        return decisions.connection_cost_s(state.idle_s, limit_s, kept)
+        return decisions.connection_cost_s(state.idle_s, limit_s)
 
     def acquire(self, reuse: decisions.Reuse, timeout_s: float) -> Channel:
         """Return an idle connection, or open a new one.
--- a/agatewing/gateway/_kept_targets.py
+++ b/agatewing/gateway/_kept_targets.py
@@ -73,8 +73,7 @@
             # mostly may not.
             prefills = tracked.load.role is _types.Role.PREFILL
             tracked.load.connection_s = tracked.channels.cost_s(
-                decisions.Reuse.AGAIN if prefills else decisions.Reuse.ONCE,
-                tracked.load.kept,
+                decisions.Reuse.AGAIN if prefills else decisions.Reuse.ONCE
             )
 
     def _rate(
