Let engines get as many requests as before where room is short

Cause: the bound of a quarter beyond an engine's places held on every deployment, whatever its configuration asks for.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -45,7 +45,6 @@
 from agatewing.decisions._connection_plan import scarce
 from agatewing.decisions._connection_plan import UseRate
 from agatewing.decisions._contention import engine_class
-from agatewing.decisions._contention import most_sequences
 from agatewing.decisions._contention import retry_after_s
 from agatewing.decisions._contention import Urgency
 from agatewing.decisions._contention import yielding_s
--- a/agatewing/decisions/_contention.py
+++ b/agatewing/decisions/_contention.py
@@ -10,7 +10,6 @@
 
 import collections.abc
 import dataclasses
-import math
 
 from agatewing.decisions import _costs
 
@@ -28,11 +27,6 @@
 #: before the next ones come.
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 1.0
-#: Part of an engine's places by which the sequences there may exceed them. A
-#: place of 24 is free every 50 ms where answers take a second or so, so what
-#: waits there waits for some 0.3 s; what else has no place is better off where
-#: its deadline and its urgency count.
-WAITING_SHARE = 0.25
 #: Priority class of all prompts of 8,192 tokens and more at an engine. Engines
 #: run shorter prompts first, but prompts of this class in order of arrival.
 #: When the longest tenth of prompts had a class of its own, it waited until
@@ -80,11 +74,6 @@
     return min(LAST_CLASS, FIRST_YIELDING_CLASS + size)
 
 
-def most_sequences(slots: int) -> int:
-    """Return the sequences from which on an engine gets no more."""
-    return math.ceil(slots * (1 + WAITING_SHARE))
-
-
 def retry_after_s(room_s: float, yields: bool, draw: float) -> float:
     """Return when a refused caller comes back, in seconds.
 
--- a/agatewing/decisions/_engines.py
+++ b/agatewing/decisions/_engines.py
@@ -111,9 +111,6 @@
     reported_kv_tokens: int = 0
     #: Tokens of KV cache that its memory can hold; 0 if unknown.
     kv_limit: int = 0
-    #: Sequences, of all instances, from which on it gets no more; 0 for no
-    #: limit.
-    most_sequences: int = 0
     #: Sequences that this instance may send to it now.
     credits: int = 1
     #: Whether it gets nothing now, as it limits the requests of all
@@ -156,11 +153,6 @@
             return True
         return self.kv_tokens + kv_tokens <= KV_FILL_SHARE * self.kv_limit
 
-    @property
-    def full(self) -> bool:
-        """Whether as many sequences as may wait there do so."""
-        return 0 < self.most_sequences <= self.sequences
-
     def fits(self, kv_tokens: int) -> bool:
         """Return whether so many tokens of KV cache fit without any reserve.
 
--- a/agatewing/decisions/_routing.py
+++ b/agatewing/decisions/_routing.py
@@ -364,6 +364,6 @@
         return False
     if engine.role is _types.Role.PREFILL:
         return True
-    if profile.software not in (None, engine.software) or engine.full:
+    if profile.software not in (None, engine.software):
         return False
     return engine.has_memory(profile.kv_tokens)
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -224,16 +224,10 @@
     ) -> float:
         """Return the monotonic time until which a request may be queued.
 
-        While engines limit the requests of all instances, or all that decode
-        are full, a queue holds more than they take; callers that would give
-        up are refused at once.
+        While engines limit the requests of all instances, a queue holds more
+        than they take; callers that would give up are refused at once.
         """
-        full = all(
-            tracked.load.full
-            for tracked in pool.engines.values()
-            if tracked.load.role is not _types.Role.PREFILL
-        )
-        if not full and not pool.limited:
+        if not pool.limited:
             return job.deadline
         give_up_at = job.req.arrived_at + job.route.patience_s
         return min(job.deadline, give_up_at - _context.ANSWER_MARGIN_S)
--- a/agatewing/gateway/_target_registry.py
+++ b/agatewing/gateway/_target_registry.py
@@ -176,7 +176,6 @@
                 )
             load.traffic_share = slowness_shares[name] * loss_shares[name]
             load.slowness = max(1.0, tracked.slowness.current(now))
-            load.most_sequences = decisions.most_sequences(load.speed.slots)
             load.credits = decisions.credits(
                 load, _tracked_target.SHARING_INSTANCES
             )
