Use one client for the calls of both duties

Cause: reports of usage and orders of engines were written side by side, each with its own copy of the client, its limits and its headers. Change: platform/_duty_client.py has the call; both use it. No behaviour changes.

--- a/agatewing/platform/_capacity_calls.py
+++ b/agatewing/platform/_capacity_calls.py
@@ -8,14 +8,9 @@
 from agatewing import decisions
 from agatewing import duties
 from agatewing import net
+from agatewing.platform import _duty_client
 from agatewing.platform import _names
 
-#: Time in which a connection has to open, in seconds; the platform is in the
-#: region.
-CONNECT_TIMEOUT_S = 0.5
-#: Largest answer that is read, in bytes; answers say nothing in their bodies.
-MAX_ANSWER_BYTES = 65_536
-
 
 class _Order(msgspec.Struct, frozen=True, omit_defaults=True):
     service: str
@@ -32,15 +27,7 @@
     __slots__ = ("_client",)
 
     def __init__(self, address: str) -> None:
-        self._client = net.HttpClient(
-            address,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            silence_timeout_s=duties.ORDER_TIMEOUT_S,
-            connections=1,
-            body_timeout_s=duties.ORDER_TIMEOUT_S,
-            max_answer_bytes=MAX_ANSWER_BYTES,
-            reset=True,
-        )
+        self._client = _duty_client.DutyClient(address)
 
     def order_engines(
         self,
@@ -58,25 +45,15 @@
                 order.place.kind is decisions.EngineKind.RECLAIMABLE,
             )
         )
-        headers = {
-            "X-Lease-Holder": holder,
-            "X-Fencing-Token": str(token),
-            "Content-Type": "application/json",
-        }
         try:
-            answer = self._client.call(
-                "POST",
-                _names.CAPACITY_PATH,
-                body,
-                headers,
-                may_send,
-                duties.ORDER_TIMEOUT_S,
+            status = self._client.post(
+                _names.CAPACITY_PATH, body, holder, token, may_send
             )
         except (net.SendForbiddenError, _exceptions.ConnectRefusedError):
             return duties.OrderOutcome.NOT_SENT
         except _exceptions.AgatewingError:
             return duties.OrderOutcome.UNKNOWN
-        return decode_outcome(answer.status)
+        return decode_outcome(status)
 
 
 def decode_outcome(status: int) -> duties.OrderOutcome:
--- a/agatewing/platform/_duties.py
+++ b/agatewing/platform/_duties.py
@@ -6,15 +6,9 @@
 
 from agatewing import _exceptions
 from agatewing import duties
-from agatewing import net
+from agatewing.platform import _duty_client
 from agatewing.platform import _names
 
-#: Time in which a connection has to open, in seconds; the platform is in the
-#: region.
-CONNECT_TIMEOUT_S = 0.5
-#: Largest answer that is read, in bytes; answers say nothing in their bodies.
-MAX_ANSWER_BYTES = 65_536
-
 _KINDS = {
     _names.DUTY_USAGE: duties.Duty.USAGE,
     _names.DUTY_CAPACITY: duties.Duty.CAPACITY,
@@ -41,15 +35,7 @@
     __slots__ = ("_client",)
 
     def __init__(self, address: str) -> None:
-        self._client = net.HttpClient(
-            address,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            silence_timeout_s=duties.ORDER_TIMEOUT_S,
-            connections=1,
-            body_timeout_s=duties.ORDER_TIMEOUT_S,
-            max_answer_bytes=MAX_ANSWER_BYTES,
-            reset=True,
-        )
+        self._client = _duty_client.DutyClient(address)
 
     def report_usage(
         self,
@@ -61,23 +47,13 @@
     ) -> duties.CallResult:
         """Report the requests of a window; see ``duties.DutyPort``."""
         body = msgspec.json.encode(_UsageReport(window, counts))
-        headers = {
-            "X-Lease-Holder": holder,
-            "X-Fencing-Token": str(token),
-            "Content-Type": "application/json",
-        }
         try:
-            answer = self._client.call(
-                "POST",
-                _names.USAGE_PATH,
-                body,
-                headers,
-                may_send,
-                duties.ORDER_TIMEOUT_S,
+            status = self._client.post(
+                _names.USAGE_PATH, body, holder, token, may_send
             )
         except _exceptions.AgatewingError as exc:
             return duties.NoAnswer(str(exc))
-        return decode_status(answer.status)
+        return decode_status(status)
 
 
 def decode_status(status: int) -> duties.CallResult:
