--- a/agatewing/duties/tests/test_capacity_loop.py
+++ b/agatewing/duties/tests/test_capacity_loop.py
@@ -9,6 +9,7 @@
 from agatewing import _clock
 from agatewing import decisions
 from agatewing import duties
+from agatewing.duties.tests import _fakes
 from agatewing.duties.tests import test_fuzz_claims
 
 OUTCOME = duties.OrderOutcome
@@ -82,8 +83,8 @@
 
 
 @pytest.fixture
-def log() -> test_fuzz_claims.FakeLog:
-    return test_fuzz_claims.FakeLog()
+def log() -> _fakes.FakeLog:
+    return _fakes.FakeLog(era=0)
 
 
 def run(
@@ -97,7 +98,7 @@
 
 
 def test_the_holder_orders_each_place_once_at_the_pace(
-    clock: _clock.ManualClock, log: test_fuzz_claims.FakeLog
+    clock: _clock.ManualClock, log: _fakes.FakeLog
 ) -> None:
     first, second = Instance("i", clock, log), Instance("j", clock, log)
     second.rank = 1
@@ -110,7 +111,7 @@
 
 
 def test_the_next_one_takes_over_after_the_gap_and_with_the_plan(
-    clock: _clock.ManualClock, log: test_fuzz_claims.FakeLog
+    clock: _clock.ManualClock, log: _fakes.FakeLog
 ) -> None:
     first, second = Instance("i", clock, log), Instance("j", clock, log)
     run(clock, 4.0, first)
@@ -130,7 +131,7 @@
 @pytest.mark.parametrize("hindrance", ("held", "view", "rank", "late"))
 def test_nothing_is_sent(
     clock: _clock.ManualClock,
-    log: test_fuzz_claims.FakeLog,
+    log: _fakes.FakeLog,
     hindrance: str,
 ) -> None:
     instance = Instance("i", clock, log)
@@ -147,7 +148,7 @@
 @pytest.mark.parametrize("outcome", (OUTCOME.BUSY, OUTCOME.UNKNOWN))
 def test_calls_that_are_not_taken_are_repeated_with_pauses(
     clock: _clock.ManualClock,
-    log: test_fuzz_claims.FakeLog,
+    log: _fakes.FakeLog,
     outcome: duties.OrderOutcome,
 ) -> None:
     instance = Instance("i", clock, log)
@@ -161,7 +162,7 @@
 
 
 def test_a_zone_without_engines_is_left_alone_for_a_while(
-    clock: _clock.ManualClock, log: test_fuzz_claims.FakeLog
+    clock: _clock.ManualClock, log: _fakes.FakeLog
 ) -> None:
     instance = Instance("i", clock, log)
     instance.port.outcome = OUTCOME.NONE_THERE
