--- a/agatewing/duties/tests/test_capacity_loop.py
+++ b/agatewing/duties/tests/test_capacity_loop.py
@@ -84,7 +84,7 @@
 
 @pytest.fixture
 def log() -> _fakes.FakeLog:
-    return _fakes.FakeLog()
+    return _fakes.FakeLog(era=0)
 
 
 def run(
