Move the metrics of an instance to a module of their own

Cause: _instance.py wires the parts and had grown to 892 lines, of which 317 read metrics. Change: gateway/_instance_metrics.py; moved only.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -23,6 +23,7 @@
 from agatewing.gateway import _context
 from agatewing.gateway import _contracts
 from agatewing.gateway import _follow
+from agatewing.gateway import _instance_metrics
 from agatewing.gateway import _lifecycle
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _log_turns
@@ -36,7 +37,6 @@
 from agatewing.gateway import _settings
 from agatewing.gateway import _stream_directory
 from agatewing.gateway import _stream_record
-from agatewing.gateway import _target_metrics
 from agatewing.gateway import _target_registry
 from agatewing.gateway import _urgency_use
 from agatewing.gateway import _usage_parts
@@ -207,7 +207,8 @@
         self.engines_held = settings.hold_engines
         self._loops: list[gevent.Greenlet] = []
         addresses = (settings.ready_address, settings.metrics_address)
-        self._probe_servers = [
+        #: Servers of readiness checks and of metrics.
+        self.probe_servers = [
             net.Server(
                 *net.split_address(address),
                 self._serve_probe,
@@ -438,7 +439,7 @@
     def start(self) -> None:
         """Open the ports and start all background loops."""
         self.server.start()
-        for server in self._probe_servers:
+        for server in self.probe_servers:
             server.start()
         self.peers.start()
         self.load_reports.start()
@@ -516,7 +517,7 @@
             self.peers.hop_server.close()
         self.load_reports.stop()
         self.links.stop()
-        for server in self._probe_servers:
+        for server in self.probe_servers:
             server.stop(timeout=0)
         self.server.close_port()
 
@@ -544,7 +545,7 @@
 
     def render_metrics(self) -> tuple[bytes, str]:
         """Return all metrics as encoded text, and its content type."""
-        self._collect()
+        _instance_metrics.collect(self)
         return self.metrics.render()
 
     def _serve_metrics(self, start_response: net.StartResponse) -> list[bytes]:
@@ -555,324 +556,6 @@
         )
         return [raw]
 
-    def _collect(self) -> None:
-        metrics = self.metrics
-        metrics.counters(
-            "agatewing_answers_total",
-            "Answers of targets passed on, by status",
-            "status",
-            self.handler_context.answers,
-        )
-        metrics.counters(
-            "agatewing_framings_total",
-            "Answers of targets passed on, by how their bodies were framed",
-            "framing",
-            self.handler_context.framings,
-        )
-        metrics.counters(
-            "agatewing_refused_total",
-            "Refusals by kind",
-            "kind",
-            self.server.refusals,
-        )
-        metrics.counters(
-            "agatewing_account_requests_total",
-            "Requests accepted, by client account; empty on public routes",
-            "account",
-            self.account_use.asked,
-        )
-        metrics.counters(
-            "agatewing_account_begun_total",
-            "Requests that targets began to run, by client account",
-            "account",
-            self.account_use.begun,
-        )
-        metrics.counters(
-            "agatewing_account_refused_total",
-            "Requests refused, by client account",
-            "account",
-            self.account_use.refused,
-        )
-        metrics.counters(
-            "agatewing_account_over_share_total",
-            "Requests beyond the share of their account, which yield",
-            "account",
-            self.account_use.over_share,
-        )
-        for name, counted in (
-            ("asked", self.urgency_use.asked),
-            ("yielded", self.urgency_use.yielded),
-            ("waited", self.urgency_use.waited),
-            ("sent", self.urgency_use.sent),
-        ):
-            metrics.counters(
-                f"agatewing_urgency_{name}_total",
-                f"Requests for engines by rank, 0 the most urgent: {name}",
-                "rank",
-                counted,
-            )
-        metrics.counters(
-            "agatewing_urgency_refused_total",
-            "Requests for engines that were refused, by rank and kind",
-            "rank_and_kind",
-            self.urgency_use.refused,
-        )
-        metrics.counter(
-            "agatewing_unknown_keys_total",
-            "Requests refused as they bear no key of an account",
-            self.account_use.rejected,
-        )
-        if self.usage is not None:
-            self.usage.collect(metrics)
-        metrics.gauge(
-            "agatewing_caller_connections",
-            "Connections of callers, those that linger included",
-            self.server.caller_count,
-        )
-        metrics.counter(
-            "agatewing_connections_gave_way_total",
-            "Connections of callers ended or refused at their bound",
-            self.server.gave_way,
-        )
-        metrics.counter(
-            "agatewing_probe_connections_gave_way_total",
-            "Connections of checks and metrics ended at their bound",
-            sum(server.gave_way for server in self._probe_servers),
-        )
-        metrics.gauge(
-            "agatewing_body_bytes_held",
-            "Bytes of bodies that callers and peers have sent",
-            self.server.bodies.total_held,
-        )
-        metrics.counter(
-            "agatewing_bodies_without_room_total",
-            "Requests refused as other bodies left no room for theirs",
-            self.server.bodies.refused,
-        )
-        metrics.counter(
-            "agatewing_bodies_stalled_total",
-            "Requests refused as their bodies stood still while others waited",
-            self.server.bodies.stalled,
-        )
-        metrics.counter(
-            "agatewing_sends_total",
-            "Requests sent to targets",
-            self.handler_context.sender.request_count,
-        )
-        metrics.counter(
-            "agatewing_ended_requests_total",
-            "Requests given up as their target's process had ended",
-            self.handler_context.sender.ended_targets.ended,
-        )
-        metrics.counter(
-            "agatewing_retries_denied_total",
-            "Repeats that the budget did not allow",
-            self.budget.refused,
-        )
-        metrics.gauge(
-            "agatewing_requests_under_way",
-            "Requests under way",
-            self.lifecycle.in_flight,
-        )
-        metrics.gauge(
-            "agatewing_log_age_seconds",
-            "Seconds since the end of the log was known",
-            min(self.catalog.age_s(), 1e9),
-        )
-        metrics.gauge(
-            "agatewing_config_age_seconds",
-            "Seconds since the configuration was known to be the newest",
-            min(self.catalog.config_age_s(), 1e9),
-        )
-        metrics.gauge(
-            "agatewing_load_summary_age_seconds",
-            "Age of the summed load of all instances; 1e9 if there is none",
-            min(self.load_reports.summaries.age_s(), 1e9),
-        )
-        metrics.gauge(
-            "agatewing_load_collector",
-            "1 if the instance sums up the loads of its zone now",
-            int(self.load_reports.summaries.sums_up()),
-        )
-        metrics.gauge(
-            "agatewing_log_reader",
-            "1 if the instance reads the log all the time, 0 if peers tell it",
-            int(self.log_turns.is_reader),
-        )
-        metrics.gauge(
-            "agatewing_log_era",
-            "Newest known era of the log; 0 if it names none",
-            self.log_era.current or 0,
-        )
-        metrics.counter(
-            "agatewing_log_restores_total",
-            "Times that the era of the log was seen to rise",
-            self.log_era.rises,
-        )
-        metrics.counter(
-            "agatewing_records_rewritten_total",
-            "Records written again, as the log lost them",
-            self.own_entry.rewrites,
-        )
-        metrics.gauge(
-            "agatewing_config_version",
-            "Configuration version in force",
-            self.catalog.config_version,
-        )
-        metrics.counter(
-            "agatewing_note_bytes_total",
-            "Bytes of notes sent to other instances",
-            self.load_reports.sent_bytes,
-        )
-        metrics.counter(
-            "agatewing_turns_ended_total",
-            "Times that a connection with more input let others go on",
-            net.turns_ended(),
-        )
-        metrics.counters(
-            "agatewing_take_ups_total",
-            "Streams that callers took up, by how their version was found",
-            "how",
-            self.streams.take_ups,
-        )
-        metrics.counters(
-            "agatewing_stream_records_total",
-            "Records of software versions and of streams written to the log",
-            "topic",
-            self.stream_record.writes,
-        )
-        metrics.counter(
-            "agatewing_sends_to_limited_total",
-            "Requests sent to targets while they named a limit",
-            self.registry.limits.sends,
-        )
-        metrics.counters(
-            "agatewing_departures_total",
-            "Targets that said that they leave, by how that was learned",
-            "source",
-            self.registry.departures.learned,
-        )
-        metrics.counter(
-            "agatewing_back_offs_total",
-            "Times that a target asked this instance for no requests",
-            self.registry.back_offs.begun,
-        )
-        metrics.gauge(
-            "agatewing_targets_backing_off",
-            "Targets that want no requests from this instance now",
-            self.registry.back_offs.count,
-        )
-        for service in self.registry.pools:
-            metrics.gauge(
-                "agatewing_targets_reached",
-                "Targets that were reached when last tried, by service",
-                self.links.reached_count(service),
-                service=service,
-            )
-            metrics.gauge(
-                "agatewing_links_lost",
-                "Targets that only other instances reach, by service",
-                self.links.lost_count(service),
-                service=service,
-            )
-        metrics.counter(
-            "agatewing_link_probes_total",
-            "Connections opened only to see whether a target is reached",
-            self.links.probes,
-        )
-        metrics.counter(
-            "agatewing_link_questions_total",
-            "Questions to other instances about targets that they reach",
-            self.links.questions,
-        )
-        metrics.counter(
-            "agatewing_crashes_total",
-            "Engines that crashed under a prompt of this instance",
-            self.quarantine.crashes,
-        )
-        metrics.gauge(
-            "agatewing_quarantined_blocks",
-            "Prefix blocks that are kept from engines, as these crash on them",
-            self.quarantine.block_count,
-        )
-        metrics.gauge(
-            "agatewing_quarantined_requests",
-            "Requests that are kept from targets, as these crash on them",
-            self.quarantine.request_count,
-        )
-        metrics.counters(
-            "agatewing_detours_total",
-            "Requests handed on to a peer, by outcome",
-            "outcome",
-            self.detours.outcomes,
-        )
-        metrics.gauge(
-            "agatewing_detours_under_way",
-            "Requests that peers serve for this instance now",
-            self.detours.in_flight,
-        )
-        metrics.counters(
-            "agatewing_hops_served_total",
-            "Requests that peers offered, by outcome",
-            "outcome",
-            self.server.hops_served,
-        )
-        metrics.gauge(
-            "agatewing_hops_under_way",
-            "Requests of peers that are served now",
-            self.server.hop_count,
-        )
-        now = self.clock.monotonic()
-        _target_metrics.clear(metrics)
-        for service, pool in self.registry.pools.items():
-            engines = pool.engine_class()
-            if engines is None:
-                continue
-            metrics.gauge(
-                "agatewing_engine_prefill_tokens_per_second",
-                "Learned prefill rate of an engine, by service",
-                engines.speed.prefill_tokens_per_s,
-                service=service,
-            )
-            metrics.gauge(
-                "agatewing_engine_step_seconds",
-                "Learned time of a step with half of the slots, by service",
-                engines.speed.step_s(engines.speed.slots / 2),
-                service=service,
-            )
-            metrics.gauge(
-                "agatewing_engine_tokens_per_event",
-                "Learned tokens in one event of a stream, by service",
-                engines.tokens_per_event,
-                service=service,
-            )
-            metrics.gauge(
-                "agatewing_speed_samples",
-                "Recent answers from which the speed is learned, by service",
-                sum(pool.learned.samples(now)),
-                service=service,
-            )
-            _target_metrics.write(metrics, pool)
-            metrics.gauge(
-                "agatewing_decode_engines_planned",
-                "Engines that are to decode by the plan, by service",
-                self.role_loop.decode_planned.get(service, 0),
-                service=service,
-            )
-        metrics.counter(
-            "agatewing_orders_total",
-            "Orders to engines to take a role",
-            self.role_loop.orders,
-        )
-        if self.capacity_loop is not None:
-            self.capacity_loop.collect(metrics)
-        metrics.counters(
-            "agatewing_connections_opened_total",
-            "Connections opened to targets that are known now, by reason",
-            "reason",
-            self.registry.connections_opened(),
-        )
-
 
 def _engine_speed(configured: _settings.EngineSpeed) -> decisions.Speed:
     """Convert the engine speed of the settings for the cost model."""
