Report usage though half of the zones are lost, or a window is refused

Cause, found in review: the patience for zones that do not answer was counted from the newest window that is over, which is never old, so that with half of the zones lost no window was reported any more; and a report that the platform refuses kept all later ones back for two minutes. Change: patience counts from the oldest window that is not decided; a refused report is sent again with the next window, and the others go on.

--- a/agatewing/duties/_usage_reports.py
+++ b/agatewing/duties/_usage_reports.py
@@ -41,7 +41,7 @@
 #: Instances of a zone that may report: a second one, as one may be lost, and
 #: no more, as each of them reads the log once a window.
 CANDIDATES = 2
-#: Shares of the time to the due report, and the share of the zones that must
+#: Shares of the time to the oldest due report, and the share of the zones that must
 #: have answered before each of them. A holder that is cut off from most zones
 #: leaves the report to others; after all of these shares nobody else has
 #: claimed, so what is known is all that there is to report.
@@ -255,7 +255,9 @@
         windows = self._context.windows
         first = max(first, over - _usage_counts.KEEP_WINDOWS + 1)
         answered = self._context.exchange.gather(first, over)
-        elapsed_s = self._context.time.now() - windows.end_s(over)
+        begun = self._context.counts.first_window()
+        oldest = min(over, max(first, over if begun is None else begun))
+        elapsed_s = self._context.time.now() - windows.end_s(oldest)
         needed = next(
             (
                 share
@@ -321,9 +323,11 @@
                 lambda: context.claims.valid(claim),
             )
             self._record(window, counts, claim, outcome)
-            if not isinstance(outcome, _ports.Accepted):
+            if isinstance(outcome, _ports.Busy | _ports.NoAnswer):
                 self._failed()
                 return
+            # A refused one is sent again with the next window; the others
+            # would be late if they waited for it.
             self._failing_since = None
             self._retry_s = RETRY_S
             if window != left[-1]:
--- a/agatewing/duties/tests/_fakes.py
+++ b/agatewing/duties/tests/_fakes.py
@@ -110,6 +110,8 @@
         self.answer: duties.CallResult = duties.Accepted()
         #: Whether a call without an answer was taken.
         self.takes = True
+        #: Windows whose reports are refused.
+        self.refused: set[int] = set()
         #: Called before a call is sent, as a process may stop there.
         self.before: collections.abc.Callable[[], None] = lambda: None
 
@@ -124,6 +126,8 @@
         self.before()
         if not may_send():
             return duties.NoAnswer("not sent")
+        if window in self.refused:
+            return duties.Refused("status 400")
         taken = isinstance(self.answer, duties.Accepted) or (
             self.takes and isinstance(self.answer, duties.NoAnswer)
         )
--- a/agatewing/duties/tests/test_usage_reports.py
+++ b/agatewing/duties/tests/test_usage_reports.py
@@ -128,6 +128,31 @@
     _check_holders(fleet)
 
 
+def test_half_of_the_zones_may_be_lost_for_good(
+    fleet: _fakes.Fleet,
+) -> None:
+    """Their entries stay; the others report within the time that is due."""
+    for name in [n for n in fleet.instances if n.startswith("b")]:
+        fleet.kill(name)
+    _count(fleet)
+    window = fleet.window()
+    fleet.advance(40.0)
+    due = range(window, fleet.window() - 2)
+    assert set(due) <= set(fleet.reported())
+    assert all(_lateness(fleet, w) <= _fakes.LATE_S for w in due)
+
+
+def test_a_window_that_is_refused_keeps_no_later_one(
+    fleet: _fakes.Fleet,
+) -> None:
+    refused = fleet.window()
+    fleet.port.refused.add(refused)
+    fleet.advance(30.0)
+    due = set(range(refused + 1, fleet.window() - 2))
+    assert due <= set(fleet.reported())
+    assert all(_lateness(fleet, w) <= _fakes.LATE_S for w in due)
+
+
 def _check_holders(fleet: _fakes.Fleet) -> None:
     """Tokens rise; calls of two holders are at least the gap apart."""
     for before, after in zip(
