Order engines on what is known only, and refused orders seldom

Cause, found in review: after a gap in planning one sample counted as the demand of the last minute (24 engines to 3 in one step); orders of fewer that were refused were repeated at each plan, all refused ones where engines start at once; a zone that lost its engines got fewer than its least number; and a planner that took over ordered before it knew any engine. Change: a gap makes the demand unknown; a place that refuses is left alone for 10 s at least, for fewer engines too; lasting engines begin with a zone's least number; reclaimable ones are ordered before the engines are known only where nobody ordered any.

--- a/agatewing/decisions/_capacity_plan.py
+++ b/agatewing/decisions/_capacity_plan.py
@@ -27,6 +27,9 @@
 #: Time for which nothing is ordered in a barren zone, in starts of an engine:
 #: the next look should not cost more than a start elsewhere.
 BARREN_STARTS = 2.5
+#: Shortest such time, in seconds, where engines start at once: each order is a
+#: call, and most refusals have a cause that lasts.
+LEAST_BARREN_S = 10.0
 #: Least time between two orders of fewer engines, in seconds: the entries of
 #: the first ones show that they leave.
 FEWER_PERIOD_S = 1.0
@@ -102,7 +105,7 @@
         self, order: _capacity_types.EngineOrder, boot_s: float, now: float
     ) -> None:
         """Record that there are no such engines now; times in seconds."""
-        self._barren_until[order.place] = now + BARREN_STARTS * boot_s
+        self._barren_until[order.place] = now + _barren_s(boot_s)
         self._given.pop(order.place, None)
 
     def plan(self, view: _View, now: float) -> _capacity_types.CapacityPlan:
@@ -119,8 +122,10 @@
         orders = [
             order
             for order in self._more(view, wanted, now)
-            # Others that are lasting may be there and not be known yet.
-            if oriented or order.place.kind is _RECLAIMABLE
+            # Others may be there and not be known yet; reclaimable ones only
+            # if they were ordered before.
+            if oriented
+            or (self._adopted is None and order.place.kind is _RECLAIMABLE)
         ]
         if not orders and may_exchange and oriented:
             orders = self._fewer(view, wanted, size.total, now)
@@ -176,8 +181,8 @@
             given = self._given.get(place)
             unasked = given is None or given.count > 0
             if engines.leaving and not engines.reclaimable and unasked:
-                boots_s = BARREN_STARTS * view.scaling.boot_s
-                self._barren_until[place] = now + boots_s
+                pause_s = _barren_s(view.scaling.boot_s)
+                self._barren_until[place] = now + pause_s
                 self._given.pop(place, None)
 
     def _see_overdue(self, view: _View, now: float) -> None:
@@ -189,8 +194,8 @@
                 # They came; what is missing later was lost.
                 self._given[place] = dataclasses.replace(given, tries=1)
             elif overdue and given.tries >= ORDER_TRIES:
-                boots_s = BARREN_STARTS * view.scaling.boot_s
-                self._barren_until[place] = now + boots_s
+                pause_s = _barren_s(view.scaling.boot_s)
+                self._barren_until[place] = now + pause_s
                 del self._given[place]
 
     def _is_barren(self, place: _Place, now: float) -> bool:
@@ -245,7 +250,12 @@
                 room[place] -= view.zones[place.zone].lasting
             if self._is_barren(place, now):
                 room[place] = min(room[place], _active(view, place))
-        for _ in range(count):
+        if kind is _LASTING:
+            for place in spread:
+                beside = others.get(_Place(place.zone, _RECLAIMABLE), 0)
+                least = max(0, view.scaling.least - beside)
+                spread[place] = min(max(0, room[place]), least)
+        for _ in range(count - sum(spread.values())):
             open_places = [p for p in spread if spread[p] < room[p]]
             if not open_places:
                 break
@@ -296,6 +306,8 @@
             key=lambda p: (p.kind is not _LASTING, -view.price(p.zone)),
         )
         for place in by_price:
+            if self._is_barren(place, now):
+                continue
             active = _active(view, place)
             left = max(wanted[place], active - max(0, spare))
             others = sum(
@@ -314,6 +326,11 @@
         return orders
 
 
+def _barren_s(boot_s: float) -> float:
+    """Return for how long a barren place is left alone, in seconds."""
+    return max(LEAST_BARREN_S, BARREN_STARTS * boot_s)
+
+
 def _active(view: _View, place: _Place) -> int:
     engines = view.zones.get(place.zone)
     return engines.active(place.kind) if engines is not None else 0
--- a/agatewing/decisions/_capacity_size.py
+++ b/agatewing/decisions/_capacity_size.py
@@ -37,6 +37,9 @@
 #: Least number of engines of each software version: decode engines, so that
 #: the loss of one leaves another, and one that prefills.
 FLOOR = _role_plan.MIN_DECODE_ENGINES + 1
+#: Time without a plan after which the demand counts as unknown again, in
+#: seconds: plans are made several times a second.
+GAP_S = 2.0
 #: Largest number of engines that is considered.
 MOST = 4_096
 
@@ -150,9 +153,11 @@
 
         Times are in seconds. Where they are not known, the size stays.
         """
+        if self._asked and now - self._asked[-1][0] > GAP_S:
+            # It was cut off or stood still, and hears of a part at first.
+            self._forget()
         if needs is None:
-            self._known_since = self._rise_since = None
-            self._asked.clear()
+            self._forget()
             return self._size
         if self._known_since is None:
             self._known_since = now
@@ -170,6 +175,10 @@
             self._shrink()
         return self._size
 
+    def _forget(self) -> None:
+        self._known_since = self._rise_since = None
+        self._asked.clear()
+
     def _grow(
         self,
         needs: _decode_plan.RoleNeeds,
--- a/agatewing/decisions/tests/test_capacity_plan.py
+++ b/agatewing/decisions/tests/test_capacity_plan.py
@@ -254,6 +254,57 @@
     assert [o.place.zone for o in site.since(100)] == ["east"]
 
 
+def test_a_gap_in_planning_is_no_knowledge_of_the_demand() -> None:
+    """An instance that was cut off first hears of a part of the demand."""
+    site = Site(lambda now: 16.0).run(60)
+    total = site.total
+    site.now += 70.0
+    site.demand = lambda now: 1.0
+    site.run(site.now + 5.0)
+    assert site.total == total
+
+
+def refuse_all(site: Site, seconds: float) -> int:
+    """Refuse all orders for some seconds; return how many there were."""
+    until, count = site.now + seconds, 0
+    while site.now < until:
+        site.now += 0.5
+        for order in site.planner.plan(site.view(), site.now).orders:
+            count += 1
+            site.planner.record_none_there(
+                order, site.scaling.boot_s, site.now
+            )
+    return count
+
+
+@pytest.mark.parametrize("boot_s", (4.0, 0.0))
+def test_orders_that_are_refused_are_repeated_seldom(boot_s: float) -> None:
+    site = Site(lambda now: 1.0, lasting=7)
+    site.scaling = dataclasses.replace(SCALING, boot_s=boot_s)
+    # At most one for each of the six places in ten seconds.
+    assert refuse_all(site, 60.0) <= 36
+
+
+def test_a_zone_that_lost_its_engines_gets_the_least_number() -> None:
+    site = Site(lambda now: 2.0)
+    site.scaling = dataclasses.replace(SCALING, least=3)
+    site.run(60)
+    for kind in decisions.EngineKind:
+        site.active[decisions.Place("west", kind)] = 0
+    site.run(100)
+    for zone in ZONES:
+        both = sum(n for p, n in site.active.items() if p.zone == zone)
+        assert both >= 3
+
+
+def test_a_planner_that_knows_no_engine_yet_orders_none() -> None:
+    """What another one ordered may run elsewhere, after a reclaim."""
+    site = Site(lambda now: 8.0, lasting=0)
+    site.planner.adopt(decisions.FleetSize(24, 3))
+    site.run(2.0)
+    assert not site.orders
+
+
 def test_bounds_hold_for_both_kinds_together() -> None:
     site = Site(lambda now: 60.0)
     site.scaling = dataclasses.replace(SCALING, most=20)
--- a/agatewing/duties/_usage_reports.py
+++ b/agatewing/duties/_usage_reports.py
@@ -41,8 +41,8 @@
 #: Instances of a zone that may report: a second one, as one may be lost, and
 #: no more, as each of them reads the log once a window.
 CANDIDATES = 2
-#: Shares of the time to the oldest due report, and the share of the zones that must
-#: have answered before each of them. A holder that is cut off from most zones
+#: Shares of the time to the oldest due report, and the share of the zones that
+#: must have answered before each. A holder that is cut off from most zones
 #: leaves the report to others; after all of these shares nobody else has
 #: claimed, so what is known is all that there is to report.
 PATIENCE = ((0.4, 1.0), (0.7, 0.51))
