End no request on a connect without answer; bound idle connections

Cause, found in review: after a target's entry had expired, one connect that got no answer counted as proof of its end, so that an unsafe request at a sound target behind a full queue or a lost path was given up (502); an answer that was not read yet counted as silence; connections were used for nearly as long as targets announce, without a bound; and requests beyond an account's share stood in one queue with those that may wait, which then waited behind them.

--- a/agatewing/decisions/_connection_plan.py
+++ b/agatewing/decisions/_connection_plan.py
@@ -28,6 +28,9 @@
 #: The same for requests that may be sent again, in seconds: timeouts are
 #: announced in whole seconds, rounded either way.
 AGAIN_MARGIN_S = 0.5
+#: Longest idle time of a connection, whatever its target announces, in
+#: seconds: in more time a path may end unseen.
+LONGEST_IDLE_S = 10.0
 #: Time for which a target that closed a connection before the time that it
 #: had announced is not taken at its word, in seconds: three times the longest
 #: idle time that is used.
@@ -115,7 +118,7 @@
     cautious_s = min(least_s, announced_s / 2)
     if not trusted:
         return cautious_s
-    return max(cautious_s, announced_s - margin_s)
+    return min(LONGEST_IDLE_S, max(cautious_s, announced_s - margin_s))
 
 
 def candidates(
--- a/agatewing/decisions/tests/test_connection_plan.py
+++ b/agatewing/decisions/tests/test_connection_plan.py
@@ -24,6 +24,9 @@
         (ONCE, None, True, 0.5),
         (AGAIN, None, True, 10.0),
         (decisions.Reuse.NEVER, 10.0, True, -1.0),
+        # Paths end unseen in a longer time.
+        (ONCE, 60.0, True, 10.0),
+        (AGAIN, 3_600.0, True, 10.0),
     ],
 )
 def test_announced_times_are_used_up_to_a_margin(
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -350,6 +350,17 @@
             raise DeadlineExceededError(f"{self.address}: no answer in time")
         return remaining_s
 
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have arrived that were not received yet."""
+        if self._sock is None:
+            return False
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self._sock._sock.recv(1, flags))
+        except OSError:
+            return False
+
     @property
     def silent_s(self) -> float:
         """Time since the last byte from the target, in seconds.
--- a/agatewing/gateway/_ended_targets.py
+++ b/agatewing/gateway/_ended_targets.py
@@ -32,6 +32,10 @@
     def silent_s(self) -> float:
         """Time since the last byte, or the send if none came, in seconds."""
 
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+
     def close(self) -> None:
         """Close it; whoever reads from it is told that it broke."""
 
@@ -96,7 +100,7 @@
             sent_s = [channel.silent_s for channel in channels]
             self._clock.sleep(QUIET_S)
             heard = any(
-                channel.silent_s < before_s + QUIET_S / 2
+                channel.unread or channel.silent_s < before_s + QUIET_S / 2
                 for channel, before_s in zip(channels, sent_s)
             )
             if heard or (confirm is not None and not confirm()):
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -181,7 +181,7 @@
         self.ended_targets.record_end(
             target.key,
             "its entry expired",
-            lambda: not _accepts_connections(target.address, self._clock),
+            lambda: _accepts_connections(target.address, self._clock) is False,
         )
 
     def _exchange(
--- a/agatewing/gateway/_stream_forwarder.py
+++ b/agatewing/gateway/_stream_forwarder.py
@@ -84,7 +84,10 @@
             name, weight = f"{name} of {software}", TAKE_UP_WEIGHT
         if profile.avoid:
             name = f"{name}, sent before"
-        if yields:
+        if job.over_share:
+            # Behind these, what may wait would yield for too long.
+            name = f"{name}, over share"
+        elif yields:
             name = f"{name}, may wait"
         account = RouteAccount(name, weight)
         job.queued = True
--- a/agatewing/gateway/tests/test_ended_targets.py
+++ b/agatewing/gateway/tests/test_ended_targets.py
@@ -11,6 +11,7 @@
 
 from agatewing import _clock
 from agatewing.gateway import _ended_targets
+from agatewing.gateway import _sender
 from agatewing.platform import standins
 
 KEY = 7
@@ -23,6 +24,7 @@
         self._clock = clock
         self.heard_at = clock.monotonic()
         self.closed = False
+        self.unread = False
 
     @property
     def silent_s(self) -> float:
@@ -63,6 +65,17 @@
     assert targets.ended == ended
 
 
+def test_an_answer_that_waits_to_be_read_is_no_silence() -> None:
+    clock = _clock.SystemClock()
+    targets = _ended_targets.EndedTargets(clock)
+    channel = FakeChannel(clock)
+    channel.unread = True
+    targets.add(KEY, channel)
+    targets.record_end(KEY, "a test")
+    gevent.sleep(2 * _ended_targets.QUIET_S)
+    assert not channel.closed
+
+
 @pytest.fixture
 def site() -> collections.abc.Iterator[standins.Site]:
     with standins.Site() as made:
@@ -117,3 +130,18 @@
     site.wait(lambda: site.targets["t1"].runs)
     site.withdraw("t1")
     assert asking.get().status == 200
+
+
+def test_a_connection_that_is_not_answered_proves_nothing(
+    site: standins.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The path may be lost, or the target's queue of connections full."""
+    monkeypatch.setattr(_sender, "_accepts_connections", lambda *_: None)
+    site.targets["t1"].script.append(standins.Behaviour.HALVES)
+    site.targets["t1"].half_pause_s = 4.0
+    instance = site.start()
+    site.wait(lambda: instance.lifecycle.ready)
+    asking = gevent.spawn(site.ask, instance, "/pay/1")
+    site.wait(lambda: site.targets["t1"].runs)
+    site.withdraw("t1")
+    assert asking.get().status == 200
