Cut off no stream for room; keep accounts from peers that know of none

Cause, found in review: a stream whose caller stalled for a second was cut off while plain answers waited for room, though it holds none; a small body was refused beside an empty room of the others; and a peer whose older configuration has no accounts passed a request on with the caller's own account header. Change: only whole answers give way; small bodies may take room of the others; such a peer says that it is not ready, and the name is left out of what is handed on.

--- a/agatewing/callers/_body_room.py
+++ b/agatewing/callers/_body_room.py
@@ -115,6 +115,10 @@
             fits = self._small_held + size <= self._small_total
         else:
             fits = self.held + size <= self._total or share is self._last
+        if not fits and share.small:
+            fits = self.held + share.held + size <= self._total
+            if fits:
+                self._take_back_small(share)
         if fits:
             self._give(share, size)
             return True
--- a/agatewing/callers/tests/test_body_room.py
+++ b/agatewing/callers/tests/test_body_room.py
@@ -45,6 +45,18 @@
     assert room.try_grow(room.open(1), 1)
 
 
+def test_a_small_body_gets_room_of_the_others(
+    room: callers.BodyRoom,
+) -> None:
+    first, _ = fill(room)
+    small, other = room.open(60), room.open(60)
+    assert room.try_grow(small, 40)
+    assert room.try_grow(other, 60)
+    assert not room.try_grow(small, 20)
+    room.close(first)
+    assert room.try_grow(small, 20)
+
+
 def test_room_goes_to_the_body_that_needs_least(
     room: callers.BodyRoom,
 ) -> None:
--- a/agatewing/gateway/_caller_conn.py
+++ b/agatewing/gateway/_caller_conn.py
@@ -84,6 +84,7 @@
         "_idle_since",
         "_idle_end",
         "_started",
+        "_gives_way",
         "_head_only",
     )
 
@@ -127,6 +128,8 @@
         #: Whether the next answer announces that the connection is closed.
         self.closing = False
         self._started = False
+        # Whether a whole answer is sent, which may hold room of others.
+        self._gives_way = False
         # Whether the answer must not have a body.
         self._head_only = False
         self._input = _caller_input.CallerInput(sock, self._abort_handler)
@@ -330,6 +333,7 @@
         self, status: int, headers: collections.abc.Iterable[typing.Any]
     ) -> None:
         """Send the head of an answer; its body follows by :meth:`write`."""
+        self._gives_way = False
         self._send(self._head(status, headers))
 
     def write(self, data: bytes) -> None:
@@ -347,6 +351,7 @@
         body: bytes,
     ) -> None:
         """Send a whole answer, a small one with one write to the socket."""
+        self._gives_way = True
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
         head, data = self._head(status, fields), b""
         if body and not self._head_only:
@@ -424,6 +429,8 @@
                 moved_at = now
             elif now >= moved_at + WRITE_TIMEOUT_S:
                 raise TimeoutError("write timed out")
+            if not self._gives_way:
+                continue
             if pace.stands_still(now) and self._answers_wait():
                 raise TimeoutError("other answers wait for its room")
 
--- a/agatewing/gateway/_context.py
+++ b/agatewing/gateway/_context.py
@@ -224,19 +224,20 @@
 ) -> accounts.Identity:
     """Return who a request counts as; raise if its key is of no account."""
     identity = ctx.catalog.accounts.identify(req.account_key, public)
-    if not isinstance(identity, accounts.Rejected):
-        return identity
-    handed_on = req.handed_on
-    if (
-        handed_on is not None
-        and handed_on.config_version > ctx.catalog.config_version
-    ):
-        # The key may have been added in a version that is not read yet.
-        raise _refusals.GatewayRefusedError(
-            _refusals.not_ready(ctx.catalog.read_failed, ctx.rng)
-        )
-    ctx.account_use.rejected += 1
-    raise _refusals.GatewayRefusedError(_refusals.unknown_key())
+    version = req.handed_on.config_version if req.handed_on else 0
+    behind = version > ctx.catalog.config_version
+    match identity:
+        case accounts.Account() | accounts.Anonymous():
+            return identity
+        case accounts.Unidentified() if not (behind and req.account_key):
+            return identity
+        case accounts.Rejected() if not behind:
+            ctx.account_use.rejected += 1
+            raise _refusals.GatewayRefusedError(_refusals.unknown_key())
+    # The key, or all accounts, may be of a version that is not read yet.
+    raise _refusals.GatewayRefusedError(
+        _refusals.not_ready(ctx.catalog.read_failed, ctx.rng)
+    )
 
 
 def check_account(ctx: HandlerContext, job: Job) -> None:
--- a/agatewing/gateway/_ports.py
+++ b/agatewing/gateway/_ports.py
@@ -39,7 +39,7 @@
         """Return a request as it is sent to a target."""
 
     def without_key(self, headers: _messages.Headers) -> _messages.Headers:
-        """Return headers without the key of an account."""
+        """Return headers without the key and the name of an account."""
 
     def proves_not_run(self, head: _messages.AnswerHead) -> bool:
         """Return whether an answer proves that the request did not run."""
--- a/agatewing/gateway/tests/test_slow_callers.py
+++ b/agatewing/gateway/tests/test_slow_callers.py
@@ -58,3 +58,34 @@
     assert conn.next_request() is not None
     conn.answer(200, [], BODY)
     assert reading.get(timeout=30).endswith(BODY)
+
+
+# A stream holds no room that others wait for, and may run once only.
+def test_a_stream_is_not_cut_off_for_room_that_others_wait_for(
+    sockets: Sockets,
+) -> None:
+    clock = _clock.SystemClock()
+    accepted, caller = sockets
+    conn = _caller_conn.CallerConn(
+        accepted,
+        clock,
+        platform.connect("127.0.0.1:1").dialect,
+        _caller_limits.CallerLimitsInForce(clock),
+        callers.BodyRoom(clock, 1_000_000, 0),
+        lambda: True,
+    )
+
+    def read() -> bytes:
+        gevent.sleep(2 * callers.STALL_S)
+        received = b""
+        while not received.endswith(b"0\r\n\r\n"):
+            received += caller.recv(65_536)
+        return received
+
+    caller.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n")
+    assert conn.next_request() is not None
+    reading = gevent.spawn(read)
+    conn.start(200, [(b"Transfer-Encoding", b"chunked")])
+    conn.write(BODY)
+    conn.end()
+    assert BODY in reading.get(timeout=30)
--- a/agatewing/platform/_dialect.py
+++ b/agatewing/platform/_dialect.py
@@ -122,11 +122,11 @@
         )
 
     def without_key(self, headers: gateway.Headers) -> gateway.Headers:
-        """Return headers without the key of an account."""
+        """Return headers without the key and the name of an account."""
         return tuple(
             (name, value)
             for name, value in headers
-            if name.lower() != _names.ACCOUNT_KEY
+            if name.lower() not in _names.ACCOUNT_HEADERS
         )
 
     def proves_not_run(self, head: gateway.AnswerHead) -> bool:
--- a/agatewing/platform/tests/test_client_accounts.py
+++ b/agatewing/platform/tests/test_client_accounts.py
@@ -335,3 +335,20 @@
 ) -> collections.abc.Callable[[object, _context.Job], None]:
     """Return a method that calls a function."""
     return lambda server, job: record(job)
+
+
+def test_a_peer_that_knows_of_no_accounts_yet_takes_no_request_of_one(
+    site: standins.Site,
+) -> None:
+    first, second = _every_route.start_ready(site, "i1", "i2")
+    test_detours.cut(first, "i2")
+    present = second.catalog.configuration
+    assert present is not None
+    second.catalog.configuration = dataclasses.replace(
+        present, version=present.version - 1, client_accounts=None
+    )
+    second.catalog.accounts = accounts.AccountTable(None)
+    reply, got = ask(
+        site, first, "/pay/x", X_Api_Key="key-of-shop", X_Tenant="port"
+    )
+    assert (reply.status, got) == (503, [])
