Let stand-ins divert servers with a pool; a test's patch by its new name

And a test patched a method by the name that it had before it was public. Change: the stand-in gives the greenlets of a pool its dialer; the test patches open_and_drained. No check is changed.

--- a/agatewing/platform/standins/_dialing.py
+++ b/agatewing/platform/standins/_dialing.py
@@ -13,6 +13,7 @@
 
 import gevent
 import gevent.baseserver
+import gevent.pool
 import gevent.socket
 
 from agatewing.platform.standins import _loopback
@@ -77,6 +78,8 @@
         dialer = _current()
         if spawn == "default" and dialer is not None:
             spawn = functools.partial(_spawn_with, dialer)
+        if isinstance(spawn, gevent.pool.Pool) and dialer is not None:
+            spawn.greenlet_class = functools.partial(_greenlet_with, dialer)
         set_spawn(server, spawn)
 
     with (
@@ -98,13 +101,25 @@
     args: tuple[typing.Any, ...],
 ) -> gevent.Greenlet:
     """Spawn the greenlet of what a server has accepted."""
+    spawned = _greenlet_with(dialer, run, handle, close, args)
+    spawned.start()
+    return spawned
+
+
+def _greenlet_with(
+    dialer: Dialer,
+    run: collections.abc.Callable[..., None],
+    handle: object,
+    close: object,
+    args: tuple[typing.Any, ...],
+) -> gevent.Greenlet:
+    """Return the greenlet of what a server has accepted, not started."""
     if isinstance(args[0], gevent.socket.socket):
         dialer.sockets.add(args[0])
-    spawned = gevent.Greenlet(run, handle, close, args)
+    made = gevent.Greenlet(run, handle, close, args)
     # The hub spawns it, not a greenlet of the instance.
-    spawned.spawn_tree_locals = {_KEY: dialer}
-    spawned.start()
-    return spawned
+    made.spawn_tree_locals = {_KEY: dialer}
+    return made
 
 
 def _current() -> Dialer | None:
--- a/agatewing/platform/tests/test_path.py
+++ b/agatewing/platform/tests/test_path.py
@@ -275,7 +275,7 @@
 ) -> None:
     # As if the reset had not reached the instance when it sends again.
     monkeypatch.setattr(
-        _channel.Channel, "_open_and_drained", lambda channel: True
+        _channel.Channel, "open_and_drained", lambda channel: True
     )
     engine = site.add_target("p1", role="prefill")
     instance = start_ready(site, 5)
