Log a fault of the accounts once, not with each configuration

Change: the table knows the faults of the former one. Result: the test asks for one line after two tables; tests of accounts and of the catalogue pass.

--- a/agatewing/accounts/_accounts.py
+++ b/agatewing/accounts/_accounts.py
@@ -69,17 +69,23 @@
 class AccountTable:
     """The accounts of one configuration, by the digests of their keys."""
 
-    __slots__ = ("_by_key", "names")
+    __slots__ = ("_by_key", "_faults", "names")
 
     def __init__(
-        self, accounts: collections.abc.Iterable[Account] | None
+        self,
+        accounts: collections.abc.Iterable[Account] | None,
+        former: "AccountTable | None" = None,
     ) -> None:
         """Index the accounts; ``None`` if the configuration names none.
 
+        Faults are logged unless the ``former`` table had them too.
+
         A key of two accounts identifies neither of them: which one a request
         is of is not known.
         """
         self._by_key: dict[str, Account] | None = None
+        # Names of accounts that share a key, and of those without one.
+        self._faults: set[tuple[str, ...]] = set()
         #: Names of all accounts.
         self.names: frozenset[str] = frozenset()
         if accounts is None:
@@ -95,15 +101,21 @@
             for key, found in holders.items()
             if len({account.name for account in found}) == 1
         }
-        self._log_faults(listed, holders)
+        self._log_faults(listed, holders, former)
 
-    @staticmethod
     def _log_faults(
-        listed: tuple[Account, ...], holders: dict[str, list[Account]]
+        self,
+        listed: tuple[Account, ...],
+        holders: dict[str, list[Account]],
+        former: "AccountTable | None",
     ) -> None:
+        known = former._faults if former is not None else set()
         for found in holders.values():
             names = sorted({account.name for account in found})
             if len(names) > 1:
+                self._faults.add(tuple(names))
+                if tuple(names) in known:
+                    continue
                 _log.error(
                     "accounts: a key of several accounts is refused; give "
                     "each account keys of its own",
@@ -111,6 +123,8 @@
                 )
         without = sorted(a.name for a in listed if not a.keys)
         if without:
+            self._faults.add(("", *without))
+        if without and ("", *without) not in known:
             _log.warning(
                 "accounts: accounts without a key can send nothing",
                 extra={"accounts": without},
--- a/agatewing/accounts/tests/test_accounts.py
+++ b/agatewing/accounts/tests/test_accounts.py
@@ -65,7 +65,9 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     with caplog.at_level(logging.WARNING):
-        accounts.AccountTable(LISTED)
+        table = accounts.AccountTable(LISTED)
+        # The next configuration has the same faults.
+        accounts.AccountTable(LISTED, table)
     faults = [record.__dict__ for record in caplog.records]
     assert [fault["accounts"] for fault in faults] == [
         ["fleet", "port"],
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -222,7 +222,9 @@
         self.configuration = configuration
         self.caller_limits.apply(configuration.limits)
         self.routes = _routes.RouteTable(configuration.routes)
-        self.accounts = accounts.AccountTable(configuration.client_accounts)
+        self.accounts = accounts.AccountTable(
+            configuration.client_accounts, self.accounts
+        )
         _log.info(
             "catalogue: configuration in force",
             extra={
