--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Settings of an instance on a platform, and its metrics."""
 
+import collections.abc
+import logging
 import pathlib
 
 import msgspec
@@ -47,6 +49,15 @@
     assert not loaded.ok_value.hold_engines
 
 
+@pytest.fixture
+def log_level() -> collections.abc.Iterator[None]:
+    """Set the level of the root logger back; a reload sets it."""
+    level = logging.getLogger().level
+    yield
+    logging.getLogger().setLevel(level)
+
+
+@pytest.mark.usefixtures("log_level")
 def test_numbers_of_engines_can_be_held_without_a_restart() -> None:
     with standins.Site() as site:
         site.publish()
