--- a/review/stage.py
+++ b/review/stage.py
@@ -187,6 +187,13 @@
         """Whether the process has not ended."""
         return self._child is not None and self._child.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Process id; raises if the process was not started."""
+        if self._child is None:
+            raise CannotRun(f"{self.name} was not started")
+        return self._child.pid
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.signal(signal.SIGKILL)
