--- a/review/fleet.py
+++ b/review/fleet.py
@@ -194,6 +194,10 @@
         child = self._children.get(name)
         return child is not None and child.poll() is None
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a machine's program."""
+        return self._children[name].pid
+
     def kill(self, name: str) -> None:
         """Kill the process of a machine."""
         child = self._children.pop(name, None)
