--- a/review/fleet.py
+++ b/review/fleet.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import re
+import resource
 import shutil
 import subprocess
 import sys
@@ -92,6 +93,13 @@
     def __init__(
         self, machines: int, zones: tuple[str, ...] = ("z1", "z2")
     ) -> None:
+        # Of this process and those that it starts; the limit of the machine
+        # stays as it is.
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = LIMITS["max_fds"]
+        if most != resource.RLIM_INFINITY:
+            wanted = min(wanted, most)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
         self.begun_at = time.monotonic()
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         #: Store and servers; its routes and config, too.
