--- a/review/fleet.py
+++ b/review/fleet.py
@@ -17,12 +17,12 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import typing
 
 import gevent
 import gevent.socket
 
-from agatewing import harness
 from agatewing.platform import standins
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -282,18 +282,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     code = 2
-    try:
-        with fleet:
-            try:
-                broken = case(fleet, trouble)
-                for line in broken:
-                    fleet.note(f"BROKEN: {line}")
-                fleet.note(f"rule {'broken' if broken else 'held'}")
-                code = 1 if broken else 0
-            except CannotRunError as exc:
-                fleet.note(f"could not run: {exc}")
-            finally:
-                fleet.write_record(folder / "record.txt")
-    finally:
-        print(f"exit {code}; see record.txt")
+    with fleet:
+        try:
+            broken = case(fleet, trouble)
+            for line in broken:
+                fleet.note(f"BROKEN: {line}")
+            fleet.note(f"rule {'broken' if broken else 'held'}")
+            code = 1 if broken else 0
+        except Exception as exc:
+            fleet.note(f"could not run: {exc!r}\n{traceback.format_exc()}")
+        finally:
+            fleet.write_record(folder / "record.txt")
+    print(f"exit {code}; see record.txt")
     sys.exit(code)
