A reset beside an upload no longer ends an answer as whole

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete 200 (MIXED), on plain safe and unsafe routes and on streams.

Cause: the kernel reports a reset to one call on the socket only. The greenlet that writes the upload was told (ECONNRESET from send) and dropped the error; the reader then got b"", as at an orderly end, and without a length the end of the connection is the end of the answer. The look for unread bytes beside a target that may have ended (a peek) hides it in the same way. The HTTP client of the log, of plain targets and of the own interface had the same fault: its library reads the answer after a send that failed with ECONNRESET or EPIPE.

Evidence: with a raw socket, sendall or a peek gets ECONNRESET, and each recv after it returns b"". If the target had ended its direction first, send gets EPIPE instead, and recv returns b"" by right.

Fix: net.ClientSocket keeps the error of the connection, whichever call was told, and raises it wherever a read would look like an orderly end. The gateway's connections and the client's both use it, so that no caller of a socket has to pass the knowledge on. EPIPE is not kept: the answer had ended in order before.

The stand-ins' own reader and the callers of the soak use the same connections. Site.announce takes an address in place of a stand-in.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -5,7 +5,6 @@
 import typing
 
 import gevent
-import gevent.socket
 import h11
 
 from agatewing import _clock
@@ -114,7 +113,7 @@
         self._opened_at = clock.monotonic()
         # Whether any byte was received.
         self._heard = False
-        self._sock: gevent.socket.socket | None = None
+        self._sock: net.ClientSocket | None = None
         self._parser = _new_parser()
         self._turn = net.Turn()
         self._send_greenlet: gevent.Greenlet | None = None
@@ -143,9 +142,7 @@
         attempt = self._link.begin()
         self._opened_at = attempt.started_at
         try:
-            sock = gevent.socket.create_connection(
-                net.split_address(self.address), timeout=limit_s
-            )
+            sock = net.connect(self.address, limit_s)
         except ConnectionRefusedError as exc:
             attempt.record_failure(decisions.LinkFailure.REFUSED)
             refused = ConnectRefusedError(f"{self.address}: {exc}")
@@ -160,8 +157,6 @@
             attempt.abandon()
             raise
         attempt.record_connected()
-        # The connect timeout would otherwise apply to every later read.
-        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
@@ -182,13 +177,7 @@
         """Return whether the connection is open and has no unread bytes."""
         if self._sock is None or self._parser.trailing_data[0]:
             return False
-        try:
-            self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self._sock.peek() is None
 
     def send(self, outgoing: _messages.Outgoing, deadline: float) -> None:
         """Send a request; a large one is sent while the answer is read."""
@@ -226,7 +215,7 @@
             # not, reading the answer fails as well.
             self._send_greenlet = None
 
-    def _connected_socket(self) -> gevent.socket.socket:
+    def _connected_socket(self) -> net.ClientSocket:
         if self._sock is None:
             raise BrokenError(f"{self.address}: the connection is closed")
         return self._sock
@@ -353,13 +342,7 @@
     @property
     def unread(self) -> bool:
         """Whether bytes have arrived that were not received yet."""
-        if self._sock is None:
-            return False
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return bool(self._sock._sock.recv(1, flags))
-        except OSError:
-            return False
+        return self._sock is not None and bool(self._sock.peek())
 
     @property
     def silent_s(self) -> float:
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -18,6 +18,8 @@
 from agatewing.net._problem import encode
 from agatewing.net._problem import headers
 from agatewing.net._problem import status_line
+from agatewing.net._sockets import ClientSocket
+from agatewing.net._sockets import connect
 from agatewing.net._sockets import peer_address
 from agatewing.net._sockets import reset_on_close
 from agatewing.net._turns import Turn
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -81,7 +81,7 @@
         )
 
 
-class _Socket(gevent.socket.socket):
+class _Socket(_sockets.ClientSocket):
     """A socket that limits the bytes received before the head is complete."""
 
     # Bytes that may still be received; ``None`` for any number.
--- a/agatewing/platform/soak/_callers.py
+++ b/agatewing/platform/soak/_callers.py
@@ -5,7 +5,6 @@
 import time
 
 import gevent
-import gevent.socket
 
 from agatewing import net
 from agatewing.platform.soak import _accounts
@@ -59,7 +58,7 @@
 
     __slots__ = ("instance", "sock")
 
-    def __init__(self, instance: str, sock: gevent.socket.socket) -> None:
+    def __init__(self, instance: str, sock: net.ClientSocket) -> None:
         #: Name of the instance.
         self.instance = instance
         self.sock = sock
@@ -187,9 +186,7 @@
     def _connect(self, name: str) -> _Link | None:
         """Open a connection to an instance, if it accepts one."""
         try:
-            sock = gevent.socket.create_connection(
-                net.split_address(self._addresses[name]), 1.0
-            )
+            sock = net.connect(self._addresses[name], 1.0)
         except OSError:
             return None
         return _Link(name, sock)
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -4,11 +4,9 @@
 import dataclasses
 import functools
 import random
-import socket
 import typing
 
 import gevent
-import gevent.socket
 import h11
 
 from agatewing import _clock
@@ -207,10 +205,13 @@
         role: str | None = "decode",
         **changes: object,
     ) -> None:
-        """Write the entry of a target; ``changes`` override its fields."""
+        """Write the entry of a target; ``changes`` override its fields.
+
+        Without an ``address`` among them, the target is one of this site.
+        """
         entry: dict[str, object] = {
             "service": service,
-            "address": self.targets[name].address,
+            "address": changes.get("address") or self.targets[name].address,
             "zone": "z1",
             "version": "v1",
             "slots": 8,
@@ -362,17 +363,14 @@
             fields["Content-Length"] = str(len(body))
         lines = "".join(f"{name}: {v}\r\n" for name, v in fields.items())
         head = f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
-        host_port = net.split_address(address)
-        with gevent.socket.create_connection(host_port) as sock:
+        with net.connect(address, WAIT_TIMEOUT_S) as sock:
             sock.sendall(head + body)
             return read_reply(sock)
 
-    def connect(
-        self, instance: gateway.GatewayInstance
-    ) -> gevent.socket.socket:
+    def connect(self, instance: gateway.GatewayInstance) -> net.ClientSocket:
         """Open a connection to the port for callers."""
-        address = ("127.0.0.1", instance.server.port)
-        return gevent.socket.create_connection(address)
+        address = f"127.0.0.1:{instance.server.port}"
+        return net.connect(address, WAIT_TIMEOUT_S)
 
 
 def _services(rule: dict[str, typing.Any]) -> list[str]:
@@ -382,7 +380,7 @@
     return [share["service"] for share in rule["traffic_split"]]
 
 
-def read_reply(sock: gevent.socket.socket) -> Reply:
+def read_reply(sock: net.ClientSocket) -> Reply:
     """Read one answer from a connection.
 
     A connection that breaks or closes early gives an incomplete reply.
@@ -395,7 +393,7 @@
 
     __slots__ = ("_sock", "_unread")
 
-    def __init__(self, sock: gevent.socket.socket) -> None:
+    def __init__(self, sock: net.ClientSocket) -> None:
         self._sock = sock
         # Bytes that were received after the last answer.
         self._unread = b""
@@ -403,15 +401,7 @@
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, with nothing left to read."""
-        if self._unread:
-            return False
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return not self._sock._sock.recv(1, flags)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return not self._unread and self._sock.peek() == b""
 
     def read(self, timeout_s: float = WAIT_TIMEOUT_S) -> Reply:
         """Read one answer, as :func:`read_reply` does."""
--- a/agatewing/platform/tests/_steady_callers.py
+++ b/agatewing/platform/tests/_steady_callers.py
@@ -7,7 +7,6 @@
 import time
 
 import gevent
-import gevent.socket
 
 from agatewing import net
 from agatewing.platform import standins
@@ -91,7 +90,7 @@
     __slots__ = ("sock", "replies", "used")
 
     def __init__(self, address: str) -> None:
-        self.sock = gevent.socket.create_connection(net.split_address(address))
+        self.sock = net.connect(address, REPLY_TIMEOUT_S)
         self.replies = standins.ReplyReader(self.sock)
         #: Whether a request was sent on it.
         self.used = False
--- a/agatewing/platform/tests/test_hostile_callers.py
+++ b/agatewing/platform/tests/test_hostile_callers.py
@@ -8,7 +8,6 @@
 import typing
 
 import gevent
-import gevent.socket
 import msgspec
 import pytest
 
@@ -177,9 +176,7 @@
     if framing == "chunked":
         head = POST + CHUNKED
         body = LARGE * (LARGEST // _hostile_crowd.LARGE) + b"0\r\n\r\n"
-    with gevent.socket.create_connection(
-        door.address("caller_address")
-    ) as sock:
+    with net.connect(door.settings["caller_address"], ANSWER_S) as sock:
         sock.sendall(head + body)
         assert standins.read_reply(sock).status == 200
     meter.stop()
