net: a call gets one answer, without what comes before or after it

What callers saw: in the own interface, and in calls to the log and other services of the platform, bytes that followed an answer in the same packet replaced its status and fields, and were added to its body: a 200 "ok" followed by a 409 "other" was returned as 409 "okother". After an interim answer (100, 103) the call failed or hung, and another call could be given the same connection.

Cause: the library's response class restarts at each message, and takes every complete message for an interim one whose answer is still to come; it gives its connection back to the pool at the end of each message, the interim ones too.

Evidence: 8 of the 12 new cases failed before (four of bytes that follow, four of interim answers); two of those took interim heads with a body for sound, which RFC 9110 does not allow, and now expect a failed call, as before. The connections of the gateway read with another parser and were not affected.

Fix: a response class that ends with its answer. What follows closes the connection, as on the gateway's connections, and an interim answer keeps it. The client sends by itself now, as the library does not let its callers choose that class; whether a call is sent again is decided as before, without a false size of the pool.

Measured: all 12 cases pass; 262 tests of net, entry, fleetlog, harness and platform services pass, 1 known failure passed.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -10,6 +10,7 @@
 import gevent
 import gevent.socket
 import geventhttpclient
+from geventhttpclient import client as http_client
 from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
 import msgspec
@@ -124,8 +125,8 @@
     def end_opening(self, opened: bool) -> None:
         """End the call that this greenlet was opening.
 
-        If it was not opened, its connection is closed, unless the library
-        has given it back: that does so after errors of a socket only.
+        If it was not opened, its connection is closed, unless the answer has
+        given it back.
         """
         sock = self._opening.pop(gevent.getcurrent(), None)
         if sock is not None and not opened:
@@ -169,6 +170,44 @@
         return super()._is_socket_alive(sock)
 
 
+class _Response(http_response.HTTPSocketPoolResponse):
+    """Reads one answer, and nothing that follows it.
+
+    The library's class adds the message after an answer to it, status, fields
+    and body, and gives the connection back to the pool at the end of each
+    message, be it an interim one whose answer is still to come.
+    """
+
+    # Whether the answer was read whole; interim ones do not count.
+    _whole = False
+
+    def _on_message_begin(self) -> None:
+        if self._whole:
+            raise http_response.HTTPProtocolViolationError(
+                "bytes follow the answer"
+            )
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        self.message_complete = True
+        self._whole = self.get_code() >= 200
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse bytes; give the connection back after a whole answer.
+
+        It is closed if other bytes follow the answer, as they may belong to
+        any request.
+        """
+        try:
+            super().feed(data)
+        except http_response.HTTPParseError:
+            if not self._whole:
+                raise
+            self._trailing_data_dropped = True
+        if self._whole:
+            self.release()
+
+
 class StreamAnswer:
     """An HTTP answer whose body is read as it arrives."""
 
@@ -176,7 +215,7 @@
 
     def __init__(
         self,
-        response: http_response.HTTPSocketPoolResponse,
+        response: _Response,
         address: str,
         timeout_s: float,
     ) -> None:
@@ -302,6 +341,7 @@
         "_piece_timeout_s",
         "_body_timeout_s",
         "_max_answer_bytes",
+        "_resends",
     )
 
     def __init__(
@@ -357,9 +397,9 @@
         )
         self._client._connection_pool = self._pool
         self._pool.resets = reset
-        if not resend:
-            # The library sends such a call again ``size + 1`` times.
-            self._pool.size = -1
+        # Number of times that a call may be sent again; each connection of
+        # the pool may have been closed while it was idle.
+        self._resends = connections + 1 if resend else 0
 
     def open(
         self,
@@ -411,17 +451,39 @@
 
     def _request(
         self, method: str, path: str, body: bytes, headers: Headers | None
-    ) -> http_response.HTTPSocketPoolResponse:
+    ) -> _Response:
         """Send a request; its connection is closed if that ends early."""
-        opened = False
+        head = self._client._build_request(
+            method, path, body, dict(headers or {})
+        )
+        data = head.encode("latin-1") + body
+        idempotent = method in http_client.IDEMPOTENT_METHODS
+        resends = self._resends if idempotent else 0
+        while True:
+            opened = False
+            try:
+                response = self._send(method, data)
+                opened = True
+                return response
+            except http_response.HTTPConnectionClosed:
+                if not resends:
+                    raise
+                resends -= 1
+            finally:
+                self._pool.end_opening(opened)
+
+    def _send(self, method: str, data: bytes) -> _Response:
+        """Send a request once; return when the head of its answer is read."""
+        sock = self._pool.get_socket()
         try:
-            response = self._client.request(
-                method, path, body, dict(headers or {})
-            )
-            opened = True
-        finally:
-            self._pool.end_opening(opened)
-        return response
+            sock.sendall(data)
+        except OSError as exc:
+            # The other side may have answered before it stopped reading.
+            if exc.errno not in (errno.ECONNRESET, errno.EPIPE):
+                raise
+        return _Response(
+            sock, self._pool, block_size=READ_BLOCK_BYTES, method=method
+        )
 
     def call(
         self,
