Answers with a status outside 100 to 599 are malformed

What callers saw: an engine in trouble answered with status 600, 700 or 999, and callers got it as the answer, with the engine's body. In calls of the own interface, the log and other services of the platform, a status under 100 counted as that of an interim answer: with a length, its body and that of the answer after it became one ("hihi").

Cause: the parsers check that a status has three digits, and no more; RFC 9110, section 15, knows none outside 100 to 599.

Fix: wherever an answer is read (the gateway's connections, the client of net/, the heads that peers hand back, the stand-ins' reader) such a status breaks the connection like every other malformed head: 502, an unsafe request is not sent again, and the failure counts against the target.

All are 502 to callers, and no byte of such an answer is passed on.

--- a/agatewing/detour/_hop_client.py
+++ b/agatewing/detour/_hop_client.py
@@ -96,6 +96,11 @@
             return frame.refusal
         if frame.head is None:
             raise _session.BrokenError("the answer has no head")
+        if frame.head.status not in net.STATUS_CODES:
+            # Earlier releases pass on whatever status a target sends.
+            raise _session.BrokenError(
+                f"{frame.head.status} is not a status code"
+            )
         return frame.head
 
     def read_piece(self, deadline: float) -> bytes:
--- a/agatewing/detour/tests/test_hops.py
+++ b/agatewing/detour/tests/test_hops.py
@@ -241,6 +241,26 @@
         assert served.bodies == [b""]
 
 
+# During an upgrade, peers of the release before pass on such an answer of a
+# target as it is.
+@pytest.mark.parametrize("status", [-1, 0, 99, 600, 999])
+def test_an_answer_without_a_valid_status_breaks_the_hop(status: int) -> None:
+    def answer(
+        side: detour.HopAnswer, req: wire.HopRequest, body: bytes
+    ) -> None:
+        side.start(head(status))
+        side.end()
+
+    with peer(answer) as served:
+        hop = client().open(served.address, request(), 1.0)
+        hop.send_body(b"", deadline())
+        with pytest.raises(detour.BrokenError):
+            hop.read_head(deadline())
+        hop.release()
+        # Its connection is not used again.
+        wait(lambda: served.errors)
+
+
 def test_a_peer_learns_that_its_caller_has_left() -> None:
     def never(
         side: detour.HopAnswer, req: wire.HopRequest, body: bytes
--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -229,6 +229,10 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise BrokenError(f"{self.address}: no answer came")
+            if event.status_code not in net.STATUS_CODES:
+                raise BrokenError(
+                    f"{self.address}: {event.status_code} is not a status code"
+                )
             raw = tuple(event.headers.raw_items())
             fields = [
                 (name, value)
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -8,6 +8,7 @@
 from agatewing.net._http_client import HttpClient
 from agatewing.net._http_client import MaySend
 from agatewing.net._http_client import SendForbiddenError
+from agatewing.net._http_client import STATUS_CODES
 from agatewing.net._http_client import StreamAnswer
 from agatewing.net._http_server import Application
 from agatewing.net._http_server import Environ
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -20,6 +20,9 @@
 from agatewing.net import _sockets
 from agatewing.net import _turns
 
+#: Status codes of answers (RFC 9110, section 15); one outside them makes an
+#: answer malformed.
+STATUS_CODES = range(100, 600)
 #: Maximum size of one read from a connection, in bytes.
 READ_BLOCK_BYTES = 65_536
 #: Steps of a turn that one read takes; it may hold thousands of chunks.
@@ -188,6 +191,13 @@
             )
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        if self.get_code() not in STATUS_CODES:
+            raise http_response.HTTPProtocolViolationError(
+                f"{self.get_code()} is not a status code"
+            )
+        return super()._on_headers_complete()
+
     def _on_message_complete(self) -> None:
         self.message_complete = True
         self._whole = self.get_code() >= 200
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -426,6 +426,8 @@
                     return Reply(status, headers, body, False)
                 if isinstance(event, h11.Response):
                     status = event.status_code
+                    if status not in net.STATUS_CODES:
+                        return Reply(status, headers, body, False)
                     headers = {
                         k.decode(): v.decode() for k, v in event.headers
                     }
