net: a body in a transfer coding that is not understood is no answer

What callers saw: in the own interface, and in calls to services of the platform, an answer with Transfer-Encoding gzip (or "gzip, chunked", or a coding that does not exist) was returned with the coded bytes as its body and no word of the coding.

Cause: the client's parser reads such a body up to the end of the connection, or undoes the chunks only, and the client left the coding out of what it returned.

Evidence: 8 of 36 new cases failed before, all of the client; the gateway and the stand-ins' reader refuse such heads already.

Fix: the client takes an answer for malformed whose coding is not exactly "chunked", in any case of letters.

The malformed heads of the tests end their connection in order now. With a reset after them, a case could pass for the reset alone; with the end in order the same 20 cases as before fail on, and no others.

Measured: all cases of test_malformed_heads, net and test_log_answers pass.

--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -196,7 +196,14 @@
             raise http_response.HTTPProtocolViolationError(
                 f"{self.get_code()} is not a status code"
             )
-        return super()._on_headers_complete()
+        skips_body = super()._on_headers_complete()
+        coding = self.get("transfer-encoding", "chunked")
+        # A list if several fields name one.
+        if not isinstance(coding, str) or coding.lower() != "chunked":
+            raise http_response.HTTPProtocolViolationError(
+                f"transfer coding {coding!r} is not understood"
+            )
+        return skips_body
 
     def _on_message_complete(self) -> None:
         self.message_complete = True
--- a/agatewing/platform/tests/test_malformed_heads.py
+++ b/agatewing/platform/tests/test_malformed_heads.py
@@ -118,11 +118,47 @@
 @pytest.mark.parametrize("name", HEADS)
 def test_a_malformed_head_is_no_answer(name: str, reader: str) -> None:
     read, failure = READERS[reader]
-    with hasty.HastyServer(HEADS[name] + b"\r\n" + BODY) as server:
+    answer = HEADS[name] + b"\r\n" + BODY
+    with hasty.HastyServer(answer, hasty.End.ORDERLY) as server:
         with pytest.raises(failure):
             read(server.address)
 
 
+CHUNKS = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
+CODINGS = {
+    "another": b"gzip",
+    "one before chunks": b"gzip, chunked",
+    "one after chunks": b"chunked, gzip",
+    "one with a name like it": b"xchunked",
+    "chunks in chunks": b"chunked, chunked",
+    "none": b"",
+}
+
+
+# The client returned the coded bytes as the body.
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("body", [BODY, CHUNKS], ids=["plain", "chunks"])
+@pytest.mark.parametrize("name", CODINGS)
+def test_a_body_in_an_unknown_coding_is_no_answer(
+    name: str, body: bytes, reader: str
+) -> None:
+    read, failure = READERS[reader]
+    line = b"Transfer-Encoding: " + CODINGS[name] + b"\r\n\r\n"
+    answer = STATUS + SIGNED + line + body
+    with hasty.HastyServer(answer, hasty.End.ORDERLY) as server:
+        with pytest.raises(failure):
+            read(server.address)
+
+
+@pytest.mark.parametrize("reader", READERS)
+def test_the_name_of_a_coding_may_be_in_capitals(reader: str) -> None:
+    read, _ = READERS[reader]
+    line = b"Transfer-Encoding: Chunked\r\n\r\n"
+    answer = STATUS + SIGNED + line + CHUNKS
+    with hasty.HastyServer(answer, hasty.End.ORDERLY) as server:
+        assert read(server.address) == (200, BODY)
+
+
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize("status", [b"000", b"099", b"600"])
 def test_an_answer_after_one_without_a_status_is_no_answer(
@@ -134,9 +170,8 @@
     """
     read, failure = READERS[reader]
     sound = STATUS + SIGNED + LENGTH + b"\r\n" + BODY
-    with hasty.HastyServer(
-        with_status(status) + b"\r\n" + BODY + sound
-    ) as server:
+    answer = with_status(status) + b"\r\n" + BODY + sound
+    with hasty.HastyServer(answer, hasty.End.ORDERLY) as server:
         with pytest.raises(failure):
             read(server.address)
 
