Events of all streams share a bounded part of the memory

What was seen: engines in trouble began events that never ended. Each was bounded (1 MB), their sum was not: 160 streams took an instance whose process may have 160 MB to 230 to 278 MB, where the machine kills it, with the requests of all other clients (Fault, LOST).

Cause: the room for answers holds those that are read in whole only. A stream could hold up to 1 MB each of: an unfinished event; its last whole event, kept for the id in it, twice; the part that it had forwarded last, while it waited for the next; and up to 16 MB of comments while it was also tried at another engine.

Fix: all streams share a part of the memory (a 24th of what is beyond the process's own; 4 MB of 160, 9.8 of 300). Beyond it, the answer that holds most is broken off like one whose connection breaks: the stream goes on elsewhere, the failure counts against the engine, and its memory is free at once. Sound events have some hundred bytes, so that sound streams go last; waiting instead would hold them up for as long as a stalled event keeps its room. Of the last event only the id is kept, and kept comments have the limit of an event. Nothing else is kept of what was forwarded.

--- a/agatewing/callers/_plan.py
+++ b/agatewing/callers/_plan.py
@@ -27,6 +27,8 @@
     small_bytes: int
     #: Bytes of answers that are read in whole and not yet delivered.
     answer_bytes: int
+    #: Bytes of events that have arrived and are not yet delivered.
+    event_bytes: int
     #: Connections of callers, those that linger included.
     connections: int
     #: Connections of peers.
@@ -37,9 +39,9 @@
     """Divide the memory of a process, in megabytes, and its descriptors.
 
     Of the memory beyond its own, bodies get an eighth, small ones a 48th,
-    answers a quarter and connections half; of the descriptors that are not for
-    files, callers get two thirds at most, peers a twelfth, and targets and the
-    log the rest.
+    answers a quarter, events of streams a 24th and connections half; of the
+    descriptors that are not for files, callers get two thirds at most, peers a
+    twelfth, and targets and the log the rest.
     """
     spare = (process_mb - BASE_MB) * 1_000_000
     sockets = max_descriptors - FILE_DESCRIPTORS
@@ -47,6 +49,7 @@
         body_bytes=spare // 8,
         small_bytes=spare // 48,
         answer_bytes=spare // 4,
+        event_bytes=spare // 24,
         connections=min(sockets * 2 // 3, spare // 2 // CONNECTION_BYTES),
         peer_connections=sockets // 12,
     )
--- a/agatewing/callers/tests/test_plan.py
+++ b/agatewing/callers/tests/test_plan.py
@@ -16,6 +16,7 @@
 ) -> None:
     plan = callers.plan_memory(process_mb, descriptors)
     held = plan.body_bytes + plan.small_bytes + plan.answer_bytes
+    held += plan.event_bytes
     # The process itself, and what connections take.
     others = 64_000_000 + 85_000 * plan.connections
     assert held + LARGEST_BODY + others < process_mb * 1_000_000
--- a/agatewing/gateway/_events.py
+++ b/agatewing/gateway/_events.py
@@ -44,11 +44,23 @@
                 self.events += 1
                 self.last = event
         if len(self._partial) - end > MAX_EVENT_BYTES:
-            raise EventTooLargeError
+            raise EventTooLargeError(
+                f"an event is larger than {MAX_EVENT_BYTES} bytes"
+            )
         complete = bytes(self._partial[:end])
         del self._partial[:end]
         return complete
 
+    @property
+    def held(self) -> int:
+        """Bytes after the last complete event."""
+        return len(self._partial)
+
+    def take_last(self) -> bytes:
+        """Return the last complete event, and keep it no longer."""
+        last, self.last = self.last, b""
+        return last
+
     @property
     def in_event(self) -> bool:
         """Whether an event has begun and is not complete."""
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -233,6 +233,7 @@
                 dialect,
                 self.registry.limits,
                 self.memory_plan.answer_bytes,
+                self.memory_plan.event_bytes,
             ),
             self.budget,
             self.dispatcher,
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -9,6 +9,10 @@
 from agatewing.gateway import _plain_forwarder
 from agatewing.gateway import _ports
 
+#: Largest id after which a stream is resumed, in bytes; a head that names a
+#: longer one may be refused.
+MAX_EVENT_ID_BYTES = 4_096
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Piece:
@@ -35,7 +39,7 @@
         "_dialect",
         "_on_begin",
         "_last_event_at",
-        "_last_event",
+        "_last_event_id",
         "event_count",
         "first_event_at",
         "longest_pause_s",
@@ -54,8 +58,8 @@
         self._clock = clock
         self._dialect = dialect
         self._last_event_at = 0.0
-        # Last complete event.
-        self._last_event = b""
+        # Id of the last event; ``None`` if it has none that may be sent.
+        self._last_event_id: bytes | None = None
         #: Number of complete events forwarded.
         self.event_count = 0
         #: Monotonic time of the first event, in seconds; 0 before it.
@@ -84,10 +88,11 @@
     def last_event_id(self) -> bytes | None:
         """Id of the last event that the caller has.
 
-        ``None`` if it has no id, or no event was forwarded.
+        ``None`` if it has no id, or one that is too long, or no event was
+        forwarded.
         """
         if self.event_count:
-            return self._dialect.last_event_id(self._last_event)
+            return self._last_event_id
         handed_on = self._job.req.handed_on
         return handed_on.last_event_id if handed_on is not None else None
 
@@ -132,5 +137,8 @@
             self.first_event_at = now
         self._last_event_at = now
         self.event_count += piece.events
-        self._last_event = piece.last_event
+        event_id = self._dialect.last_event_id(piece.last_event)
+        if event_id is not None and len(event_id) > MAX_EVENT_ID_BYTES:
+            event_id = None
+        self._last_event_id = event_id
         self._job.events = self.event_count
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -11,6 +11,7 @@
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
 from agatewing.gateway import _ended_targets
+from agatewing.gateway import _event_room
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
 from agatewing.gateway import _request_limits
@@ -19,6 +20,10 @@
 #: Largest size of all answers together that are held in memory, in bytes,
 #: however much memory the process has.
 MAX_BUFFERED_BYTES = 48_000_000
+#: Largest size of the events of all streams together that callers do not
+#: have yet, in bytes, however much memory the process has: a quarter of that
+#: of answers, as sound events are short.
+MAX_EVENT_BYTES = 12_000_000
 #: Timeout for reading the rest of a rejection, in seconds.
 REJECTION_READ_S = 0.2
 _NO_REQUESTS = "the target takes no requests; it leaves or backs off"
@@ -66,6 +71,7 @@
         "_limits",
         "_room",
         "ended_targets",
+        "event_room",
         "request_count",
     )
 
@@ -75,6 +81,7 @@
         dialect: _ports.Dialect,
         limits: _request_limits.RequestLimits,
         answer_bytes: int = MAX_BUFFERED_BYTES,
+        event_bytes: int = MAX_EVENT_BYTES,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -82,6 +89,10 @@
         self._room = _answer_room.AnswerRoom(
             clock, min(answer_bytes, MAX_BUFFERED_BYTES)
         )
+        #: Memory for events that callers do not have yet.
+        self.event_room = _event_room.EventRoom(
+            min(event_bytes, MAX_EVENT_BYTES)
+        )
         #: Requests at targets whose process has ended.
         self.ended_targets = _ended_targets.EndedTargets(clock)
         #: Number of sends that ``send_request`` began on an open connection,
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -62,11 +62,12 @@
         path: _stream_path.StreamWay | None = None
         try:
             path, piece = self._follow(self._new_path(route))
-            while True:
+            while not piece.ended:
                 self._relay.forward(path.source, piece)
-                if piece.ended:
-                    break
+                # It may be large, and the next one may never come.
+                del piece
                 path, piece = self._read_on(path)
+            self._relay.forward(path.source, piece)
             path.finish()
             if piece.head.status < 300:
                 self._record_speed(path)
--- a/agatewing/gateway/_stream_detour.py
+++ b/agatewing/gateway/_stream_detour.py
@@ -99,7 +99,7 @@
         Raises :class:`GatewayRefusedError` if it fails while another path is
         open, or if no further send is allowed.
         """
-        return _stream_path.next_piece(self, self._others)
+        return _stream_path.next_piece(self)
 
     def advance(self) -> _relay.Piece | None:
         """Take one step; return what it brought, if anything."""
@@ -151,7 +151,11 @@
             return self._read_failure(begun)
         self._begun = begun
         self._reader = _event_reader.EventReader(
-            begun.head, begun.channel, self._ctx.clock
+            begun.head,
+            begun.channel,
+            self._ctx.clock,
+            self._ctx.sender.event_room,
+            keeps_comments=self._others,
         )
         return None
 
@@ -226,6 +230,8 @@
     def close(self) -> None:
         """Close the connection; may be repeated."""
         self._closed = True
+        if self._reader is not None:
+            self._reader.close()
         self._close_channel()
         self._detour.close()
         self._expect(_race.NEVER)
--- a/agatewing/gateway/_stream_path.py
+++ b/agatewing/gateway/_stream_path.py
@@ -1,7 +1,5 @@
 """One path of a stream: a prefill, an engine to decode on, its answer."""
 
-import collections.abc
-import dataclasses
 import typing
 
 import gevent
@@ -62,24 +60,12 @@
         """Keep the connection after an answer that was read to its end."""
 
 
-def next_piece(
-    path: StreamWay, others: collections.abc.Callable[[], bool]
-) -> _relay.Piece:
-    """Return the next part of a stream that holds an event or its end.
-
-    ``others`` returns whether another path may still deliver.
-    """
-    held = b""
+def next_piece(path: StreamWay) -> _relay.Piece:
+    """Return the next part of a stream, over as many steps as it takes."""
     while True:
-        match path.advance():
-            case _relay.Piece() as piece:
-                if piece.events or piece.ended or not others():
-                    data = held + piece.data
-                    return dataclasses.replace(piece, data=data)
-                # A comment does not decide which path is kept.
-                held += piece.data
-            case _ if path.failed:
-                held = b""
+        piece = path.advance()
+        if piece is not None:
+            return piece
 
 
 class StreamPath:
@@ -193,7 +179,7 @@
         Raises :class:`GatewayRefusedError` if it fails while another path is
         open, or if no further send is allowed.
         """
-        return next_piece(self, self._others)
+        return next_piece(self)
 
     def advance(self) -> _relay.Piece | None:
         """Take one step; return what it brought, if anything."""
@@ -367,8 +353,13 @@
         self.prefill.mark_fetched()
         if result.head.status >= 300:
             return self._read_failure(tracked, result)
+        # A comment does not decide which path is kept.
         self._reader = _event_reader.EventReader(
-            result.head, result.channel, self._ctx.clock
+            result.head,
+            result.channel,
+            self._ctx.clock,
+            sender.event_room,
+            keeps_comments=self._others,
         )
         self._channel = result.channel
         return None
@@ -528,7 +519,7 @@
         """Close the connection and free the KV cache; may be repeated."""
         self._closed = True
         if self._reader is not None:
-            self._reader.channel.close()
+            self._reader.close()
         if self.sending and not self._counted:
             self._job.attempts.record_silence()
             self._counted = True
--- a/agatewing/standins/endless.py
+++ b/agatewing/standins/endless.py
@@ -18,6 +18,8 @@
         self._pause_s = pause_s
         #: Number of bytes sent to all callers.
         self.sent_bytes = 0
+        #: Number of connections on which a request has come.
+        self.connections = 0
         #: Number of connections that callers closed.
         self.closed = 0
         self._server = gevent.server.StreamServer(
@@ -40,6 +42,7 @@
         with gevent.Timeout(GIVE_UP_S, False):
             try:
                 sock.recv(65_536)
+                self.connections += 1
                 self._send(sock, self._start)
                 while True:
                     self._send(sock, self._piece)
