A small answer needs no room beside large ones

What callers saw: while 40 callers read answers of 8 MB slowly or not at all, an ordinary request to another service, whose answer has 14 bytes, got 504 "the answers of other requests left no room in time" (LOST).

Cause: room is held for each answer from its first byte on, and answers that are being delivered may take more than all of it, as those that wait are given theirs first. Then nothing fits, however small it is.

Fix: an answer takes room only once it has more than 8 kB, the limit that already held for its delivery. Each connection counts with more than that in the plan of the memory. An answer of more than 8 kB takes all its room, as before.

--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -7,10 +7,6 @@
 from agatewing.gateway import _race
 from agatewing.gateway import _refusals
 
-#: Largest answer for whose delivery no room is held, in bytes; a connection
-#: takes more than that anyway.
-SMALL_ANSWER_BYTES = 8_192
-
 
 class PlainForwarder:
     """Handler of requests to plain services."""
@@ -112,11 +108,8 @@
         answer = delivery.answer
         fields = without_content_length(answer.head.headers)
         self._job.source = delivery.source
-        if len(answer.body) <= SMALL_ANSWER_BYTES:
+        with self._ctx.sender.delivering(len(answer.body)):
             self._job.conn.answer(answer.head.status, fields, answer.body)
-        else:
-            with self._ctx.sender.delivering(len(answer.body)):
-                self._job.conn.answer(answer.head.status, fields, answer.body)
         _context.record_answer(
             self._ctx, self._job, delivery.source, answer.head
         )
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -24,6 +24,9 @@
 #: have yet, in bytes, however much memory the process has: a quarter of that
 #: of answers, as sound events are short.
 MAX_EVENT_BYTES = 12_000_000
+#: Largest answer that needs no room, in bytes; a connection takes more than
+#: that anyway.
+SMALL_ANSWER_BYTES = 8_192
 #: Timeout for reading the rest of a rejection, in seconds.
 REJECTION_READ_S = 0.2
 _NO_REQUESTS = "the target takes no requests; it leaves or backs off"
@@ -114,6 +117,8 @@
 
         It has been read in whole, so that it needs no more.
         """
+        if size <= SMALL_ANSWER_BYTES:
+            return contextlib.nullcontext()
         return self._room.delivering(size)
 
     @staticmethod
@@ -326,7 +331,8 @@
     ) -> _messages.Answered | _messages.Unknown | _messages.TimedOut:
         """Read the whole body of an answer whose head was read.
 
-        Reading waits while other answers leave no room for this one.
+        Reading waits while other answers leave no room for this one, unless
+        it is small.
         """
         channel = answer.channel
         outcome = self.read_whole(answer.head, channel, deadline)
@@ -346,10 +352,14 @@
         """
         chunks: list[bytes] = []
         share = self._room.open(_body_bytes(head))
+        size = 0
 
         def read() -> None:
+            nonlocal size
             while piece := channel.read_piece(deadline):
-                self._room.grow(share, len(piece), deadline)
+                size += len(piece)
+                if size > SMALL_ANSWER_BYTES:
+                    self._room.grow(share, size - share.held, deadline)
                 chunks.append(piece)
 
         try:
--- a/agatewing/gateway/tests/test_large_answers.py
+++ b/agatewing/gateway/tests/test_large_answers.py
@@ -132,6 +132,50 @@
     assert sender._buffered_bytes == 0
 
 
+class WholeAnswer:
+    """Connection that brings one answer."""
+
+    def __init__(self, body: bytes) -> None:
+        self._pieces = [body, b""]
+        self.silent_s = 0.0
+
+    def read_piece(self, deadline: float) -> bytes:
+        return self._pieces.pop(0)
+
+    def close(self) -> None:
+        pass
+
+
+# Callers that read large answers slowly held all the room, and requests with
+# an answer of some bytes ended at their deadline.
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize(
+    ("size", "waits"),
+    [
+        (14, False),
+        (_sender.SMALL_ANSWER_BYTES, False),
+        (_sender.SMALL_ANSWER_BYTES + 1, True),
+    ],
+)
+def test_a_small_answer_needs_no_room(
+    instance: gateway.GatewayInstance, size: int, waits: bool, framing: str
+) -> None:
+    sender = instance.handler_context.sender
+    body = b"x" * size
+    headers: _messages.Headers = ()
+    if framing == "length":
+        headers = ((b"Content-Length", b"%d" % size),)
+    head = _messages.AnswerHead(200, headers, _messages.Framing(framing))
+    deadline = instance.clock.monotonic() + 0.2
+    with sender.delivering(2 * ROOM_BYTES):
+        outcome = sender.read_whole(head, WholeAnswer(body), deadline)
+    if waits:
+        assert isinstance(outcome, _messages.TimedOut)
+    else:
+        assert outcome == _messages.Answered(head, body)
+    assert sender._buffered_bytes == 0
+
+
 # 503 would have said that it had not run.
 def test_an_answer_without_room_until_its_deadline_times_out(
     site: standins.Site, instance: gateway.GatewayInstance
