Error answers that wait are counted with the other answers

What was seen: targets in trouble answered 40 requests with errors of 8 MB each. A process that may have 160 MB took 170 to 186 MB on a safe route, and 223 to 294 MB on one of streams whose callers did not read (Fault: the machine kills it, with the requests of all other clients).

Cause: three places held the body of an error answer after its room had been given back: a plain request that is tried again, for as long as it awaits the next target; one whose other target is awaited, which keeps the answer in case no other comes; and the error answer of a stream while its caller reads it.

Evidence: 3 of the 8 cases of test_large_failures failed before (two plays).

Fix: a request that is tried again lets go of the answer before; an answer that is kept takes room, of which such answers have a quarter at most, and is dropped if there is none (the request is then refused truthfully if no other answer comes); the error answer of a stream takes room like any other whole answer while it is delivered.

Measured: the 8 cases take 80 to 114 MB, with an ordinary request to another service answered throughout. 357 tests of gateway pass.

--- a/agatewing/gateway/_answer_room.py
+++ b/agatewing/gateway/_answer_room.py
@@ -14,16 +14,23 @@
 from agatewing.gateway import _channel
 
 
+#: Part of the room for answers that are kept while another target is awaited,
+#: which may take as long as their requests do.
+KEPT_PART = 4
+
+
 class Share:
     """Room that one answer takes; it grows as the answer is read."""
 
-    __slots__ = ("held", "most")
+    __slots__ = ("held", "most", "kept")
 
     def __init__(self, most: int) -> None:
         #: Bytes that it holds.
         self.held = 0
         #: Bytes that it may need altogether.
         self.most = most
+        #: Whether the answer was read and is kept for later.
+        self.kept = False
 
     @property
     def needed(self) -> int:
@@ -121,6 +128,22 @@
         finally:
             self.close(share)
 
+    def keep(self, size: int) -> Share | None:
+        """Return the share of a whole answer that is kept for later.
+
+        ``None`` if there is no room for it at once.
+        """
+        kept = sum(share.held for share in self._shares if share.kept)
+        if kept + size > self._total // KEPT_PART:
+            return None
+        if self.held + size > self._total:
+            return None
+        share = Share(size)
+        share.kept = True
+        self._shares.add(share)
+        self._give(share, size)
+        return share
+
     def close(self, share: Share) -> None:
         """Give all room of a share back."""
         self._shares.discard(share)
--- a/agatewing/gateway/_plain_detour.py
+++ b/agatewing/gateway/_plain_detour.py
@@ -92,6 +92,8 @@
             # It is forwarded if no target answers better.
             self._keep(delivery)
             job.excluded.add(begun.source.target)
+            # They hold its body, in no room by now unless it was kept.
+            del outcome, delivery
 
     def _expect(self, silent_at: float) -> None:
         """Set when the path counts as silent."""
--- a/agatewing/gateway/_plain_forwarder.py
+++ b/agatewing/gateway/_plain_forwarder.py
@@ -1,5 +1,6 @@
 """Forwards requests to plain services; answers are sent in one piece."""
 
+from agatewing.gateway import _answer_room
 from agatewing.gateway import _context
 from agatewing.gateway import _messages
 from agatewing.gateway import _plain_detour
@@ -24,7 +25,7 @@
 class PlainRequest:
     """One request to a plain service, on one or several paths."""
 
-    __slots__ = ("_ctx", "_job", "_race", "_failure")
+    __slots__ = ("_ctx", "_job", "_race", "_failure", "_failure_share")
 
     def __init__(
         self, ctx: _context.HandlerContext, job: _context.Job
@@ -35,21 +36,26 @@
         self._race: _race.Race[_plain_path.PlainWay] = _race.Race(
             ctx.clock, self._is_final
         )
-        # An error answer that was not forwarded, as others were awaited.
+        # An error answer that was not forwarded, as others were awaited, and
+        # its room.
         self._failure: _plain_path.Delivery | None = None
+        self._failure_share: _answer_room.Share | None = None
 
     def run(self) -> None:
         """Answer the request; raise ``GatewayRefusedError`` if refused."""
         path = self._new_path(False)
-        while True:
-            try:
-                self._forward(self._follow(path))
-                return
-            except _refusals.GatewayRefusedError:
-                next_path = self._path_after(path)
-                if next_path is None:
-                    raise
-                path = next_path
+        try:
+            while True:
+                try:
+                    self._forward(self._follow(path))
+                    return
+                except _refusals.GatewayRefusedError:
+                    next_path = self._path_after(path)
+                    if next_path is None:
+                        raise
+                    path = next_path
+        finally:
+            self._take_failure()
 
     def _follow(self, path: _plain_path.PlainWay) -> _plain_path.Delivery:
         """Return the answer of a path, or of others while it is silent."""
@@ -60,9 +66,10 @@
         try:
             return self._race.wait(self._hedge)[1]
         except _refusals.GatewayRefusedError:
-            if self._failure is None:
+            failure = self._take_failure()
+            if failure is None:
                 raise
-            return self._failure
+            return failure
         finally:
             self._race.close()
 
@@ -89,7 +96,22 @@
         return None
 
     def _keep(self, failure: _plain_path.Delivery) -> None:
-        self._failure = failure
+        """Keep an error answer while others are awaited.
+
+        Without room for it, the request is refused if no other one comes.
+        """
+        share = self._ctx.sender.keep(len(failure.answer.body))
+        if share is not None:
+            self._take_failure()
+            self._failure, self._failure_share = failure, share
+
+    def _take_failure(self) -> _plain_path.Delivery | None:
+        """Return the error answer that was kept, and give its room back."""
+        failure, self._failure = self._failure, None
+        share, self._failure_share = self._failure_share, None
+        if share is not None:
+            self._ctx.sender.drop(share)
+        return failure
 
     def _is_final(self) -> bool:
         return False
--- a/agatewing/gateway/_plain_path.py
+++ b/agatewing/gateway/_plain_path.py
@@ -132,6 +132,8 @@
                     raise _context.give_up_error(job, "the target failed")
                 if prepare_error_retry(self._ctx, job, outcome, counted):
                     job.excluded.add(tracked.target.id)
+                    # They hold its body, in no room by now.
+                    del outcome, delivery
                     continue
                 return delivery
             check = self._ctx.quarantine.check_break(
--- a/agatewing/gateway/_relay.py
+++ b/agatewing/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Forwards the events of a stream, from one or several engines."""
 
 import collections.abc
+import contextlib
 import dataclasses
 
 from agatewing import _clock
@@ -38,6 +39,7 @@
         "_clock",
         "_dialect",
         "_on_begin",
+        "_delivering",
         "_last_event_at",
         "_last_event_id",
         "event_count",
@@ -51,9 +53,14 @@
         clock: _clock.Clock,
         dialect: _ports.Dialect,
         on_begin: collections.abc.Callable[[_messages.AnswerSource], None],
+        delivering: collections.abc.Callable[
+            [int], contextlib.AbstractContextManager[None]
+        ],
     ) -> None:
         # Called with the source of the first event before it is forwarded.
         self._on_begin = on_begin
+        # Holds room for an answer of so many bytes while a caller reads it.
+        self._delivering = delivering
         self._job = job
         self._clock = clock
         self._dialect = dialect
@@ -126,7 +133,8 @@
     def _forward_failure(self, piece: Piece) -> None:
         """Forward an engine's error answer, which comes in one piece."""
         fields = _plain_forwarder.without_content_length(piece.head.headers)
-        self._job.conn.answer(piece.head.status, fields, piece.data)
+        with self._delivering(len(piece.data)):
+            self._job.conn.answer(piece.head.status, fields, piece.data)
 
     def _record_events(self, piece: Piece) -> None:
         now = self._clock.monotonic()
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -121,6 +121,17 @@
             return contextlib.nullcontext()
         return self._room.delivering(size)
 
+    def keep(self, size: int) -> _answer_room.Share | None:
+        """Return room for an answer of ``size`` bytes that is kept for later.
+
+        ``None`` if there is none. It has to be given back by :meth:`drop`.
+        """
+        return self._room.keep(0 if size <= SMALL_ANSWER_BYTES else size)
+
+    def drop(self, share: _answer_room.Share) -> None:
+        """Give the room of an answer that was kept back."""
+        self._room.close(share)
+
     @staticmethod
     def reuse(idempotent: bool) -> decisions.Reuse:
         """Return which idle connections may carry a request."""
--- a/agatewing/gateway/_stream.py
+++ b/agatewing/gateway/_stream.py
@@ -47,7 +47,11 @@
         self._job = job
         self._engines = _stream_engines.StreamEngines(ctx, job, pool, profile)
         self._relay = _relay.EventRelay(
-            job, ctx.clock, ctx.dialect, self._record_begin
+            job,
+            ctx.clock,
+            ctx.dialect,
+            self._record_begin,
+            ctx.sender.delivering,
         )
         self._turn = _send_turn.SendTurn(job.attempts)
         # Paths that are followed while none of them delivers.
--- a/agatewing/gateway/tests/test_large_answers.py
+++ b/agatewing/gateway/tests/test_large_answers.py
@@ -176,6 +176,28 @@
     assert sender._buffered_bytes == 0
 
 
+# An error answer that was kept while another target was awaited was in no
+# room.
+def test_answers_that_are_kept_leave_room_for_others(
+    instance: gateway.GatewayInstance,
+) -> None:
+    sender = instance.handler_context.sender
+    first = sender.keep(ROOM_BYTES // 4)
+    assert first is not None
+    assert sender._buffered_bytes == ROOM_BYTES // 4
+    assert sender.keep(_sender.SMALL_ANSWER_BYTES + 1) is None
+    small = sender.keep(_sender.SMALL_ANSWER_BYTES)
+    assert small is not None
+    sender.drop(first)
+    with sender.delivering(ROOM_BYTES):
+        assert sender.keep(_sender.SMALL_ANSWER_BYTES + 1) is None
+    again = sender.keep(_sender.SMALL_ANSWER_BYTES + 1)
+    assert again is not None
+    for share in (small, again):
+        sender.drop(share)
+    assert sender._buffered_bytes == 0
+
+
 # 503 would have said that it had not run.
 def test_an_answer_without_room_until_its_deadline_times_out(
     site: standins.Site, instance: gateway.GatewayInstance
