own interface: answers that are read share a bounded memory

What was seen (trial): 20 calls of plain services at a time, to a target whose bodies had no end, took a process from 28 to 1,158 MiB; each may read 64 MB, and nothing bounded their sum. Events were no better: each stream could hold an unfinished one of 1 MB and hold back 4,096 more of up to 1 MB while one was missing, and an answer that is not streamed was collected for as long as events came.

Cause: as on the platform, limits held for each connection, none for all.

Fix: the room for events of the gateway is general now (net.BufferRoom), and bounds at the own interface, together, whole bodies that are read, texts that are collected, and events that are not passed on. Beyond limits.max_answers_bytes (256 MB, a new setting) the largest is broken off: a call then has an unknown outcome, a stream goes on as after a broken connection, a collected answer is refused with its outcome unknown. Events that are held back have 4 MB at most, a collected text 64 MB. A client that shares no room, such as those of the log, has one of its own for four answers of its largest size.

Evidence: the new tests fail on the code before, which has no such limits (no room to pass, no bound to meet).

Changed tests: test_relay_versions and test_crashing_prompts pass a room; test_event_room and test_turns use its new name.

--- a/agatewing/_compose.py
+++ b/agatewing/_compose.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 import random
 import typing
@@ -76,17 +77,21 @@
     call_once: net.CallOnce
     #: Creates a pooled HTTP client for a target's address.
     make_client: fleet.ClientFactory
+    #: Memory for answers of targets that are being read.
+    answer_room: net.BufferRoom
     #: Creates the links of an instance to its peers.
     make_links: collections.abc.Callable[["Instance"], PeerLinks]
 
 
 def network_dependencies(settings: config.Settings) -> Dependencies:
     """Return clients and factories that use the real network."""
+    room = net.BufferRoom(settings.limits.max_answers_bytes)
     return Dependencies(
         platform_services.LogClient(settings.log_url),
         platform_services.InstanceListClient(settings.instance_list_url),
-        net.call_once,
-        net.HttpClient,
+        functools.partial(net.call_once, room=room),
+        functools.partial(net.HttpClient, room=room),
+        room,
         _network_links,
     )
 
@@ -342,6 +347,7 @@
             self.invariants,
             self.gate,
             self.crashes,
+            self.dependencies.answer_room,
         )
         generation = entry.Generation(
             relay_dependencies,
--- a/agatewing/config/_settings.py
+++ b/agatewing/config/_settings.py
@@ -44,6 +44,11 @@
     max_bodies_bytes: typing.Annotated[int, msgspec.Meta(ge=1_000_000)] = (
         256_000_000
     )
+    # Maximum size of the answers, and of the unfinished events, of targets
+    # together that the process holds while it reads them, in bytes.
+    max_answers_bytes: typing.Annotated[int, msgspec.Meta(ge=1_000_000)] = (
+        256_000_000
+    )
     # Maximum size of the header block of a request, in bytes.
     max_header_bytes: int = 32_768
     # Time limit for a caller to send the head of a request, and again for
--- a/agatewing/config/tests/test_config.py
+++ b/agatewing/config/tests/test_config.py
@@ -148,6 +148,22 @@
     assert any(field in fault.path for fault in faults)
 
 
+@pytest.mark.parametrize(
+    ("value", "taken"), [(1_000_000, True), (999_999, False), ("1", False)]
+)
+def test_the_memory_for_answers_can_be_set(value: object, taken: bool) -> None:
+    text = (ROOT / "examples" / "settings.jsonc").read_text()
+    text = text.replace(
+        '"max_body_bytes": 4000000',
+        f'"max_answers_bytes": {json.dumps(value)}',
+    )
+    assert "max_answers_bytes" in text
+    parsed = config.parse_settings(text, "s")
+    assert parsed.is_ok() is taken
+    if taken:
+        assert parsed.unwrap().limits.max_answers_bytes == value
+
+
 @hypothesis.given(strategies.text(max_size=200))
 def test_fuzz_any_text_is_decoded_or_reported(text: str) -> None:
     config.parse_document(text, "fuzz")
--- a/agatewing/entry/_assembler.py
+++ b/agatewing/entry/_assembler.py
@@ -6,6 +6,8 @@
 
 #: Largest number of events held back while an earlier one is missing.
 MAX_HELD_EVENTS = 4_096
+#: Largest size of the events held back, in bytes; four of the largest size.
+MAX_HELD_BYTES = 4_000_000
 #: Largest size of one event, in bytes.
 MAX_EVENT_BYTES = 1_000_000
 
@@ -24,12 +26,21 @@
     split into its events.
     """
 
-    __slots__ = ("_partial", "_held", "_source", "position", "done")
+    __slots__ = (
+        "_partial",
+        "_held",
+        "_held_bytes",
+        "_source",
+        "position",
+        "done",
+    )
 
     def __init__(self, source: str, position: int = 0) -> None:
         self._source = source
         self._partial = b""
         self._held: dict[int, bytes] = {}
+        # Bytes of the events held back.
+        self._held_bytes = 0
         #: Position of the last event passed on.
         self.position = position
         #: Whether the last event of the stream was passed on.
@@ -42,6 +53,12 @@
         """
         self._partial = b""
         self._held.clear()
+        self._held_bytes = 0
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of the unfinished event and the events held back."""
+        return len(self._partial) + self._held_bytes
 
     def feed(self, data: bytes) -> bytes:
         """Return the next events in order that the new bytes complete.
@@ -107,9 +124,11 @@
             if match is None:
                 continue
             number = int(match.group(1))
-            if number > self.position:
-                self._held.setdefault(number, event + _SEPARATOR)
-        if len(self._held) > MAX_HELD_EVENTS:
+            if number > self.position and number not in self._held:
+                self._held[number] = event + _SEPARATOR
+                self._held_bytes += len(self._held[number])
+        too_many = len(self._held) > MAX_HELD_EVENTS
+        if too_many or self._held_bytes > MAX_HELD_BYTES:
             raise _exceptions.ProtocolError(
                 self._source, "too many events out of order"
             )
@@ -119,6 +138,7 @@
         ready = []
         while event := self._held.pop(self.position + 1, None):
             ready.append(event)
+            self._held_bytes -= len(event)
             self.position += 1
         block = b"".join(ready)
         if block.endswith(_DONE):
--- a/agatewing/entry/_generation.py
+++ b/agatewing/entry/_generation.py
@@ -205,7 +205,9 @@
         body: _bodies.GenerationRequest,
         start_response: net.StartResponse,
     ) -> collections.abc.Iterable[bytes]:
-        text, finish = _whole_answer.collect(stream.engine_blocks())
+        text, finish = _whole_answer.collect(
+            stream.engine_blocks(), self._deps.room
+        )
         answer = _whole_answer.whole_answer(
             stream.call, body, text, finish, stream.tokens
         )
--- a/agatewing/entry/_relay.py
+++ b/agatewing/entry/_relay.py
@@ -59,6 +59,7 @@
         "_request",
         "assembler",
         "ever_accepted",
+        "held",
     )
 
     def __init__(
@@ -102,6 +103,8 @@
         self.assembler = _assembler.EventAssembler(call.id, position)
         #: Whether any engine has accepted the request.
         self.ever_accepted = False
+        #: Bytes of events that are not passed on yet.
+        self.held = 0
 
     @property
     def software(self) -> str | None:
@@ -159,11 +162,21 @@
         finally:
             self.close()
 
-    def close(self) -> None:
-        """Release the connection and stop counting the sequence."""
+    def break_off(self) -> None:
+        """Close the connection, as events take too much memory together."""
+        self._close_answer()
+
+    def _close_answer(self) -> None:
+        """Close the connection and drop the events that are not whole."""
         if self._answer is not None:
             self._answer.close()
             self._answer = None
+        self.assembler.discard_pending()
+        self._deps.room.record(self, 0)
+
+    def close(self) -> None:
+        """Release the connection and stop counting the sequence."""
+        self._close_answer()
         if self._target is not None:
             self._target.record_ended()
             self._target = None
@@ -194,6 +207,7 @@
                 )
             block = self.assembler.feed(data)
             self._check_progress(block, now)
+            self._deps.room.record(self, self.assembler.pending_bytes)
         except _exceptions.AgatewingError as exc:
             self._recover(exc)
             return b""
@@ -376,9 +390,7 @@
 
     def _handle_failure(self, exc: _exceptions.AgatewingError) -> None:
         """Close the connection; record any failure as target-silent."""
-        if self._answer is not None:
-            self._answer.close()
-            self._answer = None
+        self._close_answer()
         target = self._target
         if target is None:
             return
@@ -527,7 +539,9 @@
             return
         remaining_s = self._deadline - self._deps.clock.monotonic()
         client = net.HttpClient(
-            target.spec.address, silence_timeout_s=max(0.1, remaining_s / 2)
+            target.spec.address,
+            silence_timeout_s=max(0.1, remaining_s / 2),
+            room=self._deps.room,
         )
         target.record_sent(
             self._profile.prompt_tokens, self._deps.clock.monotonic()
--- a/agatewing/entry/_relay_types.py
+++ b/agatewing/entry/_relay_types.py
@@ -10,6 +10,7 @@
 from agatewing.entry import _crashes
 from agatewing.entry import _gate
 from agatewing import fleet
+from agatewing import net
 from agatewing import timeline
 
 
@@ -56,3 +57,5 @@
     gate: _gate.Gate
     #: Keeps prompts from engines that would crash on them.
     crashes: _crashes.CrashGuard
+    #: Memory for unfinished events and collected texts.
+    room: net.BufferRoom
--- a/agatewing/entry/_whole_answer.py
+++ b/agatewing/entry/_whole_answer.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from agatewing import _exceptions
+from agatewing import _types
 from agatewing.entry import _bodies
 from agatewing.entry import _relay_types
+from agatewing import net
 
 
 class _Choice(msgspec.Struct, frozen=True):
@@ -25,20 +28,75 @@
 _event_decoder = msgspec.json.Decoder(_Event)
 
 
+class _Text:
+    """Text of an answer, as far as it has come."""
+
+    __slots__ = ("_room", "_parts", "broken_off", "held")
+
+    def __init__(self, room: net.BufferRoom) -> None:
+        self._room = room
+        self._parts: list[str] = []
+        #: Whether it was dropped, as answers take too much memory together.
+        self.broken_off = False
+        #: Size of the events that the text is from, in bytes.
+        self.held = 0
+
+    def add(self, part: str, size: int) -> None:
+        """Add the text of an event of ``size`` bytes.
+
+        Raises ``RefusedError`` if there is no room for the answer.
+        """
+        self._parts.append(part)
+        self._room.record(self, self.held + size)
+        if self.broken_off or self.held > net.MAX_ANSWER_BYTES:
+            raise _exceptions.RefusedError(_no_room())
+
+    def break_off(self) -> None:
+        """Drop the text; the next event ends the answer."""
+        self.broken_off = True
+        self.close()
+
+    def close(self) -> None:
+        """Drop the text."""
+        self._parts.clear()
+        self._room.record(self, 0)
+
+    def __str__(self) -> str:
+        return "".join(self._parts)
+
+
+def _no_room() -> _exceptions.Refusal:
+    """Return the refusal of an answer that takes too much memory."""
+    return _exceptions.Refusal(
+        _types.RefusalKind.TARGET_FAILED,
+        "the answer takes too much memory",
+        "ask for less, or for a stream",
+        _types.Outcome.UNKNOWN,
+        retry_after_s=5.0,
+    )
+
+
 def collect(
-    blocks: collections.abc.Iterator[bytes],
+    blocks: collections.abc.Iterator[bytes], room: net.BufferRoom
 ) -> tuple[str, str | None]:
-    """Return the text and the finish reason of a stream."""
-    texts: list[str] = []
+    """Return the text and the finish reason of a stream.
+
+    Raises ``RefusedError`` if there is no room for the text.
+    """
+    text = _Text(room)
     finish: str | None = None
-    for block in blocks:
-        for line in block.split(b"\n"):
-            if not line.startswith(b"data: {"):
-                continue
-            choice = _event_decoder.decode(line[6:]).choices[0]
-            texts.append(choice.text or choice.delta.get("content", ""))
-            finish = choice.finish_reason or finish
-    return "".join(texts), finish
+    try:
+        for block in blocks:
+            for line in block.split(b"\n"):
+                if not line.startswith(b"data: {"):
+                    continue
+                choice = _event_decoder.decode(line[6:]).choices[0]
+                part = choice.text or choice.delta.get("content", "")
+                text.add(part, len(line))
+                finish = choice.finish_reason or finish
+        return str(text), finish
+    finally:
+        text.close()
 
 
 def whole_answer(
--- a/agatewing/entry/tests/test_crashing_prompts.py
+++ b/agatewing/entry/tests/test_crashing_prompts.py
@@ -15,6 +15,7 @@
 from agatewing import enginemodel
 from agatewing import entry
 from agatewing import fleet
+from agatewing import net
 from agatewing import timeline
 
 BLOCK_CHARS = enginemodel.BLOCK_TOKENS * 4
@@ -94,6 +95,7 @@
                 typing.Any, types.SimpleNamespace(may_send=lambda: True)
             ),
             self.guard,
+            net.BufferRoom(1_000_000),
         )
         self.restart_all()
 
--- a/agatewing/entry/tests/test_relay_versions.py
+++ b/agatewing/entry/tests/test_relay_versions.py
@@ -16,6 +16,7 @@
 from agatewing import decisions
 from agatewing import entry
 from agatewing import fleet
+from agatewing import net
 from agatewing import timeline
 
 EVENTS = [b"id: 1\ndata: {}\n\n", b"id: 2\ndata: [DONE]\n\n"]
@@ -85,6 +86,7 @@
         _invariants.Invariants(events),
         typing.cast(typing.Any, types.SimpleNamespace(may_send=lambda: True)),
         entry.CrashGuard(clock, decisions.CrashSuspects()),
+        net.BufferRoom(1_000_000),
     )
     profile = decisions.RequestProfile(9, 9, "z", software=software)
     if handle is not None:
@@ -177,3 +179,34 @@
     assert received == (EVENTS[1] if goes_on else b"")
     others = {n: c for n, c in calls(pool).items() if n != "e1"}
     assert others == {n: int(n == goes_on) for n in others}
+
+
+class Other:
+    """Another answer that takes memory."""
+
+    def __init__(self) -> None:
+        self.held = 0
+
+    def break_off(self) -> None:
+        raise AssertionError("a smaller answer was broken off")
+
+
+# Each stream could hold an unfinished event of the largest size, and nothing
+# bounded their sum.
+def test_a_stream_whose_event_takes_too_much_memory_goes_on_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    begun = EVENTS[0] + b"id: 2\ndata: " + b"x" * 600_000
+    monkeypatch.setitem(globals(), "EVENTS", [begun, EVENTS[1]])
+    relay, pool = make_relay({"e1": "v1", "e2": "v1"}, "v1", 0)
+    room, other = relay._deps.room, Other()
+    room.record(other, 500_000)
+    relay.start(decisions.Single("e1", 0.0))
+    blocks = relay.blocks()
+    received = [next(blocks)]
+    assert room.broken_off == 1
+    assert room.held == 500_000
+    received.extend(blocks)
+    assert b"".join(received) == b"id: 1\ndata: {}\n\n" + EVENTS[1]
+    assert calls(pool)["e2"] == 1
+    assert room.held == 500_000
--- a/agatewing/entry/tests/test_streams.py
+++ b/agatewing/entry/tests/test_streams.py
@@ -1,5 +1,7 @@
 """Tests of event reassembly, resume handles and request bodies."""
 
+import collections.abc
+import itertools
 import random
 
 import hypothesis
@@ -7,7 +9,10 @@
 import pytest
 
 from agatewing import _exceptions
+from agatewing import _types
 from agatewing import entry
+from agatewing.entry import _whole_answer
+from agatewing import net
 
 
 def _event(number: int, last: int) -> bytes:
@@ -56,6 +61,66 @@
     assert assembler.position in (0, 1, 2) or assembler.position <= 12
 
 
+# 4,096 events of up to 1 MB each were held back while one was missing.
+@pytest.mark.parametrize("size", [10, 500_000])
+def test_events_that_are_held_back_have_a_largest_size(size: int) -> None:
+    assembler = entry.EventAssembler("engine")
+    most = 0
+    with pytest.raises(_exceptions.ProtocolError):
+        for number in range(2, 5_000):
+            data = b"id: %d\ndata: %s\n\n" % (number, b"x" * size)
+            assert assembler.feed(data) == b""
+            most = max(most, assembler.pending_bytes)
+    assert 0 < most <= 4_000_000
+    assembler.discard_pending()
+    assert assembler.pending_bytes == 0
+
+
+def test_what_is_pending_is_counted() -> None:
+    assembler = entry.EventAssembler("engine")
+    later = _event(2, 9)
+    assembler.feed(later + later + b"id: 3")
+    assert assembler.pending_bytes == len(later) + len(b"id: 3")
+    assert assembler.feed(b"\n\n" + _event(1, 9)) != b""
+    assert assembler.pending_bytes == 0
+
+
+def _endless_texts() -> collections.abc.Iterator[bytes]:
+    for number in itertools.count(1):
+        text = "x" * 10_000
+        yield b'id: %d\ndata: {"choices": [{"text": "%s"}]}\n\n' % (
+            number,
+            text.encode(),
+        )
+
+
+# An answer that is not streamed was collected for as long as events came.
+def test_a_collected_text_has_a_largest_size() -> None:
+    room = net.BufferRoom(1_000_000)
+    with pytest.raises(_exceptions.RefusedError) as caught:
+        _whole_answer.collect(_endless_texts(), room)
+    assert caught.value.refusal.outcome is _types.Outcome.UNKNOWN
+    assert room.held == 0
+
+
+def test_the_largest_collected_text_gives_way() -> None:
+    room = net.BufferRoom(1_000_000)
+    small = itertools.islice(_endless_texts(), 20)
+    while_small = []
+
+    def blocks() -> collections.abc.Iterator[bytes]:
+        for block in small:
+            yield block
+            while_small.append(room.held)
+        with pytest.raises(_exceptions.RefusedError):
+            _whole_answer.collect(_endless_texts(), room)
+
+    text, _ = _whole_answer.collect(blocks(), room)
+    assert len(text) == 20 * 10_000
+    assert while_small[-1] > len(text)
+    assert room.held == 0
+
+
 def test_a_broken_connection_forgets_the_unfinished_event() -> None:
     assembler = entry.EventAssembler("engine")
     assembler.feed(_event(1, 3) + b"id: 2\nda")
--- a/agatewing/gateway/_event_reader.py
+++ b/agatewing/gateway/_event_reader.py
@@ -6,11 +6,11 @@
 
 from agatewing import _clock
 from agatewing.gateway import _channel
-from agatewing.gateway import _event_room
 from agatewing.gateway import _events
 from agatewing.gateway import _messages
 from agatewing.gateway import _relay
 from agatewing.gateway import _sender
+from agatewing import net
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
         head: _messages.AnswerHead,
         channel: _sender.BodyChannel,
         clock: _clock.Clock,
-        room: _event_room.EventRoom,
+        room: net.BufferRoom,
         keeps_comments: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a reader of an answer whose body follows on a connection.
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -11,11 +11,11 @@
 from agatewing.gateway import _channel
 from agatewing.gateway import _contracts
 from agatewing.gateway import _ended_targets
-from agatewing.gateway import _event_room
 from agatewing.gateway import _messages
 from agatewing.gateway import _ports
 from agatewing.gateway import _request_limits
 from agatewing.gateway import _tracked_target
+from agatewing import net
 
 #: Largest size of all answers together that are held in memory, in bytes,
 #: however much memory the process has.
@@ -93,9 +93,7 @@
             clock, min(answer_bytes, MAX_BUFFERED_BYTES)
         )
         #: Memory for events that callers do not have yet.
-        self.event_room = _event_room.EventRoom(
-            min(event_bytes, MAX_EVENT_BYTES)
-        )
+        self.event_room = net.BufferRoom(min(event_bytes, MAX_EVENT_BYTES))
         #: Requests at targets whose process has ended.
         self.ended_targets = _ended_targets.EndedTargets(clock)
         #: Number of sends that ``send_request`` began on an open connection,
--- a/agatewing/gateway/tests/test_event_room.py
+++ b/agatewing/gateway/tests/test_event_room.py
@@ -5,10 +5,10 @@
 from agatewing import _clock
 from agatewing.gateway import _channel
 from agatewing.gateway import _event_reader
-from agatewing.gateway import _event_room
 from agatewing.gateway import _events
 from agatewing.gateway import _messages
 from agatewing.gateway import _relay
+from agatewing import net
 
 ROOM_BYTES = 10_000
 DEADLINE = float("inf")
@@ -36,7 +36,7 @@
 
 
 def new_reader(
-    room: _event_room.EventRoom, *pieces: bytes, races: bool = False
+    room: net.BufferRoom, *pieces: bytes, races: bool = False
 ) -> tuple[_event_reader.EventReader, ScriptedChannel]:
     channel = ScriptedChannel(*pieces)
     reader = _event_reader.EventReader(
@@ -50,13 +50,13 @@
 
 
 @pytest.fixture
-def room() -> _event_room.EventRoom:
-    return _event_room.EventRoom(ROOM_BYTES)
+def room() -> net.BufferRoom:
+    return net.BufferRoom(ROOM_BYTES)
 
 
 # Any number of streams could hold an event of the largest size each.
 def test_the_largest_unfinished_event_gives_way(
-    room: _event_room.EventRoom,
+    room: net.BufferRoom,
 ) -> None:
     sizes = (3_000, 5_000, 1_000, 900)
     made = [new_reader(room, b"x" * size) for size in sizes]
@@ -75,7 +75,7 @@
 
 
 def test_an_event_that_takes_all_the_room_is_broken_off_itself(
-    room: _event_room.EventRoom,
+    room: net.BufferRoom,
 ) -> None:
     small, channel = new_reader(room, b"x" * 100)
     read(small)
@@ -88,7 +88,7 @@
 
 
 def test_events_count_until_they_are_forwarded(
-    room: _event_room.EventRoom,
+    room: net.BufferRoom,
 ) -> None:
     reader, channel = new_reader(room, EVENT * 50 + b"data")
     piece = read(reader)
@@ -107,7 +107,7 @@
 
 @pytest.mark.parametrize("piece", [EVENT, b"data: ", b": x\n\n"])
 def test_a_closed_reader_holds_nothing(
-    room: _event_room.EventRoom, piece: bytes
+    room: net.BufferRoom, piece: bytes
 ) -> None:
     reader, channel = new_reader(room, piece, races=True)
     read(reader)
@@ -123,7 +123,7 @@
 
 
 def test_comments_are_kept_for_the_next_event_of_a_race(
-    room: _event_room.EventRoom,
+    room: net.BufferRoom,
 ) -> None:
     reader, _ = new_reader(room, b": a\n\n", b": b\n\n", EVENT, races=True)
     piece = read(reader)
@@ -134,7 +134,7 @@
 
 # They were kept for as long as another engine was awaited as well.
 def test_comments_without_an_event_have_a_largest_size() -> None:
-    room = _event_room.EventRoom(3 * _events.MAX_EVENT_BYTES)
+    room = net.BufferRoom(3 * _events.MAX_EVENT_BYTES)
     comment = b": " + b"x" * 50_000 + b"\n\n"
     reader, channel = new_reader(room, *[comment] * 40, races=True)
     failure = read(reader)
--- a/agatewing/gateway/tests/test_turns.py
+++ b/agatewing/gateway/tests/test_turns.py
@@ -19,8 +19,8 @@
 from agatewing.gateway import _caller_conn
 from agatewing.gateway import _channel
 from agatewing.gateway import _event_reader
-from agatewing.gateway import _event_room
 from agatewing.gateway import _messages
+from agatewing import net
 from agatewing.platform import standins
 from agatewing.standins import endless
 from agatewing import wire
@@ -58,7 +58,7 @@
 def read_events(channel: _channel.Channel, deadline: float) -> None:
     clock = _clock.SystemClock()
     head = channel.read_head(deadline)
-    room = _event_room.EventRoom(1_000_000)
+    room = net.BufferRoom(1_000_000)
     reader = _event_reader.EventReader(head, channel, clock, room)
     while True:
         match reader.read(READ_S, deadline):
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -1,11 +1,14 @@
 """HTTP server, and HTTP clients for targets and the platform."""
 
 from agatewing.net._address import split_address
+from agatewing.net._buffer_room import BufferHolder
+from agatewing.net._buffer_room import BufferRoom
 from agatewing.net._http_client import call_once
 from agatewing.net._http_client import CallOnce
 from agatewing.net._http_client import Headers
 from agatewing.net._http_client import HttpAnswer
 from agatewing.net._http_client import HttpClient
+from agatewing.net._http_client import MAX_ANSWER_BYTES
 from agatewing.net._http_client import MaySend
 from agatewing.net._http_client import SendForbiddenError
 from agatewing.net._http_client import STATUS_CODES
--- a/agatewing/gateway/_event_room.py
+++ b/agatewing/net/_buffer_room.py
@@ -1,23 +1,23 @@
-"""Memory for events that callers do not have yet, shared by all streams.
+"""Memory for parts of answers, shared by all that are being read.
 
-An engine in trouble may begin events that never end. Their sum is bounded by
-breaking off the answer that holds most; sound events are short.
+A target in trouble may send an event or a body that never ends. The sum is
+bounded by breaking off the answer that holds most; sound ones are short.
 """
 
 import typing
 
 
-class Holder(typing.Protocol):
-    """Reader of an answer that holds bytes of events."""
+class BufferHolder(typing.Protocol):
+    """Reader of an answer that holds bytes of it."""
 
-    #: Bytes that it holds, as recorded by :meth:`EventRoom.record`.
+    #: Bytes that it holds, as recorded by :meth:`BufferRoom.record`.
     held: int
 
     def break_off(self) -> None:
         """Close the answer's connection; record that nothing is held."""
 
 
-class EventRoom:
+class BufferRoom:
     """Bounds the bytes that all readers hold together."""
 
     __slots__ = ("_total", "_holders", "_held", "broken_off")
@@ -26,7 +26,7 @@
         # Bytes of all readers together.
         self._total = total
         # Those that hold any.
-        self._holders: set[Holder] = set()
+        self._holders: set[BufferHolder] = set()
         self._held = 0
         #: Number of answers that were broken off to make room.
         self.broken_off = 0
@@ -36,7 +36,7 @@
         """Bytes that all readers hold."""
         return self._held
 
-    def record(self, holder: Holder, size: int) -> None:
+    def record(self, holder: BufferHolder, size: int) -> None:
         """Record that a reader holds ``size`` bytes now.
 
         If that is too much for all together, answers are broken off, maybe
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -17,6 +17,7 @@
 
 from agatewing import _exceptions
 from agatewing.net import _address
+from agatewing.net import _buffer_room
 from agatewing.net import _sockets
 from agatewing.net import _turns
 
@@ -41,6 +42,9 @@
 #: Maximum size of a whole answer from a target or platform service, in
 #: bytes.
 MAX_ANSWER_BYTES = 64_000_000
+#: Number of answers of the largest size that a client may read at a time if it
+#: shares no room with others.
+ANSWERS_WITHOUT_ROOM = 4
 #: TCP keep-alive options: the first probe after one idle second, then one
 #: a second; five unanswered probes break the connection. A network device
 #: in between may have dropped the connection without notice; a sound target
@@ -228,16 +232,31 @@
 class StreamAnswer:
     """An HTTP answer whose body is read as it arrives."""
 
-    __slots__ = ("_response", "_address", "_timeout_s", "_turn")
+    __slots__ = (
+        "_response",
+        "_address",
+        "_room",
+        "_timeout_s",
+        "_turn",
+        "_broken_off",
+        "held",
+    )
 
     def __init__(
         self,
         response: _Response,
         address: str,
+        room: _buffer_room.BufferRoom,
         timeout_s: float,
     ) -> None:
         self._response = response
         self._address = address
+        # Memory for bodies that are read in whole.
+        self._room = room
+        # Whether it was broken off to make room for others.
+        self._broken_off = False
+        #: Bytes of the body that are held while it is read in whole.
+        self.held = 0
         # Time in which the next byte of the body must arrive, in seconds.
         self._timeout_s = timeout_s
         self._turn = _turns.Turn()
@@ -328,20 +347,41 @@
     def read_all(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body.
 
-        Raises ``ProtocolError`` if it is longer than ``limit`` bytes.
+        Raises ``ProtocolError`` if it is longer than ``limit`` bytes, or the
+        longest of those that have no room together.
         """
         blocks: list[bytes] = []
         size = 0
-        while block := self.read_available():
-            blocks.append(block)
-            size += len(block)
-            if size > limit:
-                self.close()
-                raise _exceptions.ProtocolError(
-                    self._address, f"answer is longer than {limit} bytes"
-                )
+        try:
+            while block := self.read_available():
+                blocks.append(block)
+                size += len(block)
+                if size > limit:
+                    self.close()
+                    raise _exceptions.ProtocolError(
+                        self._address, f"answer is longer than {limit} bytes"
+                    )
+                self._room.record(self, size)
+                if self._broken_off:
+                    break
+        except _exceptions.TargetSilentError:
+            if not self._broken_off:
+                raise
+        finally:
+            self._room.record(self, 0)
+        if self._broken_off:
+            raise _exceptions.ProtocolError(
+                self._address,
+                f"answer of {size} bytes and more finds no room beside others",
+            )
         return b"".join(blocks)
 
+    def break_off(self) -> None:
+        """Close the connection, as answers take too much memory together."""
+        self._broken_off = True
+        self._room.record(self, 0)
+        self.close()
+
     def close(self) -> None:
         """Release the connection; close it unless the body was read whole."""
         self._response.release()
@@ -359,6 +399,7 @@
         "_body_timeout_s",
         "_max_answer_bytes",
         "_resends",
+        "_room",
     )
 
     def __init__(
@@ -372,6 +413,7 @@
         resend: bool = False,
         piece_timeout_s: float | None = None,
         reset: bool = False,
+        room: _buffer_room.BufferRoom | None = None,
     ) -> None:
         """Create a client of one address.
 
@@ -381,7 +423,9 @@
         if its connection closes before the head. A call that may end the
         process that it reaches must not be.
         ``reset`` says whether the connection of a call that fails is reset,
-        so that no byte of the call arrives later.
+        so that no byte of the call arrives later. ``room`` is the memory for
+        answers that this client shares with others; without one, each client
+        has room for ``ANSWERS_WITHOUT_ROOM`` answers of the largest size.
         """
         #: IP number and port.
         self.address = address
@@ -393,6 +437,9 @@
             BODY_TIMEOUT_S, silence_timeout_s
         )
         self._max_answer_bytes = max_answer_bytes
+        self._room = room or _buffer_room.BufferRoom(
+            ANSWERS_WITHOUT_ROOM * max_answer_bytes
+        )
         host, port = _address.split_address(address)
         self._client = geventhttpclient.HTTPClient(
             host,
@@ -464,7 +511,9 @@
             raise _exceptions.TargetSilentError(
                 self.address, str(exc) or type(exc).__name__
             ) from exc
-        return StreamAnswer(response, self.address, self._piece_timeout_s)
+        return StreamAnswer(
+            response, self.address, self._room, self._piece_timeout_s
+        )
 
     def _request(
         self, method: str, path: str, body: bytes, headers: Headers | None
@@ -603,13 +652,16 @@
     headers: Headers,
     timeout_s: float,
     may_send: MaySend = lambda: True,
+    *,
+    room: _buffer_room.BufferRoom | None = None,
 ) -> HttpAnswer:
     """Send one request on a new connection; never resend it.
 
     A pooled connection may be dead without notice, and a call that fails
     on it may have run. If a new connection doesn't open, nothing was sent.
     ``may_send`` is called when the connection is open; no other greenlet
-    runs between its return and the send.
+    runs between its return and the send. ``room`` is that of the answer, as
+    for :class:`HttpClient`.
 
     Raises ``ConnectRefusedError`` only if nothing was sent, otherwise the
     errors of :meth:`HttpClient.call`.
@@ -620,6 +672,7 @@
         silence_timeout_s=timeout_s,
         connections=1,
         body_timeout_s=timeout_s,
+        room=room,
     )
     sent = False
 
--- a/agatewing/net/tests/test_endless_answers.py
+++ b/agatewing/net/tests/test_endless_answers.py
@@ -87,6 +87,77 @@
             assert server.sent_bytes <= limit
 
 
+# Each answer was limited by itself, so that twenty at once took 1.1 GB.
+@pytest.mark.parametrize("call", ["one client", "several clients", "once"])
+@pytest.mark.parametrize(
+    "name", ["a body to the end", "chunks", "a body byte by byte"]
+)
+def test_answers_that_are_read_at_once_share_a_limit(
+    name: str, call: str
+) -> None:
+    case = CASES[name]
+    room = net.BufferRoom(3 * MAX_BYTES // 2)
+    most = 0
+
+    def new_client(address: str) -> net.HttpClient:
+        return net.HttpClient(
+            address,
+            silence_timeout_s=SILENCE_S,
+            body_timeout_s=BODY_S,
+            max_answer_bytes=MAX_BYTES,
+            room=room,
+        )
+
+    with endless.EndlessServer(case.start, case.piece, case.pause_s) as server:
+        shared = new_client(server.address)
+        sends: dict[str, collections.abc.Callable[[], object]] = {
+            "one client": lambda: shared.call("GET", "/"),
+            "several clients": lambda: new_client(server.address).call(
+                "GET", "/"
+            ),
+            "once": lambda: net.call_once(
+                server.address, "GET", "/", b"", {}, BODY_S, room=room
+            ),
+        }
+
+        def send() -> type[Exception] | None:
+            try:
+                sends[call]()
+            except _exceptions.AgatewingError as exc:
+                return type(exc)
+            return None
+
+        sending = [gevent.spawn(send) for _ in range(8)]
+        while not all(each.ready() for each in sending):
+            most = max(most, room.held)
+            gevent.sleep(0.001)
+    failures = {each.value for each in sending}
+    expected: set[type[Exception]] = {_exceptions.ProtocolError}
+    if name == "a body byte by byte":
+        expected = {_exceptions.TargetOverdueError}
+    assert failures <= expected | {_exceptions.TargetOverdueError}, failures
+    assert 0 < most <= 3 * MAX_BYTES // 2
+    assert room.held == 0
+
+
+def test_a_client_without_a_room_has_one_of_its_own() -> None:
+    """Guards against clients whose answers nothing bounds together."""
+    case = CASES["a body to the end"]
+    with endless.EndlessServer(case.start, case.piece) as server:
+        client = net.HttpClient(server.address, max_answer_bytes=MAX_BYTES)
+        most = 0
+
+        def send() -> None:
+            with pytest.raises(_exceptions.AgatewingError):
+                client.call("GET", "/")
+
+        sending = [gevent.spawn(send) for _ in range(8)]
+        while not all(each.ready() for each in sending):
+            most = max(most, client._room.held)
+            gevent.sleep(0.001)
+    assert 0 < most <= _http_client.ANSWERS_WITHOUT_ROOM * MAX_BYTES
+
+
 # A read of the log that never ended stopped an instance from following it.
 @pytest.mark.parametrize("name", CASES)
 def test_a_read_of_the_log_ends_at_a_limit(
--- a/agatewing/rig/_rig.py
+++ b/agatewing/rig/_rig.py
@@ -15,6 +15,7 @@
 from agatewing import config
 from agatewing import control
 from agatewing import entry
+from agatewing import net
 from agatewing import platform_services
 from agatewing import replica
 from agatewing.rig import _network
@@ -186,6 +187,7 @@
             ),
             call_once,
             self.network.client_factory(call_once),
+            net.BufferRoom(settings.limits.max_answers_bytes),
             lambda inst: _network.MemoryLinks(self.network, clock, inst),
         )
         instance = _compose.Instance(settings, clock, dependencies)
