The head of an answer has 256 fields at most

What was seen: engines in trouble answered 160 streams with heads of 8,000 short fields, within the 64 kB that a head may have, and an event that did not end.

Cause: each field is parsed into several objects of some hundred bytes, however short it is, and the head is kept for as long as its answer is read: 0.8 MB for each such stream, with no bound on their sum.

Fix: a head with more than 256 fields (net.MAX_FIELDS) is malformed, on the gateway's connections and for the client of net/.

Evidence and measured: the new case of test_endless_streams took 174 MB before (bound 100) and takes 54 MB; of the new cases of test_malformed_heads, those with one field more fail without the limit. 355 tests of net, test_malformed_heads, test_large_failures and test_path pass.

--- a/agatewing/gateway/_channel.py
+++ b/agatewing/gateway/_channel.py
@@ -233,6 +233,11 @@
                 raise BrokenError(
                     f"{self.address}: {event.status_code} is not a status code"
                 )
+            if len(event.headers) > net.MAX_FIELDS:
+                raise BrokenError(
+                    f"{self.address}: the head has more than "
+                    f"{net.MAX_FIELDS} fields"
+                )
             raw = tuple(event.headers.raw_items())
             fields = [
                 (name, value)
--- a/agatewing/net/__init__.py
+++ b/agatewing/net/__init__.py
@@ -9,6 +9,7 @@
 from agatewing.net._http_client import HttpAnswer
 from agatewing.net._http_client import HttpClient
 from agatewing.net._http_client import MAX_ANSWER_BYTES
+from agatewing.net._http_client import MAX_FIELDS
 from agatewing.net._http_client import MaySend
 from agatewing.net._http_client import SendForbiddenError
 from agatewing.net._http_client import STATUS_CODES
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -24,6 +24,9 @@
 #: Status codes of answers (RFC 9110, section 15); one outside them makes an
 #: answer malformed.
 STATUS_CODES = range(100, 600)
+#: Maximum number of fields in the head of an answer; each takes some hundred
+#: bytes for as long as the answer is read, however short it is.
+MAX_FIELDS = 256
 #: Maximum size of one read from a connection, in bytes.
 READ_BLOCK_BYTES = 65_536
 #: Steps of a turn that one read takes; it may hold thousands of chunks.
@@ -201,6 +204,10 @@
                 f"{self.get_code()} is not a status code"
             )
         skips_body = super()._on_headers_complete()
+        if self._header_position > MAX_FIELDS + 1:
+            raise http_response.HTTPProtocolViolationError(
+                f"the head has more than {MAX_FIELDS} fields"
+            )
         coding = self.get("transfer-encoding", "chunked")
         # A list if several fields name one.
         if not isinstance(coding, str) or coding.lower() != "chunked":
--- a/agatewing/platform/tests/test_endless_streams.py
+++ b/agatewing/platform/tests/test_endless_streams.py
@@ -36,6 +36,7 @@
     start: bytes
     piece: bytes = TRICKLE
     pause_s: float = 0.2
+    head: bytes = HEAD
 
 
 CASES = {
@@ -49,6 +50,12 @@
     "an event with a long id": Case(
         b"id: " + b"x" * LARGE + b"\ndata: \n\ndata: "
     ),
+    "a head with many fields": Case(
+        b"data: ",
+        head=HEAD[:-2]
+        + b"".join(b"%x:1\r\n" % n for n in range(8_000))
+        + b"\r\n",
+    ),
     "whole events that go on": Case(
         b"", b"id: 1\ndata: " + b"x" * LARGE + b"\n\n", 0.2
     ),
@@ -73,7 +80,7 @@
         engines = []
         for number in range(ENGINES):
             engine = endless.EndlessServer(
-                HEAD + case.start, case.piece, case.pause_s
+                case.head + case.start, case.piece, case.pause_s
             )
             engines.append(stack.enter_context(engine))
             site.announce(f"e{number}", address=engine.address, slots=STREAMS)
--- a/agatewing/platform/tests/test_malformed_heads.py
+++ b/agatewing/platform/tests/test_malformed_heads.py
@@ -176,6 +176,23 @@
             read(server.address)
 
 
+# The stand-ins' reader keeps no answer for long, so that it has no such limit.
+@pytest.mark.parametrize("reader", ["gateway", "client"])
+@pytest.mark.parametrize("more", [0, 1])
+def test_a_head_has_a_largest_number_of_fields(more: int, reader: str) -> None:
+    read, failure = READERS[reader]
+    # Beside the signature, the content type and the length.
+    count = net.MAX_FIELDS - 3 + more
+    lines = [b"X-%d: v" % number for number in range(count)]
+    answer = with_line(b"\r\n".join(lines)) + b"\r\n" + BODY
+    with hasty.HastyServer(answer, hasty.End.ORDERLY) as server:
+        if more:
+            with pytest.raises(failure):
+                read(server.address)
+        else:
+            assert read(server.address) == (200, BODY)
+
+
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize("status", [b"200", b"203", b"418", b"599"])
 def test_every_other_status_is_passed_on(status: bytes, reader: str) -> None:
