A collected text that was dropped is not returned as whole

What callers would have seen: an answer that is not streamed, whose text was the largest when the memory for answers ran out after its last event, would have come as a complete 200 with an empty text.

Cause: a dropped text was noticed by its next event only.

Fix: the end of the answer looks as well. The new test fails without it.

--- a/agatewing/entry/_whole_answer.py
+++ b/agatewing/entry/_whole_answer.py
@@ -31,13 +31,13 @@
 class _Text:
     """Text of an answer, as far as it has come."""
 
-    __slots__ = ("_room", "_parts", "broken_off", "held")
+    __slots__ = ("_room", "_parts", "_broken_off", "held")
 
     def __init__(self, room: net.BufferRoom) -> None:
         self._room = room
         self._parts: list[str] = []
-        #: Whether it was dropped, as answers take too much memory together.
-        self.broken_off = False
+        # Whether it was dropped, as answers take too much memory together.
+        self._broken_off = False
         #: Size of the events that the text is from, in bytes.
         self.held = 0
 
@@ -48,12 +48,13 @@
         """
         self._parts.append(part)
         self._room.record(self, self.held + size)
-        if self.broken_off or self.held > net.MAX_ANSWER_BYTES:
-            raise _exceptions.RefusedError(_no_room())
+        if self.held > net.MAX_ANSWER_BYTES:
+            self.break_off()
+        self._check()
 
     def break_off(self) -> None:
-        """Drop the text; the next event ends the answer."""
-        self.broken_off = True
+        """Drop the text; the answer ends with its next event."""
+        self._broken_off = True
         self.close()
 
     def close(self) -> None:
@@ -61,9 +62,15 @@
         self._parts.clear()
         self._room.record(self, 0)
 
-    def __str__(self) -> str:
+    def whole(self) -> str:
+        """Return the text; raise ``RefusedError`` if it was dropped."""
+        self._check()
         return "".join(self._parts)
 
+    def _check(self) -> None:
+        if self._broken_off:
+            raise _exceptions.RefusedError(_no_room())
+
 
 def _no_room() -> _exceptions.Refusal:
     """Return the refusal of an answer that takes too much memory."""
@@ -94,7 +101,7 @@
                 part = choice.text or choice.delta.get("content", "")
                 text.add(part, len(line))
                 finish = choice.finish_reason or finish
-        return str(text), finish
+        return text.whole(), finish
     finally:
         text.close()
 
--- a/agatewing/entry/tests/test_streams.py
+++ b/agatewing/entry/tests/test_streams.py
@@ -121,6 +121,25 @@
     assert room.held == 0
 
 
+def test_a_text_that_gave_way_is_not_returned() -> None:
+    """Guards against a text that is dropped after its last event."""
+    room = net.BufferRoom(1_000_000)
+
+    def blocks() -> collections.abc.Iterator[bytes]:
+        yield from itertools.islice(_endless_texts(), 90)
+        for _ in range(10):
+            room.record(Other(), 50_000)
+
+    class Other:
+        held = 0
+
+        def break_off(self) -> None:
+            raise AssertionError("a smaller answer was broken off")
+
+    with pytest.raises(_exceptions.RefusedError):
+        _whole_answer.collect(blocks(), room)
+
+
 def test_a_broken_connection_forgets_the_unfinished_event() -> None:
     assembler = entry.EventAssembler("engine")
     assembler.feed(_event(1, 3) + b"id: 2\nda")
--- a/agatewing/gateway/_event_reader.py
+++ b/agatewing/gateway/_event_reader.py
@@ -36,7 +36,7 @@
         "_keeps_comments",
         "_splitter",
         "_comments",
-        "_closed",
+        "_close_reason",
         "held",
         "channel",
     )
@@ -62,7 +62,7 @@
         # Comments that are kept for the next event.
         self._comments = bytearray()
         # Why the reader was closed; empty while it is open.
-        self._closed = ""
+        self._close_reason = ""
         #: Bytes that it holds, with those that it returned last.
         self.held = 0
         #: Connection that carries the answer.
@@ -85,7 +85,7 @@
                 if piece is not None:
                     return piece
         except _channel.BrokenError as exc:
-            reason = self._closed or str(exc)
+            reason = self._close_reason or str(exc)
             self.close()
             return _messages.Unknown(reason, silent_s=self.channel.silent_s)
         except _channel.DeadlineExceededError as exc:
@@ -97,8 +97,8 @@
 
     def _take(self, raw: bytes) -> _relay.Piece | None:
         """Return the events that ``raw`` completes; ``b""`` is the end."""
-        if self._closed:
-            raise _channel.BrokenError(self._closed)
+        if self._close_reason:
+            raise _channel.BrokenError(self._close_reason)
         splitter = self._splitter
         if not raw:
             self._check_end()
@@ -152,8 +152,8 @@
         kept = self._splitter.held + len(self._comments)
         if kept + returned != self.held:
             self._room.record(self, kept + returned)
-        if self._closed:
-            raise _channel.BrokenError(self._closed)
+        if self._close_reason:
+            raise _channel.BrokenError(self._close_reason)
 
     def break_off(self) -> None:
         """Close the connection, as the events of all take too much memory."""
@@ -161,7 +161,7 @@
 
     def close(self, reason: str = "it was closed") -> None:
         """Close the connection and free what is held; may be repeated."""
-        self._closed = self._closed or reason
+        self._close_reason = self._close_reason or reason
         self.channel.close()
         self._splitter.rest()
         self._comments.clear()
--- a/agatewing/gateway/_sender.py
+++ b/agatewing/gateway/_sender.py
@@ -23,7 +23,7 @@
 #: Largest size of the events of all streams together that callers do not
 #: have yet, in bytes, however much memory the process has: a quarter of that
 #: of answers, as sound events are short.
-MAX_EVENT_BYTES = 12_000_000
+MAX_UNDELIVERED_BYTES = 12_000_000
 #: Largest answer that needs no room, in bytes; a connection takes more than
 #: that anyway.
 SMALL_ANSWER_BYTES = 8_192
@@ -84,7 +84,7 @@
         dialect: _ports.Dialect,
         limits: _request_limits.RequestLimits,
         answer_bytes: int = MAX_BUFFERED_BYTES,
-        event_bytes: int = MAX_EVENT_BYTES,
+        event_bytes: int = MAX_UNDELIVERED_BYTES,
     ) -> None:
         self._clock = clock
         self._dialect = dialect
@@ -93,7 +93,9 @@
             clock, min(answer_bytes, MAX_BUFFERED_BYTES)
         )
         #: Memory for events that callers do not have yet.
-        self.event_room = net.BufferRoom(min(event_bytes, MAX_EVENT_BYTES))
+        self.event_room = net.BufferRoom(
+            min(event_bytes, MAX_UNDELIVERED_BYTES)
+        )
         #: Requests at targets whose process has ended.
         self.ended_targets = _ended_targets.EndedTargets(clock)
         #: Number of sends that ``send_request`` began on an open connection,
