--- a/agatewing/gateway/tests/test_resets.py
+++ b/agatewing/gateway/tests/test_resets.py
@@ -98,3 +98,41 @@
             gevent.sleep(0.3)
         assert channel.read_piece(deadline) == b""
         channel.close()
+
+
+OWN_ENDS: dict[str, collections.abc.Callable[[_channel.Channel], None]] = {
+    "closes": lambda channel: channel.close(),
+    "resets": lambda channel: channel.reset(),
+}
+
+
+# A path that loses its race, or a target that has ended, has its connection
+# closed by another greenlet than the one that reads.
+@pytest.mark.parametrize("waits", [True, False], ids=["in a read", "before"])
+@pytest.mark.parametrize("name", OWN_ENDS)
+def test_an_end_of_its_own_never_ends_an_answer(
+    name: str, waits: bool
+) -> None:
+    clock = _clock.SystemClock()
+    with hasty.HastyServer(ANSWER, hasty.End.ORDERLY, 2.0) as server:
+        channel, deadline = send_upload(server.address, clock)
+        read_first_part(channel, deadline)
+        end = gevent.spawn_later(0.05, OWN_ENDS[name], channel)
+        if not waits:
+            end.join()
+        with pytest.raises(_channel.BrokenError):
+            channel.read_piece(deadline)
+
+
+def test_a_deadline_never_ends_an_answer() -> None:
+    clock = _clock.SystemClock()
+    with hasty.HastyServer(ANSWER, hasty.End.RESET, 0.4) as server:
+        channel, _ = send_upload(server.address, clock)
+        read_first_part(channel, clock.monotonic() + LIMIT_S)
+        with pytest.raises(_channel.DeadlineExceededError):
+            channel.read_piece(clock.monotonic() + 0.1)
+        # A reader may go on after a silence; the reset has come meanwhile.
+        wait_for_sender(channel)
+        with pytest.raises(_channel.BrokenError):
+            channel.read_piece(clock.monotonic() + LIMIT_S)
+        channel.close()
