test_usage: wait for the holder to read the answer to its report

Cause, traced: the stand-in of the address counts a report before it answers it, and the test read the metric as soon as the report was counted.

The test waits for the metric now, within the limit of every other wait, and checks the same things after it.

--- a/agatewing/platform/tests/test_usage.py
+++ b/agatewing/platform/tests/test_usage.py
@@ -149,6 +149,9 @@
     )
 
 
+ACCEPTED = 'agatewing_usage_reports_total{outcome="accepted"}'
+
+
 def test_instances_report_what_began_at_all_of_them(address: Address) -> None:
     named = gateway.Duties(
         address=address.address,
@@ -169,11 +172,17 @@
             assert reply.status == 200
         site.wait(lambda: _total(address) >= len(instances))
         holders = [i for i in instances if i.usage and i.usage.holds]
-        text = holders[0].render_metrics()[0].decode()
+        # The report is counted here before the holder reads its answer.
+        site.wait(lambda: ACCEPTED in _metrics(holders[0]))
+        text = _metrics(holders[0])
     assert _total(address) == len(instances)
     assert len(holders) == 1
     assert "agatewing_usage_holder 1" in text
-    assert 'agatewing_usage_reports_total{outcome="accepted"}' in text
+    assert ACCEPTED in text
+
+
+def _metrics(instance: gateway.GatewayInstance) -> str:
+    return instance.render_metrics()[0].decode()
 
 
 def _total(address: Address) -> int:
