--- a/agatewing/platform/tests/_gateway_process.py
+++ b/agatewing/platform/tests/_gateway_process.py
@@ -3,7 +3,9 @@
 import collections.abc
 import contextlib
 import dataclasses
+import fcntl
 import pathlib
+import tempfile
 
 import msgspec
 
@@ -41,6 +43,18 @@
         return self.site.ask_at(self.address, path, name, PROMPT | headers)
 
 
+@contextlib.contextmanager
+def alone() -> collections.abc.Iterator[None]:
+    """Let one test at a time go on that keeps a process busy.
+
+    Several would leave too little of the processors to tests of timing.
+    """
+    path = pathlib.Path(tempfile.gettempdir()) / "agatewing-hostile.lock"
+    with path.open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 @contextlib.contextmanager
 def started(
     site: standins.Site, folder: pathlib.Path
--- a/agatewing/platform/tests/test_hostile_callers.py
+++ b/agatewing/platform/tests/test_hostile_callers.py
@@ -2,9 +2,7 @@
 
 import collections.abc
 import contextlib
-import fcntl
 import pathlib
-import tempfile
 import typing
 
 import gevent
@@ -15,6 +13,7 @@
 from agatewing import net
 from agatewing import platform
 from agatewing.platform import standins
+from agatewing.platform.tests import _gateway_process
 from agatewing.platform.tests import _hostile_crowd
 
 Crowd = _hostile_crowd.Crowd
@@ -87,9 +86,7 @@
 @pytest.fixture(autouse=True)
 def alone() -> collections.abc.Iterator[None]:
     """Let no two of these tests run at a time."""
-    path = pathlib.Path(tempfile.gettempdir()) / "agatewing-hostile.lock"
-    with path.open("w") as lock:
-        fcntl.flock(lock, fcntl.LOCK_EX)
+    with _gateway_process.alone():
         yield
 
 
--- a/agatewing/platform/tests/test_large_failures.py
+++ b/agatewing/platform/tests/test_large_failures.py
@@ -1,5 +1,6 @@
 """Large error answers can't take a process's memory together."""
 
+import collections.abc
 import contextlib
 import pathlib
 import socket
@@ -48,6 +49,13 @@
         gevent.sleep(DEADLINE_S)
 
 
+@pytest.fixture(autouse=True)
+def alone() -> collections.abc.Iterator[None]:
+    """Let no two of these tests run at a time."""
+    with _gateway_process.alone():
+        yield
+
+
 # Error answers that were retried, or kept while another target was awaited,
 # and those of streams while their callers read them, were in no room.
 @pytest.mark.parametrize("reads", [True, False], ids=["read", "not read"])
