hasty stand-in: without the option that nothing used

Read once more as a whole, the change had one dead part: HastyServer took read_first, which reads the whole request before it answers, and no test passed it; the limit of the drain was a parameter for it alone. Both are gone. The server does the same as before for every test.

--- a/agatewing/standins/hasty.py
+++ b/agatewing/standins/hasty.py
@@ -39,18 +39,14 @@
         answer: bytes,
         end: End = End.RESET,
         pause_s: float = 0.0,
-        read_first: bool = False,
     ):
         """Create a server of one answer.
 
-        ``pause_s`` is the time from the answer to the end of the connection;
-        ``read_first`` says whether the whole request is read before the
-        answer is sent.
+        ``pause_s`` is the time from the answer to the end of the connection.
         """
         self._answer = answer
         self._end = end
         self._pause_s = pause_s
-        self._read_first = read_first
         #: Number of requests that have reached it.
         self.requests = 0
         listener = gevent.socket.socket()
@@ -76,8 +72,6 @@
             if not sock.recv(HEAD_BYTES):
                 return
             self.requests += 1
-            if self._read_first:
-                _drain(sock, self._pause_s + 0.1)
             sock.sendall(self._answer)
             gevent.sleep(self._pause_s)
             self._finish(sock)
@@ -95,15 +89,15 @@
                 pass
             case End.ORDERLY:
                 sock.shutdown(socket.SHUT_WR)
-                _drain(sock, DRAIN_S)
+                _drain(sock)
             case End.ORDERLY_THEN_RESET:
                 sock.shutdown(socket.SHUT_WR)
                 gevent.sleep(0.05)
                 net.reset_on_close(sock)
 
 
-def _drain(sock: gevent.socket.socket, limit_s: float) -> None:
-    """Read until the caller closes, for ``limit_s`` seconds at most."""
-    with gevent.Timeout(limit_s, False):
+def _drain(sock: gevent.socket.socket) -> None:
+    """Read until the caller closes, for ``DRAIN_S`` at most."""
+    with gevent.Timeout(DRAIN_S, False):
         while sock.recv(1_048_576):
             pass
