Lines say how much of an answer has arrived

The errors now name the bytes that arrived, and a line the records of a read of the configuration, the offset and the seconds since the read began. They tell apart the hypotheses of docs/incidents/large-configuration.md.

--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -276,6 +276,7 @@
             return self._read_newest()
         match answer:
             case fleetlog.Page(records=records, next_offset=offset):
+                self._log_records(len(records), offset)
                 for record in records:
                     self._sink.apply(record)
                 self._offset = offset
@@ -294,6 +295,18 @@
                 self._record_failure(reason)
         return False
 
+    def _log_records(self, count: int, offset: int) -> None:
+        """Log what was read of a topic whose records are large."""
+        if count and self._topic is fleetlog.Topic.CONFIGURATION:
+            _log.info(
+                "follow: configurations read",
+                extra={
+                    "records": count,
+                    "through": offset,
+                    "read_s": self._seconds_since(self._read_since),
+                },
+            )
+
     @property
     def _restored(self) -> bool:
         """Whether the log was restored since the offset was read."""
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -374,6 +374,8 @@
         except _exceptions.TargetSilentError:
             if not self._broken_off:
                 raise
+        except TimeoutError as exc:
+            raise TimeoutError(f"{exc}, {size} bytes arrived") from exc
         finally:
             self._room.record(self, 0)
         if self._broken_off:
--- a/agatewing/wire/_frames.py
+++ b/agatewing/wire/_frames.py
@@ -30,13 +30,21 @@
 
 
 def _read_exact(sock: gevent.socket.socket, count: int) -> bytes:
-    """Read exactly ``count`` bytes."""
+    """Read exactly ``count`` bytes.
+
+    A ``TimeoutError`` says how many of them have arrived.
+    """
     received = bytearray()
-    while len(received) < count:
-        data = sock.recv(min(65_536, count - len(received)))
-        if not data:
-            raise ConnectionResetError(
-                "connection closed before the end of a message"
-            )
-        received += data
+    try:
+        while len(received) < count:
+            data = sock.recv(min(65_536, count - len(received)))
+            if not data:
+                raise ConnectionResetError(
+                    "connection closed before the end of a message"
+                )
+            received += data
+    except TimeoutError as exc:
+        raise TimeoutError(
+            f"{exc}, {len(received)} of {count} bytes arrived"
+        ) from exc
     return bytes(received)
