The instances with the fastest links read the log

One part of the cause: the two readers of a zone were drawn by a hash of the names, so most often they had slow links. A configuration of 257 kB takes 0.4 s of such a link, on which their callers' requests wait, and they are late with what the others learn from them.

Each entry of an instance now names its bandwidth, from a new setting, and the readers are those with the fastest links, in the order of the hash among equals. Instances of earlier releases name none and rank last, so that a zone with old and new builds has a reader: where the old rule leaves it to new instances, the fastest of these read.

test_the_instances_with_the_fastest_links_read fails before: the readers of 12 instances are the first two by hash whatever their links are.

--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -168,6 +168,7 @@
                 fleetlog.Topic.TARGETS: self.catalog.age_s,
             },
             settings.freshness.limit_s,
+            self._link_mbps,
         )
         self.detours = detour.Detours(
             clock,
@@ -309,6 +310,13 @@
             for topic, sink in sinks.items()
         }
 
+    def _link_mbps(self, name: str) -> float:
+        """Return the bandwidth of an instance's link; 0 if not known."""
+        if name == self.settings.instance:
+            return self.settings.link_mbps
+        entry = self.peers.known.get(name)
+        return entry.link_mbps if entry is not None else 0.0
+
     def _confirm_targets(self, limit_s: float) -> bool:
         """Read the targets anew; return whether that is done in time."""
         return self.followers[fleetlog.Topic.TARGETS].confirm(limit_s)
@@ -321,6 +329,7 @@
             takes_requests=True,
             records_streams=True,
             identifies_accounts=True,
+            link_mbps=settings.link_mbps,
         )
         record = fleetlog.KeyedRecord(
             settings.instance, msgspec.json.encode(entry)
--- a/agatewing/gateway/_log_turns.py
+++ b/agatewing/gateway/_log_turns.py
@@ -6,6 +6,9 @@
 how long ago that was so. The others fetch what they lack from a peer, and
 read the log themselves once nobody has told them for a while that they have
 all of it: when readers are lost, cut off or late, or the log is away.
+
+The readers of a zone are those with the fastest links: a configuration may
+take half a second of a slow one, which then carries no requests.
 """
 
 import collections.abc
@@ -16,6 +19,9 @@
 
 #: Number of instances above which only some of them read the log all the time.
 MANY_INSTANCES = 10
+#: Returns the bandwidth of an instance's link in Mbit/s, given its name; 0 if
+#: it is not known.
+LinkMbps = collections.abc.Callable[[str], float]
 #: Readers in a zone: a second one, so that the loss of one delays nothing.
 READERS_PER_ZONE = 2
 #: Time from the end of a wait that the log does not answer to the answer of
@@ -64,6 +70,7 @@
         "_zone_peers",
         "_ages",
         "_limit_s",
+        "_link_mbps",
     )
 
     def __init__(
@@ -78,12 +85,14 @@
             fleetlog.Topic, collections.abc.Callable[[], float]
         ],
         limit_s: float,
+        link_mbps: LinkMbps = lambda name: 0.0,
     ) -> None:
         """Create the turns of one instance.
 
         ``limit_s`` is the time within which an instance has to follow a
         change, whatever becomes of one connection, in seconds.
         """
+        self._link_mbps = link_mbps
         self._name = name
         self._rng = rng
         # Returns the number of instances.
@@ -113,7 +122,14 @@
         """Whether this instance reads all the time."""
         if not self.many:
             return True
-        return _ranks.rank(self._name, self._zone_peers()) < READERS_PER_ZONE
+        own_mbps = self._link_mbps(self._name)
+        faster, alike = 0, []
+        for peer in self._zone_peers():
+            mbps = self._link_mbps(peer)
+            faster += mbps > own_mbps
+            if mbps == own_mbps:
+                alike.append(peer)
+        return faster + _ranks.rank(self._name, alike) < READERS_PER_ZONE
 
     def pause_s(self, topic: fleetlog.Topic, reads: int) -> float:
         """Return the time until the next read of a topic, in seconds.
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -82,6 +82,9 @@
     records_streams: bool = False
     # Whether it identifies the accounts of requests that it takes.
     identifies_accounts: bool = False
+    # Bandwidth of its link in Mbit/s; 0 if it does not know it, as earlier
+    # releases do not.
+    link_mbps: float = 0.0
 
 
 class Peers:
--- a/agatewing/gateway/_settings.py
+++ b/agatewing/gateway/_settings.py
@@ -153,6 +153,9 @@
     hold_engines: bool = False
     # Memory and descriptors of the process.
     memory: Memory = Memory()
+    # Bandwidth of the machine's link in Mbit/s; 0 if it is not known. Of large
+    # fleets, the instances with the fastest links read the log for the others.
+    link_mbps: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
     # Log level, as the logging module names it.
     log_level: str = "INFO"
 
--- a/agatewing/gateway/tests/test_log_turns.py
+++ b/agatewing/gateway/tests/test_log_turns.py
@@ -306,6 +306,43 @@
     assert turns.pause_s(gateway.Topic.INSTANCES, reads) == pause_s
 
 
+LINKS = {
+    "two fast ones": ({"i3": 100.0, "i5": 100.0}, ["i3", "i5"]),
+    "one fast one": ({"i4": 100.0}, ["i4"]),
+    "all alike": ({}, []),
+    "of earlier releases, which name no link": (
+        {"i1": 5.0, "i2": 5.0, "i6": 5.0},
+        ["i1", "i2", "i6"],
+    ),
+}
+
+
+# Readers with links of 5 Mbit/s took half a second for each configuration, and
+# the requests of their callers waited behind it.
+@pytest.mark.parametrize("name", LINKS)
+def test_the_instances_with_the_fastest_links_read(name: str) -> None:
+    links, fastest = LINKS[name]
+    names = [f"i{number}" for number in range(12)]
+
+    def is_reader(name: str) -> bool:
+        return _log_turns.LogTurns(
+            name,
+            random.Random(1),
+            lambda: len(names),
+            lambda: [other for other in names if other != name],
+            {},
+            APPLY_S,
+            lambda other: links.get(other, 0.0),
+        ).is_reader
+
+    readers = [name for name in names if is_reader(name)]
+    assert len(readers) == _log_turns.READERS_PER_ZONE
+    if len(fastest) < len(readers):
+        assert set(fastest) <= set(readers)
+    else:
+        assert set(readers) <= set(fastest)
+
+
 def test_a_peer_gets_only_what_it_lacks() -> None:
     fleet = settled(12)
     sender, receiver = fleet.instances[:2]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -32,6 +32,7 @@
     "{{bounds.drain_ms|json}}": "2000",
     "{{limits.memory_mb|json}}": "160",
     "{{limits.max_fds|json}}": "1638",
+    "{{limits.link_mbps|json}}": "5.0",
 }
 
 #: Those of what only some platforms have, by the section that holds it.
