--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -38,6 +38,9 @@
 #: seconds: one that leaves drains first, and the entry of one that crashes
 #: expires later.
 MISSED_AFTER_S = 2.0
+#: Age told to peers of a view that was never read from the log, in seconds;
+#: JSON has no infinite numbers.
+NEVER_READ_S = 1e9
 #: Number of batches of changes that are kept for peers that lack them.
 MAX_BATCHES = 64
 
@@ -366,7 +369,7 @@
             configuration,
             tuple(present.values()),
             self.through,
-            self.age_s(),
+            min(self.age_s(), NEVER_READ_S),
             self.era,
             known.position[1] if known and changed is not None else None,
             removed,
--- a/agatewing/gateway/tests/test_catalog.py
+++ b/agatewing/gateway/tests/test_catalog.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from agatewing import _clock
@@ -96,6 +97,17 @@
     assert "a" not in catalog.targets
 
 
+# An instance that knew the log from peers only gave snapshots that no peer
+# could decode, as JSON has no infinite numbers.
+def test_a_view_that_was_never_read_can_be_told() -> None:
+    catalog = _catalog.Catalog(_clock.ManualClock(), lambda: None)
+    catalog.apply_configuration(configuration(5), "peer")
+    raw = msgspec.json.encode(catalog.snapshot())
+    snapshot = msgspec.json.decode(raw, type=_contracts.Snapshot)
+    assert snapshot.configuration == catalog.configuration
+    assert snapshot.age_s == _catalog.NEVER_READ_S
+
+
 def test_a_snapshot_of_a_peer_that_read_less_changes_nothing() -> None:
     catalog, _ = make_catalog()
     catalog.apply_configuration(configuration(8), "log")
@@ -188,6 +200,9 @@
 
     pages: list[object]
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(self, topic: gateway.Topic) -> object:
         return self.pages.pop(0)
 
@@ -273,6 +288,9 @@
     reads: list[gateway.Topic] = []
 
     class Log:
+        def arriving(self, topic: gateway.Topic) -> bool:
+            return False
+
         def read_newest(
             self, topic: gateway.Topic
         ) -> gateway.Page | gateway.LogUnavailable:
