What peers told of the log is not read again, nor undone

Its next read of the log began at the own offset. And it applied its records over what the peer had read further: an older entry of a target, or an older removal, on a newer one, after which the offset went back.

A follower begins at the offset up to which the view is known, from whomever, and records before it are left out, by their own offsets; a listing that is older than the view is not applied.

--- a/agatewing/fleetlog/_ports.py
+++ b/agatewing/fleetlog/_ports.py
@@ -34,6 +34,8 @@
     key: str
     #: Value; ``None`` if the key was removed.
     value: bytes | None
+    #: Offset in the topic; ``None`` if it is not known.
+    offset: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -52,6 +52,7 @@
         "_clock",
         "_on_change",
         "configuration",
+        "config_position",
         "caller_limits",
         "routes",
         "accounts",
@@ -87,6 +88,9 @@
         self._on_change = on_change
         #: Configuration in force; ``None`` before the first.
         self.configuration: _contracts.Configuration | None = None
+        #: Era of the log, 0 if it named none, and offset up to which
+        #: configurations were read, here or by the peer that they are from.
+        self.config_position = (0, 0)
         #: Limits on callers of that configuration.
         self.caller_limits = _caller_limits.CallerLimitsInForce(clock)
         #: Routes of that configuration.
@@ -150,9 +154,19 @@
         self._unread_s = now - self._read_at
         self._read_at = now
 
-    def record_config_read(self) -> None:
-        """Record that the configuration is the newest one in the log."""
+    def record_config_read(self, through: int | None = None) -> None:
+        """Record that the configuration is the newest one in the log.
+
+        ``through`` is the offset up to which the log was read; ``None`` if
+        it is the same as before.
+        """
         self._config_read_at = self._clock.monotonic()
+        if through is not None:
+            self.config_position = (self.config_position[0], through)
+
+    def begin_config_era(self, era: int) -> None:
+        """Record that configurations are read from another era of the log."""
+        self.config_position = (era, 0)
 
     def read_state(self) -> _contracts.ReadState:
         """Return what was read of the log, here or by peers, and its age."""
@@ -374,6 +388,8 @@
             known.position[1] if known and changed is not None else None,
             removed,
             back_s if math.isfinite(back_s) else None,
+            self.config_version,
+            self.config_position,
         )
 
     def _changed_since(
@@ -403,6 +419,7 @@
         configuration = snapshot.configuration
         if configuration is not None and self._is_whole(configuration):
             self.apply_configuration(configuration, peer)
+        self._merge_config_position(snapshot)
         self.log_era.observe(snapshot.era or None)
         if (snapshot.era, snapshot.through) <= self.position:
             return
@@ -428,6 +445,22 @@
             self.update_target(name, None)
         self.end_batch(snapshot.through)
 
+    def _merge_config_position(self, snapshot: _contracts.Snapshot) -> None:
+        """Take over how far a peer has read what is in force here too.
+
+        The log need not be read again up to there: a configuration may have
+        hundreds of kilobytes.
+        """
+        if (
+            snapshot.config_position is not None
+            and snapshot.config_version
+            and snapshot.config_version <= self.config_version
+        ):
+            self.log_era.observe(snapshot.config_position[0] or None)
+            self.config_position = max(
+                self.config_position, snapshot.config_position
+            )
+
     def _is_whole(self, received: _contracts.Configuration) -> bool:
         """Return whether a peer's configuration may be put in force.
 
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -221,6 +221,11 @@
     #: Seconds since the log was back after an outage or a restore; ``None``
     #: if the sender saw none.
     log_back_s: float | None = None
+    #: Version of the configuration in force at the sender; 0 for none.
+    config_version: int = 0
+    #: Era of the log, and offset up to which the sender has read
+    #: configurations; ``None`` if it is not known.
+    config_position: tuple[int, int] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -69,6 +69,9 @@
     #: Called before ``replace_all`` with the era of its records if it is
     #: another one than that of the records so far.
     begin_era: collections.abc.Callable[[int], None] = lambda era: None
+    #: Returns the era, 0 if the log names none, and the offset up to which
+    #: the records are known, also from peers.
+    position: collections.abc.Callable[[], tuple[int, int]] = lambda: (0, 0)
 
 
 def _never_unavailable() -> bool:
@@ -267,6 +270,7 @@
         self._read_since = self._clock.monotonic()
         if self._offset is None or self._restored:
             return self._read_newest()
+        self._offset = self._known_through(self._offset)
         answer = self._read_unless_restored(self._offset)
         if answer is None:
             return self._read_newest()
@@ -277,11 +281,10 @@
         match answer:
             case fleetlog.Page(records=records, next_offset=offset):
                 self._log_records(len(records), offset)
-                for record in records:
-                    self._sink.apply(record)
-                self._offset = offset
+                self._apply_unknown(records)
+                self._offset = self._known_through(offset)
                 self._record_success()
-                self._sink.end_batch(offset)
+                self._sink.end_batch(self._offset)
                 self._record_proof()
                 return True
             case fleetlog.HistoryLost():
@@ -295,6 +298,25 @@
                 self._record_failure(reason)
         return False
 
+    def _known_through(self, offset: int) -> int:
+        """Return an offset, or the one up to which records are known."""
+        era, through = self._sink.position()
+        if era != (self._offset_era or 0):
+            return offset
+        return max(offset, through)
+
+    def _apply_unknown(
+        self, records: tuple[fleetlog.KeyedRecord, ...]
+    ) -> None:
+        """Apply records, without those that a peer has told meanwhile.
+
+        An older record must not replace what is known from a newer one.
+        """
+        through = self._known_through(0)
+        for record in records:
+            if record.offset is None or record.offset >= through:
+                self._sink.apply(record)
+
     def _log_records(self, count: int, offset: int) -> None:
         """Log what was read of a topic whose records are large."""
         if count and self._topic is fleetlog.Topic.CONFIGURATION:
@@ -373,15 +395,31 @@
         match answer:
             case fleetlog.Page(records=records, next_offset=offset, era=era):
                 self._record_success()
-                self._begin_era(known_era if era is None else era)
-                self._offset = offset
-                self._sink.replace_all(records, offset)
+                self._list_anew(
+                    records, offset, known_era if era is None else era
+                )
                 self._record_proof()
                 return True
             case fleetlog.LogUnavailable(reason=reason):
                 self._record_failure(reason)
         return False
 
+    def _list_anew(
+        self,
+        records: tuple[fleetlog.KeyedRecord, ...],
+        offset: int,
+        era: int | None,
+    ) -> None:
+        """Apply a listing, unless a peer has told of later records."""
+        known = self._sink.position()
+        if known > (era or 0, offset):
+            self._offset_era, self._offset = era, known[1]
+            self._sink.end_batch(known[1])
+            return
+        self._begin_era(era)
+        self._offset = offset
+        self._sink.replace_all(records, offset)
+
     def _begin_era(self, era: int | None) -> None:
         """Set the era of the records that follow."""
         if era is not None and era != self._offset_era:
@@ -441,12 +479,18 @@
     ) -> None:
         for record in records:
             apply(record)
-        catalog.record_config_read()
+        catalog.record_config_read(offset)
 
     def end_batch(offset: int) -> None:
-        catalog.record_config_read()
+        catalog.record_config_read(offset)
 
-    return Sink(replace_all, apply, end_batch)
+    return Sink(
+        replace_all,
+        apply,
+        end_batch,
+        begin_era=catalog.begin_config_era,
+        position=lambda: catalog.config_position,
+    )
 
 
 def target_sink(catalog: _catalog.Catalog, decoder: _ports.Decoder) -> Sink:
@@ -481,4 +525,5 @@
         end_batch,
         catalog.record_unavailable,
         catalog.begin_era,
+        lambda: catalog.position,
     )
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -9,6 +9,8 @@
 
 from agatewing import _clock
 from agatewing import gateway
+from agatewing.gateway import _catalog
+from agatewing.gateway import _contracts
 from agatewing.gateway import _follow
 from agatewing.gateway import _log_turns
 
@@ -27,6 +29,9 @@
     #: Time that each read may wait, in seconds; ``None`` for a listing.
     waits: list[float | None] = dataclasses.field(default_factory=list)
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(self, topic: gateway.Topic) -> Answer:
         self.waits.append(None)
         return self.answers.pop(0)
@@ -189,6 +194,9 @@
         self._clock = clock
         self._answer_s = answer_s
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(self, topic: gateway.Topic) -> Answer:
         return PAGE
 
@@ -241,3 +249,117 @@
         assert log.waits[1:2] == [0.0]
     finally:
         reading.kill()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldCase:
+    """What a peer tells of a log of five records, and what is done then."""
+
+    #: Position that a peer tells while the second read waits.
+    told: tuple[int, int]
+    #: Era and records of the answer to that read, from offset 3 on.
+    era: int
+    #: Offsets of the records that are applied, and where the next read begins.
+    applied: list[int]
+    next_offset: int
+
+
+TOLD_CASES = {
+    "nothing": ToldCase((1, 3), 1, [3, 4], 5),
+    "a part of the answer": ToldCase((1, 4), 1, [4], 5),
+    "all of it": ToldCase((1, 5), 1, [], 5),
+    "more": ToldCase((1, 9), 1, [], 9),
+    "what is of an older era": ToldCase((0, 9), 1, [3, 4], 5),
+}
+
+
+# A read that ended after a peer had told of later records applied its own over
+# them: targets that had left came back, and offsets went back.
+@pytest.mark.parametrize("name", TOLD_CASES)
+def test_an_older_record_does_not_replace_what_a_peer_told(name: str) -> None:
+    case = TOLD_CASES[name]
+    position = [(1, 3)]
+    applied: list[int | None] = []
+    offsets: list[int] = []
+
+    class ToldLog(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            offsets.append(offset)
+            position[0] = case.told
+            records = tuple(
+                gateway.KeyedRecord("t", b"x", n) for n in range(offset, 5)
+            )
+            return gateway.Page(records, max(offset, 5), case.era)
+
+    follower = _follow.Follower(
+        ToldLog([gateway.Page((), 3, 1)]),  # type: ignore[arg-type]
+        _clock.ManualClock(),
+        gateway.Topic.TARGETS,
+        _follow.Sink(
+            lambda records, offset: None,
+            lambda record: applied.append(record.offset),
+            lambda offset: None,
+            position=lambda: position[0],
+        ),
+    )
+    for _ in range(3):
+        assert follower.step()
+    assert applied == case.applied
+    assert offsets == [3, case.next_offset]
+
+
+# The next read of the log had every configuration that peers had given since
+# the last one, a quarter of a megabyte each.
+@pytest.mark.parametrize(
+    ("version", "offset"), [(4, 9), (3, 9), (5, 2)], ids=str
+)
+def test_what_a_peer_told_is_not_read_again(version: int, offset: int) -> None:
+    offsets: list[int] = []
+
+    class Log(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            offsets.append(offset)
+            return gateway.Page((), offset)
+
+    catalog = _catalog.Catalog(_clock.ManualClock(), lambda: None)
+    follower = _follow.Follower(
+        Log([gateway.Page((), 2)]),  # type: ignore[arg-type]
+        _clock.ManualClock(),
+        gateway.Topic.CONFIGURATION,
+        _follow.configuration_sink(catalog, None),  # type: ignore[arg-type]
+    )
+    assert follower.step()
+    limits = gateway.CallerLimits()
+    catalog.apply_configuration(
+        gateway.Configuration(4, (), {}, limits), "peer"
+    )
+    told = _contracts.Snapshot(
+        None, (), 0, 0.0, config_version=version, config_position=(0, 9)
+    )
+    catalog.merge_snapshot(told, "peer")
+    assert follower.step()
+    assert offsets == [offset]
+    assert catalog.snapshot().config_position == (0, offset)
+
+
+# A peer's snapshot that came while a listing was on its way was undone by it.
+def test_an_older_listing_does_not_replace_what_a_peer_told() -> None:
+    replaced: list[int] = []
+    ended: list[int] = []
+    follower = _follow.Follower(
+        WaitingLog([gateway.Page((), 3, 1)]),  # type: ignore[arg-type]
+        _clock.ManualClock(),
+        gateway.Topic.TARGETS,
+        _follow.Sink(
+            lambda records, offset: replaced.append(offset),
+            lambda record: None,
+            ended.append,
+            position=lambda: (1, 7),
+        ),
+    )
+    assert follower.step()
+    assert (replaced, ended) == ([], [7])
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -334,20 +334,20 @@
         position += length
         if len(content) < length:
             return gateway.LogUnavailable("the answer ends inside a record")
+        record = _decode_record(content, offset + count)
         count += 1
-        record = _decode_record(content)
         if record is not None:
             records.append(record)
     return gateway.Page(tuple(records), offset + count)
 
 
-def _decode_record(content: bytes) -> gateway.KeyedRecord | None:
+def _decode_record(content: bytes, offset: int) -> gateway.KeyedRecord | None:
     """Decode a record; ``None`` if it is too short for its key."""
     if not content or len(content) < 1 + content[0]:
         return None
     key = content[1 : 1 + content[0]].decode("utf-8", "replace")
     value = content[1 + content[0] :]
-    return gateway.KeyedRecord(key, value or None)
+    return gateway.KeyedRecord(key, value or None, offset)
 
 
 def _decode_item(item: _Item) -> gateway.KeyedRecord:
--- a/agatewing/platform/tests/test_log_answers.py
+++ b/agatewing/platform/tests/test_log_answers.py
@@ -26,9 +26,9 @@
 
 
 def test_a_whole_read_holds_its_records() -> None:
-    record = gateway.KeyedRecord("key", b"vv")
+    records = tuple(gateway.KeyedRecord("key", b"vv", n) for n in (5, 6))
     page = platform.decode_read(HEADER + RECORD + RECORD, 5)
-    assert page == gateway.Page((record, record), 7)
+    assert page == gateway.Page(records, 7)
 
 
 # A read ended with its connection when the log closed that, though another
