A failed read of a topic does not end one whose answer is arriving

Cause: after the first failed read of a topic, the reads of the others are repeated at once, as their connections may be dead too. On a slow link the answer to a read of the targets waits behind a configuration; after 0.6 s that read failed, and the read of the configuration that had half arrived was ended and begun anew.

A client now tells whether the body of an answer is arriving, which shows that the connection is alive. Such a read goes on; the time limits for each piece and for the whole body hold as before.

test_a_failed_read_does_not_end_one_whose_answer_arrives[True] fails before: reads with waits of 4 and 0 s instead of one. The case without bytes, a dead connection, is repeated as before.

--- a/agatewing/duties/tests/_fakes.py
+++ b/agatewing/duties/tests/_fakes.py
@@ -53,6 +53,9 @@
         #: Delayed writes, with the end offset that they require.
         self.delayed: list[tuple[bytes, int]] = []
 
+    def arriving(self, topic: fleetlog.Topic) -> bool:
+        return False
+
     def read_newest(
         self, topic: fleetlog.Topic
     ) -> fleetlog.Page | fleetlog.LogUnavailable:
--- a/agatewing/fleetlog/_ports.py
+++ b/agatewing/fleetlog/_ports.py
@@ -113,6 +113,12 @@
         Waits for up to ``wait_s`` seconds if there are none.
         """
 
+    def arriving(self, topic: Topic) -> bool:
+        """Return whether a part of an answer to a read has arrived.
+
+        Its connection is alive then.
+        """
+
     def put(
         self, topic: Topic, key: str, value: bytes
     ) -> Stored | LogUnavailable:
--- a/agatewing/fleetlog/tests/test_eras.py
+++ b/agatewing/fleetlog/tests/test_eras.py
@@ -29,6 +29,9 @@
 
     answers: list[Answer]
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(self, topic: gateway.Topic) -> Answer:
         return self.answers.pop(0)
 
@@ -316,6 +319,9 @@
         )
         return gateway.Page(newest, len(self.records), self.named_era)
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(self, topic: gateway.Topic) -> Answer:
         late, self.late = self.late, None
         return late or self._listing()
--- a/agatewing/gateway/_follow.py
+++ b/agatewing/gateway/_follow.py
@@ -89,7 +89,8 @@
 class ReadFailures:
     """Tells the followers of one log of each other's failed reads.
 
-    After one, the connections of the others may be dead as well.
+    After one, the connections of the others may be dead as well, unless an
+    answer is arriving on them.
     """
 
     __slots__ = ("failed",)
@@ -348,8 +349,12 @@
         # none waits long until the log has answered.
         if not self.failed_reads and not self._wanted.is_set():
             wait_s = self._limits.turns.wait_s(self._topic)
-            events = [risen, self._limits.failures.failed, self._wanted]
-            answer = self._read_until(offset, wait_s, events)
+            answer = self._read_until(
+                offset,
+                wait_s,
+                [risen, self._wanted],
+                self._limits.failures.failed,
+            )
             if answer is not None or risen.is_set():
                 return answer
         return self._read_until(offset, 0.0, [risen])
@@ -359,12 +364,19 @@
         offset: int,
         wait_s: float,
         events: list[gevent.event.Event],
+        failed: gevent.event.Event | None = None,
     ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable | None:
-        """Read from an offset; ``None`` if one of the events is set first."""
+        """Read from an offset; ``None`` if one of the events is set first.
+
+        ``failed`` is such an event only while no answer is arriving.
+        """
         self._begin_call(wait_s)
         reading = gevent.spawn(self._log.read, self._topic, offset, wait_s)
+        ends = [reading, *events]
         try:
-            gevent.wait([reading, *events], count=1)
+            gevent.wait([*ends, *([failed] if failed else [])], count=1)
+            if self._log.arriving(self._topic):
+                gevent.wait(ends, count=1)
             return reading.get() if reading.ready() else None
         finally:
             reading.kill()
--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -363,3 +363,46 @@
     )
     assert follower.step()
     assert (replaced, ended) == ([], [7])
+
+
+# The answer to a read of the targets waited behind a configuration on a slow
+# link; its failure ended the read of the configuration that had half arrived.
+@pytest.mark.parametrize(
+    ("arriving", "reads"), [(True, [4.0]), (False, [4.0, 0.0])]
+)
+def test_a_failed_read_does_not_end_one_whose_answer_arrives(
+    arriving: bool, reads: list[float]
+) -> None:
+    clock = _clock.ManualClock()
+    waits: list[float] = []
+
+    class ArrivingLog(WaitingLog):
+        def arriving(self, topic: gateway.Topic) -> bool:
+            return arriving
+
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            waits.append(wait_s)
+            clock.sleep(2.0)
+            return PAGE
+
+    limits = _follow.ReadLimits()
+    follower = _follow.Follower(
+        ArrivingLog([PAGE]),  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.CONFIGURATION,
+        NO_SINK,
+        limits,
+    )
+    follower.step()
+    reading = gevent.spawn(follower.step)
+    try:
+        clock.advance(1.0)
+        limits.failures.record()
+        for _ in range(30):
+            clock.advance(0.1)
+        assert waits == reads
+        assert reading.ready()
+    finally:
+        reading.kill()
--- a/agatewing/gateway/tests/test_silent_reads.py
+++ b/agatewing/gateway/tests/test_silent_reads.py
@@ -61,6 +61,9 @@
         """Have all open connections carry nothing from now on."""
         self._silenced_at = self._clock.monotonic()
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        return False
+
     def read_newest(
         self, topic: Topic
     ) -> gateway.Page | gateway.LogUnavailable:
--- a/agatewing/net/_http_client.py
+++ b/agatewing/net/_http_client.py
@@ -409,6 +409,7 @@
         "_max_answer_bytes",
         "_resends",
         "_room",
+        "arriving",
     )
 
     def __init__(
@@ -438,6 +439,9 @@
         """
         #: IP number and port.
         self.address = address
+        #: Number of calls of which the head of the answer has arrived, and the
+        #: body is arriving.
+        self.arriving = 0
         longest_s = silence_timeout_s + PIECE_TIMEOUT_S
         self._piece_timeout_s = piece_timeout_s or longest_s
         self._head_timeout_s = connect_timeout_s + longest_s
@@ -578,6 +582,7 @@
         answer = self.open(
             method, path, body, headers, may_send, head_timeout_s
         )
+        self.arriving += 1
         try:
             with gevent.Timeout(
                 self._body_timeout_s, TimeoutError("no whole body in time")
@@ -591,6 +596,8 @@
         except gevent.GreenletExit:
             answer.close()
             raise
+        finally:
+            self.arriving -= 1
         if answer.ends_by_close and raw and _is_cut_json(answer, raw):
             raise _exceptions.TargetSilentError(
                 self.address, "connection closed inside a JSON answer"
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -212,6 +212,10 @@
             case _Body(raw=raw, era=era):
                 return dataclasses.replace(decode_read(raw, offset), era=era)
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        """Return whether a part of an answer to a read has arrived."""
+        return self._readers[topic].arriving > 0
+
     def put(
         self, topic: gateway.Topic, key: str, value: bytes
     ) -> gateway.Stored | gateway.LogUnavailable:
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -64,6 +64,10 @@
         page = self._log.read(topic, offset, wait_s)
         return gateway.LogUnavailable("cut off") if self.disconnected else page
 
+    def arriving(self, topic: gateway.Topic) -> bool:
+        """Return whether a part of an answer to a read has arrived."""
+        return not self.disconnected and self._log.arriving(topic)
+
     def put(
         self, topic: gateway.Topic, key: str, value: bytes
     ) -> gateway.Stored | gateway.LogUnavailable:
