Peers send each other what differs of a configuration, compressed

Cause: what passed between instances did not depend on what had changed. One route more of 1,449 sent 336 kB to each instance, from any number of peers at once, over links of 5 Mbit/s on which requests wait. All instances then read the log instead, 257 kB each.

A request now names the digest of the configuration that its sender has, and the compression that it understands. The configuration comes compressed by zstd against that one: a reply to an instance that lacks one route has 270 bytes, to one that lacks 1,400 some 33 kB. The digest makes sure that both mean the same base, zstd's checksum that the result is whole. An instance sends two replies of 16 kB and more at a time, and leaves the configuration out of further ones; those that have it pass it on. Each piece of a reply has 0.6 s, the whole 5 s. While the log is unavailable, no more than two requests are open.

Earlier releases: a request without these fields gets the whole configuration as plain JSON, and a reply without them is read as before.

test_a_large_configuration_is_in_force_in_time_on_slow_links fails before: all 30 instances with slow links of 36 are late, 0 after. So does test_a_reply_may_take_long_while_it_arrives[slow]; the tests of the size of a reply and of few large ones need the new fields.

--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -18,6 +18,7 @@
 from agatewing import accounts
 from agatewing import fleetlog
 from agatewing.gateway import _caller_limits
+from agatewing.gateway import _config_patches
 from agatewing.gateway import _contracts
 from agatewing.gateway import _gone_targets
 from agatewing.gateway import _routes
@@ -52,6 +53,7 @@
         "_clock",
         "_on_change",
         "configuration",
+        "config_patches",
         "config_position",
         "caller_limits",
         "routes",
@@ -88,6 +90,8 @@
         self._on_change = on_change
         #: Configuration in force; ``None`` before the first.
         self.configuration: _contracts.Configuration | None = None
+        #: That configuration and the last ones, as peers get them.
+        self.config_patches = _config_patches.ConfigPatches()
         #: Era of the log, 0 if it named none, and offset up to which
         #: configurations were read, here or by the peer that they are from.
         self.config_position = (0, 0)
@@ -237,6 +241,7 @@
         if present is not None and configuration.version <= present.version:
             return False
         self.configuration = configuration
+        self.config_patches.record(configuration)
         self.caller_limits.apply(configuration.limits)
         self.routes = _routes.RouteTable(configuration.routes)
         self.accounts = accounts.AccountTable(
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import dataclasses
 import logging
 import random
 import socket
@@ -25,6 +26,7 @@
 from agatewing import detour
 from agatewing import fleetlog
 from agatewing.gateway import _catalog
+from agatewing.gateway import _config_patches
 from agatewing.gateway import _contracts
 from agatewing import net
 from agatewing import wire
@@ -33,8 +35,17 @@
 
 #: Stream name that requests a snapshot in a state request.
 SNAPSHOT_STREAM = "gateway-snapshot"
-#: Timeout of a whole exchange, in seconds.
+#: Timeout of a whole exchange; of one for a snapshot, the time within which
+#: each piece of it has to follow the one before. In seconds.
 EXCHANGE_S = 0.6
+#: Timeout of a whole exchange for a snapshot, in seconds: the largest
+#: configuration takes 0.6 s of an idle link of 5 Mbit/s, and links are shared.
+SNAPSHOT_S = 5.0
+#: Size from which on a reply is large, in bytes, and number of those that one
+#: instance sends at a time: more would only slow each other down, and the
+#: peers that have one pass it on.
+LARGE_REPLY_BYTES = 16_384
+MAX_LARGE_REPLIES = 2
 #: Time between two rounds of snapshot requests while the log is unavailable,
 #: in seconds; several fit into the two seconds in which a configuration or a
 #: drain has to be followed.
@@ -105,6 +116,8 @@
         "hop_server",
         "requests_sent",
         "_request_pending",
+        "_requests_open",
+        "_large_replies",
         "_restored",
     )
 
@@ -149,6 +162,10 @@
         #: Number of snapshot requests sent.
         self.requests_sent = 0
         self._request_pending = False
+        # Number of requests for snapshots that are not answered yet, and of
+        # large replies that are being sent.
+        self._requests_open = 0
+        self._large_replies = 0
         # Whether the next listing is the first of a restored log.
         self._restored = False
 
@@ -217,7 +234,8 @@
                 gevent.spawn(self._request_snapshot, seed, seed)
             return
         names = sorted(self.known)
-        chosen = self._random.sample(names, min(PEERS_PER_ROUND, len(names)))
+        count = min(PEERS_PER_ROUND - self._requests_open, len(names))
+        chosen = self._random.sample(names, max(0, count))
         for name in chosen:
             gevent.spawn(
                 self._request_snapshot, name, self.known[name].address
@@ -249,7 +267,12 @@
 
     def _request_snapshot(self, name: str, address: str) -> None:
         self.requests_sent += 1
-        match self._fetch(address):
+        self._requests_open += 1
+        try:
+            fetched = self._fetch(address)
+        finally:
+            self._requests_open -= 1
+        match fetched:
             case result.Ok(snapshot):
                 self._catalog.merge_snapshot(snapshot, f"peer {name}")
             case result.Err(reason):
@@ -259,16 +282,16 @@
                 )
 
     def _fetch(self, address: str) -> result.Result[_contracts.Snapshot, str]:
-        state = self._catalog.read_state()
+        patches = self._catalog.config_patches
         request = wire.StateRequest(
-            stream=SNAPSHOT_STREAM, key=_encode_state(state)
+            stream=SNAPSHOT_STREAM,
+            key=_encode_state(self._catalog.read_state()),
+            encodings=[_config_patches.ENCODING],
+            config_digest=patches.newest,
         )
-        match exchange(self.codec, address, request):
-            case result.Err() as failure:
-                return failure
-            case result.Ok(reply):
-                pass
-        return _decoding.decode_json(reply.state, _contracts.Snapshot)
+        return exchange(
+            self.codec, address, request, whole_s=SNAPSHOT_S
+        ).and_then(lambda reply: _decode_snapshot(reply, patches))
 
     def _serve(
         self, sock: gevent.socket.socket, address: tuple[str, int]
@@ -276,12 +299,14 @@
         try:
             with gevent.Timeout(EXCHANGE_S, TimeoutError("slow peer")):
                 data = wire.read_frame(sock, limit=4_096)
-                request = self.codec.decode(wire.StateRequest, data)
-                hop_server = self._hop_server_for(request)
-                if hop_server is None:
-                    self._answer(sock, request)
+            request = self.codec.decode(wire.StateRequest, data)
+            hop_server = self._hop_server_for(request)
             if hop_server is not None:
                 hop_server.serve(sock, request.unwrap())
+                return
+            sock.settimeout(EXCHANGE_S)
+            with gevent.Timeout(SNAPSHOT_S, TimeoutError("slow peer")):
+                self._answer(sock, request)
         except (OSError, ValueError) as exc:
             _log.info("peers: state request ended early: %s", exc)
         finally:
@@ -305,26 +330,53 @@
         match request:
             case result.Ok(asked):
                 reply = self._reply_to(asked)
-                wire.send_frame(sock, self.codec.encode(reply))
+                data = self.codec.encode(reply)
+                large = len(data) >= LARGE_REPLY_BYTES
+                self._large_replies += large
+                try:
+                    wire.send_frame(sock, data)
+                finally:
+                    self._large_replies -= large
             case result.Err(exc):
                 _log.warning("peers: rejected a state request: %s", exc)
 
     def _reply_to(self, request: wire.StateRequest) -> wire.StateReply:
         other = self.replies.get(request.stream)
-        key = request.key or ""
-        return other(key) if other is not None else self.reply(key)
+        if other is not None:
+            return other(request.key or "")
+        return self.reply(request)
 
-    def reply(self, key: str = "") -> wire.StateReply:
+    def reply(self, request: wire.StateRequest) -> wire.StateReply:
         """Return the reply that carries the snapshot of this instance.
 
-        ``key`` is what the peer has read; it gets the changes since.
+        The peer gets the changes since what its request says that it has
+        read. While as many large replies as may be are on their way, the
+        configuration is left out unless its differences are small; another
+        peer may send it.
         """
-        snapshot = self._catalog.snapshot(_decode_state(key))
-        return wire.StateReply(
+        snapshot = self._catalog.snapshot(_decode_state(request.key or ""))
+        reply = wire.StateReply(
             known=self._catalog.configuration is not None,
             through=snapshot.through,
-            state=msgspec.json.encode(snapshot),
         )
+        may_be_large = self._large_replies < MAX_LARGE_REPLIES
+        if _config_patches.ENCODING not in (request.encodings or ()):
+            if not may_be_large:
+                snapshot = dataclasses.replace(snapshot, configuration=None)
+            reply.state = msgspec.json.encode(snapshot)
+            return reply
+        patch = self._catalog.config_patches.patch(request.config_digest)
+        if snapshot.configuration is not None and patch is not None:
+            if may_be_large or len(patch.data) < LARGE_REPLY_BYTES:
+                reply.configuration = patch.data
+                reply.config_base = patch.base
+        reply.encoding = _config_patches.ENCODING
+        reply.state = _config_patches.compress(
+            msgspec.json.encode(
+                dataclasses.replace(snapshot, configuration=None)
+            )
+        )
+        return reply
 
 
 def _encode_state(state: _contracts.ReadState) -> str:
@@ -344,17 +396,48 @@
     return _contracts.ReadState(version, (era, through))
 
 
+def _decode_snapshot(
+    reply: wire.StateReply, patches: _config_patches.ConfigPatches
+) -> result.Result[_contracts.Snapshot, str]:
+    """Return the snapshot of a reply, or why it has none.
+
+    Releases that name no encoding send all of it as plain JSON.
+    """
+    state: result.Result[bytes, str] = result.Ok(reply.state)
+    if reply.encoding == _config_patches.ENCODING:
+        state = _config_patches.decompress(reply.state)
+    decoded = state.and_then(
+        lambda raw: _decoding.decode_json(raw, _contracts.Snapshot)
+    )
+    if reply.configuration is None:
+        return decoded
+    patch = _config_patches.Patch(reply.configuration, reply.config_base)
+    return decoded.and_then(
+        lambda snapshot: patches.apply(patch).map(
+            lambda configuration: dataclasses.replace(
+                snapshot, configuration=configuration
+            )
+        )
+    )
+
+
 def exchange(
-    codec: wire.Codec, address: str, request: wire.StateRequest
+    codec: wire.Codec,
+    address: str,
+    request: wire.StateRequest,
+    whole_s: float = EXCHANGE_S,
 ) -> result.Result[wire.StateReply, str]:
     """Send a request to a peer; return its reply, or why there is none.
 
-    Takes ``EXCHANGE_S`` at most.
+    Takes ``whole_s`` seconds at most, and ``EXCHANGE_S`` for the connection
+    and for each piece of the reply.
     """
     try:
-        with gevent.Timeout(EXCHANGE_S, TimeoutError("no answer")):
+        with gevent.Timeout(whole_s, TimeoutError("no answer")):
             host_port = net.split_address(address)
-            sock = gevent.socket.create_connection(host_port)
+            sock = gevent.socket.create_connection(
+                host_port, timeout=EXCHANGE_S
+            )
             with sock:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 wire.send_frame(sock, codec.encode(request))
--- a/agatewing/platform/tests/test_odd_entries.py
+++ b/agatewing/platform/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 from agatewing import gateway
 from agatewing import platform
 from agatewing.platform import standins
+from agatewing import wire
 
 #: Number of brackets beyond what any decoder follows.
 DEPTH = 200_000
@@ -148,7 +149,7 @@
         for instance in instances:
             site.wait(lambda: set(instance.catalog.targets) == {"e1", "e2"})
             site.wait(lambda: instance.catalog.config_version == version)
-            assert instance.peers.reply().known
+            assert instance.peers.reply(wire.StateRequest()).known
             for number in range(4):
                 reply = site.ask(instance, "/find/x", f"r{number}")
                 assert (reply.status, reply.complete) == (200, True)
--- a/agatewing/wire/_frames.py
+++ b/agatewing/wire/_frames.py
@@ -6,11 +6,16 @@
 
 #: Length of the big-endian length prefix of a message, in bytes.
 LENGTH_BYTES = 4
+#: Size of the pieces in which a message is sent, in bytes; the timeout of the
+#: socket holds for each of them.
+PIECE_BYTES = 16_384
 
 
 def send_frame(sock: gevent.socket.socket, data: bytes) -> None:
     """Send a message with its length prefix."""
-    sock.sendall(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+    framed = memoryview(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+    for start in range(0, len(framed), PIECE_BYTES):
+        sock.sendall(framed[start : start + PIECE_BYTES])
 
 
 def read_frame(
--- a/agatewing/wire/gen/peer/ttypes.py
+++ b/agatewing/wire/gen/peer/ttypes.py
@@ -597,18 +597,24 @@
     Attributes:
      - stream
      - key
+     - encodings
+     - config_digest
 
     """
 
     __slots__ = (
         'stream',
         'key',
+        'encodings',
+        'config_digest',
     )
 
 
-    def __init__(self, stream=None, key=None,):
+    def __init__(self, stream=None, key=None, encodings=None, config_digest=None,):
         self.stream = stream
         self.key = key
+        self.encodings = encodings
+        self.config_digest = config_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -629,6 +635,21 @@
                     self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.encodings = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.encodings.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.config_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -647,6 +668,17 @@
             oprot.writeFieldBegin('key', TType.STRING, 2)
             oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
+        if self.encodings is not None:
+            oprot.writeFieldBegin('encodings', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.encodings))
+            for iter20 in self.encodings:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.config_digest is not None:
+            oprot.writeFieldBegin('config_digest', TType.STRING, 4)
+            oprot.writeBinary(self.config_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -680,6 +712,9 @@
      - known
      - through
      - state
+     - encoding
+     - configuration
+     - config_base
 
     """
 
@@ -687,13 +722,19 @@
         'known',
         'through',
         'state',
+        'encoding',
+        'configuration',
+        'config_base',
     )
 
 
-    def __init__(self, known=None, through=None, state=None,):
+    def __init__(self, known=None, through=None, state=None, encoding=None, configuration=None, config_base=None,):
         self.known = known
         self.through = through
         self.state = state
+        self.encoding = encoding
+        self.configuration = configuration
+        self.config_base = config_base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -719,6 +760,21 @@
                     self.state = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.encoding = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.configuration = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.config_base = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -741,6 +797,18 @@
             oprot.writeFieldBegin('state', TType.STRING, 3)
             oprot.writeBinary(self.state)
             oprot.writeFieldEnd()
+        if self.encoding is not None:
+            oprot.writeFieldBegin('encoding', TType.STRING, 4)
+            oprot.writeString(self.encoding.encode('utf-8') if sys.version_info[0] == 2 else self.encoding)
+            oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.STRING, 5)
+            oprot.writeBinary(self.configuration)
+            oprot.writeFieldEnd()
+        if self.config_base is not None:
+            oprot.writeFieldBegin('config_base', TType.STRING, 6)
+            oprot.writeBinary(self.config_base)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1144,20 +1212,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readI32()
-                        self.engines.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI32()
+                        self.engines.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readI32()
-                        self.prompts.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI32()
+                        self.prompts.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1169,10 +1237,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.trials = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = iprot.readI32()
-                        self.trials.append(_elem31)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readI32()
+                        self.trials.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1203,15 +1271,15 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.engines))
-            for iter32 in self.engines:
-                oprot.writeI32(iter32)
+            for iter39 in self.engines:
+                oprot.writeI32(iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.prompts))
-            for iter33 in self.prompts:
-                oprot.writeI32(iter33)
+            for iter40 in self.prompts:
+                oprot.writeI32(iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1221,8 +1289,8 @@
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.trials))
-            for iter34 in self.trials:
-                oprot.writeI32(iter34)
+            for iter41 in self.trials:
+                oprot.writeI32(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trial_age_ms is not None:
@@ -1770,40 +1838,40 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readI32()
-                        self.accounts.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.accounts.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.may_wait = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readBool()
-                        self.may_wait.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readBool()
+                        self.may_wait.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readI32()
-                        self.recent.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readI32()
+                        self.recent.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.usual = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readI32()
-                        self.usual.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI32()
+                        self.usual.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1820,29 +1888,29 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 1)
             oprot.writeListBegin(TType.I32, len(self.accounts))
-            for iter59 in self.accounts:
-                oprot.writeI32(iter59)
+            for iter66 in self.accounts:
+                oprot.writeI32(iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.may_wait is not None:
             oprot.writeFieldBegin('may_wait', TType.LIST, 2)
             oprot.writeListBegin(TType.BOOL, len(self.may_wait))
-            for iter60 in self.may_wait:
-                oprot.writeBool(iter60)
+            for iter67 in self.may_wait:
+                oprot.writeBool(iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.recent))
-            for iter61 in self.recent:
-                oprot.writeI32(iter61)
+            for iter68 in self.recent:
+                oprot.writeI32(iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usual is not None:
             oprot.writeFieldBegin('usual', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.usual))
-            for iter62 in self.usual:
-                oprot.writeI32(iter62)
+            for iter69 in self.usual:
+                oprot.writeI32(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1955,61 +2023,61 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.engines.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.engines.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readI32()
-                        self.tokens.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readI32()
+                        self.tokens.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.sequences = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = iprot.readI32()
-                        self.sequences.append(_elem80)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = iprot.readI32()
+                        self.sequences.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.long_tokens = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = iprot.readI32()
-                        self.long_tokens.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = iprot.readI32()
+                        self.long_tokens.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.kv_tokens = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = iprot.readI32()
-                        self.kv_tokens.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = iprot.readI32()
+                        self.kv_tokens.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = StreamDemand()
-                        _elem98.read(iprot)
-                        self.demand.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = StreamDemand()
+                        _elem105.read(iprot)
+                        self.demand.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2048,43 +2116,43 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter99 in self.engines:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter106 in self.engines:
+                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter100 in self.tokens:
-                oprot.writeI32(iter100)
+            for iter107 in self.tokens:
+                oprot.writeI32(iter107)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sequences is not None:
             oprot.writeFieldBegin('sequences', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.sequences))
-            for iter101 in self.sequences:
-                oprot.writeI32(iter101)
+            for iter108 in self.sequences:
+                oprot.writeI32(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.long_tokens is not None:
             oprot.writeFieldBegin('long_tokens', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.long_tokens))
-            for iter102 in self.long_tokens:
-                oprot.writeI32(iter102)
+            for iter109 in self.long_tokens:
+                oprot.writeI32(iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kv_tokens is not None:
             oprot.writeFieldBegin('kv_tokens', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.kv_tokens))
-            for iter103 in self.kv_tokens:
-                oprot.writeI32(iter103)
+            for iter110 in self.kv_tokens:
+                oprot.writeI32(iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter104 in self.demand:
-                iter104.write(oprot)
+            for iter111 in self.demand:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
@@ -2236,11 +2304,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = EngineWork()
-                        _elem110.read(iprot)
-                        self.work.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = EngineWork()
+                        _elem117.read(iprot)
+                        self.work.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2257,97 +2325,97 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.changing = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.changing.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.changing.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = PartsHeld()
-                        _elem122.read(iprot)
-                        self.held.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = PartsHeld()
+                        _elem129.read(iprot)
+                        self.held.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = StreamBegin()
-                        _elem128.read(iprot)
-                        self.begun.append(_elem128)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = StreamBegin()
+                        _elem135.read(iprot)
+                        self.begun.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = CrashSuspect()
-                        _elem134.read(iprot)
-                        self.suspects.append(_elem134)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = CrashSuspect()
+                        _elem141.read(iprot)
+                        self.suspects.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.served = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = ServedBlock()
-                        _elem140.read(iprot)
-                        self.served.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ServedBlock()
+                        _elem147.read(iprot)
+                        self.served.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = TargetLimit()
-                        _elem146.read(iprot)
-                        self.limits.append(_elem146)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = TargetLimit()
+                        _elem153.read(iprot)
+                        self.limits.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = CrashSuspect()
-                        _elem152.read(iprot)
-                        self.requests.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = CrashSuspect()
+                        _elem159.read(iprot)
+                        self.requests.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.served_requests = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = ServedBlock()
-                        _elem158.read(iprot)
-                        self.served_requests.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = ServedBlock()
+                        _elem165.read(iprot)
+                        self.served_requests.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = iprot.readI32()
-                        self.leaving.append(_elem164)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readI32()
+                        self.leaving.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2359,22 +2427,22 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = StreamDemand()
-                        _elem170.read(iprot)
-                        self.demand.append(_elem170)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = StreamDemand()
+                        _elem177.read(iprot)
+                        self.demand.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.measured = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = MeasuredTime()
-                        _elem176.read(iprot)
-                        self.measured.append(_elem176)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = MeasuredTime()
+                        _elem183.read(iprot)
+                        self.measured.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2426,8 +2494,8 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter177 in self.work:
-                iter177.write(oprot)
+            for iter184 in self.work:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -2441,64 +2509,64 @@
         if self.changing is not None:
             oprot.writeFieldBegin('changing', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.changing))
-            for iter178 in self.changing:
-                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
+            for iter185 in self.changing:
+                oprot.writeString(iter185.encode('utf-8') if sys.version_info[0] == 2 else iter185)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter179 in self.held:
-                iter179.write(oprot)
+            for iter186 in self.held:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter180 in self.begun:
-                iter180.write(oprot)
+            for iter187 in self.begun:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter181 in self.suspects:
-                iter181.write(oprot)
+            for iter188 in self.suspects:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter182 in self.served:
-                iter182.write(oprot)
+            for iter189 in self.served:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter183 in self.limits:
-                iter183.write(oprot)
+            for iter190 in self.limits:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter184 in self.requests:
-                iter184.write(oprot)
+            for iter191 in self.requests:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_requests is not None:
             oprot.writeFieldBegin('served_requests', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.served_requests))
-            for iter185 in self.served_requests:
-                iter185.write(oprot)
+            for iter192 in self.served_requests:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.leaving))
-            for iter186 in self.leaving:
-                oprot.writeI32(iter186)
+            for iter193 in self.leaving:
+                oprot.writeI32(iter193)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2508,15 +2576,15 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter187 in self.demand:
-                iter187.write(oprot)
+            for iter194 in self.demand:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.measured is not None:
             oprot.writeFieldBegin('measured', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.measured))
-            for iter188 in self.measured:
-                iter188.write(oprot)
+            for iter195 in self.measured:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_age_ms is not None:
@@ -2632,20 +2700,20 @@
             elif fid == 104:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.accounts.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accounts.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 105:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = iprot.readI64()
-                        self.counts.append(_elem200)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = iprot.readI64()
+                        self.counts.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2674,15 +2742,15 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 104)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter201 in self.accounts:
-                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
+            for iter208 in self.accounts:
+                oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 105)
             oprot.writeListBegin(TType.I64, len(self.counts))
-            for iter202 in self.counts:
-                oprot.writeI64(iter202)
+            for iter209 in self.counts:
+                oprot.writeI64(iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2877,11 +2945,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = HopField()
-                        _elem208.read(iprot)
-                        self.headers.append(_elem208)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = HopField()
+                        _elem215.read(iprot)
+                        self.headers.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2913,10 +2981,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem214)
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem221)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2961,8 +3029,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter215 in self.headers:
-                iter215.write(oprot)
+            for iter222 in self.headers:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body_bytes is not None:
@@ -2988,8 +3056,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter216 in self.excluded:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter223 in self.excluded:
+                oprot.writeString(iter223.encode('utf-8') if sys.version_info[0] == 2 else iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -3097,11 +3165,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = HopField()
-                        _elem222.read(iprot)
-                        self.headers.append(_elem222)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = HopField()
+                        _elem229.read(iprot)
+                        self.headers.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3118,10 +3186,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem228)
+                    (_etype233, _size230) = iprot.readListBegin()
+                    for _i234 in range(_size230):
+                        _elem235 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem235)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3142,8 +3210,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter229 in self.headers:
-                iter229.write(oprot)
+            for iter236 in self.headers:
+                iter236.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.target is not None:
@@ -3157,8 +3225,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter230 in self.excluded:
-                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
+            for iter237 in self.excluded:
+                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3274,10 +3342,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem236)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3323,8 +3391,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter237 in self.excluded:
-                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
+            for iter244 in self.excluded:
+                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.may_go_on is not None:
@@ -3569,6 +3637,8 @@
     None,  # 0
     (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'encodings', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.STRING, 'config_digest', 'BINARY', None, ),  # 4
 )
 all_structs.append(StateReply)
 StateReply.thrift_spec = (
@@ -3576,6 +3646,9 @@
     (1, TType.BOOL, 'known', None, None, ),  # 1
     (2, TType.I64, 'through', None, None, ),  # 2
     (3, TType.STRING, 'state', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'encoding', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'configuration', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'config_base', 'BINARY', None, ),  # 6
 )
 all_structs.append(EngineWork)
 EngineWork.thrift_spec = (
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -61,13 +61,25 @@
   1: required string stream,
   // Asks for one key of the state only.
   2: optional string key,
+  // Names of the compressions that the sender understands; absent from earlier
+  // releases.
+  3: optional list<string> encodings,
+  // Digest of the configuration that the sender has, from which the
+  // differences may be sent; absent without one.
+  4: optional binary config_digest,
 }
 
 struct StateReply {
   1: required bool known,
   2: required i64 through,
-  // State as JSON.
+  // State as JSON, compressed if an encoding is named.
   3: required binary state,
+  4: optional string encoding,
+  // Configuration as compressed JSON, which the state then leaves out.
+  5: optional binary configuration,
+  // Digest of the configuration from which it differs; absent if it is
+  // compressed by itself.
+  6: optional binary config_base,
 }
 
 // Load from requests that one instance has in flight at an engine.
