--- a/agatewing/gateway/tests/test_follow.py
+++ b/agatewing/gateway/tests/test_follow.py
@@ -8,6 +8,7 @@
 import pytest
 
 from agatewing import _clock
+from agatewing import _types
 from agatewing import gateway
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
@@ -346,6 +347,56 @@
     assert catalog.snapshot().config_position == (0, offset)
 
 
+# A target that had left got requests again: the read of an instance that was
+# behind brought its older entry back, after a peer had told that it left.
+@pytest.mark.parametrize("whole", [True, False], ids=["all", "the changes"])
+def test_a_target_that_left_does_not_come_back_by_an_older_read(
+    whole: bool,
+) -> None:
+    active = gateway.Target(
+        "t", "s", "10.0.0.1:80", "z", _types.TargetState.ACTIVE, 8
+    )
+    draining = dataclasses.replace(
+        active, state=_types.TargetState.DRAINING, sequence=7
+    )
+    clock = _clock.ManualClock()
+    catalog = _catalog.Catalog(clock, lambda: None)
+    #: What a peer tells while the read of offset 1 waits.
+    changes = [
+        _contracts.Snapshot(None, (draining,), 8, 0.0, base=1),
+        _contracts.Snapshot(None, (), 9, 0.0, base=8, removed=("t",)),
+    ]
+    told = [_contracts.Snapshot(None, (), 9, 0.0)] if whole else changes
+
+    class Log(WaitingLog):
+        def read(
+            self, topic: gateway.Topic, offset: int, wait_s: float
+        ) -> Answer:
+            for snapshot in told:
+                catalog.merge_snapshot(snapshot, "peer")
+            clock.advance(_catalog.RETURN_HOLD_S)
+            catalog.expire()
+            record = gateway.KeyedRecord("t", b"active", offset)
+            return gateway.Page((record,), offset + 1)
+
+    class Decoder:
+        def target(self, record: gateway.KeyedRecord) -> gateway.Target:
+            return active
+
+    listed = gateway.KeyedRecord("t", b"active")
+    follower = _follow.Follower(
+        Log([gateway.Page((listed,), 1)]),  # type: ignore[arg-type]
+        clock,
+        gateway.Topic.TARGETS,
+        _follow.target_sink(catalog, Decoder()),  # type: ignore[arg-type]
+    )
+    assert follower.step()
+    assert catalog.targets["t"].active
+    assert follower.step()
+    assert "t" not in catalog.targets
+    assert catalog.position == (0, 9)
+
+
 # A peer's snapshot that came while a listing was on its way was undone by it.
 def test_an_older_listing_does_not_replace_what_a_peer_told() -> None:
     replaced: list[int] = []
