--- a/agatewing/gateway/tests/test_silent_reads.py
+++ b/agatewing/gateway/tests/test_silent_reads.py
@@ -4,6 +4,7 @@
 they have read.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import random
@@ -48,8 +49,15 @@
 class SimulatedLog:
     """One instance's connections to a log of configuration versions."""
 
-    def __init__(self, clock: _clock.ManualClock, versions: list[int]) -> None:
+    def __init__(
+        self,
+        clock: _clock.ManualClock,
+        versions: list[int],
+        queue_s: float = 0.0,
+    ) -> None:
         self._clock = clock
+        # Time for which answers wait at the link, in seconds.
+        self._queue_s = queue_s
         # Versions of all configurations, oldest first; shared by all.
         self._versions = versions
         # Monotonic time up to which connections that were open are silent.
@@ -82,6 +90,7 @@
                 found = self._records(topic, offset)
                 waited_s = self._clock.monotonic() - started
                 if found or waited_s >= wait_s:
+                    self._clock.sleep(self._queue_s)
                     return gateway.Page(found, offset + len(found))
                 self._clock.sleep(min(STEP_S, wait_s - waited_s + 1e-6))
             limit_s = wait_s + platform_log.ANSWER_TIMEOUT_S
@@ -135,7 +144,17 @@
 class Fleet:
     """Instances that follow one log, and their reports to each other."""
 
-    def __init__(self, count: int, seed: int, apply_s: float) -> None:
+    def __init__(
+        self, count: int, seed: int, apply_s: float, queue_s: float = 0.0
+    ) -> None:
+        # Time for which answers of the log and reports wait at links, in
+        # seconds.
+        self._queue_s = queue_s
+        # Reports on their way: when each arrives, its sender, its receiver
+        # and what it tells.
+        self._reports: collections.deque[
+            tuple[float, Instance, Instance, _contracts.ReadState]
+        ] = collections.deque()
         self.clock = _clock.ManualClock()
         self.versions = [1]
         #: Monotonic time of the acknowledgement of each version.
@@ -160,7 +179,7 @@
     def _instance(self, number: int, count: int, apply_s: float) -> Instance:
         name, zone = f"i{number}", number // ZONE_SIZE
         catalog = _catalog.Catalog(self.clock, lambda: None)
-        log = SimulatedLog(self.clock, self.versions)
+        log = SimulatedLog(self.clock, self.versions, self._queue_s)
         rng = random.Random(self.rng.random())
         turns = _log_turns.LogTurns(
             name,
@@ -209,11 +228,19 @@
             if self._steps % REPORT_STEPS == 0:
                 for sender in self.instances:
                     self._report(sender)
+            self._deliver()
 
     def _report(self, sender: Instance) -> None:
         others = [i for i in self.instances if i is not sender]
+        at = self.clock.monotonic() + self._queue_s
         for receiver in self.rng.sample(others, min(8, len(others))):
             state = sender.catalog.read_state()
+            self._reports.append((at, sender, receiver, state))
+
+    def _deliver(self) -> None:
+        """Have the reports that have arrived merged."""
+        while self._reports and self._reports[0][0] <= self.clock.monotonic():
+            _, sender, receiver, state = self._reports.popleft()
             if receiver.catalog.behind(state):
                 known = receiver.catalog.read_state()
                 snapshot = sender.catalog.snapshot(known)
@@ -251,6 +278,11 @@
     return fleet.instances[:1]
 
 
+#: Longest time for which packets wait at the link of an instance that has to
+#: follow in time, in seconds.
+QUEUE_S = 0.5
+#: Times without a change before connections fall silent, in seconds.
+QUIET_S = (0.1, 0.8, 1.5, 2.3, 3.1, 3.9)
 SMALL, LARGE = Bounds(3.0, 2.0), Bounds(4.0, 3.0)
 STRICT, HUGE = Bounds(1.5, 1.5), Bounds(5.0, 4.0)
 SIZES = {
@@ -265,6 +297,34 @@
 }
 
 
+def late_after_a_silence(
+    count: int,
+    bounds: Bounds,
+    choose: collections.abc.Callable[[Fleet], list[Instance]],
+    quiet_s: float,
+    queue_s: float = 0.0,
+) -> list[str]:
+    """Return who is late after connections have fallen silent.
+
+    Before that, nothing changes for ``quiet_s`` seconds and reads wait. What
+    instances receive waits for ``queue_s`` seconds at their links.
+    """
+    late: list[str] = []
+    with Fleet(count, 39, bounds.apply_s, queue_s) as fleet:
+        fleet.run(3.0)
+        fleet.publish()
+        fleet.run(quiet_s)
+        for instance in choose(fleet):
+            instance.log.silence()
+        for step in range(round(8.0 / STEP_S)):
+            if step % round(CHANGE_PERIOD_S / STEP_S) == 0:
+                fleet.publish()
+            fleet.run(STEP_S)
+            if (step + 1) * STEP_S >= bounds.settle_s:
+                late += fleet.late(bounds.apply_s)
+    return late
+
+
 # Connections fell silent without a reset while configurations changed, and
 # instances did not notice before their reads of 4 s ended: they refused or
 # misrouted requests by a configuration that was replaced long before.
@@ -275,19 +335,15 @@
     choose: collections.abc.Callable[[Fleet], list[Instance]],
 ) -> None:
     count, bounds = SIZES[size]
-    for quiet_s in (0.1, 0.8, 1.5, 2.3, 3.1, 3.9):
-        with Fleet(count, 39, bounds.apply_s) as fleet:
-            fleet.run(3.0)
-            fleet.publish()
-            # For so long, nothing changes and reads wait.
-            fleet.run(quiet_s)
-            for instance in choose(fleet):
-                instance.log.silence()
-            late: list[str] = []
-            for step in range(round(8.0 / STEP_S)):
-                if step % round(CHANGE_PERIOD_S / STEP_S) == 0:
-                    fleet.publish()
-                fleet.run(STEP_S)
-                if (step + 1) * STEP_S >= bounds.settle_s:
-                    late += fleet.late(bounds.apply_s)
-            assert not late, f"quiet for {quiet_s} s"
+    for quiet_s in QUIET_S:
+        late = late_after_a_silence(count, bounds, choose, quiet_s)
+        assert not late, f"quiet for {quiet_s} s"
+
+
+# Answers and reports that waited at full links were taken for half a second
+# newer than they were, and instances read the log by themselves too late.
+@pytest.mark.parametrize("quiet_s", QUIET_S)
+def test_configurations_are_in_force_in_time_while_links_are_full(
+    quiet_s: float,
+) -> None:
+    assert not late_after_a_silence(30, LARGE, silence_all, quiet_s, QUEUE_S)
