Readers are chosen by hash while the link of one instance is not known

All instances of a zone now use one order: by the links, and by the hash alone, as earlier releases do, while one of them names no link. The order is one function of the module of ranks.

test_the_instances_with_the_fastest_links_read has that case as a row, which fails before: the two fast ones read, where the first two by hash are expected. Its other rows now name the readers exactly.

--- a/agatewing/gateway/_log_turns.py
+++ b/agatewing/gateway/_log_turns.py
@@ -19,9 +19,6 @@
 
 #: Number of instances above which only some of them read the log all the time.
 MANY_INSTANCES = 10
-#: Returns the bandwidth of an instance's link in Mbit/s, given its name; 0 if
-#: it is not known.
-LinkMbps = collections.abc.Callable[[str], float]
 #: Readers in a zone: a second one, so that the loss of one delays nothing.
 READERS_PER_ZONE = 2
 #: Time from the end of a wait that the log does not answer to the answer of
@@ -85,7 +82,7 @@
             fleetlog.Topic, collections.abc.Callable[[], float]
         ],
         limit_s: float,
-        link_mbps: LinkMbps = lambda name: 0.0,
+        link_mbps: _ranks.LinkMbps = lambda name: 0.0,
     ) -> None:
         """Create the turns of one instance.
 
@@ -122,14 +119,11 @@
         """Whether this instance reads all the time."""
         if not self.many:
             return True
-        own_mbps = self._link_mbps(self._name)
-        faster, alike = 0, []
-        for peer in self._zone_peers():
-            mbps = self._link_mbps(peer)
-            faster += mbps > own_mbps
-            if mbps == own_mbps:
-                alike.append(peer)
-        return faster + _ranks.rank(self._name, alike) < READERS_PER_ZONE
+        return self._name in _ranks.fastest(
+            [self._name, *self._zone_peers()],
+            READERS_PER_ZONE,
+            self._link_mbps,
+        )
 
     def pause_s(self, topic: fleetlog.Topic, reads: int) -> float:
         """Return the time until the next read of a topic, in seconds.
--- a/agatewing/gateway/tests/test_log_turns.py
+++ b/agatewing/gateway/tests/test_log_turns.py
@@ -17,6 +17,7 @@
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _log_turns
 from agatewing.gateway import _peers
+from agatewing.gateway import _ranks
 
 TOPIC = gateway.Topic.TARGETS
 #: Time between two reports of an instance, and a step of the simulation, in
@@ -306,13 +307,21 @@
     assert turns.pause_s(gateway.Topic.INSTANCES, reads) == pause_s
 
 
+NAMES = [f"i{number}" for number in range(12)]
+ALL_SLOW = dict.fromkeys(NAMES, 5.0)
+FIRST = _ranks.first(NAMES, _log_turns.READERS_PER_ZONE)
+#: Links in Mbit/s by name, and who reads.
 LINKS = {
-    "two fast ones": ({"i3": 100.0, "i5": 100.0}, ["i3", "i5"]),
-    "one fast one": ({"i4": 100.0}, ["i4"]),
-    "all alike": ({}, []),
-    "of earlier releases, which name no link": (
-        {"i1": 5.0, "i2": 5.0, "i6": 5.0},
-        ["i1", "i2", "i6"],
+    "two fast ones": (ALL_SLOW | {"i3": 100.0, "i5": 100.0}, ["i3", "i5"]),
+    "three, of which one is faster still": (
+        ALL_SLOW | {"i3": 100.0, "i5": 100.0, "i7": 200.0},
+        ["i7", _ranks.first(["i3", "i5"], 1)[0]],
+    ),
+    "all alike": (ALL_SLOW, FIRST),
+    "none is known": ({}, FIRST),
+    "one is of an earlier release, which names no link": (
+        ALL_SLOW | {"i3": 100.0, "i5": 100.0, "i9": 0.0},
+        FIRST,
     ),
 }
 
@@ -321,26 +330,20 @@
 # the requests of their callers waited behind it.
 @pytest.mark.parametrize("name", LINKS)
 def test_the_instances_with_the_fastest_links_read(name: str) -> None:
-    links, fastest = LINKS[name]
-    names = [f"i{number}" for number in range(12)]
+    links, expected = LINKS[name]
 
     def is_reader(name: str) -> bool:
         return _log_turns.LogTurns(
             name,
             random.Random(1),
-            lambda: len(names),
-            lambda: [other for other in names if other != name],
+            lambda: len(NAMES),
+            lambda: [other for other in NAMES if other != name],
             {},
             APPLY_S,
             lambda other: links.get(other, 0.0),
         ).is_reader
 
-    readers = [name for name in names if is_reader(name)]
-    assert len(readers) == _log_turns.READERS_PER_ZONE
-    if len(fastest) < len(readers):
-        assert set(fastest) <= set(readers)
-    else:
-        assert set(readers) <= set(fastest)
+    assert [n for n in NAMES if is_reader(n)] == sorted(expected)
 
 
 def test_a_peer_gets_only_what_it_lacks() -> None:
