--- a/agatewing/gateway/_instance_metrics.py
+++ b/agatewing/gateway/_instance_metrics.py
@@ -154,6 +154,21 @@
         "1 if the instance reads the log all the time, 0 if peers tell it",
         int(instance.log_turns.is_reader),
     )
+    metrics.counter(
+        "agatewing_peer_snapshots_total",
+        "Snapshots of the log requested of peers",
+        instance.peers.requests_sent,
+    )
+    metrics.counter(
+        "agatewing_peer_snapshots_failed_total",
+        "Snapshots requested of peers that did not arrive",
+        instance.peers.requests_failed,
+    )
+    metrics.counter(
+        "agatewing_peer_snapshot_bytes_total",
+        "Bytes of the snapshots sent to peers",
+        instance.peers.snapshot_bytes_sent,
+    )
     metrics.gauge(
         "agatewing_log_era",
         "Newest known era of the log; 0 if it names none",
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -115,6 +115,8 @@
         "replies",
         "hop_server",
         "requests_sent",
+        "requests_failed",
+        "snapshot_bytes_sent",
         "_request_pending",
         "_requests_open",
         "_large_replies",
@@ -159,8 +161,10 @@
         ] = {}
         #: Takes requests of peers; ``None`` if this instance takes none.
         self.hop_server: detour.HopServer | None = None
-        #: Number of snapshot requests sent.
-        self.requests_sent = 0
+        #: Number of snapshot requests sent, and of those that failed.
+        self.requests_sent = self.requests_failed = 0
+        #: Bytes of the replies to such requests of peers.
+        self.snapshot_bytes_sent = 0
         self._request_pending = False
         # Number of requests for snapshots that are not answered yet, and of
         # large replies that are being sent.
@@ -276,6 +280,7 @@
             case result.Ok(snapshot):
                 self._catalog.merge_snapshot(snapshot, f"peer {name}")
             case result.Err(reason):
+                self.requests_failed += 1
                 _log.info(
                     "peers: no snapshot",
                     extra={"instance": name, "reason": reason},
@@ -337,6 +342,8 @@
                     wire.send_frame(sock, data)
                 finally:
                     self._large_replies -= large
+                if asked.stream == SNAPSHOT_STREAM:
+                    self.snapshot_bytes_sent += len(data)
             case result.Err(exc):
                 _log.warning("peers: rejected a state request: %s", exc)
 
--- a/agatewing/gateway/tests/test_settings.py
+++ b/agatewing/gateway/tests/test_settings.py
@@ -101,6 +101,9 @@
     assert "agatewing_answer_seconds_bucket" in text
     assert "agatewing_config_age_seconds " in text
     assert "agatewing_log_reader 1" in text
+    assert "agatewing_peer_snapshots_total 0" in text
+    assert "agatewing_peer_snapshots_failed_total 0" in text
+    assert "agatewing_peer_snapshot_bytes_total 0" in text
     # Of an instance in a fleet that needs no sums.
     assert "agatewing_load_summary_age_seconds 1000000000" in text
     assert "agatewing_load_collector 0" in text
