--- a/agatewing/gateway/tests/test_large_configurations.py
+++ b/agatewing/gateway/tests/test_large_configurations.py
@@ -18,6 +18,7 @@
 import result
 
 from agatewing import _clock
+from agatewing import _types
 from agatewing import gateway
 from agatewing.gateway import _catalog
 from agatewing.gateway import _contracts
@@ -454,6 +455,9 @@
     assert asking._catalog.configuration == THREE
 
 
+LEAVING = gateway.Target(
+    "t1", "chat", "10.0.0.1:80", "z1", _types.TargetState.DRAINING, 64
+)
 #: What a peer has had in force, and whether it gets the configuration from
 #: an instance that is sending as many large replies as it may.
 BUSY = {
@@ -463,18 +467,22 @@
 
 
 # All instances asked the first one that had read further, whose link then
-# carried nothing else.
+# carried nothing else. Targets got requests 3.1 to 4.4 s after they had said
+# that they leave, as their entries came with the configuration or not at all.
 @pytest.mark.parametrize("name", BUSY)
 def test_few_large_replies_are_sent_at_a_time(name: str) -> None:
     had, gets = BUSY[name]
     answering, asking = make_peers([ONE, TWO, THREE]), make_peers(had)
+    answering._catalog.replace_targets({"t1": LEAVING}, 8)
     answering._large_replies = _peers.MAX_LARGE_REPLIES
     reply = answering._reply_to(request_of(asking))
     assert merge(asking, reply) == ""
     assert (asking._catalog.configuration == THREE) == gets
+    assert asking._catalog.targets == {"t1": LEAVING}
     earlier = answering._reply_to(EARLIER.request)
     snapshot = msgspec.json.decode(earlier.state, type=_contracts.Snapshot)
     assert snapshot.configuration is None
+    assert snapshot.targets == (LEAVING,)
 
 
 # Most of a large answer had arrived when the time for the whole was over; the
