A log that only some instances could not reach was not away

Entries of live targets only expire while the log answers nobody.

Two seconds are the least time in which the entry of a live target can expire, less the period of reports.

test_a_target_is_held_only_if_the_log_was_away_for_all fails before: with others that read the log, the target is held for 2 s instead of 0.5; and without, for 0.5 s instead of 2, as only an own read counted.

--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -31,10 +31,14 @@
 #: that shows the removal is up to 0.8 s late, the check that drops the
 #: target up to 0.4 s.
 HOLD_S = 0.5
-#: Hold time after the log was unavailable, in seconds from its return: the
-#: platform promises that the entries of live targets are back within about
-#: two seconds.
+#: Hold time after the log was away, in seconds from its return: the platform
+#: promises that the entries of live targets are back within about two seconds.
 RETURN_HOLD_S = 2.0
+#: Time without an answer of the log to any instance after which it was away
+#: long enough for entries of live targets to expire, in seconds. They do after
+#: three heartbeats of 1.2 s, the last of which may have come one heartbeat
+#: before; reports tell of an answer up to 0.4 s late.
+AWAY_S = 2.0
 #: Time without a read after which a target may have joined and left unseen, in
 #: seconds: one that leaves drains first, and the entry of one that crashes
 #: expires later.
@@ -67,6 +71,7 @@
         "_read_at",
         "_config_read_at",
         "_log_back_at",
+        "_answered_at",
         "_changed",
         "_batches",
         "_versions_seen",
@@ -117,6 +122,9 @@
         self._config_read_at = float("-inf")
         #: Monotonic time at which the log last became available again.
         self._log_back_at = float("-inf")
+        # Monotonic time of the last answer of the log that is known, to this
+        # instance or another one.
+        self._answered_at = float("-inf")
         # Ids of targets updated since the last batch, and the last batches:
         # the offset before each and the ids of the targets in it.
         self._changed: set[str] = set()
@@ -152,12 +160,25 @@
     def record_read(self) -> None:
         """Record that the entries of targets were read up to the end."""
         now = self._clock.monotonic()
-        if self.log_unavailable:
-            self._log_back_at = now
+        self._record_answer(now)
         self.log_unavailable = self.read_failed = False
         self._unread_s = now - self._read_at
         self._read_at = now
 
+    def record_peer_read(self, age_s: float) -> None:
+        """Record that the log answered a peer so many seconds ago."""
+        self._record_answer(self._clock.monotonic() - age_s)
+
+    def _record_answer(self, at: float) -> None:
+        """Record that the log answered an instance at a monotonic time.
+
+        One that only this instance could not reach has lost no entries of
+        live targets, so none of them is awaited.
+        """
+        if at - self._answered_at >= AWAY_S:
+            self._log_back_at = max(self._log_back_at, at)
+        self._answered_at = max(self._answered_at, at)
+
     def record_config_read(self, through: int | None = None) -> None:
         """Record that the configuration is the newest one in the log.
 
@@ -203,7 +224,6 @@
             return
         self._read_at = at
         if at > self._failed_at and self.read_failed:
-            self._log_back_at = now
             self.log_unavailable = self.read_failed = False
 
     def record_unavailable(self) -> None:
@@ -432,9 +452,7 @@
         if changes and self.position != (snapshot.era, snapshot.base):
             # Another read has come first.
             return
-        if snapshot.log_back_s is not None:
-            back_at = self._clock.monotonic() - snapshot.log_back_s
-            self._log_back_at = max(self._log_back_at, back_at)
+        self.record_peer_read(snapshot.age_s)
         if snapshot.era != self.era:
             self.begin_era(snapshot.era)
         if not changes:
--- a/agatewing/gateway/_load_reports.py
+++ b/agatewing/gateway/_load_reports.py
@@ -473,6 +473,7 @@
             _report_fields.decode_age(record.config_age_ms),
             _report_fields.decode_age(record.targets_age_ms),
         )
+        self._catalog.record_peer_read(state.targets_age_s)
         if self._catalog.behind(state):
             self._peers.request_snapshot_soon(record.instance, state)
         elif not _log_turns.all_read(len(self._peers.known) + 1):
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -409,6 +409,55 @@
     assert catalog.config_age_s() == pytest.approx(expected)
 
 
+#: Instances of the fleet, whether others read the log while this instance
+#: cannot, and how long a target without an entry is held then, in seconds.
+HOLDS = {
+    "others read the log": (60, True, _catalog.HOLD_S),
+    "others of a small fleet do": (6, True, _catalog.HOLD_S),
+    "nobody reads it": (60, False, _catalog.RETURN_HOLD_S),
+    "nobody of a small fleet does": (6, False, _catalog.RETURN_HOLD_S),
+}
+
+
+# Targets that had left got requests for more than 3 s: instances that could
+# not reach the log took it for back whenever a peer had read it, and awaited
+# the entries of targets as after an outage.
+@pytest.mark.parametrize("name", HOLDS)
+def test_a_target_is_held_only_if_the_log_was_away_for_all(
+    clock: _clock.ManualClock,
+    reports: _load_reports.LoadReports,
+    name: str,
+) -> None:
+    instances, others_read, hold_s = HOLDS[name]
+    fill(reports, instances)
+    catalog = reports._catalog
+    target = _contracts.Target(
+        "t1", "chat", "10.0.0.1:80", "z1", _types.TargetState.ACTIVE, 8
+    )
+    catalog.record_read()
+    catalog.replace_targets({"t1": target}, 5)
+    clock.advance(60.0)
+    catalog.record_read()
+    for sequence in range(1, 11):
+        clock.advance(0.2)
+        catalog.record_unavailable()
+        clock.advance(0.2)
+        note = report("i1", sequence, 0)
+        note.through = 5
+        ago_s = 0.1 if others_read else sequence * 0.4
+        note.targets_age_ms = int(ago_s * 1_000)
+        reports.handle(note)
+    clock.advance(0.1)
+    told = _contracts.Snapshot(None, (), 6, 0.0, base=5, removed=("t1",))
+    catalog.merge_snapshot(told, "i1")
+    clock.advance(hold_s - 0.1)
+    catalog.expire()
+    assert "t1" in catalog.targets
+    clock.advance(0.2)
+    catalog.expire()
+    assert "t1" not in catalog.targets
+
+
 def test_the_age_of_what_was_read_is_told(
     clock: _clock.ManualClock, reports: _load_reports.LoadReports
 ) -> None:
