The age that a report tells counts the time that the report took

None of 88 instances knew of any change before 6.55 s, though a third of them could reach the log, and one that has heard of no read for 1.6 s reads by itself.

Cause: each instance takes over the youngest age that it hears of, and tells it on, counted from the arrival of the report. The time on the way was missing, at each hop. So if the readers cannot reach the log, the others are out of date and do not know it.

An age that a report tells now counts 0.3 s more, so that it grows as long as reports take less. Ages of what this instance has read itself are unchanged.

--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -46,6 +46,12 @@
 #: Age told to peers of a view that was never read from the log, in seconds;
 #: JSON has no infinite numbers.
 NEVER_READ_S = 1e9
+#: Time that a report may take from one instance to the next, in seconds: half
+#: of that in which peers learn of what was read (``_log_turns.TELL_S``). It
+#: counts towards the age that the report tells, as each instance tells on what
+#: it has heard: without it, an age stays low for as long as reports are sent,
+#: though nobody reads the log.
+REPORT_S = 0.3
 #: Number of batches of changes that are kept for peers that lack them.
 MAX_BATCHES = 64
 
@@ -217,9 +223,9 @@
         """
         now = self._clock.monotonic()
         if state.config_version == self.config_version:
-            at = now - state.config_age_s
+            at = now - state.config_age_s - REPORT_S
             self._config_read_at = max(self._config_read_at, at)
-        at = now - state.targets_age_s
+        at = now - state.targets_age_s - REPORT_S
         if state.position != self.position or at <= self._read_at:
             return
         self._read_at = at
--- a/agatewing/gateway/tests/test_log_turns.py
+++ b/agatewing/gateway/tests/test_log_turns.py
@@ -4,6 +4,7 @@
 the reads of all of them, and reads were the dearest of all prices.
 """
 
+import collections
 import dataclasses
 import random
 
@@ -253,6 +254,44 @@
     assert not fleet.behind()
 
 
+# Each instance told on the ages that it had heard, without the time that the
+# reports took: they stayed low though nobody had read the log for seconds, so
+# nobody read it, and targets that had left got requests.
+@pytest.mark.parametrize("transit_s", [0.0, 0.02, 0.1, 0.25])
+@pytest.mark.parametrize("period_s", [0.05, 0.4])
+def test_ages_grow_while_nobody_reads(
+    transit_s: float, period_s: float
+) -> None:
+    rng = random.Random(3)
+    clock = _clock.ManualClock()
+    catalogs = [_catalog.Catalog(clock, lambda: None) for _ in range(60)]
+    for catalog in catalogs:
+        catalog.record_read()
+        catalog.record_config_read()
+        catalog.end_batch(5)
+    step_s, unread_s = 0.01, 4.0
+    #: Reports on their way: when each arrives, where, and what it tells.
+    sent: collections.deque[
+        tuple[float, _catalog.Catalog, _contracts.ReadState]
+    ] = collections.deque()
+    began_at = clock.monotonic()
+    due = [began_at + rng.random() * period_s for _ in catalogs]
+    while clock.monotonic() < began_at + unread_s:
+        clock.advance(step_s)
+        now = clock.monotonic()
+        while sent and sent[0][0] <= now:
+            _, receiver, state = sent.popleft()
+            receiver.merge_read_state(state)
+        for number, sender in enumerate(catalogs):
+            if now >= due[number]:
+                due[number] = now + period_s
+                state = sender.read_state()
+                for receiver in rng.sample(catalogs, _peers.FANOUT):
+                    sent.append((now + transit_s, receiver, state))
+    assert min(c.age_s() for c in catalogs) >= unread_s
+    assert min(c.config_age_s() for c in catalogs) >= unread_s
+
+
 def test_half_of_the_reports_may_be_lost() -> None:
     fleet = settled(loss=0.5)
     fleet.change("t1")
