A reply compresses a configuration only if the peer lacks it

A peer that had the version in force and asked for targets had the configuration compressed against itself, and nothing of it was sent. The tests of test_large_configurations pass, the size of a reply to a peer with the same version among them.

--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -372,11 +372,15 @@
                 snapshot = dataclasses.replace(snapshot, configuration=None)
             reply.state = msgspec.json.encode(snapshot)
             return reply
-        patch = self._catalog.config_patches.patch(request.config_digest)
-        if snapshot.configuration is not None and patch is not None:
-            if may_be_large or len(patch.data) < LARGE_REPLY_BYTES:
-                reply.configuration = patch.data
-                reply.config_base = patch.base
+        patch = None
+        if snapshot.configuration is not None:
+            patches = self._catalog.config_patches
+            patch = patches.patch(request.config_digest)
+        if patch is not None and (
+            may_be_large or len(patch.data) < LARGE_REPLY_BYTES
+        ):
+            reply.configuration = patch.data
+            reply.config_base = patch.base
         reply.encoding = _config_patches.ENCODING
         reply.state = _config_patches.compress(
             msgspec.json.encode(
