--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,150 +1,255 @@
-"""A crowd whose heads are inside the limit and have thousands of fields.
+"""A machine misses an engine of another software version, which comes and goes.
 
-Each sends such a head, then a chunked body that stops just short of its end.
+Streams that began there are taken up at that machine afterwards.
 """
 
-import os
 import pathlib
 import time
 
 import gevent
+import gevent.socket
 
 import scene3
 from agatewing import net
 from agatewing.platform import standins
+from agatewing.platform.soak import _proxy
 
 FOLDER = pathlib.Path(__file__).parent
-#: Channels of the crowd; the machine takes 1,379, so none is refused.
-CROWD = 1_300
-PERIOD_S = 0.004
-#: Limits of the site's config; the heads are inside max_header_bytes.
-MAX_HEADER_BYTES = 16_384
-HEADER_TIMEOUT_MS = 3_000
-#: memory_mb of the machine, in the largest reading of a megabyte.
-MEMORY_MB = scene3.FIELDS["limits"]["memory_mb"]
-MEMORY_BYTES = MEMORY_MB * 1_048_576
-CALM_S, CROWD_S = 3.0, 14.0
-#: With PLAIN=1 the same crowd sends heads of five fields.
-PLAIN = os.environ.get("PLAIN") == "1"
-
-
-def head(number):
-    lines = (
-        f"POST /look/x HTTP/1.1\r\nHost: {scene3.HOST}\r\n"
-        f"X-Request-Id: crowd-{number}\r\nX-Deadline-Ms: 60000\r\n"
-        "Transfer-Encoding: chunked\r\n"
-    )
-    if PLAIN:
-        return lines + "Accept: */*\r\n\r\n"
-    count = (MAX_HEADER_BYTES - len(lines) - 2) // 4
-    names = "abcdefghijklmnopqrstuvwxyz"
-    return (
-        lines + "".join(f"{names[n % 26]}:\r\n" for n in range(count)) + "\r\n"
-    )
+SERVICE, SHORT = "assistente", "etiqueta"
+#: Short streams a second of another service, as background.
+SHORT_PER_S = 40
+#: Seconds from the begin of the disruptions: the machine freezes for 7 s, the
+#: store turns it away (reset) for 8 s.
+JOINS_AT, LEAVES_AT, THAW_AT, SERVED_AT, EXITS_AT = 2.5, 6.0, 7.0, 8.0, 10.5
+EVENTS, PAUSE_S = 68, 0.13
+DEADLINE_S = 10.0
+#: Machines of the site.
+MACHINES = 6
+#: The rule: more than two streams.
+ALLOWED = 2
+
+
+class Streams:
+    """Clients of one stream each; they take it up once at the last machine."""
+
+    def __init__(self, stage):
+        self._stage = stage
+        self._machines = list(stage.machines.values())
+        self.by_name = {}
+        self.loops = []
+
+    def begin(self, number):
+        self.loops.append(gevent.spawn(self._follow, f"s{number}", number))
+
+    def _follow(self, name, number):
+        until = time.monotonic() + DEADLINE_S
+        events = self.by_name.setdefault(name, [])
+        first = self._machines[number % (MACHINES - 1)]
+        done, status = self._ask(first, name, events, {}, until)
+        self._stage.record.line(
+            f"{name} at {first.name}: {status}, {len(events)} events of "
+            f"{versions(events)}, {'complete' if done else 'broken off'}"
+        )
+        if done or not events or time.monotonic() > until - 0.5:
+            return
+        # PROTOCOL.md: the client may resume after a broken channel; retries
+        # reach other nodes.
+        other, before = self._machines[-1], len(events)
+        taken_up = {
+            "Last-Event-Id": str(events[-1][0]),
+            "Resumes": name,
+        }
+        done, status = self._ask(other, f"{name}-2", events, taken_up, until)
+        self._stage.record.line(
+            f"{name} taken up at {other.name} after event {before}: {status}, "
+            f"{len(events) - before} events more, of {versions(events[before:])}"
+        )
+
+    def ask_short(self, name, number):
+        machine = self._machines[number % (MACHINES - 1)]
+        head = (
+            f"POST /tag/x HTTP/1.1\r\nHost: {scene3.HOST}\r\n"
+            f"X-Request-Id: {name}\r\nX-Deadline-Ms: 2500\r\nX-Model: m\r\n"
+            f"X-Token-Count: 120,3\r\nX-Prefix-Hash: bb:80,{name}:40\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        try:
+            with gevent.Timeout(2.5, OSError("late")):
+                with net.connect(machine.front, 1.0) as sock:
+                    sock.sendall(head.encode())
+                    standins.read_reply(sock)
+        except OSError:
+            pass
+
+    def _ask(self, machine, name, events, headers, until):
+        """Read a stream; return whether it is complete, and its status."""
+        left_s = until - time.monotonic()
+        fields = {
+            "Host": scene3.HOST,
+            "X-Request-Id": name,
+            "X-Deadline-Ms": str(int(left_s * 1_000)),
+            "X-Model": "m",
+            "X-Token-Count": f"120,{EVENTS}",
+            "X-Prefix-Hash": f"aa:80,{name}:40",
+            "Content-Length": "0",
+            **headers,
+        }
+        lines = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        status, data = 0, b""
+        try:
+            with gevent.Timeout(left_s, OSError("late")):
+                with net.connect(machine.front, 1.0) as sock:
+                    sock.sendall(
+                        f"POST /chat/x HTTP/1.1\r\n{lines}\r\n".encode()
+                    )
+                    while got := sock.recv(65_536):
+                        data += got
+                        if not status and b"\r\n" in data:
+                            status = int(data.split(b" ", 2)[1])
+                        while status == 200 and b"\n\n" in data:
+                            event, _, data = data.partition(b"\n\n")
+                            text = event.decode("latin-1")
+                            number = int(text.split("id: ")[1].split("\n")[0])
+                            version = text.rpartition(" ")[2].strip()
+                            events.append((number, version))
+                        if status == 200 and b"0\r\n\r\n" in data:
+                            return True, status
+                        if status and status != 200:
+                            return False, status
+        except OSError:
+            pass
+        return False, status
 
 
-def memory(pid):
-    """Return the present and the largest resident memory, in bytes."""
-    found = {}
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        name, _, value = line.partition(":")
-        if name in ("VmRSS", "VmHWM"):
-            found[name] = int(value.split()[0]) * 1_024
-    return found["VmRSS"], found["VmHWM"]
+def versions(events):
+    return "/".join(sorted({version for _, version in events})) or "nothing"
 
 
 def case(stage):
     site, record = stage.site, stage.record
-    site.max_conns = 96
-    for n in range(4):
-        site.add_target(f"c{n}", "contas", None, slots=6)
-    site.route("/look/", "safe", "contas", timeout_ms=600)
-    site.publish(
-        max_header_bytes=MAX_HEADER_BYTES,
-        max_body_bytes=4_194_304,
-        header_timeout_ms=HEADER_TIMEOUT_MS,
-        idle_timeout_ms=15_000,
+    site.max_conns = 360
+
+    entries = {}
+
+    def announce(name, **changes):
+        entries[name].update(changes)
+        entries[name]["seq"] += 1
+        site.store.put("keyed.servers", name, entries[name])
+
+    def add(name, software, stage, service=SERVICE, events=EVENTS):
+        engine = site.start_engine(name, events)
+        engine.event_suffix = f" {software}"
+        engine.pause_s = PAUSE_S
+        engine.on_role_change = lambda role: announce(name, stage=role)
+        entries[name] = {
+            "service": service,
+            "address": engine.address,
+            "zone": "z1",
+            "version": software,
+            "slots": 64,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "stage": stage,
+            "seq": 0,
+        }
+        announce(name)
+        return engine
+
+    add("e1", "v1", "decode")
+    add("e2", "v1", "decode")
+    add("p1", "v1", "prefill")
+    for name in ("t1", "t2"):
+        add(name, "v1", "decode", SHORT, 3).pause_s = 0.02
+    site.route(
+        "/tag/",
+        "streaming",
+        SHORT,
+        sticky=True,
+        timeout_ms=2_500,
+        target_gap_ms=150,
     )
-    machine = stage.add_machine("front-1")
+    site.route(
+        "/chat/",
+        "streaming",
+        SERVICE,
+        sticky=True,
+        resumable=True,
+        timeout_ms=int(DEADLINE_S * 1_000),
+        target_gap_ms=150,
+    )
+    site.publish()
+    for number in range(1, MACHINES):
+        stage.add_machine(f"front-{number}")
+    proxy = _proxy.Proxy(site.store.address)
+    last = stage.add_machine(f"front-{MACHINES}", proxy.address)
     stage.start_all()
-    socks, answers = [], []
 
-    def come(number):
-        try:
-            sock = net.connect(machine.front, 5.0)
-            socks.append(sock)
-            sock.sendall((head(number) + "5\r\nab").encode())
-        except OSError as exc:
-            record.line(f"crowd {number}: {exc}")
-
-    def ask():
-        for number in range(10_000):
-            begun = time.monotonic()
-            status = 0
-            try:
-                with gevent.Timeout(2.0, OSError("late")):
-                    status = site.ask_at(
-                        machine.front,
-                        "/look/x",
-                        f"client-{number}",
-                        method="GET",
-                    ).status
-            except (OSError, AssertionError):
-                pass
-            answers.append(status)
-            record.line(
-                f"ordinary client {number}: {status or 'no answer'} after "
-                f"{time.monotonic() - begun:.3f} s"
-            )
-            gevent.sleep(0.25)
-
-    asking = gevent.spawn(ask)
-    gevent.sleep(CALM_S)
-    if answers.count(200) < len(answers):
-        raise scene3.CannotRunError("not served in calm")
-    record.line(
-        f"calm: resident {memory(machine.child.pid)[0] / 1e6:.0f} MB", True
-    )
+    def check_in(name):
+        while name in entries:
+            announce(name)
+            gevent.sleep(1.2)
+
+    for name in list(entries):
+        gevent.spawn(check_in, name)
+        gevent.sleep(0.3)
+    gevent.sleep(3.0)
+    streams = Streams(stage)
+    begun = time.monotonic()
+
+    def at(seconds):
+        gevent.sleep(max(0.0, begun + seconds - time.monotonic()))
+
+    def clients():
+        for number in range(400):
+            streams.begin(number)
+            gevent.sleep(0.06)
+            if time.monotonic() > begun + EXITS_AT:
+                return
+
+    def short_streams():
+        for number in range(100_000):
+            gevent.spawn(streams.ask_short, f"t{number}", number)
+            gevent.sleep(1 / SHORT_PER_S)
+
+    gevent.spawn(clients)
+    gevent.spawn(short_streams)
     if scene3.TROUBLE:
-        record.line(
-            f"{CROWD} channels come, with heads of {len(head(1_000))} bytes and "
-            f"{head(1_000).count(':')} fields",
-            True,
-        )
-        crowd = [
-            gevent.spawn_later(n * PERIOD_S, come, n) for n in range(CROWD)
-        ]
-    most, over_at = 0, None
-    until = time.monotonic() + CROWD_S
-    while time.monotonic() < until and machine.running:
-        gevent.sleep(0.25)
-        try:
-            present, most = memory(machine.child.pid)
-        except (OSError, KeyError):
-            break
-        record.line(
-            f"resident {present / 1e6:.0f} MB, {len(socks)} of the crowd"
-        )
-        if over_at is None and present > MEMORY_BYTES:
-            over_at = len(socks)
-            record.line(
-                f"over {MEMORY_MB} MB with {over_at} of the crowd: the "
-                "platform kills the process here",
-                True,
-            )
-    asking.kill()
+        record.line(f"{last.name} freezes; the store turns it away", True)
+        last.send(scene3.signal.SIGSTOP)
+        proxy.mode = _proxy.ProxyMode.CUT
+        proxy.break_connections()
+    at(JOINS_AT)
+    record.line("e3 of v2 joins", True)
+    engine = add("e3", "v2", "decode")
+    gevent.spawn(check_in, "e3")
+    at(LEAVES_AT)
+    record.line("the entry of e3 is removed; it serves on", True)
+    del entries["e3"]
+    site.withdraw("e3")
+    at(THAW_AT)
+    if scene3.TROUBLE:
+        last.send(scene3.signal.SIGCONT)
+        record.line(f"{last.name} wakes", True)
+    at(SERVED_AT)
     if scene3.TROUBLE:
-        gevent.killall(crowd)
-    for sock in socks:
-        sock.close()
+        proxy.mode = _proxy.ProxyMode.FINE
+        record.line(f"the store serves {last.name} again", True)
+    at(EXITS_AT)
+    record.line(f"e3 exits, {len(engine.runs)} streams began there", True)
+    engine.crash()
+    gevent.joinall(streams.loops, timeout=DEADLINE_S + 2)
+    joined = [
+        n for n, e in streams.by_name.items() if len({v for _, v in e}) > 1
+    ]
     record.line(
-        f"largest resident memory {most / 1e6:.0f} MB of {MEMORY_MB} MB; the "
-        f"process runs: {machine.running}; ordinary requests served: "
-        f"{answers.count(200)} of {len(answers)}",
+        f"{len(streams.by_name)} streams; with events of two versions: "
+        f"{len(joined)} (allowed: {ALLOWED}) {' '.join(joined)}",
         True,
     )
-    broken = over_at is not None or most > MEMORY_BYTES or not machine.running
-    return scene3.BROKEN if broken else scene3.HELD
+    proxy.stop()
+    if not engine.runs:
+        raise scene3.CannotRunError("no stream began at e3")
+    return scene3.BROKEN if len(joined) > ALLOWED else scene3.HELD
 
 
 if __name__ == "__main__":
