A version counts as not seen only where the log was covered

The cause: a stream that nobody remembers goes on at the only version that can have begun it, and that no other has come was kept as a flag which each way to learn of targets had to lower by itself. An instance that had been frozen got the changes of a peer: of an engine that had joined and left since they hold no more than its id. Nothing lowered the flag, the history counted as complete, and the take-up went on at once (`how` "only") without asking the peers that knew the stream.

Why this works: a view is complete only over the records that somebody vouches for (decisions.LogCoverage). Each way in names the part of the log that it covers, parts are joined in one place, and only if no record lies between; what names none leaves a gap. Where nobody saw some records, as after a restore, the gap closes once all instances of a small fleet have told what they saw, since streams begin only at instances. A peer of an earlier release says nothing, so its changes leave a gap. Versions of entries older than the known one count too. A gap publishes the recent streams, as a second version does: in large fleets only three peers are asked.

The tests of VersionHistory ask the coverage for what the history itself said before; their tables are unchanged.

--- a/agatewing/decisions/_stream_versions.py
+++ b/agatewing/decisions/_stream_versions.py
@@ -99,21 +99,15 @@
 class VersionHistory:
     """Software versions that the engines of one service have had lately."""
 
-    __slots__ = ("_since", "_present", "_gone_at")
+    __slots__ = ("_present", "_gone_at")
 
     def __init__(self) -> None:
-        # Monotonic time since which no version has been missed.
-        self._since: float | None = None
         self._present: frozenset[str] = frozenset()
         # Monotonic time at which each version left.
         self._gone_at: dict[str, float] = {}
 
     def observe(self, versions: collections.abc.Set[str], now: float) -> None:
         """Record the versions of the engines that are announced now."""
-        if self._since is None:
-            if not versions:
-                return
-            self._since = now
         for version in self._present - versions:
             self._gone_at[version] = now
         self._present = frozenset(versions)
@@ -123,49 +117,30 @@
             if now - at < KEEP_S and version not in versions
         }
 
-    def begin(self, since: float) -> None:
-        """Set the time since which no version was missed, if none is set.
+    def remember(self, seen: collections.abc.Mapping[str, float]) -> None:
+        """Add versions that were there, by the monotonic time of their end.
 
-        For a service that had no engines until now.
+        They come from the log or from other instances, and may have begun
+        streams until then.
         """
-        if self._since is None:
-            self._since = since
-
-    def record_missed(self, now: float) -> None:
-        """Record that a version may have come and gone unseen until now."""
-        if self._since is not None:
-            self._since = now
+        for version, at in seen.items():
+            if version not in self._present:
+                before = self._gone_at.get(version, at)
+                self._gone_at[version] = max(before, at)
 
-    def restore(
-        self, versions: collections.abc.Set[str], complete: bool, now: float
-    ) -> None:
-        """Add versions that are recorded of the time before.
+    def ages(self, now: float) -> dict[str, float]:
+        """Return how long ago each of the versions left, in seconds.
 
-        They may have begun streams until now. ``complete`` says that no other
-        has.
+        Those of the last ``KEEP_S``; 0 for those that are there.
         """
-        for version in versions - self._present:
-            self._gone_at[version] = now
-        if complete:
-            self._since = float("-inf")
-
-    def view(self, now: float) -> VersionView:
-        """Return what is known of the last ``KEEP_S``."""
-        since = now if self._since is None else self._since
-        return VersionView(self.lately(now), now - since >= KEEP_S)
+        gone = {v: max(0.0, now - at) for v, at in self._gone_at.items()}
+        lately = {v: age_s for v, age_s in gone.items() if age_s < KEEP_S}
+        return lately | dict.fromkeys(self._present, 0.0)
 
-    def only(self, now: float) -> str | None:
-        """Return the version that began every stream of the last time.
+    def view(self, now: float, since: float) -> VersionView:
+        """Return what is known of the last ``KEEP_S``.
 
-        That is ``KEEP_S``. Returns ``None`` if there may have been several,
-        also while the observation is shorter than that.
+        ``since`` is the monotonic time since which no version was missed.
         """
-        return proved_version([self.view(now)])
-
-    def lately(self, now: float) -> frozenset[str]:
-        """Return all versions observed in the last ``KEEP_S``."""
-        return self._present | {
-            version
-            for version, at in self._gone_at.items()
-            if now - at < KEEP_S
-        }
+        complete = now - since >= KEEP_S
+        return VersionView(frozenset(self.ages(now)), complete)
--- a/agatewing/decisions/tests/test_stream_versions.py
+++ b/agatewing/decisions/tests/test_stream_versions.py
@@ -1,5 +1,7 @@
 """Memory of which software version began which streams."""
 
+import math
+
 import pytest
 
 from agatewing import decisions
@@ -61,4 +63,6 @@
     history = decisions.VersionHistory()
     for when, versions in observed:
         history.observe(versions, when)
-    assert history.only(at) == only
+    # Nothing was missed since the first observation.
+    since = min((when for when, _ in observed), default=math.inf)
+    assert decisions.proved_version([history.view(at, since)]) == only
--- a/agatewing/decisions/tests/test_version_record.py
+++ b/agatewing/decisions/tests/test_version_record.py
@@ -1,5 +1,7 @@
 """What proves the software version of a stream, and what is recorded of it."""
 
+import math
+
 import pytest
 
 from agatewing import decisions
@@ -67,22 +69,27 @@
     after_s: float,
     only: str | None,
 ) -> None:
+    seen = dict.fromkeys(recorded, 100.0)
     for recorded_first in (True, False):
         history = decisions.VersionHistory()
+        coverage = decisions.LogCoverage()
+        coverage.advance(decisions.Stretch(1, 7, 7, 100.0))
         if recorded_first:
-            history.restore(recorded, complete, 100.0)
+            history.remember(seen)
         history.observe(present, 100.0)
         if not recorded_first:
-            history.restore(recorded, complete, 100.0)
-        assert history.only(100.0 + after_s) == only
+            history.remember(seen)
+        if complete:
+            coverage.vouch(decisions.Stretch(1, 7, 7, -math.inf))
+        view = history.view(100.0 + after_s, coverage.since)
+        assert decisions.proved_version([view]) == only
 
 
 def test_a_service_without_engines_until_now_has_no_earlier_streams() -> None:
     history = decisions.VersionHistory()
     history.observe(set(), 0.0)
-    history.begin(0.0)
     history.observe({"v1"}, 100.0)
-    assert history.only(100.0) == "v1"
+    assert decisions.proved_version([history.view(100.0, 0.0)]) == "v1"
 
 
 @pytest.mark.parametrize(
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -16,12 +16,14 @@
 from agatewing import _clock
 from agatewing import _types
 from agatewing import accounts
+from agatewing import decisions
 from agatewing import fleetlog
 from agatewing.gateway import _caller_limits
 from agatewing.gateway import _config_patches
 from agatewing.gateway import _contracts
 from agatewing.gateway import _gone_targets
 from agatewing.gateway import _routes
+from agatewing.gateway import _seen_targets
 
 _log = logging.getLogger("agatewing.catalogue")
 
@@ -39,10 +41,6 @@
 #: three heartbeats of 1.2 s, the last of which may have come one heartbeat
 #: before; reports tell of an answer up to 0.4 s late.
 AWAY_S = 2.0
-#: Time without a read after which a target may have joined and left unseen, in
-#: seconds: one that leaves drains first, and the entry of one that crashes
-#: expires later.
-MISSED_AFTER_S = 2.0
 #: Age told to peers of a view that was never read from the log, in seconds;
 #: JSON has no infinite numbers.
 NEVER_READ_S = 1e9
@@ -80,9 +78,7 @@
         "_answered_at",
         "_changed",
         "_batches",
-        "_versions_seen",
-        "_unread_s",
-        "_targets_missed",
+        "seen",
         "log_unavailable",
         "read_failed",
         "_failed_at",
@@ -137,12 +133,8 @@
         self._batches: collections.deque[tuple[int, frozenset[str]]] = (
             collections.deque(maxlen=MAX_BATCHES)
         )
-        # Software versions of engines in the entries read, by service.
-        self._versions_seen: dict[str, set[str]] = {}
-        # Time between the last two reads up to the end of the log, in seconds.
-        self._unread_s = float("inf")
-        # Whether targets may have joined and left unseen.
-        self._targets_missed = False
+        #: Entries of targets that were seen, here or by those who told.
+        self.seen = _seen_targets.SeenTargets(clock)
         #: Whether the log is unavailable, or was not read yet.
         self.log_unavailable = True
         #: Whether a read of the log failed and none has succeeded since.
@@ -168,7 +160,6 @@
         now = self._clock.monotonic()
         self._record_answer(now)
         self.log_unavailable = self.read_failed = False
-        self._unread_s = now - self._read_at
         self._read_at = now
 
     def record_peer_read(self, age_s: float) -> None:
@@ -293,15 +284,24 @@
 
         Unlike changes, they do not show what has joined and left meanwhile.
         """
-        if MISSED_AFTER_S < self._unread_s < math.inf:
-            self._targets_missed = True
+        seen = self.seen.stretch(self.era, through, through)
+        self._replace_targets(targets, seen, "listing")
+
+    def _replace_targets(
+        self,
+        targets: collections.abc.Mapping[str, _contracts.Target],
+        seen: decisions.Stretch,
+        source: str,
+    ) -> None:
         for name in list(self.targets):
             if name not in targets:
                 self._mark_missing(name)
         for name, target in targets.items():
+            self.seen.note(target)
             if not self._gone_targets.hold_back(target, self.era):
                 self._upsert(name, target)
-        self.through = through
+        self.seen.advance(seen, source)
+        self.through = seen.through
         self._changed.clear()
         self._batches.clear()
         self._on_change()
@@ -315,14 +315,23 @@
         if target is None:
             self._mark_missing(name)
         else:
+            self.seen.note(target)
             self._upsert(name, target)
 
     def end_batch(self, through: int) -> None:
-        """Report a batch of updates, read up to an offset, to the listener."""
-        if through != self.through:
+        """Report a batch of updates, read up to an offset, to the listener.
+
+        They are all records from the last offset on.
+        """
+        seen = self.seen.stretch(self.era, self.through, through)
+        self._end_batch(seen, "log")
+
+    def _end_batch(self, seen: decisions.Stretch, source: str) -> None:
+        if seen.through != self.through:
             self._batches.append((self.through, frozenset(self._changed)))
             self._changed.clear()
-        self.through = through
+        self.seen.advance(seen, source)
+        self.through = seen.through
         self._on_change()
 
     def _upsert(self, name: str, target: _contracts.Target) -> None:
@@ -331,25 +340,21 @@
             return
         self._drop_at.pop(name, None)
         self.targets[name] = target
-        if target.role is not None:
-            seen = self._versions_seen.setdefault(target.service, set())
-            seen.add(target.software)
         if known is None or known.state is not target.state:
             self._log_change(target, target.state)
 
-    def take_versions_seen(self) -> dict[str, frozenset[str]]:
-        """Return and forget the software versions of the engines read.
+    def vouch(
+        self,
+        seen: decisions.Stretch,
+        ages: _seen_targets.VersionTimes,
+        source: str,
+    ) -> None:
+        """Count records as seen that somebody else has seen.
 
-        Among them are those of engines that have joined and left between two
-        changes that the listener was told of.
+        ``ages`` are of the versions in them and in the entries before them.
         """
-        seen, self._versions_seen = self._versions_seen, {}
-        return {name: frozenset(found) for name, found in seen.items()}
-
-    def take_targets_missed(self) -> bool:
-        """Return and forget whether targets may have come and gone unseen."""
-        missed, self._targets_missed = self._targets_missed, False
-        return missed
+        self.seen.vouch(seen, ages, source)
+        self._on_change()
 
     def _mark_missing(self, name: str) -> None:
         """Drop a target whose entry is gone.
@@ -421,6 +426,7 @@
             back_s if math.isfinite(back_s) else None,
             self.config_version,
             self.config_position,
+            self.seen.tell(),
         )
 
     def _changed_since(
@@ -445,34 +451,55 @@
         """Merge the view of a peer that may have read the log further.
 
         Targets are replaced only if the peer's log offset is higher than
-        the own one, or of a newer era.
+        the own one, or of a newer era. What the peer has seen counts as seen.
         """
         configuration = snapshot.configuration
         if configuration is not None and self._is_whole(configuration):
-            self.apply_configuration(configuration, peer)
+            self.apply_configuration(configuration, f"peer {peer}")
         self._merge_config_position(snapshot)
         self.log_era.observe(snapshot.era or None)
-        if (snapshot.era, snapshot.through) <= self.position:
+        if snapshot.era < self.era:
             return
+        if (snapshot.era, snapshot.through) > self.position:
+            merged = self._merge_targets(snapshot, peer)
+        else:
+            merged = self._merge_seen(snapshot, peer)
+        if merged:
+            self.seen.hear(peer, snapshot)
+
+    def _merge_seen(self, snapshot: _contracts.Snapshot, peer: str) -> bool:
+        """Count what a peer has seen as seen; return whether it is needed."""
+        if snapshot.seen is None or not self.seen.missed_lately:
+            return False
+        seen = self.seen.stretch_of(snapshot)
+        self.vouch(seen, snapshot.seen.versions, f"peer {peer}")
+        return True
+
+    def _merge_targets(self, snapshot: _contracts.Snapshot, peer: str) -> bool:
+        """Merge the targets of a peer that has read further.
+
+        Returns ``False`` if its changes do not fit what is known here.
+        """
         changes = snapshot.base is not None
         if changes and self.position != (snapshot.era, snapshot.base):
             # Another read has come first.
-            return
+            return False
         self.record_peer_read(snapshot.age_s)
         if snapshot.era != self.era:
             self.begin_era(snapshot.era)
+        if snapshot.seen is not None:
+            self.seen.note_versions(snapshot.seen.versions)
+        seen = self.seen.stretch_of(snapshot)
         if not changes:
-            self._unread_s = self.age_s()
-            self.replace_targets(
-                {target.id: target for target in snapshot.targets},
-                snapshot.through,
-            )
-            return
+            targets = {target.id: target for target in snapshot.targets}
+            self._replace_targets(targets, seen, f"peer {peer}")
+            return True
         for target in snapshot.targets:
             self.update_target(target.id, target)
         for name in snapshot.removed:
             self.update_target(name, None)
-        self.end_batch(snapshot.through)
+        self._end_batch(seen, f"peer {peer}")
+        return True
 
     def _merge_config_position(self, snapshot: _contracts.Snapshot) -> None:
         """Take over how far a peer has read what is in force here too.
--- a/agatewing/gateway/_contracts.py
+++ b/agatewing/gateway/_contracts.py
@@ -198,6 +198,24 @@
         return decisions.short_key(f"{self.id}/{self.born_ms}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRecords:
+    """Entries of targets that the sender of a snapshot has seen.
+
+    All records of the log from an offset on, up to that of the snapshot.
+    """
+
+    #: Offset of the first of them.
+    start: int
+    #: Time for which the sender has missed no record, in seconds.
+    complete_s: float
+    #: Software versions of the engines of late, by service, with the time
+    #: since the last engine of each left, in seconds.
+    versions: dict[str, dict[str, float]]
+    #: Era and offset of the first record that its process has seen.
+    memory: tuple[int, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """View that an instance sends to a peer which has read less of the log."""
@@ -226,6 +244,9 @@
     #: Era of the log, and offset up to which the sender has read
     #: configurations; ``None`` if it is not known.
     config_position: tuple[int, int] | None = None
+    #: Records that the sender has seen; ``None`` if it does not say, as
+    #: earlier releases do not: it may have missed any.
+    seen: SeenRecords | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -128,8 +128,13 @@
         self.links = self._build_links(rng)
         index = decisions.PlacementIndex(settings.cache_keep_s)
         self.streams = _stream_directory.StreamDirectory(
-            clock, self.peers, self.catalog.age_s, self._confirm_targets
+            clock,
+            self.peers,
+            self.catalog.age_s,
+            self._confirm_targets,
+            self.catalog.seen.coverage,
         )
+        self.catalog.seen.version_ages = self.streams.version_ages
         self.peers.replies[_stream_directory.ORIGIN_STREAM] = (
             self.streams.reply
         )
@@ -183,6 +188,7 @@
             clock,
             self.log_era,
             self.streams,
+            self.catalog,
             settings.instance,
             self.load_reports.alive,
             lambda: len(self.peers.known) + 1,
@@ -411,6 +417,7 @@
 
     def _apply_changes(self) -> None:
         """Apply a change of configuration, targets or instances."""
+        self.streams.remember(self.catalog.seen.take_versions())
         configuration = self.catalog.configuration
         if configuration is None:
             return
@@ -426,10 +433,7 @@
             self.peers.known,
             [tracked.target for tracked in self.registry.by_id.values()],
         )
-        if self.catalog.take_targets_missed():
-            self.streams.record_missed()
         self.streams.observe(self.registry.pools)
-        self.streams.remember(self.catalog.take_versions_seen())
         self.handler_context.index.retain_engines(self.registry.by_id)
         self.registry.changed.set()
 
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -3,7 +3,8 @@
 An instance that cannot read the log requests snapshots from a few peers, by
 thrift over TCP, until it can read the log again. While the log is available,
 it requests one only from a peer whose load report shows that it has read
-further.
+further, and for a while after it has missed entries of targets, which peers
+may have seen.
 """
 
 import collections.abc
@@ -50,6 +51,10 @@
 #: in seconds; several fit into the two seconds in which a configuration or a
 #: drain has to be followed.
 REQUEST_PERIOD_S = 0.4
+#: Time after entries of targets were missed in which peers are asked what they
+#: have seen of them, in seconds: five rounds. Peers that have not told by then
+#: are asked with each stream that is taken up.
+ASK_MISSED_S = 5 * REQUEST_PERIOD_S
 #: Delay before a snapshot is requested from a peer whose load report shows
 #: that it has read further, in seconds: ten times the latency of the log
 #: without load.
@@ -230,6 +235,37 @@
             self._catalog.expire()
             if self._catalog.log_unavailable:
                 self.request_snapshots()
+            else:
+                self._ask_for_missed()
+            self._join_seen()
+
+    def _ask_for_missed(self) -> None:
+        """Ask peers for what has come and gone unseen here."""
+        missed_s = self._clock.monotonic() - self._catalog.seen.coverage.since
+        if not 0 <= missed_s < ASK_MISSED_S or self._requests_open:
+            return
+        names = self._unheard()
+        if not names:
+            count = min(PEERS_PER_ROUND, len(self.known))
+            names = self._random.sample(sorted(self.known), count)
+        for name in names:
+            gevent.spawn(
+                self._request_snapshot, name, self.known[name].address
+            )
+
+    def _unheard(self) -> list[str]:
+        """Return the peers that may have seen what was missed here.
+
+        Empty in fleets that are too large to ask all.
+        """
+        if not self.full_view:
+            return []
+        return sorted(self._catalog.seen.coverage.unheard(self.known))
+
+    def _join_seen(self) -> None:
+        """Count what was missed as seen once all peers have told."""
+        if self.full_view and not self._unheard():
+            self._catalog.seen.join_all()
 
     def request_snapshots(self) -> None:
         """Request snapshots from a few peers, or from the seeds if none."""
@@ -278,7 +314,7 @@
             self._requests_open -= 1
         match fetched:
             case result.Ok(snapshot):
-                self._catalog.merge_snapshot(snapshot, f"peer {name}")
+                self._catalog.merge_snapshot(snapshot, name)
             case result.Err(reason):
                 self.requests_failed += 1
                 _log.info(
--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -77,12 +77,12 @@
         "_view_age_s",
         "_confirm_view",
         "_origins",
+        "_coverage",
         "_histories",
-        "_since",
+        "_sole",
         "_unpublished",
         "_unrecorded",
         "_restored",
-        "sight_lost",
         "take_ups",
     )
 
@@ -92,6 +92,7 @@
         peers: _peers.Peers,
         view_age_s: collections.abc.Callable[[], float],
         confirm_view: collections.abc.Callable[[float], bool],
+        coverage: decisions.LogCoverage,
     ) -> None:
         self._clock = clock
         self._peers = peers
@@ -100,13 +101,15 @@
         # Reads the targets anew; returns whether that was done within a time,
         # in seconds.
         self._confirm_view = confirm_view
+        # Entries of targets that were seen.
+        self._coverage = coverage
         self._origins = decisions.StreamOrigins()
         # Versions by service.
         self._histories: collections.defaultdict[
             str, decisions.VersionHistory
         ] = collections.defaultdict(decisions.VersionHistory)
-        # Monotonic time since which no version of any service was missed.
-        self._since: float | None = None
+        # Services whose recent streams all began at one version.
+        self._sole: frozenset[str] = frozenset()
         self._unpublished: collections.deque[decisions.StreamOrigin] = (
             collections.deque(maxlen=MAX_UNPUBLISHED)
         )
@@ -117,9 +120,6 @@
         ] = collections.deque(maxlen=MAX_UNPUBLISHED)
         # Set when the log has told of the time before the start.
         self._restored = gevent.event.Event()
-        #: Whether engines of any version may have joined and left unseen, and
-        #: the log has not told of them yet.
-        self.sight_lost = False
         #: Number of streams that callers took up, by how their version was
         #: found.
         self.take_ups: collections.Counter[str] = collections.Counter()
@@ -129,62 +129,61 @@
     ) -> None:
         """Record the versions of all engines that are announced now.
 
-        If a service had one version before, its recent streams are published.
+        The recent streams of a service are published once others may have
+        begun at another version.
         """
         now = self._clock.monotonic()
-        versions = {name: pool.versions() for name, pool in pools.items()}
-        if self._since is None and any(versions.values()):
-            self._since = now
-        for name, present in versions.items():
-            history = self._histories[name]
-            if self._since is not None:
-                history.begin(self._since)
-            before = history.only(now)
-            history.observe(present, now)
-            if before is not None and history.only(now) is None:
-                for origin in self._origins.recent(now):
-                    if origin.service == name:
-                        self._publish(origin, now)
+        for name, pool in pools.items():
+            self._histories[name].observe(pool.versions(), now)
+        sole = frozenset(
+            name
+            for name in self._histories
+            if decisions.proved_version([self._history_view(name, now)])
+        )
+        for name in self._sole - sole:
+            for origin in self._origins.recent(now):
+                if origin.service == name:
+                    self._publish(origin, now)
+        self._sole = sole
 
     def restore(
-        self,
-        versions: collections.abc.Mapping[str, frozenset[str]],
-        complete: bool,
-        origins: collections.abc.Iterable[decisions.StreamOrigin],
+        self, origins: collections.abc.Iterable[decisions.StreamOrigin]
     ) -> None:
-        """Add what the log has of a time that this instance did not see.
-
-        ``complete`` says that ``versions``, by service, are all that may have
-        begun recent streams.
-        """
+        """Add the streams that the log has of a time not seen here."""
         now = self._clock.monotonic()
-        self.sight_lost = False
         for origin in origins:
             self._origins.record(origin, now)
-        if complete:
-            self._since = float("-inf")
-        for name in self._histories.keys() | versions.keys():
-            known = versions.get(name, frozenset())
-            self._histories[name].restore(known, complete, now)
         self._restored.set()
 
-    def record_missed(self) -> None:
-        """Record that engines of any version may have joined and left.
+    def remember(
+        self,
+        versions: collections.abc.Mapping[
+            str, collections.abc.Mapping[str, float]
+        ],
+    ) -> None:
+        """Add versions that were there, here or for others.
 
-        What the log has of that time is to be restored again.
+        They are given by service, with the monotonic time of their end.
         """
-        self.sight_lost = True
-        self._since = self._clock.monotonic()
-        for history in self._histories.values():
-            history.record_missed(self._since)
+        for name, seen in versions.items():
+            self._histories[name].remember(seen)
 
-    def remember(
-        self, versions: collections.abc.Mapping[str, frozenset[str]]
-    ) -> None:
-        """Add versions, by service, that another instance has seen lately."""
+    def version_ages(self) -> dict[str, dict[str, float]]:
+        """Return the versions of late, by service.
+
+        With the time since the last engine of each left, in seconds.
+        """
         now = self._clock.monotonic()
-        for name, seen in versions.items():
-            self._histories[name].restore(seen, False, now)
+        return {
+            name: history.ages(now)
+            for name, history in self._histories.items()
+        }
+
+    @property
+    def complete(self) -> bool:
+        """Whether no version of recent streams was missed."""
+        missed_s = self._clock.monotonic() - self._coverage.since
+        return missed_s >= decisions.STREAM_KEEP_S
 
     def views(self) -> dict[str, decisions.VersionView]:
         """Return what is known of the versions, by service."""
@@ -277,7 +276,9 @@
         there may have been several.
         """
         self._restored.wait(RESTORE_WAIT_S)
-        origin = self._origins.find(attempt, self._clock.monotonic())
+        now = self._clock.monotonic()
+        origin = self._origins.find(attempt, now)
+        view = self._view(service, now)
         how = "known"
         if origin is None:
             view = self._confirmed_view(service)
@@ -295,6 +296,8 @@
                 "resumes": attempt,
                 "how": how,
                 "software": origin.software if origin is not None else "",
+                "versions": sorted(view.versions),
+                "complete": view.complete,
             },
         )
         return origin
@@ -306,8 +309,11 @@
         """
         return decisions.proved_version([self._view(service, now)])
 
+    def _history_view(self, service: str, now: float) -> decisions.VersionView:
+        return self._histories[service].view(now, self._coverage.since)
+
     def _view(self, service: str, now: float) -> decisions.VersionView:
-        view = self._histories[service].view(now)
+        view = self._history_view(service, now)
         return decisions.VersionView(
             view.versions, view.complete and self._view_is_current
         )
@@ -318,11 +324,11 @@
         A stream that is taken up may have begun, elsewhere, at an engine that
         joined a moment ago.
         """
-        view = self._histories[service].view(self._clock.monotonic())
+        view = self._history_view(service, self._clock.monotonic())
         if decisions.proved_version([view]) is None:
             return decisions.VersionView(view.versions, False)
         confirmed = self._confirm_view(CONFIRM_S)
-        view = self._histories[service].view(self._clock.monotonic())
+        view = self._history_view(service, self._clock.monotonic())
         return decisions.VersionView(
             view.versions, view.complete and confirmed
         )
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -22,6 +22,7 @@
 from agatewing import _decoding
 from agatewing import decisions
 from agatewing import fleetlog
+from agatewing.gateway import _catalog
 from agatewing.gateway import _peers
 from agatewing.gateway import _ranks
 from agatewing.gateway import _stream_directory
@@ -72,10 +73,12 @@
         "_clock",
         "_era",
         "_streams",
+        "_catalog",
         "_name",
         "_live_peers",
         "_instance_count",
         "_known",
+        "_loaded_since",
         "_due_since",
         "_retry_at",
         "_batch_at",
@@ -89,6 +92,7 @@
         clock: _clock.Clock,
         era: fleetlog.LogEra,
         streams: _stream_directory.StreamDirectory,
+        catalog: _catalog.Catalog,
         name: str,
         live_peers: collections.abc.Callable[[], list[str]],
         instance_count: collections.abc.Callable[[], int],
@@ -97,6 +101,7 @@
         self._clock = clock
         self._era = era
         self._streams = streams
+        self._catalog = catalog
         self._name = name
         # Returns the names of the other instances that are alive.
         self._live_peers = live_peers
@@ -104,6 +109,8 @@
         self._instance_count = instance_count
         # The record of versions, as it was last read or written.
         self._known: decisions.VersionRecord | None = None
+        # Monotonic time since which nothing was missed when it was read.
+        self._loaded_since = float("-inf")
         # Monotonic time since which it has to be written.
         self._due_since: float | None = None
         # Monotonic times before which nothing, and no batch, is written.
@@ -115,7 +122,9 @@
         self.writes: collections.Counter[str] = collections.Counter()
 
     def load(self) -> None:
-        """Read the record; tries until the log answers."""
+        """Read the record; tries until the targets are known."""
+        while self._catalog.seen.coverage.newest is None:
+            self._clock.sleep(PERIOD_S)
         while not self._load():
             self._clock.sleep(RETRY_S)
 
@@ -126,6 +135,7 @@
             self.step()
 
     def _load(self) -> bool:
+        """Read the record; return whether the log answered."""
         listed = self._read_versions()
         if listed is None:
             return False
@@ -140,7 +150,13 @@
             return False
         self._known = record
         services = record.services if record is not None else {}
-        self._streams.restore(services, complete, _origins(begun.records))
+        era, through = self._catalog.position
+        # It reaches back to the first stream.
+        since = float("-inf") if complete else self._clock.monotonic()
+        seen = decisions.Stretch(era, through, through, since)
+        self._catalog.vouch(seen, _just_seen(services), "the record")
+        self._loaded_since = self._catalog.seen.coverage.since
+        self._streams.restore(_origins(begun.records))
         _log.info(
             "streams: record read",
             extra={
@@ -199,7 +215,7 @@
             return
         rank = _ranks.rank(self._name, self._live_peers())
         answered = True
-        if self._streams.sight_lost:
+        if self._catalog.seen.coverage.since > self._loaded_since:
             answered = self._load()
         if answered and self._versions_due(now, rank):
             answered = self._write_versions()
@@ -215,9 +231,8 @@
         return PERIOD_S * max(1.0, self._instance_count() / WRITERS)
 
     def _own_record(self) -> decisions.VersionRecord | None:
-        return decisions.version_record(
-            self._streams.views(), self._era.current or 0
-        )
+        era, _ = self._catalog.position
+        return decisions.version_record(self._streams.views(), era)
 
     def _versions_due(self, now: float, rank: int) -> bool:
         """Return whether this instance has to write the versions now."""
@@ -241,8 +256,10 @@
         if listed is None:
             return False
         recorded, end = listed
+        added = decisions.unknown_versions(recorded, self._known)
+        now = self._clock.monotonic()
         self._streams.remember(
-            decisions.unknown_versions(recorded, self._known)
+            {name: dict.fromkeys(seen, now) for name, seen in added.items()}
         )
         self._known = recorded
         own = self._own_record()
@@ -283,6 +300,13 @@
         return True
 
 
+def _just_seen(
+    services: collections.abc.Mapping[str, frozenset[str]],
+) -> dict[str, dict[str, float]]:
+    """Return versions that may have begun streams until now."""
+    return {name: dict.fromkeys(seen, 0.0) for name, seen in services.items()}
+
+
 def _decode_versions(raw: bytes) -> decisions.VersionRecord:
     """Decode a record; one that cannot be decoded is of no era."""
     match _decoding.decode_json(raw, _Versions):
--- a/agatewing/gateway/tests/test_load_reports.py
+++ b/agatewing/gateway/tests/test_load_reports.py
@@ -69,7 +69,11 @@
         rng,
         decisions.PlacementIndex(10.0),
         _stream_directory.StreamDirectory(
-            clock, peers, catalog.age_s, lambda limit_s: True
+            clock,
+            peers,
+            catalog.age_s,
+            lambda limit_s: True,
+            catalog.seen.coverage,
         ),
         _quarantine.Quarantine(
             clock,
