The record of versions proves nothing of what came after it

Found beside the fault before: after all instances were killed, and after a gap that no peer could close, a stream went on at another version than the one that began it, if the record in the log had not been written since that version came.

The cause: the record says which versions can have begun streams, and whoever read it took that to hold until now, however old it was. Its writer is late by up to three seconds (ranks, retries), or cannot write while the log turns it away; a version that came and left meanwhile is not in it.

Evidence: test_a_record_proves_nothing_of_what_came_after_it has the writes of the instances fail, and kills them once a stream has begun at a new version.

Why this works: the record names the offset up to which its writer had read the entries, so it is one more part of the log that is vouched for, joined like the others. What came since is read from the log (PastEntries); in large fleets by those that read it anyway, which tell the others. If the log has deleted those records, the view is not complete. So that they are there, rank 0 writes the record anew every 5 s (the sites keep 20 s), and the next ones take over after 10 and 15 s. A gap that could not be closed is looked at again after 1, 2, 4, ... seconds. The era in the record is that of the entries, not the newest one heard of.

Two calls to the log more every 5 s for the whole fleet. A record of an earlier release, which names no offset, proves nothing: after an upgrade of all instances at once, take-ups that no instance knows are refused for 30 s, as after the first start of a release that keeps the record; beside instances of the earlier release they are asked.

--- a/agatewing/decisions/_version_record.py
+++ b/agatewing/decisions/_version_record.py
@@ -19,15 +19,20 @@
     #: Era of the log in which it was written; what the instances did since
     #: may be missing in another one. 0 if the log named none.
     era: int
+    #: Offset up to which its writer had read the entries of targets; ``None``
+    #: if the writer did not say, so that it may have missed some.
+    through: int | None = dataclasses.field(default=None, compare=False)
 
 
 def version_record(
     views: collections.abc.Mapping[str, _stream_versions.VersionView],
     era: int,
+    through: int,
 ) -> VersionRecord | None:
     """Return the record that an instance with these views would write.
 
-    ``views`` are by service. Returns ``None`` if a version may be missing in
+    ``views`` are by service, of the entries up to the offset ``through`` in
+    an era of the log. Returns ``None`` if a version may be missing in
     one of them, as a record has to name all.
     """
     if not views or not all(view.complete for view in views.values()):
@@ -35,7 +40,7 @@
     services = {
         name: view.versions for name, view in views.items() if view.versions
     }
-    return VersionRecord(services, era)
+    return VersionRecord(services, era, through)
 
 
 def unknown_versions(
--- a/agatewing/decisions/tests/test_version_record.py
+++ b/agatewing/decisions/tests/test_version_record.py
@@ -111,7 +111,7 @@
     views: dict[str, decisions.VersionView],
     expected: decisions.VersionRecord | None,
 ) -> None:
-    assert decisions.version_record(views, 3) == expected
+    assert decisions.version_record(views, 3, 9) == expected
 
 
 @pytest.mark.parametrize(
--- a/agatewing/duties/tests/_fakes.py
+++ b/agatewing/duties/tests/_fakes.py
@@ -93,6 +93,11 @@
         del self.records[max(0, len(self.records) - lost) :]
         self.era = (self.era or 1) + 1
 
+    def read_past(
+        self, topic: fleetlog.Topic, offset: int
+    ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable:
+        return self.read(topic, offset, 0.0)
+
     def read(
         self, topic: fleetlog.Topic, offset: int, wait_s: float
     ) -> fleetlog.Page | fleetlog.HistoryLost | fleetlog.LogUnavailable:
--- a/agatewing/fleetlog/_ports.py
+++ b/agatewing/fleetlog/_ports.py
@@ -113,6 +113,11 @@
         Waits for up to ``wait_s`` seconds if there are none.
         """
 
+    def read_past(
+        self, topic: Topic, offset: int
+    ) -> Page | HistoryLost | LogUnavailable:
+        """Return records from an offset on, beside a read that waits."""
+
     def arriving(self, topic: Topic) -> bool:
         """Return whether a part of an answer to a read has arrived.
 
--- a/agatewing/gateway/_instance.py
+++ b/agatewing/gateway/_instance.py
@@ -28,6 +28,7 @@
 from agatewing.gateway import _load_reports
 from agatewing.gateway import _log_turns
 from agatewing.gateway import _own_entry
+from agatewing.gateway import _past_entries
 from agatewing.gateway import _peers
 from agatewing.gateway import _ports
 from agatewing.gateway import _quarantine
@@ -189,6 +190,12 @@
             self.log_era,
             self.streams,
             self.catalog,
+            _past_entries.PastEntries(
+                platform.log,
+                self.catalog,
+                platform.decoder,
+                lambda: self.log_turns.is_reader,
+            ),
             settings.instance,
             self.load_reports.alive,
             lambda: len(self.peers.known) + 1,
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -8,6 +8,10 @@
 or, if it has not done so in time, by the next. Streams are written in batches:
 in small fleets by the instance of rank 0, as it learns of all; in larger ones
 by the instances that began them, less often.
+
+The versions are written anew from time to time, with the offset up to which
+their writer had read the entries of targets. What has come since can be read
+in the log, so that the record proves what it does not name.
 """
 
 import collections
@@ -23,6 +27,7 @@
 from agatewing import decisions
 from agatewing import fleetlog
 from agatewing.gateway import _catalog
+from agatewing.gateway import _past_entries
 from agatewing.gateway import _peers
 from agatewing.gateway import _ranks
 from agatewing.gateway import _stream_directory
@@ -44,6 +49,13 @@
 RANK_DELAY_S = 1.0
 #: Pause after a call to which the log gave no usable answer, in seconds.
 RETRY_S = 0.5
+#: Time after which the versions are written anew, in seconds. The log keeps
+#: its records for 20 s at the users' sites: the third instance by rank, which
+#: waits three times as long, is in time as well.
+REFRESH_S = 5.0
+#: Time from the first to the second look at a record that did not tell of all
+#: that was missed, in seconds; doubled each time.
+LOOK_AGAIN_S = 1.0
 #: Era of a record that cannot be decoded; no log names it.
 NO_ERA = -1
 
@@ -53,6 +65,9 @@
     services: dict[str, frozenset[str]]
     # Era of the log in which it was written.
     era: int
+    # Offset up to which the writer had read the entries of targets; earlier
+    # releases do not tell.
+    through: int | None = None
 
 
 class _Batch(msgspec.Struct, frozen=True):
@@ -74,11 +89,15 @@
         "_era",
         "_streams",
         "_catalog",
+        "_past_entries",
         "_name",
         "_live_peers",
         "_instance_count",
         "_known",
+        "_known_at",
         "_loaded_since",
+        "_look_at",
+        "_look_pause_s",
         "_due_since",
         "_retry_at",
         "_batch_at",
@@ -93,6 +112,7 @@
         era: fleetlog.LogEra,
         streams: _stream_directory.StreamDirectory,
         catalog: _catalog.Catalog,
+        past_entries: _past_entries.PastEntries,
         name: str,
         live_peers: collections.abc.Callable[[], list[str]],
         instance_count: collections.abc.Callable[[], int],
@@ -102,6 +122,7 @@
         self._era = era
         self._streams = streams
         self._catalog = catalog
+        self._past_entries = past_entries
         self._name = name
         # Returns the names of the other instances that are alive.
         self._live_peers = live_peers
@@ -109,8 +130,14 @@
         self._instance_count = instance_count
         # The record of versions, as it was last read or written.
         self._known: decisions.VersionRecord | None = None
-        # Monotonic time since which nothing was missed when it was read.
+        # Monotonic time of that.
+        self._known_at = float("-inf")
+        # Time since which nothing was missed when it was last read, and when
+        # it is read again if much was missed before that, as monotonic times;
+        # and the pause until then, in seconds.
         self._loaded_since = float("-inf")
+        self._look_at = float("-inf")
+        self._look_pause_s = LOOK_AGAIN_S
         # Monotonic time since which it has to be written.
         self._due_since: float | None = None
         # Monotonic times before which nothing, and no batch, is written.
@@ -145,47 +172,63 @@
             return False
         if not isinstance(begun, fleetlog.Page):
             return False
-        complete = self._is_complete(record)
-        if complete is None:
+        proof = self._proof(record)
+        if proof is None:
             return False
-        self._known = record
+        self._set_known(record)
         services = record.services if record is not None else {}
-        era, through = self._catalog.position
-        # It reaches back to the first stream.
-        since = float("-inf") if complete else self._clock.monotonic()
-        seen = decisions.Stretch(era, through, through, since)
-        self._catalog.vouch(seen, _just_seen(services), "the record")
-        self._loaded_since = self._catalog.seen.coverage.since
+        self._catalog.vouch(proof, _just_seen(services), "the record")
+        self._past_entries.read()
         self._streams.restore(_origins(begun.records))
+        now = self._clock.monotonic()
+        if self._catalog.seen.coverage.since > self._loaded_since:
+            self._look_pause_s = LOOK_AGAIN_S
+        self._loaded_since = self._catalog.seen.coverage.since
+        self._look_at = now + self._look_pause_s
+        self._look_pause_s *= 2
         _log.info(
             "streams: record read",
             extra={
-                "complete": complete,
+                "proved_through": proof.through,
+                "complete": self._streams.complete,
                 "versions": {n: sorted(v) for n, v in services.items()},
             },
         )
         return True
 
-    def _is_complete(
+    def _set_known(self, record: decisions.VersionRecord | None) -> None:
+        self._known = record
+        self._known_at = self._clock.monotonic()
+
+    def _proof(
         self, record: decisions.VersionRecord | None
-    ) -> bool | None:
-        """Return whether a record names all versions of recent streams.
+    ) -> decisions.Stretch | None:
+        """Return the part of the log of which a record names all versions.
 
-        Without a record, that is at the first start of all. ``None`` if the
-        log gave no usable answer.
+        It reaches back to the first stream. Of a record that proves nothing,
+        it is one of no era. ``None`` if the log gave no usable answer.
         """
+        nothing = decisions.Stretch(NO_ERA, 0, 0, 0.0)
         if record is not None:
             # A restored log lacks what was written since the copy.
-            return record.era == (self._era.current or 0)
+            if record.through is None:
+                return nothing
+            return decisions.Stretch(
+                record.era, record.through, record.through, float("-inf")
+            )
         answer = self._log.read_newest(fleetlog.Topic.INSTANCES)
         if not self._era.observe(answer.era):
             return None
         if not isinstance(answer, fleetlog.Page):
             return None
         if (self._era.current or 0) > fleetlog.FIRST_ERA:
-            return False
+            return nothing
         # Instances of earlier releases begin streams without a record.
-        return all(_records_streams(entry) for entry in answer.records)
+        if not all(_records_streams(entry) for entry in answer.records):
+            return nothing
+        # Without a record, this is the first start of all.
+        era, through = self._catalog.position
+        return decisions.Stretch(era, through, through, float("-inf"))
 
     def _read_versions(
         self,
@@ -215,7 +258,7 @@
             return
         rank = _ranks.rank(self._name, self._live_peers())
         answered = True
-        if self._catalog.seen.coverage.since > self._loaded_since:
+        if self._look_due(now):
             answered = self._load()
         if answered and self._versions_due(now, rank):
             answered = self._write_versions()
@@ -227,27 +270,50 @@
         if not answered:
             self._retry_at = now + RETRY_S
 
+    def _look_due(self, now: float) -> bool:
+        """Return whether the record has to be read for what was missed."""
+        if self._streams.complete:
+            return False
+        if self._catalog.seen.coverage.since > self._loaded_since:
+            return True
+        return now >= self._look_at and self._past_entries.reads_log()
+
     def _batch_period_s(self) -> float:
         return PERIOD_S * max(1.0, self._instance_count() / WRITERS)
 
     def _own_record(self) -> decisions.VersionRecord | None:
-        era, _ = self._catalog.position
-        return decisions.version_record(self._streams.views(), era)
+        newest = self._catalog.seen.coverage.newest
+        if newest is None:
+            return None
+        return decisions.version_record(
+            self._streams.views(), newest.era, newest.through
+        )
 
     def _versions_due(self, now: float, rank: int) -> bool:
         """Return whether this instance has to write the versions now."""
         own = self._own_record()
         if own is None or own == self._known:
             self._due_since = None
-            return False
+            return own is not None and self._refresh_due(own, now, rank)
         if self._due_since is None:
             self._due_since = now
         if rank >= WRITING_INSTANCES:
             return False
         return now - self._due_since >= rank * RANK_DELAY_S
 
+    def _refresh_due(
+        self, own: decisions.VersionRecord, now: float, rank: int
+    ) -> bool:
+        """Return whether the same versions have to be written anew."""
+        return (
+            rank < WRITING_INSTANCES
+            and bool(own.services)
+            and now - self._known_at >= REFRESH_S * (rank + 1)
+            and (self._known is None or own.through != self._known.through)
+        )
+
     def _write_versions(self) -> bool:
-        """Write the versions if they still differ; return whether it is done.
+        """Write the versions if nobody else has; return whether it is done.
 
         The write is conditional, so that none which arrives late undoes
         another.
@@ -256,16 +322,19 @@
         if listed is None:
             return False
         recorded, end = listed
-        added = decisions.unknown_versions(recorded, self._known)
+        before = self._known
+        added = decisions.unknown_versions(recorded, before)
         now = self._clock.monotonic()
         self._streams.remember(
             {name: dict.fromkeys(seen, now) for name, seen in added.items()}
         )
-        self._known = recorded
+        self._set_known(recorded)
         own = self._own_record()
-        if own is None or own == recorded:
+        if own is None or (own == recorded and _is_newer(recorded, before)):
             return True
-        value = msgspec.json.encode(_Versions(own.services, own.era))
+        value = msgspec.json.encode(
+            _Versions(own.services, own.era, own.through)
+        )
         written = self._log.put_if_end(
             fleetlog.Topic.VERSIONS, VERSIONS_KEY, value, end
         )
@@ -307,11 +376,22 @@
     return {name: dict.fromkeys(seen, 0.0) for name, seen in services.items()}
 
 
+def _is_newer(
+    recorded: decisions.VersionRecord,
+    before: decisions.VersionRecord | None,
+) -> bool:
+    """Return whether another instance has written a record since."""
+    known = before.through if before is not None else None
+    return recorded.through is not None and recorded.through != known
+
+
 def _decode_versions(raw: bytes) -> decisions.VersionRecord:
     """Decode a record; one that cannot be decoded is of no era."""
     match _decoding.decode_json(raw, _Versions):
         case result.Ok(versions):
-            return decisions.VersionRecord(versions.services, versions.era)
+            return decisions.VersionRecord(
+                versions.services, versions.era, versions.through
+            )
         case result.Err(reason):
             _log.warning(
                 "streams: record ignored, it cannot be decoded",
--- a/agatewing/gateway/tests/test_seen_targets.py
+++ b/agatewing/gateway/tests/test_seen_targets.py
@@ -40,6 +40,9 @@
     )
 
 
+_Versions = dict[str, dict[str, float]]
+
+
 class Node:
     """One instance: its catalogue, and the versions that it remembers."""
 
@@ -75,6 +78,8 @@
         self.era = 1
         self.copied: list[tuple[str, gateway.Target | None]] = []
         self.born_ms = 0
+        #: The record of versions: what it proves, and the versions.
+        self.record: tuple[decisions.Stretch, _Versions] | None = None
         #: Versions that any instance has used.
         self.used: set[str] = set()
         #: Snapshots on their way: sender, receiver and the message.
@@ -148,6 +153,28 @@
     def restart(self, node: Node) -> None:
         self.nodes[self.nodes.index(node)] = Node(self.clock)
 
+    def write_record(self, node: Node) -> None:
+        """Record the versions of a complete view, however old it is."""
+        seen = node.catalog.seen
+        newest = seen.coverage.newest
+        if newest is not None and not seen.missed_lately:
+            ages = dict.fromkeys(node.known.keys() | node.in_use, 0.0)
+            proof = dataclasses.replace(newest, start=newest.through)
+            self.record = proof, {SERVICE: ages}
+
+    def read_record(self, node: Node) -> None:
+        """Read the record, and what the log holds of the time since."""
+        catalog = node.catalog
+        if self.record is not None:
+            catalog.vouch(*self.record, "the record")
+        gap = catalog.seen.coverage.gap
+        if gap is None or catalog.era != self.era or gap[0] < self.first:
+            return
+        past = [t for _, t in self.records[gap[0] :] if t is not None]
+        ages = {SERVICE: {target.software: 0.0 for target in past}}
+        seen = catalog.seen.stretch(self.era, gap[0], len(self.records))
+        catalog.vouch(seen, ages, "past records")
+
     def forget_history(self, node: Node) -> None:
         self.first = len(self.records)
 
@@ -191,6 +218,8 @@
     "deliver": 2,
     "exchange": 6,
     "agree": 3,
+    "write_record": 2,
+    "read_record": 2,
     "restart": 1,
     "forget_history": 1,
     "copy": 1,
--- a/agatewing/platform/_log.py
+++ b/agatewing/platform/_log.py
@@ -96,7 +96,8 @@
     """Client of the log.
 
     Reads use one persistent connection per topic, because a long poll
-    occupies its connection; writes share another client.
+    occupies its connection; writes, and reads of past records, share another
+    client.
     """
 
     __slots__ = ("_readers", "_writer")
@@ -194,24 +195,19 @@
         ``wait_s`` seconds, ``MAX_WAIT_S`` at most.
         """
         wait_s = min(wait_s, MAX_WAIT_S)
-        query = urllib.parse.urlencode(
-            {
-                "topic": _TOPICS[topic],
-                "part": "0",
-                "from": offset,
-                "max_kb": MAX_READ_KB,
-                "wait_ms": int(wait_s * 1_000),
-            }
-        )
-        match self._get(topic, f"/-/log-read?{query}", wait_s):
-            case gateway.LogUnavailable() as failure:
-                return failure
-            case _ErrorStatus(status=410, era=era):
-                return gateway.HistoryLost(era)
-            case _ErrorStatus() as error:
-                return error.failure
-            case _Body(raw=raw, era=era):
-                return dataclasses.replace(decode_read(raw, offset), era=era)
+        path = _read_path(topic, offset, wait_s)
+        return _page(self._get(topic, path, wait_s), offset)
+
+    def read_past(
+        self, topic: gateway.Topic, offset: int
+    ) -> gateway.Page | gateway.HistoryLost | gateway.LogUnavailable:
+        """Return records from an offset, while another read may wait."""
+        path = _read_path(topic, offset, 0.0)
+        try:
+            answer = self._writer.call("GET", path)
+        except _exceptions.AgatewingError as exc:
+            return gateway.LogUnavailable(str(exc))
+        return _page(_decode_answer(answer), offset)
 
     def arriving(self, topic: gateway.Topic) -> bool:
         """Return whether a part of an answer to a read has arrived."""
@@ -286,6 +282,34 @@
         return _decode_answer(answer)
 
 
+def _read_path(topic: gateway.Topic, offset: int, wait_s: float) -> str:
+    query = urllib.parse.urlencode(
+        {
+            "topic": _TOPICS[topic],
+            "part": "0",
+            "from": offset,
+            "max_kb": MAX_READ_KB,
+            "wait_ms": int(wait_s * 1_000),
+        }
+    )
+    return f"/-/log-read?{query}"
+
+
+def _page(
+    answer: _Body | _ErrorStatus | gateway.LogUnavailable, offset: int
+) -> gateway.Page | gateway.HistoryLost | gateway.LogUnavailable:
+    """Return the records of an answer to a read from an offset."""
+    match answer:
+        case gateway.LogUnavailable() as failure:
+            return failure
+        case _ErrorStatus(status=410, era=era):
+            return gateway.HistoryLost(era)
+        case _ErrorStatus() as error:
+            return error.failure
+        case _Body(raw=raw, era=era):
+            return dataclasses.replace(decode_read(raw, offset), era=era)
+
+
 def _decode_answer(answer: net.HttpAnswer) -> _Body | _ErrorStatus:
     """Return the body of an answer, or its status if it isn't 200."""
     era = decode_era(answer.headers.get(_names.STORE_ERA))
--- a/agatewing/platform/standins/_site.py
+++ b/agatewing/platform/standins/_site.py
@@ -64,6 +64,14 @@
         page = self._log.read(topic, offset, wait_s)
         return gateway.LogUnavailable("cut off") if self.disconnected else page
 
+    def read_past(
+        self, topic: gateway.Topic, offset: int
+    ) -> gateway.Page | gateway.HistoryLost | gateway.LogUnavailable:
+        """Return records, or :class:`LogUnavailable`."""
+        if self.disconnected:
+            return gateway.LogUnavailable("cut off")
+        return self._log.read_past(topic, offset)
+
     def arriving(self, topic: gateway.Topic) -> bool:
         """Return whether a part of an answer to a read has arrived."""
         return not self.disconnected and self._log.arriving(topic)
--- a/agatewing/platform/tests/test_missed_versions.py
+++ b/agatewing/platform/tests/test_missed_versions.py
@@ -7,11 +7,13 @@
 
 import collections.abc
 import dataclasses
+import json
 
 import pytest
 
 from agatewing import gateway
 from agatewing.gateway import _peers
+from agatewing.gateway import _stream_record
 from agatewing.platform import standins
 from agatewing.platform.tests import test_out_of_step as _out_of_step
 from agatewing.platform.tests import test_stream_versions as _versions
@@ -171,6 +173,63 @@
     assert replies[-1].body == _versions.EVENTS[2]
 
 
+def fail_writes(site: standins.Site, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the log take no more writes of the instances."""
+    failure = gateway.LogUnavailable("busy")
+    for log in site.logs.values():
+        monkeypatch.setattr(log, "put", lambda *args: failure)
+        monkeypatch.setattr(log, "put_if_end", lambda *args: failure)
+
+
+# All instances were killed before the record of versions had been written. Its
+# last state was believed by those that came back, however old it was.
+@pytest.mark.parametrize("forgotten", [False, True])
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_a_record_proves_nothing_of_what_came_after_it(
+    site: standins.Site,
+    monkeypatch: pytest.MonkeyPatch,
+    version: str,
+    forgotten: bool,
+) -> None:
+    pair = Pair(site)
+    fail_writes(site, monkeypatch)
+    site.add_target("e1", version=version)
+    site.wait(lambda: len(pair.first.catalog.targets) == 2)
+    _versions.begin_and_break(site, pair.first)
+    removed(site)
+    pair.first.kill()
+    pair.second.kill()
+    if forgotten:
+        site.store.forget_history()
+    again = site.start("i3")
+    site.wait(lambda: again.lifecycle.ready)
+    reply = _versions.take_up(site, again, "s1")
+    if version == "v1" and not forgotten:
+        assert reply.body == _versions.EVENTS[2]
+    else:
+        assert reply.status == 503
+        assert not _versions.engines_of(site, "s2")
+
+
+# The log keeps its records for some seconds only: a record of versions that
+# was written once proved nothing after that.
+def test_the_record_follows_the_entries(site: standins.Site) -> None:
+    Pair(site)
+    versions = site.store.topic("keyed.versions")
+    before = len(versions.records)
+    for number in range(3):
+        site.announce("e0", version="v1", seq=2 + number)
+        site.clock.advance(_stream_record.REFRESH_S)
+        end = site.store.topic("keyed.servers").end
+
+        def follows(end: int = end) -> bool:
+            return json.loads(versions.newest["services"][1])["through"] == end
+
+        site.wait(follows)
+    # One instance writes it.
+    assert len(versions.records) == before + 3
+
+
 # A peer of the release before does not tell what its changes leave out.
 def test_a_peer_that_does_not_tell_what_it_saw_proves_nothing(
     site: standins.Site, monkeypatch: pytest.MonkeyPatch
