Peers are asked at once for what was missed

Why this works: a gap wakes the loop, which asks 40 ms later, the time by which peers have read as far as well; each answer is looked at when it comes.

--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -230,8 +230,12 @@
         return self.listed and full_view(len(self.known) + 1)
 
     def _run(self) -> None:
+        missed = self._catalog.seen.missed
         while True:
-            self._clock.sleep(REQUEST_PERIOD_S)
+            if self._clock.wait(missed, REQUEST_PERIOD_S):
+                missed.clear()
+                # The peers are to have read as far first.
+                self._clock.sleep(REQUEST_DELAY_S)
             self._catalog.expire()
             if self._catalog.log_unavailable:
                 self.request_snapshots()
@@ -315,6 +319,7 @@
         match fetched:
             case result.Ok(snapshot):
                 self._catalog.merge_snapshot(snapshot, name)
+                self._join_seen()
             case result.Err(reason):
                 self.requests_failed += 1
                 _log.info(
--- a/agatewing/gateway/_seen_targets.py
+++ b/agatewing/gateway/_seen_targets.py
@@ -8,6 +8,8 @@
 import collections.abc
 import logging
 
+import gevent.event
+
 from agatewing import _clock
 from agatewing import decisions
 from agatewing.gateway import _contracts
@@ -32,7 +34,7 @@
 class SeenTargets:
     """The entries of targets that this instance knows of."""
 
-    __slots__ = ("_clock", "coverage", "version_ages", "_versions")
+    __slots__ = ("_clock", "coverage", "version_ages", "_versions", "missed")
 
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
@@ -46,6 +48,8 @@
         # Versions in the entries seen since they were last taken, by service,
         # with the monotonic times until which they were there.
         self._versions: dict[str, dict[str, float]] = {}
+        #: Set when entries were missed, until somebody clears it.
+        self.missed = gevent.event.Event()
 
     @property
     def missed_lately(self) -> bool:
@@ -103,6 +107,7 @@
         before = self.coverage.newest
         self.coverage.advance(stretch)
         if before is not None and self.coverage.since > before.since:
+            self.missed.set()
             _log.info(
                 "catalogue: targets may have come and gone unseen",
                 extra={
