Instances of small fleets tell each other of all streams

The cause: streams were told to peers only from the moment at which an instance saw a second version. One that froze before that never did, and the others cannot tell at which version a stream of it began.

Why this works: in fleets whose load reports reach all instances, each stream is told with the next report, whatever the versions. Nothing more is written to the log. In larger fleets streams are told as before: a message to each of three keepers a stream.

test_a_stream_of_a_lost_instance_goes_on_beside_a_newer_version failed before. test_streams_of_the_only_version_are_not_written_to_the_log guards the price.

--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -1,8 +1,9 @@
 """Finds the software version that began a stream.
 
-Instances tell each other of new streams with their load reports while the
-engines of a service are, or may have been, of several software versions. An
-instance that does not know a stream which a caller takes up asks its peers.
+Instances tell each other of new streams with their load reports: in small
+fleets of all, in others while the engines of a service are, or may have been,
+of several software versions. An instance that does not know a stream which a
+caller takes up asks its peers.
 What it has to know of the time before its start comes from the log
 (``StreamRecord``).
 """
@@ -143,7 +144,7 @@
         for name in self._sole - sole:
             for origin in self._origins.recent(now):
                 if origin.service == name:
-                    self._publish(origin, now)
+                    self._record(origin, now)
         self._sole = sole
 
     def restore(
@@ -194,12 +195,16 @@
         """Record a stream whose first event is about to be forwarded."""
         now = self._clock.monotonic()
         self._origins.record(origin, now)
+        if self.shared_by_all:
+            self._unpublished.append(origin)
         if self._only_version(origin.service, now) is None:
-            self._publish(origin, now)
+            self._record(origin, now)
 
-    def _publish(self, origin: decisions.StreamOrigin, now: float) -> None:
-        self._unpublished.append(origin)
+    def _record(self, origin: decisions.StreamOrigin, now: float) -> None:
+        """Have a stream written to the log, and told to its keepers."""
         self._unrecorded.append((now, origin))
+        if not self.shared_by_all:
+            self._unpublished.append(origin)
 
     def take_unrecorded(self, count: int) -> list[decisions.StreamOrigin]:
         """Remove and return up to ``count`` streams for the log."""
@@ -240,7 +245,9 @@
                 begin.attempt, begin.service_name, begin.software
             )
             self._origins.record(origin, now)
-            if self.shared_by_all:
+            # Of a service with one version, nothing is written to the log.
+            several = self._only_version(origin.service, now) is None
+            if self.shared_by_all and several:
                 self._unrecorded.append((now, origin))
 
     @property
--- a/agatewing/platform/tests/test_stream_versions.py
+++ b/agatewing/platform/tests/test_stream_versions.py
@@ -192,6 +192,37 @@
     assert 'agatewing_take_ups_total{how="peer"} 1' in metrics
 
 
+# A second version joined after an instance had frozen or died. What it had
+# begun before was refused everywhere, though it was of the first version.
+def test_a_stream_of_a_lost_instance_goes_on_beside_a_newer_version(
+    site: standins.Site,
+) -> None:
+    add_engines(site, {"e1": "v1", "e3": "v1"})
+    first, second = start_pair(site)
+    begin_and_break(site, first)
+    site.wait(lambda: second.streams.reply("chat/s1").known)
+    first.kill()
+    site.add_target("e2", version="v2")
+    site.wait(lambda: len(second.catalog.targets) == 3)
+    load(second, "e1", "e3")
+    reply = take_up(site, second, "s1")
+    assert reply.body == EVENTS[2]
+    assert set(engines_of(site, "s2")) <= {"e1", "e3"}
+
+
+# Beside one version, streams are told to the other instances, not to the log:
+# every write is billed.
+def test_streams_of_the_only_version_are_not_written_to_the_log(
+    site: standins.Site,
+) -> None:
+    add_engines(site, {"e1": "v1", "e2": "v1"})
+    first, second = start_pair(site)
+    begin_and_break(site, first)
+    site.wait(lambda: second.streams.reply("chat/s1").known)
+    gevent.sleep(0.3)
+    assert not site.store.topic("keyed.streams").records
+
+
 # While one version serves, streams that nobody knows were refused, for
 # instance after all instances had been killed.
 @pytest.mark.parametrize("stream", ["unknown", ""])
