Name a part of the log a LogStretch

Only names change: Stretch among the decisions did not say of what, and Peers._join_seen joins once all peers have told. A newcomer's reading of the change before the landing found them; test_log_coverage, test_version_record and test_seen_targets pass.

--- a/agatewing/decisions/__init__.py
+++ b/agatewing/decisions/__init__.py
@@ -106,7 +106,7 @@
 from agatewing.decisions._link_evidence import PeerConnection
 from agatewing.decisions._link_evidence import unreached_since
 from agatewing.decisions._log_coverage import LogCoverage
-from agatewing.decisions._log_coverage import Stretch
+from agatewing.decisions._log_coverage import LogStretch
 from agatewing.decisions._outliers import SmoothedRatio
 from agatewing.decisions._outliers import traffic_shares
 from agatewing.decisions._peer_choice import choose_peer
--- a/agatewing/decisions/_log_coverage.py
+++ b/agatewing/decisions/_log_coverage.py
@@ -14,7 +14,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Stretch:
+class LogStretch:
     """Consecutive records of the log, all of which were seen."""
 
     #: Era of the log; 0 if it named none.
@@ -27,7 +27,7 @@
     #: seconds; minus infinity if that is known of all time before.
     since: float
 
-    def touches(self, other: "Stretch") -> bool:
+    def touches(self, other: "LogStretch") -> bool:
         """Return whether no record lies between this and another stretch."""
         return (
             self.era == other.era
@@ -48,7 +48,7 @@
     def __init__(self) -> None:
         # Parts that do not touch, by era and offset. The last one ends where
         # the instance has read to.
-        self._stretches: list[Stretch] = []
+        self._stretches: list[LogStretch] = []
         #: Era and offset of the first record seen by this process; ``None``
         #: before that.
         self.memory: tuple[int, int] | None = None
@@ -57,7 +57,7 @@
         self._heard: set[str] = set()
 
     @property
-    def newest(self) -> Stretch | None:
+    def newest(self) -> LogStretch | None:
         """The part that ends where the instance has read to."""
         return self._stretches[-1] if self._stretches else None
 
@@ -82,7 +82,7 @@
             return None
         return before.through, last.start
 
-    def advance(self, stretch: Stretch) -> None:
+    def advance(self, stretch: LogStretch) -> None:
         """Add the part that ends where the instance has now read to."""
         if self.memory is None:
             self.memory = (stretch.era, stretch.start)
@@ -91,7 +91,7 @@
             self._heard.clear()
         self._join(stretch)
 
-    def vouch(self, stretch: Stretch) -> None:
+    def vouch(self, stretch: LogStretch) -> None:
         """Add a part that somebody else has seen.
 
         What lies beyond this instance's own offset does not count: it reads
@@ -108,14 +108,14 @@
             )
         )
 
-    def _join(self, stretch: Stretch) -> None:
+    def _join(self, stretch: LogStretch) -> None:
         known = self._last_known
         apart = []
         for other in self._stretches:
             if not other.touches(stretch):
                 apart.append(other)
                 continue
-            stretch = Stretch(
+            stretch = LogStretch(
                 stretch.era,
                 min(other.start, stretch.start),
                 max(other.through, stretch.through),
@@ -129,7 +129,7 @@
             self._heard.clear()
 
     @property
-    def _last_known(self) -> Stretch | None:
+    def _last_known(self) -> LogStretch | None:
         """The last part before the gaps of which most is known."""
         return min(
             self._stretches[:-1],
--- a/agatewing/decisions/tests/test_log_coverage.py
+++ b/agatewing/decisions/tests/test_log_coverage.py
@@ -12,12 +12,12 @@
 
 def stretch(
     start: int, through: int, since: float = 50.0, era: int = 1
-) -> decisions.Stretch:
-    return decisions.Stretch(era, start, through, since)
+) -> decisions.LogStretch:
+    return decisions.LogStretch(era, start, through, since)
 
 
 def read_through(
-    *stretches: decisions.Stretch,
+    *stretches: decisions.LogStretch,
 ) -> decisions.LogCoverage:
     """Return what an instance has seen that has read these one by one."""
     coverage = decisions.LogCoverage()
@@ -33,8 +33,8 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
     #: Parts that this instance has read, and parts that others vouch for.
-    read: tuple[decisions.Stretch, ...]
-    vouched: tuple[decisions.Stretch, ...]
+    read: tuple[decisions.LogStretch, ...]
+    vouched: tuple[decisions.LogStretch, ...]
     since: float
     gap: tuple[int, int] | None = None
 
@@ -94,7 +94,7 @@
     memory: tuple[int, int]
     position: tuple[int, int]
     heard: bool
-    read: tuple[decisions.Stretch, ...] = (COMPLETE, LISTED)
+    read: tuple[decisions.LogStretch, ...] = (COMPLETE, LISTED)
 
 
 NEW_ERA = (COMPLETE, stretch(25, 25, era=2))
--- a/agatewing/decisions/tests/test_version_record.py
+++ b/agatewing/decisions/tests/test_version_record.py
@@ -73,14 +73,14 @@
     for recorded_first in (True, False):
         history = decisions.VersionHistory()
         coverage = decisions.LogCoverage()
-        coverage.advance(decisions.Stretch(1, 7, 7, 100.0))
+        coverage.advance(decisions.LogStretch(1, 7, 7, 100.0))
         if recorded_first:
             history.remember(seen)
         history.observe(present, 100.0)
         if not recorded_first:
             history.remember(seen)
         if complete:
-            coverage.vouch(decisions.Stretch(1, 7, 7, -math.inf))
+            coverage.vouch(decisions.LogStretch(1, 7, 7, -math.inf))
         view = history.view(100.0 + after_s, coverage.since)
         assert decisions.proved_version([view]) == only
 
--- a/agatewing/gateway/_catalog.py
+++ b/agatewing/gateway/_catalog.py
@@ -290,7 +290,7 @@
     def _replace_targets(
         self,
         targets: collections.abc.Mapping[str, _contracts.Target],
-        seen: decisions.Stretch,
+        seen: decisions.LogStretch,
         source: str,
     ) -> None:
         for name in list(self.targets):
@@ -326,7 +326,7 @@
         seen = self.seen.stretch(self.era, self.through, through)
         self._end_batch(seen, "log")
 
-    def _end_batch(self, seen: decisions.Stretch, source: str) -> None:
+    def _end_batch(self, seen: decisions.LogStretch, source: str) -> None:
         if seen.through != self.through:
             self._batches.append((self.through, frozenset(self._changed)))
             self._changed.clear()
@@ -345,7 +345,7 @@
 
     def vouch(
         self,
-        seen: decisions.Stretch,
+        seen: decisions.LogStretch,
         ages: _seen_targets.VersionTimes,
         source: str,
     ) -> None:
--- a/agatewing/gateway/_peers.py
+++ b/agatewing/gateway/_peers.py
@@ -241,7 +241,7 @@
                 self.request_snapshots()
             else:
                 self._ask_for_missed()
-            self._join_seen()
+            self._join_if_all_told()
 
     def _ask_for_missed(self) -> None:
         """Ask peers for what has come and gone unseen here."""
@@ -266,7 +266,7 @@
             return []
         return sorted(self._catalog.seen.coverage.unheard(self.known))
 
-    def _join_seen(self) -> None:
+    def _join_if_all_told(self) -> None:
         """Count what was missed as seen once all peers have told."""
         if self.full_view and not self._unheard():
             self._catalog.seen.join_all()
@@ -319,7 +319,7 @@
         match fetched:
             case result.Ok(snapshot):
                 self._catalog.merge_snapshot(snapshot, name)
-                self._join_seen()
+                self._join_if_all_told()
             case result.Err(reason):
                 self.requests_failed += 1
                 _log.info(
--- a/agatewing/gateway/_seen_targets.py
+++ b/agatewing/gateway/_seen_targets.py
@@ -59,12 +59,14 @@
 
     def stretch(
         self, era: int, start: int, through: int, complete_s: float = 0.0
-    ) -> decisions.Stretch:
+    ) -> decisions.LogStretch:
         """Return a part of the log that has been complete for so long."""
         since = self._clock.monotonic() - complete_s
-        return decisions.Stretch(era, start, through, since)
+        return decisions.LogStretch(era, start, through, since)
 
-    def stretch_of(self, snapshot: _contracts.Snapshot) -> decisions.Stretch:
+    def stretch_of(
+        self, snapshot: _contracts.Snapshot
+    ) -> decisions.LogStretch:
         """Return the records that the sender of a snapshot has seen.
 
         One that does not say so has seen none, for all that is known.
@@ -102,7 +104,7 @@
         seen, self._versions = self._versions, {}
         return seen
 
-    def advance(self, stretch: decisions.Stretch, source: str) -> None:
+    def advance(self, stretch: decisions.LogStretch, source: str) -> None:
         """Add the records that end where the log is now known to."""
         before = self.coverage.newest
         self.coverage.advance(stretch)
@@ -119,7 +121,7 @@
             )
 
     def vouch(
-        self, stretch: decisions.Stretch, ages: VersionTimes, source: str
+        self, stretch: decisions.LogStretch, ages: VersionTimes, source: str
     ) -> None:
         """Count records as seen that somebody else has seen.
 
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -202,18 +202,18 @@
 
     def _proof(
         self, record: decisions.VersionRecord | None
-    ) -> decisions.Stretch | None:
+    ) -> decisions.LogStretch | None:
         """Return the part of the log of which a record names all versions.
 
         It reaches back to the first stream. Of a record that proves nothing,
         it is one of no era. ``None`` if the log gave no usable answer.
         """
-        nothing = decisions.Stretch(NO_ERA, 0, 0, 0.0)
+        nothing = decisions.LogStretch(NO_ERA, 0, 0, 0.0)
         if record is not None:
             # A restored log lacks what was written since the copy.
             if record.through is None:
                 return nothing
-            return decisions.Stretch(
+            return decisions.LogStretch(
                 record.era, record.through, record.through, float("-inf")
             )
         answer = self._log.read_newest(fleetlog.Topic.INSTANCES)
@@ -228,7 +228,7 @@
             return nothing
         # Without a record, this is the first start of all.
         era, through = self._catalog.position
-        return decisions.Stretch(era, through, through, float("-inf"))
+        return decisions.LogStretch(era, through, through, float("-inf"))
 
     def _read_versions(
         self,
--- a/agatewing/gateway/tests/test_seen_targets.py
+++ b/agatewing/gateway/tests/test_seen_targets.py
@@ -79,7 +79,7 @@
         self.copied: list[tuple[str, gateway.Target | None]] = []
         self.born_ms = 0
         #: The record of versions: what it proves, and the versions.
-        self.record: tuple[decisions.Stretch, _Versions] | None = None
+        self.record: tuple[decisions.LogStretch, _Versions] | None = None
         #: Versions that any instance has used.
         self.used: set[str] = set()
         #: Snapshots on their way: sender, receiver and the message.
@@ -88,7 +88,7 @@
         for node in self.nodes:
             self.list_targets(node)
             # The first start of all.
-            start = decisions.Stretch(1, 0, 0, -math.inf)
+            start = decisions.LogStretch(1, 0, 0, -math.inf)
             node.catalog.vouch(start, {}, "start")
 
     def join(self, node: Node) -> None:
@@ -254,7 +254,7 @@
     for node in nodes:
         node.catalog.record_read()
         node.catalog.replace_targets({"e0": engine("e0", "v1", 1)}, 5)
-        start = decisions.Stretch(0, 5, 5, -math.inf)
+        start = decisions.LogStretch(0, 5, 5, -math.inf)
         node.catalog.vouch(start, {}, "start")
     return *nodes, clock
 
