One place says whether entries were missed lately

StreamDirectory.complete computed the negation of SeenTargets.missed_lately from the same coverage, for StreamRecord alone, which has the catalogue. It asks that now. Behaviour is the same: 146 tests of test_missed_versions, test_out_of_step, test_joined_streams and test_restored_log pass, and lint.

--- a/agatewing/gateway/_stream_directory.py
+++ b/agatewing/gateway/_stream_directory.py
@@ -180,12 +180,6 @@
             for name, history in self._histories.items()
         }
 
-    @property
-    def complete(self) -> bool:
-        """Whether no version of recent streams was missed."""
-        missed_s = self._clock.monotonic() - self._coverage.since
-        return missed_s >= decisions.STREAM_KEEP_S
-
     def views(self) -> dict[str, decisions.VersionView]:
         """Return what is known of the versions, by service."""
         now = self._clock.monotonic()
--- a/agatewing/gateway/_stream_record.py
+++ b/agatewing/gateway/_stream_record.py
@@ -190,7 +190,7 @@
             "streams: record read",
             extra={
                 "proved_through": proof.through,
-                "complete": self._streams.complete,
+                "complete": not self._catalog.seen.missed_lately,
                 "versions": {n: sorted(v) for n, v in services.items()},
             },
         )
@@ -272,7 +272,7 @@
 
     def _look_due(self, now: float) -> bool:
         """Return whether the record has to be read for what was missed."""
-        if self._streams.complete:
+        if not self._catalog.seen.missed_lately:
             return False
         if self._catalog.seen.coverage.since > self._loaded_since:
             return True
